--- /dev/null
+++ b/crates/comfreyspread-codegen/src/main.rs
@@ -0,0 +1,45 @@
+//! Generator of the types in `comfreyspread-schema`.
+//!
+//! The files under `schema/` are the one source of messages, declarations and settings. Without
+//! arguments the generator rewrites the committed sources; with `--check` it only compares them
+//! and fails if they differ, which is what CI runs.
+//!
+//! ```text
+//! cargo run -p comfreyspread-codegen            # rewrite
+//! cargo run -p comfreyspread-codegen -- --check # compare
+//! ```
+//!
+//! The build itself never runs the generator, so a checkout builds without it.
+
+mod definitions;
+mod output;
+mod settings;
+
+use std::path;
+
+/// Generate the types of the schema crate.
+#[derive(argh::FromArgs)]
+struct GeneratorArguments {
+    /// only compare the committed sources and fail if they differ
+    #[argh(switch)]
+    check: bool,
+}
+
+fn main() -> miette::Result<()> {
+    let arguments: GeneratorArguments = argh::from_env();
+    let root = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let schema = root.join("schema");
+    let target = root.join("crates/comfreyspread-schema/src/generated");
+    let files = [
+        output::GeneratedFile::new("ids.rs", definitions::generate_ids(&schema)?),
+        output::GeneratedFile::new("types.rs", definitions::generate_types(&schema)?),
+        output::GeneratedFile::new("settings.rs", settings::generate(&schema)?),
+    ];
+    for file in &files {
+        file.settle(&target, arguments.check)?;
+    }
+    let lab = root.join("crates/comfreyspread-lab/src/generated");
+    let types = definitions::generate_lab_types(&schema)?;
+    output::GeneratedFile::new("types.rs", types).settle(&lab, arguments.check)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/comfreyspread-lab/src/caller.rs
@@ -0,0 +1,107 @@
+//! A caller: makes requests as a service or an operator would.
+
+use comfreyspread::{failure, header, http_client};
+use comfreyspread_schema::ids;
+use http_types::{Method, Request};
+use std::{net, time};
+
+const ANSWER_LIMIT_BYTES: usize = 64 * 1024 * 1024;
+
+/// Makes requests.
+#[derive(Debug)]
+pub struct TestCaller {
+    client: http_client::HttpClient,
+    patience: time::Duration,
+}
+
+/// What a call carries.
+#[derive(Clone, Debug)]
+pub struct CallerRequest {
+    /// Path, such as `/v1/pipelines/report`.
+    pub path: ids::Text,
+    /// Workspace.
+    pub workspace: ids::WorkspaceId,
+    /// Profile.
+    pub profile: ids::ProfileId,
+    /// Idempotency key, if any.
+    pub key: Option<ids::RequestKey>,
+    /// Body.
+    pub body: ids::Text,
+}
+
+impl TestCaller {
+    /// Creates a caller that waits up to `patience` for each answer.
+    pub fn new(patience: time::Duration) -> Self {
+        Self { client: http_client::HttpClient::new(ANSWER_LIMIT_BYTES), patience }
+    }
+
+    /// Makes a call through a node.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no whole answer.
+    pub async fn call(
+        &self,
+        node: net::SocketAddr,
+        call: &CallerRequest,
+    ) -> Result<http_client::ClientAnswer, failure::CallFailure> {
+        self.send(node, http_request(node, call)).await
+    }
+
+    /// Reads a path.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no whole answer.
+    pub async fn get(
+        &self,
+        address: net::SocketAddr,
+        path: &str,
+    ) -> Result<http_client::ClientAnswer, failure::CallFailure> {
+        let url = format!("http://{address}{path}");
+        self.send(address, Request::new(Method::Get, url.as_str())).await
+    }
+
+    /// Sends a JSON message to a path.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no whole answer.
+    pub async fn post<Message>(
+        &self,
+        address: net::SocketAddr,
+        path: &str,
+        message: &Message,
+    ) -> Result<http_client::ClientAnswer, failure::CallFailure>
+    where
+        Message: serde::Serialize,
+    {
+        let url = format!("http://{address}{path}");
+        let mut request = Request::new(Method::Post, url.as_str());
+        request.set_body(serde_json::to_vec(message).unwrap_or_default());
+        self.send(address, request).await
+    }
+
+    async fn send(
+        &self,
+        address: net::SocketAddr,
+        request: Request,
+    ) -> Result<http_client::ClientAnswer, failure::CallFailure> {
+        let deadline = time::Instant::now() + self.patience;
+        let connection = http_client::ConnectionUse::Fresh;
+        self.client.call(address, request, connection, deadline).await
+    }
+}
+
+/// Returns the HTTP request of a call.
+pub fn http_request(node: net::SocketAddr, call: &CallerRequest) -> Request {
+    let url = format!("http://{node}{}", call.path);
+    let mut request = Request::new(Method::Post, url.as_str());
+    request.set_body(call.body.as_bytes());
+    request.insert_header(header::WORKSPACE, &*call.workspace);
+    request.insert_header(header::PROFILE, &*call.profile);
+    if let Some(key) = &call.key {
+        request.insert_header(header::IDEMPOTENCY_KEY, &**key);
+    }
+    request
+}
--- /dev/null
+++ b/crates/comfreyspread-lab/src/deployment.rs
@@ -0,0 +1,310 @@
+//! A small deployment of separate processes on loopback: platform, endpoints and nodes.
+
+use crate::{caller, process, types};
+use comfreyspread_schema::{ids, types as wire};
+use miette::{Context as _, IntoDiagnostic as _};
+use rustix::process::Signal;
+use std::{env, fs, net, path, time};
+
+const READY_POLL: time::Duration = time::Duration::from_millis(20);
+const READY_LIMIT: time::Duration = time::Duration::from_secs(30);
+const CALL_PATIENCE: time::Duration = time::Duration::from_secs(30);
+const STOP_LIMIT: time::Duration = time::Duration::from_secs(10);
+
+/// One node process and its addresses.
+#[derive(Debug)]
+pub struct NodeProcess {
+    /// Name of the node.
+    pub name: ids::NodeId,
+    /// Address for callers.
+    pub caller_address: net::SocketAddr,
+    /// Address for other nodes.
+    pub peer_address: net::SocketAddr,
+    /// The process.
+    pub process: process::ChildProcess,
+    arguments: Vec<String>,
+}
+
+/// Where a node stands.
+#[derive(Clone, Debug)]
+pub struct NodePlace {
+    /// Name of the node and its VM.
+    pub name: ids::NodeId,
+    /// Availability zone.
+    pub zone: ids::ZoneId,
+    /// Region.
+    pub region: ids::RegionId,
+}
+
+/// A running deployment.
+#[derive(Debug)]
+pub struct TestDeployment {
+    /// Program that plays all roles.
+    pub program: path::PathBuf,
+    /// Declarations with the addresses in use.
+    pub declarations: wire::Declarations,
+    /// Address of the platform stand-in.
+    pub platform_address: net::SocketAddr,
+    /// Platform stand-in.
+    pub platform: process::ChildProcess,
+    /// Endpoint stand-ins.
+    pub endpoints: process::ChildProcess,
+    /// Nodes.
+    pub nodes: Vec<NodeProcess>,
+    /// Caller for requests to any part.
+    pub caller: caller::TestCaller,
+    file: path::PathBuf,
+}
+
+impl TestDeployment {
+    /// Starts the stand-ins and the nodes, with each endpoint at an address that is free.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process cannot be started or does not become reachable.
+    pub async fn new(
+        program: path::PathBuf,
+        mut declarations: wire::Declarations,
+        places: &[NodePlace],
+        extra: &[&str],
+    ) -> miette::Result<Self> {
+        let count = declarations.endpoints.len();
+        let addresses = process::free_addresses(count + 1 + places.len() * 2)?;
+        for (endpoint, address) in declarations.endpoints.iter_mut().zip(&addresses) {
+            endpoint.address = *address;
+        }
+        let platform_address = addresses[count];
+        let file = write_declarations(&declarations, platform_address)?;
+        let platform = start_platform(&program, platform_address)?;
+        let endpoints = start_endpoints(&program, &file, &[])?;
+        let caller = caller::TestCaller::new(CALL_PATIENCE);
+        let mut deployment = Self {
+            program,
+            declarations,
+            platform_address,
+            platform,
+            endpoints,
+            nodes: Vec::new(),
+            caller,
+            file,
+        };
+        deployment.wait_for(platform_address, "/v1/vms").await?;
+        deployment.start_nodes(places, &addresses[count + 1..], extra)?;
+        Ok(deployment)
+    }
+
+    fn start_nodes(
+        &mut self,
+        places: &[NodePlace],
+        addresses: &[net::SocketAddr],
+        extra: &[&str],
+    ) -> miette::Result<()> {
+        let (callers, peers) = addresses.split_at(places.len());
+        let seeds: Vec<_> = peers.iter().map(ToString::to_string).collect();
+        for ((place, caller), peer) in places.iter().zip(callers).zip(peers) {
+            let mut arguments = node_arguments(place, *caller, *peer, self.platform_address);
+            arguments.extend(["--seeds".to_owned(), seeds.join(",")]);
+            arguments.extend(extra.iter().map(|argument| (*argument).to_owned()));
+            let process = start_node(&self.program, &arguments)?;
+            self.nodes.push(NodeProcess {
+                name: place.name.clone(),
+                caller_address: *caller,
+                peer_address: *peer,
+                process,
+                arguments,
+            });
+        }
+        Ok(())
+    }
+
+    /// Writes the declarations as the next revision, as `apply` does, and waits until every node
+    /// is ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform refuses or a node does not become ready.
+    pub async fn configure(&self, revision: ids::RevisionNumber) -> miette::Result<()> {
+        let document = wire::ConfigurationDocument {
+            author: "lab".into(),
+            change: format!("lab-{revision}").into(),
+            declarations: self.declarations.clone(),
+            revision,
+            vms_out: Vec::new(),
+            zones_out: Vec::new(),
+        };
+        let write = wire::RowWrite {
+            condition: wire::RowCondition::Any,
+            key: comfreyspread::configuration::HEAD_KEY.into(),
+            table: comfreyspread::configuration::CONFIGURATION_TABLE.into(),
+            value: Some(serde_json::to_string(&document).into_diagnostic()?.into()),
+        };
+        let transaction = wire::TransactionRequest { writes: vec![write] };
+        self.caller.post(self.platform_address, "/v1/transactions", &transaction).await?;
+        for node in &self.nodes {
+            self.wait_for(node.caller_address, "/readyz").await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until a path answers with status 200.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not within half a minute.
+    pub async fn wait_for(&self, address: net::SocketAddr, path: &str) -> miette::Result<()> {
+        let deadline = time::Instant::now() + READY_LIMIT;
+        while time::Instant::now() < deadline {
+            let answer = self.caller.get(address, path).await;
+            if answer.is_ok_and(|answer| answer.status() == 200) {
+                return Ok(());
+            }
+            async_io::Timer::after(READY_POLL).await;
+        }
+        miette::bail!("{address}{path} did not become ready")
+    }
+
+    /// Returns what the endpoints received.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the stand-ins do not answer.
+    pub async fn records(&self) -> miette::Result<types::CallRecords> {
+        let Some(endpoint) = self.declarations.endpoints.first() else {
+            miette::bail!("there are no endpoints");
+        };
+        let answer = self.caller.get(endpoint.address, "/records").await?;
+        serde_json::from_slice(answer.body()).into_diagnostic()
+    }
+
+    /// Sets the faults of the platform stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the stand-in does not answer.
+    pub async fn set_store_faults(&self, faults: &types::StoreFaults) -> miette::Result<()> {
+        self.caller.post(self.platform_address, "/faults", faults).await?;
+        Ok(())
+    }
+
+    /// Sets the faults of one endpoint stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the endpoint is not declared or does not answer.
+    pub async fn set_endpoint_faults(&self, faults: &types::EndpointFaults) -> miette::Result<()> {
+        let found = self.declarations.endpoints.iter().find(|entry| entry.name == faults.endpoint);
+        let Some(endpoint) = found else {
+            miette::bail!("there is no endpoint {}", faults.endpoint);
+        };
+        self.caller.post(endpoint.address, "/faults", faults).await?;
+        Ok(())
+    }
+
+    /// Starts a node again with the arguments it had, after it has ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process cannot be started.
+    pub fn restart_node(&mut self, index: usize) -> miette::Result<()> {
+        let process = start_node(&self.program, &self.nodes[index].arguments)?;
+        self.nodes[index].process = process;
+        Ok(())
+    }
+
+    /// Stops all nodes gracefully.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a node does not exit with code 0.
+    pub async fn stop(mut self) -> miette::Result<()> {
+        for node in &self.nodes {
+            node.process.signal(Signal::TERM);
+        }
+        for node in &mut self.nodes {
+            let code = node.process.wait(STOP_LIMIT).await;
+            if code != Some(0) {
+                miette::bail!("{} ended with {code:?}", node.name);
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Drop for TestDeployment {
+    fn drop(&mut self) {
+        fs::remove_file(&self.file).ok();
+    }
+}
+
+/// Starts the platform stand-in.
+///
+/// # Errors
+///
+/// Fails if the process cannot be started.
+pub fn start_platform(
+    program: &path::Path,
+    address: net::SocketAddr,
+) -> miette::Result<process::ChildProcess> {
+    process::ChildProcess::new(program, &["platform", "--address", &address.to_string()])
+}
+
+/// Starts the endpoint stand-ins of a declarations file.
+///
+/// # Errors
+///
+/// Fails if the process cannot be started.
+pub fn start_endpoints(
+    program: &path::Path,
+    declarations: &path::Path,
+    extra: &[&str],
+) -> miette::Result<process::ChildProcess> {
+    let file = declarations.to_string_lossy();
+    let mut arguments = vec!["endpoints", "--declarations", &file];
+    arguments.extend(extra);
+    process::ChildProcess::new(program, &arguments)
+}
+
+fn start_node(program: &path::Path, arguments: &[String]) -> miette::Result<process::ChildProcess> {
+    let arguments: Vec<_> = arguments.iter().map(String::as_str).collect();
+    process::ChildProcess::new(program, &arguments)
+}
+
+fn node_arguments(
+    place: &NodePlace,
+    caller: net::SocketAddr,
+    peer: net::SocketAddr,
+    platform: net::SocketAddr,
+) -> Vec<String> {
+    let texts: [&str; 18] = [
+        "product",
+        "node",
+        "--node",
+        &place.name,
+        "--vm",
+        &place.name,
+        "--zone",
+        &place.zone,
+        "--region",
+        &place.region,
+        "--caller-address",
+        &caller.to_string(),
+        "--peer-address",
+        &peer.to_string(),
+        "--platform-address",
+        &platform.to_string(),
+        "--poll-ms",
+        "100",
+    ];
+    texts.map(str::to_owned).into()
+}
+
+fn write_declarations(
+    declarations: &wire::Declarations,
+    platform: net::SocketAddr,
+) -> miette::Result<path::PathBuf> {
+    let name = format!("comfreyspread-{}-{}.json", std::process::id(), platform.port());
+    let file = env::temp_dir().join(name);
+    let text = serde_json::to_string(declarations).into_diagnostic()?;
+    fs::write(&file, text).into_diagnostic().wrap_err("cannot write the declarations")?;
+    Ok(file)
+}
--- /dev/null
+++ b/crates/comfreyspread-lab/src/main.rs
@@ -0,0 +1,66 @@
+//! The `comfreyspread-lab` program: stand-ins, quickstart and reports.
+//!
+//! The lab plays every role of a small deployment, each in a process of its own. For the role of a
+//! node it hands over to the product's own command line.
+
+use comfreyspread::{command, worker};
+use comfreyspread_lab::{endpoints, platform, quickstart};
+use miette::IntoDiagnostic as _;
+use std::{env, process};
+
+const PRODUCT_ROLE: &str = "product";
+const WORKER_THREADS: usize = 4;
+
+/// Stand-ins, quickstart and reports for comfreyspread.
+#[derive(argh::FromArgs)]
+struct LabArguments {
+    #[argh(subcommand)]
+    role: LabRole,
+}
+
+#[derive(argh::FromArgs)]
+#[argh(subcommand)]
+enum LabRole {
+    Endpoints(endpoints::EndpointsArguments),
+    Platform(platform::PlatformArguments),
+    Quickstart(quickstart::QuickstartArguments),
+}
+
+fn main() -> miette::Result<process::ExitCode> {
+    let arguments: Vec<String> = env::args().collect();
+    if arguments.get(1).is_some_and(|role| role == PRODUCT_ROLE) {
+        return run_product(&arguments[2..]);
+    }
+    let arguments: LabArguments = argh::from_env();
+    let pool = worker::WorkerPool::new(WORKER_THREADS).into_diagnostic()?;
+    let spawner = pool.spawner();
+    let code = async_io::block_on(async {
+        match arguments.role {
+            LabRole::Endpoints(arguments) => {
+                arguments.run(&spawner).await.map(|()| process::ExitCode::SUCCESS)
+            }
+            LabRole::Platform(arguments) => {
+                arguments.run(&spawner).await.map(|()| process::ExitCode::SUCCESS)
+            }
+            LabRole::Quickstart(arguments) => arguments.run().await,
+        }
+    });
+    pool.stop();
+    code
+}
+
+fn run_product(arguments: &[String]) -> miette::Result<process::ExitCode> {
+    let texts: Vec<_> = arguments.iter().map(String::as_str).collect();
+    let parsed = <command::TopArguments as argh::FromArgs>::from_args(&["comfreyspread"], &texts);
+    match parsed {
+        Ok(arguments) => arguments.run(),
+        Err(exit) => {
+            println!("{}", exit.output);
+            Ok(if exit.status.is_ok() {
+                process::ExitCode::SUCCESS
+            } else {
+                process::ExitCode::FAILURE
+            })
+        }
+    }
+}
--- /dev/null
+++ b/crates/comfreyspread-lab/src/platform.rs
@@ -0,0 +1,203 @@
+//! Stand-in for the platform: table service, object store and VM list, with fault switches.
+//!
+//! `POST /faults` takes a [`types::StoreFaults`]. A stand-in that is down reads a request and
+//! closes the connection; one that loses answers carries out writes first.
+
+use crate::{serving, types};
+use async_io::Timer;
+use comfreyspread::{http_server, rank, worker};
+use comfreyspread_schema::{ids, types as wire};
+use http_types::{Method, Response, StatusCode};
+use indexmap::IndexMap;
+use std::{net, sync, time};
+
+const ROWS_PATH: &str = "/v1/tables/";
+const OBJECTS_PATH: &str = "/v1/objects/";
+
+/// Runs the platform stand-in.
+#[derive(argh::FromArgs, Debug)]
+#[argh(subcommand, name = "platform")]
+pub struct PlatformArguments {
+    /// address to serve
+    #[argh(option)]
+    pub address: net::SocketAddr,
+}
+
+impl PlatformArguments {
+    /// Serves until told to stop.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub async fn run(&self, spawner: &worker::TaskSpawner) -> miette::Result<()> {
+        let handler = sync::Arc::new(PlatformHandler::new());
+        serving::start(self.address, handler, spawner).await?;
+        serving::wait_for_stop().await
+    }
+}
+
+/// Rows of one table.
+type TableRows = IndexMap<ids::Text, wire::TableRow>;
+
+/// Everything the platform keeps.
+#[derive(Clone, Debug, Default)]
+struct PlatformState {
+    tables: IndexMap<ids::Text, TableRows>,
+    objects: IndexMap<ids::Text, ids::Payload>,
+    vms: Vec<wire::VmRecord>,
+    next_version: ids::RowVersion,
+}
+
+#[derive(Debug, Default)]
+struct PlatformTables {
+    state: PlatformState,
+    stale: Option<PlatformState>,
+    faults: types::StoreFaults,
+}
+
+/// Answers as the platform would.
+#[derive(Debug)]
+pub struct PlatformHandler {
+    tables: rank::RankedLock<rank::PoolRank, PlatformTables>,
+}
+
+impl PlatformHandler {
+    /// Creates an empty platform.
+    pub fn new() -> Self {
+        Self { tables: rank::RankedLock::new(PlatformTables::default()) }
+    }
+
+    fn answer(&self, request: &http_server::ServerRequest) -> Response {
+        let path = request.path();
+        match (request.method(), path) {
+            (Method::Post, "/v1/transactions") => {
+                serving::with_json(request, |transaction| self.transact(&transaction))
+            }
+            (Method::Get, "/v1/vms") => {
+                let vms = self.read(|state| state.vms.clone());
+                serving::json(&wire::VmList { vms })
+            }
+            (Method::Put, "/v1/vms") => serving::with_json(request, |list: wire::VmList| {
+                self.tables.lock().state.vms = list.vms;
+                Response::new(StatusCode::Ok)
+            }),
+            (Method::Get, _) if path.starts_with(ROWS_PATH) => self.read_rows(request),
+            (Method::Get, _) if path.starts_with(OBJECTS_PATH) => {
+                let object = self.read(|state| state.objects.get(path).cloned());
+                object.map_or_else(not_found, |body| Response::from(body.to_vec()))
+            }
+            (Method::Put, _) if path.starts_with(OBJECTS_PATH) => {
+                self.tables.lock().state.objects.insert(path.into(), request.body().clone());
+                Response::new(StatusCode::Ok)
+            }
+            _ => not_found(),
+        }
+    }
+
+    fn set_faults(&self, faults: types::StoreFaults) -> Response {
+        let mut tables = self.tables.lock();
+        tables.stale = faults.stale.then(|| tables.state.clone());
+        tables.faults = faults;
+        Response::new(StatusCode::Ok)
+    }
+
+    fn read<Value>(&self, read: impl FnOnce(&PlatformState) -> Value) -> Value {
+        let tables = self.tables.lock();
+        read(tables.stale.as_ref().unwrap_or(&tables.state))
+    }
+
+    fn read_rows(&self, request: &http_server::ServerRequest) -> Response {
+        let path = request.path().trim_start_matches(ROWS_PATH);
+        let Some((table, key)) = path.split_once("/rows") else { return not_found() };
+        if let Some(key) = key.strip_prefix('/') {
+            let row = self.read(|state| state.tables.get(table)?.get(key).cloned());
+            return row.map_or_else(not_found, |row| serving::json(&row));
+        }
+        let prefix = request.query().and_then(|query| query.strip_prefix("prefix=")).unwrap_or("");
+        let rows = self.read(|state| scan(state.tables.get(table), prefix));
+        serving::json(&wire::TableRows { rows })
+    }
+
+    fn transact(&self, request: &wire::TransactionRequest) -> Response {
+        let mut tables = self.tables.lock();
+        let state = &mut tables.state;
+        let committed = request.writes.iter().all(|write| state.holds(write));
+        if committed {
+            for write in &request.writes {
+                state.apply(write);
+            }
+        }
+        let versions = request.writes.iter().map(|write| state.version(write)).collect();
+        serving::json(&wire::TransactionReply { committed, versions })
+    }
+}
+
+impl Default for PlatformHandler {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl PlatformState {
+    fn version(&self, write: &wire::RowWrite) -> ids::RowVersion {
+        let row = self.tables.get(&write.table).and_then(|rows| rows.get(&write.key));
+        row.map_or(0, |row| row.version)
+    }
+
+    fn holds(&self, write: &wire::RowWrite) -> bool {
+        let current = self.version(write);
+        match write.condition {
+            wire::RowCondition::Absent => current == 0,
+            wire::RowCondition::Version(version) => current == version,
+            wire::RowCondition::Any => true,
+        }
+    }
+
+    fn apply(&mut self, write: &wire::RowWrite) {
+        self.next_version += 1;
+        let rows = self.tables.entry(write.table.clone()).or_default();
+        let Some(value) = &write.value else {
+            rows.shift_remove(&write.key);
+            return;
+        };
+        let row = wire::TableRow {
+            key: write.key.clone(),
+            value: value.clone(),
+            version: self.next_version,
+        };
+        rows.insert(write.key.clone(), row);
+    }
+}
+
+fn scan(rows: Option<&TableRows>, prefix: &str) -> Vec<wire::TableRow> {
+    let matching = rows.into_iter().flatten().filter(|(key, _)| key.starts_with(prefix));
+    let mut found: Vec<_> = matching.map(|(_, row)| row.clone()).collect();
+    found.sort_by(|one, other| one.key.cmp(&other.key));
+    found
+}
+
+fn not_found() -> Response {
+    Response::new(StatusCode::NotFound)
+}
+
+impl http_server::RequestHandler for PlatformHandler {
+    async fn handle(&self, request: http_server::ServerRequest) -> Response {
+        if request.path() == "/faults" {
+            return serving::with_json(&request, |faults| self.set_faults(faults));
+        }
+        let faults = self.tables.lock().faults.clone();
+        if faults.delay > time::Duration::ZERO {
+            Timer::after(faults.delay).await;
+        }
+        if faults.down {
+            return serving::cut();
+        }
+        let answer = self.answer(&request);
+        let wrote = request.method() != Method::Get;
+        if faults.lose_answers && wrote { serving::cut() } else { answer }
+    }
+
+    fn refuse(&self, _fault: http_server::RequestFault) -> Response {
+        serving::refuse()
+    }
+}
--- /dev/null
+++ b/crates/comfreyspread-lab/src/process.rs
@@ -0,0 +1,87 @@
+//! Child processes of the lab: stand-ins and nodes, each the lab's own program in another role.
+
+use miette::IntoDiagnostic as _;
+use std::{env, net, process, time};
+
+const READY_POLL: time::Duration = time::Duration::from_millis(20);
+
+/// A child process that is killed when dropped.
+#[derive(Debug)]
+pub struct ChildProcess {
+    child: process::Child,
+}
+
+impl ChildProcess {
+    /// Starts this program again with `arguments`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process cannot be started.
+    pub fn new(program: &std::path::Path, arguments: &[&str]) -> miette::Result<Self> {
+        let child = process::Command::new(program)
+            .args(arguments)
+            .stdin(process::Stdio::null())
+            .spawn()
+            .into_diagnostic()?;
+        Ok(Self { child })
+    }
+
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: rustix::process::Signal) {
+        let id = i32::try_from(self.child.id()).ok().and_then(rustix::process::Pid::from_raw);
+        if let Some(id) = id {
+            rustix::process::kill_process(id, signal).ok();
+        }
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+
+    /// Waits for the end of the process and returns its exit code; none if it was killed or is
+    /// still running after `limit`.
+    pub async fn wait(&mut self, limit: time::Duration) -> Option<i32> {
+        let deadline = time::Instant::now() + limit;
+        while time::Instant::now() < deadline {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return status.code();
+            }
+            async_io::Timer::after(READY_POLL).await;
+        }
+        None
+    }
+}
+
+impl Drop for ChildProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Returns the path of this program.
+///
+/// # Errors
+///
+/// Fails if the system cannot tell.
+pub fn own_program() -> miette::Result<std::path::PathBuf> {
+    env::current_exe().into_diagnostic()
+}
+
+/// Returns `count` loopback addresses that are free now.
+///
+/// # Errors
+///
+/// Fails if no port is free.
+pub fn free_addresses(count: usize) -> miette::Result<Vec<net::SocketAddr>> {
+    let listeners: Result<Vec<_>, _> =
+        (0..count).map(|_| net::TcpListener::bind(("127.0.0.1", 0))).collect();
+    let addresses = listeners.into_diagnostic()?.into_iter().map(|listener| listener.local_addr());
+    addresses.collect::<Result<_, _>>().into_diagnostic()
+}
--- /dev/null
+++ b/crates/comfreyspread-lab/src/serving.rs
@@ -0,0 +1,89 @@
+//! Running a stand-in as a process of its own.
+
+use comfreyspread::{front, http_server, worker};
+use futures_lite::StreamExt as _;
+use http_types::{Response, StatusCode};
+use miette::{Context as _, IntoDiagnostic as _};
+use std::{net, sync, time};
+
+const BODY_LIMIT_BYTES: usize = 64 * 1024 * 1024;
+const CONNECTION_LIMIT: usize = 20_000;
+const PATIENCE: time::Duration = time::Duration::from_secs(600);
+
+/// Starts a server for `handler` on `address`.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub async fn start<Handler>(
+    address: net::SocketAddr,
+    handler: sync::Arc<Handler>,
+    spawner: &worker::TaskSpawner,
+) -> miette::Result<()>
+where
+    Handler: http_server::RequestHandler,
+{
+    let limits = http_server::ServerLimits {
+        body: BODY_LIMIT_BYTES,
+        body_timeout: PATIENCE,
+        connections: CONNECTION_LIMIT,
+        header_timeout: PATIENCE,
+    };
+    let server = http_server::HttpServer::new(address, handler, limits, spawner.clone())
+        .await
+        .into_diagnostic()
+        .wrap_err_with(|| format!("cannot serve on {address}"))?;
+    spawner.detach(server.serve());
+    Ok(())
+}
+
+/// Waits until the process is told to stop.
+///
+/// # Errors
+///
+/// Fails if signals cannot be received.
+pub async fn wait_for_stop() -> miette::Result<()> {
+    let signals = [async_signal::Signal::Int, async_signal::Signal::Term];
+    let mut signals = async_signal::Signals::new(signals).into_diagnostic()?;
+    signals.next().await;
+    Ok(())
+}
+
+/// Returns the answer to a request that could not be read.
+pub fn refuse() -> Response {
+    Response::new(StatusCode::BadRequest)
+}
+
+/// Parses the JSON body of a request and acts on it, or answers with status 400.
+pub fn with_json<Message>(
+    request: &http_server::ServerRequest,
+    act: impl FnOnce(Message) -> Response,
+) -> Response
+where
+    Message: serde::de::DeserializeOwned,
+{
+    match serde_json::from_slice(request.body()) {
+        Ok(message) => act(message),
+        Err(error) => {
+            let mut response = Response::new(StatusCode::BadRequest);
+            response.set_body(error.to_string());
+            response
+        }
+    }
+}
+
+/// Returns a JSON answer with status 200.
+pub fn json<Message>(message: &Message) -> Response
+where
+    Message: serde::Serialize,
+{
+    front::json(StatusCode::Ok, message)
+}
+
+/// Returns an answer that ends the connection before it is whole.
+pub fn cut() -> Response {
+    let mut response = Response::new(StatusCode::Ok);
+    response.set_body(http_types::Body::from_reader(futures_lite::io::empty(), Some(1)));
+    response.insert_header("connection", "close");
+    response
+}
--- /dev/null
+++ b/crates/comfreyspread-policy/src/catalog.rs
@@ -0,0 +1,160 @@
+//! Index of one revision of the configuration, for lookups by name.
+
+use comfreyspread_schema::{ids, types};
+use indexmap::{IndexMap, IndexSet};
+use std::time;
+
+/// One revision of the configuration, indexed.
+#[derive(Debug, Default)]
+pub struct ConfigurationCatalog {
+    revision: ids::RevisionNumber,
+    change: ids::ChangeId,
+    regions: IndexMap<ids::ZoneId, ids::RegionId>,
+    pools: IndexMap<ids::PoolId, PoolEntry>,
+    endpoints: IndexMap<ids::EndpointId, types::EndpointDeclaration>,
+    pipelines: IndexMap<ids::PipelineId, types::PipelineDeclaration>,
+    services: IndexMap<ids::ServiceId, types::ServiceDeclaration>,
+    profiles: IndexMap<ids::ProfileId, types::ProfileDeclaration>,
+    workspaces: IndexMap<ids::WorkspaceId, types::WorkspaceDeclaration>,
+    zones_out: IndexSet<ids::ZoneId>,
+    vms_out: IndexSet<ids::VmId>,
+    document: Option<types::ConfigurationDocument>,
+}
+
+/// A pool with its endpoints.
+#[derive(Debug)]
+pub struct PoolEntry {
+    declaration: types::PoolDeclaration,
+    endpoints: Vec<ids::EndpointId>,
+}
+
+impl PoolEntry {
+    /// Returns the declaration of the pool.
+    pub fn declaration(&self) -> &types::PoolDeclaration {
+        &self.declaration
+    }
+
+    /// Returns the names of the pool's endpoints, in order of declaration.
+    pub fn endpoints(&self) -> &[ids::EndpointId] {
+        &self.endpoints
+    }
+}
+
+impl ConfigurationCatalog {
+    /// Indexes a document whose references have been validated.
+    pub fn new(document: types::ConfigurationDocument) -> Self {
+        let declarations = document.declarations.clone();
+        let mut pools = IndexMap::new();
+        for pool in declarations.pools {
+            let entry = PoolEntry { declaration: pool, endpoints: Vec::new() };
+            pools.insert(entry.declaration.name.clone(), entry);
+        }
+        for endpoint in &declarations.endpoints {
+            if let Some(entry) = pools.get_mut(&endpoint.pool) {
+                entry.endpoints.push(endpoint.name.clone());
+            }
+        }
+        let zones = declarations.zones.into_iter();
+        Self {
+            revision: document.revision,
+            change: document.change.clone(),
+            regions: zones.map(|zone| (zone.name, zone.region)).collect(),
+            pools,
+            endpoints: by_name(declarations.endpoints, |entry| entry.name.clone()),
+            pipelines: by_name(declarations.pipelines, |entry| entry.name.clone()),
+            services: by_name(declarations.services, |entry| entry.name.clone()),
+            profiles: by_name(declarations.profiles, |entry| entry.name.clone()),
+            workspaces: by_name(declarations.workspaces, |entry| entry.name.clone()),
+            zones_out: document.zones_out.iter().cloned().collect(),
+            vms_out: document.vms_out.iter().cloned().collect(),
+            document: Some(document),
+        }
+    }
+
+    /// Returns the revision; zero if there is no configuration yet.
+    pub fn revision(&self) -> ids::RevisionNumber {
+        self.revision
+    }
+
+    /// Returns the change that made this revision.
+    pub fn change(&self) -> &ids::ChangeId {
+        &self.change
+    }
+
+    /// Returns the document indexed, if there is one.
+    pub fn document(&self) -> Option<&types::ConfigurationDocument> {
+        self.document.as_ref()
+    }
+
+    /// Returns the region of a zone.
+    pub fn region(&self, zone: &ids::ZoneId) -> Option<&ids::RegionId> {
+        self.regions.get(zone)
+    }
+
+    /// Returns a pool.
+    pub fn pool(&self, name: &ids::PoolId) -> Option<&PoolEntry> {
+        self.pools.get(name)
+    }
+
+    /// Returns all pools in order of declaration.
+    pub fn pools(&self) -> impl Iterator<Item = &PoolEntry> {
+        self.pools.values()
+    }
+
+    /// Returns an endpoint.
+    pub fn endpoint(&self, name: &ids::EndpointId) -> Option<&types::EndpointDeclaration> {
+        self.endpoints.get(name)
+    }
+
+    /// Returns all endpoints in order of declaration.
+    pub fn endpoints(&self) -> impl Iterator<Item = &types::EndpointDeclaration> {
+        self.endpoints.values()
+    }
+
+    /// Returns a pipeline.
+    pub fn pipeline(&self, name: &str) -> Option<&types::PipelineDeclaration> {
+        self.pipelines.get(name)
+    }
+
+    /// Returns a service.
+    pub fn service(&self, name: &str) -> Option<&types::ServiceDeclaration> {
+        self.services.get(name)
+    }
+
+    /// Returns a profile.
+    pub fn profile(&self, name: &str) -> Option<&types::ProfileDeclaration> {
+        self.profiles.get(name)
+    }
+
+    /// Returns a workspace.
+    pub fn workspace(&self, name: &str) -> Option<&types::WorkspaceDeclaration> {
+        self.workspaces.get(name)
+    }
+
+    /// Returns the names of the zones out of service.
+    pub fn zones_out(&self) -> impl Iterator<Item = &ids::ZoneId> {
+        self.zones_out.iter()
+    }
+
+    /// Returns the names of the VMs out of service.
+    pub fn vms_out(&self) -> impl Iterator<Item = &ids::VmId> {
+        self.vms_out.iter()
+    }
+
+    /// Whether operators let an endpoint take new work.
+    pub fn in_service(&self, endpoint: &types::EndpointDeclaration) -> bool {
+        !self.zones_out.contains(&endpoint.zone) && !self.vms_out.contains(&endpoint.vm)
+    }
+
+    /// Returns the longest wait in the queue of a pool's owner.
+    pub fn queue_limit(&self, pool: &ids::PoolId) -> time::Duration {
+        self.pool(pool).map_or(time::Duration::ZERO, |entry| entry.declaration.queue)
+    }
+}
+
+fn by_name<Name, Entry>(entries: Vec<Entry>, name: impl Fn(&Entry) -> Name) -> IndexMap<Name, Entry>
+where
+    Name: std::hash::Hash + Eq,
+{
+    entries.into_iter().map(|entry| (name(&entry), entry)).collect()
+}
--- /dev/null
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -0,0 +1,20 @@
+//! Decisions of comfreyspread: routing, limits, retries, membership, state and recovery.
+//!
+//! Nothing here opens a socket, encodes a message, reads a clock or starts a thread. Each decision
+//! takes the present moment and, where chance matters, a random source as arguments, and returns
+//! what is to be done. The node crate carries it out. So another front end can use the same
+//! decisions, and tests run them on injected time.
+//!
+//! ```
+//! use comfreyspread_policy::verdict;
+//! use comfreyspread_schema::types::CallVerdict;
+//!
+//! let tracker = verdict::VerdictTracker::new().with_outcome(CallVerdict::MayHaveRun);
+//! assert_eq!(tracker.verdict(), CallVerdict::MayHaveRun);
+//! ```
+
+pub mod attempt;
+pub mod catalog;
+pub mod life;
+pub mod rotation;
+pub mod verdict;
--- /dev/null
+++ b/crates/comfreyspread-policy/src/verdict.rs
@@ -0,0 +1,53 @@
+//! Whether a request may have run, over all of its attempts.
+//!
+//! A caller that is told `not-run` may send its request again without harm, so that word has to be
+//! true of every attempt made so far. The tracker only ever moves away from `not-run`.
+
+use comfreyspread_schema::types;
+
+/// Verdict of a request over its attempts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct VerdictTracker {
+    verdict: types::CallVerdict,
+}
+
+impl VerdictTracker {
+    /// Creates the verdict of a request that no endpoint has seen.
+    pub fn new() -> Self {
+        Self { verdict: types::CallVerdict::NotRun }
+    }
+
+    /// Returns the verdict after one more attempt ended with `outcome`.
+    pub fn with_outcome(self, outcome: types::CallVerdict) -> Self {
+        Self { verdict: furthest(self.verdict, outcome) }
+    }
+
+    /// Returns the verdict over all attempts.
+    pub fn verdict(self) -> types::CallVerdict {
+        self.verdict
+    }
+
+    /// Whether another attempt may be made, given whether the request may run more than once.
+    pub fn allows_retry(self, idempotent: bool) -> bool {
+        match self.verdict {
+            types::CallVerdict::NotRun => true,
+            types::CallVerdict::MayHaveRun => idempotent,
+            types::CallVerdict::Ran => false,
+        }
+    }
+}
+
+impl Default for VerdictTracker {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn furthest(one: types::CallVerdict, other: types::CallVerdict) -> types::CallVerdict {
+    use types::CallVerdict::{MayHaveRun, NotRun, Ran};
+    match (one, other) {
+        (Ran, _) | (_, Ran) => Ran,
+        (MayHaveRun, _) | (_, MayHaveRun) => MayHaveRun,
+        (NotRun, NotRun) => NotRun,
+    }
+}
--- /dev/null
+++ b/crates/comfreyspread-policy/tests/verdict.rs
@@ -0,0 +1,45 @@
+//! Verdict of a request over its attempts.
+
+use bolero::check;
+use comfreyspread_policy::{attempt, verdict};
+use comfreyspread_schema::types::CallVerdict;
+
+const ALL: [CallVerdict; 3] = [CallVerdict::NotRun, CallVerdict::MayHaveRun, CallVerdict::Ran];
+
+#[test]
+fn never_returns() {
+    check!().with_type::<Vec<u8>>().for_each(|choices| {
+        let mut tracker = verdict::VerdictTracker::new();
+        let mut furthest = 0;
+        for choice in choices {
+            let index = usize::from(*choice) % ALL.len();
+            tracker = tracker.with_outcome(ALL[index]);
+            furthest = furthest.max(index);
+            assert_eq!(tracker.verdict(), ALL[furthest]);
+        }
+    });
+}
+
+#[test]
+fn retry_rules() {
+    let cases = [
+        (CallVerdict::NotRun, false, true),
+        (CallVerdict::NotRun, true, true),
+        (CallVerdict::MayHaveRun, false, false),
+        (CallVerdict::MayHaveRun, true, true),
+        (CallVerdict::Ran, false, false),
+        (CallVerdict::Ran, true, false),
+    ];
+    for (outcome, idempotent, allowed) in cases {
+        let tracker = verdict::VerdictTracker::new().with_outcome(outcome);
+        assert_eq!(tracker.allows_retry(idempotent), allowed, "{outcome} {idempotent}");
+    }
+}
+
+#[test]
+fn attempt_outcomes() {
+    assert_eq!(attempt::CallAttempt::new(1).withdraw().verdict(), CallVerdict::NotRun);
+    assert_eq!(attempt::CallAttempt::new(1).send().refuse().verdict(), CallVerdict::NotRun);
+    assert_eq!(attempt::CallAttempt::new(1).send().lose().verdict(), CallVerdict::MayHaveRun);
+    assert_eq!(attempt::CallAttempt::new(1).send().answer().verdict(), CallVerdict::Ran);
+}
--- /dev/null
+++ b/crates/comfreyspread/src/context.rs
@@ -0,0 +1,96 @@
+//! What every part of a node needs: identity, settings, tables, clients and workers.
+
+use crate::{http_client, metrics, platform, settings, tables, worker};
+use comfreyspread_schema::{ids, types};
+use std::{fmt, sync::atomic, time};
+
+/// Version of the protocol between nodes.
+pub const PEER_PROTOCOL_VERSION: u32 = 1;
+
+/// Shared context of one node.
+pub struct NodeContext {
+    /// Settings of the node.
+    pub settings: settings::NodeSettings,
+    /// Number drawn at the start of the process.
+    pub start: ids::StartId,
+    /// Shared tables.
+    pub tables: tables::SharedTables,
+    /// Client for endpoints and other nodes.
+    pub client: http_client::HttpClient,
+    /// Client of the platform's services.
+    pub platform: platform::PlatformClient,
+    /// Metrics of the process.
+    pub metrics: metrics::NodeMetrics,
+    /// Starts tasks.
+    pub spawner: worker::TaskSpawner,
+    requests: atomic::AtomicU64,
+    active: atomic::AtomicU64,
+}
+
+impl fmt::Debug for NodeContext {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("NodeContext").field("node", &self.settings.node).finish()
+    }
+}
+
+impl NodeContext {
+    /// Creates the context of a node that starts.
+    pub fn new(settings: settings::NodeSettings, spawner: worker::TaskSpawner) -> Self {
+        let platform =
+            platform::PlatformClient::new(settings.platform_address, settings.store_timeout);
+        Self {
+            start: rand::random(),
+            tables: tables::SharedTables::new(),
+            client: http_client::HttpClient::new(settings.body_limit),
+            platform,
+            metrics: metrics::NodeMetrics::new(),
+            spawner,
+            requests: atomic::AtomicU64::new(0),
+            active: atomic::AtomicU64::new(0),
+            settings,
+        }
+    }
+
+    /// Returns the header of a message to another node.
+    pub fn peer_header(&self) -> types::PeerHeader {
+        types::PeerHeader {
+            node: self.settings.node.clone(),
+            protocol: PEER_PROTOCOL_VERSION,
+            revision: self.tables.catalog().revision(),
+            start: self.start,
+        }
+    }
+
+    /// Returns an identifier for a new request.
+    pub fn next_request(&self) -> ids::RequestId {
+        let number = self.requests.fetch_add(1, atomic::Ordering::Relaxed);
+        format!("{}-{:08x}-{number}", self.settings.node, self.start & 0xffff_ffff).into()
+    }
+
+    /// Returns the number of caller requests in progress.
+    pub fn active_requests(&self) -> u64 {
+        self.active.load(atomic::Ordering::Acquire)
+    }
+
+    /// Counts a caller request as in progress until the guard is dropped.
+    pub fn begin_request(&self) -> ActiveRequest<'_> {
+        self.active.fetch_add(1, atomic::Ordering::AcqRel);
+        ActiveRequest { active: &self.active }
+    }
+
+    /// Returns the moment `budget` from now.
+    pub fn deadline(&self, budget: time::Duration) -> time::Instant {
+        time::Instant::now() + budget
+    }
+}
+
+/// Counts one caller request as in progress.
+pub struct ActiveRequest<'context> {
+    active: &'context atomic::AtomicU64,
+}
+
+impl Drop for ActiveRequest<'_> {
+    fn drop(&mut self) {
+        self.active.fetch_sub(1, atomic::Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/crates/comfreyspread/src/http_server.rs
@@ -0,0 +1,343 @@
+//! HTTP/1.1 server on one address.
+//!
+//! Decoding and encoding are `async-h1`'s. This module adds what the library leaves to its user:
+//! limits on time and size, a check that a body is whole, an answer to malformed requests, and a
+//! way to notice that the caller went away.
+
+use crate::worker;
+use async_h1::server;
+use async_net::TcpStream;
+use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, FutureExt as _, io};
+use http_types::{Method, Response, headers};
+use std::{future, net, sync, sync::atomic, time};
+
+const COPY_BUFFER_BYTES: usize = 16 * 1024;
+const MALFORMED_ANSWER: &[u8] = b"HTTP/1.1 400 Bad Request\r\ncontent-type: text/plain\r\n\
+comfreyspread-verdict: not-run\r\ncontent-length: 21\r\nconnection: close\r\n\r\nmalformed request\r\n\r\n";
+const BUSY_ANSWER: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\ncomfreyspread-verdict: not-run\r\n\
+retry-after: 1\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+
+/// A request whose body has been read whole.
+#[derive(Debug)]
+pub struct ServerRequest {
+    head: http_types::Request,
+    body: bytes::Bytes,
+    connection: ConnectionWatch,
+}
+
+impl ServerRequest {
+    /// Returns the method.
+    pub fn method(&self) -> Method {
+        self.head.method()
+    }
+
+    /// Returns the path without the query.
+    pub fn path(&self) -> &str {
+        self.head.url().path()
+    }
+
+    /// Returns the query, if any.
+    pub fn query(&self) -> Option<&str> {
+        self.head.url().query()
+    }
+
+    /// Returns the first value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.header(name).map(|values| values.as_str())
+    }
+
+    /// Returns the body.
+    pub fn body(&self) -> &bytes::Bytes {
+        &self.body
+    }
+
+    /// Returns a watch over the caller's connection.
+    pub fn connection(&self) -> &ConnectionWatch {
+        &self.connection
+    }
+}
+
+/// Tells when the other side of a connection goes away.
+#[derive(Clone, Debug)]
+pub struct ConnectionWatch {
+    stream: TcpStream,
+}
+
+impl ConnectionWatch {
+    /// Waits until the other side has closed the connection.
+    pub async fn closed(&self) {
+        let mut byte = [0];
+        match self.stream.peek(&mut byte).await {
+            Ok(0) | Err(_) => {}
+            Ok(_) => future::pending().await,
+        }
+    }
+}
+
+/// Answers requests.
+pub trait RequestHandler: Send + Sync + 'static {
+    /// Answers one request.
+    fn handle(&self, request: ServerRequest) -> impl Future<Output = Response> + Send;
+
+    /// Answers a request that could not be read, with the reason.
+    fn refuse(&self, fault: RequestFault) -> Response;
+}
+
+/// Why a request could not be read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RequestFault {
+    /// The body is shorter than its stated length.
+    CutShort,
+    /// The body is not valid.
+    Malformed,
+    /// The body did not arrive in time.
+    Slow,
+    /// The body is larger than allowed.
+    TooLarge,
+}
+
+/// Limits of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerLimits {
+    /// Largest body in bytes.
+    pub body: usize,
+    /// Longest wait for a body, and for a reader that takes nothing.
+    pub body_timeout: time::Duration,
+    /// Most connections held at once.
+    pub connections: usize,
+    /// Longest wait for a header, also between requests.
+    pub header_timeout: time::Duration,
+}
+
+/// A listening HTTP server.
+pub struct HttpServer<Handler> {
+    handler: sync::Arc<Handler>,
+    limits: ServerLimits,
+    listener: async_net::TcpListener,
+    spawner: worker::TaskSpawner,
+    connections: sync::Arc<atomic::AtomicUsize>,
+    closing: async_channel::Receiver<()>,
+    closer: async_channel::Sender<()>,
+}
+
+/// Handle that closes a server's idle connections and stops it from accepting.
+#[derive(Clone, Debug)]
+pub struct ServerCloser {
+    closer: async_channel::Sender<()>,
+    connections: sync::Arc<atomic::AtomicUsize>,
+}
+
+impl ServerCloser {
+    /// Stops accepting and closes each connection once it is idle.
+    pub fn close(&self) {
+        self.closer.close();
+    }
+
+    /// Returns the number of open connections.
+    pub fn connections(&self) -> usize {
+        self.connections.load(atomic::Ordering::Relaxed)
+    }
+}
+
+impl<Handler> HttpServer<Handler>
+where
+    Handler: RequestHandler,
+{
+    /// Binds `address`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub async fn new(
+        address: net::SocketAddr,
+        handler: sync::Arc<Handler>,
+        limits: ServerLimits,
+        spawner: worker::TaskSpawner,
+    ) -> io::Result<Self> {
+        let listener = async_net::TcpListener::bind(address).await?;
+        let (closer, closing) = async_channel::bounded(1);
+        let connections = sync::Arc::new(atomic::AtomicUsize::new(0));
+        Ok(Self { handler, limits, listener, spawner, connections, closing, closer })
+    }
+
+    /// Returns the address bound.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system cannot tell.
+    pub fn address(&self) -> io::Result<net::SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Returns a handle that closes the server.
+    pub fn closer(&self) -> ServerCloser {
+        ServerCloser { closer: self.closer.clone(), connections: self.connections.clone() }
+    }
+
+    /// Serves connections until closed.
+    pub async fn serve(self) {
+        loop {
+            let accepted = async { Some(self.listener.accept().await) };
+            let closed = async {
+                self.closing.recv().await.ok();
+                None
+            };
+            match accepted.or(closed).await {
+                Some(Ok((stream, _))) => self.start(stream),
+                Some(Err(error)) => {
+                    log::warn!("http: accept failed. error={error}");
+                    async_io::Timer::after(time::Duration::from_millis(10)).await;
+                }
+                None => return,
+            }
+        }
+    }
+
+    fn start(&self, stream: TcpStream) {
+        let held = self.connections.fetch_add(1, atomic::Ordering::Relaxed);
+        let connection = ServerConnection {
+            handler: self.handler.clone(),
+            limits: self.limits,
+            stream,
+            closing: self.closing.clone(),
+            connections: self.connections.clone(),
+        };
+        let busy = held >= self.limits.connections;
+        self.spawner.detach(async move {
+            let ended = if busy { connection.turn_away().await } else { connection.run().await };
+            if let Err(error) = ended {
+                log::debug!("http: connection ended. error={error}");
+            }
+        });
+    }
+}
+
+struct ServerConnection<Handler> {
+    handler: sync::Arc<Handler>,
+    limits: ServerLimits,
+    stream: TcpStream,
+    closing: async_channel::Receiver<()>,
+    connections: sync::Arc<atomic::AtomicUsize>,
+}
+
+impl<Handler> Drop for ServerConnection<Handler> {
+    fn drop(&mut self) {
+        self.connections.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
+
+impl<Handler> ServerConnection<Handler>
+where
+    Handler: RequestHandler,
+{
+    async fn turn_away(mut self) -> http_types::Result<()> {
+        Ok(self.stream.write_all(BUSY_ANSWER).await?)
+    }
+
+    async fn run(mut self) -> http_types::Result<()> {
+        self.stream.set_nodelay(true)?;
+        while self.serve_one().await? {}
+        Ok(())
+    }
+
+    /// Serves one request and returns whether the connection can serve another.
+    async fn serve_one(&mut self) -> http_types::Result<bool> {
+        let Some(mut head) = self.read_head().await? else { return Ok(false) };
+        let method = head.method();
+        let wants_close = has_close(head.header(headers::CONNECTION));
+        let (response, whole) = match self.read_body(&mut head).await {
+            Ok(body) => {
+                let connection = ConnectionWatch { stream: self.stream.clone() };
+                (self.handler.handle(ServerRequest { head, body, connection }).await, true)
+            }
+            Err(fault) => (self.handler.refuse(fault), false),
+        };
+        let close = wants_close || !whole || has_close(response.header(headers::CONNECTION));
+        self.write(response, method).await?;
+        Ok(!close && !self.closing.is_closed())
+    }
+
+    async fn read_head(&mut self) -> http_types::Result<Option<http_types::Request>> {
+        let decoded = async { Some(server::decode(self.stream.clone()).await) };
+        let late = async {
+            async_io::Timer::after(self.limits.header_timeout).await;
+            None
+        };
+        let closed = async {
+            self.closing.recv().await.ok();
+            None
+        };
+        match decoded.or(late).or(closed).await {
+            Some(Ok(Some((request, _)))) => Ok(Some(request)),
+            Some(Ok(None)) | None => Ok(None),
+            Some(Err(error)) => {
+                self.stream.write_all(MALFORMED_ANSWER).await?;
+                Err(error)
+            }
+        }
+    }
+
+    async fn read_body(
+        &self,
+        head: &mut http_types::Request,
+    ) -> Result<bytes::Bytes, RequestFault> {
+        let lengths = head.header(headers::CONTENT_LENGTH);
+        if lengths.is_some_and(|values| values.iter().any(|value| value != values.last())) {
+            return Err(RequestFault::Malformed);
+        }
+        let stated = head.len();
+        if stated.is_some_and(|length| length > self.limits.body) {
+            return Err(RequestFault::TooLarge);
+        }
+        let read = read_limited(head.take_body(), stated, self.limits.body);
+        let late = async {
+            async_io::Timer::after(self.limits.body_timeout).await;
+            Err(RequestFault::Slow)
+        };
+        read.or(late).await
+    }
+
+    async fn write(&mut self, response: Response, method: Method) -> http_types::Result<()> {
+        let mut encoder = server::Encoder::new(response, method);
+        let mut buffer = vec![0; COPY_BUFFER_BYTES];
+        loop {
+            let count = encoder.read(&mut buffer).await?;
+            if count == 0 {
+                return Ok(());
+            }
+            let limit = self.limits.body_timeout;
+            let written = self.stream.write_all(&buffer[..count]);
+            let late = async {
+                async_io::Timer::after(limit).await;
+                Err(io::ErrorKind::TimedOut.into())
+            };
+            written.or(late).await?;
+        }
+    }
+}
+
+fn has_close(values: Option<&headers::HeaderValues>) -> bool {
+    values.is_some_and(|values| values.as_str().eq_ignore_ascii_case("close"))
+}
+
+/// Reads a body and checks that it is whole and within `limit` bytes.
+async fn read_limited(
+    body: http_types::Body,
+    stated: Option<usize>,
+    limit: usize,
+) -> Result<bytes::Bytes, RequestFault> {
+    let mut bytes = Vec::with_capacity(stated.unwrap_or(0));
+    let most = u64::try_from(limit).unwrap_or(u64::MAX).saturating_add(1);
+    let read = body.take(most).read_to_end(&mut bytes).await;
+    if read.is_err() {
+        return Err(RequestFault::CutShort);
+    }
+    if bytes.len() > limit {
+        return Err(RequestFault::TooLarge);
+    }
+    if stated.is_some_and(|length| length != bytes.len()) {
+        return Err(RequestFault::CutShort);
+    }
+    Ok(bytes.into())
+}
--- /dev/null
+++ b/crates/comfreyspread/src/logs.rs
@@ -0,0 +1,66 @@
+//! Set-up of structured logs.
+//!
+//! A line holds a time, a level, a short sentence that begins with the prefix of its part, and
+//! key-value pairs. Bodies are never logged.
+
+use log::kv;
+use std::fmt;
+
+/// Starts logging to the standard error stream.
+///
+/// # Errors
+///
+/// Fails if logging was started before.
+pub fn start(level: log::LevelFilter, json: bool) -> Result<(), log::SetLoggerError> {
+    let format = if json { write_json } else { write_text };
+    fern::Dispatch::new()
+        .level(log::LevelFilter::Warn)
+        .level_for("comfreyspread", level)
+        .level_for("comfreyspread_lab", level)
+        .format(format)
+        .chain(std::io::stderr())
+        .apply()
+}
+
+fn write_text(
+    out: fern::FormatCallback<'_>,
+    message: &fmt::Arguments<'_>,
+    record: &log::Record<'_>,
+) {
+    let now = jiff::Timestamp::now();
+    let mut pairs = TextPairs(String::new());
+    record.key_values().visit(&mut pairs).ok();
+    out.finish(format_args!("{now:.3} {} {message}{}", record.level(), pairs.0));
+}
+
+fn write_json(
+    out: fern::FormatCallback<'_>,
+    message: &fmt::Arguments<'_>,
+    record: &log::Record<'_>,
+) {
+    let mut line = serde_json::Map::new();
+    line.insert("time".into(), format!("{:.3}", jiff::Timestamp::now()).into());
+    line.insert("level".into(), record.level().as_str().into());
+    line.insert("message".into(), message.to_string().into());
+    let mut pairs = JsonPairs(line);
+    record.key_values().visit(&mut pairs).ok();
+    out.finish(format_args!("{}", serde_json::Value::Object(pairs.0)));
+}
+
+struct TextPairs(String);
+
+impl<'kvs> kv::VisitSource<'kvs> for TextPairs {
+    fn visit_pair(&mut self, key: kv::Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
+        self.0.push_str(&format!(" {key}={value}"));
+        Ok(())
+    }
+}
+
+struct JsonPairs(serde_json::Map<String, serde_json::Value>);
+
+impl<'kvs> kv::VisitSource<'kvs> for JsonPairs {
+    fn visit_pair(&mut self, key: kv::Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
+        self.0.insert(key.to_string(), value.to_string().into());
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/comfreyspread/src/node.rs
@@ -0,0 +1,120 @@
+//! The node process: start, serve, drain, stop.
+
+use crate::{configuration, context, front, http_server, settings, worker};
+use async_signal::{Signal, Signals};
+use comfreyspread_policy::life;
+use comfreyspread_schema::types;
+use futures_lite::{FutureExt as _, StreamExt as _};
+use miette::{Context as _, IntoDiagnostic as _};
+use std::{process, sync, time};
+
+const DRAIN_POLL: time::Duration = time::Duration::from_millis(20);
+const START_POLL: time::Duration = time::Duration::from_millis(20);
+
+/// Runs a node until it is told to stop.
+///
+/// # Errors
+///
+/// Fails if an address cannot be bound or threads cannot be started.
+pub fn run(settings: settings::NodeSettings) -> miette::Result<process::ExitCode> {
+    let pool = worker::WorkerPool::new(settings.workers)
+        .into_diagnostic()
+        .wrap_err("cannot start worker threads")?;
+    let context = sync::Arc::new(context::NodeContext::new(settings, pool.spawner()));
+    let code = async_io::block_on(serve(context))?;
+    pool.stop();
+    Ok(code)
+}
+
+async fn serve(context: sync::Arc<context::NodeContext>) -> miette::Result<process::ExitCode> {
+    let mut signals = Signals::new([Signal::Int, Signal::Term]).into_diagnostic()?;
+    let closer = start_front(&context).await?;
+    context.spawner.detach(configuration::poll(context.clone()));
+    let starting = life::NodeLife::new();
+    log::info!(node = context.settings.node.as_ref(); "node: started");
+    let configured = async {
+        wait_for_configuration(&context).await;
+        true
+    };
+    let stopped = async {
+        signals.next().await;
+        false
+    };
+    if !configured.or(stopped).await {
+        set_phase(&context, starting.abandon().phase());
+        return Ok(process::ExitCode::SUCCESS);
+    }
+    let serving = starting.serve();
+    set_phase(&context, serving.phase());
+    signals.next().await;
+    let draining = serving.drain();
+    set_phase(&context, draining.phase());
+    let whole = drain(&context, &closer, &mut signals).await;
+    set_phase(&context, draining.stop().phase());
+    Ok(if whole { process::ExitCode::SUCCESS } else { process::ExitCode::FAILURE })
+}
+
+async fn start_front(
+    context: &sync::Arc<context::NodeContext>,
+) -> miette::Result<http_server::ServerCloser> {
+    let limits = server_limits(&context.settings);
+    let handler = sync::Arc::new(front::FrontHandler::new(context.clone()));
+    let address = context.settings.caller_address;
+    let server = http_server::HttpServer::new(address, handler, limits, context.spawner.clone())
+        .await
+        .into_diagnostic()
+        .wrap_err_with(|| format!("cannot serve callers on {address}"))?;
+    let closer = server.closer();
+    context.spawner.detach(server.serve());
+    Ok(closer)
+}
+
+fn server_limits(settings: &settings::NodeSettings) -> http_server::ServerLimits {
+    http_server::ServerLimits {
+        body: settings.body_limit,
+        body_timeout: settings.body_timeout,
+        connections: settings.connection_limit,
+        header_timeout: settings.header_timeout,
+    }
+}
+
+async fn wait_for_configuration(context: &context::NodeContext) {
+    while context.tables.catalog().revision() == 0 {
+        async_io::Timer::after(START_POLL).await;
+    }
+}
+
+fn set_phase(context: &context::NodeContext, phase: types::NodePhase) {
+    *context.tables.phase.lock() = phase;
+    log::info!(phase = phase.to_string().as_str(); "node: phase changed");
+}
+
+/// Waits for the grace, then for all requests; returns whether all of them finished.
+async fn drain(
+    context: &context::NodeContext,
+    closer: &http_server::ServerCloser,
+    signals: &mut Signals,
+) -> bool {
+    let finished = async {
+        async_io::Timer::after(context.settings.grace).await;
+        closer.close();
+        while context.active_requests() > 0 || closer.connections() > 0 {
+            async_io::Timer::after(DRAIN_POLL).await;
+        }
+        true
+    };
+    let late = async {
+        async_io::Timer::after(context.settings.grace + context.settings.shutdown).await;
+        false
+    };
+    let forced = async {
+        signals.next().await;
+        false
+    };
+    let whole = finished.or(late).or(forced).await;
+    if !whole {
+        let cut = context.active_requests();
+        log::error!(requests = cut; "node: stopped before all requests finished");
+    }
+    whole
+}
--- /dev/null
+++ b/crates/comfreyspread/src/platform.rs
@@ -0,0 +1,172 @@
+//! Client of the platform's services: table service, object store and VM list.
+//!
+//! A transaction whose answer is lost may have taken effect; the failure's verdict says so, and
+//! the caller settles it by reading back.
+
+use crate::{failure, http_client};
+use comfreyspread_schema::{ids, types};
+use http_types::{Method, Request};
+use std::{net, time};
+
+const ANSWER_LIMIT_BYTES: usize = 64 * 1024 * 1024;
+const OK_STATUS: u16 = 200;
+const NOT_FOUND_STATUS: u16 = 404;
+const JSON_MEDIA_TYPE: &str = "application/json";
+
+/// Client of the platform.
+#[derive(Debug)]
+pub struct PlatformClient {
+    address: net::SocketAddr,
+    client: http_client::HttpClient,
+    timeout: time::Duration,
+}
+
+impl PlatformClient {
+    /// Creates a client that waits up to `timeout` for each answer.
+    pub fn new(address: net::SocketAddr, timeout: time::Duration) -> Self {
+        Self { address, client: http_client::HttpClient::new(ANSWER_LIMIT_BYTES), timeout }
+    }
+
+    /// Reads one row; none if it is absent.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not answer in time.
+    pub async fn read_row(
+        &self,
+        table: &str,
+        key: &str,
+    ) -> Result<Option<types::TableRow>, failure::CallFailure> {
+        let answer = self.get(&format!("/v1/tables/{table}/rows/{key}")).await?;
+        if answer.status() == NOT_FOUND_STATUS {
+            return Ok(None);
+        }
+        decode(&answer).map(Some)
+    }
+
+    /// Reads all rows whose key begins with `prefix`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not answer in time.
+    pub async fn scan_rows(
+        &self,
+        table: &str,
+        prefix: &str,
+    ) -> Result<types::TableRows, failure::CallFailure> {
+        let answer = self.get(&format!("/v1/tables/{table}/rows?prefix={prefix}")).await?;
+        decode(&answer)
+    }
+
+    /// Makes writes that take effect together or not at all.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `not-run` if nothing was sent, and with `may-have-run` if the writes may have
+    /// taken effect.
+    pub async fn transact(
+        &self,
+        request: &types::TransactionRequest,
+    ) -> Result<types::TransactionReply, failure::CallFailure> {
+        let body = serde_json::to_vec(request).map_err(|error| {
+            failure::CallFailure::new(types::ProblemKind::Internal, error.to_string())
+        })?;
+        let answer = self.send(Method::Post, "/v1/transactions", body).await?;
+        decode(&answer)
+    }
+
+    /// Reads an object; none if it is absent.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not answer in time.
+    pub async fn read_object(
+        &self,
+        name: &str,
+    ) -> Result<Option<ids::Payload>, failure::CallFailure> {
+        let answer = self.get(&format!("/v1/objects/{name}")).await?;
+        if answer.status() == NOT_FOUND_STATUS {
+            return Ok(None);
+        }
+        check_status(&answer)?;
+        Ok(Some(answer.body().clone()))
+    }
+
+    /// Writes an object; writing the same object again does no harm.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not answer in time.
+    pub async fn write_object(
+        &self,
+        name: &str,
+        body: ids::Payload,
+    ) -> Result<(), failure::CallFailure> {
+        let path = format!("/v1/objects/{name}");
+        let answer = self.send(Method::Put, &path, body.to_vec()).await?;
+        check_status(&answer)
+    }
+
+    /// Reads the list of VMs; it lags behind reality.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not answer in time.
+    pub async fn list_vms(&self) -> Result<types::VmList, failure::CallFailure> {
+        let answer = self.get("/v1/vms").await?;
+        decode(&answer)
+    }
+
+    async fn get(&self, path: &str) -> Result<http_client::ClientAnswer, failure::CallFailure> {
+        self.send(Method::Get, path, Vec::new()).await
+    }
+
+    async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<http_client::ClientAnswer, failure::CallFailure> {
+        let url = format!("http://{}{path}", self.address);
+        let mut request = Request::new(method, url.as_str());
+        if method != Method::Get {
+            request.set_body(body);
+            request.insert_header("content-type", JSON_MEDIA_TYPE);
+        }
+        let connection = match method {
+            Method::Get => http_client::ConnectionUse::Shared,
+            _ => http_client::ConnectionUse::Fresh,
+        };
+        let deadline = time::Instant::now() + self.timeout;
+        self.client
+            .call(self.address, request, connection, deadline)
+            .await
+            .map_err(|failure| store_failure(&failure))
+    }
+}
+
+fn store_failure(failure: &failure::CallFailure) -> failure::CallFailure {
+    failure::CallFailure::new(types::ProblemKind::StoreUnavailable, failure.detail().clone())
+        .with_verdict(failure.verdict())
+}
+
+fn check_status(answer: &http_client::ClientAnswer) -> Result<(), failure::CallFailure> {
+    if answer.status() == OK_STATUS {
+        return Ok(());
+    }
+    let detail = format!("the platform answered with status {}", answer.status());
+    let failure = failure::CallFailure::new(types::ProblemKind::StoreUnavailable, detail);
+    Err(failure.with_verdict(types::CallVerdict::MayHaveRun))
+}
+
+fn decode<Message>(answer: &http_client::ClientAnswer) -> Result<Message, failure::CallFailure>
+where
+    Message: serde::de::DeserializeOwned,
+{
+    check_status(answer)?;
+    serde_json::from_slice(answer.body()).map_err(|error| {
+        let detail = format!("the platform's answer is not valid: {error}");
+        failure::CallFailure::new(types::ProblemKind::StoreUnavailable, detail)
+            .with_verdict(types::CallVerdict::MayHaveRun)
+    })
+}
--- /dev/null
+++ b/crates/comfreyspread/src/settings.rs
@@ -0,0 +1,257 @@
+//! Settings of a node, read from flags and environment variables and checked.
+//!
+//! A flag beats a variable, a variable beats the default. All faults are reported at once. A
+//! variable that carries the prefix and names no setting is a fault, since it is most likely
+//! misspelt.
+
+use comfreyspread_schema::{ids, setting, settings};
+use indexmap::IndexMap;
+use std::{net, str, sync, time};
+
+/// One fault in the settings.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum SettingFault {
+    /// A required setting is absent.
+    #[error("{name} is not set; give --{flag} or {variable}")]
+    Missing {
+        /// Name of the setting.
+        name: &'static str,
+        /// Flag that sets it.
+        flag: Box<str>,
+        /// Variable that sets it.
+        variable: &'static str,
+    },
+    /// A value is not allowed.
+    #[error("{name} is {value:?}; allowed: {allowed}")]
+    Invalid {
+        /// Name of the setting.
+        name: &'static str,
+        /// Value given.
+        value: sync::Arc<str>,
+        /// Values allowed.
+        allowed: Box<str>,
+    },
+    /// A variable carries the prefix but names no setting.
+    #[error("{variable} is not a setting")]
+    Unknown {
+        /// Name of the variable.
+        variable: sync::Arc<str>,
+    },
+}
+
+/// All faults in the settings.
+#[derive(Debug, miette::Diagnostic, thiserror::Error)]
+#[error("the settings are not valid:\n{}", list(faults))]
+#[diagnostic(help("`comfreyspread node --help` lists the settings"))]
+pub struct SettingsError {
+    faults: Vec<SettingFault>,
+}
+
+impl SettingsError {
+    /// Returns the faults found.
+    pub fn faults(&self) -> &[SettingFault] {
+        &self.faults
+    }
+}
+
+fn list(faults: &[SettingFault]) -> Box<str> {
+    let lines: Vec<_> = faults.iter().map(|fault| format!("  - {fault}")).collect();
+    lines.join("\n").into()
+}
+
+/// Checked settings of a node.
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    /// Name of this node.
+    pub node: ids::NodeId,
+    /// VM this node runs on.
+    pub vm: ids::VmId,
+    /// Availability zone of this node.
+    pub zone: ids::ZoneId,
+    /// Region of this node.
+    pub region: ids::RegionId,
+    /// Address for callers and operators.
+    pub caller_address: net::SocketAddr,
+    /// Address for other nodes.
+    pub peer_address: net::SocketAddr,
+    /// Address of the platform's services.
+    pub platform_address: net::SocketAddr,
+    /// Peer addresses of other nodes.
+    pub seeds: Vec<net::SocketAddr>,
+    /// Worker threads.
+    pub workers: usize,
+    /// Largest body in bytes.
+    pub body_limit: usize,
+    /// Longest wait for a header.
+    pub header_timeout: time::Duration,
+    /// Longest wait for a body.
+    pub body_timeout: time::Duration,
+    /// Most connections on each address.
+    pub connection_limit: usize,
+    /// Time between heartbeats.
+    pub heartbeat: time::Duration,
+    /// Silence after which a member is suspected.
+    pub suspect: time::Duration,
+    /// Silence after which a suspected member has lapsed.
+    pub lapse: time::Duration,
+    /// Time between polls of the platform.
+    pub poll: time::Duration,
+    /// Longest wait for an answer of the platform.
+    pub store_timeout: time::Duration,
+    /// Time between turning unready and leaving.
+    pub grace: time::Duration,
+    /// Longest time to finish requests.
+    pub shutdown: time::Duration,
+    /// Least level of log lines.
+    pub log_level: log::LevelFilter,
+    /// Whether log lines are JSON.
+    pub log_json: bool,
+}
+
+impl NodeSettings {
+    /// Reads and checks the settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails with every fault found.
+    pub fn new(
+        flags: &settings::NodeFlags,
+        environment: &IndexMap<sync::Arc<str>, sync::Arc<str>>,
+    ) -> Result<Self, SettingsError> {
+        let mut reader = SettingsReader { flags, environment, faults: Vec::new() };
+        reader.check_variables();
+        let settings = reader.read();
+        if reader.faults.is_empty() {
+            return Ok(settings);
+        }
+        Err(SettingsError { faults: reader.faults })
+    }
+}
+
+struct SettingsReader<'input> {
+    flags: &'input settings::NodeFlags,
+    environment: &'input IndexMap<sync::Arc<str>, sync::Arc<str>>,
+    faults: Vec<SettingFault>,
+}
+
+impl SettingsReader<'_> {
+    fn check_variables(&mut self) {
+        for variable in self.environment.keys() {
+            let known = settings::SETTING_ROWS.iter().any(|row| row.variable == &**variable);
+            if variable.starts_with(settings::ENVIRONMENT_PREFIX) && !known {
+                self.faults.push(SettingFault::Unknown { variable: variable.clone() });
+            }
+        }
+    }
+
+    fn read(&mut self) -> NodeSettings {
+        NodeSettings {
+            node: self.name("node"),
+            vm: self.name("vm"),
+            zone: self.name("zone"),
+            region: self.name("region"),
+            caller_address: self.address("caller_address"),
+            peer_address: self.address("peer_address"),
+            platform_address: self.address("platform_address"),
+            seeds: self.seeds(),
+            workers: self.size("workers"),
+            body_limit: self.size("body_limit"),
+            header_timeout: self.length("header_timeout_ms"),
+            body_timeout: self.length("body_timeout_ms"),
+            connection_limit: self.size("connection_limit"),
+            heartbeat: self.length("heartbeat_ms"),
+            suspect: self.length("suspect_ms"),
+            lapse: self.length("lapse_ms"),
+            poll: self.length("poll_ms"),
+            store_timeout: self.length("store_timeout_ms"),
+            grace: self.length("grace_ms"),
+            shutdown: self.length("shutdown_ms"),
+            log_level: self.parsed("log_level", log::LevelFilter::Info, "a log level"),
+            log_json: &*self.text("log_format") == "json",
+        }
+    }
+
+    fn text(&mut self, name: &'static str) -> sync::Arc<str> {
+        let Some(row) = settings::SETTING_ROWS.iter().find(|row| row.name == name) else {
+            return "".into();
+        };
+        let flag = self.flags.get(name).map(sync::Arc::from);
+        let variable = self.environment.get(row.variable).cloned();
+        let Some(value) = flag.or(variable).or_else(|| row.default.map(sync::Arc::from)) else {
+            let flag = name.replace('_', "-").into();
+            self.faults.push(SettingFault::Missing { name, flag, variable: row.variable });
+            return "".into();
+        };
+        if let Some(allowed) = violation(row.allowed, &value) {
+            self.faults.push(SettingFault::Invalid { name, value: value.clone(), allowed });
+        }
+        value
+    }
+
+    fn name(&mut self, name: &'static str) -> sync::Arc<str> {
+        let value = self.text(name);
+        let plain = |letter: char| letter.is_ascii_alphanumeric() || "-_.".contains(letter);
+        if !value.chars().all(plain) {
+            let allowed = "letters, digits, dash, underscore and dot".into();
+            self.faults.push(SettingFault::Invalid { name, value: value.clone(), allowed });
+        }
+        value
+    }
+
+    fn parsed<Value>(&mut self, name: &'static str, fallback: Value, allowed: &str) -> Value
+    where
+        Value: str::FromStr,
+    {
+        let faults = self.faults.len();
+        let value = self.text(name);
+        if let Ok(parsed) = value.parse() {
+            return parsed;
+        }
+        if self.faults.len() == faults {
+            self.faults.push(SettingFault::Invalid { name, value, allowed: allowed.into() });
+        }
+        fallback
+    }
+
+    fn address(&mut self, name: &'static str) -> net::SocketAddr {
+        let fallback = net::SocketAddr::from(([127, 0, 0, 1], 0));
+        self.parsed(name, fallback, "an IP address and port, such as 10.0.0.1:8080")
+    }
+
+    fn seeds(&mut self) -> Vec<net::SocketAddr> {
+        let value = self.text("seeds");
+        let mut seeds = Vec::new();
+        for part in value.split(',').filter(|part| !part.is_empty()) {
+            match part.trim().parse() {
+                Ok(address) => seeds.push(address),
+                Err(_) => self.faults.push(SettingFault::Invalid {
+                    name: "seeds",
+                    value: part.into(),
+                    allowed: "IP addresses and ports, separated by commas".into(),
+                }),
+            }
+        }
+        seeds
+    }
+
+    fn size(&mut self, name: &'static str) -> usize {
+        self.parsed(name, 0, "a whole number")
+    }
+
+    fn length(&mut self, name: &'static str) -> time::Duration {
+        time::Duration::from_millis(self.parsed(name, 0, "a whole number of milliseconds"))
+    }
+}
+
+fn violation(allowed: setting::AllowedValues, value: &str) -> Option<Box<str>> {
+    match allowed {
+        setting::AllowedValues::Text => None,
+        setting::AllowedValues::Words(words) => {
+            (!words.contains(&value)).then(|| words.join(", ").into())
+        }
+        setting::AllowedValues::Range { least, most } => {
+            let within = value.parse().is_ok_and(|number| (least..=most).contains(&number));
+            (!within).then(|| format!("{least} to {most}").into())
+        }
+    }
+}
