Add messages between nodes and an owner's side of a call

Cause: limits need one owner per endpoint, so a call has to travel from the ingress node to another node.

Ruled out: a second encoding for peers by hand; rmp-serde over async-h1 does.

Conclusion: heartbeat, configuration and release messages can use the exchange.

--- a/crates/comfreyspread/src/failure.rs
+++ b/crates/comfreyspread/src/failure.rs
@@ -6,6 +6,15 @@
 use comfreyspread_schema::{ids, types};
 use std::{sync, time};
 
+/// A whole answer of an endpoint.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WholeAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Body.
+    pub body: ids::Payload,
+}
+
 /// Why a call has no answer, and whether it may have run.
 #[derive(Clone, Debug, PartialEq, miette::Diagnostic, thiserror::Error)]
 #[error("{problem}: {detail} ({verdict})")]
@@ -75,6 +84,20 @@
         self.crashed
     }
 
+    /// Returns the answer or the failure that an outcome between nodes stands for.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the outcome is a failure.
+    pub fn from_outcome(outcome: types::StageOutcome) -> Result<WholeAnswer, Self> {
+        match outcome {
+            types::StageOutcome::Answered { body, status } => Ok(WholeAnswer { status, body }),
+            types::StageOutcome::Failed { crashed, detail, problem, retry_after, verdict } => {
+                Err(Self { verdict, problem, detail, retry_after, crashed })
+            }
+        }
+    }
+
     /// Returns the failure as an outcome between nodes.
     pub fn into_outcome(self) -> types::StageOutcome {
         types::StageOutcome::Failed {
--- a/crates/comfreyspread/src/front.rs
+++ b/crates/comfreyspread/src/front.rs
@@ -197,7 +197,7 @@
 fn whole_answer(
     run: &pipeline::PipelineRun<'_>,
     id: &ids::RequestId,
-    answer: &pipeline::RunAnswer,
+    answer: &failure::WholeAnswer,
 ) -> Result<types::PipelineAnswer, failure::CallFailure> {
     let value = serde_json::from_slice(&answer.body).map_err(|error| {
         failure::CallFailure::new(types::ProblemKind::EndpointFailed, error.to_string())
@@ -212,7 +212,7 @@
     })
 }
 
-fn opaque(answer: &pipeline::RunAnswer) -> Response {
+fn opaque(answer: &failure::WholeAnswer) -> Response {
     let mut response = Response::new(answer.status);
     response.set_body(answer.body.to_vec());
     response.insert_header("content-type", header::JSON);
--- a/crates/comfreyspread/src/lib.rs
+++ b/crates/comfreyspread/src/lib.rs
@@ -1,8 +1,9 @@
 //! The node of comfreyspread: everything that touches sockets, clocks and messages.
 //!
 //! Decisions are made in `comfreyspread-policy`; this crate carries them out. A request comes in at
-//! [`front`], is run stage by stage by [`pipeline`], and each stage's call is sent by [`dispatch`]
-//! through the client of [`endpoint`].
+//! [`front`] and is run stage by stage by [`pipeline`]. Each stage's call is sent by [`dispatch`],
+//! through [`peer`] where another node owns the endpoint, to [`owner`], which puts it to the
+//! endpoint through [`endpoint`].
 
 pub mod command;
 pub mod configuration;
@@ -18,6 +19,8 @@
 pub mod logs;
 pub mod metrics;
 pub mod node;
+pub mod owner;
+pub mod peer;
 pub mod pipeline;
 pub mod platform;
 pub mod problem;
--- a/crates/comfreyspread/src/node.rs
+++ b/crates/comfreyspread/src/node.rs
@@ -1,13 +1,15 @@
 //! The node process: start, serve, drain, stop.
 
-use crate::{configuration, context, front, http_server, settings, worker};
+use crate::{configuration, context, front, http_server, peer, settings, worker};
 use async_signal::{Signal, Signals};
 use comfreyspread_policy::life;
 use comfreyspread_schema::types;
 use futures_lite::{FutureExt as _, StreamExt as _};
 use miette::{Context as _, IntoDiagnostic as _};
-use std::{process, sync, time};
+use std::{net, process, sync, time};
 
+const PEER_IDLE_LIMIT: time::Duration = time::Duration::from_secs(60);
+const PEER_OVERHEAD_BYTES: usize = 64 * 1024;
 const DRAIN_POLL: time::Duration = time::Duration::from_millis(20);
 const START_POLL: time::Duration = time::Duration::from_millis(20);
 
@@ -29,6 +31,7 @@
 async fn serve(context: sync::Arc<context::NodeContext>) -> miette::Result<process::ExitCode> {
     let mut signals = Signals::new([Signal::Int, Signal::Term]).into_diagnostic()?;
     let closer = start_front(&context).await?;
+    let peers = start_peers(&context).await?;
     context.spawner.detach(configuration::poll(context.clone()));
     let starting = life::NodeLife::new();
     log::info!(node = context.settings.node.as_ref(); "node: started");
@@ -50,6 +53,7 @@
     let draining = serving.drain();
     set_phase(&context, draining.phase());
     let whole = drain(&context, &closer, &mut signals).await;
+    peers.close();
     set_phase(&context, draining.stop().phase());
     Ok(if whole { process::ExitCode::SUCCESS } else { process::ExitCode::FAILURE })
 }
@@ -57,13 +61,37 @@
 async fn start_front(
     context: &sync::Arc<context::NodeContext>,
 ) -> miette::Result<http_server::ServerCloser> {
-    let limits = server_limits(&context.settings);
     let handler = sync::Arc::new(front::FrontHandler::new(context.clone()));
-    let address = context.settings.caller_address;
+    let limits = server_limits(&context.settings);
+    start_server(context, context.settings.caller_address, handler, limits).await
+}
+
+async fn start_peers(
+    context: &sync::Arc<context::NodeContext>,
+) -> miette::Result<http_server::ServerCloser> {
+    let handler = sync::Arc::new(peer::PeerHandler::new(context.clone()));
+    let settings = &context.settings;
+    let limits = http_server::ServerLimits {
+        body: settings.body_limit.saturating_add(PEER_OVERHEAD_BYTES),
+        header_timeout: PEER_IDLE_LIMIT,
+        ..server_limits(settings)
+    };
+    start_server(context, settings.peer_address, handler, limits).await
+}
+
+async fn start_server<Handler>(
+    context: &sync::Arc<context::NodeContext>,
+    address: net::SocketAddr,
+    handler: sync::Arc<Handler>,
+    limits: http_server::ServerLimits,
+) -> miette::Result<http_server::ServerCloser>
+where
+    Handler: http_server::RequestHandler,
+{
     let server = http_server::HttpServer::new(address, handler, limits, context.spawner.clone())
         .await
         .into_diagnostic()
-        .wrap_err_with(|| format!("cannot serve callers on {address}"))?;
+        .wrap_err_with(|| format!("cannot serve on {address}"))?;
     let closer = server.closer();
     context.spawner.detach(server.serve());
     Ok(closer)
--- /dev/null
+++ b/crates/comfreyspread/src/peer.rs
@@ -0,0 +1,205 @@
+//! Messages between nodes: HTTP with MessagePack bodies.
+//!
+//! Every message begins with a header that names its sender, the version of the protocol and the
+//! revision of the configuration in force there. A message of another version, or one that cannot
+//! be decoded, is refused without any effect, so the sender may count the call as not run.
+
+use crate::{context, failure, header, http_client, http_server, owner, problem};
+use comfreyspread_schema::types;
+use http_types::{Method, Request, Response, StatusCode};
+use std::{net, sync, time};
+
+/// Media type of messages between nodes.
+pub const PEER_MEDIA_TYPE: &str = "application/vnd.msgpack";
+/// Path of a call for a stage or service, answered by a [`types::StageReply`].
+pub const CALL_PATH: &str = "/peer/call";
+
+/// A message between nodes.
+pub trait PeerMessage {
+    /// Returns the header of the message.
+    fn header(&self) -> &types::PeerHeader;
+}
+
+macro_rules! peer_messages {
+    ($($name:ident),* $(,)?) => {
+        $(impl PeerMessage for types::$name {
+            fn header(&self) -> &types::PeerHeader {
+                &self.header
+            }
+        })*
+    };
+}
+
+peer_messages! {
+    ConfigurationReply,
+    ConfigurationRequest,
+    Heartbeat,
+    HeartbeatReply,
+    ReleaseNotice,
+    StageCall,
+    StageReply,
+}
+
+/// Sends `message` to the node at `address` and waits for its reply.
+///
+/// # Errors
+///
+/// Fails with `not-run` if the message had no effect at the other node, and with `may-have-run`
+/// if it may have had one.
+pub async fn exchange<Message, Reply>(
+    context: &context::NodeContext,
+    address: net::SocketAddr,
+    path: &str,
+    message: &Message,
+    connection: http_client::ConnectionUse,
+    deadline: time::Instant,
+) -> Result<Reply, failure::CallFailure>
+where
+    Message: serde::Serialize,
+    Reply: PeerMessage + serde::de::DeserializeOwned,
+{
+    let request = encode_request(address, path, message)?;
+    let answer = context.client.call(address, request, connection, deadline).await?;
+    if answer.status() != u16::from(StatusCode::Ok) {
+        return Err(refused(answer.status(), answer.header(header::VERDICT)));
+    }
+    let reply: Reply = rmp_serde::from_slice(answer.body()).map_err(|error| {
+        let detail = format!("the reply of {address} cannot be decoded: {error}");
+        failure::CallFailure::new(types::ProblemKind::Internal, detail)
+            .with_verdict(types::CallVerdict::MayHaveRun)
+    })?;
+    observe(context, reply.header());
+    Ok(reply)
+}
+
+/// Returns the HTTP request that carries `message`.
+///
+/// # Errors
+///
+/// Fails if the message cannot be encoded.
+pub fn encode_request<Message>(
+    address: net::SocketAddr,
+    path: &str,
+    message: &Message,
+) -> Result<Request, failure::CallFailure>
+where
+    Message: serde::Serialize,
+{
+    let body = rmp_serde::to_vec_named(message).map_err(|error| {
+        failure::CallFailure::new(types::ProblemKind::Internal, error.to_string())
+    })?;
+    let url = format!("http://{address}{path}");
+    let mut request = Request::new(Method::Post, url.as_str());
+    request.set_body(body);
+    request.insert_header("content-type", PEER_MEDIA_TYPE);
+    Ok(request)
+}
+
+/// Returns the failure that a refusal of another node stands for.
+pub fn refused(status: u16, verdict: Option<&str>) -> failure::CallFailure {
+    let detail = format!("the other node refused the message with status {status}");
+    let failure = failure::CallFailure::new(types::ProblemKind::Unavailable, detail);
+    if verdict == Some("not-run") {
+        return failure;
+    }
+    failure.with_verdict(types::CallVerdict::MayHaveRun)
+}
+
+/// Takes note of what the header of a message tells of its sender.
+pub fn observe(context: &context::NodeContext, header: &types::PeerHeader) {
+    if header.revision > context.tables.catalog().revision() {
+        log::debug!(node = header.node.as_ref(), revision = header.revision;
+            "peer: a newer configuration is known");
+    }
+}
+
+/// Answers other nodes.
+#[derive(Debug)]
+pub struct PeerHandler {
+    context: sync::Arc<context::NodeContext>,
+}
+
+impl PeerHandler {
+    /// Creates the handler.
+    pub fn new(context: sync::Arc<context::NodeContext>) -> Self {
+        Self { context }
+    }
+
+    async fn serve(
+        &self,
+        request: &http_server::ServerRequest,
+    ) -> Result<Response, failure::CallFailure> {
+        match (request.method(), request.path()) {
+            (Method::Post, CALL_PATH) => self.serve_call(request).await,
+            _ => {
+                let detail = format!("there is nothing at {}", request.path());
+                Err(failure::CallFailure::new(types::ProblemKind::UnknownName, detail))
+            }
+        }
+    }
+
+    async fn serve_call(
+        &self,
+        request: &http_server::ServerRequest,
+    ) -> Result<Response, failure::CallFailure> {
+        let call: types::StageCall = self.decode(request)?;
+        let deadline = self.context.deadline(call.budget);
+        let reply = owner::serve_call(&self.context, call, deadline).await;
+        encode_reply(&reply)
+    }
+
+    /// Decodes the message of a request and checks its version.
+    fn decode<Message>(
+        &self,
+        request: &http_server::ServerRequest,
+    ) -> Result<Message, failure::CallFailure>
+    where
+        Message: PeerMessage + serde::de::DeserializeOwned,
+    {
+        let message: Message = rmp_serde::from_slice(request.body()).map_err(|error| {
+            let detail = format!("the message cannot be decoded: {error}");
+            failure::CallFailure::new(types::ProblemKind::BadRequest, detail)
+        })?;
+        let version = message.header().protocol;
+        if version != context::PEER_PROTOCOL_VERSION {
+            let detail = format!("the message has protocol version {version}");
+            return Err(failure::CallFailure::new(types::ProblemKind::BadRequest, detail));
+        }
+        observe(&self.context, message.header());
+        Ok(message)
+    }
+}
+
+impl http_server::RequestHandler for PeerHandler {
+    async fn handle(&self, request: http_server::ServerRequest) -> Response {
+        self.serve(&request).await.unwrap_or_else(|failure| refusal(&failure))
+    }
+
+    fn refuse(&self, fault: http_server::RequestFault) -> Response {
+        let detail = format!("the message could not be read: {fault:?}");
+        refusal(&failure::CallFailure::new(types::ProblemKind::BadRequest, detail))
+    }
+}
+
+fn encode_reply<Reply>(reply: &Reply) -> Result<Response, failure::CallFailure>
+where
+    Reply: serde::Serialize,
+{
+    let body = rmp_serde::to_vec_named(reply).map_err(|error| {
+        failure::CallFailure::new(types::ProblemKind::Internal, error.to_string())
+            .with_verdict(types::CallVerdict::MayHaveRun)
+    })?;
+    let mut response = Response::new(StatusCode::Ok);
+    response.set_body(body);
+    response.insert_header("content-type", PEER_MEDIA_TYPE);
+    Ok(response)
+}
+
+fn refusal(failure: &failure::CallFailure) -> Response {
+    log::warn!(detail = failure.detail().as_ref(); "peer: message refused");
+    let status = StatusCode::try_from(problem::status(failure.problem()));
+    let mut response = Response::new(status.unwrap_or(StatusCode::InternalServerError));
+    response.set_body(failure.to_string());
+    response.insert_header(header::VERDICT, failure.verdict().to_string());
+    response
+}
--- a/crates/comfreyspread/src/pipeline.rs
+++ b/crates/comfreyspread/src/pipeline.rs
@@ -3,7 +3,7 @@
 use crate::{context, dispatch, failure};
 use comfreyspread_policy::verdict;
 use comfreyspread_schema::{ids, types};
-use std::time;
+use std::{sync, time};
 
 /// A caller's request with its profile resolved.
 #[derive(Clone, Debug)]
@@ -34,25 +34,16 @@
 /// Progress of one request over its stages.
 #[derive(Debug)]
 pub struct PipelineRun<'context> {
-    context: &'context context::NodeContext,
+    context: &'context sync::Arc<context::NodeContext>,
     plan: RequestPlan,
     tracker: verdict::VerdictTracker,
     attempts: ids::AttemptId,
     cost: ids::CostUnits,
 }
 
-/// A whole answer of the last stage.
-#[derive(Clone, Debug)]
-pub struct RunAnswer {
-    /// HTTP status of the last stage.
-    pub status: u16,
-    /// Body of the last stage.
-    pub body: ids::Payload,
-}
-
 impl<'context> PipelineRun<'context> {
     /// Creates a run that has made no attempt.
-    pub fn new(context: &'context context::NodeContext, plan: RequestPlan) -> Self {
+    pub fn new(context: &'context sync::Arc<context::NodeContext>, plan: RequestPlan) -> Self {
         let tracker = verdict::VerdictTracker::new();
         Self { context, plan, tracker, attempts: 0, cost: 0 }
     }
@@ -76,7 +67,7 @@
         &mut self,
         pipeline: &types::PipelineDeclaration,
         body: &ids::Payload,
-    ) -> Result<RunAnswer, failure::CallFailure> {
+    ) -> Result<failure::WholeAnswer, failure::CallFailure> {
         let request = parse_json(body)?;
         let mut previous: Option<Box<serde_json::value::RawValue>> = None;
         let mut status = 0;
@@ -89,7 +80,7 @@
             previous = Some(value.map_err(|failure| self.conclude(failure))?);
         }
         let body = previous.map(|value| String::from(Box::<str>::from(value)));
-        Ok(RunAnswer { status, body: body.unwrap_or_default().into() })
+        Ok(failure::WholeAnswer { status, body: body.unwrap_or_default().into() })
     }
 
     /// Runs one call of a stage or service.
@@ -102,13 +93,14 @@
         pool: &ids::PoolId,
         target: &ids::Text,
         body: ids::Payload,
-    ) -> Result<RunAnswer, failure::CallFailure> {
+    ) -> Result<failure::WholeAnswer, failure::CallFailure> {
         self.attempts += 1;
         self.cost += self.call_cost(pool);
         let call = self.stage_call(pool, target, body);
-        let sent = dispatch::send(self.context, call, self.plan.deadline).await;
-        match sent {
-            Ok(answer) => Ok(RunAnswer { status: answer.status, body: answer.body }),
+        let reply = dispatch::send(self.context, call, self.plan.deadline).await;
+        let reply = reply.map_err(|failure| self.conclude(failure))?;
+        match failure::CallFailure::from_outcome(reply.outcome) {
+            Ok(answer) => Ok(failure::WholeAnswer { status: answer.status, body: answer.body }),
             Err(failure) => Err(self.conclude(failure)),
         }
     }
