--- /dev/null
+++ b/crates/comfreyspread-lab/tests/streams.rs
@@ -0,0 +1,37 @@
+//! Streamed answers from an engine to a caller.
+
+mod common;
+
+use comfreyspread::{header, http_client};
+use comfreyspread_lab::{caller, deployment};
+use std::time;
+
+const TOKENS: usize = 40;
+
+async fn read_stream(deployment: &deployment::TestDeployment, node: usize) -> String {
+    let address = deployment.nodes[node].caller_address;
+    let mut request = caller::http_request(address, &common::pipeline_call());
+    request.insert_header("accept", header::EVENT_STREAM);
+    let client = http_client::HttpClient::new(1 << 20);
+    let deadline = time::Instant::now() + time::Duration::from_secs(30);
+    let shared = http_client::ConnectionUse::Fresh;
+    let answer = client.call(address, request, shared, deadline).await.expect("a whole answer");
+    assert_eq!(answer.status(), 200);
+    assert_eq!(answer.header("content-type"), Some(header::EVENT_STREAM));
+    String::from_utf8(answer.body().to_vec()).expect("text")
+}
+
+#[test]
+fn whole_stream() {
+    common::run(async {
+        let deployment = common::small_deployment(2).await;
+        let text = read_stream(&deployment, 0).await;
+        let offsets: Vec<_> =
+            (0..TOKENS).map(|offset| text.find(&format!("\"t{offset} \""))).collect();
+        assert!(offsets.iter().all(Option::is_some), "{text}");
+        assert!(offsets.is_sorted(), "{text}");
+        assert_eq!(text.matches("event:token").count(), TOKENS);
+        assert!(text.contains("event:end"), "{text}");
+        deployment.stop().await.expect("a graceful stop");
+    });
+}
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -16,5 +16,11 @@
 pub mod attempt;
 pub mod catalog;
 pub mod life;
+pub mod link;
+pub mod retry;
 pub mod rotation;
+pub mod routing;
+pub mod stream;
+pub mod suspect;
+pub mod timing;
 pub mod verdict;
--- /dev/null
+++ b/crates/comfreyspread-policy/tests/retry.rs
@@ -0,0 +1,86 @@
+//! Whether a failed attempt is made again.
+#![allow(clippy::disallowed_methods, reason = "a base moment for injected time")]
+
+use bolero::check;
+use comfreyspread_policy::retry;
+use comfreyspread_schema::types::{CallVerdict, ProblemKind};
+use std::time::Duration;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn facts(problem: ProblemKind, verdict: CallVerdict) -> retry::AttemptFacts {
+    retry::AttemptFacts {
+        verdict,
+        problem,
+        crashed: false,
+        idempotent: true,
+        attempts: 1,
+        remaining: SECOND,
+        expected: SECOND / 10,
+    }
+}
+
+fn retries(facts: retry::AttemptFacts) -> bool {
+    let decision = facts.decide(&mut retry::RetryBudget::new());
+    matches!(decision, retry::RetryDecision::Retry { .. })
+}
+
+#[test]
+fn decision_table() {
+    use CallVerdict::{MayHaveRun, NotRun};
+    use ProblemKind as Kind;
+    let cases = [
+        (Kind::EndpointFailed, MayHaveRun, true, true),
+        (Kind::EndpointFailed, MayHaveRun, false, false),
+        (Kind::EndpointFailed, NotRun, false, true),
+        (Kind::NotOwner, NotRun, false, true),
+        (Kind::Overloaded, NotRun, true, true),
+        (Kind::StaleFence, NotRun, true, true),
+        (Kind::Timeout, MayHaveRun, true, false),
+        (Kind::Deadline, NotRun, true, false),
+        (Kind::Poisoned, NotRun, true, false),
+        (Kind::OverCost, NotRun, true, false),
+        (Kind::BadRequest, NotRun, true, false),
+    ];
+    for (problem, verdict, idempotent, expected) in cases {
+        let facts = retry::AttemptFacts { idempotent, ..facts(problem, verdict) };
+        assert_eq!(retries(facts), expected, "{problem} {verdict} {idempotent}");
+    }
+}
+
+#[test]
+fn time_left() {
+    let tight = retry::AttemptFacts {
+        remaining: SECOND / 20,
+        ..facts(ProblemKind::EndpointFailed, CallVerdict::MayHaveRun)
+    };
+    assert!(!retries(tight));
+}
+
+#[test]
+fn crashed_alone() {
+    let crashed = retry::AttemptFacts {
+        crashed: true,
+        ..facts(ProblemKind::EndpointFailed, CallVerdict::MayHaveRun)
+    };
+    let decision = crashed.decide(&mut retry::RetryBudget::new());
+    assert!(matches!(decision, retry::RetryDecision::Retry { alone: true, .. }));
+}
+
+#[test]
+fn budget_share() {
+    check!().with_type::<Vec<bool>>().for_each(|steps| {
+        let mut budget = retry::RetryBudget::new();
+        let mut successes = 0u32;
+        let mut granted = 0u32;
+        for success in steps {
+            if *success {
+                successes += 1;
+                budget.deposit();
+            } else if budget.withdraw() {
+                granted += 1;
+            }
+        }
+        assert!(granted <= 20 + successes / 10, "{granted} retries after {successes} successes");
+    });
+}
--- /dev/null
+++ b/crates/comfreyspread-policy/tests/routing.rs
@@ -0,0 +1,79 @@
+//! Choice of the owner that a call is sent to.
+#![allow(clippy::disallowed_methods, reason = "a base moment for injected time")]
+
+use comfreyspread_policy::routing;
+use comfreyspread_schema::types;
+use rand::SeedableRng as _;
+use std::time;
+
+fn candidate(node: &str, distance: routing::RouteDistance) -> routing::OwnerCandidate {
+    routing::OwnerCandidate { node: node.into(), distance, endpoints: 2, affine: false }
+}
+
+fn hint(running: u32, queued: u32, limit: u32) -> types::PoolHint {
+    types::PoolHint { limit, pool: "p".into(), queued, running }
+}
+
+fn choose(
+    candidates: &[routing::OwnerCandidate],
+    hints: &routing::HintTable,
+    link_open: bool,
+    now: time::Instant,
+) -> Option<String> {
+    let pool = "p".into();
+    let query = routing::RouteQuery { pool: &pool, candidates, link_open, now };
+    let mut random = rand::rngs::SmallRng::seed_from_u64(7);
+    query.choose(hints, &mut random).map(|chosen| chosen.node.to_string())
+}
+
+#[test]
+fn home_first() {
+    use routing::RouteDistance::{Local, Remote, Zone};
+    let now = time::Instant::now();
+    let candidates = [candidate("far", Remote), candidate("near", Zone), candidate("self", Local)];
+    let mut hints = routing::HintTable::new();
+    assert_eq!(choose(&candidates, &hints, true, now).as_deref(), Some("self"));
+    hints.note(&"self".into(), hint(8, 4, 8), now);
+    assert_eq!(choose(&candidates, &hints, true, now).as_deref(), Some("near"));
+    hints.note(&"near".into(), hint(8, 8, 8), now);
+    assert_eq!(choose(&candidates, &hints, false, now).as_deref(), Some("self"));
+    hints.note(&"self".into(), hint(8, 9, 8), now);
+    assert_eq!(choose(&candidates, &hints, true, now).as_deref(), Some("far"));
+}
+
+#[test]
+fn closed_link() {
+    let now = time::Instant::now();
+    let far = [candidate("far", routing::RouteDistance::Remote)];
+    let hints = routing::HintTable::new();
+    assert_eq!(choose(&far, &hints, false, now), None);
+    assert_eq!(choose(&far, &hints, true, now).as_deref(), Some("far"));
+}
+
+#[test]
+fn affine_bounded() {
+    let now = time::Instant::now();
+    let mut affine = candidate("warm-prefix", routing::RouteDistance::Zone);
+    affine.affine = true;
+    let candidates = [candidate("self", routing::RouteDistance::Local), affine];
+    let mut hints = routing::HintTable::new();
+    hints.note(&"warm-prefix".into(), hint(8, 1, 8), now);
+    assert_eq!(choose(&candidates, &hints, true, now).as_deref(), Some("warm-prefix"));
+    hints.note(&"warm-prefix".into(), hint(8, 2, 8), now);
+    assert_eq!(choose(&candidates, &hints, true, now).as_deref(), Some("self"));
+}
+
+#[test]
+fn stale_hints() {
+    let now = time::Instant::now();
+    let candidates = [candidate("self", routing::RouteDistance::Local)];
+    let mut hints = routing::HintTable::new();
+    hints.note(&"self".into(), hint(8, 80, 8), now);
+    assert_eq!(hints.load(&candidates[0], &"p".into(), now), 1100);
+    let later = now + time::Duration::from_secs(6);
+    assert_eq!(hints.load(&candidates[0], &"p".into(), later), 0);
+    hints.begin(&"self".into(), &"p".into(), later);
+    assert_eq!(hints.load(&candidates[0], &"p".into(), later), 50);
+    hints.end(&"self".into(), &"p".into(), later);
+    assert_eq!(hints.load(&candidates[0], &"p".into(), later), 0);
+}
--- /dev/null
+++ b/crates/comfreyspread-policy/tests/stream.rs
@@ -0,0 +1,46 @@
+//! Position within a streamed answer.
+
+use bolero::check;
+use comfreyspread_policy::stream;
+use comfreyspread_schema::types;
+
+fn run(offset: u64, count: u32) -> types::TokenRun {
+    types::TokenRun { count, offset, text: "t".into() }
+}
+
+#[test]
+fn whole_stream() {
+    let mut cursor = stream::StreamCursor::new();
+    for offset in 0..10 {
+        assert_eq!(cursor.accept(&run(offset, 1)), Ok(stream::RunAction::Deliver));
+    }
+    assert_eq!(cursor.finish(&types::StreamEnd { tokens: 10 }), Ok(()));
+    let short = types::StreamEnd { tokens: 11 };
+    assert!(matches!(cursor.finish(&short), Err(stream::StreamFault::CutShort { .. })));
+}
+
+#[test]
+fn gaps_and_overlaps() {
+    let mut cursor = stream::StreamCursor::new();
+    assert_eq!(cursor.accept(&run(0, 4)), Ok(stream::RunAction::Deliver));
+    assert!(matches!(cursor.accept(&run(5, 1)), Err(stream::StreamFault::Gap { .. })));
+    assert_eq!(cursor.accept(&run(2, 2)), Ok(stream::RunAction::Drop));
+    assert!(matches!(cursor.accept(&run(3, 2)), Err(stream::StreamFault::Overlap { .. })));
+    assert_eq!(cursor.offset(), 4);
+}
+
+#[test]
+fn any_order() {
+    check!().with_type::<Vec<(u8, u8)>>().for_each(|runs| {
+        let mut cursor = stream::StreamCursor::new();
+        let mut delivered = Vec::new();
+        for (offset, count) in runs {
+            let run = run((*offset % 16).into(), (*count % 4).into());
+            if cursor.accept(&run) == Ok(stream::RunAction::Deliver) {
+                delivered.extend(run.offset..run.offset + u64::from(run.count));
+            }
+        }
+        let expected: Vec<_> = (0..cursor.offset()).collect();
+        assert_eq!(delivered, expected);
+    });
+}
--- /dev/null
+++ b/crates/comfreyspread-policy/tests/suspects.rs
@@ -0,0 +1,72 @@
+//! Requests that crash the endpoints that run them.
+#![allow(clippy::disallowed_methods, reason = "a base moment for injected time")]
+
+use comfreyspread_policy::suspect;
+use std::time;
+use suspect::SuspectStance::{Clear, Convicted, Suspect};
+
+#[test]
+fn second_crash() {
+    let now = time::Instant::now();
+    let mut table = suspect::SuspectTable::new();
+    let digest = "d".into();
+    assert_eq!(table.stance(&digest, now), Clear);
+    table.note_crash(&digest, false, now);
+    assert_eq!(table.stance(&digest, now), Suspect);
+    table.note_crash(&digest, true, now);
+    assert_eq!(table.stance(&digest, now), Convicted);
+    table.note_served(&digest);
+    assert_eq!(table.stance(&digest, now), Convicted);
+}
+
+#[test]
+fn innocent_cleared() {
+    let now = time::Instant::now();
+    let mut table = suspect::SuspectTable::new();
+    let digest = "d".into();
+    table.note_crash(&digest, false, now);
+    table.note_crash(&digest, false, now);
+    assert_eq!(table.stance(&digest, now), Suspect);
+    table.note_served(&digest);
+    assert_eq!(table.stance(&digest, now), Clear);
+}
+
+#[test]
+fn shared_between_nodes() {
+    let now = time::Instant::now();
+    let mut one = suspect::SuspectTable::new();
+    let mut other = suspect::SuspectTable::new();
+    let digest = "d".into();
+    one.note_crash(&digest, false, now);
+    for record in one.latest(10, now) {
+        other.merge(&record, now);
+    }
+    assert_eq!(other.stance(&digest, now), Suspect);
+    other.note_crash(&digest, true, now);
+    for record in other.latest(10, now) {
+        one.merge(&record, now);
+    }
+    assert_eq!(one.stance(&digest, now), Convicted);
+}
+
+#[test]
+fn records_expire() {
+    let now = time::Instant::now();
+    let mut table = suspect::SuspectTable::new();
+    let digest = "d".into();
+    table.note_crash(&digest, false, now);
+    table.note_crash(&digest, true, now);
+    let later = now + time::Duration::from_secs(601);
+    assert_eq!(table.stance(&digest, later), Clear);
+    assert!(table.latest(10, later).is_empty());
+}
+
+#[test]
+fn bounded_table() {
+    let now = time::Instant::now();
+    let mut table = suspect::SuspectTable::new();
+    for number in 0..10_100 {
+        table.note_crash(&format!("{number}").into(), false, now);
+    }
+    assert_eq!(table.latest(usize::MAX, now).len(), 10_000);
+}
--- /dev/null
+++ b/crates/comfreyspread-policy/tests/timing.rs
@@ -0,0 +1,39 @@
+//! Measured times of stages and the deadline check.
+#![allow(clippy::disallowed_methods, reason = "a base moment for injected time")]
+
+use comfreyspread_policy::timing;
+use std::time::{Duration, Instant};
+
+const MILLIS: Duration = Duration::from_millis(1);
+
+fn measured(now: Instant, took: Duration) -> timing::StageTimings {
+    let mut timings = timing::StageTimings::new();
+    for _ in 0..30 {
+        timings.record(&"p".into(), took, now);
+    }
+    timings
+}
+
+#[test]
+fn deadline_fits() {
+    let now = Instant::now();
+    let mut timings = measured(now, 100 * MILLIS);
+    let pools = ["p".into(), "p".into()];
+    assert!(timings.fits(&pools, 250 * MILLIS, now));
+    assert!(!timings.fits(&pools, 150 * MILLIS, now));
+}
+
+#[test]
+fn unknown_pool() {
+    let mut timings = timing::StageTimings::new();
+    assert!(timings.fits(&["p".into()], Duration::ZERO, Instant::now()));
+}
+
+#[test]
+fn bad_spell_forgotten() {
+    let now = Instant::now();
+    let mut timings = measured(now, 9000 * MILLIS);
+    let pools = ["p".into()];
+    assert!(!timings.fits(&pools, 1000 * MILLIS, now + Duration::from_secs(11)));
+    assert!(timings.fits(&pools, 1000 * MILLIS, now + Duration::from_secs(25)));
+}
--- /dev/null
+++ b/crates/comfreyspread/src/call_run.rs
@@ -0,0 +1,304 @@
+//! Attempts at one call until it is answered or must fail.
+
+use crate::{context, dispatch, failure, plan};
+use comfreyspread_policy::{retry, suspect, verdict};
+use comfreyspread_schema::{ids, types};
+use futures_util::future;
+use std::{sync, time};
+
+/// Quantile of a stage's times after which a second attempt is made beside the first.
+const HEDGE_QUANTILE: f64 = 0.95;
+/// Quantile of a stage's times that an attempt is expected to take.
+const EXPECTED_QUANTILE: f64 = 0.5;
+
+/// One call of a stage or service, over all of its attempts.
+#[derive(Debug)]
+pub struct CallRun {
+    context: sync::Arc<context::NodeContext>,
+    pool: ids::PoolId,
+    target: ids::Text,
+    body: ids::Payload,
+    streaming: bool,
+    tracker: verdict::VerdictTracker,
+    attempts: u32,
+    alone: bool,
+    avoid: Vec<ids::EndpointId>,
+}
+
+impl CallRun {
+    /// Creates a run that has made no attempt.
+    pub fn new(
+        ledger: &plan::RequestLedger,
+        pool: &ids::PoolId,
+        target: &ids::Text,
+        body: ids::Payload,
+    ) -> Self {
+        Self {
+            context: ledger.context().clone(),
+            pool: pool.clone(),
+            target: target.clone(),
+            body,
+            streaming: false,
+            tracker: verdict::VerdictTracker::new(),
+            attempts: 0,
+            alone: false,
+            avoid: Vec::new(),
+        }
+    }
+
+    /// Asks for a streamed answer.
+    pub fn with_streaming(self) -> Self {
+        Self { streaming: true, ..self }
+    }
+
+    /// Makes attempts until one is answered whole.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the verdict over all attempts.
+    pub async fn answer(
+        mut self,
+        ledger: &mut plan::RequestLedger,
+    ) -> Result<failure::WholeAnswer, failure::CallFailure> {
+        self.check_suspicion(ledger)?;
+        loop {
+            let began = time::Instant::now();
+            let failure = match self.attempt_once(ledger).await {
+                Ok(reply) => {
+                    self.note_served(ledger, &reply, began);
+                    match failure::CallFailure::from_outcome(reply.outcome) {
+                        Ok(answer) => return Ok(answer),
+                        Err(failure) => self.note_failure(ledger, failure, reply.endpoint),
+                    }
+                }
+                Err(failure) => self.note_failure(ledger, failure, None),
+            };
+            self.pause_or_stop(ledger, failure).await?;
+        }
+    }
+
+    /// Makes attempts until a stream is opened at `offset`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the verdict over all attempts.
+    pub async fn open(
+        &mut self,
+        ledger: &mut plan::RequestLedger,
+        offset: ids::StreamOffset,
+    ) -> Result<dispatch::OwnerStream, failure::CallFailure> {
+        self.check_suspicion(ledger)?;
+        loop {
+            let call = self.next_call(ledger, offset)?;
+            let deadline = ledger.plan().deadline;
+            match dispatch::open(&self.context, call, deadline).await {
+                Ok(stream) => return Ok(stream),
+                Err(failure) => {
+                    let failure = self.note_failure(ledger, failure, None);
+                    self.pause_or_stop(ledger, failure).await?;
+                }
+            }
+        }
+    }
+
+    /// Takes note that an opened stream failed, and returns if another attempt may be made.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the verdict over all attempts if no other attempt may be made.
+    pub async fn recover(
+        &mut self,
+        ledger: &mut plan::RequestLedger,
+        failure: failure::CallFailure,
+        endpoint: Option<ids::EndpointId>,
+    ) -> Result<(), failure::CallFailure> {
+        let failure = self.note_failure(ledger, failure, endpoint);
+        self.pause_or_stop(ledger, failure).await
+    }
+
+    /// Takes note that an opened stream came to its end.
+    pub fn note_finished(
+        &self,
+        ledger: &plan::RequestLedger,
+        reply: &types::StageReply,
+        began: time::Instant,
+    ) {
+        self.note_served(ledger, reply, began);
+    }
+
+    async fn attempt_once(
+        &mut self,
+        ledger: &mut plan::RequestLedger,
+    ) -> Result<types::StageReply, failure::CallFailure> {
+        let call = self.next_call(ledger, 0)?;
+        let deadline = ledger.plan().deadline;
+        let context = self.context.clone();
+        let first = Box::pin(dispatch::send(&context, call, deadline));
+        let Some(delay) = self.hedge_delay(ledger) else { return first.await };
+        let timer = async_io::Timer::after(delay);
+        let first = match future::select(first, timer).await {
+            future::Either::Left((reply, _)) => return reply,
+            future::Either::Right((_, first)) => first,
+        };
+        if !context.tables.budgets.lock().hedges.withdraw() {
+            return first.await;
+        }
+        let Ok(call) = self.next_call(ledger, 0) else { return first.await };
+        let second = Box::pin(dispatch::send(&context, call, deadline));
+        first_answer(first, second).await
+    }
+
+    /// Returns after what time a second attempt is made; none if there must be none.
+    fn hedge_delay(&self, ledger: &plan::RequestLedger) -> Option<time::Duration> {
+        let plan = ledger.plan();
+        let eligible = plan.idempotent && plan.profile.priority == types::PriorityLevel::High;
+        if !eligible || self.alone || self.attempts > 1 {
+            return None;
+        }
+        let now = time::Instant::now();
+        self.context.tables.timings.lock().quantile(&self.pool, HEDGE_QUANTILE, now)
+    }
+
+    fn check_suspicion(
+        &mut self,
+        ledger: &plan::RequestLedger,
+    ) -> Result<(), failure::CallFailure> {
+        let digest = &ledger.plan().digest;
+        let stance = self.context.tables.suspects.lock().stance(digest, time::Instant::now());
+        self.alone = stance == suspect::SuspectStance::Suspect;
+        if stance != suspect::SuspectStance::Convicted {
+            return Ok(());
+        }
+        let detail = "endpoints crashed each time they ran this request";
+        Err(failure::CallFailure::new(types::ProblemKind::Poisoned, detail))
+    }
+
+    fn next_call(
+        &mut self,
+        ledger: &mut plan::RequestLedger,
+        offset: ids::StreamOffset,
+    ) -> Result<types::StageCall, failure::CallFailure> {
+        let attempt = ledger.begin_attempt(&self.pool);
+        let attempt = attempt.map_err(|failure| failure.with_verdict(self.tracker.verdict()))?;
+        self.attempts += 1;
+        let plan = ledger.plan();
+        Ok(types::StageCall {
+            alone: self.alone,
+            attempt,
+            avoid: self.avoid.clone(),
+            body: self.body.clone(),
+            budget: ledger.remaining(),
+            digest: plan.digest.clone(),
+            endpoint: None,
+            header: self.context.peer_header(),
+            idempotent: plan.idempotent,
+            key: plan.key.clone(),
+            offset,
+            pool: self.pool.clone(),
+            prefix: plan.prefix,
+            priority: plan.profile.priority,
+            request: plan.request.clone(),
+            streaming: self.streaming,
+            target: self.target.clone(),
+            workspace: plan.workspace.clone(),
+        })
+    }
+
+    fn note_served(
+        &self,
+        ledger: &plan::RequestLedger,
+        reply: &types::StageReply,
+        began: time::Instant,
+    ) {
+        if !matches!(reply.outcome, types::StageOutcome::Answered { .. }) {
+            return;
+        }
+        let now = time::Instant::now();
+        let took = now.saturating_duration_since(began).saturating_sub(reply.waited);
+        if self.alone {
+            self.context.tables.suspects.lock().note_served(&ledger.plan().digest);
+        }
+        self.context.tables.timings.lock().record(&self.pool, took, now);
+        let mut budgets = self.context.tables.budgets.lock();
+        budgets.retries.deposit();
+        budgets.hedges.deposit();
+    }
+
+    /// Takes note of a failed attempt and returns the failure with the verdict over all attempts.
+    fn note_failure(
+        &mut self,
+        ledger: &mut plan::RequestLedger,
+        failure: failure::CallFailure,
+        endpoint: Option<ids::EndpointId>,
+    ) -> failure::CallFailure {
+        if failure.verdict() == types::CallVerdict::NotRun {
+            ledger.refund(&self.pool);
+        }
+        if failure.crashed() {
+            let digest = &ledger.plan().digest;
+            let now = time::Instant::now();
+            self.context.tables.suspects.lock().note_crash(digest, self.alone, now);
+        }
+        self.avoid.extend(endpoint);
+        self.tracker = self.tracker.with_outcome(failure.verdict());
+        failure.with_verdict(self.tracker.verdict())
+    }
+
+    /// Waits until the next attempt may be made.
+    async fn pause_or_stop(
+        &mut self,
+        ledger: &plan::RequestLedger,
+        failure: failure::CallFailure,
+    ) -> Result<(), failure::CallFailure> {
+        let facts = self.facts(ledger, &failure);
+        let decision = facts.decide(&mut self.context.tables.budgets.lock().retries);
+        let retry::RetryDecision::Retry { pause, .. } = decision else { return Err(failure) };
+        self.check_suspicion(ledger)
+            .map_err(|poisoned| poisoned.with_verdict(failure.verdict()))?;
+        log::info!(request = ledger.plan().request.as_ref(),
+            problem = failure.problem().to_string().as_str(); "call: attempt failed, trying again");
+        if !pause.is_zero() {
+            async_io::Timer::after(pause).await;
+        }
+        Ok(())
+    }
+
+    fn facts(
+        &self,
+        ledger: &plan::RequestLedger,
+        failure: &failure::CallFailure,
+    ) -> retry::AttemptFacts {
+        let now = time::Instant::now();
+        let expected =
+            self.context.tables.timings.lock().quantile(&self.pool, EXPECTED_QUANTILE, now);
+        retry::AttemptFacts {
+            verdict: self.tracker.verdict(),
+            problem: failure.problem(),
+            crashed: failure.crashed(),
+            idempotent: ledger.plan().idempotent,
+            attempts: self.attempts,
+            remaining: ledger.remaining(),
+            expected: expected.unwrap_or(time::Duration::ZERO),
+        }
+    }
+}
+
+type ReplyResult = Result<types::StageReply, failure::CallFailure>;
+
+/// Returns the first reply that is an answer, or else the last failure.
+async fn first_answer<First, Second>(first: First, second: Second) -> ReplyResult
+where
+    First: Future<Output = ReplyResult> + Unpin,
+    Second: Future<Output = ReplyResult> + Unpin,
+{
+    match future::select(first, second).await {
+        future::Either::Left((reply, other)) if !is_answer(&reply) => other.await,
+        future::Either::Right((reply, other)) if !is_answer(&reply) => other.await,
+        future::Either::Left((reply, _)) | future::Either::Right((reply, _)) => reply,
+    }
+}
+
+fn is_answer(reply: &ReplyResult) -> bool {
+    let outcome = reply.as_ref().map(|reply| &reply.outcome);
+    matches!(outcome, Ok(types::StageOutcome::Answered { .. }))
+}
--- a/crates/comfreyspread/src/context.rs
+++ b/crates/comfreyspread/src/context.rs
@@ -2,7 +2,7 @@
 
 use crate::{http_client, metrics, platform, settings, tables, worker};
 use comfreyspread_schema::{ids, types};
-use std::{fmt, sync::atomic, time};
+use std::{fmt, sync, sync::atomic, time};
 
 /// Version of the protocol between nodes.
 pub const PEER_PROTOCOL_VERSION: u32 = 1;
@@ -40,7 +40,7 @@
             platform::PlatformClient::new(settings.platform_address, settings.store_timeout);
         Self {
             start: rand::random(),
-            tables: tables::SharedTables::new(),
+            tables: tables::SharedTables::new(settings.link_rate, time::Instant::now()),
             client: http_client::HttpClient::new(settings.body_limit),
             platform,
             metrics: metrics::NodeMetrics::new(),
@@ -72,25 +72,28 @@
         self.active.load(atomic::Ordering::Acquire)
     }
 
-    /// Counts a caller request as in progress until the guard is dropped.
-    pub fn begin_request(&self) -> ActiveRequest<'_> {
-        self.active.fetch_add(1, atomic::Ordering::AcqRel);
-        ActiveRequest { active: &self.active }
-    }
-
     /// Returns the moment `budget` from now.
     pub fn deadline(&self, budget: time::Duration) -> time::Instant {
         time::Instant::now() + budget
     }
 }
 
-/// Counts one caller request as in progress.
-pub struct ActiveRequest<'context> {
-    active: &'context atomic::AtomicU64,
+/// Counts one caller request as in progress until dropped.
+#[derive(Debug)]
+pub struct ActiveRequest {
+    context: sync::Arc<NodeContext>,
+}
+
+impl ActiveRequest {
+    /// Counts a caller request as in progress.
+    pub fn new(context: sync::Arc<NodeContext>) -> Self {
+        context.active.fetch_add(1, atomic::Ordering::AcqRel);
+        Self { context }
+    }
 }
 
-impl Drop for ActiveRequest<'_> {
+impl Drop for ActiveRequest {
     fn drop(&mut self) {
-        self.active.fetch_sub(1, atomic::Ordering::AcqRel);
+        self.context.active.fetch_sub(1, atomic::Ordering::AcqRel);
     }
 }
--- a/crates/comfreyspread/src/dispatch.rs
+++ b/crates/comfreyspread/src/dispatch.rs
@@ -1,18 +1,211 @@
-//! Sending one call of a stage or service from the ingress node to the owner of an endpoint.
+//! Sending one call from the ingress node to the owner of an endpoint.
 
-use crate::{context, failure, owner};
-use comfreyspread_schema::types;
+use crate::{context, failure, frames, http_client, owner, owners, peer};
+use comfreyspread_policy::routing;
+use comfreyspread_schema::{ids, types};
 use std::{sync, time};
 
-/// Sends `call` to an owner and waits for the whole answer.
+/// Time an owner gets beyond the call's deadline to say how the call ended.
+const REPLY_MARGIN: time::Duration = time::Duration::from_millis(100);
+/// Bytes of a message to another region besides the body.
+const MESSAGE_OVERHEAD_BYTES: usize = 1024;
+
+/// Sends `call` to an owner and waits for its reply.
 ///
 /// # Errors
 ///
-/// Fails with the verdict of the one attempt made.
+/// Fails if no owner was found or its reply is lost; the verdict says whether the call may have
+/// run.
 pub async fn send(
     context: &sync::Arc<context::NodeContext>,
     call: types::StageCall,
     deadline: time::Instant,
 ) -> Result<types::StageReply, failure::CallFailure> {
-    Ok(owner::serve_call(context, call, deadline).await)
+    let route = CallRoute::new(context, &call)?;
+    let _outstanding = OutstandingCall::new(context, &route.owner, &call.pool);
+    let echo = CallEcho::new(&call);
+    let reply = match route.address {
+        None => owner::serve_call(context, call, deadline).await,
+        Some(address) => {
+            let connection = if call.idempotent {
+                http_client::ConnectionUse::Shared
+            } else {
+                http_client::ConnectionUse::Fresh
+            };
+            let late = deadline + REPLY_MARGIN;
+            peer::exchange(context, address, peer::CALL_PATH, &call, connection, late).await?
+        }
+    };
+    echo.check(&reply)?;
+    note(context, &route.owner, &reply);
+    Ok(reply)
+}
+
+/// Sends `call` to an owner and returns the frames of its streamed answer.
+///
+/// # Errors
+///
+/// Fails if no owner was found or the call could not be sent.
+pub async fn open(
+    context: &sync::Arc<context::NodeContext>,
+    call: types::StageCall,
+    deadline: time::Instant,
+) -> Result<OwnerStream, failure::CallFailure> {
+    let route = CallRoute::new(context, &call)?;
+    let outstanding = OutstandingCall::new(context, &route.owner, &call.pool);
+    let echo = CallEcho::new(&call);
+    let source = match route.address {
+        None => StreamSource::Local(owner::start_stream(context, call, deadline)),
+        Some(address) => {
+            let body = open_remote(context, address, &call, deadline).await?;
+            StreamSource::Remote(body)
+        }
+    };
+    Ok(OwnerStream { source, echo, _outstanding: outstanding, deadline: deadline + REPLY_MARGIN })
+}
+
+async fn open_remote(
+    context: &context::NodeContext,
+    address: std::net::SocketAddr,
+    call: &types::StageCall,
+    deadline: time::Instant,
+) -> Result<http_types::Body, failure::CallFailure> {
+    let request = peer::encode_request(address, peer::STREAM_PATH, call)?;
+    let opened = context.client.open(address, request, deadline + REPLY_MARGIN).await;
+    let mut response = opened.map_err(|failure| failure.with_crashed(false))?;
+    let status: u16 = response.status().into();
+    if status != u16::from(http_types::StatusCode::Ok) {
+        let verdict = response.header(crate::header::VERDICT).map(|values| values.as_str());
+        return Err(peer::refused(status, verdict));
+    }
+    Ok(response.take_body())
+}
+
+/// Frames of a streamed answer on their way from an owner.
+#[derive(Debug)]
+pub struct OwnerStream {
+    source: StreamSource,
+    echo: CallEcho,
+    deadline: time::Instant,
+    _outstanding: OutstandingCall,
+}
+
+#[derive(Debug)]
+enum StreamSource {
+    Local(frames::FrameReceiver),
+    Remote(http_types::Body),
+}
+
+impl OwnerStream {
+    /// Reads the next frame.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the stream was cut, the deadline has passed, or its end belongs to another call.
+    pub async fn next(&mut self) -> Result<types::StageFrame, failure::CallFailure> {
+        let read = http_client::before(self.deadline, self.source.next()).await;
+        let frame = read.unwrap_or_else(|| {
+            let detail = "the stream took too long";
+            Err(failure::CallFailure::new(types::ProblemKind::Timeout, detail)
+                .with_verdict(types::CallVerdict::MayHaveRun))
+        })?;
+        if let types::StageFrame::Finished { reply, .. } = &frame {
+            self.echo.check(reply)?;
+        }
+        Ok(frame)
+    }
+}
+
+impl StreamSource {
+    async fn next(&mut self) -> Result<types::StageFrame, failure::CallFailure> {
+        match self {
+            Self::Local(frames) => frames.recv().await.map_err(|_| frames::abandoned()),
+            Self::Remote(body) => frames::read_frame(body).await,
+        }
+    }
+}
+
+/// Where a call goes.
+#[derive(Debug)]
+struct CallRoute {
+    owner: ids::NodeId,
+    address: Option<std::net::SocketAddr>,
+}
+
+impl CallRoute {
+    fn new(
+        context: &context::NodeContext,
+        call: &types::StageCall,
+    ) -> Result<Self, failure::CallFailure> {
+        let now = time::Instant::now();
+        let candidates = owners::candidates(context, call);
+        let bytes = u64::try_from(call.body.len() + MESSAGE_OVERHEAD_BYTES).unwrap_or(u64::MAX);
+        let link_open = context.tables.budgets.lock().link.allows(bytes, call.priority, now);
+        let query =
+            routing::RouteQuery { pool: &call.pool, candidates: &candidates, link_open, now };
+        let chosen = query.choose(&context.tables.hints.lock(), &mut rand::rng());
+        let Some(chosen) = chosen else {
+            let detail = format!("pool {} has no endpoint in service", call.pool);
+            return Err(failure::CallFailure::new(types::ProblemKind::Unavailable, detail));
+        };
+        if chosen.distance == routing::RouteDistance::Remote {
+            context.tables.budgets.lock().link.spend(bytes, now);
+        }
+        let address = owners::address(context, &chosen)?;
+        Ok(Self { owner: chosen.node, address })
+    }
+}
+
+/// Counts a call as outstanding at its owner until dropped.
+#[derive(Debug)]
+struct OutstandingCall {
+    context: sync::Arc<context::NodeContext>,
+    owner: ids::NodeId,
+    pool: ids::PoolId,
+}
+
+impl OutstandingCall {
+    fn new(
+        context: &sync::Arc<context::NodeContext>,
+        owner: &ids::NodeId,
+        pool: &ids::PoolId,
+    ) -> Self {
+        context.tables.hints.lock().begin(owner, pool, time::Instant::now());
+        Self { context: context.clone(), owner: owner.clone(), pool: pool.clone() }
+    }
+}
+
+impl Drop for OutstandingCall {
+    fn drop(&mut self) {
+        self.context.tables.hints.lock().end(&self.owner, &self.pool, time::Instant::now());
+    }
+}
+
+/// What the reply to a call has to repeat.
+#[derive(Debug)]
+struct CallEcho {
+    request: ids::RequestId,
+    attempt: ids::AttemptId,
+}
+
+impl CallEcho {
+    fn new(call: &types::StageCall) -> Self {
+        Self { request: call.request.clone(), attempt: call.attempt }
+    }
+
+    fn check(&self, reply: &types::StageReply) -> Result<(), failure::CallFailure> {
+        if reply.request == self.request && reply.attempt == self.attempt {
+            return Ok(());
+        }
+        let detail = "the owner answered another call";
+        Err(failure::CallFailure::new(types::ProblemKind::Internal, detail)
+            .with_verdict(types::CallVerdict::MayHaveRun))
+    }
+}
+
+fn note(context: &context::NodeContext, owner: &ids::NodeId, reply: &types::StageReply) {
+    if reply.hint.limit > 0 {
+        let hint = reply.hint.clone();
+        context.tables.hints.lock().note(owner, hint, time::Instant::now());
+    }
 }
--- /dev/null
+++ b/crates/comfreyspread/src/frames.rs
@@ -0,0 +1,185 @@
+//! Streamed answers on their way from an endpoint to a caller.
+//!
+//! Between nodes a stream is the body of an HTTP answer: frames of MessagePack, each behind its
+//! length. Within a node it is a bounded channel, so a slow reader slows the endpoint instead of
+//! filling memory. The last frame is always [`types::StageFrame::Finished`]; a stream that ends
+//! without it was cut.
+
+use crate::{failure, header};
+use comfreyspread_policy::stream;
+use comfreyspread_schema::types;
+use futures_lite::{AsyncBufRead, AsyncReadExt as _, FutureExt as _, StreamExt as _};
+use http_types::{Body, Response, StatusCode};
+use std::{io, time};
+
+/// Frames held between two tasks of a node.
+pub const CHANNEL_FRAMES: usize = 64;
+const FRAME_LIMIT_BYTES: usize = 16 * 1024 * 1024;
+const LENGTH_BYTES: usize = 4;
+
+/// Sending side of a stream.
+pub type FrameSender = async_channel::Sender<types::StageFrame>;
+/// Receiving side of a stream.
+pub type FrameReceiver = async_channel::Receiver<types::StageFrame>;
+
+/// One event of an endpoint's stream.
+#[derive(Clone, Debug, PartialEq)]
+pub enum EngineEvent {
+    /// A run of tokens.
+    Run(types::TokenRun),
+    /// The explicit end.
+    End(types::StreamEnd),
+}
+
+/// Reads the events of an endpoint's stream.
+pub struct EngineEvents {
+    decoder: async_sse::Decoder<Body>,
+}
+
+impl EngineEvents {
+    /// Creates a reader of the body of `response`.
+    pub fn new(response: &mut Response) -> Self {
+        Self { decoder: async_sse::decode(response.take_body()) }
+    }
+
+    /// Reads the next event.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the stream was cut or holds something else; tokens before that are good.
+    pub async fn next(&mut self) -> Result<EngineEvent, failure::CallFailure> {
+        loop {
+            let event = self.decoder.next().await;
+            let event = event.ok_or_else(|| cut("the stream ended without its end"))?;
+            let event = event.map_err(|error| cut(&error.to_string()))?;
+            if let async_sse::Event::Message(message) = event {
+                return decode_event(&message);
+            }
+        }
+    }
+}
+
+fn decode_event(message: &async_sse::Message) -> Result<EngineEvent, failure::CallFailure> {
+    let decoded = match message.name().as_str() {
+        "token" => serde_json::from_slice(message.data()).map(EngineEvent::Run),
+        "end" => serde_json::from_slice(message.data()).map(EngineEvent::End),
+        name => return Err(cut(&format!("the endpoint sent an event {name:?}"))),
+    };
+    decoded.map_err(|error| cut(&error.to_string()))
+}
+
+fn cut(detail: &str) -> failure::CallFailure {
+    failure::CallFailure::new(types::ProblemKind::EndpointFailed, detail)
+        .with_verdict(types::CallVerdict::MayHaveRun)
+        .with_crashed(true)
+}
+
+/// Returns the answer of a node whose body is the frames received.
+pub fn peer_response(frames: FrameReceiver) -> Response {
+    let chunks = frames.map(|frame| encode_frame(&frame));
+    let reader = futures_util::TryStreamExt::into_async_read(Box::pin(chunks));
+    let mut response = Response::new(StatusCode::Ok);
+    response.set_body(Body::from_reader(reader, None));
+    response
+}
+
+fn encode_frame(frame: &types::StageFrame) -> io::Result<Vec<u8>> {
+    let body = rmp_serde::to_vec_named(frame).map_err(io::Error::other)?;
+    let length = u32::try_from(body.len()).map_err(io::Error::other)?;
+    let mut bytes = Vec::with_capacity(LENGTH_BYTES + body.len());
+    bytes.extend_from_slice(&length.to_be_bytes());
+    bytes.extend_from_slice(&body);
+    Ok(bytes)
+}
+
+/// Reads one frame of another node's stream.
+///
+/// # Errors
+///
+/// Fails if the stream was cut or the frame cannot be decoded.
+pub async fn read_frame<Reader>(
+    reader: &mut Reader,
+) -> Result<types::StageFrame, failure::CallFailure>
+where
+    Reader: AsyncBufRead + Unpin,
+{
+    let mut length = [0; LENGTH_BYTES];
+    reader.read_exact(&mut length).await.map_err(|error| lost(&error.to_string()))?;
+    let length = usize::try_from(u32::from_be_bytes(length)).unwrap_or(usize::MAX);
+    if length > FRAME_LIMIT_BYTES {
+        return Err(lost("a frame is too large"));
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).await.map_err(|error| lost(&error.to_string()))?;
+    rmp_serde::from_slice(&body).map_err(|error| lost(&error.to_string()))
+}
+
+fn lost(detail: &str) -> failure::CallFailure {
+    failure::CallFailure::new(types::ProblemKind::Unavailable, detail)
+        .with_verdict(types::CallVerdict::MayHaveRun)
+        .with_context("the stream of the other node was cut")
+}
+
+/// Sending side of a stream of events to a caller.
+pub struct CallerEvents {
+    sender: async_sse::Sender,
+}
+
+impl CallerEvents {
+    /// Creates the sending side and the answer whose body it feeds.
+    pub fn new() -> (Self, Response) {
+        let (sender, encoder) = async_sse::encode();
+        let mut response = Response::new(StatusCode::Ok);
+        response.set_body(Body::from_reader(encoder, None));
+        response.insert_header("content-type", header::EVENT_STREAM);
+        response.insert_header("cache-control", "no-store");
+        (Self { sender }, response)
+    }
+
+    /// Sends one event and returns whether the caller is still there.
+    pub async fn send<Message>(&self, name: &str, id: &str, message: &Message) -> bool
+    where
+        Message: serde::Serialize,
+    {
+        let Ok(data) = serde_json::to_string(message) else { return false };
+        self.sender.send(name, &data, Some(id)).await.is_ok()
+    }
+}
+
+/// Reads the next event of an endpoint before `deadline`, while the receiver of the frames is there.
+///
+/// # Errors
+///
+/// Fails if the stream was cut, the deadline has passed or nobody receives the frames.
+pub async fn next_event(
+    events: &mut EngineEvents,
+    sender: &FrameSender,
+    deadline: time::Instant,
+) -> Result<EngineEvent, failure::CallFailure> {
+    let gone = async {
+        sender.closed().await;
+        Err(abandoned())
+    };
+    let late = async {
+        async_io::Timer::at(deadline).await;
+        let failure =
+            failure::CallFailure::new(types::ProblemKind::Timeout, "the stream took too long");
+        Err(failure.with_verdict(types::CallVerdict::MayHaveRun))
+    };
+    events.next().or(gone).or(late).await
+}
+
+/// Returns the failure of a stream whose tokens do not fit together.
+pub fn broken(fault: stream::StreamFault) -> failure::CallFailure {
+    failure::CallFailure::new(types::ProblemKind::EndpointFailed, fault.to_string())
+        .with_verdict(types::CallVerdict::MayHaveRun)
+}
+
+/// Returns the failure of a stream that nobody receives any more.
+pub fn abandoned() -> failure::CallFailure {
+    failure::CallFailure::new(
+        types::ProblemKind::Unavailable,
+        "the receiver of the stream went away",
+    )
+    .with_verdict(types::CallVerdict::MayHaveRun)
+}
--- a/crates/comfreyspread/src/front.rs
+++ b/crates/comfreyspread/src/front.rs
@@ -1,10 +1,12 @@
 //! HTTP towards callers and operators.
 
-use crate::{context, dump, failure, header, http_server, pipeline, problem};
+use crate::{caller_stream, context, dump, failure, header, http_server, pipeline, plan, problem};
 use comfreyspread_schema::{ids, types};
+use futures_lite::FutureExt as _;
 use http_types::{Method, Response, StatusCode};
 use sha2::Digest as _;
 use std::{sync, time};
+use xxhash_rust::xxh3;
 
 const METRICS_MEDIA_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 const PIPELINE_PREFIX: &str = "/v1/pipelines/";
@@ -62,10 +64,10 @@
         target: CallTarget<'_>,
     ) -> Response {
         let arrived = time::Instant::now();
-        let _active = self.context.begin_request();
+        let active = context::ActiveRequest::new(self.context.clone());
         let id = self.context.next_request();
         let answered = match self.plan(request, &target, id.clone(), arrived) {
-            Ok(plan) => self.run(request, &target, plan).await,
+            Ok(plan) => self.run(request, &target, plan, active).await,
             Err(failure) => Err(failure),
         };
         let verdict = match &answered {
@@ -86,7 +88,7 @@
         target: &CallTarget<'_>,
         id: ids::RequestId,
         arrived: time::Instant,
-    ) -> Result<pipeline::RequestPlan, failure::CallFailure> {
+    ) -> Result<plan::RequestPlan, failure::CallFailure> {
         if request.method() != Method::Post {
             return Err(bad_request("calls are made with POST"));
         }
@@ -109,7 +111,7 @@
                 catalog.service(name).ok_or_else(|| unknown("service", name))?.idempotent
             }
         };
-        Ok(pipeline::RequestPlan {
+        Ok(plan::RequestPlan {
             request: id,
             workspace: workspace.name.clone(),
             profile: profile.clone(),
@@ -117,6 +119,7 @@
             idempotent: repeatable && profile.idempotent,
             key: request.header(header::IDEMPOTENCY_KEY).map(Into::into),
             digest: digest(request.body()),
+            prefix: request.header(header::PREFIX).map_or(0, |text| xxh3::xxh3_64(text.as_bytes())),
         })
     }
 
@@ -124,29 +127,68 @@
         &self,
         request: &http_server::ServerRequest,
         target: &CallTarget<'_>,
-        plan: pipeline::RequestPlan,
+        plan: plan::RequestPlan,
+        active: context::ActiveRequest,
     ) -> Result<Response, failure::CallFailure> {
-        let catalog = self.context.tables.catalog();
         let id = plan.request.clone();
-        let mut run = pipeline::PipelineRun::new(&self.context, plan);
-        let mut response = match target {
-            CallTarget::Pipeline(name) => {
-                let declaration =
-                    catalog.pipeline(name).ok_or_else(|| unknown("pipeline", name))?;
-                let answer = run.run_pipeline(declaration, request.body()).await?;
-                json(StatusCode::Ok, &whole_answer(&run, &id, &answer)?)
+        let idempotent = plan.idempotent;
+        let answered = async {
+            match target {
+                CallTarget::Pipeline(name) => self.run_pipeline(request, name, plan, active).await,
+                CallTarget::Service(name) => self.run_service(request, name, plan).await,
             }
-            CallTarget::Service(name) => {
-                let declaration = catalog.service(name).ok_or_else(|| unknown("service", name))?;
-                let body = request.body().clone();
-                let answer = run.run_call(&declaration.pool, &declaration.name, body).await?;
-                opaque(&answer)
+        };
+        let gone = async {
+            request.connection().closed().await;
+            if !idempotent {
+                std::future::pending::<()>().await;
             }
+            let detail = "the caller went away";
+            Err(failure::CallFailure::new(types::ProblemKind::Unavailable, detail)
+                .with_verdict(types::CallVerdict::MayHaveRun))
         };
+        let mut response = answered.or(gone).await?;
         response.insert_header(header::VERDICT, types::CallVerdict::Ran.to_string());
         response.insert_header(header::REQUEST, &*id);
         Ok(response)
     }
+
+    async fn run_pipeline(
+        &self,
+        request: &http_server::ServerRequest,
+        name: &str,
+        plan: plan::RequestPlan,
+        active: context::ActiveRequest,
+    ) -> Result<Response, failure::CallFailure> {
+        let catalog = self.context.tables.catalog();
+        let declaration = catalog.pipeline(name).ok_or_else(|| unknown("pipeline", name))?;
+        let id = plan.request.clone();
+        let mut run = pipeline::PipelineRun::new(self.context.clone(), plan);
+        if wants_stream(request) {
+            let input = run.run_before_stream(declaration, request.body()).await?;
+            return caller_stream::start(input, active).await;
+        }
+        let answer = run.run_pipeline(declaration, request.body()).await?;
+        Ok(json(StatusCode::Ok, &whole_answer(run.ledger(), &id, &answer)?))
+    }
+
+    async fn run_service(
+        &self,
+        request: &http_server::ServerRequest,
+        name: &str,
+        plan: plan::RequestPlan,
+    ) -> Result<Response, failure::CallFailure> {
+        let catalog = self.context.tables.catalog();
+        let declaration = catalog.service(name).ok_or_else(|| unknown("service", name))?;
+        let mut run = pipeline::PipelineRun::new(self.context.clone(), plan);
+        run.ledger().check_cost(std::slice::from_ref(&declaration.pool))?;
+        let body = request.body().clone();
+        Ok(opaque(&run.run_call(&declaration.pool, &declaration.name, body).await?))
+    }
+}
+
+fn wants_stream(request: &http_server::ServerRequest) -> bool {
+    request.header("accept").is_some_and(|value| value.contains(header::EVENT_STREAM))
 }
 
 impl http_server::RequestHandler for FrontHandler {
@@ -195,7 +237,7 @@
 }
 
 fn whole_answer(
-    run: &pipeline::PipelineRun<'_>,
+    ledger: &plan::RequestLedger,
     id: &ids::RequestId,
     answer: &failure::WholeAnswer,
 ) -> Result<types::PipelineAnswer, failure::CallFailure> {
@@ -205,8 +247,8 @@
     })?;
     Ok(types::PipelineAnswer {
         answer: value,
-        attempts: u32::try_from(run.attempts()).unwrap_or(u32::MAX),
-        cost: run.cost(),
+        attempts: u32::try_from(ledger.attempts()).unwrap_or(u32::MAX),
+        cost: ledger.cost(),
         request: id.clone(),
         verdict: types::CallVerdict::Ran,
     })
--- a/crates/comfreyspread/src/lib.rs
+++ b/crates/comfreyspread/src/lib.rs
@@ -5,6 +5,8 @@
 //! through [`peer`] where another node owns the endpoint, to [`owner`], which puts it to the
 //! endpoint through [`endpoint`].
 
+pub mod call_run;
+pub mod caller_stream;
 pub mod command;
 pub mod configuration;
 pub mod context;
@@ -12,6 +14,7 @@
 pub mod dump;
 pub mod endpoint;
 pub mod failure;
+pub mod frames;
 pub mod front;
 pub mod header;
 pub mod http_client;
@@ -20,11 +23,14 @@
 pub mod metrics;
 pub mod node;
 pub mod owner;
+pub mod owners;
 pub mod peer;
 pub mod pipeline;
+pub mod plan;
 pub mod platform;
 pub mod problem;
 pub mod rank;
 pub mod settings;
+pub mod stream_run;
 pub mod tables;
 pub mod worker;
--- a/crates/comfreyspread/src/peer.rs
+++ b/crates/comfreyspread/src/peer.rs
@@ -4,13 +4,16 @@
 //! revision of the configuration in force there. A message of another version, or one that cannot
 //! be decoded, is refused without any effect, so the sender may count the call as not run.
 
-use crate::{context, failure, header, http_client, http_server, owner, problem};
+use crate::{context, failure, frames, header, http_client, http_server, owner, problem};
 use comfreyspread_schema::types;
+use futures_lite::FutureExt as _;
 use http_types::{Method, Request, Response, StatusCode};
-use std::{net, sync, time};
+use std::{future, net, sync, time};
 
 /// Media type of messages between nodes.
 pub const PEER_MEDIA_TYPE: &str = "application/vnd.msgpack";
+/// Path of a call whose answer is streamed as [`types::StageFrame`]s.
+pub const STREAM_PATH: &str = "/peer/stream";
 /// Path of a call for a stage or service, answered by a [`types::StageReply`].
 pub const CALL_PATH: &str = "/peer/call";
 
@@ -59,7 +62,8 @@
     Reply: PeerMessage + serde::de::DeserializeOwned,
 {
     let request = encode_request(address, path, message)?;
-    let answer = context.client.call(address, request, connection, deadline).await?;
+    let sent = context.client.call(address, request, connection, deadline).await;
+    let answer = sent.map_err(|failure| failure.with_crashed(false))?;
     if answer.status() != u16::from(StatusCode::Ok) {
         return Err(refused(answer.status(), answer.header(header::VERDICT)));
     }
@@ -131,6 +135,7 @@
     ) -> Result<Response, failure::CallFailure> {
         match (request.method(), request.path()) {
             (Method::Post, CALL_PATH) => self.serve_call(request).await,
+            (Method::Post, STREAM_PATH) => self.serve_stream(request),
             _ => {
                 let detail = format!("there is nothing at {}", request.path());
                 Err(failure::CallFailure::new(types::ProblemKind::UnknownName, detail))
@@ -144,10 +149,33 @@
     ) -> Result<Response, failure::CallFailure> {
         let call: types::StageCall = self.decode(request)?;
         let deadline = self.context.deadline(call.budget);
-        let reply = owner::serve_call(&self.context, call, deadline).await;
+        let connection = request.connection().clone();
+        let idempotent = call.idempotent;
+        let served = async { Some(owner::serve_call(&self.context, call, deadline).await) };
+        let gone = async {
+            connection.closed().await;
+            if !idempotent {
+                future::pending::<()>().await;
+            }
+            None
+        };
+        let Some(reply) = served.or(gone).await else {
+            let detail = "the other node went away";
+            return Err(failure::CallFailure::new(types::ProblemKind::Unavailable, detail)
+                .with_verdict(types::CallVerdict::MayHaveRun));
+        };
         encode_reply(&reply)
     }
 
+    fn serve_stream(
+        &self,
+        request: &http_server::ServerRequest,
+    ) -> Result<Response, failure::CallFailure> {
+        let call: types::StageCall = self.decode(request)?;
+        let deadline = self.context.deadline(call.budget);
+        Ok(frames::peer_response(owner::start_stream(&self.context, call, deadline)))
+    }
+
     /// Decodes the message of a request and checks its version.
     fn decode<Message>(
         &self,
--- a/crates/comfreyspread/src/pipeline.rs
+++ b/crates/comfreyspread/src/pipeline.rs
@@ -1,61 +1,35 @@
 //! Running the stages of a pipeline, or one call of a service, under one deadline.
 
-use crate::{context, dispatch, failure};
-use comfreyspread_policy::verdict;
+use crate::{call_run, context, failure, plan};
 use comfreyspread_schema::{ids, types};
+use serde_json::value;
 use std::{sync, time};
 
-/// A caller's request with its profile resolved.
-#[derive(Clone, Debug)]
-pub struct RequestPlan {
-    /// Identifier of the request.
-    pub request: ids::RequestId,
-    /// Workspace of the caller.
-    pub workspace: ids::WorkspaceId,
-    /// Profile of the request.
-    pub profile: types::ProfileDeclaration,
-    /// Moment by which the whole answer has to be there.
-    pub deadline: time::Instant,
-    /// Whether the request may run more than once.
-    pub idempotent: bool,
-    /// Idempotency key, if the caller gave one.
-    pub key: Option<ids::RequestKey>,
-    /// Digest of the body.
-    pub digest: ids::BodyDigest,
-}
+/// Wait suggested to callers whose deadline could not be met.
+const DEADLINE_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
 
 /// What a stage receives: the caller's body and the answer of the stage before.
 #[derive(serde::Serialize)]
 struct StageInput<'body> {
-    request: &'body serde_json::value::RawValue,
-    previous: Option<&'body serde_json::value::RawValue>,
+    request: &'body value::RawValue,
+    previous: Option<&'body value::RawValue>,
 }
 
 /// Progress of one request over its stages.
 #[derive(Debug)]
-pub struct PipelineRun<'context> {
-    context: &'context sync::Arc<context::NodeContext>,
-    plan: RequestPlan,
-    tracker: verdict::VerdictTracker,
-    attempts: ids::AttemptId,
-    cost: ids::CostUnits,
+pub struct PipelineRun {
+    ledger: plan::RequestLedger,
 }
 
-impl<'context> PipelineRun<'context> {
+impl PipelineRun {
     /// Creates a run that has made no attempt.
-    pub fn new(context: &'context sync::Arc<context::NodeContext>, plan: RequestPlan) -> Self {
-        let tracker = verdict::VerdictTracker::new();
-        Self { context, plan, tracker, attempts: 0, cost: 0 }
-    }
-
-    /// Returns the cost of all attempts so far.
-    pub fn cost(&self) -> ids::CostUnits {
-        self.cost
+    pub fn new(context: sync::Arc<context::NodeContext>, plan: plan::RequestPlan) -> Self {
+        Self { ledger: plan::RequestLedger::new(context, plan) }
     }
 
-    /// Returns the number of attempts so far.
-    pub fn attempts(&self) -> ids::AttemptId {
-        self.attempts
+    /// Returns the attempts and cost so far.
+    pub fn ledger(&self) -> &plan::RequestLedger {
+        &self.ledger
     }
 
     /// Runs all stages of a pipeline.
@@ -68,80 +42,117 @@
         pipeline: &types::PipelineDeclaration,
         body: &ids::Payload,
     ) -> Result<failure::WholeAnswer, failure::CallFailure> {
-        let request = parse_json(body)?;
-        let mut previous: Option<Box<serde_json::value::RawValue>> = None;
-        let mut status = 0;
-        for stage in &pipeline.stages {
-            let input = StageInput { request: &request, previous: previous.as_deref() };
-            let input = serde_json::to_vec(&input).map_err(internal)?;
-            let answer = self.run_call(&stage.pool, &stage.name, input.into()).await?;
-            status = answer.status;
-            let value = parse_json(&answer.body);
-            previous = Some(value.map_err(|failure| self.conclude(failure))?);
-        }
-        let body = previous.map(|value| String::from(Box::<str>::from(value)));
-        Ok(failure::WholeAnswer { status, body: body.unwrap_or_default().into() })
+        let Some((last, stages)) = pipeline.stages.split_last() else { return Err(no_stages()) };
+        let input = self.run_stages(pipeline, stages, body).await?;
+        let ran = !stages.is_empty();
+        let answer = self.run_call(&last.pool, &last.name, input).await;
+        let answer = answer.map_err(|failure| after_stages(failure, ran))?;
+        parse_json(&answer.body).map_err(|failure| after_stages(failure, true))?;
+        Ok(answer)
     }
 
-    /// Runs one call of a stage or service.
+    /// Runs all stages but the last and returns the input and the ledger for a streamed last one.
     ///
     /// # Errors
     ///
     /// Fails with the verdict over all attempts.
+    pub async fn run_before_stream(
+        mut self,
+        pipeline: &types::PipelineDeclaration,
+        body: &ids::Payload,
+    ) -> Result<StreamInput, failure::CallFailure> {
+        let Some((last, stages)) = pipeline.stages.split_last() else { return Err(no_stages()) };
+        let input = self.run_stages(pipeline, stages, body).await?;
+        Ok(StreamInput { ledger: self.ledger, stage: last.clone(), body: input })
+    }
+
+    /// Runs one call of a stage or service.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the verdict over all attempts of the call.
     pub async fn run_call(
         &mut self,
         pool: &ids::PoolId,
         target: &ids::Text,
         body: ids::Payload,
     ) -> Result<failure::WholeAnswer, failure::CallFailure> {
-        self.attempts += 1;
-        self.cost += self.call_cost(pool);
-        let call = self.stage_call(pool, target, body);
-        let reply = dispatch::send(self.context, call, self.plan.deadline).await;
-        let reply = reply.map_err(|failure| self.conclude(failure))?;
-        match failure::CallFailure::from_outcome(reply.outcome) {
-            Ok(answer) => Ok(failure::WholeAnswer { status: answer.status, body: answer.body }),
-            Err(failure) => Err(self.conclude(failure)),
-        }
+        let run = call_run::CallRun::new(&self.ledger, pool, target, body);
+        run.answer(&mut self.ledger).await
     }
 
-    fn call_cost(&self, pool: &ids::PoolId) -> ids::CostUnits {
-        let catalog = self.context.tables.catalog();
-        catalog.pool(pool).map_or(0, |entry| entry.declaration().call_cost)
+    /// Runs `stages` and returns the input of the stage after them.
+    async fn run_stages(
+        &mut self,
+        pipeline: &types::PipelineDeclaration,
+        stages: &[types::StageDeclaration],
+        body: &ids::Payload,
+    ) -> Result<ids::Payload, failure::CallFailure> {
+        let request = parse_json(body)?;
+        let pools: Vec<_> = pipeline.stages.iter().map(|stage| stage.pool.clone()).collect();
+        self.ledger.check_cost(&pools)?;
+        let mut previous: Option<Box<value::RawValue>> = None;
+        for (index, stage) in stages.iter().enumerate() {
+            let ran = index > 0;
+            self.check_deadline(&pools[index..]).map_err(|failure| after_stages(failure, ran))?;
+            let input = stage_input(&request, previous.as_deref())?;
+            let answer = self.run_call(&stage.pool, &stage.name, input).await;
+            let answer = answer.map_err(|failure| after_stages(failure, ran))?;
+            let parsed = parse_json(&answer.body);
+            previous = Some(parsed.map_err(|failure| after_stages(failure, true))?);
+        }
+        let ran = !stages.is_empty();
+        self.check_deadline(&pools[stages.len()..])
+            .map_err(|failure| after_stages(failure, ran))?;
+        stage_input(&request, previous.as_deref())
     }
 
-    fn stage_call(
-        &self,
-        pool: &ids::PoolId,
-        target: &ids::Text,
-        body: ids::Payload,
-    ) -> types::StageCall {
-        types::StageCall {
-            alone: false,
-            attempt: self.attempts,
-            avoid: Vec::new(),
-            body,
-            budget: self.plan.deadline.saturating_duration_since(time::Instant::now()),
-            digest: self.plan.digest.clone(),
-            endpoint: None,
-            header: self.context.peer_header(),
-            idempotent: self.plan.idempotent,
-            key: self.plan.key.clone(),
-            offset: 0,
-            pool: pool.clone(),
-            prefix: 0,
-            priority: self.plan.profile.priority,
-            request: self.plan.request.clone(),
-            streaming: false,
-            target: target.clone(),
-            workspace: self.plan.workspace.clone(),
+    /// Refuses to go on if the stages left cannot be expected to make the deadline.
+    fn check_deadline(&self, pools: &[ids::PoolId]) -> Result<(), failure::CallFailure> {
+        let now = time::Instant::now();
+        let remaining = self.ledger.remaining();
+        let context = self.ledger.context();
+        if context.tables.timings.lock().fits(pools, remaining, now) {
+            return Ok(());
         }
+        let detail = "the stages left take longer than the time left";
+        Err(failure::CallFailure::new(types::ProblemKind::Deadline, detail)
+            .with_retry_after(DEADLINE_RETRY_AFTER))
     }
+}
+
+/// Everything the streamed last stage of a pipeline needs.
+#[derive(Debug)]
+pub struct StreamInput {
+    /// Attempts and cost so far.
+    pub ledger: plan::RequestLedger,
+    /// The last stage.
+    pub stage: types::StageDeclaration,
+    /// Its input.
+    pub body: ids::Payload,
+}
+
+fn no_stages() -> failure::CallFailure {
+    failure::CallFailure::new(types::ProblemKind::Internal, "the pipeline has no stages")
+}
 
-    fn conclude(&mut self, failure: failure::CallFailure) -> failure::CallFailure {
-        self.tracker = self.tracker.with_outcome(failure.verdict());
-        failure.with_verdict(self.tracker.verdict())
+/// Makes the verdict say that earlier stages ran.
+fn after_stages(failure: failure::CallFailure, ran: bool) -> failure::CallFailure {
+    if ran && failure.verdict() == types::CallVerdict::NotRun {
+        return failure.with_verdict(types::CallVerdict::MayHaveRun);
     }
+    failure
+}
+
+fn stage_input(
+    request: &value::RawValue,
+    previous: Option<&value::RawValue>,
+) -> Result<ids::Payload, failure::CallFailure> {
+    let input = serde_json::to_vec(&StageInput { request, previous });
+    let input = input.map_err(|error| {
+        failure::CallFailure::new(types::ProblemKind::Internal, error.to_string())
+    })?;
+    Ok(input.into())
 }
 
 /// Parses a body as JSON.
@@ -149,15 +160,9 @@
 /// # Errors
 ///
 /// Fails with `not-run` if it is not JSON.
-pub fn parse_json(
-    body: &ids::Payload,
-) -> Result<Box<serde_json::value::RawValue>, failure::CallFailure> {
+pub fn parse_json(body: &ids::Payload) -> Result<Box<value::RawValue>, failure::CallFailure> {
     serde_json::from_slice(body).map_err(|error| {
         let detail = format!("the body is not JSON: {error}");
         failure::CallFailure::new(types::ProblemKind::BadRequest, detail)
     })
 }
-
-fn internal(error: serde_json::Error) -> failure::CallFailure {
-    failure::CallFailure::new(types::ProblemKind::Internal, error.to_string())
-}
--- a/crates/comfreyspread/src/problem.rs
+++ b/crates/comfreyspread/src/problem.rs
@@ -30,6 +30,7 @@
         Kind::UnknownName => 404,
         Kind::InProgress | Kind::KeyConflict => 409,
         Kind::TooLarge => 413,
+        Kind::Poisoned => 422,
         Kind::Internal => 500,
         Kind::EndpointFailed => 502,
         Kind::Draining
@@ -63,5 +64,6 @@
         Kind::Draining => "The node is shutting down",
         Kind::Timeout => "The deadline has passed",
         Kind::Internal => "The node failed",
+        Kind::Poisoned => "The request made the endpoints that ran it crash",
     }
 }
--- a/crates/comfreyspread/src/settings.rs
+++ b/crates/comfreyspread/src/settings.rs
@@ -102,6 +102,8 @@
     pub grace: time::Duration,
     /// Longest time to finish requests.
     pub shutdown: time::Duration,
+    /// Bytes a second this node may send to other regions.
+    pub link_rate: u64,
     /// Least level of log lines.
     pub log_level: log::LevelFilter,
     /// Whether log lines are JSON.
@@ -166,6 +168,7 @@
             store_timeout: self.length("store_timeout_ms"),
             grace: self.length("grace_ms"),
             shutdown: self.length("shutdown_ms"),
+            link_rate: self.parsed("link_bytes_per_s", 0, "a whole number"),
             log_level: self.parsed("log_level", log::LevelFilter::Info, "a log level"),
             log_json: &*self.text("log_format") == "json",
         }
--- a/crates/comfreyspread/src/tables.rs
+++ b/crates/comfreyspread/src/tables.rs
@@ -3,9 +3,9 @@
 //! Locks are taken in the order of [`rank`]: the order of the fields here.
 
 use crate::rank;
-use comfreyspread_policy::{catalog, rotation};
+use comfreyspread_policy::{catalog, link, retry, rotation, routing, suspect, timing};
 use comfreyspread_schema::types;
-use std::sync;
+use std::{sync, time};
 
 /// The shared tables of one node.
 #[derive(Debug)]
@@ -17,15 +17,28 @@
         rank::RankedLock<rank::ConfigurationRank, sync::Arc<catalog::ConfigurationCatalog>>,
     /// Turns of the endpoint choice.
     pub rotation: rank::RankedLock<rank::PoolRank, rotation::EndpointRotation>,
+    /// Load at owners, as this node knows it.
+    pub hints: rank::RankedLock<rank::HintRank, routing::HintTable>,
+    /// Requests that may crash endpoints.
+    pub suspects: rank::RankedLock<rank::SuspectRank, suspect::SuspectTable>,
+    /// Measured times of stages.
+    pub timings: rank::RankedLock<rank::TimingRank, timing::StageTimings>,
+    /// Budgets of further attempts.
+    pub budgets: rank::RankedLock<rank::BudgetRank, AttemptBudgets>,
 }
 
 impl SharedTables {
-    /// Creates the tables of a node that starts.
-    pub fn new() -> Self {
+    /// Creates the tables of a node that starts, which may send `link_rate` bytes a second to other
+    /// regions.
+    pub fn new(link_rate: u64, now: time::Instant) -> Self {
         Self {
             phase: rank::RankedLock::new(types::NodePhase::Starting),
             catalog: rank::RankedLock::new(sync::Arc::default()),
             rotation: rank::RankedLock::new(rotation::EndpointRotation::new()),
+            hints: rank::RankedLock::new(routing::HintTable::new()),
+            suspects: rank::RankedLock::new(suspect::SuspectTable::new()),
+            timings: rank::RankedLock::new(timing::StageTimings::new()),
+            budgets: rank::RankedLock::new(AttemptBudgets::new(link_rate, now)),
         }
     }
 
@@ -40,8 +53,24 @@
     }
 }
 
-impl Default for SharedTables {
-    fn default() -> Self {
-        Self::new()
+/// Budgets that bound what one node adds to the load of others.
+#[derive(Debug)]
+pub struct AttemptBudgets {
+    /// Retries of failed attempts.
+    pub retries: retry::RetryBudget,
+    /// Second attempts beside slow ones.
+    pub hedges: retry::RetryBudget,
+    /// Bytes to other regions.
+    pub link: link::LinkBudget,
+}
+
+impl AttemptBudgets {
+    /// Creates full budgets.
+    pub fn new(link_rate: u64, now: time::Instant) -> Self {
+        Self {
+            retries: retry::RetryBudget::new(),
+            hedges: retry::RetryBudget::new(),
+            link: link::LinkBudget::new(link_rate, now),
+        }
     }
 }
