Follow the house style in derives and imports

Cause: the style check listed 12 places. Change: derives sorted, modules imported. Ruled out: text as Arc<str> in the generated flags; argh needs String there.

--- a/crates/comfreyspread-codegen/src/definitions.rs
+++ b/crates/comfreyspread-codegen/src/definitions.rs
@@ -94,7 +94,7 @@
         #tokens
     })
     .into_diagnostic()?;
-    let module = quote!(#root_path::millis).to_string().replace(' ', "");
+    let module = quote!(#root_path::millis).to_string().replace(' ', "").into();
     FieldRewriter { module }.visit_file_mut(&mut file);
     Ok(file)
 }
@@ -118,7 +118,7 @@
 
 /// Gives lengths of time their wire form and sorts derives.
 struct FieldRewriter {
-    module: String,
+    module: Box<str>,
 }
 
 impl visit_mut::VisitMut for FieldRewriter {
@@ -126,7 +126,7 @@
         let Some(name) = field.ident.as_ref().map(ToString::to_string) else { return };
         let Some(short) = name.strip_suffix(MILLISECOND_SUFFIX) else { return };
         field.ident = Some(format_ident!("{short}"));
-        let module = &self.module;
+        let module = &*self.module;
         field.attrs.retain(|attribute| !attribute.path().is_ident("serde"));
         field.attrs.push(parse_quote!(#[serde(default, rename = #name, with = #module)]));
         field.ty = parse_quote!(::std::time::Duration);
--- a/crates/comfreyspread-codegen/src/output.rs
+++ b/crates/comfreyspread-codegen/src/output.rs
@@ -6,13 +6,13 @@
 /// One generated source file, formatted.
 pub struct GeneratedFile {
     name: &'static str,
-    text: String,
+    text: Box<str>,
 }
 
 impl GeneratedFile {
     /// Creates a file from parsed source.
     pub fn new(name: &'static str, source: syn::File) -> Self {
-        Self { name, text: prettyplease::unparse(&source) }
+        Self { name, text: prettyplease::unparse(&source).into() }
     }
 
     /// Compares the file with the committed one, or rewrites it.
@@ -31,7 +31,7 @@
     /// Fails if the file cannot be written.
     fn write(&self, folder: &path::Path) -> miette::Result<()> {
         fs::create_dir_all(folder).into_diagnostic()?;
-        fs::write(folder.join(self.name), &self.text).into_diagnostic()
+        fs::write(folder.join(self.name), &*self.text).into_diagnostic()
     }
 
     /// Compares the file with the committed one in `folder`.
@@ -43,7 +43,7 @@
         let committed = fs::read_to_string(folder.join(self.name))
             .into_diagnostic()
             .wrap_err_with(|| format!("{} is missing", self.name))?;
-        if committed == self.text {
+        if *committed == *self.text {
             return Ok(());
         }
         Err(miette::miette!(
--- a/crates/comfreyspread-codegen/src/settings.rs
+++ b/crates/comfreyspread-codegen/src/settings.rs
@@ -36,7 +36,7 @@
         pub const SETTING_ROWS: &[setting::SettingRow] = &[#(#rows),*];
 
         /// serve callers, operators and other nodes
-        #[derive(argh::FromArgs, Clone, Debug, Default)]
+        #[derive(Clone, Debug, Default, argh::FromArgs)]
         #[argh(subcommand, name = "node")]
         pub struct NodeFlags {
             /// validate the settings and exit
--- a/crates/comfreyspread-policy/src/stream.rs
+++ b/crates/comfreyspread-policy/src/stream.rs
@@ -16,7 +16,7 @@
 }
 
 /// Why a stream cannot go on from its present source.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, Eq, thiserror::Error, PartialEq)]
 pub enum StreamFault {
     /// Tokens are missing between what was delivered and what came.
     #[error("tokens are missing: expected offset {expected}, got {found}")]
--- a/crates/comfreyspread-policy/tests/link.rs
+++ b/crates/comfreyspread-policy/tests/link.rs
@@ -3,7 +3,7 @@
 
 use bolero::check;
 use comfreyspread_policy::link;
-use comfreyspread_schema::types::PriorityLevel;
+use comfreyspread_schema::types;
 use std::time;
 
 const RATE: u64 = 1000;
@@ -13,21 +13,21 @@
     let now = time::Instant::now();
     let mut budget = link::LinkBudget::new(RATE, now);
     budget.spend(600, now);
-    assert!(budget.allows(400, PriorityLevel::High, now));
-    assert!(budget.allows(150, PriorityLevel::Normal, now));
-    assert!(!budget.allows(151, PriorityLevel::Normal, now));
-    assert!(!budget.allows(1, PriorityLevel::Low, now));
+    assert!(budget.allows(400, types::PriorityLevel::High, now));
+    assert!(budget.allows(150, types::PriorityLevel::Normal, now));
+    assert!(!budget.allows(151, types::PriorityLevel::Normal, now));
+    assert!(!budget.allows(1, types::PriorityLevel::Low, now));
     let later = now + time::Duration::from_millis(200);
-    assert!(budget.allows(100, PriorityLevel::Low, later));
+    assert!(budget.allows(100, types::PriorityLevel::Low, later));
 }
 
 #[test]
 fn large_message() {
     let now = time::Instant::now();
     let mut budget = link::LinkBudget::new(RATE, now);
-    assert!(budget.allows(10 * RATE, PriorityLevel::Low, now));
+    assert!(budget.allows(10 * RATE, types::PriorityLevel::Low, now));
     budget.spend(10 * RATE, now);
-    assert!(!budget.allows(1, PriorityLevel::High, now));
+    assert!(!budget.allows(1, types::PriorityLevel::High, now));
 }
 
 #[test]
@@ -40,7 +40,7 @@
         for (bytes, wait) in steps {
             now += time::Duration::from_millis((*wait).into());
             let bytes = u64::from(*bytes);
-            if budget.allows(bytes, PriorityLevel::Normal, now) {
+            if budget.allows(bytes, types::PriorityLevel::Normal, now) {
                 budget.spend(bytes, now);
                 sent += bytes;
             }
--- a/crates/comfreyspread-policy/tests/retry.rs
+++ b/crates/comfreyspread-policy/tests/retry.rs
@@ -3,12 +3,12 @@
 
 use bolero::check;
 use comfreyspread_policy::retry;
-use comfreyspread_schema::types::{CallVerdict, ProblemKind};
-use std::time::Duration;
+use comfreyspread_schema::types;
+use std::time;
 
-const SECOND: Duration = Duration::from_secs(1);
+const SECOND: time::Duration = time::Duration::from_secs(1);
 
-fn facts(problem: ProblemKind, verdict: CallVerdict) -> retry::AttemptFacts {
+fn facts(problem: types::ProblemKind, verdict: types::CallVerdict) -> retry::AttemptFacts {
     retry::AttemptFacts {
         verdict,
         problem,
@@ -27,8 +27,8 @@
 
 #[test]
 fn decision_table() {
-    use CallVerdict::{MayHaveRun, NotRun};
-    use ProblemKind as Kind;
+    use types::CallVerdict::{MayHaveRun, NotRun};
+    use types::ProblemKind as Kind;
     let cases = [
         (Kind::EndpointFailed, MayHaveRun, true, true),
         (Kind::EndpointFailed, MayHaveRun, false, false),
@@ -52,7 +52,7 @@
 fn time_left() {
     let tight = retry::AttemptFacts {
         remaining: SECOND / 20,
-        ..facts(ProblemKind::EndpointFailed, CallVerdict::MayHaveRun)
+        ..facts(types::ProblemKind::EndpointFailed, types::CallVerdict::MayHaveRun)
     };
     assert!(!retries(tight));
 }
@@ -61,7 +61,7 @@
 fn crashed_alone() {
     let crashed = retry::AttemptFacts {
         crashed: true,
-        ..facts(ProblemKind::EndpointFailed, CallVerdict::MayHaveRun)
+        ..facts(types::ProblemKind::EndpointFailed, types::CallVerdict::MayHaveRun)
     };
     let decision = crashed.decide(&mut retry::RetryBudget::new());
     assert!(matches!(decision, retry::RetryDecision::Retry { alone: true, .. }));
--- a/crates/comfreyspread-policy/tests/timing.rs
+++ b/crates/comfreyspread-policy/tests/timing.rs
@@ -2,11 +2,11 @@
 #![allow(clippy::disallowed_methods, reason = "a base moment for injected time")]
 
 use comfreyspread_policy::timing;
-use std::time::{Duration, Instant};
+use std::time;
 
-const MILLIS: Duration = Duration::from_millis(1);
+const MILLIS: time::Duration = time::Duration::from_millis(1);
 
-fn measured(now: Instant, took: Duration) -> timing::StageTimings {
+fn measured(now: time::Instant, took: time::Duration) -> timing::StageTimings {
     let mut timings = timing::StageTimings::new();
     for _ in 0..30 {
         timings.record(&"p".into(), took, now);
@@ -16,7 +16,7 @@
 
 #[test]
 fn deadline_fits() {
-    let now = Instant::now();
+    let now = time::Instant::now();
     let mut timings = measured(now, 100 * MILLIS);
     let pools = ["p".into(), "p".into()];
     assert!(timings.fits(&pools, 250 * MILLIS, now));
@@ -26,14 +26,14 @@
 #[test]
 fn unknown_pool() {
     let mut timings = timing::StageTimings::new();
-    assert!(timings.fits(&["p".into()], Duration::ZERO, Instant::now()));
+    assert!(timings.fits(&["p".into()], time::Duration::ZERO, time::Instant::now()));
 }
 
 #[test]
 fn bad_spell_forgotten() {
-    let now = Instant::now();
+    let now = time::Instant::now();
     let mut timings = measured(now, 9000 * MILLIS);
     let pools = ["p".into()];
-    assert!(!timings.fits(&pools, 1000 * MILLIS, now + Duration::from_secs(11)));
-    assert!(timings.fits(&pools, 1000 * MILLIS, now + Duration::from_secs(25)));
+    assert!(!timings.fits(&pools, 1000 * MILLIS, now + time::Duration::from_secs(11)));
+    assert!(timings.fits(&pools, 1000 * MILLIS, now + time::Duration::from_secs(25)));
 }
--- a/crates/comfreyspread-policy/tests/verdict.rs
+++ b/crates/comfreyspread-policy/tests/verdict.rs
@@ -2,9 +2,10 @@
 
 use bolero::check;
 use comfreyspread_policy::{attempt, verdict};
-use comfreyspread_schema::types::CallVerdict;
+use comfreyspread_schema::types;
 
-const ALL: [CallVerdict; 3] = [CallVerdict::NotRun, CallVerdict::MayHaveRun, CallVerdict::Ran];
+const ALL: [types::CallVerdict; 3] =
+    [types::CallVerdict::NotRun, types::CallVerdict::MayHaveRun, types::CallVerdict::Ran];
 
 #[test]
 fn never_returns() {
@@ -23,12 +24,12 @@
 #[test]
 fn retry_rules() {
     let cases = [
-        (CallVerdict::NotRun, false, true),
-        (CallVerdict::NotRun, true, true),
-        (CallVerdict::MayHaveRun, false, false),
-        (CallVerdict::MayHaveRun, true, true),
-        (CallVerdict::Ran, false, false),
-        (CallVerdict::Ran, true, false),
+        (types::CallVerdict::NotRun, false, true),
+        (types::CallVerdict::NotRun, true, true),
+        (types::CallVerdict::MayHaveRun, false, false),
+        (types::CallVerdict::MayHaveRun, true, true),
+        (types::CallVerdict::Ran, false, false),
+        (types::CallVerdict::Ran, true, false),
     ];
     for (outcome, idempotent, allowed) in cases {
         let tracker = verdict::VerdictTracker::new().with_outcome(outcome);
@@ -38,8 +39,11 @@
 
 #[test]
 fn attempt_outcomes() {
-    assert_eq!(attempt::CallAttempt::new(1).withdraw().verdict(), CallVerdict::NotRun);
-    assert_eq!(attempt::CallAttempt::new(1).send().refuse().verdict(), CallVerdict::NotRun);
-    assert_eq!(attempt::CallAttempt::new(1).send().lose().verdict(), CallVerdict::MayHaveRun);
-    assert_eq!(attempt::CallAttempt::new(1).send().answer().verdict(), CallVerdict::Ran);
+    assert_eq!(attempt::CallAttempt::new(1).withdraw().verdict(), types::CallVerdict::NotRun);
+    assert_eq!(attempt::CallAttempt::new(1).send().refuse().verdict(), types::CallVerdict::NotRun);
+    assert_eq!(
+        attempt::CallAttempt::new(1).send().lose().verdict(),
+        types::CallVerdict::MayHaveRun
+    );
+    assert_eq!(attempt::CallAttempt::new(1).send().answer().verdict(), types::CallVerdict::Ran);
 }
--- a/crates/comfreyspread/src/command.rs
+++ b/crates/comfreyspread/src/command.rs
@@ -1,7 +1,7 @@
 //! The command line.
 
 use crate::{logs, node, settings};
-use comfreyspread_schema::settings::NodeFlags;
+use comfreyspread_schema::settings as schema_settings;
 use indexmap::IndexMap;
 use miette::IntoDiagnostic as _;
 use std::{env, process, sync};
@@ -16,7 +16,7 @@
 #[derive(argh::FromArgs)]
 #[argh(subcommand)]
 enum TopVerb {
-    Node(Box<NodeFlags>),
+    Node(Box<schema_settings::NodeFlags>),
 }
 
 impl TopArguments {
@@ -32,7 +32,7 @@
     }
 }
 
-fn run_node(flags: &NodeFlags) -> miette::Result<process::ExitCode> {
+fn run_node(flags: &schema_settings::NodeFlags) -> miette::Result<process::ExitCode> {
     let settings = settings::NodeSettings::new(flags, &environment())?;
     if flags.check {
         println!("the settings are valid");
--- a/crates/comfreyspread/src/failure.rs
+++ b/crates/comfreyspread/src/failure.rs
@@ -16,7 +16,7 @@
 }
 
 /// Why a call has no answer, and whether it may have run.
-#[derive(Clone, Debug, PartialEq, miette::Diagnostic, thiserror::Error)]
+#[derive(Clone, Debug, miette::Diagnostic, thiserror::Error, PartialEq)]
 #[error("{problem}: {detail} ({verdict})")]
 pub struct CallFailure {
     verdict: types::CallVerdict,
--- a/crates/comfreyspread/src/settings.rs
+++ b/crates/comfreyspread/src/settings.rs
@@ -9,7 +9,7 @@
 use std::{net, str, sync, time};
 
 /// One fault in the settings.
-#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, Eq, thiserror::Error, PartialEq)]
 pub enum SettingFault {
     /// A required setting is absent.
     #[error("{name} is not set; give --{flag} or {variable}")]
