Add a network stand-in that delays, cuts and counts

Cause: proofs need links that are slow, narrow or cut one way, and nodes that are reached through them. All callers of an endpoint share its one address, so a relay cannot tell them apart by port. Ruled out: one relay address for each pair (gossip hands on one address for each node) and bound source addresses (a setting the product has no use for). Change: lab role relay; it recognises the node behind a connection by the system's socket table and applies delay, shared byte rate and cuts by node, zone or region; nodes gain the setting advertise_address. Deployments take options.

--- a/crates/comfreyspread-lab/src/deployment.rs
+++ b/crates/comfreyspread-lab/src/deployment.rs
@@ -1,6 +1,6 @@
 //! A small deployment of separate processes on loopback: platform, endpoints and nodes.
 
-use crate::{caller, process, types};
+use crate::{caller, network, process, types};
 use comfreyspread_schema::{ids, types as wire};
 use miette::{Context as _, IntoDiagnostic as _};
 use rustix::process::Signal;
@@ -22,7 +22,7 @@
     pub peer_address: net::SocketAddr,
     /// The process.
     pub process: process::ChildProcess,
-    arguments: Vec<String>,
+    arguments: Vec<ids::Text>,
 }
 
 /// Where a node stands.
@@ -36,12 +36,27 @@
     pub region: ids::RegionId,
 }
 
+/// What a deployment has besides the usual.
+#[derive(Clone, Debug, Default)]
+pub struct DeploymentOptions {
+    /// Arguments added to those of each node.
+    pub node_arguments: Vec<ids::Text>,
+    /// Arguments added to those of the endpoint stand-ins.
+    pub endpoint_arguments: Vec<ids::Text>,
+    /// Link between the regions; a relay carries all traffic of the nodes if given.
+    pub link: Option<types::RelayLink>,
+    /// Program for the nodes if it is another build.
+    pub node_program: Option<path::PathBuf>,
+    /// Folder for the log files of the nodes.
+    pub log_folder: Option<path::PathBuf>,
+}
+
 /// A running deployment.
 #[derive(Debug)]
 pub struct TestDeployment {
     /// Program that plays all roles.
     pub program: path::PathBuf,
-    /// Declarations with the addresses in use.
+    /// Declarations with the addresses that nodes use.
     pub declarations: wire::Declarations,
     /// Address of the platform stand-in.
     pub platform_address: net::SocketAddr,
@@ -49,10 +64,13 @@
     pub platform: process::ChildProcess,
     /// Endpoint stand-ins.
     pub endpoints: process::ChildProcess,
+    /// Network stand-in, if any.
+    pub relay: Option<network::RelayProcess>,
     /// Nodes.
     pub nodes: Vec<NodeProcess>,
     /// Caller for requests to any part.
     pub caller: caller::TestCaller,
+    options: DeploymentOptions,
     file: path::PathBuf,
 }
 
@@ -64,9 +82,25 @@
     /// Fails if a process cannot be started or does not become reachable.
     pub async fn new(
         program: path::PathBuf,
-        mut declarations: wire::Declarations,
+        declarations: wire::Declarations,
         places: &[NodePlace],
         extra: &[&str],
+    ) -> miette::Result<Self> {
+        let node_arguments = extra.iter().map(|argument| (*argument).into()).collect();
+        let options = DeploymentOptions { node_arguments, ..DeploymentOptions::default() };
+        Self::with_options(program, declarations, places, options).await
+    }
+
+    /// Starts the stand-ins and the nodes with `options`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process cannot be started or does not become reachable.
+    pub async fn with_options(
+        program: path::PathBuf,
+        mut declarations: wire::Declarations,
+        places: &[NodePlace],
+        options: DeploymentOptions,
     ) -> miette::Result<Self> {
         let count = declarations.endpoints.len();
         let addresses = process::free_addresses(count + 1 + places.len() * 2)?;
@@ -76,40 +110,56 @@
         let platform_address = addresses[count];
         let file = write_declarations(&declarations, platform_address)?;
         let platform = start_platform(&program, platform_address)?;
-        let endpoints = start_endpoints(&program, &file, &[])?;
-        let caller = caller::TestCaller::new(CALL_PATIENCE);
+        let extra: Vec<_> = options.endpoint_arguments.iter().map(|text| &**text).collect();
+        let endpoints = start_endpoints(&program, &file, &extra)?;
         let mut deployment = Self {
             program,
             declarations,
             platform_address,
             platform,
             endpoints,
+            relay: None,
             nodes: Vec::new(),
-            caller,
+            caller: caller::TestCaller::new(CALL_PATIENCE),
+            options,
             file,
         };
         deployment.wait_for(platform_address, "/v1/vms").await?;
-        deployment.start_nodes(places, &addresses[count + 1..], extra)?;
+        let mut plans = plan_nodes(places, &addresses[count + 1..], platform_address);
+        deployment.place_relay(&mut plans).await?;
+        deployment.start_nodes(&plans)?;
         Ok(deployment)
     }
 
-    fn start_nodes(
-        &mut self,
-        places: &[NodePlace],
-        addresses: &[net::SocketAddr],
-        extra: &[&str],
-    ) -> miette::Result<()> {
-        let (callers, peers) = addresses.split_at(places.len());
-        let seeds: Vec<_> = peers.iter().map(ToString::to_string).collect();
-        for ((place, caller), peer) in places.iter().zip(callers).zip(peers) {
-            let mut arguments = node_arguments(place, *caller, *peer, self.platform_address);
-            arguments.extend(["--seeds".to_owned(), seeds.join(",")]);
-            arguments.extend(extra.iter().map(|argument| (*argument).to_owned()));
-            let process = start_node(&self.program, &arguments)?;
+    /// Puts a relay in front of the platform, the endpoints and the nodes if a link is given.
+    async fn place_relay(&mut self, plans: &mut [NodePlan]) -> miette::Result<()> {
+        let Some(link) = self.options.link.clone() else { return Ok(()) };
+        let mut planner = network::RelayPlanner::new(&self.declarations, link)?;
+        for endpoint in &mut self.declarations.endpoints {
+            endpoint.address = planner.route_endpoint(endpoint)?;
+        }
+        let platform = planner.route_platform(self.platform_address)?;
+        for plan in plans {
+            plan.platform = platform;
+            plan.advertised = planner.route_node(&plan.place, plan.peer)?;
+        }
+        let relay = network::RelayProcess::new(&self.program, planner.plan())?;
+        self.wait_for(relay.control, "/stats").await?;
+        self.relay = Some(relay);
+        Ok(())
+    }
+
+    fn start_nodes(&mut self, plans: &[NodePlan]) -> miette::Result<()> {
+        let seeds: Vec<_> = plans.iter().map(|plan| plan.advertised.to_string()).collect();
+        for plan in plans {
+            let mut arguments = plan.arguments();
+            arguments.extend(["--seeds".into(), seeds.join(",").into()]);
+            arguments.extend(self.options.node_arguments.iter().cloned());
+            let process = self.start_node(&plan.place.name, &arguments)?;
             self.nodes.push(NodeProcess {
-                name: place.name.clone(),
-                caller_address: *caller,
-                peer_address: *peer,
+                name: plan.place.name.clone(),
+                caller_address: plan.caller,
+                peer_address: plan.peer,
                 process,
                 arguments,
             });
@@ -117,6 +167,22 @@
         Ok(())
     }
 
+    fn start_node(
+        &self,
+        name: &ids::NodeId,
+        arguments: &[ids::Text],
+    ) -> miette::Result<process::ChildProcess> {
+        let program = self.options.node_program.as_deref().unwrap_or(&self.program);
+        let arguments: Vec<_> = arguments.iter().map(|text| &**text).collect();
+        match &self.options.log_folder {
+            None => process::ChildProcess::new(program, &arguments),
+            Some(folder) => {
+                let log = folder.join(format!("{name}.log"));
+                process::ChildProcess::with_log(program, &arguments, &log)
+            }
+        }
+    }
+
     /// Writes the declarations as the next revision, as `apply` does, and waits until every node
     /// is ready.
     ///
@@ -200,13 +266,36 @@
         Ok(())
     }
 
+    /// Sets the cuts of the relay.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no relay or it does not answer.
+    pub async fn set_cuts(&self, cuts: &[types::LinkCut]) -> miette::Result<()> {
+        let Some(relay) = &self.relay else { miette::bail!("there is no relay") };
+        let faults = types::RelayFaults { cuts: cuts.to_vec() };
+        self.caller.post(relay.control, "/faults", &faults).await?;
+        Ok(())
+    }
+
+    /// Returns what the relay carried.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no relay or it does not answer.
+    pub async fn link_stats(&self) -> miette::Result<types::RelayStats> {
+        let Some(relay) = &self.relay else { miette::bail!("there is no relay") };
+        let answer = self.caller.get(relay.control, "/stats").await?;
+        serde_json::from_slice(answer.body()).into_diagnostic()
+    }
+
     /// Starts a node again with the arguments it had, after it has ended.
     ///
     /// # Errors
     ///
     /// Fails if the process cannot be started.
     pub fn restart_node(&mut self, index: usize) -> miette::Result<()> {
-        let process = start_node(&self.program, &self.nodes[index].arguments)?;
+        let process = self.start_node(&self.nodes[index].name, &self.nodes[index].arguments)?;
         self.nodes[index].process = process;
         Ok(())
     }
@@ -264,38 +353,58 @@
     process::ChildProcess::new(program, &arguments)
 }
 
-fn start_node(program: &path::Path, arguments: &[String]) -> miette::Result<process::ChildProcess> {
-    let arguments: Vec<_> = arguments.iter().map(String::as_str).collect();
-    process::ChildProcess::new(program, &arguments)
-}
-
-fn node_arguments(
-    place: &NodePlace,
+/// Addresses of one node to start.
+#[derive(Clone, Debug)]
+struct NodePlan {
+    place: NodePlace,
     caller: net::SocketAddr,
     peer: net::SocketAddr,
+    advertised: net::SocketAddr,
+    platform: net::SocketAddr,
+}
+
+impl NodePlan {
+    fn arguments(&self) -> Vec<ids::Text> {
+        let texts: [&str; 18] = [
+            "product",
+            "node",
+            "--node",
+            &self.place.name,
+            "--vm",
+            &self.place.name,
+            "--zone",
+            &self.place.zone,
+            "--region",
+            &self.place.region,
+            "--caller-address",
+            &self.caller.to_string(),
+            "--peer-address",
+            &self.peer.to_string(),
+            "--platform-address",
+            &self.platform.to_string(),
+            "--poll-ms",
+            "100",
+        ];
+        let mut arguments: Vec<_> = texts.map(ids::Text::from).into();
+        if self.advertised != self.peer {
+            arguments.extend(["--advertise-address".into(), self.advertised.to_string().into()]);
+        }
+        arguments
+    }
+}
+
+fn plan_nodes(
+    places: &[NodePlace],
+    addresses: &[net::SocketAddr],
     platform: net::SocketAddr,
-) -> Vec<String> {
-    let texts: [&str; 18] = [
-        "product",
-        "node",
-        "--node",
-        &place.name,
-        "--vm",
-        &place.name,
-        "--zone",
-        &place.zone,
-        "--region",
-        &place.region,
-        "--caller-address",
-        &caller.to_string(),
-        "--peer-address",
-        &peer.to_string(),
-        "--platform-address",
-        &platform.to_string(),
-        "--poll-ms",
-        "100",
-    ];
-    texts.map(str::to_owned).into()
+) -> Vec<NodePlan> {
+    let (callers, peers) = addresses.split_at(places.len());
+    let pairs = places.iter().zip(callers.iter().zip(peers));
+    let plan = |(place, (caller, peer)): (&NodePlace, (&net::SocketAddr, &net::SocketAddr))| {
+        let place = place.clone();
+        NodePlan { place, caller: *caller, peer: *peer, advertised: *peer, platform }
+    };
+    pairs.map(plan).collect()
 }
 
 fn write_declarations(
--- a/crates/comfreyspread-lab/src/endpoints.rs
+++ b/crates/comfreyspread-lab/src/endpoints.rs
@@ -18,7 +18,7 @@
 const TOKENS_PER_STREAM: ids::StreamOffset = 40;
 
 /// Runs stand-ins for all endpoints of a declarations file.
-#[derive(argh::FromArgs, Debug)]
+#[derive(Debug, argh::FromArgs)]
 #[argh(subcommand, name = "endpoints")]
 pub struct EndpointsArguments {
     /// declarations in JSON
--- a/crates/comfreyspread-lab/src/lib.rs
+++ b/crates/comfreyspread-lab/src/lib.rs
@@ -6,10 +6,13 @@
 pub mod caller;
 pub mod deployment;
 pub mod endpoints;
+pub mod network;
 pub mod platform;
 pub mod process;
 pub mod quickstart;
+pub mod relay;
 pub mod serving;
+pub mod socket;
 #[allow(clippy::all, clippy::unwrap_used, missing_docs)]
 #[rustfmt::skip]
 #[path = "generated/types.rs"]
--- a/crates/comfreyspread-lab/src/main.rs
+++ b/crates/comfreyspread-lab/src/main.rs
@@ -4,7 +4,7 @@
 //! node it hands over to the product's own command line.
 
 use comfreyspread::{command, worker};
-use comfreyspread_lab::{endpoints, platform, quickstart};
+use comfreyspread_lab::{endpoints, platform, quickstart, relay};
 use miette::IntoDiagnostic as _;
 use std::{env, process};
 
@@ -24,6 +24,7 @@
     Endpoints(endpoints::EndpointsArguments),
     Platform(platform::PlatformArguments),
     Quickstart(quickstart::QuickstartArguments),
+    Relay(relay::RelayArguments),
 }
 
 fn main() -> miette::Result<process::ExitCode> {
@@ -43,6 +44,9 @@
                 arguments.run(&spawner).await.map(|()| process::ExitCode::SUCCESS)
             }
             LabRole::Quickstart(arguments) => arguments.run().await,
+            LabRole::Relay(arguments) => {
+                arguments.run(&spawner).await.map(|()| process::ExitCode::SUCCESS)
+            }
         }
     });
     pool.stop();
--- a/crates/comfreyspread-lab/src/platform.rs
+++ b/crates/comfreyspread-lab/src/platform.rs
@@ -15,7 +15,7 @@
 const OBJECTS_PATH: &str = "/v1/objects/";
 
 /// Runs the platform stand-in.
-#[derive(argh::FromArgs, Debug)]
+#[derive(Debug, argh::FromArgs)]
 #[argh(subcommand, name = "platform")]
 pub struct PlatformArguments {
     /// address to serve
--- a/crates/comfreyspread-lab/src/process.rs
+++ b/crates/comfreyspread-lab/src/process.rs
@@ -1,7 +1,7 @@
 //! Child processes of the lab: stand-ins and nodes, each the lab's own program in another role.
 
 use miette::IntoDiagnostic as _;
-use std::{env, net, process, time};
+use std::{env, fs, net, process, time};
 
 const READY_POLL: time::Duration = time::Duration::from_millis(20);
 
@@ -18,11 +18,25 @@
     ///
     /// Fails if the process cannot be started.
     pub fn new(program: &std::path::Path, arguments: &[&str]) -> miette::Result<Self> {
-        let child = process::Command::new(program)
-            .args(arguments)
-            .stdin(process::Stdio::null())
-            .spawn()
-            .into_diagnostic()?;
+        Self::start(process::Command::new(program).args(arguments))
+    }
+
+    /// Starts a program whose log lines are added to a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file cannot be opened or the process cannot be started.
+    pub fn with_log(
+        program: &std::path::Path,
+        arguments: &[&str],
+        log: &std::path::Path,
+    ) -> miette::Result<Self> {
+        let file = fs::OpenOptions::new().append(true).create(true).open(log).into_diagnostic()?;
+        Self::start(process::Command::new(program).args(arguments).stderr(file))
+    }
+
+    fn start(command: &mut process::Command) -> miette::Result<Self> {
+        let child = command.stdin(process::Stdio::null()).spawn().into_diagnostic()?;
         Ok(Self { child })
     }
 
@@ -74,6 +88,16 @@
     env::current_exe().into_diagnostic()
 }
 
+/// Returns a loopback address that is free now.
+///
+/// # Errors
+///
+/// Fails if no port is free.
+pub fn free_address() -> miette::Result<net::SocketAddr> {
+    let listener = net::TcpListener::bind(("127.0.0.1", 0)).into_diagnostic()?;
+    listener.local_addr().into_diagnostic()
+}
+
 /// Returns `count` loopback addresses that are free now.
 ///
 /// # Errors
--- a/crates/comfreyspread-lab/src/quickstart.rs
+++ b/crates/comfreyspread-lab/src/quickstart.rs
@@ -4,13 +4,12 @@
 use comfreyspread::header;
 use comfreyspread_schema::types as wire;
 use miette::IntoDiagnostic as _;
-use std::process::ExitCode;
 
 const SAMPLE: &str = include_str!("../samples/quickstart.json");
 const NODES: [&str; 3] = ["entry-1", "entry-2", "entry-3"];
 
 /// Starts a small deployment, serves requests and reports what happened.
-#[derive(argh::FromArgs, Debug)]
+#[derive(Debug, argh::FromArgs)]
 #[argh(subcommand, name = "quickstart")]
 pub struct QuickstartArguments {}
 
@@ -20,7 +19,7 @@
     /// # Errors
     ///
     /// Fails if a process cannot be started or a request is not served.
-    pub async fn run(&self) -> miette::Result<ExitCode> {
+    pub async fn run(&self) -> miette::Result<std::process::ExitCode> {
         let declarations: wire::Declarations = serde_json::from_str(SAMPLE).into_diagnostic()?;
         let places = places(&declarations);
         let program = process::own_program()?;
@@ -36,7 +35,7 @@
         serve_purchase(&deployment).await?;
         deployment.stop().await?;
         println!("stopped: all nodes ended gracefully");
-        Ok(ExitCode::SUCCESS)
+        Ok(std::process::ExitCode::SUCCESS)
     }
 }
 
--- /dev/null
+++ b/crates/comfreyspread-lab/src/relay.rs
@@ -0,0 +1,268 @@
+//! Stand-in for the network: forwards connections with the delay, the byte rate and the cuts of
+//! the links between regions.
+//!
+//! A connection between two places of one region passes without delay. Between regions each chunk
+//! waits for its share of the link's byte rate and for the one-way delay. A direction that is cut
+//! holds its bytes until it is healed, as a network that drops packets does for as long as both
+//! sides send them again; memory stays bounded because a held connection is not read.
+//! `POST /faults` takes a [`types::RelayFaults`], `GET /stats` returns a [`types::RelayStats`].
+
+use crate::{serving, socket, types};
+use async_io::Timer;
+use async_net::{TcpListener, TcpStream};
+use comfreyspread::{http_server, rank, worker};
+use comfreyspread_schema::ids;
+use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, future};
+use http_types::{Method, Response, StatusCode};
+use miette::IntoDiagnostic as _;
+use std::{fs, net, path, sync, time};
+
+const CHUNK_BYTES: usize = 16 * 1024;
+const CHUNKS_IN_FLIGHT: usize = 32;
+
+/// Runs the network stand-in.
+#[derive(Debug, argh::FromArgs)]
+#[argh(subcommand, name = "relay")]
+pub struct RelayArguments {
+    /// plan of the relay in JSON
+    #[argh(option)]
+    pub plan: path::PathBuf,
+}
+
+impl RelayArguments {
+    /// Forwards until told to stop.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the plan cannot be read or an address cannot be bound.
+    pub async fn run(&self, spawner: &worker::TaskSpawner) -> miette::Result<()> {
+        let text = fs::read_to_string(&self.plan).into_diagnostic()?;
+        let plan: types::RelayPlan = serde_json::from_str(&text).into_diagnostic()?;
+        let table = sync::Arc::new(RelayTable::new(plan.link, plan.nodes, spawner.clone()));
+        for route in plan.routes {
+            let listener = TcpListener::bind(route.listen).await.into_diagnostic()?;
+            spawner.detach(table.clone().accept(listener, route));
+        }
+        serving::start(plan.control, sync::Arc::new(RelayHandler { table }), spawner).await?;
+        serving::wait_for_stop().await
+    }
+}
+
+/// One direction between two places.
+#[derive(Clone, Debug)]
+struct RelayPath {
+    from: types::RelayPlace,
+    to: types::RelayPlace,
+}
+
+impl RelayPath {
+    fn reversed(&self) -> Self {
+        Self { from: self.to.clone(), to: self.from.clone() }
+    }
+
+    fn crosses_regions(&self) -> bool {
+        self.from.region != self.to.region
+    }
+
+    fn is_cut(&self, cut: &types::LinkCut) -> bool {
+        names(&self.from, &cut.from) && names(&self.to, &cut.to)
+    }
+}
+
+fn names(place: &types::RelayPlace, name: &str) -> bool {
+    [&place.name, &place.zone, &place.region].iter().any(|own| &***own == name)
+}
+
+/// Traffic of one direction between two regions.
+#[derive(Debug)]
+struct LinkState {
+    usage: types::LinkUsage,
+    free_at: time::Instant,
+}
+
+#[derive(Debug)]
+struct RelayTable {
+    link: types::RelayLink,
+    finder: socket::SocketFinder,
+    spawner: worker::TaskSpawner,
+    links: rank::RankedLock<rank::PoolRank, Vec<LinkState>>,
+    cuts: rank::RankedLock<rank::HintRank, Vec<types::LinkCut>>,
+    changed: event_listener::Event,
+}
+
+/// Bytes on their way and the moment at which they arrive.
+#[derive(Debug)]
+struct RelayChunk {
+    bytes: Vec<u8>,
+    due: time::Instant,
+}
+
+impl RelayTable {
+    fn new(
+        link: types::RelayLink,
+        nodes: Vec<types::RelayNode>,
+        spawner: worker::TaskSpawner,
+    ) -> Self {
+        Self {
+            link,
+            finder: socket::SocketFinder::new(nodes),
+            spawner,
+            links: rank::RankedLock::new(Vec::new()),
+            cuts: rank::RankedLock::new(Vec::new()),
+            changed: event_listener::Event::new(),
+        }
+    }
+
+    async fn accept(self: sync::Arc<Self>, listener: TcpListener, route: types::RelayRoute) {
+        while let Ok((stream, remote)) = listener.accept().await {
+            self.spawner.detach(self.clone().forward(stream, remote, route.clone()));
+        }
+    }
+
+    async fn forward(
+        self: sync::Arc<Self>,
+        stream: TcpStream,
+        remote: net::SocketAddr,
+        route: types::RelayRoute,
+    ) {
+        let source = self.finder.place(remote, route.listen);
+        let path = source.map(|from| RelayPath { from, to: route.place });
+        let Ok(target) = TcpStream::connect(route.target).await else { return };
+        stream.set_nodelay(true).ok();
+        target.set_nodelay(true).ok();
+        let back = path.as_ref().map(RelayPath::reversed);
+        let outward = self.pump(stream.clone(), target.clone(), path.as_ref());
+        let inward = self.pump(target, stream, back.as_ref());
+        future::zip(outward, inward).await;
+    }
+
+    /// Carries one direction of a connection until either side ends.
+    async fn pump(&self, from: TcpStream, to: TcpStream, path: Option<&RelayPath>) {
+        let (sender, receiver) = async_channel::bounded(CHUNKS_IN_FLIGHT);
+        let reading = self.read_chunks(from.clone(), path, sender);
+        let writing = async {
+            if self.write_chunks(to, path, receiver).await.is_err() {
+                from.shutdown(net::Shutdown::Both).ok();
+            }
+        };
+        future::zip(reading, writing).await;
+    }
+
+    async fn read_chunks(
+        &self,
+        mut from: TcpStream,
+        path: Option<&RelayPath>,
+        sender: async_channel::Sender<RelayChunk>,
+    ) {
+        let mut buffer = vec![0; CHUNK_BYTES];
+        while let Ok(count) = from.read(&mut buffer).await {
+            if count == 0 {
+                return;
+            }
+            let due = path.map_or_else(time::Instant::now, |path| self.schedule(path, count));
+            let chunk = RelayChunk { bytes: buffer[..count].to_vec(), due };
+            if sender.send(chunk).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    async fn write_chunks(
+        &self,
+        mut to: TcpStream,
+        path: Option<&RelayPath>,
+        receiver: async_channel::Receiver<RelayChunk>,
+    ) -> std::io::Result<()> {
+        while let Ok(chunk) = receiver.recv().await {
+            if chunk.due > time::Instant::now() {
+                Timer::at(chunk.due).await;
+            }
+            self.wait_until_open(path).await;
+            to.write_all(&chunk.bytes).await?;
+        }
+        self.wait_until_open(path).await;
+        to.shutdown(net::Shutdown::Write)
+    }
+
+    /// Takes the link for `count` bytes and returns the moment at which they arrive.
+    fn schedule(&self, path: &RelayPath, count: usize) -> time::Instant {
+        let now = time::Instant::now();
+        let bytes = u64::try_from(count).unwrap_or(u64::MAX);
+        let mut links = self.links.lock();
+        let link = link_of(&mut links, path, now);
+        link.usage.bytes += bytes;
+        if !path.crosses_regions() {
+            return now;
+        }
+        let start = link.free_at.max(now);
+        link.free_at = start + transfer_time(bytes, self.link.rate);
+        link.free_at + self.link.delay
+    }
+
+    async fn wait_until_open(&self, path: Option<&RelayPath>) {
+        let Some(path) = path else { return };
+        loop {
+            let changed = self.changed.listen();
+            if !self.cuts.lock().iter().any(|cut| path.is_cut(cut)) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    fn set_faults(&self, faults: types::RelayFaults) -> Response {
+        *self.cuts.lock() = faults.cuts;
+        self.changed.notify(usize::MAX);
+        Response::new(StatusCode::Ok)
+    }
+
+    fn stats(&self) -> types::RelayStats {
+        let links = self.links.lock();
+        types::RelayStats { links: links.iter().map(|link| link.usage.clone()).collect() }
+    }
+}
+
+fn link_of<'links>(
+    links: &'links mut Vec<LinkState>,
+    path: &RelayPath,
+    now: time::Instant,
+) -> &'links mut LinkState {
+    let same =
+        |link: &LinkState| link.usage.from == path.from.region && link.usage.to == path.to.region;
+    let index = links.iter().position(same).unwrap_or_else(|| {
+        let from: ids::RegionId = path.from.region.clone();
+        let usage = types::LinkUsage { bytes: 0, from, to: path.to.region.clone() };
+        links.push(LinkState { usage, free_at: now });
+        links.len() - 1
+    });
+    &mut links[index]
+}
+
+fn transfer_time(bytes: u64, rate: u64) -> time::Duration {
+    if rate == 0 {
+        return time::Duration::ZERO;
+    }
+    time::Duration::from_micros(bytes.saturating_mul(1_000_000) / rate)
+}
+
+/// Answers requests for faults and statistics.
+#[derive(Debug)]
+struct RelayHandler {
+    table: sync::Arc<RelayTable>,
+}
+
+impl http_server::RequestHandler for RelayHandler {
+    async fn handle(&self, request: http_server::ServerRequest) -> Response {
+        match (request.method(), request.path()) {
+            (Method::Get, "/stats") => serving::json(&self.table.stats()),
+            (Method::Post, "/faults") => {
+                serving::with_json(&request, |faults| self.table.set_faults(faults))
+            }
+            _ => Response::new(StatusCode::NotFound),
+        }
+    }
+
+    fn refuse(&self, _fault: http_server::RequestFault) -> Response {
+        serving::refuse()
+    }
+}
--- a/crates/comfreyspread/src/settings.rs
+++ b/crates/comfreyspread/src/settings.rs
@@ -74,6 +74,8 @@
     pub caller_address: net::SocketAddr,
     /// Address for other nodes.
     pub peer_address: net::SocketAddr,
+    /// Address at which other nodes reach this one.
+    pub advertise_address: net::SocketAddr,
     /// Address of the platform's services.
     pub platform_address: net::SocketAddr,
     /// Peer addresses of other nodes.
@@ -152,6 +154,7 @@
             region: self.name("region"),
             caller_address: self.address("caller_address"),
             peer_address: self.address("peer_address"),
+            advertise_address: self.advertise_address(),
             platform_address: self.address("platform_address"),
             seeds: self.seeds(),
             workers: self.size("workers"),
@@ -218,6 +221,13 @@
         self.parsed(name, fallback, "an IP address and port, such as 10.0.0.1:8080")
     }
 
+    fn advertise_address(&mut self) -> net::SocketAddr {
+        if self.text("advertise_address").is_empty() {
+            return self.address("peer_address");
+        }
+        self.address("advertise_address")
+    }
+
     fn seeds(&mut self) -> Vec<net::SocketAddr> {
         let value = self.text("seeds");
         let mut seeds = Vec::new();
