--- a/crates/comfreyspread/src/frames.rs
+++ b/crates/comfreyspread/src/frames.rs
@@ -16,6 +16,7 @@
 pub const CHANNEL_FRAMES: usize = 64;
 const FRAME_LIMIT_BYTES: usize = 16 * 1024 * 1024;
 const LENGTH_BYTES: usize = 4;
+const CHUNK_BYTES: usize = 16 * 1024;
 
 /// Sending side of a stream.
 pub type FrameSender = async_channel::Sender<types::StageFrame>;
@@ -76,22 +77,37 @@
 
 /// Returns the answer of a node whose body is the frames received.
 pub fn peer_response(frames: FrameReceiver) -> Response {
-    let chunks = frames.map(|frame| encode_frame(&frame));
+    let chunks = futures_lite::stream::unfold(frames, |frames| async move {
+        let first = frames.recv().await.ok()?;
+        Some((encode_ready(&first, &frames), frames))
+    });
     let reader = futures_util::TryStreamExt::into_async_read(Box::pin(chunks));
     let mut response = Response::new(StatusCode::Ok);
     response.set_body(Body::from_reader(reader, None));
     response
 }
 
-fn encode_frame(frame: &types::StageFrame) -> io::Result<Vec<u8>> {
-    let body = rmp_serde::to_vec_named(frame).map_err(io::Error::other)?;
-    let length = u32::try_from(body.len()).map_err(io::Error::other)?;
-    let mut bytes = Vec::with_capacity(LENGTH_BYTES + body.len());
-    bytes.extend_from_slice(&length.to_be_bytes());
-    bytes.extend_from_slice(&body);
+/// Encodes a frame and those that wait behind it, so that they travel in one chunk.
+fn encode_ready(first: &types::StageFrame, frames: &FrameReceiver) -> io::Result<Vec<u8>> {
+    let mut bytes = Vec::new();
+    encode_frame(first, &mut bytes)?;
+    while bytes.len() < CHUNK_BYTES
+        && let Ok(frame) = frames.try_recv()
+    {
+        encode_frame(&frame, &mut bytes)?;
+    }
     Ok(bytes)
 }
 
+fn encode_frame(frame: &types::StageFrame, bytes: &mut Vec<u8>) -> io::Result<()> {
+    let begin = bytes.len();
+    bytes.extend_from_slice(&[0; LENGTH_BYTES]);
+    rmp_serde::encode::write_named(bytes, frame).map_err(io::Error::other)?;
+    let length = u32::try_from(bytes.len() - begin - LENGTH_BYTES).map_err(io::Error::other)?;
+    bytes[begin..begin + LENGTH_BYTES].copy_from_slice(&length.to_be_bytes());
+    Ok(())
+}
+
 /// Reads one frame of another node's stream.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/comfreyspread/tests/frames.rs
@@ -0,0 +1,50 @@
+//! Streamed answers between nodes.
+
+use bolero::check;
+use comfreyspread::frames;
+use comfreyspread_schema::types;
+use futures_lite::{future, io};
+
+fn token(offset: u64) -> types::StageFrame {
+    let run = types::TokenRun { count: 1, offset, text: format!("t{offset}").into() };
+    types::StageFrame::Token { run }
+}
+
+fn encoded(count: u64) -> Vec<u8> {
+    let (sender, receiver) = async_channel::unbounded();
+    for offset in 0..count {
+        sender.try_send(token(offset)).expect("an open channel");
+    }
+    sender.close();
+    let body = frames::peer_response(receiver).take_body();
+    future::block_on(body.into_bytes()).expect("a whole body")
+}
+
+#[test]
+fn round_trip() {
+    let bytes = encoded(100);
+    let mut reader = io::Cursor::new(bytes);
+    for offset in 0..100 {
+        let frame = future::block_on(frames::read_frame(&mut reader)).expect("a frame");
+        assert_eq!(frame, token(offset));
+    }
+    assert!(future::block_on(frames::read_frame(&mut reader)).is_err());
+}
+
+#[test]
+fn cut_anywhere() {
+    let whole = encoded(1);
+    for length in 0..whole.len() {
+        let mut reader = io::Cursor::new(&whole[..length]);
+        let failure = future::block_on(frames::read_frame(&mut reader)).expect_err("a cut");
+        assert_eq!(failure.verdict(), types::CallVerdict::MayHaveRun);
+    }
+}
+
+#[test]
+fn any_bytes() {
+    check!().for_each(|bytes| {
+        let mut reader = io::Cursor::new(bytes);
+        while future::block_on(frames::read_frame(&mut reader)).is_ok() {}
+    });
+}
--- /dev/null
+++ b/crates/comfreyspread/tests/lock_order.rs
@@ -0,0 +1,27 @@
+//! The stated order of locks.
+
+use comfreyspread::rank;
+use std::panic;
+
+#[test]
+fn ascending_order() {
+    let low = rank::RankedLock::<rank::LifeRank, _>::new(1);
+    let high = rank::RankedLock::<rank::PoolRank, _>::new(2);
+    let first = low.lock();
+    let second = high.lock();
+    assert_eq!(*first + *second, 3);
+}
+
+#[test]
+#[cfg(debug_assertions)]
+fn broken_order() {
+    let low = rank::RankedLock::<rank::LifeRank, _>::new(1);
+    let high = rank::RankedLock::<rank::PoolRank, _>::new(2);
+    let broken = panic::catch_unwind(panic::AssertUnwindSafe(|| {
+        let _second = high.lock();
+        let _first = low.lock();
+    }));
+    assert!(broken.is_err());
+    assert_eq!(*low.lock(), 1);
+    assert_eq!(*high.lock(), 2);
+}
