Decide membership and ownership of endpoints on injected time

Cause: every node took itself for the owner of every endpoint, so limits of endpoints could not be exact and nobody knew which nodes run.

Ruled out: a full mesh of heartbeats (670 nodes x 155 bytes x 2 a second is above 5 KB/s), heartbeats in the table service (223 writes a second), taking a failure over from gossip (one wrong view would move every endpoint).

Change: MemberTable (incarnations, suspicion, lapse, bounded records per message), rendezvous hashing by zone, region, all, and OwnershipTable with the life cycle waiting, owned, released. An owner stops by itself two thirds of a lapse after its last answered message; others take over a whole lapse after a suspicion.

--- /dev/null
+++ b/crates/comfreyspread-policy/src/contact.rs
@@ -0,0 +1,84 @@
+//! Contact of a node with its peers, which its ownerships depend on.
+//!
+//! Other nodes take over from a node once they have concluded that it failed, which they do a
+//! lapse after they lost contact. So a node may use its ownerships only for a hold, shorter than
+//! the lapse, after it sent the last message that a peer answered. A node that never had a peer, or
+//! whose peers have all left or refuse connections, needs no answer.
+
+use crate::membership;
+use std::time;
+
+/// Share of the lapse for which an answered message permits work: two thirds.
+const HOLD_NUMERATOR: u32 = 2;
+const HOLD_DENOMINATOR: u32 = 3;
+/// Lapses after which an isolated node takes its silent peers for failed.
+const PATIENCE_LAPSES: u32 = 3;
+
+/// Times that govern ownerships.
+#[derive(Clone, Copy, Debug)]
+pub struct OwnershipTimes {
+    /// Time after an answered message was sent for which this node may use its ownerships.
+    pub hold: time::Duration,
+    /// Time from a suspicion to the conclusion that a member failed.
+    pub lapse: time::Duration,
+    /// Time after which an isolated node takes its silent peers for failed.
+    pub patience: time::Duration,
+}
+
+impl OwnershipTimes {
+    /// Derives the times from the lapse.
+    pub fn new(lapse: time::Duration) -> Self {
+        let hold = lapse * HOLD_NUMERATOR / HOLD_DENOMINATOR;
+        Self { hold, lapse, patience: lapse * PATIENCE_LAPSES }
+    }
+}
+
+/// Contact of this node with its peers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PeerContact {
+    /// There is no peer that could take over.
+    Alone,
+    /// A peer answered a message sent at the moment given.
+    Connected(time::Instant),
+    /// No peer has answered since the moment given.
+    Isolated(time::Instant),
+}
+
+impl PeerContact {
+    /// Returns the contact at `now`, given what is known of the members.
+    pub fn advance(
+        self,
+        members: &membership::MemberTable,
+        times: OwnershipTimes,
+        now: time::Instant,
+    ) -> Self {
+        let deserted = !members.has_peers();
+        let certain = deserted && !members.has_silent_failures();
+        match self {
+            Self::Alone => Self::Alone,
+            Self::Connected(_) if certain => Self::Alone,
+            Self::Connected(sent) if now >= sent + times.hold => Self::Isolated(now),
+            Self::Connected(sent) => Self::Connected(sent),
+            Self::Isolated(_) if certain => Self::Alone,
+            Self::Isolated(since) if deserted && now >= since + times.patience => Self::Alone,
+            Self::Isolated(since) => Self::Isolated(since),
+        }
+    }
+
+    /// Returns the contact after a peer answered a message sent at `sent`.
+    pub fn confirm(self, sent: time::Instant) -> Self {
+        match self {
+            Self::Connected(earlier) => Self::Connected(earlier.max(sent)),
+            Self::Alone | Self::Isolated(_) => Self::Connected(sent),
+        }
+    }
+
+    /// Whether work is permitted at `now`.
+    pub fn permits(self, times: OwnershipTimes, now: time::Instant) -> bool {
+        match self {
+            Self::Alone => true,
+            Self::Connected(sent) => now < sent + times.hold,
+            Self::Isolated(_) => false,
+        }
+    }
+}
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -15,8 +15,13 @@
 
 pub mod attempt;
 pub mod catalog;
+pub mod contact;
 pub mod life;
 pub mod link;
+pub mod membership;
+pub mod ownership;
+pub mod ownership_life;
+pub mod rendezvous;
 pub mod retry;
 pub mod rotation;
 pub mod routing;
--- /dev/null
+++ b/crates/comfreyspread-policy/src/membership.rs
@@ -0,0 +1,479 @@
+//! Membership of nodes: which are alive, suspected, failed or gone.
+//!
+//! Each node keeps one record for every node it knows of. A record is ordered by its incarnation,
+//! which only the node it describes raises, and then by its phase. A suspicion spreads with the
+//! incarnation it doubts; the suspected node refutes it by raising its incarnation. A node that
+//! started again under the same name has another start id and refutes the record of its
+//! predecessor in the same way.
+//!
+//! A failure is never taken over from another node: a record that arrives as failed counts as
+//! suspect, and each node concludes the failure by itself once the lapse has passed in which the
+//! member could have refuted. So a node whose view is wrong cannot spread it in one step.
+//!
+//! Work per heartbeat does not depend on the number of nodes, except for scans of the local table.
+
+use comfreyspread_schema::{ids, types};
+use indexmap::IndexMap;
+use rand::seq::SliceRandom as _;
+use std::{net, time};
+
+/// Times a record is passed on, for each doubling of the number of members.
+const SENDS_PER_DOUBLING: u32 = 3;
+
+/// Times that govern the phases of members.
+#[derive(Clone, Copy, Debug)]
+pub struct MemberTimes {
+    /// Time from a suspicion to the conclusion that the member failed.
+    pub lapse: time::Duration,
+    /// Time after which a member that failed or left is forgotten.
+    pub forget: time::Duration,
+}
+
+/// One run of a node's process.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct MemberInstance {
+    /// Name of the node.
+    pub node: ids::NodeId,
+    /// Start id of the process.
+    pub start: ids::StartId,
+}
+
+impl MemberInstance {
+    /// Names the instance that a record describes.
+    pub fn new(record: &types::MemberRecord) -> Self {
+        Self { node: record.node.clone(), start: record.start }
+    }
+
+    /// Reads the name that a message carries.
+    pub fn named(name: &types::MemberName) -> Self {
+        Self { node: name.node.clone(), start: name.start }
+    }
+
+    /// Returns the instance that sent a message.
+    pub fn sender(header: &types::PeerHeader) -> Self {
+        Self { node: header.node.clone(), start: header.start }
+    }
+
+    /// Returns the name for a message.
+    pub fn name(&self) -> types::MemberName {
+        types::MemberName { node: self.node.clone(), start: self.start }
+    }
+}
+
+/// Member to be probed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ProbeTarget {
+    /// Instance to be probed.
+    pub instance: MemberInstance,
+    /// Peer address.
+    pub address: net::SocketAddr,
+}
+
+impl ProbeTarget {
+    /// Names the member that a record describes.
+    pub fn new(record: &types::MemberRecord) -> Self {
+        Self { instance: MemberInstance::new(record), address: record.address }
+    }
+}
+
+/// What is known of another node.
+#[derive(Clone, Debug)]
+pub struct MemberEntry {
+    record: types::MemberRecord,
+    since: time::Instant,
+    heard: time::Instant,
+    refused: bool,
+    sends: u32,
+}
+
+impl MemberEntry {
+    fn new(record: types::MemberRecord, now: time::Instant) -> Self {
+        Self { record, since: now, heard: now, refused: false, sends: 0 }
+    }
+
+    /// Returns the record.
+    pub fn record(&self) -> &types::MemberRecord {
+        &self.record
+    }
+
+    /// Returns when the phase last changed.
+    pub fn since(&self) -> time::Instant {
+        self.since
+    }
+
+    /// Returns when the member was last heard directly.
+    pub fn heard(&self) -> time::Instant {
+        self.heard
+    }
+
+    /// Whether the member may be running: alive or suspect.
+    pub fn is_live(&self) -> bool {
+        is_live(self.record.phase)
+    }
+
+    fn set_phase(&mut self, phase: types::MemberPhase, now: time::Instant) {
+        self.record.phase = phase;
+        self.since = now;
+        self.sends = 0;
+    }
+}
+
+/// Whether a member in this phase may be running.
+pub fn is_live(phase: types::MemberPhase) -> bool {
+    matches!(phase, types::MemberPhase::Alive | types::MemberPhase::Suspect)
+}
+
+/// The members known to one node.
+#[derive(Debug)]
+pub struct MemberTable {
+    local: types::MemberRecord,
+    local_sends: u32,
+    times: MemberTimes,
+    entries: IndexMap<ids::NodeId, MemberEntry>,
+    near: Vec<ids::NodeId>,
+    far: Vec<ids::NodeId>,
+    near_next: bool,
+    predecessor: Option<time::Instant>,
+    version: u64,
+}
+
+impl MemberTable {
+    /// Creates the table of a node that knows only itself.
+    pub fn new(local: types::MemberRecord, times: MemberTimes) -> Self {
+        Self {
+            local,
+            local_sends: 0,
+            times,
+            entries: IndexMap::new(),
+            near: Vec::new(),
+            far: Vec::new(),
+            near_next: true,
+            predecessor: None,
+            version: 1,
+        }
+    }
+
+    /// Returns the record of this node.
+    pub fn local(&self) -> &types::MemberRecord {
+        &self.local
+    }
+
+    /// Returns what is known of another node.
+    pub fn entry(&self, node: &ids::NodeId) -> Option<&MemberEntry> {
+        self.entries.get(node)
+    }
+
+    /// Returns all other nodes known, gone ones included.
+    pub fn entries(&self) -> impl Iterator<Item = &MemberEntry> {
+        self.entries.values()
+    }
+
+    /// Returns the records of the nodes that may be running, this one included.
+    pub fn live(&self) -> impl Iterator<Item = &types::MemberRecord> {
+        let others = self.entries.values().map(MemberEntry::record);
+        std::iter::once(&self.local).chain(others).filter(|record| is_live(record.phase))
+    }
+
+    /// Returns the peer address of a node.
+    pub fn address_of(&self, node: &ids::NodeId) -> Option<net::SocketAddr> {
+        if *node == self.local.node {
+            return Some(self.local.address);
+        }
+        self.entries.get(node).map(|entry| entry.record.address)
+    }
+
+    /// Returns a number that changes with everything that ownership depends on.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns when an earlier instance of this node was learnt of that had not left.
+    pub fn predecessor(&self) -> Option<time::Instant> {
+        self.predecessor
+    }
+
+    /// Whether other nodes may be running that do not refuse connections.
+    pub fn has_peers(&self) -> bool {
+        self.entries.values().any(|entry| entry.is_live() && !entry.refused)
+    }
+
+    /// Whether a member is known to have failed without its address refusing connections.
+    pub fn has_silent_failures(&self) -> bool {
+        let failed = |entry: &MemberEntry| entry.record.phase == types::MemberPhase::Failed;
+        self.entries.values().any(|entry| failed(entry) && !entry.refused)
+    }
+
+    /// Sets the phase of this node's life.
+    pub fn set_node_phase(&mut self, phase: types::NodePhase) {
+        if self.local.node_phase != phase {
+            self.local.node_phase = phase;
+            self.note_local_change();
+        }
+    }
+
+    /// Sets the revision in force at this node; it spreads with the headers of messages.
+    pub fn set_revision(&mut self, revision: ids::RevisionNumber) {
+        self.local.revision = revision;
+    }
+
+    /// Marks this node as having left for good.
+    pub fn leave(&mut self) {
+        self.local.phase = types::MemberPhase::Left;
+        self.note_local_change();
+    }
+
+    /// Takes in a record from another node; returns whether anything changed.
+    pub fn merge(&mut self, record: types::MemberRecord, now: time::Instant) -> bool {
+        if record.node == self.local.node {
+            return self.merge_local(&record, now);
+        }
+        let record = without_conclusion(record);
+        let Some(entry) = self.entries.get_mut(&record.node) else {
+            if record.phase == types::MemberPhase::Left {
+                return false;
+            }
+            self.version += 1;
+            self.entries.insert(record.node.clone(), MemberEntry::new(record, now));
+            return true;
+        };
+        if supersedes(&record, &entry.record) {
+            let heard = entry.heard;
+            *entry = MemberEntry { heard, ..MemberEntry::new(record, now) };
+            self.version += 1;
+            return true;
+        }
+        self.merge_progress(&record)
+    }
+
+    /// Takes note of a message that came from a member itself.
+    pub fn contact(&mut self, header: &types::PeerHeader, now: time::Instant) {
+        let Some(entry) = self.entries.get_mut(&header.node) else { return };
+        if entry.record.start == header.start {
+            entry.heard = now;
+            entry.refused = false;
+            entry.record.revision = entry.record.revision.max(header.revision);
+        }
+    }
+
+    /// Takes note that a member's address refuses connections.
+    pub fn note_refused(&mut self, instance: &MemberInstance) {
+        if let Some(entry) = self.entries.get_mut(&instance.node)
+            && entry.record.start == instance.start
+        {
+            entry.refused = true;
+        }
+    }
+
+    /// Suspects a member that neither this node nor its helpers could reach.
+    pub fn suspect(&mut self, instance: &MemberInstance, now: time::Instant) -> bool {
+        let Some(entry) = self.entries.get_mut(&instance.node) else { return false };
+        let alive = entry.record.phase == types::MemberPhase::Alive;
+        if !alive || entry.record.start != instance.start {
+            return false;
+        }
+        entry.set_phase(types::MemberPhase::Suspect, now);
+        true
+    }
+
+    /// Concludes failures and forgets members gone for long; returns the nodes that failed.
+    pub fn advance(&mut self, now: time::Instant) -> Vec<ids::NodeId> {
+        let times = self.times;
+        let mut failed = Vec::new();
+        for entry in self.entries.values_mut() {
+            let lapsed = now.saturating_duration_since(entry.since) >= times.lapse;
+            if entry.record.phase == types::MemberPhase::Suspect && lapsed {
+                entry.set_phase(types::MemberPhase::Failed, now);
+                failed.push(entry.record.node.clone());
+            }
+        }
+        let kept = self.entries.len();
+        self.entries.retain(|_, entry| {
+            entry.is_live() || now.saturating_duration_since(entry.since) < times.forget
+        });
+        if !failed.is_empty() || kept != self.entries.len() {
+            self.version += 1;
+        }
+        failed
+    }
+
+    /// Starts all suspicions afresh after this process itself stood still.
+    pub fn resume(&mut self, now: time::Instant) {
+        for entry in self.entries.values_mut() {
+            if entry.record.phase == types::MemberPhase::Suspect {
+                entry.since = now;
+            }
+        }
+    }
+
+    /// Returns the member to be probed next, by turns from this zone and from elsewhere.
+    pub fn next_probe<Random>(&mut self, random: &mut Random) -> Option<ProbeTarget>
+    where
+        Random: rand::Rng,
+    {
+        let near = self.near_next;
+        self.near_next = !near;
+        self.take_probe(near, random).or_else(|| self.take_probe(!near, random))
+    }
+
+    /// Returns up to `count` members that may reach `target` for this node.
+    pub fn helpers<Random>(
+        &self,
+        target: &ids::NodeId,
+        count: usize,
+        random: &mut Random,
+    ) -> Vec<ProbeTarget>
+    where
+        Random: rand::Rng,
+    {
+        let alive = |record: &&types::MemberRecord| record.phase == types::MemberPhase::Alive;
+        let records = self.entries.values().map(MemberEntry::record).filter(alive);
+        let mut helpers: Vec<_> =
+            records.filter(|record| record.node != *target).map(ProbeTarget::new).collect();
+        let (chosen, _) = helpers.partial_shuffle(random, count);
+        chosen.to_vec()
+    }
+
+    /// Returns up to `limit` recent changes and one sampled record for a message.
+    pub fn take_records<Random>(
+        &mut self,
+        limit: usize,
+        random: &mut Random,
+    ) -> Vec<types::MemberRecord>
+    where
+        Random: rand::Rng,
+    {
+        let sends = self.sends_per_record();
+        let mut records = Vec::with_capacity(limit + 1);
+        if self.local_sends < sends {
+            self.local_sends += 1;
+            records.push(self.local.clone());
+        }
+        let mut recent: Vec<_> =
+            self.entries.values_mut().filter(|entry| entry.sends < sends).collect();
+        recent.sort_by_key(|entry| entry.sends);
+        for entry in recent.into_iter().take(limit.saturating_sub(records.len())) {
+            entry.sends += 1;
+            records.push(entry.record.clone());
+        }
+        records.extend(self.sample(random));
+        records
+    }
+
+    /// Returns the records that a joining node needs.
+    pub fn whole(&self) -> Vec<types::MemberRecord> {
+        self.live().cloned().collect()
+    }
+
+    /// Whether records from a peer show that it does not hold this instance alive.
+    pub fn is_doubted_by(&self, records: &[types::MemberRecord]) -> bool {
+        let mut own = records.iter().filter(|record| record.node == self.local.node);
+        let phase = self.local.phase;
+        own.any(|record| record.start != self.local.start || record.phase > phase)
+    }
+
+    /// Returns this node's record of a sender that has to refute it: the sender is not held alive
+    /// or has another start id.
+    pub fn doubt(&self, header: &types::PeerHeader) -> Option<types::MemberRecord> {
+        let record = &self.entries.get(&header.node)?.record;
+        let same = record.start == header.start;
+        (!same || record.phase != types::MemberPhase::Alive).then(|| record.clone())
+    }
+
+    fn merge_local(&mut self, record: &types::MemberRecord, now: time::Instant) -> bool {
+        let predecessor = record.start != self.local.start;
+        if predecessor && record.phase != types::MemberPhase::Left {
+            self.predecessor.get_or_insert(now);
+        }
+        let doubted = predecessor || record.phase != types::MemberPhase::Alive;
+        let leaving = self.local.phase == types::MemberPhase::Left;
+        if leaving || !doubted || record.incarnation < self.local.incarnation {
+            return false;
+        }
+        self.local.incarnation = record.incarnation + 1;
+        self.note_local_change();
+        true
+    }
+
+    /// Takes over what only grows within one instance: the node's phase and its revision.
+    fn merge_progress(&mut self, record: &types::MemberRecord) -> bool {
+        let Some(entry) = self.entries.get_mut(&record.node) else { return false };
+        if entry.record.start != record.start {
+            return false;
+        }
+        entry.record.revision = entry.record.revision.max(record.revision);
+        if entry.record.node_phase >= record.node_phase {
+            return false;
+        }
+        entry.record.node_phase = record.node_phase;
+        entry.sends = 0;
+        self.version += 1;
+        true
+    }
+
+    fn note_local_change(&mut self) {
+        self.local_sends = 0;
+        self.version += 1;
+    }
+
+    fn take_probe<Random>(&mut self, near: bool, random: &mut Random) -> Option<ProbeTarget>
+    where
+        Random: rand::Rng,
+    {
+        let mut ring = std::mem::take(if near { &mut self.near } else { &mut self.far });
+        let mut target = self.pop_live(&mut ring);
+        if target.is_none() {
+            ring = self.fill_ring(near, random);
+            target = self.pop_live(&mut ring);
+        }
+        *(if near { &mut self.near } else { &mut self.far }) = ring;
+        target
+    }
+
+    fn fill_ring<Random>(&self, near: bool, random: &mut Random) -> Vec<ids::NodeId>
+    where
+        Random: rand::Rng,
+    {
+        let live = self.entries.values().filter(|entry| entry.is_live());
+        let side = live.filter(|entry| (entry.record.zone == self.local.zone) == near);
+        let mut ring: Vec<_> = side.map(|entry| entry.record.node.clone()).collect();
+        ring.shuffle(random);
+        ring
+    }
+
+    fn pop_live(&self, ring: &mut Vec<ids::NodeId>) -> Option<ProbeTarget> {
+        while let Some(node) = ring.pop() {
+            if let Some(entry) = self.entries.get(&node).filter(|entry| entry.is_live()) {
+                return Some(ProbeTarget::new(&entry.record));
+            }
+        }
+        None
+    }
+
+    fn sample<Random>(&self, random: &mut Random) -> Option<types::MemberRecord>
+    where
+        Random: rand::Rng,
+    {
+        let index = random.random_range(0..=self.entries.len());
+        let record = self.entries.get_index(index).map_or(&self.local, |(_, entry)| &entry.record);
+        is_live(record.phase).then(|| record.clone())
+    }
+
+    fn sends_per_record(&self) -> u32 {
+        let members = u32::try_from(self.entries.len() + 1).unwrap_or(u32::MAX);
+        SENDS_PER_DOUBLING * (members.ilog2() + 1)
+    }
+}
+
+/// Returns the record with a failure concluded elsewhere turned into a suspicion.
+fn without_conclusion(record: types::MemberRecord) -> types::MemberRecord {
+    match record.phase {
+        types::MemberPhase::Failed => {
+            types::MemberRecord { phase: types::MemberPhase::Suspect, ..record }
+        }
+        _ => record,
+    }
+}
+
+fn supersedes(record: &types::MemberRecord, held: &types::MemberRecord) -> bool {
+    (record.incarnation, record.phase, record.start) > (held.incarnation, held.phase, held.start)
+}
--- /dev/null
+++ b/crates/comfreyspread-policy/src/ownership.rs
@@ -0,0 +1,450 @@
+//! Ownership of endpoints at one node: which this node may send work to.
+//!
+//! The owner of an endpoint is the first of its candidates by [`rendezvous`]. Views of the members
+//! differ for a while, so a node that finds itself first waits until every node that may own the
+//! endpoint has confirmed that it does not, or has lapsed. On its side, an owner stops by itself
+//! when it has had no answer from a peer for the hold of [`contact`], which is shorter than the
+//! lapse, or when its process stood still for that long.
+
+use crate::{catalog, contact, membership, membership::MemberInstance, ownership_life, rendezvous};
+use comfreyspread_schema::{ids, types};
+use indexmap::IndexMap;
+use ownership_life::OwnershipSlot;
+use std::time;
+use xxhash_rust::xxh3;
+
+/// Candidates kept for each endpoint: the owner and those asked before it takes over.
+const RANKED_CANDIDATES: usize = 3;
+
+/// What a node has to do for its ownerships.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum OwnershipAction {
+    /// Ask a member which of these endpoints it does not own.
+    Ask {
+        /// Member that may own them.
+        member: MemberInstance,
+        /// Endpoints waited for.
+        endpoints: Vec<ids::EndpointId>,
+    },
+    /// Read the highest fencing number from the endpoint itself.
+    ReadFence {
+        /// Endpoint waited for.
+        endpoint: ids::EndpointId,
+    },
+    /// Tell the next owner that this node released an endpoint.
+    Notify {
+        /// Next owner.
+        node: ids::NodeId,
+        /// Endpoint released.
+        endpoint: ids::EndpointId,
+    },
+}
+
+/// Calls of a former owner that still run at an endpoint.
+#[derive(Clone, Debug, PartialEq)]
+pub struct InheritedLoad {
+    /// Calls in flight; they count against the limit.
+    pub running: u32,
+    /// Phase of the endpoint at its former owner.
+    pub phase: types::EndpointPhase,
+    until: time::Instant,
+}
+
+/// Ownerships of one node.
+#[derive(Debug)]
+pub struct OwnershipTable {
+    instance: MemberInstance,
+    times: contact::OwnershipTimes,
+    started: time::Instant,
+    needs_peers: bool,
+    contact: contact::PeerContact,
+    observed: Option<time::Instant>,
+    view: Option<(u64, ids::RevisionNumber)>,
+    ranks: IndexMap<ids::EndpointId, Vec<ids::NodeId>>,
+    slots: IndexMap<ids::EndpointId, OwnershipSlot>,
+    askers: IndexMap<ids::EndpointId, MemberInstance>,
+    inherited: IndexMap<ids::EndpointId, InheritedLoad>,
+}
+
+impl OwnershipTable {
+    /// Creates the table of a node that starts and owns nothing.
+    pub fn new(
+        instance: MemberInstance,
+        times: contact::OwnershipTimes,
+        started: time::Instant,
+    ) -> Self {
+        Self {
+            instance,
+            times,
+            started,
+            needs_peers: true,
+            contact: contact::PeerContact::Alone,
+            observed: None,
+            view: None,
+            ranks: IndexMap::new(),
+            slots: IndexMap::new(),
+            askers: IndexMap::new(),
+            inherited: IndexMap::new(),
+        }
+    }
+
+    /// Sets that the node has no seeds, so that there is nobody to wait for at its start.
+    pub fn with_no_seeds(self) -> Self {
+        Self { needs_peers: false, ..self }
+    }
+
+    /// Returns the node through which calls to an endpoint pass in this node's view.
+    pub fn owner_of(&self, endpoint: &ids::EndpointId) -> Option<ids::NodeId> {
+        self.ranks.get(endpoint)?.first().cloned()
+    }
+
+    /// Returns the fencing number to send with a call, if this node may send one at `now`.
+    pub fn permit(
+        &self,
+        endpoint: &ids::EndpointId,
+        now: time::Instant,
+    ) -> Option<ids::FenceNumber> {
+        match self.slots.get(endpoint)? {
+            OwnershipSlot::Owned(owned) if self.permits(now) => Some(owned.fence()),
+            _ => None,
+        }
+    }
+
+    /// Returns the endpoints this node may send to at `now`.
+    pub fn owned(&self, now: time::Instant) -> Vec<ids::EndpointId> {
+        let names = self.slots.keys();
+        names.filter(|endpoint| self.permit(endpoint, now).is_some()).cloned().collect()
+    }
+
+    /// Returns the calls of a former owner that count against an endpoint's limit at `now`.
+    pub fn inherited(
+        &self,
+        endpoint: &ids::EndpointId,
+        now: time::Instant,
+    ) -> Option<&InheritedLoad> {
+        self.inherited.get(endpoint).filter(|load| now < load.until)
+    }
+
+    /// Returns all ownerships known to this node.
+    pub fn slots(&self) -> impl Iterator<Item = (&ids::EndpointId, &OwnershipSlot)> {
+        self.slots.iter()
+    }
+
+    /// Returns the contact of this node with its peers.
+    pub fn contact(&self) -> contact::PeerContact {
+        self.contact
+    }
+
+    /// Whether the process stood still since the last observation, so that its view is old.
+    pub fn stood_still(&self, now: time::Instant) -> bool {
+        let gap = |observed| now.saturating_duration_since(observed) >= self.times.hold;
+        self.observed.is_some_and(gap)
+    }
+
+    /// Takes note that a peer which holds this node alive answered a message sent at `sent`.
+    pub fn confirm(&mut self, sent: time::Instant, now: time::Instant) {
+        if now.saturating_duration_since(sent) < self.times.hold {
+            self.contact = self.contact.confirm(sent);
+        }
+    }
+
+    /// Brings the ownerships in line with the members and the configuration, and returns what has
+    /// to be done.
+    pub fn observe(
+        &mut self,
+        members: &membership::MemberTable,
+        catalog: &catalog::ConfigurationCatalog,
+        now: time::Instant,
+    ) -> Vec<OwnershipAction> {
+        self.observe_contact(members, now);
+        let former = self.rank(members, catalog);
+        self.inherited.retain(|_, load| now < load.until);
+        self.slots.retain(|endpoint, _| self.ranks.contains_key(endpoint));
+        let mut actions = ActionList::default();
+        for endpoint in self.ranks.keys().cloned().collect::<Vec<_>>() {
+            let previous = former.as_ref().and_then(|ranks| ranks.get(&endpoint)?.first());
+            self.step(&endpoint, previous, members, now, &mut actions);
+        }
+        actions.finish()
+    }
+
+    /// Answers a node that waits for endpoints: those that this node does not own and will not
+    /// own before it has asked. The records carry no load.
+    pub fn answer(
+        &mut self,
+        asker: &MemberInstance,
+        endpoints: &[ids::EndpointId],
+    ) -> Vec<types::ReleaseRecord> {
+        let mut releases = Vec::new();
+        for endpoint in endpoints {
+            if self.is_claimed(endpoint) {
+                continue;
+            }
+            self.askers.insert(endpoint.clone(), asker.clone());
+            releases.push(self.release_record(endpoint, asker));
+        }
+        releases
+    }
+
+    /// Returns what to tell `asker` of an endpoint that this node does not own, without load.
+    pub fn release_record(
+        &self,
+        endpoint: &ids::EndpointId,
+        asker: &MemberInstance,
+    ) -> types::ReleaseRecord {
+        let slot = self.slots.get(endpoint);
+        let blockers = match slot {
+            Some(OwnershipSlot::Waiting(waiting)) => {
+                let others = waiting.blockers().filter(|blocker| *blocker != asker);
+                others.map(MemberInstance::name).collect()
+            }
+            _ => Vec::new(),
+        };
+        types::ReleaseRecord {
+            blockers,
+            endpoint: endpoint.clone(),
+            fence: slot.map_or(0, OwnershipSlot::highest),
+            phase: types::EndpointPhase::Unknown,
+            running: 0,
+        }
+    }
+
+    /// Takes in what another node says of endpoints that it does not own.
+    pub fn accept(
+        &mut self,
+        from: &MemberInstance,
+        releases: &[types::ReleaseRecord],
+        now: time::Instant,
+    ) {
+        for release in releases {
+            if let Some(OwnershipSlot::Waiting(waiting)) = self.slots.get_mut(&release.endpoint) {
+                waiting.confirm(from);
+                let blockers = release.blockers.iter().map(MemberInstance::named);
+                blockers
+                    .filter(|blocker| *blocker != self.instance)
+                    .for_each(|blocker| waiting.block(blocker));
+                if release.fence > 0 {
+                    waiting.learn(release.fence);
+                }
+            }
+            if release.running > 0 || release.phase != types::EndpointPhase::Unknown {
+                self.inherit(&release.endpoint, release.running, release.phase, now);
+            }
+        }
+    }
+
+    /// Takes in the fencing number and the running calls that an endpoint reports.
+    pub fn learn(
+        &mut self,
+        endpoint: &ids::EndpointId,
+        fence: ids::FenceNumber,
+        running: u32,
+        now: time::Instant,
+    ) {
+        let Some(OwnershipSlot::Waiting(waiting)) = self.slots.get_mut(endpoint) else { return };
+        waiting.learn(fence);
+        if running > 0 {
+            self.inherit(endpoint, running, types::EndpointPhase::Unknown, now);
+        }
+    }
+
+    /// Takes note that an endpoint refused this node's fencing number as old.
+    pub fn lose(&mut self, endpoint: &ids::EndpointId, now: time::Instant) {
+        if let Some(OwnershipSlot::Owned(owned)) = self.slots.swap_remove(endpoint) {
+            let released = owned.lose(now + self.times.lapse);
+            self.slots.insert(endpoint.clone(), OwnershipSlot::Released(released));
+        }
+    }
+
+    fn permits(&self, now: time::Instant) -> bool {
+        let observed = self.observed.is_some_and(|observed| now < observed + self.times.hold);
+        observed && self.contact.permits(self.times, now)
+    }
+
+    /// Whether this node owns an endpoint or is first in its own view.
+    fn is_claimed(&self, endpoint: &ids::EndpointId) -> bool {
+        let first = self.ranks.get(endpoint).and_then(|ranked| ranked.first());
+        let owned = matches!(self.slots.get(endpoint), Some(OwnershipSlot::Owned(_)));
+        owned || first == Some(&self.instance.node)
+    }
+
+    fn inherit(
+        &mut self,
+        endpoint: &ids::EndpointId,
+        running: u32,
+        phase: types::EndpointPhase,
+        now: time::Instant,
+    ) {
+        let until = now + self.times.lapse;
+        self.inherited.insert(endpoint.clone(), InheritedLoad { running, phase, until });
+    }
+
+    fn observe_contact(&mut self, members: &membership::MemberTable, now: time::Instant) {
+        let frozen = self.stood_still(now);
+        self.observed = Some(now);
+        if frozen && self.contact != contact::PeerContact::Alone {
+            self.contact = contact::PeerContact::Isolated(now);
+        }
+        self.contact = self.contact.advance(members, self.times, now);
+        if frozen || matches!(self.contact, contact::PeerContact::Isolated(_)) {
+            let slots = std::mem::take(&mut self.slots).into_iter();
+            self.slots = slots.map(|(endpoint, slot)| (endpoint, slot.release())).collect();
+        }
+    }
+
+    /// Ranks the candidates anew if the view changed; returns the ranks before it.
+    fn rank(
+        &mut self,
+        members: &membership::MemberTable,
+        catalog: &catalog::ConfigurationCatalog,
+    ) -> Option<IndexMap<ids::EndpointId, Vec<ids::NodeId>>> {
+        let view = Some((members.version(), catalog.revision()));
+        if self.view == view {
+            return None;
+        }
+        self.view = view;
+        let serving =
+            |record: &&types::MemberRecord| record.node_phase == types::NodePhase::Serving;
+        let candidates = rendezvous::CandidateSet::new(members.live().filter(serving));
+        let ranked = catalog.endpoints().map(|endpoint| {
+            let region = catalog.region(&endpoint.zone);
+            let count = RANKED_CANDIDATES;
+            let ranked = candidates.ranked(&endpoint.name, &endpoint.zone, region, count);
+            (endpoint.name.clone(), ranked)
+        });
+        let ranks = ranked.collect();
+        self.askers.retain(|endpoint, _| catalog.endpoint(endpoint).is_some());
+        Some(std::mem::replace(&mut self.ranks, ranks))
+    }
+
+    fn step(
+        &mut self,
+        endpoint: &ids::EndpointId,
+        previous: Option<&ids::NodeId>,
+        members: &membership::MemberTable,
+        now: time::Instant,
+        actions: &mut ActionList,
+    ) {
+        let ranked = self.ranks.get(endpoint).map(Vec::as_slice).unwrap_or_default();
+        let first = ranked.first();
+        let mine = first == Some(&self.instance.node);
+        let slot = match (self.slots.swap_remove(endpoint), mine) {
+            (None, false) => return,
+            (None, true) => {
+                let blockers = self.blockers(endpoint, previous, members);
+                let not_before = self.not_before(members, now);
+                OwnershipSlot::Waiting(ownership_life::EndpointOwnership::new(blockers, not_before))
+            }
+            (Some(OwnershipSlot::Released(released)), true) => {
+                let blockers = self.blockers(endpoint, previous, members);
+                OwnershipSlot::Waiting(released.wait(blockers, self.not_before(members, now)))
+            }
+            (Some(OwnershipSlot::Owned(owned)), false) => {
+                if let Some(node) = first {
+                    actions.notify(node, endpoint);
+                }
+                OwnershipSlot::Released(owned.release())
+            }
+            (Some(slot), _) => slot,
+        };
+        let slot = match slot {
+            OwnershipSlot::Waiting(waiting) => {
+                self.step_waiting(endpoint, waiting, mine, members, now, actions)
+            }
+            other => other,
+        };
+        self.slots.insert(endpoint.clone(), slot);
+    }
+
+    fn step_waiting(
+        &self,
+        endpoint: &ids::EndpointId,
+        mut waiting: ownership_life::EndpointOwnership<ownership_life::WaitingState>,
+        mine: bool,
+        members: &membership::MemberTable,
+        now: time::Instant,
+        actions: &mut ActionList,
+    ) -> OwnershipSlot {
+        waiting.advance(members, self.times.lapse, now);
+        if !waiting.is_clear(now) {
+            waiting.blockers().for_each(|member| actions.ask(member, endpoint));
+            return OwnershipSlot::Waiting(waiting);
+        }
+        if !mine {
+            return OwnershipSlot::Released(waiting.release());
+        }
+        if !self.may_acquire(now) {
+            return OwnershipSlot::Waiting(waiting);
+        }
+        if !waiting.has_floor() {
+            actions.read_fence(endpoint);
+            return OwnershipSlot::Waiting(waiting);
+        }
+        OwnershipSlot::Owned(waiting.own(self.tag()))
+    }
+
+    /// Whether the node has been in contact with peers, or has waited long enough for them.
+    fn may_acquire(&self, now: time::Instant) -> bool {
+        match self.contact {
+            contact::PeerContact::Alone => {
+                !self.needs_peers || now >= self.started + self.times.lapse
+            }
+            contact::PeerContact::Connected(_) => self.permits(now),
+            contact::PeerContact::Isolated(_) => false,
+        }
+    }
+
+    fn not_before(&self, members: &membership::MemberTable, now: time::Instant) -> time::Instant {
+        members.predecessor().map_or(now, |learnt| learnt + self.times.lapse)
+    }
+
+    /// Returns the instances that may own an endpoint besides this node.
+    fn blockers(
+        &self,
+        endpoint: &ids::EndpointId,
+        previous: Option<&ids::NodeId>,
+        members: &membership::MemberTable,
+    ) -> Vec<MemberInstance> {
+        let ranked = self.ranks.get(endpoint).map(Vec::as_slice).unwrap_or_default();
+        let named = ranked.iter().chain(previous).filter_map(|node| members.entry(node));
+        let failed = types::MemberPhase::Failed;
+        let held = named.filter(|entry| entry.record().phase != failed);
+        let held = held.map(|entry| MemberInstance::new(entry.record()));
+        let mut blockers: Vec<_> = held.chain(self.askers.get(endpoint).cloned()).collect();
+        blockers.sort_by(|one, other| (&one.node, one.start).cmp(&(&other.node, other.start)));
+        blockers.dedup();
+        blockers
+    }
+
+    fn tag(&self) -> u16 {
+        let hash = xxh3::xxh3_64_with_seed(self.instance.node.as_bytes(), self.instance.start);
+        u16::try_from(hash & u64::from(u16::MAX)).unwrap_or(u16::MAX)
+    }
+}
+
+/// Actions of one observation, questions grouped by member.
+#[derive(Debug, Default)]
+struct ActionList {
+    questions: IndexMap<MemberInstance, Vec<ids::EndpointId>>,
+    others: Vec<OwnershipAction>,
+}
+
+impl ActionList {
+    fn ask(&mut self, member: &MemberInstance, endpoint: &ids::EndpointId) {
+        self.questions.entry(member.clone()).or_default().push(endpoint.clone());
+    }
+
+    fn read_fence(&mut self, endpoint: &ids::EndpointId) {
+        self.others.push(OwnershipAction::ReadFence { endpoint: endpoint.clone() });
+    }
+
+    fn notify(&mut self, node: &ids::NodeId, endpoint: &ids::EndpointId) {
+        let action = OwnershipAction::Notify { node: node.clone(), endpoint: endpoint.clone() };
+        self.others.push(action);
+    }
+
+    fn finish(self) -> Vec<OwnershipAction> {
+        let ask = |(member, endpoints)| OwnershipAction::Ask { member, endpoints };
+        self.questions.into_iter().map(ask).chain(self.others).collect()
+    }
+}
--- /dev/null
+++ b/crates/comfreyspread-policy/src/ownership_life.rs
@@ -0,0 +1,218 @@
+//! Life cycle of an endpoint's ownership at one node: waiting, owned, released.
+//!
+//! A node may send to an endpoint only in the owned state, which is reached only from a wait that
+//! has ended with a fencing number. Each step consumes the state before it, so a released ownership
+//! cannot be used again without another wait.
+
+use crate::{membership, membership::MemberInstance};
+use comfreyspread_schema::{ids, types};
+use indexmap::{IndexMap, IndexSet};
+use std::time;
+
+/// State of an ownership that other nodes may still hold.
+#[derive(Debug)]
+pub struct WaitingState {
+    blockers: IndexMap<MemberInstance, OwnerAbsence>,
+    confirmed: IndexSet<MemberInstance>,
+    not_before: time::Instant,
+    floor: Option<ids::FenceNumber>,
+}
+
+/// State of an ownership held by this node.
+#[derive(Debug)]
+pub struct OwnedState {
+    fence: ids::FenceNumber,
+}
+
+/// State of an ownership that this node gave up or lost.
+#[derive(Debug)]
+pub struct ReleasedState {
+    retry: Option<time::Instant>,
+}
+
+/// Since when a possible owner is gone without having failed in this node's view.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct OwnerAbsence {
+    since: Option<time::Instant>,
+}
+
+/// Ownership of one endpoint in the state `State`.
+#[derive(Debug)]
+pub struct EndpointOwnership<State> {
+    highest: ids::FenceNumber,
+    state: State,
+}
+
+impl EndpointOwnership<WaitingState> {
+    /// Begins to wait for the nodes that may own the endpoint, and at least until `not_before`.
+    pub fn new(blockers: Vec<MemberInstance>, not_before: time::Instant) -> Self {
+        EndpointOwnership { highest: 0, state: WaitingState::new(blockers, not_before) }
+    }
+
+    /// Returns the nodes that may still own the endpoint.
+    pub fn blockers(&self) -> impl Iterator<Item = &MemberInstance> {
+        self.state.blockers.keys()
+    }
+
+    /// Whether no other node can own the endpoint any more.
+    pub fn is_clear(&self, now: time::Instant) -> bool {
+        self.state.blockers.is_empty() && now >= self.state.not_before
+    }
+
+    /// Whether a fencing number is known that the next one has to exceed.
+    pub fn has_floor(&self) -> bool {
+        self.state.floor.is_some()
+    }
+
+    /// Takes note that a node confirmed it does not own the endpoint and will not before it has
+    /// asked this one.
+    pub fn confirm(&mut self, instance: &MemberInstance) {
+        self.state.blockers.swap_remove(instance);
+        self.state.confirmed.insert(instance.clone());
+    }
+
+    /// Waits for one more node, unless it has confirmed already.
+    pub fn block(&mut self, instance: MemberInstance) {
+        if !self.state.confirmed.contains(&instance) {
+            self.state.blockers.entry(instance).or_default();
+        }
+    }
+
+    /// Takes note of a fencing number in use.
+    pub fn learn(&mut self, fence: ids::FenceNumber) {
+        let floor = self.state.floor.unwrap_or(0).max(fence);
+        self.state.floor = Some(floor);
+    }
+
+    /// Drops the nodes that can own nothing any more in the view of `members`.
+    pub fn advance(
+        &mut self,
+        members: &membership::MemberTable,
+        lapse: time::Duration,
+        now: time::Instant,
+    ) {
+        self.state
+            .blockers
+            .retain(|instance, absence| !absence.is_over(instance, members, lapse, now));
+    }
+
+    /// Owns the endpoint with a number above all known ones; `tag` marks the node in the low bits.
+    pub fn own(self, tag: u16) -> EndpointOwnership<OwnedState> {
+        let known = self.highest.max(self.state.floor.unwrap_or(0));
+        let count = (known >> u16::BITS) + 1;
+        let fence = (count << u16::BITS) | u64::from(tag);
+        EndpointOwnership { highest: fence, state: OwnedState { fence } }
+    }
+
+    /// Gives the wait up.
+    pub fn release(self) -> EndpointOwnership<ReleasedState> {
+        let highest = self.highest.max(self.state.floor.unwrap_or(0));
+        EndpointOwnership { highest, state: ReleasedState { retry: None } }
+    }
+}
+
+impl EndpointOwnership<OwnedState> {
+    /// Returns the fencing number of this ownership.
+    pub fn fence(&self) -> ids::FenceNumber {
+        self.state.fence
+    }
+
+    /// Gives the endpoint up.
+    pub fn release(self) -> EndpointOwnership<ReleasedState> {
+        EndpointOwnership { highest: self.highest, state: ReleasedState { retry: None } }
+    }
+
+    /// Loses the endpoint to a higher fencing number; it may be waited for again from `retry` on.
+    pub fn lose(self, retry: time::Instant) -> EndpointOwnership<ReleasedState> {
+        EndpointOwnership { highest: self.highest, state: ReleasedState { retry: Some(retry) } }
+    }
+}
+
+impl EndpointOwnership<ReleasedState> {
+    /// Waits for the endpoint again.
+    pub fn wait(
+        self,
+        blockers: Vec<MemberInstance>,
+        not_before: time::Instant,
+    ) -> EndpointOwnership<WaitingState> {
+        let not_before = self.state.retry.map_or(not_before, |retry| retry.max(not_before));
+        EndpointOwnership { highest: self.highest, state: WaitingState::new(blockers, not_before) }
+    }
+}
+
+impl<State> EndpointOwnership<State> {
+    /// Returns the highest fencing number this node has used.
+    pub fn highest(&self) -> ids::FenceNumber {
+        self.highest
+    }
+}
+
+impl WaitingState {
+    fn new(blockers: Vec<MemberInstance>, not_before: time::Instant) -> Self {
+        let blockers = blockers.into_iter().map(|node| (node, OwnerAbsence::default()));
+        Self { blockers: blockers.collect(), confirmed: IndexSet::new(), not_before, floor: None }
+    }
+}
+
+impl OwnerAbsence {
+    /// Whether the instance can own nothing any more.
+    fn is_over(
+        &mut self,
+        instance: &MemberInstance,
+        members: &membership::MemberTable,
+        lapse: time::Duration,
+        now: time::Instant,
+    ) -> bool {
+        let entry = members.entry(&instance.node);
+        let entry = entry.filter(|entry| entry.record().start == instance.start);
+        match entry.map(|entry| entry.record().phase) {
+            Some(types::MemberPhase::Failed) => return true,
+            Some(types::MemberPhase::Alive | types::MemberPhase::Suspect) => {
+                self.since = None;
+                return false;
+            }
+            Some(types::MemberPhase::Left) | None => {}
+        }
+        let since = *self.since.get_or_insert(now);
+        now.saturating_duration_since(since) >= lapse
+    }
+}
+
+/// Ownership of one endpoint in whichever state it is.
+#[derive(Debug)]
+pub enum OwnershipSlot {
+    /// Other nodes may still own the endpoint.
+    Waiting(EndpointOwnership<WaitingState>),
+    /// This node owns the endpoint.
+    Owned(EndpointOwnership<OwnedState>),
+    /// This node gave the endpoint up or lost it.
+    Released(EndpointOwnership<ReleasedState>),
+}
+
+impl OwnershipSlot {
+    /// Returns the phase shown to operators.
+    pub fn phase(&self) -> types::OwnershipPhase {
+        match self {
+            Self::Waiting(_) => types::OwnershipPhase::Waiting,
+            Self::Owned(_) => types::OwnershipPhase::Owned,
+            Self::Released(_) => types::OwnershipPhase::Released,
+        }
+    }
+
+    /// Returns the highest fencing number this node has used.
+    pub fn highest(&self) -> ids::FenceNumber {
+        match self {
+            Self::Waiting(waiting) => waiting.highest(),
+            Self::Owned(owned) => owned.highest(),
+            Self::Released(released) => released.highest(),
+        }
+    }
+
+    /// Gives the endpoint up if it is owned; a wait goes on.
+    pub fn release(self) -> Self {
+        match self {
+            Self::Owned(owned) => Self::Released(owned.release()),
+            other => other,
+        }
+    }
+}
--- /dev/null
+++ b/crates/comfreyspread-policy/src/rendezvous.rs
@@ -0,0 +1,100 @@
+//! Choice of an endpoint's owner by weighted rendezvous hashing.
+//!
+//! Every node scores each candidate for an endpoint with a hash of both names, and the highest
+//! score owns. When a node comes or goes, only endpoints it wins or had won move. Candidates of the
+//! endpoint's zone come first, then those of its region, then all others, so an endpoint's calls
+//! leave its zone only while no node lives there.
+
+use comfreyspread_schema::{ids, types};
+use indexmap::IndexMap;
+use xxhash_rust::xxh3;
+
+/// Bits of a hash that a 64-bit float represents exactly.
+const FRACTION_BITS: u32 = 53;
+
+/// A node that may own endpoints.
+#[derive(Clone, Debug)]
+pub struct OwnerCandidate {
+    /// Name of the node.
+    pub node: ids::NodeId,
+    /// Share of endpoints in relation to other candidates, above zero.
+    pub weight: u32,
+    hash: u64,
+}
+
+impl OwnerCandidate {
+    /// Creates a candidate with the weight 1.
+    pub fn new(node: ids::NodeId) -> Self {
+        let hash = xxh3::xxh3_64(node.as_bytes());
+        Self { node, weight: 1, hash }
+    }
+
+    /// Sets the weight.
+    pub fn with_weight(self, weight: u32) -> Self {
+        Self { weight, ..self }
+    }
+
+    /// Returns the score for an endpoint; the highest of all candidates owns it.
+    pub fn score(&self, endpoint: &ids::EndpointId) -> f64 {
+        let hash = xxh3::xxh3_64_with_seed(endpoint.as_bytes(), self.hash);
+        let kept = hash >> (u64::BITS - FRACTION_BITS);
+        let fraction = (kept as f64 + 0.5) / (1_u64 << FRACTION_BITS) as f64;
+        f64::from(self.weight) / -fraction.ln()
+    }
+}
+
+/// Candidates grouped by zone and region.
+#[derive(Debug, Default)]
+pub struct CandidateSet {
+    zones: IndexMap<ids::ZoneId, Vec<OwnerCandidate>>,
+    regions: IndexMap<ids::RegionId, Vec<OwnerCandidate>>,
+    all: Vec<OwnerCandidate>,
+}
+
+impl CandidateSet {
+    /// Groups the members that may own endpoints.
+    pub fn new<'table>(members: impl Iterator<Item = &'table types::MemberRecord>) -> Self {
+        let mut set = Self::default();
+        for member in members {
+            let candidate = OwnerCandidate::new(member.node.clone());
+            set.zones.entry(member.zone.clone()).or_default().push(candidate.clone());
+            set.regions.entry(member.region.clone()).or_default().push(candidate.clone());
+            set.all.push(candidate);
+        }
+        set
+    }
+
+    /// Returns the first `count` candidates for an endpoint, the owner first.
+    pub fn ranked(
+        &self,
+        endpoint: &ids::EndpointId,
+        zone: &ids::ZoneId,
+        region: Option<&ids::RegionId>,
+        count: usize,
+    ) -> Vec<ids::NodeId> {
+        let zone = self.zones.get(zone).map(Vec::as_slice).unwrap_or_default();
+        let region = region.and_then(|region| self.regions.get(region));
+        let region = region.map(Vec::as_slice).unwrap_or_default();
+        let mut ranked: Vec<ids::NodeId> = Vec::with_capacity(count);
+        for group in [zone, region, &self.all] {
+            if ranked.len() < count {
+                append_best(&mut ranked, group, endpoint, count);
+            }
+        }
+        ranked
+    }
+}
+
+fn append_best(
+    ranked: &mut Vec<ids::NodeId>,
+    group: &[OwnerCandidate],
+    endpoint: &ids::EndpointId,
+    count: usize,
+) {
+    let fresh = group.iter().filter(|candidate| !ranked.contains(&candidate.node));
+    let mut scored: Vec<_> =
+        fresh.map(|candidate| (candidate.score(endpoint), &candidate.node)).collect();
+    scored.sort_by(|one, other| other.0.total_cmp(&one.0).then_with(|| one.1.cmp(other.1)));
+    let best: Vec<_> = scored.into_iter().take(count - ranked.len()).collect();
+    ranked.extend(best.into_iter().map(|(_, node)| node.clone()));
+}
