Run heartbeats and hand endpoints over between nodes

Cause: the membership and ownership tables need probes, questions, notices and fencing numbers to work with.

Ruled out: reused connections for probes; one that the peer closed after a restart would count as silence.

Change: heartbeat.rs probes directly and through others, joins by seeds and says when the node leaves; handover.rs asks former owners, reads fencing numbers from endpoints and sends notices. The dump shows members and owners.

Calls still running at a handover are not counted yet.

--- a/crates/comfreyspread-policy/src/ownership.rs
+++ b/crates/comfreyspread-policy/src/ownership.rs
@@ -6,10 +6,9 @@
 //! when it has had no answer from a peer for the hold of [`contact`], which is shorter than the
 //! lapse, or when its process stood still for that long.
 
-use crate::{catalog, contact, membership, membership::MemberInstance, ownership_life, rendezvous};
+use crate::{catalog, contact, membership, ownership_life, rendezvous};
 use comfreyspread_schema::{ids, types};
 use indexmap::IndexMap;
-use ownership_life::OwnershipSlot;
 use std::time;
 use xxhash_rust::xxh3;
 
@@ -22,7 +21,7 @@
     /// Ask a member which of these endpoints it does not own.
     Ask {
         /// Member that may own them.
-        member: MemberInstance,
+        member: membership::MemberInstance,
         /// Endpoints waited for.
         endpoints: Vec<ids::EndpointId>,
     },
@@ -53,7 +52,7 @@
 /// Ownerships of one node.
 #[derive(Debug)]
 pub struct OwnershipTable {
-    instance: MemberInstance,
+    instance: membership::MemberInstance,
     times: contact::OwnershipTimes,
     started: time::Instant,
     needs_peers: bool,
@@ -61,15 +60,15 @@
     observed: Option<time::Instant>,
     view: Option<(u64, ids::RevisionNumber)>,
     ranks: IndexMap<ids::EndpointId, Vec<ids::NodeId>>,
-    slots: IndexMap<ids::EndpointId, OwnershipSlot>,
-    askers: IndexMap<ids::EndpointId, MemberInstance>,
+    slots: IndexMap<ids::EndpointId, ownership_life::OwnershipSlot>,
+    askers: IndexMap<ids::EndpointId, membership::MemberInstance>,
     inherited: IndexMap<ids::EndpointId, InheritedLoad>,
 }
 
 impl OwnershipTable {
     /// Creates the table of a node that starts and owns nothing.
     pub fn new(
-        instance: MemberInstance,
+        instance: membership::MemberInstance,
         times: contact::OwnershipTimes,
         started: time::Instant,
     ) -> Self {
@@ -105,7 +104,7 @@
         now: time::Instant,
     ) -> Option<ids::FenceNumber> {
         match self.slots.get(endpoint)? {
-            OwnershipSlot::Owned(owned) if self.permits(now) => Some(owned.fence()),
+            ownership_life::OwnershipSlot::Owned(owned) if self.permits(now) => Some(owned.fence()),
             _ => None,
         }
     }
@@ -126,7 +125,9 @@
     }
 
     /// Returns all ownerships known to this node.
-    pub fn slots(&self) -> impl Iterator<Item = (&ids::EndpointId, &OwnershipSlot)> {
+    pub fn slots(
+        &self,
+    ) -> impl Iterator<Item = (&ids::EndpointId, &ownership_life::OwnershipSlot)> {
         self.slots.iter()
     }
 
@@ -172,7 +173,7 @@
     /// own before it has asked. The records carry no load.
     pub fn answer(
         &mut self,
-        asker: &MemberInstance,
+        asker: &membership::MemberInstance,
         endpoints: &[ids::EndpointId],
     ) -> Vec<types::ReleaseRecord> {
         let mut releases = Vec::new();
@@ -190,20 +191,20 @@
     pub fn release_record(
         &self,
         endpoint: &ids::EndpointId,
-        asker: &MemberInstance,
+        asker: &membership::MemberInstance,
     ) -> types::ReleaseRecord {
         let slot = self.slots.get(endpoint);
         let blockers = match slot {
-            Some(OwnershipSlot::Waiting(waiting)) => {
+            Some(ownership_life::OwnershipSlot::Waiting(waiting)) => {
                 let others = waiting.blockers().filter(|blocker| *blocker != asker);
-                others.map(MemberInstance::name).collect()
+                others.map(membership::MemberInstance::name).collect()
             }
             _ => Vec::new(),
         };
         types::ReleaseRecord {
             blockers,
             endpoint: endpoint.clone(),
-            fence: slot.map_or(0, OwnershipSlot::highest),
+            fence: slot.map_or(0, ownership_life::OwnershipSlot::highest),
             phase: types::EndpointPhase::Unknown,
             running: 0,
         }
@@ -212,14 +213,16 @@
     /// Takes in what another node says of endpoints that it does not own.
     pub fn accept(
         &mut self,
-        from: &MemberInstance,
+        from: &membership::MemberInstance,
         releases: &[types::ReleaseRecord],
         now: time::Instant,
     ) {
         for release in releases {
-            if let Some(OwnershipSlot::Waiting(waiting)) = self.slots.get_mut(&release.endpoint) {
+            if let Some(ownership_life::OwnershipSlot::Waiting(waiting)) =
+                self.slots.get_mut(&release.endpoint)
+            {
                 waiting.confirm(from);
-                let blockers = release.blockers.iter().map(MemberInstance::named);
+                let blockers = release.blockers.iter().map(membership::MemberInstance::named);
                 blockers
                     .filter(|blocker| *blocker != self.instance)
                     .for_each(|blocker| waiting.block(blocker));
@@ -241,7 +244,10 @@
         running: u32,
         now: time::Instant,
     ) {
-        let Some(OwnershipSlot::Waiting(waiting)) = self.slots.get_mut(endpoint) else { return };
+        let Some(ownership_life::OwnershipSlot::Waiting(waiting)) = self.slots.get_mut(endpoint)
+        else {
+            return;
+        };
         waiting.learn(fence);
         if running > 0 {
             self.inherit(endpoint, running, types::EndpointPhase::Unknown, now);
@@ -250,9 +256,10 @@
 
     /// Takes note that an endpoint refused this node's fencing number as old.
     pub fn lose(&mut self, endpoint: &ids::EndpointId, now: time::Instant) {
-        if let Some(OwnershipSlot::Owned(owned)) = self.slots.swap_remove(endpoint) {
+        if let Some(ownership_life::OwnershipSlot::Owned(owned)) = self.slots.swap_remove(endpoint)
+        {
             let released = owned.lose(now + self.times.lapse);
-            self.slots.insert(endpoint.clone(), OwnershipSlot::Released(released));
+            self.slots.insert(endpoint.clone(), ownership_life::OwnershipSlot::Released(released));
         }
     }
 
@@ -264,7 +271,8 @@
     /// Whether this node owns an endpoint or is first in its own view.
     fn is_claimed(&self, endpoint: &ids::EndpointId) -> bool {
         let first = self.ranks.get(endpoint).and_then(|ranked| ranked.first());
-        let owned = matches!(self.slots.get(endpoint), Some(OwnershipSlot::Owned(_)));
+        let owned =
+            matches!(self.slots.get(endpoint), Some(ownership_life::OwnershipSlot::Owned(_)));
         owned || first == Some(&self.instance.node)
     }
 
@@ -333,22 +341,26 @@
             (None, true) => {
                 let blockers = self.blockers(endpoint, previous, members);
                 let not_before = self.not_before(members, now);
-                OwnershipSlot::Waiting(ownership_life::EndpointOwnership::new(blockers, not_before))
+                ownership_life::OwnershipSlot::Waiting(ownership_life::EndpointOwnership::new(
+                    blockers, not_before,
+                ))
             }
-            (Some(OwnershipSlot::Released(released)), true) => {
+            (Some(ownership_life::OwnershipSlot::Released(released)), true) => {
                 let blockers = self.blockers(endpoint, previous, members);
-                OwnershipSlot::Waiting(released.wait(blockers, self.not_before(members, now)))
+                ownership_life::OwnershipSlot::Waiting(
+                    released.wait(blockers, self.not_before(members, now)),
+                )
             }
-            (Some(OwnershipSlot::Owned(owned)), false) => {
+            (Some(ownership_life::OwnershipSlot::Owned(owned)), false) => {
                 if let Some(node) = first {
                     actions.notify(node, endpoint);
                 }
-                OwnershipSlot::Released(owned.release())
+                ownership_life::OwnershipSlot::Released(owned.release())
             }
             (Some(slot), _) => slot,
         };
         let slot = match slot {
-            OwnershipSlot::Waiting(waiting) => {
+            ownership_life::OwnershipSlot::Waiting(waiting) => {
                 self.step_waiting(endpoint, waiting, mine, members, now, actions)
             }
             other => other,
@@ -364,23 +376,23 @@
         members: &membership::MemberTable,
         now: time::Instant,
         actions: &mut ActionList,
-    ) -> OwnershipSlot {
+    ) -> ownership_life::OwnershipSlot {
         waiting.advance(members, self.times.lapse, now);
         if !waiting.is_clear(now) {
             waiting.blockers().for_each(|member| actions.ask(member, endpoint));
-            return OwnershipSlot::Waiting(waiting);
+            return ownership_life::OwnershipSlot::Waiting(waiting);
         }
         if !mine {
-            return OwnershipSlot::Released(waiting.release());
+            return ownership_life::OwnershipSlot::Released(waiting.release());
         }
         if !self.may_acquire(now) {
-            return OwnershipSlot::Waiting(waiting);
+            return ownership_life::OwnershipSlot::Waiting(waiting);
         }
         if !waiting.has_floor() {
             actions.read_fence(endpoint);
-            return OwnershipSlot::Waiting(waiting);
+            return ownership_life::OwnershipSlot::Waiting(waiting);
         }
-        OwnershipSlot::Owned(waiting.own(self.tag()))
+        ownership_life::OwnershipSlot::Owned(waiting.own(self.tag()))
     }
 
     /// Whether the node has been in contact with peers, or has waited long enough for them.
@@ -404,12 +416,12 @@
         endpoint: &ids::EndpointId,
         previous: Option<&ids::NodeId>,
         members: &membership::MemberTable,
-    ) -> Vec<MemberInstance> {
+    ) -> Vec<membership::MemberInstance> {
         let ranked = self.ranks.get(endpoint).map(Vec::as_slice).unwrap_or_default();
         let named = ranked.iter().chain(previous).filter_map(|node| members.entry(node));
         let failed = types::MemberPhase::Failed;
         let held = named.filter(|entry| entry.record().phase != failed);
-        let held = held.map(|entry| MemberInstance::new(entry.record()));
+        let held = held.map(|entry| membership::MemberInstance::new(entry.record()));
         let mut blockers: Vec<_> = held.chain(self.askers.get(endpoint).cloned()).collect();
         blockers.sort_by(|one, other| (&one.node, one.start).cmp(&(&other.node, other.start)));
         blockers.dedup();
@@ -425,12 +437,12 @@
 /// Actions of one observation, questions grouped by member.
 #[derive(Debug, Default)]
 struct ActionList {
-    questions: IndexMap<MemberInstance, Vec<ids::EndpointId>>,
+    questions: IndexMap<membership::MemberInstance, Vec<ids::EndpointId>>,
     others: Vec<OwnershipAction>,
 }
 
 impl ActionList {
-    fn ask(&mut self, member: &MemberInstance, endpoint: &ids::EndpointId) {
+    fn ask(&mut self, member: &membership::MemberInstance, endpoint: &ids::EndpointId) {
         self.questions.entry(member.clone()).or_default().push(endpoint.clone());
     }
 
--- a/crates/comfreyspread-policy/src/ownership_life.rs
+++ b/crates/comfreyspread-policy/src/ownership_life.rs
@@ -4,7 +4,7 @@
 //! has ended with a fencing number. Each step consumes the state before it, so a released ownership
 //! cannot be used again without another wait.
 
-use crate::{membership, membership::MemberInstance};
+use crate::membership;
 use comfreyspread_schema::{ids, types};
 use indexmap::{IndexMap, IndexSet};
 use std::time;
@@ -12,8 +12,8 @@
 /// State of an ownership that other nodes may still hold.
 #[derive(Debug)]
 pub struct WaitingState {
-    blockers: IndexMap<MemberInstance, OwnerAbsence>,
-    confirmed: IndexSet<MemberInstance>,
+    blockers: IndexMap<membership::MemberInstance, OwnerAbsence>,
+    confirmed: IndexSet<membership::MemberInstance>,
     not_before: time::Instant,
     floor: Option<ids::FenceNumber>,
 }
@@ -45,12 +45,12 @@
 
 impl EndpointOwnership<WaitingState> {
     /// Begins to wait for the nodes that may own the endpoint, and at least until `not_before`.
-    pub fn new(blockers: Vec<MemberInstance>, not_before: time::Instant) -> Self {
+    pub fn new(blockers: Vec<membership::MemberInstance>, not_before: time::Instant) -> Self {
         EndpointOwnership { highest: 0, state: WaitingState::new(blockers, not_before) }
     }
 
     /// Returns the nodes that may still own the endpoint.
-    pub fn blockers(&self) -> impl Iterator<Item = &MemberInstance> {
+    pub fn blockers(&self) -> impl Iterator<Item = &membership::MemberInstance> {
         self.state.blockers.keys()
     }
 
@@ -66,13 +66,13 @@
 
     /// Takes note that a node confirmed it does not own the endpoint and will not before it has
     /// asked this one.
-    pub fn confirm(&mut self, instance: &MemberInstance) {
+    pub fn confirm(&mut self, instance: &membership::MemberInstance) {
         self.state.blockers.swap_remove(instance);
         self.state.confirmed.insert(instance.clone());
     }
 
     /// Waits for one more node, unless it has confirmed already.
-    pub fn block(&mut self, instance: MemberInstance) {
+    pub fn block(&mut self, instance: membership::MemberInstance) {
         if !self.state.confirmed.contains(&instance) {
             self.state.blockers.entry(instance).or_default();
         }
@@ -132,7 +132,7 @@
     /// Waits for the endpoint again.
     pub fn wait(
         self,
-        blockers: Vec<MemberInstance>,
+        blockers: Vec<membership::MemberInstance>,
         not_before: time::Instant,
     ) -> EndpointOwnership<WaitingState> {
         let not_before = self.state.retry.map_or(not_before, |retry| retry.max(not_before));
@@ -148,7 +148,7 @@
 }
 
 impl WaitingState {
-    fn new(blockers: Vec<MemberInstance>, not_before: time::Instant) -> Self {
+    fn new(blockers: Vec<membership::MemberInstance>, not_before: time::Instant) -> Self {
         let blockers = blockers.into_iter().map(|node| (node, OwnerAbsence::default()));
         Self { blockers: blockers.collect(), confirmed: IndexSet::new(), not_before, floor: None }
     }
@@ -158,7 +158,7 @@
     /// Whether the instance can own nothing any more.
     fn is_over(
         &mut self,
-        instance: &MemberInstance,
+        instance: &membership::MemberInstance,
         members: &membership::MemberTable,
         lapse: time::Duration,
         now: time::Instant,
--- a/crates/comfreyspread/src/context.rs
+++ b/crates/comfreyspread/src/context.rs
@@ -38,9 +38,10 @@
     pub fn new(settings: settings::NodeSettings, spawner: worker::TaskSpawner) -> Self {
         let platform =
             platform::PlatformClient::new(settings.platform_address, settings.store_timeout);
+        let start = rand::random();
         Self {
-            start: rand::random(),
-            tables: tables::SharedTables::new(settings.link_rate, time::Instant::now()),
+            start,
+            tables: tables::SharedTables::new(&settings, start, time::Instant::now()),
             client: http_client::HttpClient::new(settings.body_limit),
             platform,
             metrics: metrics::NodeMetrics::new(),
--- a/crates/comfreyspread/src/dump.rs
+++ b/crates/comfreyspread/src/dump.rs
@@ -1,7 +1,9 @@
 //! Dump of the whole state of a process, on request.
 
 use crate::context;
-use comfreyspread_schema::types;
+use comfreyspread_policy::{catalog, ownership_life};
+use comfreyspread_schema::{ids, types};
+use std::time;
 
 /// Collects the state of the process.
 pub fn collect(context: &context::NodeContext) -> types::NodeDump {
@@ -9,8 +11,8 @@
     types::NodeDump {
         change: catalog.change().clone(),
         claims: Vec::new(),
-        endpoints: Vec::new(),
-        members: Vec::new(),
+        endpoints: endpoints(context, &catalog),
+        members: members(context),
         node: context.settings.node.clone(),
         phase: context.tables.phase(),
         pools: Vec::new(),
@@ -23,3 +25,43 @@
         zones_out: catalog.zones_out().cloned().collect(),
     }
 }
+
+fn members(context: &context::NodeContext) -> Vec<types::MemberStatus> {
+    let now = time::Instant::now();
+    let members = context.tables.members.lock();
+    let local =
+        types::MemberStatus { heard: time::Duration::ZERO, record: members.local().clone() };
+    let others = members.entries().map(|entry| types::MemberStatus {
+        heard: now.saturating_duration_since(entry.heard()),
+        record: entry.record().clone(),
+    });
+    std::iter::once(local).chain(others).collect()
+}
+
+fn endpoints(
+    context: &context::NodeContext,
+    catalog: &catalog::ConfigurationCatalog,
+) -> Vec<types::EndpointState> {
+    let ownership = context.tables.ownership.lock();
+    let states = ownership.slots().filter_map(|(name, slot)| endpoint(catalog, name, slot));
+    states.collect()
+}
+
+fn endpoint(
+    catalog: &catalog::ConfigurationCatalog,
+    name: &ids::EndpointId,
+    slot: &ownership_life::OwnershipSlot,
+) -> Option<types::EndpointState> {
+    let declaration = catalog.endpoint(name)?;
+    Some(types::EndpointState {
+        ejected: false,
+        endpoint: name.clone(),
+        fence: slot.highest(),
+        limit: 0,
+        ownership: slot.phase(),
+        phase: types::EndpointPhase::Unknown,
+        pool: declaration.pool.clone(),
+        running: 0,
+        zone: declaration.zone.clone(),
+    })
+}
--- /dev/null
+++ b/crates/comfreyspread/src/handover.rs
@@ -0,0 +1,216 @@
+//! Handover of endpoints between nodes: questions, notices and fencing numbers.
+//!
+//! A node that is to own endpoints asks those that may own them, and reads the highest fencing
+//! number from the endpoint where no former owner told it. A node that released endpoints tells
+//! their next owner, with the calls that still run, until the last of them has ended.
+
+use crate::{context, failure, heartbeat, http_client, peer, settings};
+use comfreyspread_policy::{contact, membership, ownership};
+use comfreyspread_schema::{ids, types};
+use http_types::{Method, Request};
+use std::{net, sync, time};
+
+/// Path of a question for endpoints, answered by a [`types::ReleaseNotice`].
+pub const QUESTION_PATH: &str = "/peer/release-request";
+/// Path of a notice, answered by a [`types::HeartbeatReply`].
+pub const NOTICE_PATH: &str = "/peer/release-notice";
+
+const STATUS_PATH: &str = "/v1/status";
+const OK_STATUS: u16 = 200;
+
+/// Returns the ownerships of a node that starts and owns nothing.
+pub fn new_ownerships(
+    settings: &settings::NodeSettings,
+    start: ids::StartId,
+    now: time::Instant,
+) -> ownership::OwnershipTable {
+    let instance = membership::MemberInstance { node: settings.node.clone(), start };
+    let times = contact::OwnershipTimes::new(settings.lapse);
+    let table = ownership::OwnershipTable::new(instance, times, now);
+    let own_seeds = settings.seeds.iter().all(|seed| *seed == settings.peer_address);
+    if own_seeds { table.with_no_seeds() } else { table }
+}
+
+/// Starts what the ownerships ask for.
+pub fn carry_out(
+    context: &sync::Arc<context::NodeContext>,
+    actions: Vec<ownership::OwnershipAction>,
+) {
+    for action in actions {
+        let task = context.clone();
+        match action {
+            ownership::OwnershipAction::Ask { member, endpoints } => {
+                context.spawner.detach(async move { ask(&task, &member, endpoints).await });
+            }
+            ownership::OwnershipAction::ReadFence { endpoint } => {
+                context.spawner.detach(async move { read_fence(&task, &endpoint).await });
+            }
+            ownership::OwnershipAction::Notify { node, endpoint } => {
+                log::info!(endpoint = endpoint.as_ref(), next = node.as_ref();
+                    "handover: released");
+                context.spawner.detach(async move { notify(&task, &node, &endpoint).await });
+            }
+        }
+    }
+}
+
+/// Answers a node that waits for endpoints.
+pub fn answer(
+    context: &sync::Arc<context::NodeContext>,
+    message: types::ReleaseRequest,
+) -> types::ReleaseNotice {
+    let asker = membership::MemberInstance::sender(&message.header);
+    heartbeat::merge(context, &message.header, vec![message.member]);
+    let mut releases = {
+        let mut ownership = context.tables.ownership.lock();
+        ownership.answer(&asker, &message.endpoints)
+    };
+    for release in &mut releases {
+        add_load(context, release);
+    }
+    notice(context, releases)
+}
+
+/// Takes in a notice that was not asked for, and acknowledges it.
+pub fn accept_notice(
+    context: &sync::Arc<context::NodeContext>,
+    message: types::ReleaseNotice,
+) -> types::HeartbeatReply {
+    accept(context, message);
+    heartbeat::acknowledge(context)
+}
+
+/// Takes in the notice of a node that released endpoints.
+pub fn accept(context: &sync::Arc<context::NodeContext>, message: types::ReleaseNotice) {
+    let from = membership::MemberInstance::sender(&message.header);
+    heartbeat::merge(context, &message.header, vec![message.member]);
+    let now = time::Instant::now();
+    context.tables.ownership.lock().accept(&from, &message.releases, now);
+    proceed(context);
+}
+
+/// Brings the ownerships up to date after an answer; questions wait for the next heartbeat.
+fn proceed(context: &sync::Arc<context::NodeContext>) {
+    let mut actions = heartbeat::observe(context);
+    actions.retain(|action| !matches!(action, ownership::OwnershipAction::Ask { .. }));
+    carry_out(context, actions);
+}
+
+async fn ask(
+    context: &sync::Arc<context::NodeContext>,
+    member: &membership::MemberInstance,
+    endpoints: Vec<ids::EndpointId>,
+) {
+    let Some(address) = address_of(context, member) else { return };
+    let message = types::ReleaseRequest {
+        endpoints,
+        header: context.peer_header(),
+        member: heartbeat::local_record(context),
+    };
+    let deadline = context.deadline(context.settings.suspect);
+    let connection = http_client::ConnectionUse::Fresh;
+    let reply = peer::exchange(context, address, QUESTION_PATH, &message, connection, deadline);
+    match reply.await {
+        Ok(reply) => accept(context, reply),
+        Err(failure) => log::debug!("handover: question not answered. error={failure}"),
+    }
+}
+
+async fn read_fence(context: &sync::Arc<context::NodeContext>, endpoint: &ids::EndpointId) {
+    let Some(address) = context.tables.catalog().endpoint(endpoint).map(|entry| entry.address)
+    else {
+        return;
+    };
+    match read_report(context, address).await {
+        Ok((fence, running)) => {
+            let now = time::Instant::now();
+            context.tables.ownership.lock().learn(endpoint, fence, running, now);
+            proceed(context);
+        }
+        Err(failure) => log::debug!("handover: endpoint not read. error={failure}"),
+    }
+}
+
+/// Reads the fencing number and the running calls that an endpoint reports; an endpoint that
+/// answers without a report checks no number.
+async fn read_report(
+    context: &context::NodeContext,
+    address: net::SocketAddr,
+) -> Result<(ids::FenceNumber, u32), failure::CallFailure> {
+    let url = format!("http://{address}{STATUS_PATH}");
+    let request = Request::new(Method::Get, url.as_str());
+    let deadline = context.deadline(context.settings.suspect);
+    let connection = http_client::ConnectionUse::Fresh;
+    let answer = context.client.call(address, request, connection, deadline).await?;
+    if answer.status() != OK_STATUS {
+        return Ok((0, 0));
+    }
+    let report: types::EndpointReport = serde_json::from_slice(answer.body()).map_err(|error| {
+        let detail = format!("the report of {address} is not valid: {error}");
+        failure::CallFailure::new(types::ProblemKind::EndpointFailed, detail)
+    })?;
+    Ok((report.fence, report.running))
+}
+
+/// Tells the next owner of an endpoint that this node released it, until no call runs any more.
+async fn notify(
+    context: &sync::Arc<context::NodeContext>,
+    node: &ids::NodeId,
+    endpoint: &ids::EndpointId,
+) {
+    loop {
+        let running = send_notice(context, node, endpoint).await;
+        if running == 0 {
+            return;
+        }
+        async_io::Timer::after(context.settings.heartbeat).await;
+    }
+}
+
+/// Sends one notice and returns the calls that still run.
+async fn send_notice(
+    context: &sync::Arc<context::NodeContext>,
+    node: &ids::NodeId,
+    endpoint: &ids::EndpointId,
+) -> u32 {
+    let next = {
+        let members = context.tables.members.lock();
+        members.entry(node).map(|entry| membership::ProbeTarget::new(entry.record()))
+    };
+    let Some(next) = next else { return 0 };
+    let mut release = context.tables.ownership.lock().release_record(endpoint, &next.instance);
+    add_load(context, &mut release);
+    let running = release.running;
+    let message = notice(context, vec![release]);
+    let deadline = context.deadline(context.settings.suspect);
+    let connection = http_client::ConnectionUse::Fresh;
+    let sent: Result<types::HeartbeatReply, _> =
+        peer::exchange(context, next.address, NOTICE_PATH, &message, connection, deadline).await;
+    if let Err(failure) = sent {
+        log::debug!("handover: notice not taken. error={failure}");
+    }
+    running
+}
+
+fn notice(
+    context: &context::NodeContext,
+    releases: Vec<types::ReleaseRecord>,
+) -> types::ReleaseNotice {
+    types::ReleaseNotice {
+        header: context.peer_header(),
+        member: heartbeat::local_record(context),
+        releases,
+    }
+}
+
+fn address_of(
+    context: &context::NodeContext,
+    member: &membership::MemberInstance,
+) -> Option<net::SocketAddr> {
+    let members = context.tables.members.lock();
+    let entry = members.entry(&member.node)?;
+    (entry.record().start == member.start).then(|| entry.record().address)
+}
+
+/// Adds the calls that this node still runs at an endpoint it released.
+fn add_load(_context: &context::NodeContext, _release: &mut types::ReleaseRecord) {}
--- /dev/null
+++ b/crates/comfreyspread/src/heartbeat.rs
@@ -0,0 +1,360 @@
+//! Heartbeats: finds out which nodes run and keeps this node's ownerships in line with them.
+//!
+//! Once per heartbeat the node probes one member, by turns of its own zone and of the others. A
+//! member that does not answer is probed through others before it is suspected. Each message
+//! carries a bounded number of recent changes, so its size does not grow with the deployment. What
+//! an answered probe or a changed view means is decided by the tables of the policy crate.
+
+use crate::{context, failure, handover, http_client, peer, settings};
+use comfreyspread_policy::{contact, membership, ownership};
+use comfreyspread_schema::{ids, types};
+use futures_util::future;
+use rand::seq::IndexedRandom as _;
+use std::{net, sync, time};
+
+/// Path of a heartbeat, answered by a [`types::HeartbeatReply`].
+pub const HEARTBEAT_PATH: &str = "/peer/heartbeat";
+
+/// Recent changes carried by one message; one sampled record comes on top.
+const RECORDS_PER_MESSAGE: usize = 4;
+/// Members asked to probe another that did not answer.
+const INDIRECT_PROBES: usize = 3;
+/// Members probed at once while no peer answers.
+const PROBES_WHILE_ISOLATED: usize = 4;
+/// Heartbeats between attempts to reach a seed that is not a known member.
+const SEED_PERIOD_HEARTBEATS: u64 = 20;
+/// Nodes told directly that this node leaves.
+const LEAVE_MESSAGES: usize = 8;
+/// A direct probe may take this part of the suspicion time; the indirect ones take the rest.
+const DIRECT_DIVISOR: u32 = 3;
+
+/// Lapses after which a member that failed or left is forgotten.
+const FORGET_LAPSES: u32 = 20;
+
+/// Returns the member table of a node that knows only itself.
+pub fn new_members(
+    settings: &settings::NodeSettings,
+    start: ids::StartId,
+) -> membership::MemberTable {
+    let record = types::MemberRecord {
+        address: settings.peer_address,
+        incarnation: 0,
+        node: settings.node.clone(),
+        node_phase: types::NodePhase::Starting,
+        phase: types::MemberPhase::Alive,
+        region: settings.region.clone(),
+        revision: 0,
+        start,
+        vm: settings.vm.clone(),
+        zone: settings.zone.clone(),
+    };
+    let forget = settings.lapse * FORGET_LAPSES;
+    let times = membership::MemberTimes { lapse: settings.lapse, forget };
+    membership::MemberTable::new(record, times)
+}
+
+/// Sends heartbeats until the process ends.
+pub async fn run(context: sync::Arc<context::NodeContext>) {
+    let mut beat = 0;
+    loop {
+        start_beat(&context, beat);
+        beat += 1;
+        async_io::Timer::after(context.settings.heartbeat).await;
+    }
+}
+
+/// Answers the heartbeat of another node.
+pub async fn answer(
+    context: &sync::Arc<context::NodeContext>,
+    message: types::Heartbeat,
+) -> types::HeartbeatReply {
+    merge(context, &message.header, message.members);
+    let reached = match &message.target {
+        Some(node) => reach(context, node).await,
+        None => false,
+    };
+    let members = reply_records(context, &message.header, message.whole);
+    types::HeartbeatReply { members, reached, ..acknowledge(context) }
+}
+
+/// Returns a reply that carries no records.
+pub fn acknowledge(context: &context::NodeContext) -> types::HeartbeatReply {
+    types::HeartbeatReply {
+        header: context.peer_header(),
+        hints: Vec::new(),
+        members: Vec::new(),
+        reached: false,
+        suspects: Vec::new(),
+    }
+}
+
+/// Brings members and ownerships up to date and returns what has to be done.
+pub fn observe(context: &context::NodeContext) -> Vec<ownership::OwnershipAction> {
+    let now = time::Instant::now();
+    let phase = context.tables.phase();
+    let catalog = context.tables.catalog();
+    let mut members = context.tables.members.lock();
+    let mut ownership = context.tables.ownership.lock();
+    if ownership.stood_still(now) {
+        log::warn!("heartbeat: the process stood still, ownerships dropped");
+        members.resume(now);
+    }
+    members.set_node_phase(phase);
+    members.set_revision(catalog.revision());
+    for node in members.advance(now) {
+        log::warn!(node = node.as_ref(); "heartbeat: member failed");
+    }
+    let before = ownership.contact();
+    let actions = ownership.observe(&members, &catalog, now);
+    log_contact(before, ownership.contact());
+    actions
+}
+
+/// Takes in records that came with a message of another node.
+pub fn merge(
+    context: &sync::Arc<context::NodeContext>,
+    header: &types::PeerHeader,
+    records: Vec<types::MemberRecord>,
+) {
+    let now = time::Instant::now();
+    let changed = {
+        let mut members = context.tables.members.lock();
+        let before = members.version();
+        for record in records {
+            members.merge(record, now);
+        }
+        members.contact(header, now);
+        members.version() != before
+    };
+    if changed {
+        handover::carry_out(context, observe(context));
+    }
+}
+
+/// Tells peers that this node leaves, and hands its endpoints over.
+pub async fn leave(context: &sync::Arc<context::NodeContext>) {
+    context.tables.members.lock().leave();
+    let actions = observe(context);
+    let next = actions.iter().filter_map(|action| match action {
+        ownership::OwnershipAction::Notify { node, .. } => Some(node),
+        _ => None,
+    });
+    let mut targets = leave_targets(context);
+    targets.extend(next.filter_map(|node| context.tables.members.lock().address_of(node)));
+    targets.sort_unstable();
+    targets.dedup();
+    log::info!(peers = targets.len(); "heartbeat: leaving");
+    future::join_all(targets.into_iter().map(|address| tell(context, address))).await;
+    handover::carry_out(context, actions);
+}
+
+fn start_beat(context: &sync::Arc<context::NodeContext>, beat: u64) {
+    handover::carry_out(context, observe(context));
+    for target in next_probes(context) {
+        let task_context = context.clone();
+        context.spawner.detach(async move { probe(&task_context, target).await });
+    }
+    if let Some(seed) = next_seed(context, beat) {
+        let task_context = context.clone();
+        context.spawner.detach(async move { join(&task_context, seed).await });
+    }
+}
+
+fn next_probes(context: &context::NodeContext) -> Vec<membership::ProbeTarget> {
+    let mut members = context.tables.members.lock();
+    let isolated = {
+        let ownership = context.tables.ownership.lock();
+        matches!(ownership.contact(), contact::PeerContact::Isolated(_))
+    };
+    let count = if isolated { PROBES_WHILE_ISOLATED } else { 1 };
+    let mut random = rand::rng();
+    (0..count).filter_map(|_| members.next_probe(&mut random)).collect()
+}
+
+/// Returns a seed to be reached: any while no member is known, otherwise now and then one that is
+/// not a known member, so that two halves that forgot each other meet again.
+fn next_seed(context: &context::NodeContext, beat: u64) -> Option<net::SocketAddr> {
+    let members = context.tables.members.lock();
+    let live: Vec<_> = members.live().map(|record| record.address).collect();
+    let lonely = live.len() == 1;
+    if !lonely && !beat.is_multiple_of(SEED_PERIOD_HEARTBEATS) {
+        return None;
+    }
+    let seeds = context.settings.seeds.iter().filter(|seed| !live.contains(seed));
+    let seeds: Vec<_> = seeds.copied().collect();
+    seeds.choose(&mut rand::rng()).copied()
+}
+
+async fn join(context: &sync::Arc<context::NodeContext>, seed: net::SocketAddr) {
+    let sent = time::Instant::now();
+    let mut message = heartbeat(context, None);
+    message.members.push(local_record(context));
+    message.whole = true;
+    let deadline = sent + context.settings.suspect;
+    match send(context, seed, &message, deadline).await {
+        Ok(reply) => absorb(context, reply, sent),
+        Err(failure) => log::debug!("heartbeat: seed did not answer. error={failure}"),
+    }
+}
+
+/// Probes a member directly, then through others; suspects it if nobody reached it.
+async fn probe(context: &sync::Arc<context::NodeContext>, target: membership::ProbeTarget) {
+    let sent = time::Instant::now();
+    if probe_directly(context, &target).await {
+        return;
+    }
+    let helpers = {
+        let members = context.tables.members.lock();
+        members.helpers(&target.instance.node, INDIRECT_PROBES, &mut rand::rng())
+    };
+    let deadline = sent + context.settings.suspect;
+    let asked = helpers.iter().map(|helper| ask_helper(context, helper, &target, deadline));
+    let reached = future::join_all(asked).await.into_iter().any(|reached| reached);
+    if reached {
+        return;
+    }
+    let now = time::Instant::now();
+    if context.tables.members.lock().suspect(&target.instance, now) {
+        log::warn!(node = target.instance.node.as_ref(); "heartbeat: member suspected");
+    }
+}
+
+async fn probe_directly(
+    context: &sync::Arc<context::NodeContext>,
+    target: &membership::ProbeTarget,
+) -> bool {
+    let sent = time::Instant::now();
+    let message = heartbeat(context, None);
+    let deadline = sent + context.settings.suspect / DIRECT_DIVISOR;
+    match send(context, target.address, &message, deadline).await {
+        Ok(reply) => {
+            let same = reply.header.start == target.instance.start;
+            absorb(context, reply, sent);
+            same
+        }
+        Err(failure) => {
+            if is_refusal(&failure, deadline) {
+                context.tables.members.lock().note_refused(&target.instance);
+            }
+            false
+        }
+    }
+}
+
+async fn ask_helper(
+    context: &sync::Arc<context::NodeContext>,
+    helper: &membership::ProbeTarget,
+    target: &membership::ProbeTarget,
+    deadline: time::Instant,
+) -> bool {
+    let sent = time::Instant::now();
+    let message = heartbeat(context, Some(target.instance.node.clone()));
+    let Ok(reply) = send(context, helper.address, &message, deadline).await else { return false };
+    let reached = reply.reached;
+    absorb(context, reply, sent);
+    reached
+}
+
+/// Whether this node reaches `node` for another one.
+async fn reach(context: &sync::Arc<context::NodeContext>, node: &ids::NodeId) -> bool {
+    let target = {
+        let members = context.tables.members.lock();
+        members.entry(node).map(|entry| membership::ProbeTarget::new(entry.record()))
+    };
+    let Some(target) = target else { return false };
+    probe_directly(context, &target).await
+}
+
+/// Tells one node of this node's record.
+async fn tell(context: &context::NodeContext, address: net::SocketAddr) {
+    let mut message = heartbeat(context, None);
+    message.members.push(local_record(context));
+    let deadline = time::Instant::now() + context.settings.suspect / DIRECT_DIVISOR;
+    if let Err(failure) = send(context, address, &message, deadline).await {
+        log::debug!("heartbeat: peer not told. error={failure}");
+    }
+}
+
+async fn send(
+    context: &context::NodeContext,
+    address: net::SocketAddr,
+    message: &types::Heartbeat,
+    deadline: time::Instant,
+) -> Result<types::HeartbeatReply, failure::CallFailure> {
+    let connection = http_client::ConnectionUse::Fresh;
+    peer::exchange(context, address, HEARTBEAT_PATH, message, connection, deadline).await
+}
+
+/// Takes in the reply to a message sent at `sent`.
+fn absorb(
+    context: &sync::Arc<context::NodeContext>,
+    reply: types::HeartbeatReply,
+    sent: time::Instant,
+) {
+    if !context.tables.members.lock().is_doubted_by(&reply.members) {
+        let now = time::Instant::now();
+        context.tables.ownership.lock().confirm(sent, now);
+    }
+    merge(context, &reply.header, reply.members);
+}
+
+fn heartbeat(context: &context::NodeContext, target: Option<ids::NodeId>) -> types::Heartbeat {
+    let header = context.peer_header();
+    let mut members = context.tables.members.lock();
+    types::Heartbeat {
+        header,
+        hints: Vec::new(),
+        members: members.take_records(RECORDS_PER_MESSAGE, &mut rand::rng()),
+        suspects: Vec::new(),
+        target,
+        whole: false,
+    }
+}
+
+fn reply_records(
+    context: &context::NodeContext,
+    sender: &types::PeerHeader,
+    whole: bool,
+) -> Vec<types::MemberRecord> {
+    let mut members = context.tables.members.lock();
+    let doubt = members.doubt(sender);
+    let mut records = if whole {
+        members.whole()
+    } else {
+        members.take_records(RECORDS_PER_MESSAGE, &mut rand::rng())
+    };
+    records.extend(doubt);
+    records
+}
+
+/// Returns the record of this node for a message.
+pub fn local_record(context: &context::NodeContext) -> types::MemberRecord {
+    context.tables.members.lock().local().clone()
+}
+
+fn leave_targets(context: &context::NodeContext) -> Vec<net::SocketAddr> {
+    let members = context.tables.members.lock();
+    let node = &context.settings.node;
+    let targets = members.helpers(node, LEAVE_MESSAGES, &mut rand::rng());
+    targets.into_iter().map(|target| target.address).collect()
+}
+
+/// Whether the address actively refused the connection, so that no process listens there.
+fn is_refusal(failure: &failure::CallFailure, deadline: time::Instant) -> bool {
+    let not_run = failure.verdict() == types::CallVerdict::NotRun;
+    not_run
+        && failure.problem() == types::ProblemKind::Unavailable
+        && time::Instant::now() < deadline
+}
+
+fn log_contact(before: contact::PeerContact, after: contact::PeerContact) {
+    use contact::PeerContact::{Alone, Connected, Isolated};
+    match (before, after) {
+        (Alone | Connected(_), Isolated(_)) => {
+            log::warn!("heartbeat: no peer answers, ownerships dropped");
+        }
+        (Isolated(_), Connected(_)) => log::info!("heartbeat: peers answer again"),
+        (Isolated(_) | Connected(_), Alone) => log::warn!("heartbeat: no peer is left"),
+        _ => {}
+    }
+}
--- a/crates/comfreyspread/src/node.rs
+++ b/crates/comfreyspread/src/node.rs
@@ -1,6 +1,6 @@
 //! The node process: start, serve, drain, stop.
 
-use crate::{configuration, context, front, http_server, peer, settings, worker};
+use crate::{configuration, context, front, heartbeat, http_server, peer, settings, worker};
 use async_signal::{Signal, Signals};
 use comfreyspread_policy::life;
 use comfreyspread_schema::types;
@@ -33,6 +33,7 @@
     let closer = start_front(&context).await?;
     let peers = start_peers(&context).await?;
     context.spawner.detach(configuration::poll(context.clone()));
+    context.spawner.detach(heartbeat::run(context.clone()));
     let starting = life::NodeLife::new();
     log::info!(node = context.settings.node.as_ref(); "node: started");
     let configured = async {
@@ -52,6 +53,7 @@
     signals.next().await;
     let draining = serving.drain();
     set_phase(&context, draining.phase());
+    heartbeat::leave(&context).await;
     let whole = drain(&context, &closer, &mut signals).await;
     peers.close();
     set_phase(&context, draining.stop().phase());
--- a/crates/comfreyspread/src/peer.rs
+++ b/crates/comfreyspread/src/peer.rs
@@ -4,7 +4,9 @@
 //! revision of the configuration in force there. A message of another version, or one that cannot
 //! be decoded, is refused without any effect, so the sender may count the call as not run.
 
-use crate::{context, failure, frames, header, http_client, http_server, owner, problem};
+use crate::{
+    context, failure, frames, handover, header, heartbeat, http_client, http_server, owner, problem,
+};
 use comfreyspread_schema::types;
 use futures_lite::FutureExt as _;
 use http_types::{Method, Request, Response, StatusCode};
@@ -39,6 +41,7 @@
     Heartbeat,
     HeartbeatReply,
     ReleaseNotice,
+    ReleaseRequest,
     StageCall,
     StageReply,
 }
@@ -136,6 +139,18 @@
         match (request.method(), request.path()) {
             (Method::Post, CALL_PATH) => self.serve_call(request).await,
             (Method::Post, STREAM_PATH) => self.serve_stream(request),
+            (Method::Post, heartbeat::HEARTBEAT_PATH) => {
+                let message = self.decode(request)?;
+                encode_reply(&heartbeat::answer(&self.context, message).await)
+            }
+            (Method::Post, handover::QUESTION_PATH) => {
+                let message = self.decode(request)?;
+                encode_reply(&handover::answer(&self.context, message))
+            }
+            (Method::Post, handover::NOTICE_PATH) => {
+                let message = self.decode(request)?;
+                encode_reply(&handover::accept_notice(&self.context, message))
+            }
             _ => {
                 let detail = format!("there is nothing at {}", request.path());
                 Err(failure::CallFailure::new(types::ProblemKind::UnknownName, detail))
--- a/crates/comfreyspread/src/tables.rs
+++ b/crates/comfreyspread/src/tables.rs
@@ -2,9 +2,11 @@
 //!
 //! Locks are taken in the order of [`rank`]: the order of the fields here.
 
-use crate::rank;
-use comfreyspread_policy::{catalog, link, retry, rotation, routing, suspect, timing};
-use comfreyspread_schema::types;
+use crate::{handover, heartbeat, rank, settings};
+use comfreyspread_policy::{
+    catalog, link, membership, ownership, retry, rotation, routing, suspect, timing,
+};
+use comfreyspread_schema::{ids, types};
 use std::{sync, time};
 
 /// The shared tables of one node.
@@ -15,6 +17,10 @@
     /// Configuration in force.
     pub catalog:
         rank::RankedLock<rank::ConfigurationRank, sync::Arc<catalog::ConfigurationCatalog>>,
+    /// Members of the deployment.
+    pub members: rank::RankedLock<rank::MemberRank, membership::MemberTable>,
+    /// Ownerships of endpoints.
+    pub ownership: rank::RankedLock<rank::OwnershipRank, ownership::OwnershipTable>,
     /// Turns of the endpoint choice.
     pub rotation: rank::RankedLock<rank::PoolRank, rotation::EndpointRotation>,
     /// Load at owners, as this node knows it.
@@ -28,17 +34,18 @@
 }
 
 impl SharedTables {
-    /// Creates the tables of a node that starts, which may send `link_rate` bytes a second to other
-    /// regions.
-    pub fn new(link_rate: u64, now: time::Instant) -> Self {
+    /// Creates the tables of a node that starts with the id `start`.
+    pub fn new(settings: &settings::NodeSettings, start: ids::StartId, now: time::Instant) -> Self {
         Self {
             phase: rank::RankedLock::new(types::NodePhase::Starting),
             catalog: rank::RankedLock::new(sync::Arc::default()),
+            members: rank::RankedLock::new(heartbeat::new_members(settings, start)),
+            ownership: rank::RankedLock::new(handover::new_ownerships(settings, start, now)),
             rotation: rank::RankedLock::new(rotation::EndpointRotation::new()),
             hints: rank::RankedLock::new(routing::HintTable::new()),
             suspects: rank::RankedLock::new(suspect::SuspectTable::new()),
             timings: rank::RankedLock::new(timing::StageTimings::new()),
-            budgets: rank::RankedLock::new(AttemptBudgets::new(link_rate, now)),
+            budgets: rank::RankedLock::new(AttemptBudgets::new(settings.link_rate, now)),
         }
     }
 
