Send calls to the owners of endpoints

Cause: every node took itself for the owner of all endpoints, so limits at one node did not hold over the deployment.

Change: the ingress node groups a pool's endpoints by their owner, sends each call to one of them and shuns an owner that refused for half a second. A node is ready only once it has owned what falls to it.

Conclusion: owners can now hold exact limits.

--- a/crates/comfreyspread-policy/src/ownership.rs
+++ b/crates/comfreyspread-policy/src/ownership.rs
@@ -63,6 +63,7 @@
     slots: IndexMap<ids::EndpointId, ownership_life::OwnershipSlot>,
     askers: IndexMap<ids::EndpointId, membership::MemberInstance>,
     inherited: IndexMap<ids::EndpointId, InheritedLoad>,
+    settled: bool,
 }
 
 impl OwnershipTable {
@@ -84,6 +85,7 @@
             slots: IndexMap::new(),
             askers: IndexMap::new(),
             inherited: IndexMap::new(),
+            settled: false,
         }
     }
 
@@ -115,6 +117,12 @@
         names.filter(|endpoint| self.permit(endpoint, now).is_some()).cloned().collect()
     }
 
+    /// Whether this node has once owned every endpoint that falls to it, so that calls can be sent
+    /// to it without waiting for ownerships.
+    pub fn has_settled(&self) -> bool {
+        self.settled
+    }
+
     /// Returns the calls of a former owner that count against an endpoint's limit at `now`.
     pub fn inherited(
         &self,
@@ -166,6 +174,7 @@
             let previous = former.as_ref().and_then(|ranks| ranks.get(&endpoint)?.first());
             self.step(&endpoint, previous, members, now, &mut actions);
         }
+        self.settled |= self.view.is_some() && self.owns_its_own();
         actions.finish()
     }
 
@@ -276,6 +285,14 @@
         owned || first == Some(&self.instance.node)
     }
 
+    fn owns_its_own(&self) -> bool {
+        let mut own =
+            self.ranks.iter().filter(|(_, ranked)| ranked.first() == Some(&self.instance.node));
+        own.all(|(endpoint, _)| {
+            matches!(self.slots.get(endpoint), Some(ownership_life::OwnershipSlot::Owned(_)))
+        })
+    }
+
     fn inherit(
         &mut self,
         endpoint: &ids::EndpointId,
--- a/crates/comfreyspread-policy/src/rendezvous.rs
+++ b/crates/comfreyspread-policy/src/rendezvous.rs
@@ -85,6 +85,11 @@
     }
 }
 
+/// Returns the score of an endpoint for a prompt prefix; the highest of a pool caches it.
+pub fn prefix_score(prefix: ids::PrefixHash, endpoint: &ids::EndpointId) -> u64 {
+    xxh3::xxh3_64_with_seed(endpoint.as_bytes(), prefix)
+}
+
 fn append_best(
     ranked: &mut Vec<ids::NodeId>,
     group: &[OwnerCandidate],
--- a/crates/comfreyspread-policy/src/retry.rs
+++ b/crates/comfreyspread-policy/src/retry.rs
@@ -12,9 +12,9 @@
 const MOST_TOKENS: u32 = 100 * RETRY_TOKENS;
 const FIRST_TOKENS: u32 = 20 * RETRY_TOKENS;
 const MOST_ATTEMPTS: u32 = 4;
-const MOST_FREE_ATTEMPTS: u32 = 12;
-/// Pause before a call is sent again to owners that had no capacity or did not own its endpoint.
-pub const RETRY_PAUSE: time::Duration = time::Duration::from_millis(20);
+const MOST_FREE_ATTEMPTS: u32 = 64;
+const FIRST_PAUSE: time::Duration = time::Duration::from_millis(20);
+const MOST_DOUBLINGS: u32 = 3;
 
 /// Share of successes that may be spent on further attempts.
 #[derive(Clone, Copy, Debug)]
@@ -91,8 +91,7 @@
         if self.attempts >= most || (!free && !budget.withdraw()) {
             return RetryDecision::Stop;
         }
-        let pause = if self.needs_pause() { RETRY_PAUSE } else { time::Duration::ZERO };
-        RetryDecision::Retry { pause, alone: self.crashed }
+        RetryDecision::Retry { pause: self.pause(), alone: self.crashed }
     }
 
     fn is_final(&self) -> bool {
@@ -118,13 +117,19 @@
         hopeless || !allowed
     }
 
-    /// Whether the attempt took nothing from any endpoint.
+    /// Whether the attempt took nothing from any endpoint because its owner had changed or gone.
     fn is_free(&self) -> bool {
-        matches!(self.problem, types::ProblemKind::NotOwner | types::ProblemKind::Draining)
+        use types::ProblemKind as Kind;
+        let gone = matches!(self.problem, Kind::Draining | Kind::NotOwner | Kind::Unavailable);
+        gone && self.verdict == types::CallVerdict::NotRun
     }
 
-    fn needs_pause(&self) -> bool {
+    /// Returns a pause that gives owners time to change or to get through their queues.
+    fn pause(&self) -> time::Duration {
         use types::ProblemKind as Kind;
-        matches!(self.problem, Kind::NotOwner | Kind::Overloaded | Kind::Unavailable)
+        if !matches!(self.problem, Kind::NotOwner | Kind::Overloaded | Kind::Unavailable) {
+            return time::Duration::ZERO;
+        }
+        FIRST_PAUSE * 2_u32.pow(self.attempts.saturating_sub(1).min(MOST_DOUBLINGS))
     }
 }
--- a/crates/comfreyspread-policy/src/routing.rs
+++ b/crates/comfreyspread-policy/src/routing.rs
@@ -18,6 +18,8 @@
 /// Load up to which an owner that holds a prefix in its cache is preferred, in percent.
 pub const AFFINITY_PERCENT: u32 = 125;
 const SAMPLED_CANDIDATES: usize = 4;
+const REFUSAL_LIFE: time::Duration = time::Duration::from_millis(500);
+const REFUSED_PERCENT: u32 = 10_000;
 const HINT_LIFE: time::Duration = time::Duration::from_secs(5);
 
 /// How far an owner is from the ingress node.
@@ -52,6 +54,7 @@
     hint: Option<types::PoolHint>,
     heard: time::Instant,
     outstanding: u32,
+    refused: Option<time::Instant>,
 }
 
 /// What the ingress node knows of the load at owners.
@@ -70,6 +73,10 @@
     pub fn load(&self, candidate: &OwnerCandidate, pool: &ids::PoolId, now: time::Instant) -> u32 {
         let entry = self.nodes.get(&candidate.node).and_then(|pools| pools.get(pool));
         let Some(entry) = entry else { return 0 };
+        let shunned = |refused| now.saturating_duration_since(refused) < REFUSAL_LIFE;
+        if entry.refused.is_some_and(shunned) {
+            return REFUSED_PERCENT;
+        }
         let fresh = now.saturating_duration_since(entry.heard) < HINT_LIFE;
         let hint = entry.hint.as_ref().filter(|_| fresh);
         let limit = hint.map_or(candidate.endpoints, |hint| hint.limit).max(1);
@@ -95,6 +102,11 @@
         entry.hint = Some(hint);
     }
 
+    /// Takes note that an owner could not be reached or does not own the pool's endpoints.
+    pub fn note_refusal(&mut self, node: &ids::NodeId, pool: &ids::PoolId, now: time::Instant) {
+        self.entry(node, pool, now).refused = Some(now);
+    }
+
     /// Forgets a node that has gone.
     pub fn forget(&mut self, node: &ids::NodeId) {
         self.nodes.swap_remove(node);
@@ -107,7 +119,7 @@
         now: time::Instant,
     ) -> &mut LoadEntry {
         let pools = self.nodes.entry(node.clone()).or_default();
-        let empty = LoadEntry { hint: None, heard: now, outstanding: 0 };
+        let empty = LoadEntry { hint: None, heard: now, outstanding: 0, refused: None };
         pools.entry(pool.clone()).or_insert(empty)
     }
 }
--- a/crates/comfreyspread-policy/tests/routing.rs
+++ b/crates/comfreyspread-policy/tests/routing.rs
@@ -77,3 +77,16 @@
     hints.end(&"self".into(), &"p".into(), later);
     assert_eq!(hints.load(&candidates[0], &"p".into(), later), 0);
 }
+
+#[test]
+fn refusal_shunned() {
+    use routing::RouteDistance::{Local, Zone};
+    let now = time::Instant::now();
+    let candidates = [candidate("near", Zone), candidate("self", Local)];
+    let mut hints = routing::HintTable::new();
+    hints.note_refusal(&"self".into(), &"p".into(), now);
+    assert_eq!(choose(&candidates, &hints, true, now).as_deref(), Some("near"));
+    assert_eq!(choose(&candidates[1..], &hints, true, now).as_deref(), Some("self"));
+    let later = now + time::Duration::from_millis(600);
+    assert_eq!(choose(&candidates, &hints, true, later).as_deref(), Some("self"));
+}
--- a/crates/comfreyspread/src/dispatch.rs
+++ b/crates/comfreyspread/src/dispatch.rs
@@ -33,7 +33,9 @@
                 http_client::ConnectionUse::Fresh
             };
             let late = deadline + REPLY_MARGIN;
-            peer::exchange(context, address, peer::CALL_PATH, &call, connection, late).await?
+            let path = peer::CALL_PATH;
+            let sent = peer::exchange(context, address, path, &call, connection, late).await;
+            sent.inspect_err(|failure| note_refusal(context, &route.owner, &call.pool, failure))?
         }
     };
     echo.check(&reply)?;
@@ -57,8 +59,10 @@
     let source = match route.address {
         None => StreamSource::Local(owner::start_stream(context, call, deadline)),
         Some(address) => {
-            let body = open_remote(context, address, &call, deadline).await?;
-            StreamSource::Remote(body)
+            let opened = open_remote(context, address, &call, deadline).await;
+            let opened =
+                opened.inspect_err(|fault| note_refusal(context, &route.owner, &call.pool, fault));
+            StreamSource::Remote(opened?)
         }
     };
     Ok(OwnerStream { source, echo, _outstanding: outstanding, deadline: deadline + REPLY_MARGIN })
@@ -203,7 +207,23 @@
     }
 }
 
+fn note_refusal(
+    context: &context::NodeContext,
+    owner: &ids::NodeId,
+    pool: &ids::PoolId,
+    failure: &failure::CallFailure,
+) {
+    if failure.problem() == types::ProblemKind::Unavailable {
+        context.tables.hints.lock().note_refusal(owner, pool, time::Instant::now());
+    }
+}
+
 fn note(context: &context::NodeContext, owner: &ids::NodeId, reply: &types::StageReply) {
+    if let types::StageOutcome::Failed { problem: types::ProblemKind::NotOwner, .. } = reply.outcome
+    {
+        let now = time::Instant::now();
+        context.tables.hints.lock().note_refusal(owner, &reply.hint.pool, now);
+    }
     if reply.hint.limit > 0 {
         let hint = reply.hint.clone();
         context.tables.hints.lock().note(owner, hint, time::Instant::now());
--- a/crates/comfreyspread/src/front.rs
+++ b/crates/comfreyspread/src/front.rs
@@ -50,12 +50,13 @@
 
     fn readiness(&self) -> Response {
         let phase = self.context.tables.phase();
-        let status = if phase == types::NodePhase::Serving {
-            StatusCode::Ok
-        } else {
-            StatusCode::ServiceUnavailable
-        };
-        text(status, &format!("{phase}\n"))
+        if phase != types::NodePhase::Serving {
+            return text(StatusCode::ServiceUnavailable, &format!("{phase}\n"));
+        }
+        if !self.context.tables.ownership.lock().has_settled() {
+            return text(StatusCode::ServiceUnavailable, "waiting for ownership\n");
+        }
+        text(StatusCode::Ok, &format!("{phase}\n"))
     }
 
     async fn serve_call(
--- a/crates/comfreyspread/src/heartbeat.rs
+++ b/crates/comfreyspread/src/heartbeat.rs
@@ -37,7 +37,7 @@
     start: ids::StartId,
 ) -> membership::MemberTable {
     let record = types::MemberRecord {
-        address: settings.peer_address,
+        address: settings.advertise_address,
         incarnation: 0,
         node: settings.node.clone(),
         node_phase: types::NodePhase::Starting,
--- a/crates/comfreyspread/src/owner.rs
+++ b/crates/comfreyspread/src/owner.rs
@@ -126,15 +126,18 @@
     let catalog = context.tables.catalog();
     let pool = catalog.pool(&call.pool);
     let names = pool.map(|pool| pool.endpoints()).unwrap_or_default();
+    let now = time::Instant::now();
+    let ownership = context.tables.ownership.lock();
     let candidates: Vec<_> = names
         .iter()
         .filter_map(|name| catalog.endpoint(name))
         .filter(|endpoint| catalog.in_service(endpoint))
+        .filter(|endpoint| ownership.permit(&endpoint.name, now).is_some())
         .collect();
     let index = context.tables.rotation.lock().advance(candidates.len());
     let Some(chosen) = index.and_then(|index| candidates.get(index)) else {
-        let detail = format!("pool {} has no endpoint in service", call.pool);
-        return Err(failure::CallFailure::new(types::ProblemKind::Unavailable, detail));
+        let detail = format!("this node owns no endpoint of pool {} in service", call.pool);
+        return Err(failure::CallFailure::new(types::ProblemKind::NotOwner, detail));
     };
     Ok((*chosen).clone())
 }
--- a/crates/comfreyspread/src/owners.rs
+++ b/crates/comfreyspread/src/owners.rs
@@ -1,8 +1,9 @@
 //! Owners that could take a call.
 
 use crate::{context, failure};
-use comfreyspread_policy::routing;
-use comfreyspread_schema::types;
+use comfreyspread_policy::{catalog, membership, rendezvous, routing};
+use comfreyspread_schema::{ids, types};
+use indexmap::IndexMap;
 use std::net;
 
 /// Returns the owners of endpoints in service that could take `call`.
@@ -13,16 +14,20 @@
     let catalog = context.tables.catalog();
     let Some(pool) = catalog.pool(&call.pool) else { return Vec::new() };
     let in_service = |name| catalog.endpoint(name).filter(|entry| catalog.in_service(entry));
-    let endpoints = pool.endpoints().iter().filter_map(in_service).count();
-    if endpoints == 0 {
-        return Vec::new();
+    let endpoints: Vec<_> = pool.endpoints().iter().filter_map(in_service).collect();
+    let affine = affine_endpoint(call, &endpoints);
+    let mut found = IndexMap::<ids::NodeId, routing::OwnerCandidate>::new();
+    let members = context.tables.members.lock();
+    let ownership = context.tables.ownership.lock();
+    for endpoint in endpoints {
+        let Some(node) = ownership.owner_of(&endpoint.name) else { continue };
+        let distance = distance(context, &members, &catalog, endpoint, &node);
+        let empty = routing::OwnerCandidate { node, distance, endpoints: 0, affine: false };
+        let entry = found.entry(empty.node.clone()).or_insert(empty);
+        entry.endpoints += 1;
+        entry.affine |= affine.as_ref() == Some(&endpoint.name);
     }
-    vec![routing::OwnerCandidate {
-        node: context.settings.node.clone(),
-        distance: routing::RouteDistance::Local,
-        endpoints: u32::try_from(endpoints).unwrap_or(u32::MAX),
-        affine: false,
-    }]
+    found.into_values().collect()
 }
 
 /// Returns the address of an owner; none if it is this node.
@@ -31,12 +36,52 @@
 ///
 /// Fails if the owner's address is not known.
 pub fn address(
-    _context: &context::NodeContext,
+    context: &context::NodeContext,
     owner: &routing::OwnerCandidate,
 ) -> Result<Option<net::SocketAddr>, failure::CallFailure> {
-    if owner.distance == routing::RouteDistance::Local {
+    if owner.node == context.settings.node {
         return Ok(None);
     }
-    let detail = format!("the address of node {} is not known", owner.node);
-    Err(failure::CallFailure::new(types::ProblemKind::Unavailable, detail))
+    let address = context.tables.members.lock().address_of(&owner.node);
+    address.map(Some).ok_or_else(|| {
+        let detail = format!("the address of node {} is not known", owner.node);
+        failure::CallFailure::new(types::ProblemKind::NotOwner, detail)
+    })
+}
+
+/// Returns the endpoint whose cache the call's prefix belongs to.
+fn affine_endpoint(
+    call: &types::StageCall,
+    endpoints: &[&types::EndpointDeclaration],
+) -> Option<ids::EndpointId> {
+    if call.prefix == 0 {
+        return None;
+    }
+    let score = |endpoint: &&&types::EndpointDeclaration| {
+        rendezvous::prefix_score(call.prefix, &endpoint.name)
+    };
+    endpoints.iter().max_by_key(score).map(|endpoint| endpoint.name.clone())
+}
+
+/// Distance to the endpoint by way of its owner: the farther of the two counts.
+fn distance(
+    context: &context::NodeContext,
+    members: &membership::MemberTable,
+    catalog: &catalog::ConfigurationCatalog,
+    endpoint: &types::EndpointDeclaration,
+    owner: &ids::NodeId,
+) -> routing::RouteDistance {
+    let settings = &context.settings;
+    let home = catalog.region(&endpoint.zone).is_none_or(|region| *region == settings.region);
+    if !home {
+        return routing::RouteDistance::Remote;
+    }
+    if *owner == settings.node {
+        return routing::RouteDistance::Local;
+    }
+    match members.entry(owner).map(membership::MemberEntry::record) {
+        Some(record) if record.region != settings.region => routing::RouteDistance::Remote,
+        Some(record) if record.zone == settings.zone => routing::RouteDistance::Zone,
+        _ => routing::RouteDistance::Region,
+    }
 }
