Schedule each pool at its owner with exact limits

Cause: the thin path sends each call at once to the next endpoint by turns, so a flood overloads endpoints in cold start: nothing counts the calls in flight. Ruled out: the stand-in's own counting (each call is counted once, and a run with one call at a time shows no overshoot).

Change: a scheduler for each pool (policy schedule.rs) with one queue over its endpoints, the life cycle of an endpoint as typestate, an exact limit that stays at the cold limit until the endpoint counts as warm, a circuit breaker and ejection of slow endpoints. The node waits by event for a place, and a dropped call is withdrawn or given up on. The rotation is removed.

--- a/crates/comfreyspread-lab/src/deployment.rs
+++ b/crates/comfreyspread-lab/src/deployment.rs
@@ -125,6 +125,9 @@
             file,
         };
         deployment.wait_for(platform_address, "/v1/vms").await?;
+        if let Some(last) = deployment.declarations.endpoints.last() {
+            deployment.wait_for(last.address, "/v1/status").await?;
+        }
         let mut plans = plan_nodes(places, &addresses[count + 1..], platform_address);
         deployment.place_relay(&mut plans).await?;
         deployment.start_nodes(&plans)?;
--- a/crates/comfreyspread-lab/tests/common/mod.rs
+++ b/crates/comfreyspread-lab/tests/common/mod.rs
@@ -1,12 +1,75 @@
 //! Small deployments for tests that run separate processes.
 #![allow(dead_code, reason = "each test file uses a part")]
 
-use comfreyspread_lab::{caller, deployment};
-use comfreyspread_schema::types as wire;
-use std::{future, path};
+use comfreyspread::{failure, header, http_client};
+use comfreyspread_lab::{caller, deployment, types};
+use comfreyspread_schema::{ids, types as wire};
+use futures_util::future as futures;
+use std::{future, path, time};
 
 const SAMPLE: &str = include_str!("../../samples/quickstart.json");
 
+/// What a caller sees of an answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AnswerSummary {
+    /// HTTP status; zero if there was no whole answer.
+    pub status: u16,
+    /// Verdict, if given.
+    pub verdict: Option<String>,
+    /// When a retry may pass, in seconds, if given.
+    pub retry_after: Option<u64>,
+    /// Request id, if given.
+    pub request: Option<String>,
+}
+
+/// Returns what a caller sees of an answer.
+pub fn summary(answer: Result<http_client::ClientAnswer, failure::CallFailure>) -> AnswerSummary {
+    let Ok(answer) = answer else {
+        return AnswerSummary { status: 0, verdict: None, retry_after: None, request: None };
+    };
+    AnswerSummary {
+        status: answer.status(),
+        verdict: answer.header(header::VERDICT).map(str::to_owned),
+        retry_after: answer.header("retry-after").and_then(|value| value.parse().ok()),
+        request: answer.header(header::REQUEST).map(str::to_owned),
+    }
+}
+
+/// Makes `count` calls at once through the first node.
+pub async fn flood(
+    deployment: &deployment::TestDeployment,
+    call: &caller::CallerRequest,
+    count: usize,
+) -> Vec<AnswerSummary> {
+    let address = deployment.nodes[0].caller_address;
+    let calls = (0..count).map(|_| deployment.caller.call(address, call));
+    futures::join_all(calls).await.into_iter().map(summary).collect()
+}
+
+/// Returns the endpoints of the sample's ledger.
+pub fn ledger_endpoints(
+    deployment: &deployment::TestDeployment,
+) -> impl Iterator<Item = ids::EndpointId> {
+    let endpoints = deployment.declarations.endpoints.iter();
+    endpoints.filter(|entry| &*entry.pool == "ledger").map(|entry| entry.name.clone())
+}
+
+/// Returns faults that change nothing at an endpoint.
+pub fn no_faults(endpoint: &ids::EndpointId) -> types::EndpointFaults {
+    types::EndpointFaults {
+        delay: time::Duration::ZERO,
+        down: false,
+        endpoint: endpoint.clone(),
+        poison: None,
+        turn_cold: false,
+    }
+}
+
+/// Returns the most calls beyond its limit that any endpoint had.
+pub fn most_overshoot(records: &types::CallRecords) -> u32 {
+    records.records.iter().map(|record| record.overshoot).max().unwrap_or(0)
+}
+
 /// Runs an asynchronous test.
 pub fn run<Test>(test: Test)
 where
@@ -72,3 +135,14 @@
         body: r#"{"seller":"s-17","grams":12}"#.into(),
     }
 }
+
+/// Returns a call of the sample's repeatable service.
+pub fn read_call() -> caller::CallerRequest {
+    caller::CallerRequest {
+        path: "/v1/services/ledger-read".into(),
+        workspace: "bogota".into(),
+        profile: "lookup".into(),
+        key: None,
+        body: r#"{"seller":"s-17"}"#.into(),
+    }
+}
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -14,12 +14,20 @@
 //! ```
 
 pub mod attempt;
+pub mod breaker;
 pub mod catalog;
+pub mod choice;
+pub mod latency;
 pub mod life;
+pub mod lifecycle;
+pub mod limit;
 pub mod link;
+pub mod outlier;
+pub mod queue;
+pub mod replica;
 pub mod retry;
-pub mod rotation;
 pub mod routing;
+pub mod schedule;
 pub mod stream;
 pub mod suspect;
 pub mod timing;
--- /dev/null
+++ b/crates/comfreyspread-policy/src/queue.rs
@@ -0,0 +1,294 @@
+//! Queue of the calls that wait for an endpoint of one pool.
+//!
+//! Between priorities the higher one goes first, but a lower one that was passed over a stated
+//! number of times in a row goes next, so it is delayed and never starved. Within a priority,
+//! workspaces share by weight (stride scheduling): each turn goes to the workspace that has had the
+//! least for its weight, so a flood of one workspace does not hold up the others. Within a
+//! workspace the call that must start soonest goes first, and a call that can no longer make its
+//! deadline is handed back instead of being sent.
+
+use comfreyspread_schema::{ids, types};
+use indexmap::IndexMap;
+use std::{collections::VecDeque, time};
+
+/// Turns in a row after which a waiting lower priority goes next.
+pub const TURNS_PASSED_OVER: u32 = 16;
+const LEVELS: usize = 3;
+const STRIDE: u64 = 1 << 20;
+const CALLS_TRIED_PER_WORKSPACE: usize = 4;
+
+/// A call that waits.
+#[derive(Clone, Debug)]
+pub struct QueuedCall {
+    /// Number of the call in its queue.
+    pub ticket: ids::TicketId,
+    /// Workspace that it counts against.
+    pub workspace: ids::WorkspaceId,
+    /// Share of the workspace among those of one priority.
+    pub weight: u32,
+    /// Priority.
+    pub priority: types::PriorityLevel,
+    /// Last moment at which it is of use to start the call.
+    pub latest_start: time::Instant,
+    /// Preferred endpoint.
+    pub endpoint: Option<ids::EndpointId>,
+    /// Endpoints that failed the call before.
+    pub avoid: Vec<ids::EndpointId>,
+    /// Whether the call must run with no other call beside it.
+    pub alone: bool,
+    /// Hash of the prompt prefix; zero if there is none.
+    pub prefix: ids::PrefixHash,
+    /// Memory the call takes while it waits.
+    pub bytes: usize,
+}
+
+/// Where a call waits.
+#[derive(Clone, Debug)]
+struct QueuePlace {
+    level: usize,
+    workspace: ids::WorkspaceId,
+    latest_start: time::Instant,
+}
+
+/// The calls of one workspace at one priority, soonest latest start first.
+#[derive(Debug, Default)]
+struct WorkspaceQueue {
+    weight: u64,
+    pass: u64,
+    calls: VecDeque<QueuedCall>,
+}
+
+/// The calls of one priority.
+#[derive(Debug, Default)]
+struct LevelQueue {
+    workspaces: IndexMap<ids::WorkspaceId, WorkspaceQueue>,
+    virtual_time: u64,
+    weight: u64,
+    waiting: usize,
+    passed_over: u32,
+}
+
+/// Calls that wait, by priority and workspace.
+#[derive(Debug)]
+pub struct CallQueue {
+    levels: [LevelQueue; LEVELS],
+    places: IndexMap<ids::TicketId, QueuePlace>,
+    bytes: usize,
+    bytes_limit: usize,
+}
+
+/// A call taken from the queue.
+#[derive(Debug)]
+pub enum TakenCall<Choice> {
+    /// The call can start, with the choice made for it.
+    Ready(QueuedCall, Choice),
+    /// The call can no longer make its deadline.
+    Late(QueuedCall),
+}
+
+impl CallQueue {
+    /// Creates an empty queue that holds calls of up to `bytes_limit` bytes.
+    pub fn new(bytes_limit: usize) -> Self {
+        Self { levels: Default::default(), places: IndexMap::new(), bytes: 0, bytes_limit }
+    }
+
+    /// Returns the number of calls waiting.
+    pub fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    /// Whether no call waits.
+    pub fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+
+    /// Returns how many calls would start before a new one of `workspace` with `weight`.
+    ///
+    /// Calls of a higher priority all count. Of the same priority, those of the workspace itself
+    /// count, and for each of them the others' calls in proportion to their weights.
+    pub fn calls_ahead(
+        &self,
+        workspace: &ids::WorkspaceId,
+        weight: u32,
+        priority: types::PriorityLevel,
+    ) -> usize {
+        let index = level_index(priority);
+        let higher: usize = self.levels[..index].iter().map(|level| level.waiting).sum();
+        let level = &self.levels[index];
+        let queue = level.workspaces.get(workspace);
+        let own = queue.map_or(0, |queue| queue.calls.len());
+        let weight = u64::from(weight.max(1));
+        let others = if own > 0 { level.weight.saturating_sub(weight) } else { level.weight };
+        let turns = u64::try_from(own + 1).unwrap_or(u64::MAX);
+        let others = usize::try_from(turns.saturating_mul(others) / weight).unwrap_or(usize::MAX);
+        higher + own.saturating_add(others).min(level.waiting)
+    }
+
+    /// Adds a call; hands it back if there is no memory for it.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the call itself.
+    pub fn push(&mut self, call: QueuedCall) -> Result<(), Box<QueuedCall>> {
+        if self.bytes.saturating_add(call.bytes) > self.bytes_limit {
+            return Err(Box::new(call));
+        }
+        let index = level_index(call.priority);
+        let place = QueuePlace {
+            level: index,
+            workspace: call.workspace.clone(),
+            latest_start: call.latest_start,
+        };
+        self.bytes += call.bytes;
+        self.places.insert(call.ticket, place);
+        self.levels[index].push(call);
+        Ok(())
+    }
+
+    /// Takes a call out; none if it no longer waits.
+    pub fn withdraw(&mut self, ticket: ids::TicketId) -> Option<QueuedCall> {
+        let place = self.places.swap_remove(&ticket)?;
+        let call = self.levels[place.level].withdraw(ticket, &place)?;
+        self.bytes -= call.bytes;
+        Some(call)
+    }
+
+    /// Takes all calls out.
+    pub fn drain(&mut self) -> Vec<QueuedCall> {
+        let tickets: Vec<_> = self.places.keys().copied().collect();
+        tickets.into_iter().filter_map(|ticket| self.withdraw(ticket)).collect()
+    }
+
+    /// Takes the next call that is late or that `choose` finds an endpoint for.
+    pub fn take<Choice>(
+        &mut self,
+        now: time::Instant,
+        mut choose: impl FnMut(&QueuedCall) -> Option<Choice>,
+    ) -> Option<TakenCall<Choice>> {
+        for index in self.level_order() {
+            let Some(taken) = self.levels[index].take(now, &mut choose) else { continue };
+            let (TakenCall::Ready(call, _) | TakenCall::Late(call)) = &taken;
+            self.places.swap_remove(&call.ticket);
+            self.bytes -= call.bytes;
+            if matches!(taken, TakenCall::Ready(..)) {
+                self.count_turn(index);
+            }
+            return Some(taken);
+        }
+        None
+    }
+
+    /// Returns the levels in the order of this turn.
+    fn level_order(&self) -> impl Iterator<Item = usize> + use<> {
+        let mut order: [usize; LEVELS] = std::array::from_fn(|index| index);
+        let overdue = |index: &usize| {
+            let level = &self.levels[*index];
+            level.waiting > 0 && level.passed_over >= TURNS_PASSED_OVER
+        };
+        order.sort_by_key(|index| !overdue(index));
+        order.into_iter()
+    }
+
+    fn count_turn(&mut self, served: usize) {
+        for (index, level) in self.levels.iter_mut().enumerate() {
+            if index == served || level.waiting == 0 {
+                level.passed_over = 0;
+            } else {
+                level.passed_over = level.passed_over.saturating_add(1);
+            }
+        }
+    }
+}
+
+impl LevelQueue {
+    fn push(&mut self, call: QueuedCall) {
+        let queue = self.workspaces.entry(call.workspace.clone()).or_default();
+        if queue.calls.is_empty() {
+            queue.pass = queue.pass.max(self.virtual_time);
+            queue.weight = u64::from(call.weight.max(1));
+            self.weight += queue.weight;
+        }
+        let key = (call.latest_start, call.ticket);
+        let index = queue.calls.partition_point(|other| (other.latest_start, other.ticket) < key);
+        queue.calls.insert(index, call);
+        self.waiting += 1;
+    }
+
+    fn withdraw(&mut self, ticket: ids::TicketId, place: &QueuePlace) -> Option<QueuedCall> {
+        let index = self.workspaces.get_index_of(&place.workspace)?;
+        let key = (place.latest_start, ticket);
+        let calls = &self.workspaces[index].calls;
+        let position =
+            calls.binary_search_by(|call| (call.latest_start, call.ticket).cmp(&key)).ok()?;
+        self.remove(index, position)
+    }
+
+    fn take<Choice>(
+        &mut self,
+        now: time::Instant,
+        choose: &mut impl FnMut(&QueuedCall) -> Option<Choice>,
+    ) -> Option<TakenCall<Choice>> {
+        if self.waiting == 0 {
+            return None;
+        }
+        let first = self.first_workspace()?;
+        if let Some(taken) = self.take_from(first, now, choose) {
+            return Some(taken);
+        }
+        let mut others: Vec<_> = self.waiting_workspaces().filter(|(_, at)| *at != first).collect();
+        others.sort_unstable();
+        others.into_iter().find_map(|(_, index)| self.take_from(index, now, choose))
+    }
+
+    fn take_from<Choice>(
+        &mut self,
+        index: usize,
+        now: time::Instant,
+        choose: &mut impl FnMut(&QueuedCall) -> Option<Choice>,
+    ) -> Option<TakenCall<Choice>> {
+        let calls = &self.workspaces[index].calls;
+        if calls.front().is_some_and(|call| call.latest_start < now) {
+            return self.remove(index, 0).map(TakenCall::Late);
+        }
+        let tried = calls.iter().take(CALLS_TRIED_PER_WORKSPACE).enumerate();
+        let (position, choice) =
+            tried.into_iter().find_map(|(position, call)| Some((position, choose(call)?)))?;
+        self.virtual_time = self.virtual_time.max(self.workspaces[index].pass);
+        let call = self.remove(index, position)?;
+        let pass = STRIDE / u64::from(call.weight.max(1));
+        let queue = self.workspaces.entry(call.workspace.clone()).or_default();
+        queue.pass = queue.pass.max(self.virtual_time) + pass;
+        Some(TakenCall::Ready(call, choice))
+    }
+
+    /// Removes a call; a workspace without calls is kept until its turn would have come.
+    fn remove(&mut self, index: usize, position: usize) -> Option<QueuedCall> {
+        let (_, queue) = self.workspaces.get_index_mut(index)?;
+        let call = queue.calls.remove(position)?;
+        self.waiting -= 1;
+        if queue.calls.is_empty() {
+            self.weight -= queue.weight;
+            let past = self.virtual_time;
+            self.workspaces.retain(|_, queue| !queue.calls.is_empty() || queue.pass > past);
+        }
+        Some(call)
+    }
+
+    fn first_workspace(&self) -> Option<usize> {
+        self.waiting_workspaces().min().map(|(_, index)| index)
+    }
+
+    fn waiting_workspaces(&self) -> impl Iterator<Item = (u64, usize)> {
+        let queues = self.workspaces.values().enumerate();
+        let waiting = queues.filter(|(_, queue)| !queue.calls.is_empty());
+        waiting.map(|(index, queue)| (queue.pass, index))
+    }
+}
+
+fn level_index(priority: types::PriorityLevel) -> usize {
+    match priority {
+        types::PriorityLevel::High => 0,
+        types::PriorityLevel::Normal => 1,
+        types::PriorityLevel::Low => 2,
+    }
+}
--- a/crates/comfreyspread/src/configuration.rs
+++ b/crates/comfreyspread/src/configuration.rs
@@ -42,4 +42,5 @@
     }
     log::info!(revision = document.revision; "configuration: in force");
     *current = sync::Arc::new(catalog::ConfigurationCatalog::new(document));
+    context.tables.changed.notify(usize::MAX);
 }
--- a/crates/comfreyspread/src/dump.rs
+++ b/crates/comfreyspread/src/dump.rs
@@ -1,6 +1,6 @@
 //! Dump of the whole state of a process, on request.
 
-use crate::context;
+use crate::{context, pool_changes};
 use comfreyspread_schema::types;
 
 /// Collects the state of the process.
@@ -9,11 +9,11 @@
     types::NodeDump {
         change: catalog.change().clone(),
         claims: Vec::new(),
-        endpoints: Vec::new(),
+        endpoints: pool_changes::endpoint_states(context),
         members: Vec::new(),
         node: context.settings.node.clone(),
         phase: context.tables.phase(),
-        pools: Vec::new(),
+        pools: context.tables.pools.lock().hints(),
         requests: context.active_requests(),
         revision: catalog.revision(),
         start: context.start,
--- a/crates/comfreyspread/src/endpoint.rs
+++ b/crates/comfreyspread/src/endpoint.rs
@@ -4,7 +4,7 @@
 //! else is dropped, so an answer can never be handed to another request.
 
 use crate::{context, failure, header, http_client};
-use comfreyspread_policy::attempt;
+use comfreyspread_policy::{attempt, lifecycle};
 use comfreyspread_schema::{ids, types};
 use http_types::{Method, Request, Response};
 use std::{net, sync, time};
@@ -25,15 +25,6 @@
     pub deadline: time::Instant,
 }
 
-/// What an endpoint says of itself with each answer.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct EndpointSigns {
-    /// Start id, if given.
-    pub start: Option<ids::StartId>,
-    /// Whether it reports itself in cold start.
-    pub cold: bool,
-}
-
 /// Whole answer of an endpoint.
 #[derive(Clone, Debug)]
 pub struct EndpointAnswer {
@@ -42,7 +33,7 @@
     /// Body.
     pub body: ids::Payload,
     /// What the endpoint says of itself.
-    pub signs: EndpointSigns,
+    pub signs: lifecycle::EndpointSigns,
 }
 
 /// An answer whose tokens are still to come.
@@ -51,7 +42,7 @@
     /// Head and body of the answer.
     pub response: Response,
     /// What the endpoint says of itself.
-    pub signs: EndpointSigns,
+    pub signs: lifecycle::EndpointSigns,
 }
 
 impl EndpointCall {
@@ -82,10 +73,7 @@
         };
         self.check(&echo, answer.status(), answer.header(header::VERDICT))?;
         context.metrics.count_attempt(sent.answer().verdict());
-        let signs = EndpointSigns {
-            start: answer.header(header::ENGINE_START).and_then(|value| value.parse().ok()),
-            cold: answer.header(header::ENGINE_COLD) == Some("true"),
-        };
+        let signs = signs(|name| answer.header(name));
         Ok(EndpointAnswer { status: answer.status(), body: answer.body().clone(), signs })
     }
 
@@ -104,10 +92,7 @@
         let value = |name: &str| response.header(name).map(|values| values.as_str());
         let echo = Echo { request: value(header::REQUEST), attempt: value(header::ATTEMPT) };
         self.check(&echo, response.status().into(), value(header::VERDICT))?;
-        let signs = EndpointSigns {
-            start: value(header::ENGINE_START).and_then(|value| value.parse().ok()),
-            cold: value(header::ENGINE_COLD) == Some("true"),
-        };
+        let signs = signs(value);
         Ok(EndpointStream { response, signs })
     }
 
@@ -169,6 +154,14 @@
     attempt: Option<&'answer str>,
 }
 
+/// Reads what an endpoint says of itself.
+fn signs<'answer>(value: impl Fn(&str) -> Option<&'answer str>) -> lifecycle::EndpointSigns {
+    lifecycle::EndpointSigns {
+        start: value(header::ENGINE_START).and_then(|text| text.parse().ok()),
+        cold: value(header::ENGINE_COLD).and_then(|text| text.parse().ok()),
+    }
+}
+
 fn failed(detail: &str) -> failure::CallFailure {
     failure::CallFailure::new(types::ProblemKind::EndpointFailed, detail)
         .with_verdict(types::CallVerdict::MayHaveRun)
--- a/crates/comfreyspread/src/front.rs
+++ b/crates/comfreyspread/src/front.rs
@@ -35,6 +35,7 @@
             (Method::Get, "/healthz") => text(StatusCode::Ok, "ok\n"),
             (Method::Get, "/readyz") => self.readiness(),
             (Method::Get, "/metrics") => {
+                self.context.metrics.pools.observe_pools(&self.context.tables.pools.lock());
                 let mut response = text(StatusCode::Ok, &self.context.metrics.text());
                 response.insert_header("content-type", METRICS_MEDIA_TYPE);
                 response
--- a/crates/comfreyspread/src/metrics.rs
+++ b/crates/comfreyspread/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of a process, in the Prometheus text format.
 
+use crate::pool_metrics;
 use comfreyspread_schema::types;
 use prometheus_client::{encoding, encoding::text, metrics, registry};
 use std::{fmt, time};
@@ -29,6 +30,8 @@
     requests: VerdictFamily,
     request_seconds: metrics::histogram::Histogram,
     attempts: VerdictFamily,
+    /// Metrics of queues, limits and endpoints.
+    pub pools: pool_metrics::PoolMetrics,
 }
 
 impl NodeMetrics {
@@ -42,7 +45,8 @@
         let help = "Time from arrival to the whole answer";
         registry.register("request_seconds", help, request_seconds.clone());
         registry.register("attempts", "Attempts at endpoints by verdict", attempts.clone());
-        Self { registry, requests, request_seconds, attempts }
+        let pools = pool_metrics::PoolMetrics::new(&mut registry);
+        Self { registry, requests, request_seconds, attempts, pools }
     }
 
     /// Counts a caller request that ended.
--- a/crates/comfreyspread/src/node.rs
+++ b/crates/comfreyspread/src/node.rs
@@ -1,6 +1,6 @@
 //! The node process: start, serve, drain, stop.
 
-use crate::{configuration, context, front, http_server, peer, settings, worker};
+use crate::{configuration, context, front, http_server, peer, pool_changes, settings, worker};
 use async_signal::{Signal, Signals};
 use comfreyspread_policy::life;
 use comfreyspread_schema::types;
@@ -32,6 +32,7 @@
     let mut signals = Signals::new([Signal::Int, Signal::Term]).into_diagnostic()?;
     let closer = start_front(&context).await?;
     let peers = start_peers(&context).await?;
+    context.spawner.detach(pool_changes::follow(context.clone()));
     context.spawner.detach(configuration::poll(context.clone()));
     let starting = life::NodeLife::new();
     log::info!(node = context.settings.node.as_ref(); "node: started");
--- a/crates/comfreyspread/src/owner.rs
+++ b/crates/comfreyspread/src/owner.rs
@@ -1,33 +1,36 @@
-//! The owner's side of a call: choice of an endpoint, limit and attempt.
+//! Serving calls as the owner of their pool's endpoints.
+//!
+//! A call waits in the queue of its pool, takes a place at an endpoint, is sent, and its outcome
+//! goes back to the scheduler with the reply.
 
-use crate::{context, endpoint, failure, frames};
-use comfreyspread_policy::{attempt, stream};
+use crate::{context, endpoint, failure, frames, placement};
+use comfreyspread_policy::stream;
 use comfreyspread_schema::{ids, types};
+use futures_lite::FutureExt as _;
 use std::{sync, time};
 
-/// Runs a call at an endpoint of its pool and returns the reply for the ingress node.
+/// Serves a call at an endpoint of its pool that this node owns.
+///
+/// If the future is dropped, a call that waits is withdrawn. One that was sent is cancelled by
+/// closing its connection if it is idempotent, and runs on otherwise.
 pub async fn serve_call(
     context: &sync::Arc<context::NodeContext>,
     call: types::StageCall,
     deadline: time::Instant,
 ) -> types::StageReply {
-    let call = sync::Arc::new(call);
-    let planned = attempt::CallAttempt::new(call.attempt);
-    let chosen = match choose(context, &call) {
-        Ok(chosen) => chosen,
-        Err(failure) => return reply(context, &call, None, failure.into_outcome()),
-    };
-    let sending = endpoint_call(&chosen, &call, deadline);
-    let outcome = match sending.send(context, planned).await {
-        Ok(answer) => types::StageOutcome::Answered { body: answer.body, status: answer.status },
-        Err(failure) => failure.into_outcome(),
+    let mut draft = ReplyDraft::new(&call);
+    let placed = placement::PlacedCall::new(context, call, deadline).await;
+    let answer = draft.note(placed);
+    let answer = match answer {
+        Ok(placed) => placed.send(context).await,
+        Err(failure) => Err(failure),
     };
-    reply(context, &call, Some(chosen.name), outcome)
+    draft.finish(context, answer.map_or_else(failure::CallFailure::into_outcome, outcome))
 }
 
 /// Starts a call whose answer is streamed and returns its frames.
 ///
-/// The call is cancelled at the endpoint when the receiver is dropped.
+/// The call is withdrawn, or cancelled at the endpoint, when the receiver is dropped.
 pub fn start_stream(
     context: &sync::Arc<context::NodeContext>,
     call: types::StageCall,
@@ -47,94 +50,74 @@
     deadline: time::Instant,
     sender: &frames::FrameSender,
 ) {
-    let call = sync::Arc::new(call);
+    let mut draft = ReplyDraft::new(&call);
     let mut cursor = stream::StreamCursor::new().with_offset(call.offset);
-    let chosen = choose(context, &call);
-    let name = chosen.as_ref().ok().map(|chosen| chosen.name.clone());
-    let streamed = match chosen {
-        Ok(chosen) => {
-            let sending = endpoint_call(&chosen, &call, deadline);
-            relay(context, &sending, &mut cursor, sender).await
-        }
+    let gone = async {
+        sender.closed().await;
+        Err(frames::abandoned().with_verdict(types::CallVerdict::NotRun))
+    };
+    let placed = placement::PlacedCall::new(context, call, deadline).or(gone).await;
+    let streamed = match draft.note(placed) {
+        Ok(placed) => placed.relay(context, &mut cursor, sender).await,
         Err(failure) => Err(failure),
     };
     let outcome = match streamed {
         Ok(status) => types::StageOutcome::Answered { body: ids::Payload::new(), status },
         Err(failure) => failure.into_outcome(),
     };
-    let reply = reply(context, &call, name, outcome);
+    let reply = draft.finish(context, outcome);
     sender.send(types::StageFrame::Finished { reply, tokens: cursor.offset() }).await.ok();
 }
 
-/// Passes the tokens of an endpoint on until the explicit end and returns the HTTP status.
-async fn relay(
-    context: &context::NodeContext,
-    sending: &endpoint::EndpointCall,
-    cursor: &mut stream::StreamCursor,
-    sender: &frames::FrameSender,
-) -> Result<u16, failure::CallFailure> {
-    let planned = attempt::CallAttempt::new(sending.call.attempt);
-    let mut opened = sending.open(context, planned).await?;
-    let mut events = frames::EngineEvents::new(&mut opened.response);
-    loop {
-        let event = frames::next_event(&mut events, sender, sending.deadline).await?;
-        match event {
-            frames::EngineEvent::Run(run) => {
-                let action = cursor.accept(&run).map_err(frames::broken)?;
-                if action == stream::RunAction::Deliver {
-                    let sent = sender.send(types::StageFrame::Token { run }).await;
-                    sent.map_err(|_| frames::abandoned())?;
-                }
-            }
-            frames::EngineEvent::End(end) => {
-                cursor.finish(&end).map_err(frames::broken)?;
-                return Ok(opened.response.status().into());
-            }
+/// A reply, as far as it is known.
+struct ReplyDraft {
+    attempt: ids::AttemptId,
+    endpoint: Option<ids::EndpointId>,
+    pool: ids::PoolId,
+    request: ids::RequestId,
+    arrived: time::Instant,
+    waited: time::Duration,
+}
+
+impl ReplyDraft {
+    fn new(call: &types::StageCall) -> Self {
+        Self {
+            attempt: call.attempt,
+            endpoint: None,
+            pool: call.pool.clone(),
+            request: call.request.clone(),
+            arrived: time::Instant::now(),
+            waited: time::Duration::ZERO,
         }
     }
-}
 
-fn endpoint_call(
-    chosen: &types::EndpointDeclaration,
-    call: &sync::Arc<types::StageCall>,
-    deadline: time::Instant,
-) -> endpoint::EndpointCall {
-    endpoint::EndpointCall { address: chosen.address, fence: 0, call: call.clone(), deadline }
-}
+    /// Notes how long the call waited and for which endpoint.
+    fn note(
+        &mut self,
+        placed: Result<placement::PlacedCall, failure::CallFailure>,
+    ) -> Result<placement::PlacedCall, failure::CallFailure> {
+        self.waited = self.arrived.elapsed();
+        self.endpoint = placed.as_ref().ok().map(|placed| placed.endpoint().clone());
+        placed
+    }
 
-fn reply(
-    context: &context::NodeContext,
-    call: &types::StageCall,
-    endpoint: Option<ids::EndpointId>,
-    outcome: types::StageOutcome,
-) -> types::StageReply {
-    types::StageReply {
-        attempt: call.attempt,
-        endpoint,
-        header: context.peer_header(),
-        hint: types::PoolHint { limit: 0, pool: call.pool.clone(), queued: 0, running: 0 },
-        outcome,
-        request: call.request.clone(),
-        waited: time::Duration::ZERO,
+    fn finish(
+        self,
+        context: &context::NodeContext,
+        outcome: types::StageOutcome,
+    ) -> types::StageReply {
+        types::StageReply {
+            attempt: self.attempt,
+            endpoint: self.endpoint,
+            header: context.peer_header(),
+            hint: context.tables.pools.lock().hint(&self.pool),
+            outcome,
+            request: self.request,
+            waited: self.waited,
+        }
     }
 }
 
-fn choose(
-    context: &context::NodeContext,
-    call: &types::StageCall,
-) -> Result<types::EndpointDeclaration, failure::CallFailure> {
-    let catalog = context.tables.catalog();
-    let pool = catalog.pool(&call.pool);
-    let names = pool.map(|pool| pool.endpoints()).unwrap_or_default();
-    let candidates: Vec<_> = names
-        .iter()
-        .filter_map(|name| catalog.endpoint(name))
-        .filter(|endpoint| catalog.in_service(endpoint))
-        .collect();
-    let index = context.tables.rotation.lock().advance(candidates.len());
-    let Some(chosen) = index.and_then(|index| candidates.get(index)) else {
-        let detail = format!("pool {} has no endpoint in service", call.pool);
-        return Err(failure::CallFailure::new(types::ProblemKind::Unavailable, detail));
-    };
-    Ok((*chosen).clone())
+fn outcome(answer: endpoint::EndpointAnswer) -> types::StageOutcome {
+    types::StageOutcome::Answered { body: answer.body, status: answer.status }
 }
--- /dev/null
+++ b/crates/comfreyspread/src/pools.rs
@@ -0,0 +1,178 @@
+//! Schedulers of all pools with the calls that wait for them.
+//!
+//! What a scheduler decides for a waiting call is handed to the task that waits.
+
+use comfreyspread_policy::{replica, schedule};
+use comfreyspread_schema::{ids, types};
+use indexmap::{IndexMap, IndexSet};
+use std::time;
+
+/// What became of a call that waited.
+#[derive(Clone, Debug, PartialEq)]
+pub enum WaitOutcome {
+    /// A place at the endpoint is held for it.
+    Started(ids::EndpointId),
+    /// It is refused.
+    Refused(schedule::CallRefusal),
+}
+
+/// A call in the queue, as the task that waits for it sees it.
+#[derive(Debug)]
+pub struct QueuedWait {
+    /// Place in the queue.
+    pub ticket: schedule::QueueTicket,
+    /// Receives what became of the call.
+    pub outcome: async_channel::Receiver<WaitOutcome>,
+}
+
+/// Schedulers of all pools.
+#[derive(Debug, Default)]
+pub struct PoolTable {
+    pools: IndexMap<ids::PoolId, PoolEntry>,
+}
+
+/// Scheduler of one pool and the tasks that wait for it.
+#[derive(Debug)]
+pub struct PoolEntry {
+    scheduler: schedule::PoolScheduler,
+    waiting: IndexMap<ids::TicketId, async_channel::Sender<WaitOutcome>>,
+    wakes: Option<time::Instant>,
+}
+
+impl PoolTable {
+    /// Creates a table without pools.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Whether a pool has a scheduler.
+    pub fn contains(&self, pool: &ids::PoolId) -> bool {
+        self.pools.contains_key(pool)
+    }
+
+    /// Returns the entry of a pool for changes.
+    pub fn get_mut(&mut self, pool: &ids::PoolId) -> Option<&mut PoolEntry> {
+        self.pools.get_mut(pool)
+    }
+
+    /// Returns the entries of all pools.
+    pub fn entries(&self) -> impl Iterator<Item = (&ids::PoolId, &PoolEntry)> {
+        self.pools.iter()
+    }
+
+    /// Returns the load of one pool; nothing at all if it has no scheduler here.
+    pub fn hint(&self, pool: &ids::PoolId) -> types::PoolHint {
+        let none = || types::PoolHint { limit: 0, pool: pool.clone(), queued: 0, running: 0 };
+        self.pools.get(pool).map_or_else(none, |entry| entry.scheduler.hint())
+    }
+
+    /// Returns the load of each pool.
+    pub fn hints(&self) -> Vec<types::PoolHint> {
+        self.pools.values().map(|entry| entry.scheduler.hint()).collect()
+    }
+
+    /// Follows the declaration of a pool and which of its endpoints take calls.
+    pub fn follow(
+        &mut self,
+        pool: &types::PoolDeclaration,
+        available: &IndexSet<ids::EndpointId>,
+        now: time::Instant,
+    ) {
+        let entry = self.pools.entry(pool.name.clone()).or_insert_with(|| PoolEntry {
+            scheduler: schedule::PoolScheduler::new(pool.clone()),
+            waiting: IndexMap::new(),
+            wakes: None,
+        });
+        entry.scheduler.adjust(pool);
+        entry.scheduler.retain(|endpoint| available.contains(endpoint));
+        for endpoint in available {
+            entry.scheduler.set_available(endpoint, true);
+        }
+        entry.advance(now);
+    }
+}
+
+impl PoolEntry {
+    /// Returns the scheduler.
+    pub fn scheduler(&self) -> &schedule::PoolScheduler {
+        &self.scheduler
+    }
+
+    /// Lets a call wait; call [`PoolEntry::advance`] next.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`schedule::PoolScheduler::offer`].
+    pub fn offer(
+        &mut self,
+        call: schedule::OfferedCall,
+        now: time::Instant,
+    ) -> Result<QueuedWait, schedule::CallRefusal> {
+        let ticket = self.scheduler.offer(call, now)?;
+        let (sender, outcome) = async_channel::bounded(1);
+        self.waiting.insert(ticket.ticket, sender);
+        Ok(QueuedWait { ticket, outcome })
+    }
+
+    /// Takes a call out of the queue; returns whether it still waited and will never be sent.
+    pub fn withdraw(&mut self, ticket: ids::TicketId) -> bool {
+        self.waiting.swap_remove(&ticket);
+        self.scheduler.withdraw(ticket)
+    }
+
+    /// Counts a started call as ended and starts others in its place.
+    pub fn finish(
+        &mut self,
+        ticket: ids::TicketId,
+        outcome: replica::CallOutcome,
+        now: time::Instant,
+    ) {
+        self.scheduler.finish(ticket, outcome, now);
+        self.advance(now);
+    }
+
+    /// Lets an endpoint take no new calls.
+    pub fn close(&mut self, endpoint: &ids::EndpointId, now: time::Instant) {
+        self.scheduler.set_available(endpoint, false);
+        self.advance(now);
+    }
+
+    /// Counts the calls of a former owner at an endpoint until the moment `until`.
+    pub fn inherit(&mut self, endpoint: &ids::EndpointId, calls: u32, until: time::Instant) {
+        self.scheduler.inherit(endpoint, calls, until);
+    }
+
+    /// Starts all calls that can start and hands back those that cannot any more.
+    pub fn advance(&mut self, now: time::Instant) {
+        for step in self.scheduler.flush() {
+            self.carry_out(step);
+        }
+        while let Some(step) = self.scheduler.next(now) {
+            self.carry_out(step);
+        }
+    }
+
+    /// Returns the moment for which a timer has to be set, if there is none for it yet.
+    pub fn arm(&mut self, now: time::Instant) -> Option<time::Instant> {
+        let wakes = self.scheduler.wakes(now)?;
+        if self.wakes.is_some_and(|armed| armed > now && armed <= wakes) {
+            return None;
+        }
+        self.wakes = Some(wakes);
+        Some(wakes)
+    }
+
+    fn carry_out(&mut self, step: schedule::ScheduleStep) {
+        let (ticket, outcome) = match step {
+            schedule::ScheduleStep::Start { ticket, endpoint } => {
+                (ticket, WaitOutcome::Started(endpoint))
+            }
+            schedule::ScheduleStep::Refuse { ticket, refusal } => {
+                (ticket, WaitOutcome::Refused(refusal))
+            }
+        };
+        if let Some(waiting) = self.waiting.swap_remove(&ticket) {
+            waiting.try_send(outcome).ok();
+        }
+    }
+}
--- a/crates/comfreyspread/src/tables.rs
+++ b/crates/comfreyspread/src/tables.rs
@@ -2,8 +2,8 @@
 //!
 //! Locks are taken in the order of [`rank`]: the order of the fields here.
 
-use crate::rank;
-use comfreyspread_policy::{catalog, link, retry, rotation, routing, suspect, timing};
+use crate::{pools, rank};
+use comfreyspread_policy::{catalog, link, retry, routing, suspect, timing};
 use comfreyspread_schema::types;
 use std::{sync, time};
 
@@ -15,8 +15,8 @@
     /// Configuration in force.
     pub catalog:
         rank::RankedLock<rank::ConfigurationRank, sync::Arc<catalog::ConfigurationCatalog>>,
-    /// Turns of the endpoint choice.
-    pub rotation: rank::RankedLock<rank::PoolRank, rotation::EndpointRotation>,
+    /// Queues, limits and endpoints of the pools.
+    pub pools: rank::RankedLock<rank::PoolRank, pools::PoolTable>,
     /// Load at owners, as this node knows it.
     pub hints: rank::RankedLock<rank::HintRank, routing::HintTable>,
     /// Requests that may crash endpoints.
@@ -25,6 +25,8 @@
     pub timings: rank::RankedLock<rank::TimingRank, timing::StageTimings>,
     /// Budgets of further attempts.
     pub budgets: rank::RankedLock<rank::BudgetRank, AttemptBudgets>,
+    /// Notified when the configuration or the ownership of endpoints has changed.
+    pub changed: event_listener::Event,
 }
 
 impl SharedTables {
@@ -34,11 +36,12 @@
         Self {
             phase: rank::RankedLock::new(types::NodePhase::Starting),
             catalog: rank::RankedLock::new(sync::Arc::default()),
-            rotation: rank::RankedLock::new(rotation::EndpointRotation::new()),
+            pools: rank::RankedLock::new(pools::PoolTable::new()),
             hints: rank::RankedLock::new(routing::HintTable::new()),
             suspects: rank::RankedLock::new(suspect::SuspectTable::new()),
             timings: rank::RankedLock::new(timing::StageTimings::new()),
             budgets: rank::RankedLock::new(AttemptBudgets::new(link_rate, now)),
+            changed: event_listener::Event::new(),
         }
     }
 
