--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -14,17 +14,25 @@
 //! ```
 
 pub mod attempt;
+pub mod breaker;
 pub mod catalog;
+pub mod choice;
 pub mod contact;
+pub mod latency;
 pub mod life;
+pub mod lifecycle;
+pub mod limit;
 pub mod link;
 pub mod membership;
+pub mod outlier;
 pub mod ownership;
 pub mod ownership_life;
+pub mod queue;
 pub mod rendezvous;
+pub mod replica;
 pub mod retry;
-pub mod rotation;
 pub mod routing;
+pub mod schedule;
 pub mod stream;
 pub mod suspect;
 pub mod timing;
--- a/crates/comfreyspread-policy/src/ownership.rs
+++ b/crates/comfreyspread-policy/src/ownership.rs
@@ -42,11 +42,14 @@
 /// Calls of a former owner that still run at an endpoint.
 #[derive(Clone, Debug, PartialEq)]
 pub struct InheritedLoad {
+    /// The endpoint.
+    pub endpoint: ids::EndpointId,
     /// Calls in flight; they count against the limit.
     pub running: u32,
     /// Phase of the endpoint at its former owner.
     pub phase: types::EndpointPhase,
-    until: time::Instant,
+    /// Moment after which they no longer count.
+    pub until: time::Instant,
 }
 
 /// Ownerships of one node.
@@ -132,6 +135,11 @@
         self.inherited.get(endpoint).filter(|load| now < load.until)
     }
 
+    /// Returns the calls of former owners that count against limits at `now`.
+    pub fn all_inherited(&self, now: time::Instant) -> Vec<InheritedLoad> {
+        self.inherited.values().filter(|load| now < load.until).cloned().collect()
+    }
+
     /// Returns all ownerships known to this node.
     pub fn slots(
         &self,
@@ -174,7 +182,8 @@
             let previous = former.as_ref().and_then(|ranks| ranks.get(&endpoint)?.first());
             self.step(&endpoint, previous, members, now, &mut actions);
         }
-        self.settled |= self.view.is_some() && self.owns_its_own();
+        let serving = members.local().node_phase == types::NodePhase::Serving;
+        self.settled |= serving && catalog.revision() > 0 && self.owns_its_own();
         actions.finish()
     }
 
@@ -301,7 +310,8 @@
         now: time::Instant,
     ) {
         let until = now + self.times.lapse;
-        self.inherited.insert(endpoint.clone(), InheritedLoad { running, phase, until });
+        let load = InheritedLoad { endpoint: endpoint.clone(), running, phase, until };
+        self.inherited.insert(endpoint.clone(), load);
     }
 
     fn observe_contact(&mut self, members: &membership::MemberTable, now: time::Instant) {
--- a/crates/comfreyspread/src/call_run.rs
+++ b/crates/comfreyspread/src/call_run.rs
@@ -256,7 +256,8 @@
         self.check_suspicion(ledger)
             .map_err(|poisoned| poisoned.with_verdict(failure.verdict()))?;
         log::info!(request = ledger.plan().request.as_ref(),
-            problem = failure.problem().to_string().as_str(); "call: attempt failed, trying again");
+            problem = failure.problem().to_string().as_str(), detail = failure.detail().as_ref();
+            "call: attempt failed, trying again");
         if !pause.is_zero() {
             async_io::Timer::after(pause).await;
         }
--- a/crates/comfreyspread/src/dump.rs
+++ b/crates/comfreyspread/src/dump.rs
@@ -1,6 +1,6 @@
 //! Dump of the whole state of a process, on request.
 
-use crate::context;
+use crate::{context, pool_changes};
 use comfreyspread_policy::{catalog, ownership_life};
 use comfreyspread_schema::{ids, types};
 use std::time;
@@ -15,7 +15,7 @@
         members: members(context),
         node: context.settings.node.clone(),
         phase: context.tables.phase(),
-        pools: Vec::new(),
+        pools: context.tables.pools.lock().hints(),
         requests: context.active_requests(),
         revision: catalog.revision(),
         start: context.start,
@@ -44,7 +44,20 @@
 ) -> Vec<types::EndpointState> {
     let ownership = context.tables.ownership.lock();
     let states = ownership.slots().filter_map(|(name, slot)| endpoint(catalog, name, slot));
-    states.collect()
+    let mut states: Vec<_> = states.collect();
+    drop(ownership);
+    for state in &mut states {
+        add_replica(context, state);
+    }
+    states
+}
+
+fn add_replica(context: &context::NodeContext, state: &mut types::EndpointState) {
+    let Some(replica) = pool_changes::replica_state(context, &state.endpoint) else { return };
+    state.ejected = replica.ejected;
+    state.limit = replica.limit;
+    state.phase = replica.phase;
+    state.running = replica.running;
 }
 
 fn endpoint(
--- a/crates/comfreyspread/src/handover.rs
+++ b/crates/comfreyspread/src/handover.rs
@@ -4,7 +4,7 @@
 //! number from the endpoint where no former owner told it. A node that released endpoints tells
 //! their next owner, with the calls that still run, until the last of them has ended.
 
-use crate::{context, failure, heartbeat, http_client, peer, settings};
+use crate::{context, failure, heartbeat, http_client, peer, pool_changes, settings};
 use comfreyspread_policy::{contact, membership, ownership};
 use comfreyspread_schema::{ids, types};
 use http_types::{Method, Request};
@@ -213,4 +213,8 @@
 }
 
 /// Adds the calls that this node still runs at an endpoint it released.
-fn add_load(_context: &context::NodeContext, _release: &mut types::ReleaseRecord) {}
+fn add_load(context: &context::NodeContext, release: &mut types::ReleaseRecord) {
+    let Some(replica) = pool_changes::replica_state(context, &release.endpoint) else { return };
+    release.running = replica.running;
+    release.phase = replica.phase;
+}
--- a/crates/comfreyspread/src/heartbeat.rs
+++ b/crates/comfreyspread/src/heartbeat.rs
@@ -105,8 +105,12 @@
         log::warn!(node = node.as_ref(); "heartbeat: member failed");
     }
     let before = ownership.contact();
+    let owned = ownership.owned(now);
     let actions = ownership.observe(&members, &catalog, now);
     log_contact(before, ownership.contact());
+    if ownership.owned(now) != owned {
+        context.tables.changed.notify(usize::MAX);
+    }
     actions
 }
 
--- /dev/null
+++ b/crates/comfreyspread/src/pool_changes.rs
@@ -0,0 +1,75 @@
+//! Keeping the schedulers in step with the configuration and the ownership of endpoints.
+
+use crate::context;
+use comfreyspread_policy::catalog;
+use comfreyspread_schema::{ids, types};
+use indexmap::IndexSet;
+use std::{sync, time};
+
+/// Follows each change notified by [`crate::tables::SharedTables::changed`].
+pub async fn follow(context: sync::Arc<context::NodeContext>) {
+    loop {
+        let changed = context.tables.changed.listen();
+        apply(&context);
+        changed.await;
+    }
+}
+
+/// Brings all schedulers in step once.
+pub fn apply(context: &context::NodeContext) {
+    let catalog = context.tables.catalog();
+    let now = time::Instant::now();
+    let inherited = context.tables.ownership.lock().all_inherited(now);
+    for pool in catalog.pools() {
+        let names = pool.endpoints().iter();
+        let available: IndexSet<_> =
+            names.filter(|name| permit(context, &catalog, name, now).is_some()).cloned().collect();
+        context.tables.pools.lock().follow(pool.declaration(), &available, &inherited, now);
+    }
+}
+
+/// Returns the fencing number under which new work may be sent to an endpoint; none if this node
+/// may not send it any.
+pub fn permit(
+    context: &context::NodeContext,
+    catalog: &catalog::ConfigurationCatalog,
+    endpoint: &ids::EndpointId,
+    now: time::Instant,
+) -> Option<ids::FenceNumber> {
+    let declaration = catalog.endpoint(endpoint)?;
+    if !catalog.in_service(declaration) {
+        return None;
+    }
+    context.tables.ownership.lock().permit(endpoint, now)
+}
+
+/// State of one endpoint in its pool's scheduler.
+#[derive(Clone, Copy, Debug)]
+pub struct ReplicaState {
+    /// Calls in flight.
+    pub running: u32,
+    /// Calls that may be in flight.
+    pub limit: u32,
+    /// Phase of the endpoint.
+    pub phase: types::EndpointPhase,
+    /// Whether it is ejected as an outlier.
+    pub ejected: bool,
+}
+
+/// Returns the state of an endpoint, if its pool's scheduler at this node knows it.
+pub fn replica_state(
+    context: &context::NodeContext,
+    endpoint: &ids::EndpointId,
+) -> Option<ReplicaState> {
+    let catalog = context.tables.catalog();
+    let pool = &catalog.endpoint(endpoint)?.pool;
+    let pools = context.tables.pools.lock();
+    let mut replicas = pools.get(pool)?.scheduler().replicas();
+    let (_, replica) = replicas.find(|(name, _)| *name == endpoint)?;
+    Some(ReplicaState {
+        running: replica.running(),
+        limit: replica.limit(),
+        phase: replica.phase(),
+        ejected: replica.ejected(),
+    })
+}
--- a/crates/comfreyspread/src/tables.rs
+++ b/crates/comfreyspread/src/tables.rs
@@ -2,10 +2,8 @@
 //!
 //! Locks are taken in the order of [`rank`]: the order of the fields here.
 
-use crate::{handover, heartbeat, rank, settings};
-use comfreyspread_policy::{
-    catalog, link, membership, ownership, retry, rotation, routing, suspect, timing,
-};
+use crate::{handover, heartbeat, pools, rank, settings};
+use comfreyspread_policy::{catalog, link, membership, ownership, retry, routing, suspect, timing};
 use comfreyspread_schema::{ids, types};
 use std::{sync, time};
 
@@ -21,8 +19,8 @@
     pub members: rank::RankedLock<rank::MemberRank, membership::MemberTable>,
     /// Ownerships of endpoints.
     pub ownership: rank::RankedLock<rank::OwnershipRank, ownership::OwnershipTable>,
-    /// Turns of the endpoint choice.
-    pub rotation: rank::RankedLock<rank::PoolRank, rotation::EndpointRotation>,
+    /// Queues, limits and endpoints of the pools.
+    pub pools: rank::RankedLock<rank::PoolRank, pools::PoolTable>,
     /// Load at owners, as this node knows it.
     pub hints: rank::RankedLock<rank::HintRank, routing::HintTable>,
     /// Requests that may crash endpoints.
@@ -31,6 +29,8 @@
     pub timings: rank::RankedLock<rank::TimingRank, timing::StageTimings>,
     /// Budgets of further attempts.
     pub budgets: rank::RankedLock<rank::BudgetRank, AttemptBudgets>,
+    /// Notified when the configuration or the ownership of endpoints has changed.
+    pub changed: event_listener::Event,
 }
 
 impl SharedTables {
@@ -41,11 +41,12 @@
             catalog: rank::RankedLock::new(sync::Arc::default()),
             members: rank::RankedLock::new(heartbeat::new_members(settings, start)),
             ownership: rank::RankedLock::new(handover::new_ownerships(settings, start, now)),
-            rotation: rank::RankedLock::new(rotation::EndpointRotation::new()),
+            pools: rank::RankedLock::new(pools::PoolTable::new()),
             hints: rank::RankedLock::new(routing::HintTable::new()),
             suspects: rank::RankedLock::new(suspect::SuspectTable::new()),
             timings: rank::RankedLock::new(timing::StageTimings::new()),
             budgets: rank::RankedLock::new(AttemptBudgets::new(settings.link_rate, now)),
+            changed: event_listener::Event::new(),
         }
     }
 
