Take listening ports below the range of outgoing connections

Cause: two process tests of ten failed with 'connection refused' to a stand-in. The free port was found by binding port 0 and closing it; an outgoing connection of another test took it before the process listened. Ruled out: a slow start (the wait is 30 s) and a crash of the stand-in. Change: ports are counted up from a random start between 10000 and 32000, below ip_local_port_range, and given out once a process.

--- a/crates/comfreyspread-lab/src/process.rs
+++ b/crates/comfreyspread-lab/src/process.rs
@@ -1,8 +1,10 @@
 //! Child processes of the lab: stand-ins and nodes, each the lab's own program in another role.
 
 use miette::IntoDiagnostic as _;
-use std::{env, fs, net, process, time};
+use std::{env, fs, iter, net, ops, process, sync, sync::atomic, time};
 
+const LISTENING_PORTS: ops::Range<u16> = 10_000..32_000;
+const LOOPBACK: net::Ipv4Addr = net::Ipv4Addr::LOCALHOST;
 const READY_POLL: time::Duration = time::Duration::from_millis(20);
 
 /// A child process that is killed when dropped.
@@ -94,18 +96,31 @@
 ///
 /// Fails if no port is free.
 pub fn free_address() -> miette::Result<net::SocketAddr> {
-    let listener = net::TcpListener::bind(("127.0.0.1", 0)).into_diagnostic()?;
-    listener.local_addr().into_diagnostic()
+    let addresses = free_addresses(1)?;
+    addresses.first().copied().ok_or_else(|| miette::miette!("no port is free"))
 }
 
 /// Returns `count` loopback addresses that are free now.
 ///
+/// The ports lie below those that the system gives to outgoing connections, so that none is taken
+/// by a connection before its process listens. A process never gives out a port twice.
+///
 /// # Errors
 ///
-/// Fails if no port is free.
+/// Fails if too few ports are free.
 pub fn free_addresses(count: usize) -> miette::Result<Vec<net::SocketAddr>> {
-    let listeners: Result<Vec<_>, _> =
-        (0..count).map(|_| net::TcpListener::bind(("127.0.0.1", 0))).collect();
-    let addresses = listeners.into_diagnostic()?.into_iter().map(|listener| listener.local_addr());
+    let ports = iter::repeat_with(next_port).take(LISTENING_PORTS.len());
+    let bound = ports.filter_map(|port| net::TcpListener::bind((LOOPBACK, port)).ok());
+    let listeners: Vec<_> = bound.take(count).collect();
+    miette::ensure!(listeners.len() == count, "fewer than {count} ports are free");
+    let addresses = listeners.iter().map(net::TcpListener::local_addr);
     addresses.collect::<Result<_, _>>().into_diagnostic()
 }
+
+/// Returns the next port of this process, from a start drawn at random.
+fn next_port() -> u16 {
+    static CURSOR: sync::LazyLock<atomic::AtomicU16> =
+        sync::LazyLock::new(|| atomic::AtomicU16::new(rand::random()));
+    let offset = CURSOR.fetch_add(1, atomic::Ordering::Relaxed);
+    LISTENING_PORTS.start + offset % (LISTENING_PORTS.end - LISTENING_PORTS.start)
+}
