Claim a request that may run at most once before it is sent

Cause: the thin path sent such a request wherever it arrived. Ruled out: deciding by ownership or membership, whose views differ; taking over the claim of a holder that is gone, which cannot be told from a frozen one; deleting the row of a claim that did not run, since a late insert of a holder that gave up would then leave a claim that nobody ends. Change: policy claim.rs and settlement.rs decide over a conditional row; claims.rs carries it out in a task of its own; claim_table.rs keeps two resends from racing at one node and outcomes until the store has them. The client refuses a call whose deadline passed before the first byte. GET /operator/claims lists claims without a known outcome; drain waits.

--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -15,11 +15,13 @@
 
 pub mod attempt;
 pub mod catalog;
+pub mod claim;
 pub mod life;
 pub mod link;
 pub mod retry;
 pub mod rotation;
 pub mod routing;
+pub mod settlement;
 pub mod stream;
 pub mod suspect;
 pub mod timing;
--- a/crates/comfreyspread/src/dump.rs
+++ b/crates/comfreyspread/src/dump.rs
@@ -8,7 +8,7 @@
     let catalog = context.tables.catalog();
     types::NodeDump {
         change: catalog.change().clone(),
-        claims: Vec::new(),
+        claims: context.tables.claims.lock().rows().cloned().collect(),
         endpoints: Vec::new(),
         members: Vec::new(),
         node: context.settings.node.clone(),
--- a/crates/comfreyspread/src/front.rs
+++ b/crates/comfreyspread/src/front.rs
@@ -1,6 +1,9 @@
 //! HTTP towards callers and operators.
 
-use crate::{caller_stream, context, dump, failure, header, http_server, pipeline, plan, problem};
+use crate::{
+    caller_stream, claim_table, claims, context, dump, failure, header, http_server, pipeline,
+    plan, problem,
+};
 use comfreyspread_schema::{ids, types};
 use futures_lite::FutureExt as _;
 use http_types::{Method, Response, StatusCode};
@@ -26,10 +29,10 @@
     async fn serve(&self, request: &http_server::ServerRequest) -> Response {
         let path = request.path();
         if let Some(name) = path.strip_prefix(PIPELINE_PREFIX) {
-            return self.serve_call(request, CallTarget::Pipeline(name)).await;
+            return self.serve_call(request, CallTarget::Pipeline(name.into())).await;
         }
         if let Some(name) = path.strip_prefix(SERVICE_PREFIX) {
-            return self.serve_call(request, CallTarget::Service(name)).await;
+            return self.serve_call(request, CallTarget::Service(name.into())).await;
         }
         match (request.method(), path) {
             (Method::Get, "/healthz") => text(StatusCode::Ok, "ok\n"),
@@ -39,6 +42,7 @@
                 response.insert_header("content-type", METRICS_MEDIA_TYPE);
                 response
             }
+            (Method::Get, "/operator/claims") => self.list_claims().await,
             (Method::Get, "/operator/dump") => json(StatusCode::Ok, &dump::collect(&self.context)),
             _ => {
                 let detail = format!("there is nothing at {path}");
@@ -61,31 +65,37 @@
     async fn serve_call(
         &self,
         request: &http_server::ServerRequest,
-        target: CallTarget<'_>,
+        target: CallTarget,
     ) -> Response {
         let arrived = time::Instant::now();
         let active = context::ActiveRequest::new(self.context.clone());
         let id = self.context.next_request();
         let answered = match self.plan(request, &target, id.clone(), arrived) {
-            Ok(plan) => self.run(request, &target, plan, active).await,
+            Ok(plan) => self.run(request, target, plan, active).await,
             Err(failure) => Err(failure),
         };
         let verdict = match &answered {
-            Ok(_) => types::CallVerdict::Ran,
+            Ok(answer) => answer.verdict,
             Err(failure) => failure.verdict(),
         };
         self.context.metrics.count_request(verdict, arrived.elapsed());
-        answered.unwrap_or_else(|failure| {
-            log::info!(request = id.as_ref(), problem = failure.problem().to_string().as_str(),
-                verdict = verdict.to_string().as_str(); "front: request failed");
-            refusal(&failure, &id)
-        })
+        let mut response = answered.map_or_else(
+            |failure| {
+                log::info!(request = id.as_ref(), problem = failure.problem().to_string().as_str(),
+                    verdict = verdict.to_string().as_str(); "front: request failed");
+                refusal(&failure, &id)
+            },
+            |answer| answer.response,
+        );
+        response.insert_header(header::VERDICT, verdict.to_string());
+        response.insert_header(header::REQUEST, &*id);
+        response
     }
 
     fn plan(
         &self,
         request: &http_server::ServerRequest,
-        target: &CallTarget<'_>,
+        target: &CallTarget,
         id: ids::RequestId,
         arrived: time::Instant,
     ) -> Result<plan::RequestPlan, failure::CallFailure> {
@@ -126,64 +136,100 @@
     async fn run(
         &self,
         request: &http_server::ServerRequest,
-        target: &CallTarget<'_>,
+        target: CallTarget,
         plan: plan::RequestPlan,
         active: context::ActiveRequest,
-    ) -> Result<Response, failure::CallFailure> {
-        let id = plan.request.clone();
-        let idempotent = plan.idempotent;
+    ) -> Result<FrontAnswer, failure::CallFailure> {
+        let streamed = wants_stream(request) && matches!(target, CallTarget::Pipeline(_));
+        if !plan.idempotent && streamed {
+            return Err(bad_request("a call that may not be repeated cannot be streamed"));
+        }
+        if !plan.idempotent {
+            let work =
+                run_whole(self.context.clone(), target, plan.clone(), request.body().clone());
+            let answer =
+                claims::run_once(&self.context, &plan, request.path(), Box::pin(work)).await?;
+            return Ok(FrontAnswer::new(&answer));
+        }
         let answered = async {
-            match target {
-                CallTarget::Pipeline(name) => self.run_pipeline(request, name, plan, active).await,
-                CallTarget::Service(name) => self.run_service(request, name, plan).await,
+            if streamed {
+                return self.run_stream(request, &target, plan, active).await;
             }
+            let body = request.body().clone();
+            let answer = run_whole(self.context.clone(), target, plan, body).await?;
+            Ok(FrontAnswer::new(&claim_table::ClaimAnswer::new(answer)))
         };
         let gone = async {
             request.connection().closed().await;
-            if !idempotent {
-                std::future::pending::<()>().await;
-            }
             let detail = "the caller went away";
             Err(failure::CallFailure::new(types::ProblemKind::Unavailable, detail)
                 .with_verdict(types::CallVerdict::MayHaveRun))
         };
-        let mut response = answered.or(gone).await?;
-        response.insert_header(header::VERDICT, types::CallVerdict::Ran.to_string());
-        response.insert_header(header::REQUEST, &*id);
-        Ok(response)
+        Box::pin(answered).or(gone).await
     }
 
-    async fn run_pipeline(
+    async fn run_stream(
         &self,
         request: &http_server::ServerRequest,
-        name: &str,
+        target: &CallTarget,
         plan: plan::RequestPlan,
         active: context::ActiveRequest,
-    ) -> Result<Response, failure::CallFailure> {
+    ) -> Result<FrontAnswer, failure::CallFailure> {
         let catalog = self.context.tables.catalog();
+        let name = target.name();
         let declaration = catalog.pipeline(name).ok_or_else(|| unknown("pipeline", name))?;
-        let id = plan.request.clone();
-        let mut run = pipeline::PipelineRun::new(self.context.clone(), plan);
-        if wants_stream(request) {
-            let input = run.run_before_stream(declaration, request.body()).await?;
-            return caller_stream::start(input, active).await;
-        }
-        let answer = run.run_pipeline(declaration, request.body()).await?;
-        Ok(json(StatusCode::Ok, &whole_answer(run.ledger(), &id, &answer)?))
+        let run = pipeline::PipelineRun::new(self.context.clone(), plan);
+        let input = run.run_before_stream(declaration, request.body()).await?;
+        let response = caller_stream::start(input, active).await?;
+        Ok(FrontAnswer { response, verdict: types::CallVerdict::Ran })
     }
 
-    async fn run_service(
-        &self,
-        request: &http_server::ServerRequest,
-        name: &str,
-        plan: plan::RequestPlan,
-    ) -> Result<Response, failure::CallFailure> {
-        let catalog = self.context.tables.catalog();
-        let declaration = catalog.service(name).ok_or_else(|| unknown("service", name))?;
-        let mut run = pipeline::PipelineRun::new(self.context.clone(), plan);
-        run.ledger().check_cost(std::slice::from_ref(&declaration.pool))?;
-        let body = request.body().clone();
-        Ok(opaque(&run.run_call(&declaration.pool, &declaration.name, body).await?))
+    async fn list_claims(&self) -> Response {
+        let listed = claims::list_open(&self.context).await;
+        listed.map_or_else(
+            |failure| refusal(&failure, &self.context.next_request()),
+            |list| json(StatusCode::Ok, &list),
+        )
+    }
+}
+
+/// Response to a call and whether the call may have run.
+struct FrontAnswer {
+    response: Response,
+    verdict: types::CallVerdict,
+}
+
+impl FrontAnswer {
+    fn new(answer: &claim_table::ClaimAnswer) -> Self {
+        let media_type = answer.problem.map_or(header::JSON, |_| problem::PROBLEM_MEDIA_TYPE);
+        let mut response = Response::new(answer.answer.status);
+        response.set_body(answer.answer.body.to_vec());
+        response.insert_header("content-type", media_type);
+        Self { response, verdict: answer.verdict }
+    }
+}
+
+/// Runs a call to its whole answer.
+async fn run_whole(
+    context: sync::Arc<context::NodeContext>,
+    target: CallTarget,
+    plan: plan::RequestPlan,
+    body: ids::Payload,
+) -> Result<failure::WholeAnswer, failure::CallFailure> {
+    let catalog = context.tables.catalog();
+    let id = plan.request.clone();
+    let mut run = pipeline::PipelineRun::new(context, plan);
+    match target {
+        CallTarget::Pipeline(name) => {
+            let declaration = catalog.pipeline(&name).ok_or_else(|| unknown("pipeline", &name))?;
+            let answer = run.run_pipeline(declaration, &body).await?;
+            whole_answer(run.ledger(), &id, &answer)
+        }
+        CallTarget::Service(name) => {
+            let declaration = catalog.service(&name).ok_or_else(|| unknown("service", &name))?;
+            run.ledger().check_cost(std::slice::from_ref(&declaration.pool))?;
+            run.run_call(&declaration.pool, &declaration.name, body).await
+        }
     }
 }
 
@@ -210,10 +256,18 @@
 }
 
 /// What a call names in its path.
-#[derive(Clone, Copy, Debug)]
-enum CallTarget<'path> {
-    Pipeline(&'path str),
-    Service(&'path str),
+#[derive(Clone, Debug)]
+enum CallTarget {
+    Pipeline(ids::PipelineId),
+    Service(ids::ServiceId),
+}
+
+impl CallTarget {
+    fn name(&self) -> &str {
+        match self {
+            Self::Pipeline(name) | Self::Service(name) => name,
+        }
+    }
 }
 
 fn named_header<'request>(
@@ -240,25 +294,20 @@
     ledger: &plan::RequestLedger,
     id: &ids::RequestId,
     answer: &failure::WholeAnswer,
-) -> Result<types::PipelineAnswer, failure::CallFailure> {
-    let value = serde_json::from_slice(&answer.body).map_err(|error| {
+) -> Result<failure::WholeAnswer, failure::CallFailure> {
+    let failed = |error: serde_json::Error| {
         failure::CallFailure::new(types::ProblemKind::EndpointFailed, error.to_string())
             .with_verdict(types::CallVerdict::Ran)
-    })?;
-    Ok(types::PipelineAnswer {
-        answer: value,
+    };
+    let whole = types::PipelineAnswer {
+        answer: serde_json::from_slice(&answer.body).map_err(failed)?,
         attempts: u32::try_from(ledger.attempts()).unwrap_or(u32::MAX),
         cost: ledger.cost(),
         request: id.clone(),
         verdict: types::CallVerdict::Ran,
-    })
-}
-
-fn opaque(answer: &failure::WholeAnswer) -> Response {
-    let mut response = Response::new(answer.status);
-    response.set_body(answer.body.to_vec());
-    response.insert_header("content-type", header::JSON);
-    response
+    };
+    let body = serde_json::to_vec(&whole).map_err(failed)?;
+    Ok(failure::WholeAnswer { status: StatusCode::Ok.into(), body: body.into() })
 }
 
 fn text(status: StatusCode, body: &str) -> Response {
--- a/crates/comfreyspread/src/http_client.rs
+++ b/crates/comfreyspread/src/http_client.rs
@@ -81,6 +81,7 @@
         deadline: time::Instant,
     ) -> Result<ClientAnswer, failure::CallFailure> {
         let stream = self.connect(address, connection, deadline).await?;
+        check_time(deadline)?;
         let exchange = async {
             let mut head = exchange_head(stream.clone(), request).await?;
             let body = read_whole(&mut head, self.body_limit).await?;
@@ -106,6 +107,7 @@
         deadline: time::Instant,
     ) -> Result<Response, failure::CallFailure> {
         let stream = self.connect(address, ConnectionUse::Fresh, deadline).await?;
+        check_time(deadline)?;
         exchange_head(stream, request).or(timeout(deadline)).await
     }
 
@@ -198,6 +200,15 @@
     Err(failure.with_verdict(types::CallVerdict::MayHaveRun))
 }
 
+/// Refuses a call whose deadline has passed before its first byte, as after a freeze.
+fn check_time(deadline: time::Instant) -> Result<(), failure::CallFailure> {
+    if time::Instant::now() < deadline {
+        return Ok(());
+    }
+    let detail = "the deadline passed before the call was sent";
+    Err(failure::CallFailure::new(types::ProblemKind::Timeout, detail))
+}
+
 fn lost(detail: String) -> failure::CallFailure {
     failure::CallFailure::new(types::ProblemKind::EndpointFailed, detail)
         .with_verdict(types::CallVerdict::MayHaveRun)
--- a/crates/comfreyspread/src/lib.rs
+++ b/crates/comfreyspread/src/lib.rs
@@ -7,6 +7,8 @@
 
 pub mod call_run;
 pub mod caller_stream;
+pub mod claim_table;
+pub mod claims;
 pub mod command;
 pub mod configuration;
 pub mod context;
--- a/crates/comfreyspread/src/node.rs
+++ b/crates/comfreyspread/src/node.rs
@@ -126,7 +126,10 @@
     let finished = async {
         async_io::Timer::after(context.settings.grace).await;
         closer.close();
-        while context.active_requests() > 0 || closer.connections() > 0 {
+        while context.active_requests() > 0
+            || !context.tables.claims.lock().is_empty()
+            || closer.connections() > 0
+        {
             async_io::Timer::after(DRAIN_POLL).await;
         }
         true
@@ -142,7 +145,8 @@
     let whole = finished.or(late).or(forced).await;
     if !whole {
         let cut = context.active_requests();
-        log::error!(requests = cut; "node: stopped before all requests finished");
+        let claims = context.tables.claims.lock().len();
+        log::error!(requests = cut, claims = claims; "node: stopped before all requests finished");
     }
     whole
 }
--- a/crates/comfreyspread/src/tables.rs
+++ b/crates/comfreyspread/src/tables.rs
@@ -2,7 +2,7 @@
 //!
 //! Locks are taken in the order of [`rank`]: the order of the fields here.
 
-use crate::rank;
+use crate::{claim_table, rank};
 use comfreyspread_policy::{catalog, link, retry, rotation, routing, suspect, timing};
 use comfreyspread_schema::types;
 use std::{sync, time};
@@ -19,6 +19,8 @@
     pub rotation: rank::RankedLock<rank::PoolRank, rotation::EndpointRotation>,
     /// Load at owners, as this node knows it.
     pub hints: rank::RankedLock<rank::HintRank, routing::HintTable>,
+    /// Claims in progress.
+    pub claims: rank::RankedLock<rank::ClaimRank, claim_table::ClaimTable>,
     /// Requests that may crash endpoints.
     pub suspects: rank::RankedLock<rank::SuspectRank, suspect::SuspectTable>,
     /// Measured times of stages.
@@ -36,6 +38,7 @@
             catalog: rank::RankedLock::new(sync::Arc::default()),
             rotation: rank::RankedLock::new(rotation::EndpointRotation::new()),
             hints: rank::RankedLock::new(routing::HintTable::new()),
+            claims: rank::RankedLock::new(claim_table::ClaimTable::new()),
             suspects: rank::RankedLock::new(suspect::SuspectTable::new()),
             timings: rank::RankedLock::new(timing::StageTimings::new()),
             budgets: rank::RankedLock::new(AttemptBudgets::new(link_rate, now)),
