--- a/crates/comfreyspread/src/dump.rs
+++ b/crates/comfreyspread/src/dump.rs
@@ -8,9 +8,10 @@
 /// Collects the state of the process.
 pub fn collect(context: &context::NodeContext) -> types::NodeDump {
     let catalog = context.tables.catalog();
+    let now = time::Instant::now();
     types::NodeDump {
         change: catalog.change().clone(),
-        claims: Vec::new(),
+        claims: context.tables.claims.lock().rows().cloned().collect(),
         endpoints: endpoints(context, &catalog),
         members: members(context),
         node: context.settings.node.clone(),
@@ -19,7 +20,7 @@
         requests: context.active_requests(),
         revision: catalog.revision(),
         start: context.start,
-        suspects: Vec::new(),
+        suspects: context.tables.suspects.lock().latest(usize::MAX, now),
         vms_out: catalog.vms_out().cloned().collect(),
         zone: context.settings.zone.clone(),
         zones_out: catalog.zones_out().cloned().collect(),
--- a/crates/comfreyspread/src/tables.rs
+++ b/crates/comfreyspread/src/tables.rs
@@ -2,7 +2,7 @@
 //!
 //! Locks are taken in the order of [`rank`]: the order of the fields here.
 
-use crate::{handover, heartbeat, pools, rank, settings};
+use crate::{claim_table, handover, heartbeat, pools, rank, settings};
 use comfreyspread_policy::{catalog, link, membership, ownership, retry, routing, suspect, timing};
 use comfreyspread_schema::{ids, types};
 use std::{sync, time};
@@ -23,6 +23,8 @@
     pub pools: rank::RankedLock<rank::PoolRank, pools::PoolTable>,
     /// Load at owners, as this node knows it.
     pub hints: rank::RankedLock<rank::HintRank, routing::HintTable>,
+    /// Claims in progress.
+    pub claims: rank::RankedLock<rank::ClaimRank, claim_table::ClaimTable>,
     /// Requests that may crash endpoints.
     pub suspects: rank::RankedLock<rank::SuspectRank, suspect::SuspectTable>,
     /// Measured times of stages.
@@ -43,6 +45,7 @@
             ownership: rank::RankedLock::new(handover::new_ownerships(settings, start, now)),
             pools: rank::RankedLock::new(pools::PoolTable::new()),
             hints: rank::RankedLock::new(routing::HintTable::new()),
+            claims: rank::RankedLock::new(claim_table::ClaimTable::new()),
             suspects: rank::RankedLock::new(suspect::SuspectTable::new()),
             timings: rank::RankedLock::new(timing::StageTimings::new()),
             budgets: rank::RankedLock::new(AttemptBudgets::new(settings.link_rate, now)),
