Take the locks of a dump one after the other

Cause: temporaries of a struct expression live to its end, so the claims' lock was held while the pools' lock was taken; the order check stopped the workers. Measured: endpoint_owners failed 3 of 3 before, passes 3 of 3 after.

--- a/crates/comfreyspread/src/dump.rs
+++ b/crates/comfreyspread/src/dump.rs
@@ -9,18 +9,23 @@
 pub fn collect(context: &context::NodeContext) -> types::NodeDump {
     let catalog = context.tables.catalog();
     let now = time::Instant::now();
+    let endpoints = endpoints(context, &catalog);
+    let members = members(context);
+    let pools = context.tables.pools.lock().hints();
+    let claims = context.tables.claims.lock().rows().cloned().collect();
+    let suspects = context.tables.suspects.lock().latest(usize::MAX, now);
     types::NodeDump {
         change: catalog.change().clone(),
-        claims: context.tables.claims.lock().rows().cloned().collect(),
-        endpoints: endpoints(context, &catalog),
-        members: members(context),
+        claims,
+        endpoints,
+        members,
         node: context.settings.node.clone(),
         phase: context.tables.phase(),
-        pools: context.tables.pools.lock().hints(),
+        pools,
         requests: context.active_requests(),
         revision: catalog.revision(),
         start: context.start,
-        suspects: context.tables.suspects.lock().latest(usize::MAX, now),
+        suspects,
         vms_out: catalog.vms_out().cloned().collect(),
         zone: context.settings.zone.clone(),
         zones_out: catalog.zones_out().cloned().collect(),
