Prove the scheduler's rules over random schedules

Cause: the limits, the queue and the life cycle were shown by one process test only, which reaches few of their interleavings.

Ruled out: example schedules alone; they miss a call that is given up on while its endpoint leaves.

Change: bolero model checks (a call in the queue is answered exactly once and never after its withdrawal; a start never takes an endpoint above what it bears; a call that runs alone has no other beside it), a table of signs for the life cycle, bounds for starvation and shares, the breaker.

--- /dev/null
+++ b/crates/comfreyspread-policy/tests/common/mod.rs
@@ -0,0 +1,80 @@
+//! A small pool for tests of its scheduler.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use comfreyspread_policy::{queue, schedule};
+use comfreyspread_schema::{ids, types};
+use std::time;
+
+const BUDGET: time::Duration = time::Duration::from_secs(10);
+
+/// Returns a pool whose endpoints bear two calls cold and eight warm.
+pub fn pool() -> types::PoolDeclaration {
+    types::PoolDeclaration {
+        call_cost: 1,
+        cold_limit: 2,
+        kind: types::PoolKind::Engine,
+        name: "pool".into(),
+        queue: time::Duration::from_secs(2),
+        warm_after: 5,
+        warm_limit: 8,
+    }
+}
+
+/// Returns the name of an endpoint.
+pub fn endpoint(index: usize) -> ids::EndpointId {
+    format!("endpoint-{index}").into()
+}
+
+/// Returns a scheduler with endpoints that nothing is known of.
+pub fn scheduler(endpoints: usize) -> schedule::PoolScheduler {
+    let mut scheduler = schedule::PoolScheduler::new(pool());
+    for index in 0..endpoints {
+        scheduler.set_available(&endpoint(index), true);
+    }
+    scheduler
+}
+
+/// Returns a priority.
+pub fn priority(level: u8) -> types::PriorityLevel {
+    match level % 3 {
+        0 => types::PriorityLevel::High,
+        1 => types::PriorityLevel::Normal,
+        _ => types::PriorityLevel::Low,
+    }
+}
+
+/// Returns a call of a workspace.
+pub fn call(workspace: u8, now: time::Instant) -> schedule::OfferedCall {
+    schedule::OfferedCall {
+        workspace: workspace.to_string().into(),
+        weight: 1,
+        priority: types::PriorityLevel::Normal,
+        deadline: now + BUDGET,
+        endpoint: None,
+        avoid: Vec::new(),
+        alone: false,
+        prefix: 0,
+        bytes: 100,
+    }
+}
+
+/// Returns a call in the queue.
+pub fn queued(
+    ticket: ids::TicketId,
+    workspace: u8,
+    priority: types::PriorityLevel,
+    now: time::Instant,
+) -> queue::QueuedCall {
+    queue::QueuedCall {
+        ticket,
+        workspace: workspace.to_string().into(),
+        weight: 1,
+        priority,
+        latest_start: now + BUDGET,
+        endpoint: None,
+        avoid: Vec::new(),
+        alone: false,
+        prefix: 0,
+        bytes: 100,
+    }
+}
--- /dev/null
+++ b/crates/comfreyspread-policy/tests/lifecycle.rs
@@ -0,0 +1,101 @@
+//! Signs by which an endpoint counts as cold, warming or warm.
+#![allow(clippy::disallowed_methods)]
+
+use comfreyspread_policy::lifecycle;
+use comfreyspread_schema::types;
+use std::time;
+use types::EndpointPhase as Phase;
+
+const WARM_AFTER: u32 = 3;
+
+/// What happens to an endpoint; moments are milliseconds since the start.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// An answer, with the moment its call was sent, start id, own report and slowness.
+    Answer(u64, Option<u64>, Option<bool>, bool),
+    Lost,
+    Leave,
+    Depart,
+    Rejoin,
+}
+
+use Event::{Answer, Depart, Leave, Lost, Rejoin};
+
+/// Applies the events at 10 ms, 20 ms and so on, and returns the phase.
+fn phase_after(events: &[Event]) -> Phase {
+    let base = time::Instant::now();
+    let at = |millis| base + time::Duration::from_millis(millis);
+    let mut life = lifecycle::LifeCycle::new();
+    for (event, now) in events.iter().zip((10..).step_by(10)) {
+        match *event {
+            Answer(sent, start, cold, slow) => {
+                let signs = lifecycle::EndpointSigns { start, cold };
+                let sample =
+                    lifecycle::AnswerSample { signs, sent: at(sent), answered: at(now), slow };
+                life.note_answer(&sample, WARM_AFTER);
+            }
+            Lost => life.note_loss(at(now)),
+            Leave => life.leave(),
+            Depart => life.depart(),
+            Rejoin => life.rejoin(),
+        }
+    }
+    life.phase()
+}
+
+#[test]
+fn warm_up() {
+    let plain = |sent| Answer(sent, None, None, false);
+    let cases: [(&[Event], Phase); 6] = [
+        (&[], Phase::Unknown),
+        (&[plain(5)], Phase::Warming),
+        (&[plain(5), plain(15)], Phase::Warming),
+        (&[plain(5), plain(15), plain(25)], Phase::Warm),
+        (&[Answer(5, Some(1), Some(false), false)], Phase::Warm),
+        (&[Answer(5, Some(1), Some(true), false); 9], Phase::Warming),
+    ];
+    check(&cases);
+}
+
+#[test]
+fn cold_signs() {
+    let warm = Answer(5, Some(1), Some(false), false);
+    let cases: [(&[Event], Phase); 9] = [
+        // Another start id.
+        (&[warm, Answer(15, Some(2), Some(false), false)], Phase::Cold),
+        // Its own report, on a call sent since it is warm.
+        (&[warm, Answer(15, Some(1), Some(true), false)], Phase::Cold),
+        // A report on a call sent before that says nothing new.
+        (&[warm, Answer(6, Some(1), Some(true), false)], Phase::Warm),
+        // A lost connection, or one refused.
+        (&[warm, Lost], Phase::Cold),
+        (&[Lost], Phase::Cold),
+        // Far beyond the warm quantile, unless it says that it is warm.
+        (&[warm, Answer(15, None, None, true)], Phase::Cold),
+        (&[warm, Answer(15, Some(1), Some(false), true)], Phase::Warm),
+        // An answer to a call sent before it turned cold warms nothing, whatever it says.
+        (&[warm, Lost, Answer(15, Some(1), Some(false), false)], Phase::Cold),
+        (&[warm, Lost, Answer(25, Some(2), Some(false), false)], Phase::Cold),
+    ];
+    check(&cases);
+}
+
+#[test]
+fn leave_return() {
+    let warm = Answer(5, Some(1), Some(false), false);
+    let cases: [(&[Event], Phase); 6] = [
+        (&[warm, Leave], Phase::Leaving),
+        (&[warm, Leave, Answer(8, Some(1), Some(false), false)], Phase::Leaving),
+        (&[warm, Leave, Lost], Phase::Leaving),
+        (&[warm, Leave, Depart], Phase::Gone),
+        (&[warm, Leave, Rejoin], Phase::Unknown),
+        (&[warm, Leave, Depart, Rejoin], Phase::Unknown),
+    ];
+    check(&cases);
+}
+
+fn check(cases: &[(&[Event], Phase)]) {
+    for (events, phase) in cases {
+        assert_eq!(phase_after(events), *phase, "{events:?}");
+    }
+}
--- /dev/null
+++ b/crates/comfreyspread-policy/tests/scheduler.rs
@@ -0,0 +1,312 @@
+//! Scheduler of one pool, over random schedules and in stated cases.
+#![allow(clippy::disallowed_methods)]
+
+mod common;
+
+use comfreyspread_policy::{lifecycle, queue, replica, schedule};
+use comfreyspread_schema::{ids, types};
+use indexmap::IndexMap;
+use std::time;
+
+const MILLISECOND: time::Duration = time::Duration::from_millis(1);
+
+/// A step of a random schedule.
+#[derive(Clone, Copy, Debug, bolero::TypeGenerator)]
+enum Step {
+    Offer { workspace: u8, level: u8, budget_ms: u8, alone: bool, prefix: u8, avoid: u8 },
+    Finish { index: u8, outcome: u8, start: u8 },
+    Withdraw { index: u8 },
+    Wait { ms: u8 },
+    SetAvailable { endpoint: u8, available: bool },
+}
+
+/// A scheduler with what an observer at its side knows.
+struct Model {
+    scheduler: schedule::PoolScheduler,
+    now: time::Instant,
+    waiting: Vec<schedule::QueueTicket>,
+    running: IndexMap<ids::TicketId, RunningCall>,
+}
+
+#[derive(Clone, Debug)]
+struct RunningCall {
+    endpoint: ids::EndpointId,
+    alone: bool,
+}
+
+impl Model {
+    fn new() -> Self {
+        let mut scheduler = schedule::PoolScheduler::new(common::pool());
+        for index in 0..3 {
+            scheduler.set_available(&common::endpoint(index), true);
+        }
+        let now = time::Instant::now();
+        Self { scheduler, now, waiting: Vec::new(), running: IndexMap::new() }
+    }
+
+    fn apply(&mut self, step: Step, alone_calls: &mut IndexMap<ids::TicketId, bool>) {
+        match step {
+            Step::Offer { workspace, level, budget_ms, alone, prefix, avoid } => {
+                let mut call = common::call(workspace % 4, self.now);
+                call.priority = common::priority(level);
+                call.deadline = self.now + MILLISECOND * u32::from(budget_ms);
+                call.alone = alone;
+                call.prefix = prefix.into();
+                call.avoid = vec![common::endpoint(usize::from(avoid) % 5)];
+                if let Ok(ticket) = self.scheduler.offer(call, self.now) {
+                    self.waiting.push(ticket);
+                    alone_calls.insert(ticket.ticket, alone);
+                }
+            }
+            Step::Finish { index, outcome, start } => {
+                if self.running.is_empty() {
+                    return;
+                }
+                let index = usize::from(index) % self.running.len();
+                let Some((ticket, _)) = self.running.swap_remove_index(index) else { return };
+                self.scheduler.finish(ticket, outcome_of(outcome, start), self.now);
+            }
+            Step::Withdraw { index } => {
+                if self.waiting.is_empty() {
+                    return;
+                }
+                let ticket = self.waiting.swap_remove(usize::from(index) % self.waiting.len());
+                assert!(self.scheduler.withdraw(ticket.ticket), "a waiting call is withdrawn");
+                assert!(!self.scheduler.withdraw(ticket.ticket), "only once");
+            }
+            Step::Wait { ms } => self.now += MILLISECOND * u32::from(ms),
+            Step::SetAvailable { endpoint, available } => {
+                let endpoint = common::endpoint(usize::from(endpoint) % 3);
+                self.scheduler.set_available(&endpoint, available);
+            }
+        }
+        self.advance(alone_calls);
+    }
+
+    fn advance(&mut self, alone_calls: &IndexMap<ids::TicketId, bool>) {
+        let mut steps = self.scheduler.flush();
+        while let Some(step) = self.scheduler.next(self.now) {
+            steps.push(step);
+        }
+        for step in steps {
+            let (schedule::ScheduleStep::Start { ticket, .. }
+            | schedule::ScheduleStep::Refuse { ticket, .. }) = &step;
+            let place = self.waiting.iter().position(|waiting| waiting.ticket == *ticket);
+            let place = place.expect("a call is answered once, and never after it was withdrawn");
+            let waited = self.waiting.swap_remove(place);
+            if let schedule::ScheduleStep::Start { ticket, endpoint } = step {
+                assert!(waited.latest_start >= self.now, "no call is started too late");
+                let alone = alone_calls[&ticket];
+                self.running.insert(ticket, RunningCall { endpoint, alone });
+            }
+        }
+    }
+
+    fn check(&self) {
+        for (endpoint, replica) in self.scheduler.replicas() {
+            let calls = self.running.values().filter(|call| call.endpoint == *endpoint);
+            let calls: Vec<_> = calls.collect();
+            assert!(replica.running() as usize >= calls.len(), "every call counts");
+            let alone = calls.iter().any(|call| call.alone);
+            assert!(!alone || calls.len() == 1, "a call that runs alone has no other beside it");
+        }
+        assert_eq!(self.scheduler.queued(), self.waiting.len(), "no call is lost");
+    }
+}
+
+fn outcome_of(choice: u8, start: u8) -> replica::CallOutcome {
+    let signs = lifecycle::EndpointSigns { start: Some(u64::from(start % 2)), cold: None };
+    match choice % 12 {
+        0 => replica::CallOutcome::Crashed,
+        1 => replica::CallOutcome::Unreachable,
+        2 => replica::CallOutcome::TimedOut,
+        3 => replica::CallOutcome::Abandoned,
+        4 => replica::CallOutcome::Failed,
+        5 => replica::CallOutcome::Unsent,
+        _ => replica::CallOutcome::Answered { signs, latency: Some(MILLISECOND * 5) },
+    }
+}
+
+#[test]
+fn answered_once() {
+    bolero::check!().with_type::<Vec<Step>>().for_each(|steps| {
+        let mut model = Model::new();
+        let mut alone_calls = IndexMap::new();
+        for step in steps {
+            model.apply(*step, &mut alone_calls);
+            model.check();
+        }
+    });
+}
+
+#[test]
+fn limit_kept() {
+    bolero::check!().with_type::<Vec<Step>>().for_each(|steps| {
+        let mut model = Model::new();
+        let mut alone_calls = IndexMap::new();
+        for step in steps {
+            let before = started_by_endpoint(&model);
+            model.apply(*step, &mut alone_calls);
+            for (endpoint, calls) in started_by_endpoint(&model) {
+                let grew = calls > before.get(&endpoint).copied().unwrap_or(0);
+                let replica = model.scheduler.replica(&endpoint).expect("a known endpoint");
+                assert!(!grew || replica.running() <= replica.limit(), "{endpoint} {step:?}");
+                let cold = replica.phase() != types::EndpointPhase::Warm;
+                let bears = common::pool().cold_limit;
+                assert!(!grew || !cold || calls <= bears, "{endpoint} {calls} {step:?}");
+            }
+        }
+    });
+}
+
+fn started_by_endpoint(model: &Model) -> IndexMap<ids::EndpointId, u32> {
+    let mut calls = IndexMap::new();
+    for call in model.running.values() {
+        *calls.entry(call.endpoint.clone()).or_default() += 1;
+    }
+    calls
+}
+
+#[test]
+fn lingering_counts() {
+    let now = time::Instant::now();
+    let mut scheduler = common::scheduler(1);
+    for _ in 0..3 {
+        scheduler.offer(common::call(0, now), now).expect("room in the queue");
+    }
+    let ticket = started(scheduler.next(now));
+    started(scheduler.next(now));
+    assert_eq!(scheduler.next(now), None, "the cold limit is two");
+    scheduler.finish(ticket, replica::CallOutcome::Abandoned, now);
+    assert_eq!(scheduler.next(now), None, "the call given up on may still run");
+    let wakes = scheduler.wakes(now).expect("a moment to wait for");
+    started(scheduler.next(wakes));
+}
+
+#[test]
+fn inherited_calls() {
+    let now = time::Instant::now();
+    let mut scheduler = common::scheduler(1);
+    let until = now + MILLISECOND * 50;
+    scheduler.inherit(&common::endpoint(0), 2, until);
+    scheduler.offer(common::call(0, now), now).expect("room in the queue");
+    assert_eq!(scheduler.next(now), None);
+    started(scheduler.next(until));
+}
+
+#[test]
+fn no_starvation() {
+    let now = time::Instant::now();
+    let mut calls = queue::CallQueue::new(usize::MAX);
+    let mut ticket = 0;
+    let mut push = |calls: &mut queue::CallQueue, level| {
+        ticket += 1;
+        let call = common::queued(ticket, 0, level, now);
+        calls.push(call).expect("there is memory");
+    };
+    push(&mut calls, types::PriorityLevel::Low);
+    push(&mut calls, types::PriorityLevel::Normal);
+    let mut order = Vec::new();
+    for _ in 0..3 * queue::TURNS_PASSED_OVER {
+        push(&mut calls, types::PriorityLevel::High);
+        let Some(queue::TakenCall::Ready(call, ())) = calls.take(now, |_| Some(())) else {
+            panic!("a call waits");
+        };
+        order.push(call.priority);
+    }
+    let turn = |level| order.iter().position(|taken| *taken == level).expect("it had a turn");
+    let bound = queue::TURNS_PASSED_OVER as usize + 2;
+    assert!(turn(types::PriorityLevel::Normal) <= bound);
+    assert!(turn(types::PriorityLevel::Low) <= bound);
+}
+
+#[test]
+fn weighted_shares() {
+    let now = time::Instant::now();
+    let mut calls = queue::CallQueue::new(usize::MAX);
+    for ticket in 0..3000 {
+        // Workspace 0 floods; 1 has weight 1 and 2 has weight 3.
+        let workspace = if ticket < 2400 { 0 } else { 1 + (ticket % 2) as u8 };
+        let mut call = common::queued(ticket, workspace, types::PriorityLevel::Normal, now);
+        call.weight = if workspace == 2 { 3 } else { 1 };
+        calls.push(call).expect("there is memory");
+    }
+    let mut taken = [0_u32; 3];
+    for _ in 0..400 {
+        let Some(queue::TakenCall::Ready(call, ())) = calls.take(now, |_| Some(())) else {
+            panic!("a call waits");
+        };
+        taken[call.workspace.parse::<usize>().expect("a number")] += 1;
+    }
+    assert!(taken[0].abs_diff(80) <= 1 && taken[2].abs_diff(240) <= 1, "{taken:?}");
+}
+
+#[test]
+fn late_refused() {
+    let now = time::Instant::now();
+    let mut scheduler = common::scheduler(1);
+    for _ in 0..3 {
+        scheduler.offer(common::call(0, now), now).expect("room in the queue");
+    }
+    let ticket = started(scheduler.next(now));
+    started(scheduler.next(now));
+    let late = now + common::pool().queue + MILLISECOND;
+    scheduler.finish(ticket, answered(MILLISECOND), late);
+    let Some(schedule::ScheduleStep::Refuse { refusal, .. }) = scheduler.next(late) else {
+        panic!("the call waited too long");
+    };
+    assert_eq!(refusal.problem, types::ProblemKind::Overloaded);
+    assert!(!refusal.retry_after.is_zero());
+}
+
+#[test]
+fn slow_ejected() {
+    let mut now = time::Instant::now();
+    let mut scheduler = common::scheduler(3);
+    let slow = common::endpoint(0);
+    for _ in 0..20 {
+        for _ in 0..6 {
+            scheduler.offer(common::call(0, now), now).expect("room in the queue");
+        }
+        let mut running = Vec::new();
+        while let Some(schedule::ScheduleStep::Start { ticket, endpoint }) = scheduler.next(now) {
+            running.push((ticket, MILLISECOND * if endpoint == slow { 50 } else { 5 }));
+        }
+        for (ticket, took) in running {
+            scheduler.finish(ticket, answered(took), now + took);
+        }
+        now += MILLISECOND * 50;
+    }
+    assert!(scheduler.ejections() > 0);
+    let ejected = scheduler.replicas().filter(|(_, replica)| replica.ejected());
+    assert!(ejected.map(|(name, _)| name).eq([&slow]), "only the slow one is out");
+}
+
+#[test]
+fn prefix_affinity() {
+    let now = time::Instant::now();
+    let mut scheduler = common::scheduler(3);
+    let mut chosen = Vec::new();
+    for _ in 0..9 {
+        let call = schedule::OfferedCall { prefix: 7, ..common::call(0, now) };
+        scheduler.offer(call, now).expect("room in the queue");
+        let Some(schedule::ScheduleStep::Start { ticket, endpoint }) = scheduler.next(now) else {
+            panic!("there is room");
+        };
+        scheduler.finish(ticket, answered(MILLISECOND), now);
+        chosen.push(endpoint);
+    }
+    assert!(chosen.windows(2).all(|pair| pair[0] == pair[1]), "{chosen:?}");
+}
+
+fn answered(took: time::Duration) -> replica::CallOutcome {
+    let signs = lifecycle::EndpointSigns::default();
+    replica::CallOutcome::Answered { signs, latency: Some(took) }
+}
+
+fn started(step: Option<schedule::ScheduleStep>) -> ids::TicketId {
+    match step {
+        Some(schedule::ScheduleStep::Start { ticket, .. }) => ticket,
+        other => panic!("expected a start, got {other:?}"),
+    }
+}
