--- a/crates/comfreyspread-lab/src/deployment.rs
+++ b/crates/comfreyspread-lab/src/deployment.rs
@@ -193,13 +193,30 @@
     ///
     /// Fails if the platform refuses or a node does not become ready.
     pub async fn configure(&self, revision: ids::RevisionNumber) -> miette::Result<()> {
+        self.write_configuration(revision, Vec::new()).await?;
+        for node in &self.nodes {
+            self.wait_for(node.caller_address, "/readyz").await?;
+        }
+        Ok(())
+    }
+
+    /// Writes the declarations as the next revision, with zones out of service.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform refuses.
+    pub async fn write_configuration(
+        &self,
+        revision: ids::RevisionNumber,
+        zones_out: Vec<ids::ZoneId>,
+    ) -> miette::Result<()> {
         let document = wire::ConfigurationDocument {
             author: "lab".into(),
             change: format!("lab-{revision}").into(),
             declarations: self.declarations.clone(),
             revision,
             vms_out: Vec::new(),
-            zones_out: Vec::new(),
+            zones_out,
         };
         let write = wire::RowWrite {
             condition: wire::RowCondition::Any,
@@ -209,9 +226,6 @@
         };
         let transaction = wire::TransactionRequest { writes: vec![write] };
         self.caller.post(self.platform_address, "/v1/transactions", &transaction).await?;
-        for node in &self.nodes {
-            self.wait_for(node.caller_address, "/readyz").await?;
-        }
         Ok(())
     }
 
--- a/crates/comfreyspread-policy/src/lifecycle.rs
+++ b/crates/comfreyspread-policy/src/lifecycle.rs
@@ -221,6 +221,13 @@
         };
     }
 
+    /// Notes what the endpoint says of itself before its answer is whole.
+    pub fn note_signs(&mut self, sample: &AnswerSample) {
+        if !self.predates_state(sample) && self.shows_cold(sample) {
+            self.chill(sample.signs.start, sample.answered);
+        }
+    }
+
     /// Notes that the endpoint could not be reached or went away while a call was in flight.
     pub fn note_loss(&mut self, now: time::Instant) {
         self.chill(None, now);
--- a/crates/comfreyspread-policy/src/replica.rs
+++ b/crates/comfreyspread-policy/src/replica.rs
@@ -175,6 +175,17 @@
         self.depart_if_idle();
     }
 
+    /// Notes what the endpoint says of itself in the head of an answer to a call sent at `sent`.
+    pub fn note_signs(
+        &mut self,
+        signs: lifecycle::EndpointSigns,
+        sent: time::Instant,
+        now: time::Instant,
+    ) {
+        let sample = lifecycle::AnswerSample { signs, sent, answered: now, slow: false };
+        self.life.note_signs(&sample);
+    }
+
     /// Counts a call that was sent at `sent` as ended.
     pub fn finish(
         &mut self,
--- a/crates/comfreyspread-policy/src/schedule.rs
+++ b/crates/comfreyspread-policy/src/schedule.rs
@@ -4,7 +4,7 @@
 //! taken in, started at an endpoint and finished; each step says what changed and the node carries
 //! it out. A call that waits is either started, handed back as late, or withdrawn: exactly one.
 
-use crate::{choice, latency, outlier, queue, replica};
+use crate::{choice, latency, lifecycle, outlier, queue, replica};
 use comfreyspread_schema::{ids, types};
 use indexmap::IndexMap;
 use std::time;
@@ -291,6 +291,20 @@
         calls.map(|call| ScheduleStep::Refuse { ticket: call.ticket, refusal }).collect()
     }
 
+    /// Notes what an endpoint says of itself in the head of its answer to a started call.
+    pub fn note_signs(
+        &mut self,
+        ticket: ids::TicketId,
+        signs: lifecycle::EndpointSigns,
+        now: time::Instant,
+    ) {
+        if let Some(call) = self.running.get(&ticket)
+            && let Some(replica) = self.replicas.get_mut(&call.endpoint)
+        {
+            replica.note_signs(signs, call.sent, now);
+        }
+    }
+
     /// Counts a started call as ended.
     pub fn finish(
         &mut self,
--- a/crates/comfreyspread/src/placement.rs
+++ b/crates/comfreyspread/src/placement.rs
@@ -92,6 +92,7 @@
         self.slot.note_sent();
         let relayed = async {
             let mut opened = self.call.open(context, planned).await?;
+            self.slot.note_signs(opened.signs);
             relay_events(&mut opened, cursor, sender, self.call.deadline).await?;
             Ok(opened)
         };
--- a/crates/comfreyspread/src/pools.rs
+++ b/crates/comfreyspread/src/pools.rs
@@ -2,7 +2,7 @@
 //!
 //! What a scheduler decides for a waiting call is handed to the task that waits.
 
-use comfreyspread_policy::{replica, schedule};
+use comfreyspread_policy::{lifecycle, replica, schedule};
 use comfreyspread_schema::{ids, types};
 use indexmap::{IndexMap, IndexSet};
 use std::time;
@@ -120,6 +120,16 @@
         self.scheduler.withdraw(ticket)
     }
 
+    /// Notes what an endpoint says of itself in the head of its answer to a started call.
+    pub fn note_signs(
+        &mut self,
+        ticket: ids::TicketId,
+        signs: lifecycle::EndpointSigns,
+        now: time::Instant,
+    ) {
+        self.scheduler.note_signs(ticket, signs, now);
+    }
+
     /// Counts a started call as ended and starts others in its place.
     pub fn finish(
         &mut self,
--- a/crates/comfreyspread/src/slot.rs
+++ b/crates/comfreyspread/src/slot.rs
@@ -4,7 +4,7 @@
 //! sent counts it as given up on; its connection closes, so that the endpoint can cancel it.
 
 use crate::{context, failure, pool_changes, pools};
-use comfreyspread_policy::{replica, schedule};
+use comfreyspread_policy::{lifecycle, replica, schedule};
 use comfreyspread_schema::{ids, types};
 use futures_lite::FutureExt as _;
 use std::{sync, time};
@@ -45,6 +45,12 @@
         self.outcome = replica::CallOutcome::Abandoned;
     }
 
+    /// Notes what the endpoint says of itself in the head of its answer.
+    pub fn note_signs(&self, signs: lifecycle::EndpointSigns) {
+        let now = time::Instant::now();
+        update(&self.context, &self.pool, |entry| entry.note_signs(self.ticket, signs, now));
+    }
+
     /// Gives the place back unused, at an endpoint that may take no more work.
     pub fn close(self) {
         let now = time::Instant::now();
