Count inherited calls once however often they are told

Cause: each notice of a former owner's calls added to those counted before, so an endpoint whose owner changed stayed full until the last of them lapsed.

Ruled out: merging by the larger number; a later notice with fewer calls is the truth.

Change: what is said of a former owner's calls replaces what was said before.

Conclusion: handover is counted exactly.

--- a/crates/comfreyspread-policy/src/limit.rs
+++ b/crates/comfreyspread-policy/src/limit.rs
@@ -14,12 +14,26 @@
     warm: u32,
     running: u32,
     lingering: Vec<time::Instant>,
+    inherited: Option<InheritedCalls>,
+}
+
+/// Calls of a former owner.
+#[derive(Clone, Copy, Debug)]
+struct InheritedCalls {
+    calls: u32,
+    until: time::Instant,
 }
 
 impl ConcurrencyLimit {
     /// Creates the limit of an endpoint of a pool, with no call in flight.
     pub fn new(pool: &types::PoolDeclaration) -> Self {
-        Self { cold: pool.cold_limit, warm: pool.warm_limit, running: 0, lingering: Vec::new() }
+        Self {
+            cold: pool.cold_limit,
+            warm: pool.warm_limit,
+            running: 0,
+            lingering: Vec::new(),
+            inherited: None,
+        }
     }
 
     /// Returns the calls the endpoint bears: the cold limit until it is warm, then one more with
@@ -37,12 +51,14 @@
     /// Returns the calls that may be in flight.
     pub fn running(&self) -> u32 {
         let lingering = u32::try_from(self.lingering.len()).unwrap_or(u32::MAX);
-        self.running.saturating_add(lingering)
+        let inherited = self.inherited.map_or(0, |inherited| inherited.calls);
+        self.running.saturating_add(lingering).saturating_add(inherited)
     }
 
     /// Returns the first moment at which a call counted until then no longer counts.
     pub fn next_release(&self) -> Option<time::Instant> {
-        self.lingering.iter().min().copied()
+        let inherited = self.inherited.map(|inherited| inherited.until);
+        self.lingering.iter().copied().chain(inherited).min()
     }
 
     /// Follows a change of the pool's declaration.
@@ -71,13 +87,15 @@
         self.lingering.push(until);
     }
 
-    /// Counts the calls of a former owner until the moment `until`.
+    /// Counts the calls of a former owner until the moment `until`, in place of what was said of
+    /// them before.
     pub fn inherit(&mut self, calls: u32, until: time::Instant) {
-        self.lingering.extend((0..calls).map(|_| until));
+        self.inherited = Some(InheritedCalls { calls, until });
     }
 
     /// Stops counting calls whose moment has come.
     pub fn release(&mut self, now: time::Instant) {
         self.lingering.retain(|until| *until > now);
+        self.inherited = self.inherited.filter(|inherited| inherited.until > now);
     }
 }
--- a/crates/comfreyspread-policy/tests/scheduler.rs
+++ b/crates/comfreyspread-policy/tests/scheduler.rs
@@ -188,9 +188,15 @@
     let now = time::Instant::now();
     let mut scheduler = common::scheduler(1);
     let until = now + MILLISECOND * 50;
-    scheduler.inherit(&common::endpoint(0), 2, until);
+    for _ in 0..3 {
+        scheduler.inherit(&common::endpoint(0), 2, until);
+    }
     scheduler.offer(common::call(0, now), now).expect("room in the queue");
     assert_eq!(scheduler.next(now), None);
+    scheduler.inherit(&common::endpoint(0), 1, until);
+    started(scheduler.next(now));
+    scheduler.offer(common::call(0, now), now).expect("room in the queue");
+    assert_eq!(scheduler.next(now), None, "said again, the calls count once");
     started(scheduler.next(until));
 }
 
