Replay seeded traces against deployments as data

Cause: attainment, cost and quality during a zone change could not be measured. Change: endpoint stand-ins take call times by pool, slow down with concurrency and beyond their limits, record cancels and offsets, and bound their log; the platform counts operations and lags its VM list; replay starts a deployment, sends a seeded trace, changes a zone, brings a fault about and checks stated outcomes against the records.

--- a/crates/comfreyspread-lab/src/deployment.rs
+++ b/crates/comfreyspread-lab/src/deployment.rs
@@ -190,13 +190,30 @@
     ///
     /// Fails if the platform refuses or a node does not become ready.
     pub async fn configure(&self, revision: ids::RevisionNumber) -> miette::Result<()> {
+        self.write_configuration(revision, &[]).await?;
+        for node in &self.nodes {
+            self.wait_for(node.caller_address, "/readyz").await?;
+        }
+        Ok(())
+    }
+
+    /// Writes the next revision with availability zones out of service.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not answer.
+    pub async fn write_configuration(
+        &self,
+        revision: ids::RevisionNumber,
+        zones_out: &[ids::ZoneId],
+    ) -> miette::Result<()> {
         let document = wire::ConfigurationDocument {
             author: "lab".into(),
             change: format!("lab-{revision}").into(),
             declarations: self.declarations.clone(),
             revision,
             vms_out: Vec::new(),
-            zones_out: Vec::new(),
+            zones_out: zones_out.to_vec(),
         };
         let write = wire::RowWrite {
             condition: wire::RowCondition::Any,
@@ -206,12 +223,19 @@
         };
         let transaction = wire::TransactionRequest { writes: vec![write] };
         self.caller.post(self.platform_address, "/v1/transactions", &transaction).await?;
-        for node in &self.nodes {
-            self.wait_for(node.caller_address, "/readyz").await?;
-        }
         Ok(())
     }
 
+    /// Returns the operations of the platform stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not answer.
+    pub async fn store_stats(&self) -> miette::Result<types::StoreStats> {
+        let answer = self.caller.get(self.platform_address, "/stats").await?;
+        serde_json::from_slice(answer.body()).into_diagnostic()
+    }
+
     /// Waits until a path answers with status 200.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/comfreyspread-lab/src/driver.rs
@@ -0,0 +1,318 @@
+//! Callers of a replay: they send each request when it is due, whatever the state of the others,
+//! through nodes that are ready, and send it again through another node as a balancer would.
+
+use crate::{caller, stand_in};
+use comfreyspread::{failure, header, http_client};
+use comfreyspread_schema::{ids, types as wire};
+use futures_lite::{FutureExt as _, StreamExt as _};
+use std::{
+    net,
+    sync::{self, atomic},
+    time,
+};
+
+const ANSWER_LIMIT_BYTES: usize = 16 * 1024 * 1024;
+const MOST_SENDS: u32 = 3;
+const LATE_ALLOWANCE: time::Duration = time::Duration::from_secs(2);
+const RETRY_PAUSE: time::Duration = time::Duration::from_millis(50);
+const READY_INTERVAL: time::Duration = time::Duration::from_millis(250);
+
+/// How a request ended for its caller.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallEnding {
+    /// The whole answer came, in time or late.
+    Answered,
+    /// An answer came that was cut short.
+    Cut,
+    /// An answer came that belongs to another request.
+    MixedUp,
+    /// Refused with the verdict `not-run`.
+    NotRun,
+    /// Failed, and may have run.
+    MayHaveRun,
+}
+
+/// What became of one request.
+#[derive(Clone, Debug)]
+pub struct CallOutcome {
+    /// Index of the request in the trace.
+    pub index: usize,
+    /// Time from the moment it was due to the end.
+    pub took: time::Duration,
+    /// How it ended.
+    pub ending: CallEnding,
+    /// Times it was sent after the first.
+    pub retries: u32,
+    /// Requests that nodes answered `not-run`.
+    pub refused: Vec<ids::RequestId>,
+    /// Moments of the tokens since the request was due.
+    pub tokens: Vec<time::Duration>,
+}
+
+/// One request as the driver sends it.
+#[derive(Clone, Debug)]
+pub struct DrivenRequest {
+    /// Index of the request in the trace.
+    pub index: usize,
+    /// Moment it is due.
+    pub due: time::Instant,
+    /// Time its profile allows.
+    pub deadline: time::Duration,
+    /// Text that its answer has to carry.
+    pub marker: ids::Text,
+    /// Whether the answer is streamed.
+    pub streaming: bool,
+    /// The call.
+    pub call: caller::CallerRequest,
+}
+
+#[derive(Debug)]
+struct NodeTarget {
+    address: net::SocketAddr,
+    ready: atomic::AtomicBool,
+}
+
+/// Sends requests to nodes that are ready.
+#[derive(Debug)]
+pub struct CallDriver {
+    targets: Vec<NodeTarget>,
+    client: http_client::HttpClient,
+    next: atomic::AtomicUsize,
+}
+
+/// How one sending of a request ended.
+struct SendResult {
+    ending: CallEnding,
+    retry: bool,
+    refused: Option<ids::RequestId>,
+}
+
+impl SendResult {
+    fn new(ending: CallEnding) -> Self {
+        Self { ending, retry: false, refused: None }
+    }
+
+    fn with_retry(self) -> Self {
+        Self { retry: true, ..self }
+    }
+}
+
+impl CallDriver {
+    /// Creates a driver for nodes at `addresses`.
+    pub fn new(addresses: &[net::SocketAddr]) -> Self {
+        let target = |address: &net::SocketAddr| NodeTarget {
+            address: *address,
+            ready: atomic::AtomicBool::new(true),
+        };
+        Self {
+            targets: addresses.iter().map(target).collect(),
+            client: http_client::HttpClient::new(ANSWER_LIMIT_BYTES),
+            next: atomic::AtomicUsize::new(0),
+        }
+    }
+
+    /// Asks each node at intervals whether it is ready, until dropped.
+    pub async fn watch(self: sync::Arc<Self>, index: usize) {
+        let Some(target) = self.targets.get(index) else { return };
+        loop {
+            let url = format!("http://{}/readyz", target.address);
+            let request = http_types::Request::new(http_types::Method::Get, url.as_str());
+            let deadline = time::Instant::now() + READY_INTERVAL;
+            let connection = http_client::ConnectionUse::Fresh;
+            let answer = self.client.call(target.address, request, connection, deadline).await;
+            let ready = answer.is_ok_and(|answer| answer.status() == 200);
+            target.ready.store(ready, atomic::Ordering::Relaxed);
+            async_io::Timer::after(READY_INTERVAL).await;
+        }
+    }
+
+    /// Sends a request, again if that is right, and returns what became of it.
+    pub async fn send(&self, request: &DrivenRequest) -> CallOutcome {
+        let mut outcome = CallOutcome {
+            index: request.index,
+            took: time::Duration::ZERO,
+            ending: CallEnding::MayHaveRun,
+            retries: 0,
+            refused: Vec::new(),
+            tokens: Vec::new(),
+        };
+        let mut may_have_run = false;
+        loop {
+            outcome.tokens.clear();
+            let node = self.choose();
+            let result = self.send_once(node, request, &mut outcome.tokens).await;
+            outcome.refused.extend(result.refused);
+            outcome.ending = result.ending;
+            may_have_run |= result.ending == CallEnding::MayHaveRun;
+            let over = request.due.elapsed() >= request.deadline;
+            if !result.retry || over || outcome.retries + 1 >= MOST_SENDS {
+                break;
+            }
+            outcome.retries += 1;
+            async_io::Timer::after(RETRY_PAUSE).await;
+        }
+        if may_have_run && outcome.ending == CallEnding::NotRun {
+            outcome.ending = CallEnding::MayHaveRun;
+        }
+        outcome.took = request.due.elapsed();
+        outcome
+    }
+
+    fn choose(&self) -> net::SocketAddr {
+        let first = self.next.fetch_add(1, atomic::Ordering::Relaxed);
+        let order = (0..self.targets.len()).map(|step| (first + step) % self.targets.len());
+        let mut ready =
+            order.filter(|index| self.targets[*index].ready.load(atomic::Ordering::Relaxed));
+        self.targets[ready.next().unwrap_or(first % self.targets.len())].address
+    }
+
+    async fn send_once(
+        &self,
+        node: net::SocketAddr,
+        request: &DrivenRequest,
+        tokens: &mut Vec<time::Duration>,
+    ) -> SendResult {
+        let limit = request.due + request.deadline + LATE_ALLOWANCE;
+        let sent = if request.streaming {
+            self.send_stream(node, request, tokens, limit).await
+        } else {
+            self.send_whole(node, request, limit).await
+        };
+        sent.unwrap_or_else(|failure| {
+            let ending = match failure.verdict() {
+                wire::CallVerdict::NotRun => CallEnding::NotRun,
+                _ => CallEnding::MayHaveRun,
+            };
+            SendResult::new(ending).with_retry()
+        })
+    }
+
+    async fn send_whole(
+        &self,
+        node: net::SocketAddr,
+        request: &DrivenRequest,
+        limit: time::Instant,
+    ) -> Result<SendResult, failure::CallFailure> {
+        let connection = if request.call.key.is_some() {
+            http_client::ConnectionUse::Fresh
+        } else {
+            http_client::ConnectionUse::Shared
+        };
+        let message = caller::http_request(node, &request.call);
+        let answer = self.client.call(node, message, connection, limit).await?;
+        let answer = NodeAnswer {
+            status: answer.status(),
+            verdict: answer.header(header::VERDICT).map(Into::into),
+            request: answer.header(header::REQUEST).map(Into::into),
+            body: answer.body().clone(),
+        };
+        Ok(judge(answer, &request.marker))
+    }
+
+    async fn send_stream(
+        &self,
+        node: net::SocketAddr,
+        request: &DrivenRequest,
+        tokens: &mut Vec<time::Duration>,
+        limit: time::Instant,
+    ) -> Result<SendResult, failure::CallFailure> {
+        let mut message = caller::http_request(node, &request.call);
+        message.insert_header("accept", header::EVENT_STREAM);
+        let mut response = self.client.open(node, message, limit).await?;
+        let value = |name: &str| response.header(name).map(|values| values.as_str().into());
+        let media: Option<ids::Text> = value("content-type");
+        let streamed = media.is_some_and(|media| media.starts_with(header::EVENT_STREAM));
+        if response.status() != 200 || !streamed {
+            let status = response.status().into();
+            let verdict = value(header::VERDICT);
+            let id = value(header::REQUEST);
+            let body = response.body_bytes().await.unwrap_or_default().into();
+            let answer = NodeAnswer { status, verdict, request: id, body };
+            return Ok(judge(answer, &request.marker));
+        }
+        let read = read_tokens(response, request, tokens);
+        let late = async {
+            async_io::Timer::at(limit).await;
+            CallEnding::MayHaveRun
+        };
+        Ok(SendResult::new(read.or(late).await))
+    }
+}
+
+/// A whole answer of a node.
+struct NodeAnswer {
+    status: u16,
+    verdict: Option<ids::Text>,
+    request: Option<ids::RequestId>,
+    body: ids::Payload,
+}
+
+/// Judges the answer of a node to a request whose own answer carries `marker`.
+fn judge(answer: NodeAnswer, marker: &str) -> SendResult {
+    if answer.status == 200 {
+        return SendResult::new(check_whole(&answer.body, marker));
+    }
+    if answer.verdict.as_deref() != Some("not-run") {
+        return SendResult::new(CallEnding::MayHaveRun).with_retry();
+    }
+    let problem = serde_json::from_slice::<wire::ProblemBody>(&answer.body);
+    let kind = problem.map_or(wire::ProblemKind::Internal, |problem| problem.kind);
+    let refusal = SendResult { refused: answer.request, ..SendResult::new(CallEnding::NotRun) };
+    if helps_elsewhere(kind) { refusal.with_retry() } else { refusal }
+}
+
+/// Whether another node may answer a request that one refused.
+fn helps_elsewhere(kind: wire::ProblemKind) -> bool {
+    use wire::ProblemKind as Kind;
+    matches!(
+        kind,
+        Kind::Draining
+            | Kind::Internal
+            | Kind::NotOwner
+            | Kind::StoreUnavailable
+            | Kind::Unavailable
+    )
+}
+
+fn check_whole(body: &[u8], marker: &str) -> CallEnding {
+    let Ok(answer) = serde_json::from_slice::<serde_json::Value>(body) else {
+        return CallEnding::Cut;
+    };
+    let found = [&answer["marker"], &answer["answer"]["marker"]];
+    if found.iter().any(|value| value.as_str() == Some(marker)) {
+        CallEnding::Answered
+    } else {
+        CallEnding::MixedUp
+    }
+}
+
+async fn read_tokens(
+    response: http_types::Response,
+    request: &DrivenRequest,
+    tokens: &mut Vec<time::Duration>,
+) -> CallEnding {
+    let mut events = async_sse::decode(response);
+    let mut expected = 0;
+    while let Some(Ok(event)) = events.next().await {
+        let async_sse::Event::Message(message) = event else { continue };
+        if message.name() == "token" {
+            let Ok(run) = serde_json::from_slice::<wire::TokenRun>(message.data()) else {
+                return CallEnding::Cut;
+            };
+            let next = expected + u64::from(run.count);
+            let text = (expected..next)
+                .map(|offset| stand_in::token_text(Some(&request.marker), offset))
+                .fold(String::new(), |text, token| text + &token);
+            if run.offset != expected || *run.text != *text {
+                return CallEnding::MixedUp;
+            }
+            expected = next;
+            tokens.push(request.due.elapsed());
+        } else if message.name() == "end" {
+            let end = serde_json::from_slice::<wire::StreamEnd>(message.data());
+            let whole = end.is_ok_and(|end| end.tokens == expected);
+            return if whole { CallEnding::Answered } else { CallEnding::Cut };
+        }
+    }
+    CallEnding::Cut
+}
--- a/crates/comfreyspread-lab/src/lib.rs
+++ b/crates/comfreyspread-lab/src/lib.rs
@@ -3,16 +3,26 @@
 //! The platform and the endpoints are stand-ins that record what they really received. Proofs read
 //! those records, never a node's own word.
 
+pub mod call_log;
 pub mod caller;
 pub mod deployment;
+pub mod driver;
 pub mod endpoints;
+pub mod fault;
 pub mod network;
 pub mod platform;
+pub mod plot;
 pub mod process;
 pub mod quickstart;
 pub mod relay;
+pub mod replay;
+pub mod report;
 pub mod serving;
 pub mod socket;
+pub mod stand_in;
+pub mod tally;
+pub mod trace;
+pub mod usage;
 #[allow(clippy::all, clippy::unwrap_used, missing_docs)]
 #[rustfmt::skip]
 #[path = "generated/types.rs"]
--- a/crates/comfreyspread-lab/src/main.rs
+++ b/crates/comfreyspread-lab/src/main.rs
@@ -4,7 +4,7 @@
 //! node it hands over to the product's own command line.
 
 use comfreyspread::{command, worker};
-use comfreyspread_lab::{endpoints, platform, quickstart, relay};
+use comfreyspread_lab::{endpoints, platform, quickstart, relay, replay};
 use miette::IntoDiagnostic as _;
 use std::{env, process};
 
@@ -25,6 +25,7 @@
     Platform(platform::PlatformArguments),
     Quickstart(quickstart::QuickstartArguments),
     Relay(relay::RelayArguments),
+    Replay(replay::ReplayArguments),
 }
 
 fn main() -> miette::Result<process::ExitCode> {
@@ -44,6 +45,7 @@
                 arguments.run(&spawner).await.map(|()| process::ExitCode::SUCCESS)
             }
             LabRole::Quickstart(arguments) => arguments.run().await,
+            LabRole::Replay(arguments) => arguments.run(&spawner).await,
             LabRole::Relay(arguments) => {
                 arguments.run(&spawner).await.map(|()| process::ExitCode::SUCCESS)
             }
--- a/crates/comfreyspread-lab/src/platform.rs
+++ b/crates/comfreyspread-lab/src/platform.rs
@@ -53,32 +53,69 @@
     state: PlatformState,
     stale: Option<PlatformState>,
     faults: types::StoreFaults,
+    stats: types::StoreStats,
+    pending_vms: Vec<PendingList>,
+}
+
+/// A VM list that is not seen yet.
+#[derive(Debug)]
+struct PendingList {
+    vms: Vec<wire::VmRecord>,
+    due: time::Instant,
+}
+
+impl PlatformTables {
+    fn count(&mut self, request: &http_server::ServerRequest) {
+        if request.method() == Method::Get {
+            self.stats.reads += 1;
+        } else {
+            self.stats.writes += 1;
+        }
+        self.stats.bytes += u64::try_from(request.body().len()).unwrap_or(u64::MAX);
+    }
+
+    fn set_vms(&mut self, vms: Vec<wire::VmRecord>) {
+        self.pending_vms.push(PendingList { vms, due: time::Instant::now() + self.faults.vm_lag });
+    }
+
+    /// Shows the lists whose lag has passed.
+    fn show_vms(&mut self) {
+        let now = time::Instant::now();
+        let shown = self.pending_vms.iter().take_while(|list| list.due <= now).count();
+        if let Some(list) = self.pending_vms.drain(..shown).next_back() {
+            self.state.vms = list.vms;
+        }
+    }
 }
 
 /// Answers as the platform would.
 #[derive(Debug)]
 pub struct PlatformHandler {
+    started: time::Instant,
     tables: rank::RankedLock<rank::PoolRank, PlatformTables>,
 }
 
 impl PlatformHandler {
     /// Creates an empty platform.
     pub fn new() -> Self {
-        Self { tables: rank::RankedLock::new(PlatformTables::default()) }
+        let tables = rank::RankedLock::new(PlatformTables::default());
+        Self { started: time::Instant::now(), tables }
     }
 
     fn answer(&self, request: &http_server::ServerRequest) -> Response {
         let path = request.path();
+        self.tables.lock().count(request);
         match (request.method(), path) {
             (Method::Post, "/v1/transactions") => {
                 serving::with_json(request, |transaction| self.transact(&transaction))
             }
             (Method::Get, "/v1/vms") => {
+                self.tables.lock().show_vms();
                 let vms = self.read(|state| state.vms.clone());
                 serving::json(&wire::VmList { vms })
             }
             (Method::Put, "/v1/vms") => serving::with_json(request, |list: wire::VmList| {
-                self.tables.lock().state.vms = list.vms;
+                self.tables.lock().set_vms(list.vms);
                 Response::new(StatusCode::Ok)
             }),
             (Method::Get, _) if path.starts_with(ROWS_PATH) => self.read_rows(request),
@@ -94,6 +131,11 @@
         }
     }
 
+    fn stats(&self) -> Response {
+        let stats = self.tables.lock().stats.clone();
+        serving::json(&types::StoreStats { now: self.started.elapsed(), ..stats })
+    }
+
     fn set_faults(&self, faults: types::StoreFaults) -> Response {
         let mut tables = self.tables.lock();
         tables.stale = faults.stale.then(|| tables.state.clone());
@@ -127,6 +169,10 @@
                 state.apply(write);
             }
         }
+        if !committed {
+            tables.stats.refused += 1;
+        }
+        let state = &tables.state;
         let versions = request.writes.iter().map(|write| state.version(write)).collect();
         serving::json(&wire::TransactionReply { committed, versions })
     }
@@ -185,6 +231,9 @@
         if request.path() == "/faults" {
             return serving::with_json(&request, |faults| self.set_faults(faults));
         }
+        if request.path() == "/stats" {
+            return self.stats();
+        }
         let faults = self.tables.lock().faults.clone();
         if faults.delay > time::Duration::ZERO {
             Timer::after(faults.delay).await;
--- a/crates/comfreyspread-lab/src/relay.rs
+++ b/crates/comfreyspread-lab/src/relay.rs
@@ -105,7 +105,7 @@
     ) -> Self {
         Self {
             link,
-            finder: socket::SocketFinder::new(nodes),
+            finder: socket::SocketFinder::new(nodes, &spawner),
             spawner,
             links: rank::RankedLock::new(Vec::new()),
             cuts: rank::RankedLock::new(Vec::new()),
@@ -125,7 +125,7 @@
         remote: net::SocketAddr,
         route: types::RelayRoute,
     ) {
-        let source = self.finder.place(remote, route.listen);
+        let source = self.finder.place(remote, route.listen).await;
         let path = source.map(|from| RelayPath { from, to: route.place });
         let Ok(target) = TcpStream::connect(route.target).await else { return };
         stream.set_nodelay(true).ok();
