Hand out test addresses that no other process takes

Cause: stand_in_records failed once in 30 s with a process that never became ready: ports found free were taken by outgoing connections or by other tests before the stand-in bound them. Ruled out: a slow start (the next runs took 1.5 s). Change: addresses come from blocks below the system's range for outgoing connections, each block held by a bound port.

--- a/crates/comfreyspread-lab/src/deployment.rs
+++ b/crates/comfreyspread-lab/src/deployment.rs
@@ -141,7 +141,10 @@
         let platform = planner.route_platform(self.platform_address)?;
         for plan in plans {
             plan.platform = platform;
-            plan.advertised = planner.route_node(&plan.place, plan.peer)?;
+            let advertised = planner.route_node(&plan.place, plan.peer)?;
+            if self.options.node_program.is_none() {
+                plan.advertised = advertised;
+            }
         }
         let relay = network::RelayProcess::new(&self.program, planner.plan())?;
         self.wait_for(relay.control, "/stats").await?;
--- a/crates/comfreyspread-lab/src/fault.rs
+++ b/crates/comfreyspread-lab/src/fault.rs
@@ -1,7 +1,7 @@
 //! Faults of a replay: what breaks while the trace runs, and what mends it.
 
 use crate::{deployment, types};
-use comfreyspread_schema::ids;
+use comfreyspread_schema::{ids, types as wire};
 use rustix::process::Signal;
 use std::{str, time};
 
@@ -121,10 +121,9 @@
 }
 
 async fn cool_engines(deployment: &deployment::TestDeployment) -> miette::Result<()> {
-    use comfreyspread_schema::types::PoolKind;
     let pools = &deployment.declarations.pools;
     let engine = |pool: &ids::PoolId| {
-        pools.iter().any(|entry| entry.name == *pool && entry.kind == PoolKind::Engine)
+        pools.iter().any(|entry| entry.name == *pool && entry.kind == wire::PoolKind::Engine)
     };
     let engines = deployment.declarations.endpoints.iter().filter(|entry| engine(&entry.pool));
     for endpoint in engines.step_by(COLD_SHARE) {
--- a/crates/comfreyspread-lab/src/process.rs
+++ b/crates/comfreyspread-lab/src/process.rs
@@ -1,8 +1,15 @@
 //! Child processes of the lab: stand-ins and nodes, each the lab's own program in another role.
 
+use comfreyspread::rank;
 use miette::IntoDiagnostic as _;
-use std::{env, fs, net, process, time};
+use std::{env, fs, net, process, sync, time};
 
+const FIRST_PORT: u16 = 10_000;
+const LAST_PORT: u16 = 32_000;
+const PORTS_PER_BLOCK: u16 = 50;
+
+static PORTS: sync::OnceLock<rank::RankedLock<rank::ConnectionRank, PortBlocks>> =
+    sync::OnceLock::new();
 const READY_POLL: time::Duration = time::Duration::from_millis(20);
 
 /// A child process that is killed when dropped.
@@ -94,8 +101,8 @@
 ///
 /// Fails if no port is free.
 pub fn free_address() -> miette::Result<net::SocketAddr> {
-    let listener = net::TcpListener::bind(("127.0.0.1", 0)).into_diagnostic()?;
-    listener.local_addr().into_diagnostic()
+    let ports = PORTS.get_or_init(|| rank::RankedLock::new(PortBlocks::default()));
+    ports.lock().next_address()
 }
 
 /// Returns `count` loopback addresses that are free now.
@@ -104,8 +111,44 @@
 ///
 /// Fails if no port is free.
 pub fn free_addresses(count: usize) -> miette::Result<Vec<net::SocketAddr>> {
-    let listeners: Result<Vec<_>, _> =
-        (0..count).map(|_| net::TcpListener::bind(("127.0.0.1", 0))).collect();
-    let addresses = listeners.into_diagnostic()?.into_iter().map(|listener| listener.local_addr());
-    addresses.collect::<Result<_, _>>().into_diagnostic()
+    (0..count).map(|_| free_address()).collect()
+}
+
+/// Ports below those that the system gives to outgoing connections, handed out in blocks. The
+/// first port of a block stays bound, so that no other lab process on the machine takes the block.
+#[derive(Debug, Default)]
+struct PortBlocks {
+    reserved: Vec<net::TcpListener>,
+    next: u16,
+    end: u16,
+}
+
+impl PortBlocks {
+    fn next_address(&mut self) -> miette::Result<net::SocketAddr> {
+        loop {
+            if self.next >= self.end {
+                self.reserve()?;
+            }
+            let port = self.next;
+            self.next += 1;
+            if let Ok(listener) = net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, port)) {
+                return listener.local_addr().into_diagnostic();
+            }
+        }
+    }
+
+    fn reserve(&mut self) -> miette::Result<()> {
+        let blocks = (LAST_PORT - FIRST_PORT) / PORTS_PER_BLOCK;
+        let first = u16::try_from(process::id() % u32::from(blocks)).unwrap_or(0);
+        for step in 0..blocks {
+            let port = FIRST_PORT + (first + step) % blocks * PORTS_PER_BLOCK;
+            if let Ok(listener) = net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, port)) {
+                self.reserved.push(listener);
+                self.next = port + 1;
+                self.end = port + PORTS_PER_BLOCK;
+                return Ok(());
+            }
+        }
+        miette::bail!("all ports from {FIRST_PORT} to {LAST_PORT} are taken")
+    }
 }
--- /dev/null
+++ b/crates/comfreyspread-lab/tests/stand_in_records.rs
@@ -0,0 +1,109 @@
+//! The stand-ins record what they received: overshoot, cancelled and resumed streams, operations.
+
+mod common;
+
+use comfreyspread::{header, http_client};
+use comfreyspread_lab::deployment;
+use comfreyspread_schema::types as wire;
+use futures_lite::AsyncReadExt as _;
+use std::{net, path, time};
+
+const PATIENCE: time::Duration = time::Duration::from_secs(20);
+
+async fn stand_ins(extra: &[&str]) -> deployment::TestDeployment {
+    let program = path::PathBuf::from(env!("CARGO_BIN_EXE_comfreyspread-lab"));
+    let options = deployment::DeploymentOptions {
+        endpoint_arguments: extra.iter().map(|text| (*text).into()).collect(),
+        ..deployment::DeploymentOptions::default()
+    };
+    let started =
+        deployment::TestDeployment::with_options(program, common::sample(), &[], options).await;
+    let deployment = started.expect("the processes start");
+    let first = deployment.declarations.endpoints[0].address;
+    deployment.wait_for(first, "/records").await.expect("the endpoints listen");
+    deployment
+}
+
+fn stage_request(address: net::SocketAddr, offset: u64) -> http_types::Request {
+    let url = format!("http://{address}/v1/stages/generate");
+    let mut request = http_types::Request::new(http_types::Method::Post, url.as_str());
+    request.set_body(r#"{"request":{"marker":"m-1"}}"#);
+    request.insert_header(header::REQUEST, "r-1");
+    request.insert_header(header::OFFSET, offset.to_string());
+    request.insert_header("accept", header::EVENT_STREAM);
+    request
+}
+
+#[test]
+fn overshoot_recorded() {
+    common::run(async {
+        let deployment = stand_ins(&["--call-ms", "300"]).await;
+        let address = deployment.declarations.endpoints[0].address;
+        let limit = deployment.declarations.pools[0].cold_limit;
+        let call = || Box::pin(deployment.caller.post(address, "/v1/stages/encode", &"x"));
+        let (first, second) = futures_lite::future::zip(call(), call()).await;
+        assert!(first.is_ok() && second.is_ok());
+        let within = deployment.records().await.expect("records");
+        assert!(within.records.iter().all(|record| record.cold && record.overshoot == 0));
+        let two = futures_lite::future::zip(call(), call());
+        let ((first, second), third) = futures_lite::future::zip(two, call()).await;
+        assert!(first.is_ok() && second.is_ok() && third.is_ok());
+        let records = deployment.records().await.expect("records");
+        let most = records.records.iter().map(|record| record.overshoot).max();
+        assert_eq!(most, Some(3 - limit));
+        assert_eq!(records.dropped, 0);
+    });
+}
+
+#[test]
+fn cancel_recorded() {
+    common::run(async {
+        let deployment = stand_ins(&["--token-ms", "20"]).await;
+        let address = deployment.declarations.endpoints[0].address;
+        let client = http_client::HttpClient::new(1 << 20);
+        let deadline = time::Instant::now() + PATIENCE;
+        let opened = client.open(address, stage_request(address, 7), deadline).await;
+        let mut response = opened.expect("a stream");
+        let mut start = [0; 64];
+        response.read(&mut start).await.expect("the first tokens");
+        drop(response);
+        while time::Instant::now() < deadline {
+            let records = deployment.records().await.expect("records").records;
+            assert_eq!(records[0].offset, 7);
+            assert!(!records[0].finished);
+            if records[0].cancelled {
+                return;
+            }
+            async_io::Timer::after(time::Duration::from_millis(20)).await;
+        }
+        panic!("the cancel was not recorded");
+    });
+}
+
+#[test]
+fn log_bounded() {
+    common::run(async {
+        let deployment = stand_ins(&["--record-limit", "2"]).await;
+        let address = deployment.declarations.endpoints[0].address;
+        for _ in 0..5 {
+            deployment.caller.post(address, "/v1/stages/encode", &"x").await.expect("an answer");
+        }
+        let records = deployment.records().await.expect("records");
+        assert_eq!((records.records.len(), records.dropped), (2, 3));
+    });
+}
+
+#[test]
+fn operations_counted() {
+    common::run(async {
+        let deployment = stand_ins(&[]).await;
+        let before = deployment.store_stats().await.expect("statistics");
+        deployment.write_configuration(1, &[]).await.expect("a write");
+        let key = "/v1/tables/configuration/rows/head";
+        let row = deployment.caller.get(deployment.platform_address, key).await;
+        let row: wire::TableRow = serde_json::from_slice(row.expect("a row").body()).expect("JSON");
+        assert_eq!(row.version, 1);
+        let after = deployment.store_stats().await.expect("statistics");
+        assert_eq!((after.reads - before.reads, after.writes - before.writes), (1, 1));
+    });
+}
