--- a/crates/comfreyspread-lab/src/deployment.rs
+++ b/crates/comfreyspread-lab/src/deployment.rs
@@ -144,7 +144,10 @@
         let platform = planner.route_platform(self.platform_address)?;
         for plan in plans {
             plan.platform = platform;
-            plan.advertised = planner.route_node(&plan.place, plan.peer)?;
+            let advertised = planner.route_node(&plan.place, plan.peer)?;
+            if self.options.node_program.is_none() {
+                plan.advertised = advertised;
+            }
         }
         let relay = network::RelayProcess::new(&self.program, planner.plan())?;
         self.wait_for(relay.control, "/stats").await?;
@@ -193,22 +196,22 @@
     ///
     /// Fails if the platform refuses or a node does not become ready.
     pub async fn configure(&self, revision: ids::RevisionNumber) -> miette::Result<()> {
-        self.write_configuration(revision, Vec::new()).await?;
+        self.write_configuration(revision, &[]).await?;
         for node in &self.nodes {
             self.wait_for(node.caller_address, "/readyz").await?;
         }
         Ok(())
     }
 
-    /// Writes the declarations as the next revision, with zones out of service.
+    /// Writes the next revision with availability zones out of service.
     ///
     /// # Errors
     ///
-    /// Fails if the platform refuses.
+    /// Fails if the platform does not answer.
     pub async fn write_configuration(
         &self,
         revision: ids::RevisionNumber,
-        zones_out: Vec<ids::ZoneId>,
+        zones_out: &[ids::ZoneId],
     ) -> miette::Result<()> {
         let document = wire::ConfigurationDocument {
             author: "lab".into(),
@@ -216,7 +219,7 @@
             declarations: self.declarations.clone(),
             revision,
             vms_out: Vec::new(),
-            zones_out,
+            zones_out: zones_out.to_vec(),
         };
         let write = wire::RowWrite {
             condition: wire::RowCondition::Any,
@@ -229,6 +232,16 @@
         Ok(())
     }
 
+    /// Returns the operations of the platform stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not answer.
+    pub async fn store_stats(&self) -> miette::Result<types::StoreStats> {
+        let answer = self.caller.get(self.platform_address, "/stats").await?;
+        serde_json::from_slice(answer.body()).into_diagnostic()
+    }
+
     /// Waits until a path answers with status 200.
     ///
     /// # Errors
--- a/crates/comfreyspread-lab/src/process.rs
+++ b/crates/comfreyspread-lab/src/process.rs
@@ -1,10 +1,15 @@
 //! Child processes of the lab: stand-ins and nodes, each the lab's own program in another role.
 
+use comfreyspread::rank;
 use miette::IntoDiagnostic as _;
-use std::{env, fs, iter, net, ops, process, sync, sync::atomic, time};
+use std::{env, fs, net, process, sync, time};
 
-const LISTENING_PORTS: ops::Range<u16> = 10_000..32_000;
-const LOOPBACK: net::Ipv4Addr = net::Ipv4Addr::LOCALHOST;
+const FIRST_PORT: u16 = 10_000;
+const LAST_PORT: u16 = 32_000;
+const PORTS_PER_BLOCK: u16 = 50;
+
+static PORTS: sync::OnceLock<rank::RankedLock<rank::ConnectionRank, PortBlocks>> =
+    sync::OnceLock::new();
 const READY_POLL: time::Duration = time::Duration::from_millis(20);
 
 /// A child process that is killed when dropped.
@@ -96,31 +101,54 @@
 ///
 /// Fails if no port is free.
 pub fn free_address() -> miette::Result<net::SocketAddr> {
-    let addresses = free_addresses(1)?;
-    addresses.first().copied().ok_or_else(|| miette::miette!("no port is free"))
+    let ports = PORTS.get_or_init(|| rank::RankedLock::new(PortBlocks::default()));
+    ports.lock().next_address()
 }
 
 /// Returns `count` loopback addresses that are free now.
 ///
-/// The ports lie below those that the system gives to outgoing connections, so that none is taken
-/// by a connection before its process listens. A process never gives out a port twice.
-///
 /// # Errors
 ///
-/// Fails if too few ports are free.
+/// Fails if no port is free.
 pub fn free_addresses(count: usize) -> miette::Result<Vec<net::SocketAddr>> {
-    let ports = iter::repeat_with(next_port).take(LISTENING_PORTS.len());
-    let bound = ports.filter_map(|port| net::TcpListener::bind((LOOPBACK, port)).ok());
-    let listeners: Vec<_> = bound.take(count).collect();
-    miette::ensure!(listeners.len() == count, "fewer than {count} ports are free");
-    let addresses = listeners.iter().map(net::TcpListener::local_addr);
-    addresses.collect::<Result<_, _>>().into_diagnostic()
+    (0..count).map(|_| free_address()).collect()
 }
 
-/// Returns the next port of this process, from a start drawn at random.
-fn next_port() -> u16 {
-    static CURSOR: sync::LazyLock<atomic::AtomicU16> =
-        sync::LazyLock::new(|| atomic::AtomicU16::new(rand::random()));
-    let offset = CURSOR.fetch_add(1, atomic::Ordering::Relaxed);
-    LISTENING_PORTS.start + offset % (LISTENING_PORTS.end - LISTENING_PORTS.start)
+/// Ports below those that the system gives to outgoing connections, handed out in blocks. The
+/// first port of a block stays bound, so that no other lab process on the machine takes the block.
+#[derive(Debug, Default)]
+struct PortBlocks {
+    reserved: Vec<net::TcpListener>,
+    next: u16,
+    end: u16,
+}
+
+impl PortBlocks {
+    fn next_address(&mut self) -> miette::Result<net::SocketAddr> {
+        loop {
+            if self.next >= self.end {
+                self.reserve()?;
+            }
+            let port = self.next;
+            self.next += 1;
+            if let Ok(listener) = net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, port)) {
+                return listener.local_addr().into_diagnostic();
+            }
+        }
+    }
+
+    fn reserve(&mut self) -> miette::Result<()> {
+        let blocks = (LAST_PORT - FIRST_PORT) / PORTS_PER_BLOCK;
+        let first = u16::try_from(process::id() % u32::from(blocks)).unwrap_or(0);
+        for step in 0..blocks {
+            let port = FIRST_PORT + (first + step) % blocks * PORTS_PER_BLOCK;
+            if let Ok(listener) = net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, port)) {
+                self.reserved.push(listener);
+                self.next = port + 1;
+                self.end = port + PORTS_PER_BLOCK;
+                return Ok(());
+            }
+        }
+        miette::bail!("all ports from {FIRST_PORT} to {LAST_PORT} are taken")
+    }
 }
--- a/crates/comfreyspread-lab/tests/queueing.rs
+++ b/crates/comfreyspread-lab/tests/queueing.rs
@@ -80,7 +80,7 @@
         let call = common::read_call();
         let out = async {
             async_io::Timer::after(FLOOD_HEAD_START).await;
-            deployment.write_configuration(2, vec![zone.clone()]).await.expect("accepted");
+            deployment.write_configuration(2, std::slice::from_ref(&zone)).await.expect("accepted");
             deployment.records().await.expect("records").now
         };
         let floods = async {
