Share suspicions and load between nodes with heartbeats

Cause: each node convicted a poisoned request by itself, so a caller that sent it through each node in turn crashed two endpoints a node. Ruled out: merging records without their age, with which a conviction circulated for ever (exchange_expires failed), and clearing by removal, which came back from peers (cleared_everywhere failed).

--- a/crates/comfreyspread-policy/src/suspect.rs
+++ b/crates/comfreyspread-policy/src/suspect.rs
@@ -26,7 +26,7 @@
 #[derive(Clone, Copy, Debug)]
 struct SuspectEntry {
     crashes: u32,
-    convicted: bool,
+    phase: types::SuspectPhase,
     noted: time::Instant,
 }
 
@@ -45,50 +45,73 @@
     /// Returns how the request with this digest is to be treated.
     pub fn stance(&self, digest: &ids::BodyDigest, now: time::Instant) -> SuspectStance {
         let entry = self.entries.get(digest).filter(|entry| is_current(entry, now));
-        match entry {
-            None => SuspectStance::Clear,
-            Some(entry) if entry.convicted => SuspectStance::Convicted,
-            Some(_) => SuspectStance::Suspect,
+        match entry.map(|entry| entry.phase) {
+            None | Some(types::SuspectPhase::Cleared) => SuspectStance::Clear,
+            Some(types::SuspectPhase::Suspect) => SuspectStance::Suspect,
+            Some(types::SuspectPhase::Convicted) => SuspectStance::Convicted,
         }
     }
 
     /// Takes note that an endpoint went away while it ran the request, alone or beside others.
     pub fn note_crash(&mut self, digest: &ids::BodyDigest, alone: bool, now: time::Instant) {
-        self.make_room(now);
-        let empty = SuspectEntry { crashes: 0, convicted: false, noted: now };
-        let entry = self.entries.entry(digest.clone()).or_insert(empty);
-        entry.crashes += 1;
-        entry.convicted |= alone && entry.crashes > 1;
-        entry.noted = now;
+        let known = self.entries.get(digest).filter(|entry| is_current(entry, now)).copied();
+        let held = known.filter(|entry| entry.phase != types::SuspectPhase::Cleared);
+        let crashes = held.map_or(0, |entry| entry.crashes) + 1;
+        let convicted = held.is_some_and(|entry| entry.phase == types::SuspectPhase::Convicted);
+        let phase = if convicted || (alone && crashes > 1) {
+            types::SuspectPhase::Convicted
+        } else {
+            types::SuspectPhase::Suspect
+        };
+        self.put(digest, SuspectEntry { crashes, phase, noted: now }, now);
     }
 
     /// Takes note that the request was served; a suspect is cleared.
-    pub fn note_served(&mut self, digest: &ids::BodyDigest) {
-        if self.entries.get(digest).is_some_and(|entry| !entry.convicted) {
-            self.entries.swap_remove(digest);
+    pub fn note_served(&mut self, digest: &ids::BodyDigest, now: time::Instant) {
+        if let Some(entry) = self.entries.get_mut(digest)
+            && entry.phase == types::SuspectPhase::Suspect
+        {
+            entry.phase = types::SuspectPhase::Cleared;
+            entry.noted = now;
         }
     }
 
-    /// Takes over what another node found out.
+    /// Takes over what another node found out, if it is newer or convicts.
     pub fn merge(&mut self, record: &types::SuspectRecord, now: time::Instant) {
-        self.make_room(now);
-        let empty = SuspectEntry { crashes: 0, convicted: false, noted: now };
-        let entry = self.entries.entry(record.digest.clone()).or_insert(empty);
-        entry.crashes = entry.crashes.max(record.crashes);
-        entry.convicted |= record.convicted;
+        let Some(noted) = now.checked_sub(record.age) else { return };
+        let found = SuspectEntry { crashes: record.crashes, phase: record.phase, noted };
+        if !is_current(&found, now) {
+            return;
+        }
+        let convicts = |entry: &SuspectEntry| entry.phase == types::SuspectPhase::Convicted;
+        let newer = match self.entries.get(&record.digest) {
+            None => true,
+            Some(known) if convicts(known) != convicts(&found) => convicts(&found),
+            Some(known) => known.noted < noted,
+        };
+        if newer {
+            self.put(&record.digest, found, now);
+        }
     }
 
     /// Returns up to `most` of the latest records, for other nodes.
     pub fn latest(&self, most: usize, now: time::Instant) -> Vec<types::SuspectRecord> {
         let current = self.entries.iter().rev().filter(|(_, entry)| is_current(entry, now));
         let record = |(digest, entry): (&ids::BodyDigest, &SuspectEntry)| types::SuspectRecord {
-            convicted: entry.convicted,
+            age: now.saturating_duration_since(entry.noted),
             crashes: entry.crashes,
             digest: digest.clone(),
+            phase: entry.phase,
         };
         current.take(most).map(record).collect()
     }
 
+    fn put(&mut self, digest: &ids::BodyDigest, entry: SuspectEntry, now: time::Instant) {
+        self.entries.shift_remove(digest);
+        self.make_room(now);
+        self.entries.insert(digest.clone(), entry);
+    }
+
     fn make_room(&mut self, now: time::Instant) {
         if self.entries.len() < MOST_RECORDS {
             return;
--- a/crates/comfreyspread-policy/tests/suspects.rs
+++ b/crates/comfreyspread-policy/tests/suspects.rs
@@ -15,7 +15,7 @@
     assert_eq!(table.stance(&digest, now), Suspect);
     table.note_crash(&digest, true, now);
     assert_eq!(table.stance(&digest, now), Convicted);
-    table.note_served(&digest);
+    table.note_served(&digest, now);
     assert_eq!(table.stance(&digest, now), Convicted);
 }
 
@@ -27,7 +27,7 @@
     table.note_crash(&digest, false, now);
     table.note_crash(&digest, false, now);
     assert_eq!(table.stance(&digest, now), Suspect);
-    table.note_served(&digest);
+    table.note_served(&digest, now);
     assert_eq!(table.stance(&digest, now), Clear);
 }
 
@@ -70,3 +70,37 @@
     }
     assert_eq!(table.latest(usize::MAX, now).len(), 10_000);
 }
+
+#[test]
+fn cleared_everywhere() {
+    let now = time::Instant::now();
+    let mut one = suspect::SuspectTable::new();
+    let mut other = suspect::SuspectTable::new();
+    let digest = "d".into();
+    one.note_crash(&digest, false, now);
+    other.merge(&one.latest(1, now)[0], now);
+    let later = now + time::Duration::from_secs(1);
+    one.note_served(&digest, later);
+    one.merge(&other.latest(1, later)[0], later);
+    other.merge(&one.latest(1, later)[0], later);
+    assert_eq!(one.stance(&digest, later), Clear);
+    assert_eq!(other.stance(&digest, later), Clear);
+}
+
+#[test]
+fn exchange_expires() {
+    let now = time::Instant::now();
+    let mut one = suspect::SuspectTable::new();
+    let mut other = suspect::SuspectTable::new();
+    let digest = "d".into();
+    one.note_crash(&digest, false, now);
+    one.note_crash(&digest, true, now);
+    for minute in 0..12 {
+        let moment = now + time::Duration::from_secs(60 * minute);
+        one.latest(9, moment).iter().for_each(|record| other.merge(record, moment));
+        other.latest(9, moment).iter().for_each(|record| one.merge(record, moment));
+    }
+    let later = now + time::Duration::from_secs(660);
+    assert_eq!(one.stance(&digest, later), Clear);
+    assert_eq!(other.stance(&digest, later), Clear);
+}
--- a/crates/comfreyspread/src/call_run.rs
+++ b/crates/comfreyspread/src/call_run.rs
@@ -216,7 +216,7 @@
         let now = time::Instant::now();
         let took = now.saturating_duration_since(began).saturating_sub(reply.waited);
         if self.alone {
-            self.context.tables.suspects.lock().note_served(&ledger.plan().digest);
+            self.context.tables.suspects.lock().note_served(&ledger.plan().digest, now);
         }
         self.context.tables.timings.lock().record(&self.pool, took, now);
         let mut budgets = self.context.tables.budgets.lock();
--- a/crates/comfreyspread/src/heartbeat.rs
+++ b/crates/comfreyspread/src/heartbeat.rs
@@ -17,6 +17,10 @@
 
 /// Recent changes carried by one message; one sampled record comes on top.
 const RECORDS_PER_MESSAGE: usize = 4;
+/// Pools whose load is carried by one message.
+const HINTS_PER_MESSAGE: usize = 4;
+/// Suspicions carried by one message.
+const SUSPECTS_PER_MESSAGE: usize = 4;
 /// Members asked to probe another that did not answer.
 const INDIRECT_PROBES: usize = 3;
 /// Members probed at once while no peer answers.
@@ -68,13 +72,16 @@
     context: &sync::Arc<context::NodeContext>,
     message: types::Heartbeat,
 ) -> types::HeartbeatReply {
+    note_piggyback(context, &message.header, &message.hints, &message.suspects);
     merge(context, &message.header, message.members);
     let reached = match &message.target {
         Some(node) => reach(context, node).await,
         None => false,
     };
     let members = reply_records(context, &message.header, message.whole);
-    types::HeartbeatReply { members, reached, ..acknowledge(context) }
+    let hints = some_hints(context);
+    let suspects = latest_suspects(context);
+    types::HeartbeatReply { hints, members, reached, suspects, ..acknowledge(context) }
 }
 
 /// Returns a reply that carries no records.
@@ -299,17 +306,47 @@
         let now = time::Instant::now();
         context.tables.ownership.lock().confirm(sent, now);
     }
+    note_piggyback(context, &reply.header, &reply.hints, &reply.suspects);
     merge(context, &reply.header, reply.members);
 }
 
+/// Takes in the load and the suspicions that came with a message.
+fn note_piggyback(
+    context: &context::NodeContext,
+    header: &types::PeerHeader,
+    hints: &[types::PoolHint],
+    suspects: &[types::SuspectRecord],
+) {
+    let now = time::Instant::now();
+    for hint in hints {
+        context.tables.hints.lock().note(&header.node, hint.clone(), now);
+    }
+    for record in suspects {
+        context.tables.suspects.lock().merge(record, now);
+    }
+}
+
+/// Returns the load of a few of this node's pools, drawn by chance.
+fn some_hints(context: &context::NodeContext) -> Vec<types::PoolHint> {
+    let mut hints = context.tables.pools.lock().hints();
+    hints.retain(|hint| hint.limit > 0);
+    hints.choose_multiple(&mut rand::rng(), HINTS_PER_MESSAGE).cloned().collect()
+}
+
+fn latest_suspects(context: &context::NodeContext) -> Vec<types::SuspectRecord> {
+    context.tables.suspects.lock().latest(SUSPECTS_PER_MESSAGE, time::Instant::now())
+}
+
 fn heartbeat(context: &context::NodeContext, target: Option<ids::NodeId>) -> types::Heartbeat {
     let header = context.peer_header();
+    let hints = some_hints(context);
+    let suspects = latest_suspects(context);
     let mut members = context.tables.members.lock();
     types::Heartbeat {
         header,
-        hints: Vec::new(),
+        hints,
         members: members.take_records(RECORDS_PER_MESSAGE, &mut rand::rng()),
-        suspects: Vec::new(),
+        suspects,
         target,
         whole: false,
     }
