Measure what a node adds and carries per core

Cause: the targets for latency, calls, tokens and idle cost had no figure. Change: lab role bench; direct calls and calls through nodes take turns in one run. Before: none. Calls do not pass a second node yet.

--- a/crates/comfreyspread-lab/src/lib.rs
+++ b/crates/comfreyspread-lab/src/lib.rs
@@ -3,6 +3,7 @@
 //! The platform and the endpoints are stand-ins that record what they really received. Proofs read
 //! those records, never a node's own word.
 
+pub mod bench;
 pub mod call_log;
 pub mod caller;
 pub mod deployment;
--- a/crates/comfreyspread-lab/src/main.rs
+++ b/crates/comfreyspread-lab/src/main.rs
@@ -4,7 +4,7 @@
 //! node it hands over to the product's own command line.
 
 use comfreyspread::{command, worker};
-use comfreyspread_lab::{endpoints, platform, quickstart, relay, replay};
+use comfreyspread_lab::{bench, endpoints, platform, quickstart, relay, replay};
 use miette::IntoDiagnostic as _;
 use std::{env, process};
 
@@ -21,6 +21,7 @@
 #[derive(argh::FromArgs)]
 #[argh(subcommand)]
 enum LabRole {
+    Bench(bench::BenchArguments),
     Endpoints(endpoints::EndpointsArguments),
     Platform(platform::PlatformArguments),
     Quickstart(quickstart::QuickstartArguments),
@@ -38,6 +39,7 @@
     let spawner = pool.spawner();
     let code = async_io::block_on(async {
         match arguments.role {
+            LabRole::Bench(arguments) => arguments.run(&spawner).await,
             LabRole::Endpoints(arguments) => {
                 arguments.run(&spawner).await.map(|()| process::ExitCode::SUCCESS)
             }
