Measure endpoints that do not check fencing numbers

Cause: the direct call of the benchmark was answered 412 once nodes sent fencing numbers to the same endpoint. Change: the benchmark's endpoints do not check them.

--- a/crates/comfreyspread-lab/src/bench.rs
+++ b/crates/comfreyspread-lab/src/bench.rs
@@ -78,6 +78,9 @@
             serde_json::from_str(SAMPLE).into_diagnostic()?;
         let zone = declarations.zones[0].clone();
         declarations.endpoints.retain(|endpoint| endpoint.zone == zone.name);
+        for endpoint in &mut declarations.endpoints {
+            endpoint.checks_fence = false;
+        }
         for pool in &mut declarations.pools {
             pool.cold_limit = BENCH_LIMIT;
             pool.warm_limit = BENCH_LIMIT;
