Set deadlines without telling the reactor

Cause: each timer of the reactor costs an eventfd write, and a stage call over two nodes set about eight; a stream set one a token. Ruled out: fewer deadlines (each guards a wait); a ticking wheel (wakes an idle node). Change: one thread sleeps until the earliest deadline; a stream keeps one timer.

--- a/crates/comfreyspread/src/call_run.rs
+++ b/crates/comfreyspread/src/call_run.rs
@@ -1,6 +1,6 @@
 //! Attempts at one call until it is answered or must fail.
 
-use crate::{context, dispatch, failure, plan};
+use crate::{context, deadline as deadlines, dispatch, failure, plan};
 use comfreyspread_policy::{retry, suspect, verdict};
 use comfreyspread_schema::{ids, types};
 use futures_util::future;
@@ -135,7 +135,7 @@
         let context = self.context.clone();
         let first = Box::pin(dispatch::send(&context, call, deadline));
         let Some(delay) = self.hedge_delay(ledger) else { return first.await };
-        let timer = async_io::Timer::after(delay);
+        let timer = deadlines::DeadlineTimer::after(delay);
         let first = match future::select(first, timer).await {
             future::Either::Left((reply, _)) => return reply,
             future::Either::Right((_, first)) => first,
@@ -259,7 +259,7 @@
             problem = failure.problem().to_string().as_str(), detail = failure.detail().as_ref();
             "call: attempt failed, trying again");
         if !pause.is_zero() {
-            async_io::Timer::after(pause).await;
+            deadlines::DeadlineTimer::after(pause).await;
         }
         Ok(())
     }
--- a/crates/comfreyspread/src/dispatch.rs
+++ b/crates/comfreyspread/src/dispatch.rs
@@ -1,6 +1,6 @@
 //! Sending one call from the ingress node to the owner of an endpoint.
 
-use crate::{context, failure, frames, http_client, owner, owners, peer};
+use crate::{context, deadline as deadlines, failure, frames, http_client, owner, owners, peer};
 use comfreyspread_policy::routing;
 use comfreyspread_schema::{ids, types};
 use std::{sync, time};
@@ -65,7 +65,8 @@
             StreamSource::Remote(opened?)
         }
     };
-    Ok(OwnerStream { source, echo, _outstanding: outstanding, deadline: deadline + REPLY_MARGIN })
+    let timer = deadlines::DeadlineTimer::new(deadline + REPLY_MARGIN);
+    Ok(OwnerStream { source, echo, timer, _outstanding: outstanding })
 }
 
 async fn open_remote(
@@ -90,7 +91,7 @@
 pub struct OwnerStream {
     source: StreamSource,
     echo: CallEcho,
-    deadline: time::Instant,
+    timer: deadlines::DeadlineTimer,
     _outstanding: OutstandingCall,
 }
 
@@ -107,7 +108,7 @@
     ///
     /// Fails if the stream was cut, the deadline has passed, or its end belongs to another call.
     pub async fn next(&mut self) -> Result<types::StageFrame, failure::CallFailure> {
-        let read = http_client::before(self.deadline, self.source.next()).await;
+        let read = deadlines::before(&mut self.timer, self.source.next()).await;
         let frame = read.unwrap_or_else(|| {
             let detail = "the stream took too long";
             Err(failure::CallFailure::new(types::ProblemKind::Timeout, detail)
--- a/crates/comfreyspread/src/frames.rs
+++ b/crates/comfreyspread/src/frames.rs
@@ -5,12 +5,12 @@
 //! filling memory. The last frame is always [`types::StageFrame::Finished`]; a stream that ends
 //! without it was cut.
 
-use crate::{failure, header};
+use crate::{deadline as deadlines, failure, header};
 use comfreyspread_policy::stream;
 use comfreyspread_schema::types;
 use futures_lite::{AsyncBufRead, AsyncReadExt as _, FutureExt as _, StreamExt as _};
 use http_types::{Body, Response, StatusCode};
-use std::{io, time};
+use std::{io, pin, time};
 
 /// Frames held between two tasks of a node.
 pub const CHANNEL_FRAMES: usize = 64;
@@ -162,27 +162,45 @@
     }
 }
 
-/// Reads the next event of an endpoint before `deadline`, while the receiver of the frames is there.
-///
-/// # Errors
-///
-/// Fails if the stream was cut, the deadline has passed or nobody receives the frames.
-pub async fn next_event(
-    events: &mut EngineEvents,
-    sender: &FrameSender,
-    deadline: time::Instant,
-) -> Result<EngineEvent, failure::CallFailure> {
-    let gone = async {
-        sender.closed().await;
-        Err(abandoned())
-    };
-    let late = async {
-        async_io::Timer::at(deadline).await;
-        let failure =
-            failure::CallFailure::new(types::ProblemKind::Timeout, "the stream took too long");
-        Err(failure.with_verdict(types::CallVerdict::MayHaveRun))
-    };
-    events.next().or(gone).or(late).await
+/// Reads the events of an endpoint before a deadline, while the receiver of their frames is there.
+pub struct EventSource<'sender> {
+    events: EngineEvents,
+    gone: pin::Pin<Box<async_channel::Closed<'sender, types::StageFrame>>>,
+    timer: deadlines::DeadlineTimer,
+}
+
+impl<'sender> EventSource<'sender> {
+    /// Creates a source over the body of `response`.
+    pub fn new(
+        response: &mut Response,
+        sender: &'sender FrameSender,
+        deadline: time::Instant,
+    ) -> Self {
+        Self {
+            events: EngineEvents::new(response),
+            gone: Box::pin(sender.closed()),
+            timer: deadlines::DeadlineTimer::new(deadline),
+        }
+    }
+
+    /// Reads the next event.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the stream was cut, the deadline has passed or nobody receives the frames.
+    pub async fn next(&mut self) -> Result<EngineEvent, failure::CallFailure> {
+        let gone = async {
+            (&mut self.gone).await;
+            Err(abandoned())
+        };
+        let late = async {
+            (&mut self.timer).await;
+            let detail = "the stream took too long";
+            Err(failure::CallFailure::new(types::ProblemKind::Timeout, detail)
+                .with_verdict(types::CallVerdict::MayHaveRun))
+        };
+        self.events.next().or(gone).or(late).await
+    }
 }
 
 /// Returns the failure of a stream whose tokens do not fit together.
--- a/crates/comfreyspread/src/http_client.rs
+++ b/crates/comfreyspread/src/http_client.rs
@@ -3,7 +3,7 @@
 //! A connection is used again only after an answer was read whole. A call that may not be repeated
 //! takes a fresh connection, so that a stale one cannot leave it in doubt.
 
-use crate::{failure, rank};
+use crate::{deadline as deadlines, failure, rank};
 use async_net::TcpStream;
 use comfreyspread_schema::types;
 use futures_lite::{AsyncReadExt as _, FutureExt as _};
@@ -128,7 +128,7 @@
             io::Result::Ok(stream)
         };
         let late = async {
-            async_io::Timer::at(deadline).await;
+            deadlines::DeadlineTimer::new(deadline).await;
             Err(io::ErrorKind::TimedOut.into())
         };
         opened.or(late).await.map_err(|error| {
@@ -195,7 +195,7 @@
 }
 
 async fn timeout<Answer>(deadline: time::Instant) -> Result<Answer, failure::CallFailure> {
-    async_io::Timer::at(deadline).await;
+    deadlines::DeadlineTimer::new(deadline).await;
     let failure = failure::CallFailure::new(types::ProblemKind::Timeout, "no answer in time");
     Err(failure.with_verdict(types::CallVerdict::MayHaveRun))
 }
@@ -226,7 +226,7 @@
 {
     let done = async { Some(work.await) };
     let late = async {
-        async_io::Timer::at(deadline).await;
+        deadlines::DeadlineTimer::new(deadline).await;
         None
     };
     done.or(late).await
--- a/crates/comfreyspread/src/http_server.rs
+++ b/crates/comfreyspread/src/http_server.rs
@@ -4,7 +4,7 @@
 //! limits on time and size, a check that a body is whole, an answer to malformed requests, and a
 //! way to notice that the caller went away.
 
-use crate::{body, worker};
+use crate::{body, deadline, worker};
 use async_h1::server;
 use async_net::TcpStream;
 use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, FutureExt as _, io};
@@ -207,7 +207,7 @@
                 Some(Ok((stream, _))) => self.start(stream),
                 Some(Err(error)) => {
                     log::warn!("http: accept failed. error={error}");
-                    async_io::Timer::after(time::Duration::from_millis(10)).await;
+                    deadline::DeadlineTimer::after(time::Duration::from_millis(10)).await;
                 }
                 None => return,
             }
@@ -297,7 +297,7 @@
         let mut byte = [0];
         let first = async { self.stream.peek(&mut byte).await.is_ok_and(|count| count > 0) };
         let late = async {
-            async_io::Timer::after(self.limits.header_timeout).await;
+            deadline::DeadlineTimer::after(self.limits.header_timeout).await;
             false
         };
         let closed = async {
@@ -314,7 +314,7 @@
             decoded.map_err(|_| RequestFault::Malformed)
         };
         let late = async {
-            async_io::Timer::after(self.limits.header_timeout).await;
+            deadline::DeadlineTimer::after(self.limits.header_timeout).await;
             Err(RequestFault::Slow)
         };
         Ok(decoded.or(late).await?.map(|(request, _)| request))
@@ -335,7 +335,7 @@
             read.map_err(RequestFault::from)
         };
         let late = async {
-            async_io::Timer::after(self.limits.body_timeout).await;
+            deadline::DeadlineTimer::after(self.limits.body_timeout).await;
             Err(RequestFault::Slow)
         };
         read.or(late).await
@@ -352,7 +352,7 @@
             let limit = self.limits.body_timeout;
             let written = self.stream.write_all(&buffer[..count]);
             let late = async {
-                async_io::Timer::after(limit).await;
+                deadline::DeadlineTimer::after(limit).await;
                 Err(io::ErrorKind::TimedOut.into())
             };
             written.or(late).await?;
--- a/crates/comfreyspread/src/lib.rs
+++ b/crates/comfreyspread/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod command;
 pub mod configuration;
 pub mod context;
+pub mod deadline;
 pub mod dispatch;
 pub mod dump;
 pub mod endpoint;
--- a/crates/comfreyspread/src/placement.rs
+++ b/crates/comfreyspread/src/placement.rs
@@ -144,9 +144,9 @@
     sender: &frames::FrameSender,
     deadline: time::Instant,
 ) -> Result<(), failure::CallFailure> {
-    let mut events = frames::EngineEvents::new(&mut opened.response);
+    let mut events = frames::EventSource::new(&mut opened.response, sender, deadline);
     loop {
-        match frames::next_event(&mut events, sender, deadline).await? {
+        match events.next().await? {
             frames::EngineEvent::Run(run) => {
                 let action = cursor.accept(&run).map_err(frames::broken)?;
                 if action == stream::RunAction::Deliver {
--- a/crates/comfreyspread/src/rank.rs
+++ b/crates/comfreyspread/src/rank.rs
@@ -53,6 +53,8 @@
     BudgetRank = 100;
     /// Rank of the idle connections.
     ConnectionRank = 110;
+    /// Rank of the queue of deadlines.
+    DeadlineRank = 120;
 }
 
 thread_local! {
--- a/crates/comfreyspread/src/slot.rs
+++ b/crates/comfreyspread/src/slot.rs
@@ -3,7 +3,7 @@
 //! Dropping a call that waits takes it out of the queue, so it is never sent. Dropping one that was
 //! sent counts it as given up on; its connection closes, so that the endpoint can cancel it.
 
-use crate::{context, failure, pool_changes, pools};
+use crate::{context, deadline as deadlines, failure, pool_changes, pools};
 use comfreyspread_policy::{lifecycle, replica, schedule};
 use comfreyspread_schema::{ids, types};
 use futures_lite::FutureExt as _;
@@ -107,7 +107,7 @@
 
     async fn wait(mut self) -> Result<CallSlot, failure::CallFailure> {
         let late = async {
-            async_io::Timer::at(self.queued.ticket.latest_start).await;
+            deadlines::DeadlineTimer::new(self.queued.ticket.latest_start).await;
             None
         };
         let outcome = async { self.queued.outcome.recv().await.ok() };
@@ -187,7 +187,7 @@
     pool: ids::PoolId,
     moment: time::Instant,
 ) {
-    async_io::Timer::at(moment).await;
+    deadlines::DeadlineTimer::new(moment).await;
     update(&context, &pool, |entry| entry.advance(time::Instant::now()));
 }
 
--- /dev/null
+++ b/crates/comfreyspread/tests/deadlines.rs
@@ -0,0 +1,44 @@
+//! Timers of calls.
+
+use comfreyspread::deadline;
+use futures_lite::future;
+use std::time;
+
+const STEP: time::Duration = time::Duration::from_millis(20);
+
+#[test]
+fn fires_in_order() {
+    let begin = time::Instant::now();
+    future::block_on(async {
+        let late = deadline::DeadlineTimer::new(begin + STEP * 4);
+        let early = deadline::DeadlineTimer::new(begin + STEP);
+        let (one, other) = future::zip(timed(late), timed(early)).await;
+        assert!(other >= begin + STEP && one >= begin + STEP * 4);
+        assert!(other < one);
+    });
+}
+
+async fn timed(timer: deadline::DeadlineTimer) -> time::Instant {
+    timer.await;
+    time::Instant::now()
+}
+
+#[test]
+fn work_first() {
+    future::block_on(async {
+        let mut timer = deadline::DeadlineTimer::after(STEP);
+        assert_eq!(deadline::before(&mut timer, async { 7 }).await, Some(7));
+        assert_eq!(deadline::before(&mut timer, future::pending::<()>()).await, None);
+    });
+}
+
+#[test]
+fn many_dropped() {
+    future::block_on(async {
+        for _ in 0..5_000 {
+            let mut timer = deadline::DeadlineTimer::after(STEP * 1000);
+            future::poll_once(&mut timer).await;
+        }
+        deadline::DeadlineTimer::after(STEP).await;
+    });
+}
