Produce streamed answers in the task that writes them

Cause: each token changed tasks once at the owner and once at the ingress node, through channels between a producing task and the connection's task. Ruled out: larger channels (no fewer wake-ups); a second task a stream only for slow readers (the socket's own buffer does that). Change: frame_source and produced_body run the producer when the reader wants more and take all bytes that are there; a connection that goes away while a body is awaited ends the work.

--- a/crates/comfreyspread/src/caller_stream.rs
+++ b/crates/comfreyspread/src/caller_stream.rs
@@ -21,15 +21,12 @@
     input: pipeline::StreamInput,
     active: context::ActiveRequest,
 ) -> Result<Response, failure::CallFailure> {
-    let spawner = input.ledger.context().spawner.clone();
     let mut run = stream_run::StreamRun::new(input);
     let first = run.next().await?;
-    let (events, response) = frames::CallerEvents::new();
-    spawner.detach(async move {
+    Ok(frames::CallerEvents::response(|events| async move {
         pass_on(run, first, events).await;
         drop(active);
-    });
-    Ok(response)
+    }))
 }
 
 async fn pass_on(
--- a/crates/comfreyspread/src/dispatch.rs
+++ b/crates/comfreyspread/src/dispatch.rs
@@ -1,6 +1,8 @@
 //! Sending one call from the ingress node to the owner of an endpoint.
 
-use crate::{context, deadline as deadlines, failure, frames, http_client, owner, owners, peer};
+use crate::{
+    context, deadline as deadlines, failure, frame_source, frames, http_client, owner, owners, peer,
+};
 use comfreyspread_policy::routing;
 use comfreyspread_schema::{ids, types};
 use std::{sync, time};
@@ -97,7 +99,7 @@
 
 #[derive(Debug)]
 enum StreamSource {
-    Local(frames::FrameReceiver),
+    Local(frame_source::FrameSource),
     Remote(http_types::Body),
 }
 
@@ -124,7 +126,7 @@
 impl StreamSource {
     async fn next(&mut self) -> Result<types::StageFrame, failure::CallFailure> {
         match self {
-            Self::Local(frames) => frames.recv().await.map_err(|_| frames::abandoned()),
+            Self::Local(source) => source.next().await.ok_or_else(frames::abandoned),
             Self::Remote(body) => frames::read_frame(body).await,
         }
     }
--- a/crates/comfreyspread/src/frames.rs
+++ b/crates/comfreyspread/src/frames.rs
@@ -5,12 +5,12 @@
 //! filling memory. The last frame is always [`types::StageFrame::Finished`]; a stream that ends
 //! without it was cut.
 
-use crate::{deadline as deadlines, failure, header};
+use crate::{deadline as deadlines, failure, frame_source, header, produced_body};
 use comfreyspread_policy::stream;
 use comfreyspread_schema::types;
-use futures_lite::{AsyncBufRead, AsyncReadExt as _, FutureExt as _, StreamExt as _};
+use futures_lite::{AsyncBufRead, AsyncReadExt as _, FutureExt as _, StreamExt as _, io};
 use http_types::{Body, Response, StatusCode};
-use std::{io, pin, time};
+use std::time;
 
 /// Frames held between two tasks of a node.
 pub const CHANNEL_FRAMES: usize = 64;
@@ -75,24 +75,28 @@
         .with_crashed(true)
 }
 
-/// Returns the answer of a node whose body is the frames received.
-pub fn peer_response(frames: FrameReceiver) -> Response {
-    let chunks = futures_lite::stream::unfold(frames, |frames| async move {
-        let first = frames.recv().await.ok()?;
-        Some((encode_ready(&first, &frames), frames))
+/// Returns the answer of a node whose body is the frames of `source`.
+pub fn peer_response(source: frame_source::FrameSource) -> Response {
+    let chunks = futures_lite::stream::unfold(source, |mut source| async move {
+        let first = source.next().await?;
+        Some((encode_ready(&first, &mut source), source))
     });
-    let reader = futures_util::TryStreamExt::into_async_read(Box::pin(chunks));
+    let chunks = sync_wrapper::SyncStream::new(Box::pin(chunks));
+    let reader = futures_util::TryStreamExt::into_async_read(chunks);
     let mut response = Response::new(StatusCode::Ok);
     response.set_body(Body::from_reader(reader, None));
     response
 }
 
 /// Encodes a frame and those that wait behind it, so that they travel in one chunk.
-fn encode_ready(first: &types::StageFrame, frames: &FrameReceiver) -> io::Result<Vec<u8>> {
+fn encode_ready(
+    first: &types::StageFrame,
+    source: &mut frame_source::FrameSource,
+) -> io::Result<Vec<u8>> {
     let mut bytes = Vec::new();
     encode_frame(first, &mut bytes)?;
     while bytes.len() < CHUNK_BYTES
-        && let Ok(frame) = frames.try_recv()
+        && let Some(frame) = source.try_next()
     {
         encode_frame(&frame, &mut bytes)?;
     }
@@ -142,14 +146,19 @@
 }
 
 impl CallerEvents {
-    /// Creates the sending side and the answer whose body it feeds.
-    pub fn new() -> (Self, Response) {
+    /// Returns the answer whose body holds the events that `produce` sends.
+    pub fn response<Produce, Producer>(produce: Produce) -> Response
+    where
+        Produce: FnOnce(Self) -> Producer,
+        Producer: Future<Output = ()> + Send + 'static,
+    {
         let (sender, encoder) = async_sse::encode();
+        let body = produced_body::ProducedBody::new(produce(Self { sender }), encoder);
         let mut response = Response::new(StatusCode::Ok);
-        response.set_body(Body::from_reader(encoder, None));
+        response.set_body(Body::from_reader(io::BufReader::new(body), None));
         response.insert_header("content-type", header::EVENT_STREAM);
         response.insert_header("cache-control", "no-store");
-        (Self { sender }, response)
+        response
     }
 
     /// Sends one event and returns whether the caller is still there.
@@ -162,44 +171,31 @@
     }
 }
 
-/// Reads the events of an endpoint before a deadline, while the receiver of their frames is there.
-pub struct EventSource<'sender> {
+/// Reads the events of an endpoint before a deadline.
+pub struct EventSource {
     events: EngineEvents,
-    gone: pin::Pin<Box<async_channel::Closed<'sender, types::StageFrame>>>,
     timer: deadlines::DeadlineTimer,
 }
 
-impl<'sender> EventSource<'sender> {
+impl EventSource {
     /// Creates a source over the body of `response`.
-    pub fn new(
-        response: &mut Response,
-        sender: &'sender FrameSender,
-        deadline: time::Instant,
-    ) -> Self {
-        Self {
-            events: EngineEvents::new(response),
-            gone: Box::pin(sender.closed()),
-            timer: deadlines::DeadlineTimer::new(deadline),
-        }
+    pub fn new(response: &mut Response, deadline: time::Instant) -> Self {
+        Self { events: EngineEvents::new(response), timer: deadlines::DeadlineTimer::new(deadline) }
     }
 
     /// Reads the next event.
     ///
     /// # Errors
     ///
-    /// Fails if the stream was cut, the deadline has passed or nobody receives the frames.
+    /// Fails if the stream was cut or the deadline has passed.
     pub async fn next(&mut self) -> Result<EngineEvent, failure::CallFailure> {
-        let gone = async {
-            (&mut self.gone).await;
-            Err(abandoned())
-        };
         let late = async {
             (&mut self.timer).await;
             let detail = "the stream took too long";
             Err(failure::CallFailure::new(types::ProblemKind::Timeout, detail)
                 .with_verdict(types::CallVerdict::MayHaveRun))
         };
-        self.events.next().or(gone).or(late).await
+        self.events.next().or(late).await
     }
 }
 
--- a/crates/comfreyspread/src/http_server.rs
+++ b/crates/comfreyspread/src/http_server.rs
@@ -344,8 +344,14 @@
     async fn write(&mut self, response: Response, method: Method) -> http_types::Result<()> {
         let mut encoder = server::Encoder::new(response, method);
         let mut buffer = vec![0; COPY_BUFFER_BYTES];
+        let watch = ConnectionWatch { stream: self.stream.clone() };
+        let mut closed = Box::pin(watch.closed());
         loop {
-            let count = encoder.read(&mut buffer).await?;
+            let gone = async {
+                (&mut closed).await;
+                Err(io::ErrorKind::ConnectionAborted.into())
+            };
+            let count = encoder.read(&mut buffer).or(gone).await?;
             if count == 0 {
                 return Ok(());
             }
--- a/crates/comfreyspread/src/owner.rs
+++ b/crates/comfreyspread/src/owner.rs
@@ -3,10 +3,9 @@
 //! A call waits in the queue of its pool, takes a place at an endpoint, is sent, and its outcome
 //! goes back to the scheduler with the reply.
 
-use crate::{context, endpoint, failure, frames, placement};
+use crate::{context, endpoint, failure, frame_source, frames, placement};
 use comfreyspread_policy::stream;
 use comfreyspread_schema::{ids, types};
-use futures_lite::FutureExt as _;
 use std::{sync, time};
 
 /// Serves a call at an endpoint of its pool that this node owns.
@@ -28,20 +27,18 @@
     draft.finish(context, answer.map_or_else(failure::CallFailure::into_outcome, outcome))
 }
 
-/// Starts a call whose answer is streamed and returns its frames.
+/// Returns the frames of a call whose answer is streamed.
 ///
-/// The call is withdrawn, or cancelled at the endpoint, when the receiver is dropped.
+/// The call is withdrawn, or cancelled at the endpoint, when the source is dropped.
 pub fn start_stream(
     context: &sync::Arc<context::NodeContext>,
     call: types::StageCall,
     deadline: time::Instant,
-) -> frames::FrameReceiver {
-    let (sender, receiver) = async_channel::bounded(frames::CHANNEL_FRAMES);
+) -> frame_source::FrameSource {
     let context = context.clone();
-    context.spawner.clone().detach(async move {
+    frame_source::FrameSource::new(|sender| async move {
         serve_stream(&context, call, deadline, &sender).await;
-    });
-    receiver
+    })
 }
 
 async fn serve_stream(
@@ -52,11 +49,7 @@
 ) {
     let mut draft = ReplyDraft::new(&call);
     let mut cursor = stream::StreamCursor::new().with_offset(call.offset);
-    let gone = async {
-        sender.closed().await;
-        Err(frames::abandoned().with_verdict(types::CallVerdict::NotRun))
-    };
-    let placed = placement::PlacedCall::new(context, call, deadline).or(gone).await;
+    let placed = placement::PlacedCall::new(context, call, deadline).await;
     let streamed = match draft.note(placed) {
         Ok(placed) => placed.relay(context, &mut cursor, sender).await,
         Err(failure) => Err(failure),
--- a/crates/comfreyspread/src/placement.rs
+++ b/crates/comfreyspread/src/placement.rs
@@ -144,7 +144,7 @@
     sender: &frames::FrameSender,
     deadline: time::Instant,
 ) -> Result<(), failure::CallFailure> {
-    let mut events = frames::EventSource::new(&mut opened.response, sender, deadline);
+    let mut events = frames::EventSource::new(&mut opened.response, deadline);
     loop {
         match events.next().await? {
             frames::EngineEvent::Run(run) => {
--- a/crates/comfreyspread/tests/frames.rs
+++ b/crates/comfreyspread/tests/frames.rs
@@ -1,7 +1,7 @@
 //! Streamed answers between nodes.
 
 use bolero::check;
-use comfreyspread::frames;
+use comfreyspread::{frame_source, frames};
 use comfreyspread_schema::types;
 use futures_lite::{future, io};
 
@@ -11,12 +11,12 @@
 }
 
 fn encoded(count: u64) -> Vec<u8> {
-    let (sender, receiver) = async_channel::unbounded();
-    for offset in 0..count {
-        sender.try_send(token(offset)).expect("an open channel");
-    }
-    sender.close();
-    let body = frames::peer_response(receiver).take_body();
+    let source = frame_source::FrameSource::new(|sender| async move {
+        for offset in 0..count {
+            sender.send(token(offset)).await.expect("an open channel");
+        }
+    });
+    let body = frames::peer_response(source).take_body();
     future::block_on(body.into_bytes()).expect("a whole body")
 }
 
