Keep two nodes from owning one endpoint after a start or a cut

Cause: a model check over random schedules (crash, restart, freeze, cuts one way and both, leave) showed two nodes with a permit for one endpoint: 1. nodes that start together formed islands, each owning all at once; 2. a wait that began with an empty view never asked the members found later; 3. a node back from a cut believed the failures it had concluded alone; 4. a confirmation was still believed after a cut in which its giver took over; 5. a restarted node cut off from all seeds owned everything after one lapse.

Ruled out: a longer lapse (cases 1, 2 and 4 do not depend on it).

Change: a starting node owns nothing until each seed knows it, or a lapse (four if seeds are silent) has passed; waits take in new members; a node that regains contact reopens the failures it concluded meanwhile and drops its waits; an answer names who else may own the endpoint, with their records.

--- a/crates/comfreyspread-policy/src/contact.rs
+++ b/crates/comfreyspread-policy/src/contact.rs
@@ -12,7 +12,7 @@
 const HOLD_NUMERATOR: u32 = 2;
 const HOLD_DENOMINATOR: u32 = 3;
 /// Lapses after which an isolated node takes its silent peers for failed.
-const PATIENCE_LAPSES: u32 = 3;
+const PATIENCE_LAPSES: u32 = 4;
 
 /// Times that govern ownerships.
 #[derive(Clone, Copy, Debug)]
@@ -33,6 +33,29 @@
     }
 }
 
+/// What the seeds have told a node that starts.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum SeedContact {
+    /// Some seed has neither answered nor refused a connection.
+    #[default]
+    Silent,
+    /// Each seed has answered or refused a connection.
+    Refused,
+    /// Each seed has told its members and knows this node.
+    Answered,
+}
+
+impl SeedContact {
+    /// Time after its start for which the node owns nothing.
+    pub fn wait(self, contact: PeerContact, times: OwnershipTimes) -> time::Duration {
+        match (self, contact) {
+            (Self::Answered, _) => time::Duration::ZERO,
+            (Self::Refused, _) | (Self::Silent, PeerContact::Connected(_)) => times.lapse,
+            (Self::Silent, _) => times.patience,
+        }
+    }
+}
+
 /// Contact of this node with its peers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PeerContact {
@@ -40,7 +63,7 @@
     Alone,
     /// A peer answered a message sent at the moment given.
     Connected(time::Instant),
-    /// No peer has answered since the moment given.
+    /// No peer has answered a message sent after the moment given.
     Isolated(time::Instant),
 }
 
@@ -57,7 +80,7 @@
         match self {
             Self::Alone => Self::Alone,
             Self::Connected(_) if certain => Self::Alone,
-            Self::Connected(sent) if now >= sent + times.hold => Self::Isolated(now),
+            Self::Connected(sent) if now >= sent + times.hold => Self::Isolated(sent),
             Self::Connected(sent) => Self::Connected(sent),
             Self::Isolated(_) if certain => Self::Alone,
             Self::Isolated(since) if deserted && now >= since + times.patience => Self::Alone,
@@ -73,6 +96,14 @@
         }
     }
 
+    /// Returns the contact after a peer answered that holds this node suspect or failed.
+    pub fn doubt(self, now: time::Instant) -> Self {
+        match self {
+            Self::Alone => Self::Isolated(now),
+            other => other,
+        }
+    }
+
     /// Whether work is permitted at `now`.
     pub fn permits(self, times: OwnershipTimes, now: time::Instant) -> bool {
         match self {
--- a/crates/comfreyspread-policy/src/membership.rs
+++ b/crates/comfreyspread-policy/src/membership.rs
@@ -174,6 +174,26 @@
         std::iter::once(&self.local).chain(others).filter(|record| is_live(record.phase))
     }
 
+    /// Returns the instance of another node that may be running.
+    pub fn live_instance(&self, node: &ids::NodeId) -> Option<MemberInstance> {
+        let entry = self.entries.get(node).filter(|entry| entry.is_live())?;
+        Some(MemberInstance::new(&entry.record))
+    }
+
+    /// Whether an instance of another node may be running.
+    pub fn is_live(&self, instance: &MemberInstance) -> bool {
+        self.live_instance(&instance.node).is_some_and(|live| live == *instance)
+    }
+
+    /// Returns the records of this node and of those that `releases` name.
+    pub fn records_for(&self, releases: &[types::ReleaseRecord]) -> Vec<types::MemberRecord> {
+        let named = releases.iter().flat_map(|release| &release.blockers);
+        let nodes: indexmap::IndexSet<_> = named.map(|name| &name.node).collect();
+        let entries = nodes.into_iter().filter_map(|node| self.entries.get(node));
+        let others = entries.map(|entry| entry.record.clone());
+        std::iter::once(self.local.clone()).chain(others).collect()
+    }
+
     /// Returns the peer address of a node.
     pub fn address_of(&self, node: &ids::NodeId) -> Option<net::SocketAddr> {
         if *node == self.local.node {
@@ -296,13 +316,26 @@
         failed
     }
 
-    /// Starts all suspicions afresh after this process itself stood still.
-    pub fn resume(&mut self, now: time::Instant) {
+    /// Starts suspicions afresh, and reopens failures concluded after `from`, when this node has
+    /// been out of contact or stood still since then and so could not hear any refutation.
+    pub fn resume(&mut self, from: time::Instant, now: time::Instant) {
         for entry in self.entries.values_mut() {
-            if entry.record.phase == types::MemberPhase::Suspect {
-                entry.since = now;
+            let reopened = match entry.record.phase {
+                types::MemberPhase::Suspect => true,
+                types::MemberPhase::Failed => entry.since >= from,
+                types::MemberPhase::Alive | types::MemberPhase::Left => false,
+            };
+            if reopened {
+                entry.set_phase(types::MemberPhase::Suspect, now);
             }
         }
+        self.version += 1;
+    }
+
+    /// Returns the record of a member that has to refute it, to be sent along with a probe.
+    pub fn doubted(&self, node: &ids::NodeId) -> Option<types::MemberRecord> {
+        let record = &self.entries.get(node)?.record;
+        (record.phase != types::MemberPhase::Alive).then(|| record.clone())
     }
 
     /// Returns the member to be probed next, by turns from this zone and from elsewhere.
--- a/crates/comfreyspread-policy/src/ownership.rs
+++ b/crates/comfreyspread-policy/src/ownership.rs
@@ -58,9 +58,10 @@
     instance: membership::MemberInstance,
     times: contact::OwnershipTimes,
     started: time::Instant,
-    needs_peers: bool,
+    seeds: contact::SeedContact,
     contact: contact::PeerContact,
     observed: Option<time::Instant>,
+    regained: Option<time::Instant>,
     view: Option<(u64, ids::RevisionNumber)>,
     ranks: IndexMap<ids::EndpointId, Vec<ids::NodeId>>,
     slots: IndexMap<ids::EndpointId, ownership_life::OwnershipSlot>,
@@ -80,9 +81,10 @@
             instance,
             times,
             started,
-            needs_peers: true,
+            seeds: contact::SeedContact::Silent,
             contact: contact::PeerContact::Alone,
             observed: None,
+            regained: None,
             view: None,
             ranks: IndexMap::new(),
             slots: IndexMap::new(),
@@ -94,7 +96,7 @@
 
     /// Sets that the node has no seeds, so that there is nobody to wait for at its start.
     pub fn with_no_seeds(self) -> Self {
-        Self { needs_peers: false, ..self }
+        Self { seeds: contact::SeedContact::Answered, ..self }
     }
 
     /// Returns the node through which calls to an endpoint pass in this node's view.
@@ -160,16 +162,36 @@
 
     /// Takes note that a peer which holds this node alive answered a message sent at `sent`.
     pub fn confirm(&mut self, sent: time::Instant, now: time::Instant) {
-        if now.saturating_duration_since(sent) < self.times.hold {
-            self.contact = self.contact.confirm(sent);
+        if now.saturating_duration_since(sent) >= self.times.hold {
+            return;
+        }
+        if let contact::PeerContact::Isolated(since) = self.contact {
+            self.regained.get_or_insert(since);
         }
+        self.contact = self.contact.confirm(sent);
+    }
+
+    /// Takes note of what the seeds have answered. Once each knows this node, of two nodes that
+    /// started together at least one knows the other.
+    pub fn set_seeds(&mut self, seeds: contact::SeedContact) {
+        self.seeds = seeds;
+    }
+
+    /// Whether the node may own endpoints as far as its start is concerned.
+    pub fn is_settled(&self, now: time::Instant) -> bool {
+        now >= self.started + self.seeds.wait(self.contact, self.times)
+    }
+
+    /// Takes note that a peer answered which holds this node suspect or failed.
+    pub fn doubt(&mut self, now: time::Instant) {
+        self.contact = self.contact.doubt(now);
     }
 
     /// Brings the ownerships in line with the members and the configuration, and returns what has
     /// to be done.
     pub fn observe(
         &mut self,
-        members: &membership::MemberTable,
+        members: &mut membership::MemberTable,
         catalog: &catalog::ConfigurationCatalog,
         now: time::Instant,
     ) -> Vec<OwnershipAction> {
@@ -191,6 +213,7 @@
     /// own before it has asked. The records carry no load.
     pub fn answer(
         &mut self,
+        members: &membership::MemberTable,
         asker: &membership::MemberInstance,
         endpoints: &[ids::EndpointId],
     ) -> Vec<types::ReleaseRecord> {
@@ -199,28 +222,33 @@
             if self.is_claimed(endpoint) {
                 continue;
             }
+            releases.push(self.release_record(members, endpoint, asker));
             self.askers.insert(endpoint.clone(), asker.clone());
-            releases.push(self.release_record(endpoint, asker));
         }
         releases
     }
 
-    /// Returns what to tell `asker` of an endpoint that this node does not own, without load.
+    /// Returns what to tell `asker` of an endpoint that this node does not own, without load. It
+    /// names the others that may own it: those this node waits for, the one that asked before, and
+    /// the first in this node's view.
     pub fn release_record(
         &self,
+        members: &membership::MemberTable,
         endpoint: &ids::EndpointId,
         asker: &membership::MemberInstance,
     ) -> types::ReleaseRecord {
         let slot = self.slots.get(endpoint);
-        let blockers = match slot {
-            Some(ownership_life::OwnershipSlot::Waiting(waiting)) => {
-                let others = waiting.blockers().filter(|blocker| *blocker != asker);
-                others.map(membership::MemberInstance::name).collect()
-            }
-            _ => Vec::new(),
-        };
+        let first = self.ranks.get(endpoint).and_then(|ranked| ranked.first());
+        let first = first.and_then(|node| members.live_instance(node));
+        let earlier = self.askers.get(endpoint).filter(|earlier| members.is_live(earlier));
+        let mut others: Vec<_> = first.into_iter().chain(earlier.cloned()).collect();
+        if let Some(ownership_life::OwnershipSlot::Waiting(waiting)) = slot {
+            others.extend(waiting.blockers().cloned());
+        }
+        others.retain(|other| other != asker && *other != self.instance);
+        others.dedup();
         types::ReleaseRecord {
-            blockers,
+            blockers: others.iter().map(membership::MemberInstance::name).collect(),
             endpoint: endpoint.clone(),
             fence: slot.map_or(0, ownership_life::OwnershipSlot::highest),
             phase: types::EndpointPhase::Unknown,
@@ -314,14 +342,21 @@
         self.inherited.insert(endpoint.clone(), load);
     }
 
-    fn observe_contact(&mut self, members: &membership::MemberTable, now: time::Instant) {
-        let frozen = self.stood_still(now);
+    fn observe_contact(&mut self, members: &mut membership::MemberTable, now: time::Instant) {
+        let frozen_since = self.observed.filter(|_| self.stood_still(now));
         self.observed = Some(now);
-        if frozen && self.contact != contact::PeerContact::Alone {
-            self.contact = contact::PeerContact::Isolated(now);
+        if let Some(since) = frozen_since {
+            members.resume(since, now);
+            if self.contact != contact::PeerContact::Alone {
+                self.contact = contact::PeerContact::Isolated(since);
+            }
+        }
+        if let Some(since) = self.regained.take() {
+            members.resume(since, now);
         }
         self.contact = self.contact.advance(members, self.times, now);
-        if frozen || matches!(self.contact, contact::PeerContact::Isolated(_)) {
+        let isolated = matches!(self.contact, contact::PeerContact::Isolated(_));
+        if frozen_since.is_some() || isolated {
             let slots = std::mem::take(&mut self.slots).into_iter();
             self.slots = slots.map(|(endpoint, slot)| (endpoint, slot.release())).collect();
         }
@@ -367,16 +402,17 @@
             (None, false) => return,
             (None, true) => {
                 let blockers = self.blockers(endpoint, previous, members);
-                let not_before = self.not_before(members, now);
-                ownership_life::OwnershipSlot::Waiting(ownership_life::EndpointOwnership::new(
-                    blockers, not_before,
-                ))
+                let waiting = ownership_life::EndpointOwnership::new(blockers);
+                ownership_life::OwnershipSlot::Waiting(waiting)
             }
             (Some(ownership_life::OwnershipSlot::Released(released)), true) => {
                 let blockers = self.blockers(endpoint, previous, members);
-                ownership_life::OwnershipSlot::Waiting(
-                    released.wait(blockers, self.not_before(members, now)),
-                )
+                ownership_life::OwnershipSlot::Waiting(released.wait(blockers))
+            }
+            (Some(ownership_life::OwnershipSlot::Waiting(mut waiting)), true) => {
+                let blockers = self.blockers(endpoint, previous, members);
+                blockers.into_iter().for_each(|blocker| waiting.block(blocker));
+                ownership_life::OwnershipSlot::Waiting(waiting)
             }
             (Some(ownership_life::OwnershipSlot::Owned(owned)), false) => {
                 if let Some(node) = first {
@@ -412,7 +448,7 @@
         if !mine {
             return ownership_life::OwnershipSlot::Released(waiting.release());
         }
-        if !self.may_acquire(now) {
+        if !self.may_acquire(members, now) {
             return ownership_life::OwnershipSlot::Waiting(waiting);
         }
         if !waiting.has_floor() {
@@ -422,19 +458,12 @@
         ownership_life::OwnershipSlot::Owned(waiting.own(self.tag()))
     }
 
-    /// Whether the node has been in contact with peers, or has waited long enough for them.
-    fn may_acquire(&self, now: time::Instant) -> bool {
-        match self.contact {
-            contact::PeerContact::Alone => {
-                !self.needs_peers || now >= self.started + self.times.lapse
-            }
-            contact::PeerContact::Connected(_) => self.permits(now),
-            contact::PeerContact::Isolated(_) => false,
-        }
-    }
-
-    fn not_before(&self, members: &membership::MemberTable, now: time::Instant) -> time::Instant {
-        members.predecessor().map_or(now, |learnt| learnt + self.times.lapse)
+    /// Whether this node may own endpoints that no other node owns: its start is settled, and an
+    /// earlier instance of it that had not left has lapsed.
+    fn may_acquire(&self, members: &membership::MemberTable, now: time::Instant) -> bool {
+        let lapsed = |learnt| now >= learnt + self.times.lapse;
+        let alone = members.predecessor().is_none_or(lapsed);
+        alone && self.is_settled(now) && self.permits(now)
     }
 
     /// Returns the instances that may own an endpoint besides this node.
--- a/crates/comfreyspread-policy/src/ownership_life.rs
+++ b/crates/comfreyspread-policy/src/ownership_life.rs
@@ -14,7 +14,7 @@
 pub struct WaitingState {
     blockers: IndexMap<membership::MemberInstance, OwnerAbsence>,
     confirmed: IndexSet<membership::MemberInstance>,
-    not_before: time::Instant,
+    not_before: Option<time::Instant>,
     floor: Option<ids::FenceNumber>,
 }
 
@@ -44,9 +44,9 @@
 }
 
 impl EndpointOwnership<WaitingState> {
-    /// Begins to wait for the nodes that may own the endpoint, and at least until `not_before`.
-    pub fn new(blockers: Vec<membership::MemberInstance>, not_before: time::Instant) -> Self {
-        EndpointOwnership { highest: 0, state: WaitingState::new(blockers, not_before) }
+    /// Begins to wait for the nodes that may own the endpoint.
+    pub fn new(blockers: Vec<membership::MemberInstance>) -> Self {
+        EndpointOwnership { highest: 0, state: WaitingState::new(blockers, None) }
     }
 
     /// Returns the nodes that may still own the endpoint.
@@ -56,7 +56,7 @@
 
     /// Whether no other node can own the endpoint any more.
     pub fn is_clear(&self, now: time::Instant) -> bool {
-        self.state.blockers.is_empty() && now >= self.state.not_before
+        self.state.blockers.is_empty() && self.state.not_before.is_none_or(|moment| now >= moment)
     }
 
     /// Whether a fencing number is known that the next one has to exceed.
@@ -133,10 +133,9 @@
     pub fn wait(
         self,
         blockers: Vec<membership::MemberInstance>,
-        not_before: time::Instant,
     ) -> EndpointOwnership<WaitingState> {
-        let not_before = self.state.retry.map_or(not_before, |retry| retry.max(not_before));
-        EndpointOwnership { highest: self.highest, state: WaitingState::new(blockers, not_before) }
+        let state = WaitingState::new(blockers, self.state.retry);
+        EndpointOwnership { highest: self.highest, state }
     }
 }
 
@@ -148,7 +147,7 @@
 }
 
 impl WaitingState {
-    fn new(blockers: Vec<membership::MemberInstance>, not_before: time::Instant) -> Self {
+    fn new(blockers: Vec<membership::MemberInstance>, not_before: Option<time::Instant>) -> Self {
         let blockers = blockers.into_iter().map(|node| (node, OwnerAbsence::default()));
         Self { blockers: blockers.collect(), confirmed: IndexSet::new(), not_before, floor: None }
     }
@@ -208,11 +207,13 @@
         }
     }
 
-    /// Gives the endpoint up if it is owned; a wait goes on.
+    /// Gives the endpoint up, or the wait for it with all confirmations: they hold only as long as
+    /// the nodes that gave them take this one for alive.
     pub fn release(self) -> Self {
         match self {
             Self::Owned(owned) => Self::Released(owned.release()),
-            other => other,
+            Self::Waiting(waiting) => Self::Released(waiting.release()),
+            Self::Released(released) => Self::Released(released),
         }
     }
 }
--- a/crates/comfreyspread/src/handover.rs
+++ b/crates/comfreyspread/src/handover.rs
@@ -62,8 +62,9 @@
     let asker = membership::MemberInstance::sender(&message.header);
     heartbeat::merge(context, &message.header, vec![message.member]);
     let mut releases = {
+        let members = context.tables.members.lock();
         let mut ownership = context.tables.ownership.lock();
-        ownership.answer(&asker, &message.endpoints)
+        ownership.answer(&members, &asker, &message.endpoints)
     };
     for release in &mut releases {
         add_load(context, release);
@@ -83,7 +84,7 @@
 /// Takes in the notice of a node that released endpoints.
 pub fn accept(context: &sync::Arc<context::NodeContext>, message: types::ReleaseNotice) {
     let from = membership::MemberInstance::sender(&message.header);
-    heartbeat::merge(context, &message.header, vec![message.member]);
+    heartbeat::merge(context, &message.header, message.members);
     let now = time::Instant::now();
     context.tables.ownership.lock().accept(&from, &message.releases, now);
     proceed(context);
@@ -173,12 +174,16 @@
     node: &ids::NodeId,
     endpoint: &ids::EndpointId,
 ) -> u32 {
-    let next = {
+    let planned = {
         let members = context.tables.members.lock();
-        members.entry(node).map(|entry| membership::ProbeTarget::new(entry.record()))
+        let ownership = context.tables.ownership.lock();
+        members.entry(node).map(|entry| {
+            let next = membership::ProbeTarget::new(entry.record());
+            let release = ownership.release_record(&members, endpoint, &next.instance);
+            (next, release)
+        })
     };
-    let Some(next) = next else { return 0 };
-    let mut release = context.tables.ownership.lock().release_record(endpoint, &next.instance);
+    let Some((next, mut release)) = planned else { return 0 };
     add_load(context, &mut release);
     let running = release.running;
     let message = notice(context, vec![release]);
@@ -196,11 +201,9 @@
     context: &context::NodeContext,
     releases: Vec<types::ReleaseRecord>,
 ) -> types::ReleaseNotice {
-    types::ReleaseNotice {
-        header: context.peer_header(),
-        member: heartbeat::local_record(context),
-        releases,
-    }
+    let header = context.peer_header();
+    let members = context.tables.members.lock().records_for(&releases);
+    types::ReleaseNotice { header, members, releases }
 }
 
 fn address_of(
--- a/crates/comfreyspread/src/heartbeat.rs
+++ b/crates/comfreyspread/src/heartbeat.rs
@@ -5,11 +5,12 @@
 //! carries a bounded number of recent changes, so its size does not grow with the deployment. What
 //! an answered probe or a changed view means is decided by the tables of the policy crate.
 
-use crate::{context, failure, handover, http_client, peer, settings};
+use crate::{context, failure, handover, http_client, peer, rank, settings};
 use comfreyspread_policy::{contact, membership, ownership};
 use comfreyspread_schema::{ids, types};
 use futures_util::future;
-use rand::seq::IndexedRandom as _;
+use indexmap::IndexMap;
+use rand::seq::IteratorRandom as _;
 use std::{net, sync, time};
 
 /// Path of a heartbeat, answered by a [`types::HeartbeatReply`].
@@ -60,8 +61,9 @@
 /// Sends heartbeats until the process ends.
 pub async fn run(context: sync::Arc<context::NodeContext>) {
     let mut beat = 0;
+    let joined = sync::Arc::new(SeedAnswers::default());
     loop {
-        start_beat(&context, beat);
+        start_beat(&context, &joined, beat);
         beat += 1;
         async_io::Timer::after(context.settings.heartbeat).await;
     }
@@ -102,18 +104,18 @@
     let catalog = context.tables.catalog();
     let mut members = context.tables.members.lock();
     let mut ownership = context.tables.ownership.lock();
-    if ownership.stood_still(now) {
-        log::warn!("heartbeat: the process stood still, ownerships dropped");
-        members.resume(now);
-    }
     members.set_node_phase(phase);
     members.set_revision(catalog.revision());
-    for node in members.advance(now) {
-        log::warn!(node = node.as_ref(); "heartbeat: member failed");
+    if ownership.stood_still(now) {
+        log::warn!("heartbeat: the process stood still, ownerships dropped");
+    } else {
+        for node in members.advance(now) {
+            log::warn!(node = node.as_ref(); "heartbeat: member failed");
+        }
     }
     let before = ownership.contact();
     let owned = ownership.owned(now);
-    let actions = ownership.observe(&members, &catalog, now);
+    let actions = ownership.observe(&mut members, &catalog, now);
     log_contact(before, ownership.contact());
     if ownership.owned(now) != owned {
         context.tables.changed.notify(usize::MAX);
@@ -159,15 +161,20 @@
     handover::carry_out(context, actions);
 }
 
-fn start_beat(context: &sync::Arc<context::NodeContext>, beat: u64) {
+fn start_beat(
+    context: &sync::Arc<context::NodeContext>,
+    joined: &sync::Arc<SeedAnswers>,
+    beat: u64,
+) {
     handover::carry_out(context, observe(context));
     for target in next_probes(context) {
         let task_context = context.clone();
         context.spawner.detach(async move { probe(&task_context, target).await });
     }
-    if let Some(seed) = next_seed(context, beat) {
+    for seed in next_seeds(context, joined, beat) {
         let task_context = context.clone();
-        context.spawner.detach(async move { join(&task_context, seed).await });
+        let joined = joined.clone();
+        context.spawner.detach(async move { join(&task_context, &joined, seed).await });
     }
 }
 
@@ -182,30 +189,89 @@
     (0..count).filter_map(|_| members.next_probe(&mut random)).collect()
 }
 
-/// Returns a seed to be reached: any while no member is known, otherwise now and then one that is
-/// not a known member, so that two halves that forgot each other meet again.
-fn next_seed(context: &context::NodeContext, beat: u64) -> Option<net::SocketAddr> {
+/// Returns the seeds to be reached: until this node is settled those that have not answered yet,
+/// then now and then one that is not a known member, so that two halves that forgot each other
+/// meet again.
+fn next_seeds(
+    context: &context::NodeContext,
+    joined: &SeedAnswers,
+    beat: u64,
+) -> Vec<net::SocketAddr> {
     let members = context.tables.members.lock();
+    let settled = context.tables.ownership.lock().is_settled(time::Instant::now());
+    if !settled {
+        return joined.missing(&context.settings);
+    }
     let live: Vec<_> = members.live().map(|record| record.address).collect();
-    let lonely = live.len() == 1;
-    if !lonely && !beat.is_multiple_of(SEED_PERIOD_HEARTBEATS) {
-        return None;
+    if live.len() > 1 && !beat.is_multiple_of(SEED_PERIOD_HEARTBEATS) {
+        return Vec::new();
     }
     let seeds = context.settings.seeds.iter().filter(|seed| !live.contains(seed));
-    let seeds: Vec<_> = seeds.copied().collect();
-    seeds.choose(&mut rand::rng()).copied()
+    seeds.copied().choose(&mut rand::rng()).into_iter().collect()
+}
+
+/// What the seeds answered to this node's start.
+#[derive(Debug, Default)]
+struct SeedAnswers {
+    answers: rank::RankedLock<rank::SeedRank, IndexMap<net::SocketAddr, contact::SeedContact>>,
 }
 
-async fn join(context: &sync::Arc<context::NodeContext>, seed: net::SocketAddr) {
+impl SeedAnswers {
+    fn missing(&self, settings: &settings::NodeSettings) -> Vec<net::SocketAddr> {
+        let answers = self.answers.lock();
+        let answered =
+            |seed: &net::SocketAddr| answers.get(seed) == Some(&contact::SeedContact::Answered);
+        let others = settings.seeds.iter().filter(|seed| **seed != settings.peer_address);
+        others.filter(|seed| !answered(seed)).copied().collect()
+    }
+
+    /// Takes in what one seed answered and returns what all of them have.
+    fn insert(
+        &self,
+        settings: &settings::NodeSettings,
+        seed: net::SocketAddr,
+        answer: contact::SeedContact,
+    ) -> contact::SeedContact {
+        self.answers.lock().insert(seed, answer);
+        if self.missing(settings).is_empty() {
+            return contact::SeedContact::Answered;
+        }
+        let answers = self.answers.lock();
+        let silent = |seed: &net::SocketAddr| {
+            let answer = answers.get(seed).copied().unwrap_or_default();
+            *seed != settings.peer_address && answer == contact::SeedContact::Silent
+        };
+        if settings.seeds.iter().any(silent) {
+            return contact::SeedContact::Silent;
+        }
+        contact::SeedContact::Refused
+    }
+}
+
+async fn join(
+    context: &sync::Arc<context::NodeContext>,
+    joined: &SeedAnswers,
+    seed: net::SocketAddr,
+) {
     let sent = time::Instant::now();
     let mut message = heartbeat(context, None);
     message.members.push(local_record(context));
     message.whole = true;
     let deadline = sent + context.settings.suspect;
-    match send(context, seed, &message, deadline).await {
-        Ok(reply) => absorb(context, reply, sent),
-        Err(failure) => log::debug!("heartbeat: seed did not answer. error={failure}"),
-    }
+    let answer = match send(context, seed, &message, deadline).await {
+        Ok(reply) => {
+            absorb(context, reply, sent);
+            contact::SeedContact::Answered
+        }
+        Err(failure) if is_refusal(&failure, deadline) => contact::SeedContact::Refused,
+        Err(failure) => {
+            log::debug!("heartbeat: seed did not answer. error={failure}");
+            contact::SeedContact::Silent
+        }
+    };
+    let seeds = joined.insert(&context.settings, seed, answer);
+    context.tables.ownership.lock().set_seeds(seeds);
+    handover::carry_out(context, observe(context));
 }
 
 /// Probes a member directly, then through others; suspects it if nobody reached it.
@@ -235,7 +301,8 @@
     target: &membership::ProbeTarget,
 ) -> bool {
     let sent = time::Instant::now();
-    let message = heartbeat(context, None);
+    let mut message = heartbeat(context, None);
+    message.members.extend(context.tables.members.lock().doubted(&target.instance.node));
     let deadline = sent + context.settings.suspect / DIRECT_DIVISOR;
     match send(context, target.address, &message, deadline).await {
         Ok(reply) => {
@@ -302,8 +369,11 @@
     reply: types::HeartbeatReply,
     sent: time::Instant,
 ) {
-    if !context.tables.members.lock().is_doubted_by(&reply.members) {
-        let now = time::Instant::now();
+    let doubted = context.tables.members.lock().is_doubted_by(&reply.members);
+    let now = time::Instant::now();
+    if doubted {
+        context.tables.ownership.lock().doubt(now);
+    } else {
         context.tables.ownership.lock().confirm(sent, now);
     }
     note_piggyback(context, &reply.header, &reply.hints, &reply.suspects);
--- a/crates/comfreyspread/src/rank.rs
+++ b/crates/comfreyspread/src/rank.rs
@@ -51,6 +51,8 @@
     TimingRank = 90;
     /// Rank of the retry budgets.
     BudgetRank = 100;
+    /// Rank of the seeds that have answered.
+    SeedRank = 105;
     /// Rank of the idle connections.
     ConnectionRank = 110;
 }
@@ -66,6 +68,16 @@
     rank: std::marker::PhantomData<Rank>,
 }
 
+impl<Rank, Value> Default for RankedLock<Rank, Value>
+where
+    Rank: LockRank,
+    Value: Default,
+{
+    fn default() -> Self {
+        Self::new(Value::default())
+    }
+}
+
 impl<Rank, Value> RankedLock<Rank, Value>
 where
     Rank: LockRank,
