Put each question of a waiting node once per pause

Ruled out: the relay's byte rate; 5 endpoints and one node filled it alone.

Change: a wait puts its question again only after a quarter of the hold, or when what it waits for has changed. Running calls of a former owner reach the scheduler when they change.

--- a/crates/comfreyspread-policy/src/contact.rs
+++ b/crates/comfreyspread-policy/src/contact.rs
@@ -14,6 +14,9 @@
 /// Lapses after which an isolated node takes its silent peers for failed.
 const PATIENCE_LAPSES: u32 = 4;
 
+/// Questions for an endpoint within one hold.
+const QUESTIONS_PER_HOLD: u32 = 4;
+
 /// Times that govern ownerships.
 #[derive(Clone, Copy, Debug)]
 pub struct OwnershipTimes {
@@ -31,6 +34,11 @@
         let hold = lapse * HOLD_NUMERATOR / HOLD_DENOMINATOR;
         Self { hold, lapse, patience: lapse * PATIENCE_LAPSES }
     }
+
+    /// Returns the time between two questions for the same endpoint.
+    pub fn pause(self) -> time::Duration {
+        self.hold / QUESTIONS_PER_HOLD
+    }
 }
 
 /// What the seeds have told a node that starts.
--- a/crates/comfreyspread-policy/src/ownership.rs
+++ b/crates/comfreyspread-policy/src/ownership.rs
@@ -442,7 +442,9 @@
     ) -> ownership_life::OwnershipSlot {
         waiting.advance(members, self.times.lapse, now);
         if !waiting.is_clear(now) {
-            waiting.blockers().for_each(|member| actions.ask(member, endpoint));
+            if waiting.should_ask(self.times.pause(), now) {
+                waiting.blockers().for_each(|member| actions.ask(member, endpoint));
+            }
             return ownership_life::OwnershipSlot::Waiting(waiting);
         }
         if !mine {
@@ -452,7 +454,9 @@
             return ownership_life::OwnershipSlot::Waiting(waiting);
         }
         if !waiting.has_floor() {
-            actions.read_fence(endpoint);
+            if waiting.should_ask(self.times.pause(), now) {
+                actions.read_fence(endpoint);
+            }
             return ownership_life::OwnershipSlot::Waiting(waiting);
         }
         ownership_life::OwnershipSlot::Owned(waiting.own(self.tag()))
--- a/crates/comfreyspread-policy/src/ownership_life.rs
+++ b/crates/comfreyspread-policy/src/ownership_life.rs
@@ -16,6 +16,7 @@
     confirmed: IndexSet<membership::MemberInstance>,
     not_before: Option<time::Instant>,
     floor: Option<ids::FenceNumber>,
+    asked: Option<time::Instant>,
 }
 
 /// State of an ownership held by this node.
@@ -67,15 +68,30 @@
     /// Takes note that a node confirmed it does not own the endpoint and will not before it has
     /// asked this one.
     pub fn confirm(&mut self, instance: &membership::MemberInstance) {
-        self.state.blockers.swap_remove(instance);
+        let blocked = self.state.blockers.swap_remove(instance).is_some();
+        if blocked && self.state.blockers.is_empty() {
+            self.state.asked = None;
+        }
         self.state.confirmed.insert(instance.clone());
     }
 
     /// Waits for one more node, unless it has confirmed already.
     pub fn block(&mut self, instance: membership::MemberInstance) {
-        if !self.state.confirmed.contains(&instance) {
-            self.state.blockers.entry(instance).or_default();
+        if self.state.confirmed.contains(&instance) || self.state.blockers.contains_key(&instance) {
+            return;
+        }
+        self.state.blockers.insert(instance, OwnerAbsence::default());
+        self.state.asked = None;
+    }
+
+    /// Whether to put the question that the wait depends on now; it is put again only after
+    /// `pause`, so that answers to other questions do not multiply it.
+    pub fn should_ask(&mut self, pause: time::Duration, now: time::Instant) -> bool {
+        let due = self.state.asked.is_none_or(|asked| now >= asked + pause);
+        if due {
+            self.state.asked = Some(now);
         }
+        due
     }
 
     /// Takes note of a fencing number in use.
@@ -91,9 +107,13 @@
         lapse: time::Duration,
         now: time::Instant,
     ) {
+        let waited = self.state.blockers.len();
         self.state
             .blockers
             .retain(|instance, absence| !absence.is_over(instance, members, lapse, now));
+        if waited > 0 && self.state.blockers.is_empty() {
+            self.state.asked = None;
+        }
     }
 
     /// Owns the endpoint with a number above all known ones; `tag` marks the node in the low bits.
@@ -149,7 +169,13 @@
 impl WaitingState {
     fn new(blockers: Vec<membership::MemberInstance>, not_before: Option<time::Instant>) -> Self {
         let blockers = blockers.into_iter().map(|node| (node, OwnerAbsence::default()));
-        Self { blockers: blockers.collect(), confirmed: IndexSet::new(), not_before, floor: None }
+        Self {
+            blockers: blockers.collect(),
+            confirmed: IndexSet::new(),
+            not_before,
+            floor: None,
+            asked: None,
+        }
     }
 }
 
--- a/crates/comfreyspread-policy/tests/model/mod.rs
+++ b/crates/comfreyspread-policy/tests/model/mod.rs
@@ -513,8 +513,7 @@
                 self.merge(index, header, members);
                 let from = membership::MemberInstance::sender(header);
                 self.nodes[index].ownership.accept(&from, &releases, self.now);
-                let mut actions = self.observe(index);
-                actions.retain(|action| !matches!(action, OwnershipAction::Ask { .. }));
+                let actions = self.observe(index);
                 self.carry_out(index, actions);
                 // The number read from the endpoint ends the wait.
                 self.observe(index);
--- a/crates/comfreyspread/src/handover.rs
+++ b/crates/comfreyspread/src/handover.rs
@@ -88,13 +88,14 @@
     let now = time::Instant::now();
     context.tables.ownership.lock().accept(&from, &message.releases, now);
     proceed(context);
+    if message.releases.iter().any(|release| release.running > 0) {
+        context.tables.changed.notify(usize::MAX);
+    }
 }
 
-/// Brings the ownerships up to date after an answer; questions wait for the next heartbeat.
+/// Brings the ownerships up to date after an answer.
 fn proceed(context: &sync::Arc<context::NodeContext>) {
-    let mut actions = heartbeat::observe(context);
-    actions.retain(|action| !matches!(action, ownership::OwnershipAction::Ask { .. }));
-    carry_out(context, actions);
+    carry_out(context, heartbeat::observe(context));
 }
 
 async fn ask(
