Split the member and the actions of ownerships into their own modules

Change: member.rs and ownership_action.rs; the model of the tests in two files. Conclusion: no behaviour changes.

--- /dev/null
+++ b/crates/comfreyspread-policy/src/member.rs
@@ -0,0 +1,100 @@
+//! One member: its instance, its address and what is known of it.
+
+use comfreyspread_schema::{ids, types};
+use std::{net, time};
+
+/// One run of a node's process.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct MemberInstance {
+    /// Name of the node.
+    pub node: ids::NodeId,
+    /// Start id of the process.
+    pub start: ids::StartId,
+}
+
+impl MemberInstance {
+    /// Names the instance that a record describes.
+    pub fn new(record: &types::MemberRecord) -> Self {
+        Self { node: record.node.clone(), start: record.start }
+    }
+
+    /// Reads the name that a message carries.
+    pub fn named(name: &types::MemberName) -> Self {
+        Self { node: name.node.clone(), start: name.start }
+    }
+
+    /// Returns the instance that sent a message.
+    pub fn sender(header: &types::PeerHeader) -> Self {
+        Self { node: header.node.clone(), start: header.start }
+    }
+
+    /// Returns the name for a message.
+    pub fn name(&self) -> types::MemberName {
+        types::MemberName { node: self.node.clone(), start: self.start }
+    }
+}
+
+/// Member to be probed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ProbeTarget {
+    /// Instance to be probed.
+    pub instance: MemberInstance,
+    /// Peer address.
+    pub address: net::SocketAddr,
+}
+
+impl ProbeTarget {
+    /// Names the member that a record describes.
+    pub fn new(record: &types::MemberRecord) -> Self {
+        Self { instance: MemberInstance::new(record), address: record.address }
+    }
+}
+
+/// What is known of another node.
+#[derive(Clone, Debug)]
+pub struct MemberEntry {
+    pub(crate) record: types::MemberRecord,
+    pub(crate) since: time::Instant,
+    pub(crate) heard: time::Instant,
+    pub(crate) refused: bool,
+    pub(crate) sends: u32,
+}
+
+impl MemberEntry {
+    /// Creates the entry of a member that was just learnt of.
+    pub fn new(record: types::MemberRecord, now: time::Instant) -> Self {
+        Self { record, since: now, heard: now, refused: false, sends: 0 }
+    }
+
+    /// Returns the record.
+    pub fn record(&self) -> &types::MemberRecord {
+        &self.record
+    }
+
+    /// Returns when the phase last changed.
+    pub fn since(&self) -> time::Instant {
+        self.since
+    }
+
+    /// Returns when the member was last heard directly.
+    pub fn heard(&self) -> time::Instant {
+        self.heard
+    }
+
+    /// Whether the member may be running: alive or suspect.
+    pub fn is_live(&self) -> bool {
+        is_live(self.record.phase)
+    }
+
+    /// Sets the phase, which is then passed on anew.
+    pub fn set_phase(&mut self, phase: types::MemberPhase, now: time::Instant) {
+        self.record.phase = phase;
+        self.since = now;
+        self.sends = 0;
+    }
+}
+
+/// Whether a member in this phase may be running.
+pub fn is_live(phase: types::MemberPhase) -> bool {
+    matches!(phase, types::MemberPhase::Alive | types::MemberPhase::Suspect)
+}
--- a/crates/comfreyspread-policy/src/membership.rs
+++ b/crates/comfreyspread-policy/src/membership.rs
@@ -12,6 +12,7 @@
 //!
 //! Work per heartbeat does not depend on the number of nodes, except for scans of the local table.
 
+use crate::member;
 use comfreyspread_schema::{ids, types};
 use indexmap::IndexMap;
 use rand::seq::SliceRandom as _;
@@ -29,107 +30,13 @@
     pub forget: time::Duration,
 }
 
-/// One run of a node's process.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-pub struct MemberInstance {
-    /// Name of the node.
-    pub node: ids::NodeId,
-    /// Start id of the process.
-    pub start: ids::StartId,
-}
-
-impl MemberInstance {
-    /// Names the instance that a record describes.
-    pub fn new(record: &types::MemberRecord) -> Self {
-        Self { node: record.node.clone(), start: record.start }
-    }
-
-    /// Reads the name that a message carries.
-    pub fn named(name: &types::MemberName) -> Self {
-        Self { node: name.node.clone(), start: name.start }
-    }
-
-    /// Returns the instance that sent a message.
-    pub fn sender(header: &types::PeerHeader) -> Self {
-        Self { node: header.node.clone(), start: header.start }
-    }
-
-    /// Returns the name for a message.
-    pub fn name(&self) -> types::MemberName {
-        types::MemberName { node: self.node.clone(), start: self.start }
-    }
-}
-
-/// Member to be probed.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct ProbeTarget {
-    /// Instance to be probed.
-    pub instance: MemberInstance,
-    /// Peer address.
-    pub address: net::SocketAddr,
-}
-
-impl ProbeTarget {
-    /// Names the member that a record describes.
-    pub fn new(record: &types::MemberRecord) -> Self {
-        Self { instance: MemberInstance::new(record), address: record.address }
-    }
-}
-
-/// What is known of another node.
-#[derive(Clone, Debug)]
-pub struct MemberEntry {
-    record: types::MemberRecord,
-    since: time::Instant,
-    heard: time::Instant,
-    refused: bool,
-    sends: u32,
-}
-
-impl MemberEntry {
-    fn new(record: types::MemberRecord, now: time::Instant) -> Self {
-        Self { record, since: now, heard: now, refused: false, sends: 0 }
-    }
-
-    /// Returns the record.
-    pub fn record(&self) -> &types::MemberRecord {
-        &self.record
-    }
-
-    /// Returns when the phase last changed.
-    pub fn since(&self) -> time::Instant {
-        self.since
-    }
-
-    /// Returns when the member was last heard directly.
-    pub fn heard(&self) -> time::Instant {
-        self.heard
-    }
-
-    /// Whether the member may be running: alive or suspect.
-    pub fn is_live(&self) -> bool {
-        is_live(self.record.phase)
-    }
-
-    fn set_phase(&mut self, phase: types::MemberPhase, now: time::Instant) {
-        self.record.phase = phase;
-        self.since = now;
-        self.sends = 0;
-    }
-}
-
-/// Whether a member in this phase may be running.
-pub fn is_live(phase: types::MemberPhase) -> bool {
-    matches!(phase, types::MemberPhase::Alive | types::MemberPhase::Suspect)
-}
-
 /// The members known to one node.
 #[derive(Debug)]
 pub struct MemberTable {
     local: types::MemberRecord,
     local_sends: u32,
     times: MemberTimes,
-    entries: IndexMap<ids::NodeId, MemberEntry>,
+    entries: IndexMap<ids::NodeId, member::MemberEntry>,
     near: Vec<ids::NodeId>,
     far: Vec<ids::NodeId>,
     near_next: bool,
@@ -159,29 +66,29 @@
     }
 
     /// Returns what is known of another node.
-    pub fn entry(&self, node: &ids::NodeId) -> Option<&MemberEntry> {
+    pub fn entry(&self, node: &ids::NodeId) -> Option<&member::MemberEntry> {
         self.entries.get(node)
     }
 
     /// Returns all other nodes known, gone ones included.
-    pub fn entries(&self) -> impl Iterator<Item = &MemberEntry> {
+    pub fn entries(&self) -> impl Iterator<Item = &member::MemberEntry> {
         self.entries.values()
     }
 
     /// Returns the records of the nodes that may be running, this one included.
     pub fn live(&self) -> impl Iterator<Item = &types::MemberRecord> {
-        let others = self.entries.values().map(MemberEntry::record);
-        std::iter::once(&self.local).chain(others).filter(|record| is_live(record.phase))
+        let others = self.entries.values().map(member::MemberEntry::record);
+        std::iter::once(&self.local).chain(others).filter(|record| member::is_live(record.phase))
     }
 
     /// Returns the instance of another node that may be running.
-    pub fn live_instance(&self, node: &ids::NodeId) -> Option<MemberInstance> {
+    pub fn live_instance(&self, node: &ids::NodeId) -> Option<member::MemberInstance> {
         let entry = self.entries.get(node).filter(|entry| entry.is_live())?;
-        Some(MemberInstance::new(&entry.record))
+        Some(member::MemberInstance::new(&entry.record))
     }
 
     /// Whether an instance of another node may be running.
-    pub fn is_live(&self, instance: &MemberInstance) -> bool {
+    pub fn is_live(&self, instance: &member::MemberInstance) -> bool {
         self.live_instance(&instance.node).is_some_and(|live| live == *instance)
     }
 
@@ -219,7 +126,7 @@
 
     /// Whether a member is known to have failed without its address refusing connections.
     pub fn has_silent_failures(&self) -> bool {
-        let failed = |entry: &MemberEntry| entry.record.phase == types::MemberPhase::Failed;
+        let failed = |entry: &member::MemberEntry| entry.record.phase == types::MemberPhase::Failed;
         self.entries.values().any(|entry| failed(entry) && !entry.refused)
     }
 
@@ -253,12 +160,12 @@
                 return false;
             }
             self.version += 1;
-            self.entries.insert(record.node.clone(), MemberEntry::new(record, now));
+            self.entries.insert(record.node.clone(), member::MemberEntry::new(record, now));
             return true;
         };
         if supersedes(&record, &entry.record) {
             let heard = entry.heard;
-            *entry = MemberEntry { heard, ..MemberEntry::new(record, now) };
+            *entry = member::MemberEntry { heard, ..member::MemberEntry::new(record, now) };
             self.version += 1;
             return true;
         }
@@ -276,7 +183,7 @@
     }
 
     /// Takes note that a member's address refuses connections.
-    pub fn note_refused(&mut self, instance: &MemberInstance) {
+    pub fn note_refused(&mut self, instance: &member::MemberInstance) {
         if let Some(entry) = self.entries.get_mut(&instance.node)
             && entry.record.start == instance.start
         {
@@ -285,7 +192,7 @@
     }
 
     /// Suspects a member that neither this node nor its helpers could reach.
-    pub fn suspect(&mut self, instance: &MemberInstance, now: time::Instant) -> bool {
+    pub fn suspect(&mut self, instance: &member::MemberInstance, now: time::Instant) -> bool {
         let Some(entry) = self.entries.get_mut(&instance.node) else { return false };
         let alive = entry.record.phase == types::MemberPhase::Alive;
         if !alive || entry.record.start != instance.start {
@@ -339,7 +246,7 @@
     }
 
     /// Returns the member to be probed next, by turns from this zone and from elsewhere.
-    pub fn next_probe<Random>(&mut self, random: &mut Random) -> Option<ProbeTarget>
+    pub fn next_probe<Random>(&mut self, random: &mut Random) -> Option<member::ProbeTarget>
     where
         Random: rand::Rng,
     {
@@ -354,14 +261,14 @@
         target: &ids::NodeId,
         count: usize,
         random: &mut Random,
-    ) -> Vec<ProbeTarget>
+    ) -> Vec<member::ProbeTarget>
     where
         Random: rand::Rng,
     {
         let alive = |record: &&types::MemberRecord| record.phase == types::MemberPhase::Alive;
-        let records = self.entries.values().map(MemberEntry::record).filter(alive);
+        let records = self.entries.values().map(member::MemberEntry::record).filter(alive);
         let mut helpers: Vec<_> =
-            records.filter(|record| record.node != *target).map(ProbeTarget::new).collect();
+            records.filter(|record| record.node != *target).map(member::ProbeTarget::new).collect();
         let (chosen, _) = helpers.partial_shuffle(random, count);
         chosen.to_vec()
     }
@@ -448,7 +355,7 @@
         self.version += 1;
     }
 
-    fn take_probe<Random>(&mut self, near: bool, random: &mut Random) -> Option<ProbeTarget>
+    fn take_probe<Random>(&mut self, near: bool, random: &mut Random) -> Option<member::ProbeTarget>
     where
         Random: rand::Rng,
     {
@@ -473,10 +380,10 @@
         ring
     }
 
-    fn pop_live(&self, ring: &mut Vec<ids::NodeId>) -> Option<ProbeTarget> {
+    fn pop_live(&self, ring: &mut Vec<ids::NodeId>) -> Option<member::ProbeTarget> {
         while let Some(node) = ring.pop() {
             if let Some(entry) = self.entries.get(&node).filter(|entry| entry.is_live()) {
-                return Some(ProbeTarget::new(&entry.record));
+                return Some(member::ProbeTarget::new(&entry.record));
             }
         }
         None
@@ -488,7 +395,7 @@
     {
         let index = random.random_range(0..=self.entries.len());
         let record = self.entries.get_index(index).map_or(&self.local, |(_, entry)| &entry.record);
-        is_live(record.phase).then(|| record.clone())
+        member::is_live(record.phase).then(|| record.clone())
     }
 
     fn sends_per_record(&self) -> u32 {
--- a/crates/comfreyspread-policy/src/ownership.rs
+++ b/crates/comfreyspread-policy/src/ownership.rs
@@ -6,7 +6,7 @@
 //! when it has had no answer from a peer for the hold of [`contact`], which is shorter than the
 //! lapse, or when its process stood still for that long.
 
-use crate::{catalog, contact, membership, ownership_life, rendezvous};
+use crate::{catalog, contact, member, membership, ownership_action, ownership_life, rendezvous};
 use comfreyspread_schema::{ids, types};
 use indexmap::IndexMap;
 use std::time;
@@ -15,30 +15,6 @@
 /// Candidates kept for each endpoint: the owner and those asked before it takes over.
 const RANKED_CANDIDATES: usize = 3;
 
-/// What a node has to do for its ownerships.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum OwnershipAction {
-    /// Ask a member which of these endpoints it does not own.
-    Ask {
-        /// Member that may own them.
-        member: membership::MemberInstance,
-        /// Endpoints waited for.
-        endpoints: Vec<ids::EndpointId>,
-    },
-    /// Read the highest fencing number from the endpoint itself.
-    ReadFence {
-        /// Endpoint waited for.
-        endpoint: ids::EndpointId,
-    },
-    /// Tell the next owner that this node released an endpoint.
-    Notify {
-        /// Next owner.
-        node: ids::NodeId,
-        /// Endpoint released.
-        endpoint: ids::EndpointId,
-    },
-}
-
 /// Calls of a former owner that still run at an endpoint.
 #[derive(Clone, Debug, PartialEq)]
 pub struct InheritedLoad {
@@ -55,7 +31,7 @@
 /// Ownerships of one node.
 #[derive(Debug)]
 pub struct OwnershipTable {
-    instance: membership::MemberInstance,
+    instance: member::MemberInstance,
     times: contact::OwnershipTimes,
     started: time::Instant,
     seeds: contact::SeedContact,
@@ -65,7 +41,7 @@
     view: Option<(u64, ids::RevisionNumber)>,
     ranks: IndexMap<ids::EndpointId, Vec<ids::NodeId>>,
     slots: IndexMap<ids::EndpointId, ownership_life::OwnershipSlot>,
-    askers: IndexMap<ids::EndpointId, membership::MemberInstance>,
+    askers: IndexMap<ids::EndpointId, member::MemberInstance>,
     inherited: IndexMap<ids::EndpointId, InheritedLoad>,
     settled: bool,
 }
@@ -73,7 +49,7 @@
 impl OwnershipTable {
     /// Creates the table of a node that starts and owns nothing.
     pub fn new(
-        instance: membership::MemberInstance,
+        instance: member::MemberInstance,
         times: contact::OwnershipTimes,
         started: time::Instant,
     ) -> Self {
@@ -194,12 +170,12 @@
         members: &mut membership::MemberTable,
         catalog: &catalog::ConfigurationCatalog,
         now: time::Instant,
-    ) -> Vec<OwnershipAction> {
+    ) -> Vec<ownership_action::OwnershipAction> {
         self.observe_contact(members, now);
         let former = self.rank(members, catalog);
         self.inherited.retain(|_, load| now < load.until);
         self.slots.retain(|endpoint, _| self.ranks.contains_key(endpoint));
-        let mut actions = ActionList::default();
+        let mut actions = ownership_action::ActionList::default();
         for endpoint in self.ranks.keys().cloned().collect::<Vec<_>>() {
             let previous = former.as_ref().and_then(|ranks| ranks.get(&endpoint)?.first());
             self.step(&endpoint, previous, members, now, &mut actions);
@@ -214,7 +190,7 @@
     pub fn answer(
         &mut self,
         members: &membership::MemberTable,
-        asker: &membership::MemberInstance,
+        asker: &member::MemberInstance,
         endpoints: &[ids::EndpointId],
     ) -> Vec<types::ReleaseRecord> {
         let mut releases = Vec::new();
@@ -235,7 +211,7 @@
         &self,
         members: &membership::MemberTable,
         endpoint: &ids::EndpointId,
-        asker: &membership::MemberInstance,
+        asker: &member::MemberInstance,
     ) -> types::ReleaseRecord {
         let slot = self.slots.get(endpoint);
         let first = self.ranks.get(endpoint).and_then(|ranked| ranked.first());
@@ -248,7 +224,7 @@
         others.retain(|other| other != asker && *other != self.instance);
         others.dedup();
         types::ReleaseRecord {
-            blockers: others.iter().map(membership::MemberInstance::name).collect(),
+            blockers: others.iter().map(member::MemberInstance::name).collect(),
             endpoint: endpoint.clone(),
             fence: slot.map_or(0, ownership_life::OwnershipSlot::highest),
             phase: types::EndpointPhase::Unknown,
@@ -259,7 +235,7 @@
     /// Takes in what another node says of endpoints that it does not own.
     pub fn accept(
         &mut self,
-        from: &membership::MemberInstance,
+        from: &member::MemberInstance,
         releases: &[types::ReleaseRecord],
         now: time::Instant,
     ) {
@@ -268,7 +244,7 @@
                 self.slots.get_mut(&release.endpoint)
             {
                 waiting.confirm(from);
-                let blockers = release.blockers.iter().map(membership::MemberInstance::named);
+                let blockers = release.blockers.iter().map(member::MemberInstance::named);
                 blockers
                     .filter(|blocker| *blocker != self.instance)
                     .for_each(|blocker| waiting.block(blocker));
@@ -393,7 +369,7 @@
         previous: Option<&ids::NodeId>,
         members: &membership::MemberTable,
         now: time::Instant,
-        actions: &mut ActionList,
+        actions: &mut ownership_action::ActionList,
     ) {
         let ranked = self.ranks.get(endpoint).map(Vec::as_slice).unwrap_or_default();
         let first = ranked.first();
@@ -438,7 +414,7 @@
         mine: bool,
         members: &membership::MemberTable,
         now: time::Instant,
-        actions: &mut ActionList,
+        actions: &mut ownership_action::ActionList,
     ) -> ownership_life::OwnershipSlot {
         waiting.advance(members, self.times.lapse, now);
         if !waiting.is_clear(now) {
@@ -476,12 +452,12 @@
         endpoint: &ids::EndpointId,
         previous: Option<&ids::NodeId>,
         members: &membership::MemberTable,
-    ) -> Vec<membership::MemberInstance> {
+    ) -> Vec<member::MemberInstance> {
         let ranked = self.ranks.get(endpoint).map(Vec::as_slice).unwrap_or_default();
         let named = ranked.iter().chain(previous).filter_map(|node| members.entry(node));
         let failed = types::MemberPhase::Failed;
         let held = named.filter(|entry| entry.record().phase != failed);
-        let held = held.map(|entry| membership::MemberInstance::new(entry.record()));
+        let held = held.map(|entry| member::MemberInstance::new(entry.record()));
         let mut blockers: Vec<_> = held.chain(self.askers.get(endpoint).cloned()).collect();
         blockers.sort_by(|one, other| (&one.node, one.start).cmp(&(&other.node, other.start)));
         blockers.dedup();
@@ -493,30 +469,3 @@
         u16::try_from(hash & u64::from(u16::MAX)).unwrap_or(u16::MAX)
     }
 }
-
-/// Actions of one observation, questions grouped by member.
-#[derive(Debug, Default)]
-struct ActionList {
-    questions: IndexMap<membership::MemberInstance, Vec<ids::EndpointId>>,
-    others: Vec<OwnershipAction>,
-}
-
-impl ActionList {
-    fn ask(&mut self, member: &membership::MemberInstance, endpoint: &ids::EndpointId) {
-        self.questions.entry(member.clone()).or_default().push(endpoint.clone());
-    }
-
-    fn read_fence(&mut self, endpoint: &ids::EndpointId) {
-        self.others.push(OwnershipAction::ReadFence { endpoint: endpoint.clone() });
-    }
-
-    fn notify(&mut self, node: &ids::NodeId, endpoint: &ids::EndpointId) {
-        let action = OwnershipAction::Notify { node: node.clone(), endpoint: endpoint.clone() };
-        self.others.push(action);
-    }
-
-    fn finish(self) -> Vec<OwnershipAction> {
-        let ask = |(member, endpoints)| OwnershipAction::Ask { member, endpoints };
-        self.questions.into_iter().map(ask).chain(self.others).collect()
-    }
-}
--- a/crates/comfreyspread-policy/src/ownership_life.rs
+++ b/crates/comfreyspread-policy/src/ownership_life.rs
@@ -4,7 +4,7 @@
 //! has ended with a fencing number. Each step consumes the state before it, so a released ownership
 //! cannot be used again without another wait.
 
-use crate::membership;
+use crate::{member, membership};
 use comfreyspread_schema::{ids, types};
 use indexmap::{IndexMap, IndexSet};
 use std::time;
@@ -12,8 +12,8 @@
 /// State of an ownership that other nodes may still hold.
 #[derive(Debug)]
 pub struct WaitingState {
-    blockers: IndexMap<membership::MemberInstance, OwnerAbsence>,
-    confirmed: IndexSet<membership::MemberInstance>,
+    blockers: IndexMap<member::MemberInstance, OwnerAbsence>,
+    confirmed: IndexSet<member::MemberInstance>,
     not_before: Option<time::Instant>,
     floor: Option<ids::FenceNumber>,
     asked: Option<time::Instant>,
@@ -46,12 +46,12 @@
 
 impl EndpointOwnership<WaitingState> {
     /// Begins to wait for the nodes that may own the endpoint.
-    pub fn new(blockers: Vec<membership::MemberInstance>) -> Self {
+    pub fn new(blockers: Vec<member::MemberInstance>) -> Self {
         EndpointOwnership { highest: 0, state: WaitingState::new(blockers, None) }
     }
 
     /// Returns the nodes that may still own the endpoint.
-    pub fn blockers(&self) -> impl Iterator<Item = &membership::MemberInstance> {
+    pub fn blockers(&self) -> impl Iterator<Item = &member::MemberInstance> {
         self.state.blockers.keys()
     }
 
@@ -67,7 +67,7 @@
 
     /// Takes note that a node confirmed it does not own the endpoint and will not before it has
     /// asked this one.
-    pub fn confirm(&mut self, instance: &membership::MemberInstance) {
+    pub fn confirm(&mut self, instance: &member::MemberInstance) {
         let blocked = self.state.blockers.swap_remove(instance).is_some();
         if blocked && self.state.blockers.is_empty() {
             self.state.asked = None;
@@ -76,7 +76,7 @@
     }
 
     /// Waits for one more node, unless it has confirmed already.
-    pub fn block(&mut self, instance: membership::MemberInstance) {
+    pub fn block(&mut self, instance: member::MemberInstance) {
         if self.state.confirmed.contains(&instance) || self.state.blockers.contains_key(&instance) {
             return;
         }
@@ -150,10 +150,7 @@
 
 impl EndpointOwnership<ReleasedState> {
     /// Waits for the endpoint again.
-    pub fn wait(
-        self,
-        blockers: Vec<membership::MemberInstance>,
-    ) -> EndpointOwnership<WaitingState> {
+    pub fn wait(self, blockers: Vec<member::MemberInstance>) -> EndpointOwnership<WaitingState> {
         let state = WaitingState::new(blockers, self.state.retry);
         EndpointOwnership { highest: self.highest, state }
     }
@@ -167,7 +164,7 @@
 }
 
 impl WaitingState {
-    fn new(blockers: Vec<membership::MemberInstance>, not_before: Option<time::Instant>) -> Self {
+    fn new(blockers: Vec<member::MemberInstance>, not_before: Option<time::Instant>) -> Self {
         let blockers = blockers.into_iter().map(|node| (node, OwnerAbsence::default()));
         Self {
             blockers: blockers.collect(),
@@ -183,7 +180,7 @@
     /// Whether the instance can own nothing any more.
     fn is_over(
         &mut self,
-        instance: &membership::MemberInstance,
+        instance: &member::MemberInstance,
         members: &membership::MemberTable,
         lapse: time::Duration,
         now: time::Instant,
--- a/crates/comfreyspread-policy/tests/model/mod.rs
+++ b/crates/comfreyspread-policy/tests/model/mod.rs
@@ -1,8 +1,9 @@
 //! Nodes that exchange heartbeats and hand endpoints over in injected time, under faults.
 #![allow(clippy::disallowed_methods, dead_code, reason = "one base moment; files use a part")]
 
-use comfreyspread_policy::ownership::OwnershipAction;
-use comfreyspread_policy::{catalog, contact, membership, ownership};
+mod exchange;
+
+use comfreyspread_policy::{catalog, contact, member, membership, ownership};
 use comfreyspread_schema::{ids, types};
 use rand::{Rng as _, SeedableRng as _, rngs};
 use std::{collections::BinaryHeap, time};
@@ -26,7 +27,7 @@
 enum Event {
     Tick,
     Arrive { from: usize, header: types::PeerHeader, message: Message, sent: time::Instant },
-    ProbeEnd { target: membership::ProbeTarget, sent: time::Instant },
+    ProbeEnd { target: member::ProbeTarget, sent: time::Instant },
 }
 
 /// Event of one node's process; a frozen process finds it when it wakes.
@@ -172,7 +173,7 @@
             zone: zone(index),
         };
         let times = membership::MemberTimes { lapse: LAPSE, forget: LAPSE * 20 };
-        let instance = membership::MemberInstance::new(&record);
+        let instance = member::MemberInstance::new(&record);
         let ownership_times = contact::OwnershipTimes::new(LAPSE);
         ModelNode {
             members: membership::MemberTable::new(record, times),
@@ -340,221 +341,4 @@
             }
         }
     }
-
-    fn tick(&mut self, index: usize) {
-        let actions = self.observe(index);
-        self.carry_out(index, actions);
-        self.call_endpoints(index);
-        let node = &mut self.nodes[index];
-        let isolated = matches!(node.ownership.contact(), contact::PeerContact::Isolated(_));
-        for _ in 0..if isolated { 4 } else { 1 } {
-            let Some(target) = self.nodes[index].members.next_probe(&mut self.random) else {
-                break;
-            };
-            let to = usize::from(target.address.port()) - 1;
-            self.beat(index, to, false, false);
-            let event = Event::ProbeEnd { target, sent: self.now };
-            self.push_at(self.now + ANSWER_LIMIT, index, event);
-        }
-        let unsettled = !self.nodes[index].ownership.is_settled(self.now);
-        for seed in (0..self.nodes.len()).filter(|_| unsettled) {
-            self.beat(index, seed, true, true);
-        }
-        let refuses = |other: &usize| {
-            !self.nodes[*other].up && !self.cut[index][*other] && !self.cut[*other][index]
-        };
-        let answered = &self.nodes[index].answered;
-        let told = |other: &usize| *other == index || answered.contains(other) || refuses(other);
-        if unsettled && (0..self.nodes.len()).all(|other| told(&other)) {
-            self.nodes[index].ownership.set_seeds(contact::SeedContact::Refused);
-        }
-        if self.nodes[index].members.live().count() == 1 || self.random.random_ratio(1, 20) {
-            let seed = self.random.random_range(0..self.nodes.len());
-            let whole = self.nodes[index].members.entry(&name(seed)).is_none();
-            self.beat(index, seed, whole, true);
-        }
-        self.push_at(self.now + HEARTBEAT, index, Event::Tick);
-    }
-
-    fn beat(&mut self, from: usize, to: usize, whole: bool, introduce: bool) {
-        let members = &mut self.nodes[from].members;
-        let mut records = members.take_records(RECORDS, &mut self.random);
-        if introduce {
-            records.push(members.local().clone());
-        }
-        records.extend(members.doubted(&name(to)));
-        self.send(from, to, Message::Heartbeat { members: records, whole }, self.now);
-    }
-
-    fn observe(&mut self, index: usize) -> Vec<OwnershipAction> {
-        let now = self.now;
-        let node = &mut self.nodes[index];
-        if !node.ownership.stood_still(now) {
-            node.members.advance(now);
-        }
-        node.ownership.observe(&mut node.members, &self.catalog, now)
-    }
-
-    fn carry_out(&mut self, index: usize, actions: Vec<OwnershipAction>) {
-        for action in actions {
-            match action {
-                OwnershipAction::Ask { member, endpoints } => {
-                    let Some(to) = self.position(&member.node) else { continue };
-                    let member = self.nodes[index].members.local().clone();
-                    self.send(index, to, Message::Question { member, endpoints }, self.now);
-                }
-                OwnershipAction::ReadFence { endpoint } => {
-                    let place = self.catalog.endpoints().position(|entry| entry.name == endpoint);
-                    let fence = self.fences[place.expect("declared")];
-                    self.nodes[index].ownership.learn(&endpoint, fence, 0, self.now);
-                }
-                OwnershipAction::Notify { node, endpoint } => {
-                    let Some(to) = self.position(&node) else { continue };
-                    let next = self.instance(to);
-                    let node = &self.nodes[index];
-                    let release = node.ownership.release_record(&node.members, &endpoint, &next);
-                    let releases = vec![release];
-                    let members = node.members.records_for(&releases);
-                    self.send(index, to, Message::Notice { members, releases }, self.now);
-                }
-            }
-        }
-    }
-
-    fn call_endpoints(&mut self, index: usize) {
-        for (place, endpoint) in self.endpoints().into_iter().enumerate() {
-            let Some(fence) = self.nodes[index].ownership.permit(&endpoint, self.now) else {
-                continue;
-            };
-            if fence < self.fences[place] && self.checks_fence {
-                self.nodes[index].ownership.lose(&endpoint, self.now);
-            }
-            self.fences[place] = self.fences[place].max(fence);
-        }
-    }
-
-    fn position(&self, node: &ids::NodeId) -> Option<usize> {
-        (0..self.nodes.len()).find(|index| name(*index) == *node)
-    }
-
-    fn instance(&self, index: usize) -> membership::MemberInstance {
-        membership::MemberInstance { node: name(index), start: self.nodes[index].start }
-    }
-
-    fn merge(
-        &mut self,
-        index: usize,
-        header: &types::PeerHeader,
-        records: Vec<types::MemberRecord>,
-    ) {
-        let now = self.now;
-        let members = &mut self.nodes[index].members;
-        let version = members.version();
-        for record in records {
-            members.merge(record, now);
-        }
-        members.contact(header, now);
-        if members.version() != version {
-            let actions = self.observe(index);
-            self.carry_out(index, actions);
-        }
-    }
-
-    fn arrive(
-        &mut self,
-        index: usize,
-        from: usize,
-        header: &types::PeerHeader,
-        message: Message,
-        sent: time::Instant,
-    ) {
-        match message {
-            Message::Heartbeat { members, whole } => {
-                self.merge(index, header, members);
-                let table = &mut self.nodes[index].members;
-                let doubt = table.doubt(header);
-                let mut members = if whole {
-                    table.whole()
-                } else {
-                    table.take_records(RECORDS, &mut self.random)
-                };
-                members.extend(doubt);
-                self.send(index, from, Message::Beaten { members, whole }, sent);
-            }
-            Message::Beaten { members, whole } => {
-                if self.now - sent > ANSWER_LIMIT {
-                    return;
-                }
-                let node = &mut self.nodes[index];
-                if node.members.is_doubted_by(&members) {
-                    node.ownership.doubt(self.now);
-                } else {
-                    node.ownership.confirm(sent, self.now);
-                }
-                self.merge(index, header, members);
-                let others = self.nodes.len() - 1;
-                let node = &mut self.nodes[index];
-                if whole {
-                    node.answered.insert(from);
-                }
-                if node.answered.len() == others {
-                    node.ownership.set_seeds(contact::SeedContact::Answered);
-                }
-            }
-            Message::Question { member, endpoints } => {
-                self.merge(index, header, vec![member]);
-                let asker = membership::MemberInstance::sender(header);
-                let node = &mut self.nodes[index];
-                let releases = node.ownership.answer(&node.members, &asker, &endpoints);
-                let members = node.members.records_for(&releases);
-                self.send(index, from, Message::Notice { members, releases }, sent);
-            }
-            Message::Notice { members, releases } => {
-                self.merge(index, header, members);
-                let from = membership::MemberInstance::sender(header);
-                self.nodes[index].ownership.accept(&from, &releases, self.now);
-                let actions = self.observe(index);
-                self.carry_out(index, actions);
-                // The number read from the endpoint ends the wait.
-                self.observe(index);
-            }
-        }
-    }
-
-    fn reaches(&mut self, from: usize, to: usize) -> bool {
-        let lost = self.loss > 0.0 && self.random.random_bool((self.loss * 2.0).min(1.0));
-        !lost && !self.cut[from][to] && !self.cut[to][from] && self.is_running(to)
-    }
-
-    fn end_probe(&mut self, index: usize, target: &membership::ProbeTarget, sent: time::Instant) {
-        let to = usize::from(target.address.port()) - 1;
-        if self.nodes[index]
-            .members
-            .entry(&target.instance.node)
-            .is_some_and(|entry| entry.heard() >= sent)
-        {
-            return;
-        }
-        if !self.nodes[to].up && !self.cut[index][to] && !self.cut[to][index] {
-            self.nodes[index].members.note_refused(&target.instance);
-        }
-        let helpers =
-            self.nodes[index].members.helpers(&target.instance.node, HELPERS, &mut self.random);
-        let mut reached = false;
-        for helper in helpers {
-            let helper = usize::from(helper.address.port()) - 1;
-            if !self.reaches(index, helper) {
-                continue;
-            }
-            let header = self.header(index);
-            if self.nodes[helper].members.doubt(&header).is_none() {
-                self.nodes[index].ownership.confirm(self.now, self.now);
-            }
-            reached |= self.reaches(helper, to);
-        }
-        if !reached {
-            let now = self.now;
-            self.nodes[index].members.suspect(&target.instance, now);
-        }
-    }
 }
--- a/crates/comfreyspread/src/handover.rs
+++ b/crates/comfreyspread/src/handover.rs
@@ -5,7 +5,7 @@
 //! their next owner, with the calls that still run, until the last of them has ended.
 
 use crate::{context, failure, heartbeat, http_client, peer, pool_changes, settings};
-use comfreyspread_policy::{contact, membership, ownership};
+use comfreyspread_policy::{contact, member, ownership, ownership_action};
 use comfreyspread_schema::{ids, types};
 use http_types::{Method, Request};
 use std::{net, sync, time};
@@ -24,7 +24,7 @@
     start: ids::StartId,
     now: time::Instant,
 ) -> ownership::OwnershipTable {
-    let instance = membership::MemberInstance { node: settings.node.clone(), start };
+    let instance = member::MemberInstance { node: settings.node.clone(), start };
     let times = contact::OwnershipTimes::new(settings.lapse);
     let table = ownership::OwnershipTable::new(instance, times, now);
     let own_seeds = settings.seeds.iter().all(|seed| *seed == settings.peer_address);
@@ -34,18 +34,18 @@
 /// Starts what the ownerships ask for.
 pub fn carry_out(
     context: &sync::Arc<context::NodeContext>,
-    actions: Vec<ownership::OwnershipAction>,
+    actions: Vec<ownership_action::OwnershipAction>,
 ) {
     for action in actions {
         let task = context.clone();
         match action {
-            ownership::OwnershipAction::Ask { member, endpoints } => {
+            ownership_action::OwnershipAction::Ask { member, endpoints } => {
                 context.spawner.detach(async move { ask(&task, &member, endpoints).await });
             }
-            ownership::OwnershipAction::ReadFence { endpoint } => {
+            ownership_action::OwnershipAction::ReadFence { endpoint } => {
                 context.spawner.detach(async move { read_fence(&task, &endpoint).await });
             }
-            ownership::OwnershipAction::Notify { node, endpoint } => {
+            ownership_action::OwnershipAction::Notify { node, endpoint } => {
                 log::info!(endpoint = endpoint.as_ref(), next = node.as_ref();
                     "handover: released");
                 context.spawner.detach(async move { notify(&task, &node, &endpoint).await });
@@ -59,7 +59,7 @@
     context: &sync::Arc<context::NodeContext>,
     message: types::ReleaseRequest,
 ) -> types::ReleaseNotice {
-    let asker = membership::MemberInstance::sender(&message.header);
+    let asker = member::MemberInstance::sender(&message.header);
     heartbeat::merge(context, &message.header, vec![message.member]);
     let mut releases = {
         let members = context.tables.members.lock();
@@ -83,7 +83,7 @@
 
 /// Takes in the notice of a node that released endpoints.
 pub fn accept(context: &sync::Arc<context::NodeContext>, message: types::ReleaseNotice) {
-    let from = membership::MemberInstance::sender(&message.header);
+    let from = member::MemberInstance::sender(&message.header);
     heartbeat::merge(context, &message.header, message.members);
     let now = time::Instant::now();
     context.tables.ownership.lock().accept(&from, &message.releases, now);
@@ -100,7 +100,7 @@
 
 async fn ask(
     context: &sync::Arc<context::NodeContext>,
-    member: &membership::MemberInstance,
+    member: &member::MemberInstance,
     endpoints: Vec<ids::EndpointId>,
 ) {
     let Some(address) = address_of(context, member) else { return };
@@ -179,7 +179,7 @@
         let members = context.tables.members.lock();
         let ownership = context.tables.ownership.lock();
         members.entry(node).map(|entry| {
-            let next = membership::ProbeTarget::new(entry.record());
+            let next = member::ProbeTarget::new(entry.record());
             let release = ownership.release_record(&members, endpoint, &next.instance);
             (next, release)
         })
@@ -209,7 +209,7 @@
 
 fn address_of(
     context: &context::NodeContext,
-    member: &membership::MemberInstance,
+    member: &member::MemberInstance,
 ) -> Option<net::SocketAddr> {
     let members = context.tables.members.lock();
     let entry = members.entry(&member.node)?;
--- a/crates/comfreyspread/src/heartbeat.rs
+++ b/crates/comfreyspread/src/heartbeat.rs
@@ -6,7 +6,7 @@
 //! an answered probe or a changed view means is decided by the tables of the policy crate.
 
 use crate::{context, failure, handover, http_client, peer, rank, settings};
-use comfreyspread_policy::{contact, membership, ownership};
+use comfreyspread_policy::{contact, member, membership, ownership_action};
 use comfreyspread_schema::{ids, types};
 use futures_util::future;
 use indexmap::IndexMap;
@@ -98,7 +98,7 @@
 }
 
 /// Brings members and ownerships up to date and returns what has to be done.
-pub fn observe(context: &context::NodeContext) -> Vec<ownership::OwnershipAction> {
+pub fn observe(context: &context::NodeContext) -> Vec<ownership_action::OwnershipAction> {
     let now = time::Instant::now();
     let phase = context.tables.phase();
     let catalog = context.tables.catalog();
@@ -149,7 +149,7 @@
     context.tables.members.lock().leave();
     let actions = observe(context);
     let next = actions.iter().filter_map(|action| match action {
-        ownership::OwnershipAction::Notify { node, .. } => Some(node),
+        ownership_action::OwnershipAction::Notify { node, .. } => Some(node),
         _ => None,
     });
     let mut targets = leave_targets(context);
@@ -178,7 +178,7 @@
     }
 }
 
-fn next_probes(context: &context::NodeContext) -> Vec<membership::ProbeTarget> {
+fn next_probes(context: &context::NodeContext) -> Vec<member::ProbeTarget> {
     let mut members = context.tables.members.lock();
     let isolated = {
         let ownership = context.tables.ownership.lock();
@@ -275,7 +275,7 @@
 }
 
 /// Probes a member directly, then through others; suspects it if nobody reached it.
-async fn probe(context: &sync::Arc<context::NodeContext>, target: membership::ProbeTarget) {
+async fn probe(context: &sync::Arc<context::NodeContext>, target: member::ProbeTarget) {
     let sent = time::Instant::now();
     if probe_directly(context, &target).await {
         return;
@@ -298,7 +298,7 @@
 
 async fn probe_directly(
     context: &sync::Arc<context::NodeContext>,
-    target: &membership::ProbeTarget,
+    target: &member::ProbeTarget,
 ) -> bool {
     let sent = time::Instant::now();
     let mut message = heartbeat(context, None);
@@ -321,8 +321,8 @@
 
 async fn ask_helper(
     context: &sync::Arc<context::NodeContext>,
-    helper: &membership::ProbeTarget,
-    target: &membership::ProbeTarget,
+    helper: &member::ProbeTarget,
+    target: &member::ProbeTarget,
     deadline: time::Instant,
 ) -> bool {
     let sent = time::Instant::now();
@@ -337,7 +337,7 @@
 async fn reach(context: &sync::Arc<context::NodeContext>, node: &ids::NodeId) -> bool {
     let target = {
         let members = context.tables.members.lock();
-        members.entry(node).map(|entry| membership::ProbeTarget::new(entry.record()))
+        members.entry(node).map(|entry| member::ProbeTarget::new(entry.record()))
     };
     let Some(target) = target else { return false };
     probe_directly(context, &target).await
--- a/crates/comfreyspread/src/owners.rs
+++ b/crates/comfreyspread/src/owners.rs
@@ -1,7 +1,7 @@
 //! Owners that could take a call.
 
 use crate::{context, failure};
-use comfreyspread_policy::{catalog, membership, rendezvous, routing};
+use comfreyspread_policy::{catalog, member, membership, rendezvous, routing};
 use comfreyspread_schema::{ids, types};
 use indexmap::IndexMap;
 use std::net;
@@ -79,7 +79,7 @@
     if *owner == settings.node {
         return routing::RouteDistance::Local;
     }
-    match members.entry(owner).map(membership::MemberEntry::record) {
+    match members.entry(owner).map(member::MemberEntry::record) {
         Some(record) if record.region != settings.region => routing::RouteDistance::Remote,
         Some(record) if record.zone == settings.zone => routing::RouteDistance::Zone,
         _ => routing::RouteDistance::Region,
