--- a/crates/comfreyspread/src/heartbeat.rs
+++ b/crates/comfreyspread/src/heartbeat.rs
@@ -10,7 +10,7 @@
 use comfreyspread_schema::{ids, types};
 use futures_util::future;
 use indexmap::IndexMap;
-use rand::seq::IteratorRandom as _;
+use rand::seq::{IndexedRandom as _, IteratorRandom as _};
 use std::{net, sync, time};
 
 /// Path of a heartbeat, answered by a [`types::HeartbeatReply`].
