--- a/crates/comfreyspread-policy/src/ownership.rs
+++ b/crates/comfreyspread-policy/src/ownership.rs
@@ -6,7 +6,7 @@
 //! when it has had no answer from a peer for the hold of [`contact`], which is shorter than the
 //! lapse, or when its process stood still for that long.
 
-use crate::{catalog, contact, membership, ownership_life, rendezvous};
+use crate::{catalog, contact, member, membership, ownership_action, ownership_life, rendezvous};
 use comfreyspread_schema::{ids, types};
 use indexmap::IndexMap;
 use std::time;
@@ -15,30 +15,6 @@
 /// Candidates kept for each endpoint: the owner and those asked before it takes over.
 const RANKED_CANDIDATES: usize = 3;
 
-/// What a node has to do for its ownerships.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum OwnershipAction {
-    /// Ask a member which of these endpoints it does not own.
-    Ask {
-        /// Member that may own them.
-        member: membership::MemberInstance,
-        /// Endpoints waited for.
-        endpoints: Vec<ids::EndpointId>,
-    },
-    /// Read the highest fencing number from the endpoint itself.
-    ReadFence {
-        /// Endpoint waited for.
-        endpoint: ids::EndpointId,
-    },
-    /// Tell the next owner that this node released an endpoint.
-    Notify {
-        /// Next owner.
-        node: ids::NodeId,
-        /// Endpoint released.
-        endpoint: ids::EndpointId,
-    },
-}
-
 /// Calls of a former owner that still run at an endpoint.
 #[derive(Clone, Debug, PartialEq)]
 pub struct InheritedLoad {
@@ -55,16 +31,17 @@
 /// Ownerships of one node.
 #[derive(Debug)]
 pub struct OwnershipTable {
-    instance: membership::MemberInstance,
+    instance: member::MemberInstance,
     times: contact::OwnershipTimes,
     started: time::Instant,
-    needs_peers: bool,
+    seeds: contact::SeedContact,
     contact: contact::PeerContact,
     observed: Option<time::Instant>,
+    regained: Option<time::Instant>,
     view: Option<(u64, ids::RevisionNumber)>,
     ranks: IndexMap<ids::EndpointId, Vec<ids::NodeId>>,
     slots: IndexMap<ids::EndpointId, ownership_life::OwnershipSlot>,
-    askers: IndexMap<ids::EndpointId, membership::MemberInstance>,
+    askers: IndexMap<ids::EndpointId, member::MemberInstance>,
     inherited: IndexMap<ids::EndpointId, InheritedLoad>,
     settled: bool,
 }
@@ -72,7 +49,7 @@
 impl OwnershipTable {
     /// Creates the table of a node that starts and owns nothing.
     pub fn new(
-        instance: membership::MemberInstance,
+        instance: member::MemberInstance,
         times: contact::OwnershipTimes,
         started: time::Instant,
     ) -> Self {
@@ -80,9 +57,10 @@
             instance,
             times,
             started,
-            needs_peers: true,
+            seeds: contact::SeedContact::Silent,
             contact: contact::PeerContact::Alone,
             observed: None,
+            regained: None,
             view: None,
             ranks: IndexMap::new(),
             slots: IndexMap::new(),
@@ -94,7 +72,7 @@
 
     /// Sets that the node has no seeds, so that there is nobody to wait for at its start.
     pub fn with_no_seeds(self) -> Self {
-        Self { needs_peers: false, ..self }
+        Self { seeds: contact::SeedContact::Answered, ..self }
     }
 
     /// Returns the node through which calls to an endpoint pass in this node's view.
@@ -160,24 +138,44 @@
 
     /// Takes note that a peer which holds this node alive answered a message sent at `sent`.
     pub fn confirm(&mut self, sent: time::Instant, now: time::Instant) {
-        if now.saturating_duration_since(sent) < self.times.hold {
-            self.contact = self.contact.confirm(sent);
+        if now.saturating_duration_since(sent) >= self.times.hold {
+            return;
         }
+        if let contact::PeerContact::Isolated(since) = self.contact {
+            self.regained.get_or_insert(since);
+        }
+        self.contact = self.contact.confirm(sent);
+    }
+
+    /// Takes note of what the seeds have answered. Once each knows this node, of two nodes that
+    /// started together at least one knows the other.
+    pub fn set_seeds(&mut self, seeds: contact::SeedContact) {
+        self.seeds = seeds;
+    }
+
+    /// Whether the node may own endpoints as far as its start is concerned.
+    pub fn is_settled(&self, now: time::Instant) -> bool {
+        now >= self.started + self.seeds.wait(self.contact, self.times)
+    }
+
+    /// Takes note that a peer answered which holds this node suspect or failed.
+    pub fn doubt(&mut self, now: time::Instant) {
+        self.contact = self.contact.doubt(now);
     }
 
     /// Brings the ownerships in line with the members and the configuration, and returns what has
     /// to be done.
     pub fn observe(
         &mut self,
-        members: &membership::MemberTable,
+        members: &mut membership::MemberTable,
         catalog: &catalog::ConfigurationCatalog,
         now: time::Instant,
-    ) -> Vec<OwnershipAction> {
+    ) -> Vec<ownership_action::OwnershipAction> {
         self.observe_contact(members, now);
         let former = self.rank(members, catalog);
         self.inherited.retain(|_, load| now < load.until);
         self.slots.retain(|endpoint, _| self.ranks.contains_key(endpoint));
-        let mut actions = ActionList::default();
+        let mut actions = ownership_action::ActionList::default();
         for endpoint in self.ranks.keys().cloned().collect::<Vec<_>>() {
             let previous = former.as_ref().and_then(|ranks| ranks.get(&endpoint)?.first());
             self.step(&endpoint, previous, members, now, &mut actions);
@@ -191,7 +189,8 @@
     /// own before it has asked. The records carry no load.
     pub fn answer(
         &mut self,
-        asker: &membership::MemberInstance,
+        members: &membership::MemberTable,
+        asker: &member::MemberInstance,
         endpoints: &[ids::EndpointId],
     ) -> Vec<types::ReleaseRecord> {
         let mut releases = Vec::new();
@@ -199,28 +198,33 @@
             if self.is_claimed(endpoint) {
                 continue;
             }
+            releases.push(self.release_record(members, endpoint, asker));
             self.askers.insert(endpoint.clone(), asker.clone());
-            releases.push(self.release_record(endpoint, asker));
         }
         releases
     }
 
-    /// Returns what to tell `asker` of an endpoint that this node does not own, without load.
+    /// Returns what to tell `asker` of an endpoint that this node does not own, without load. It
+    /// names the others that may own it: those this node waits for, the one that asked before, and
+    /// the first in this node's view.
     pub fn release_record(
         &self,
+        members: &membership::MemberTable,
         endpoint: &ids::EndpointId,
-        asker: &membership::MemberInstance,
+        asker: &member::MemberInstance,
     ) -> types::ReleaseRecord {
         let slot = self.slots.get(endpoint);
-        let blockers = match slot {
-            Some(ownership_life::OwnershipSlot::Waiting(waiting)) => {
-                let others = waiting.blockers().filter(|blocker| *blocker != asker);
-                others.map(membership::MemberInstance::name).collect()
-            }
-            _ => Vec::new(),
-        };
+        let first = self.ranks.get(endpoint).and_then(|ranked| ranked.first());
+        let first = first.and_then(|node| members.live_instance(node));
+        let earlier = self.askers.get(endpoint).filter(|earlier| members.is_live(earlier));
+        let mut others: Vec<_> = first.into_iter().chain(earlier.cloned()).collect();
+        if let Some(ownership_life::OwnershipSlot::Waiting(waiting)) = slot {
+            others.extend(waiting.blockers().cloned());
+        }
+        others.retain(|other| other != asker && *other != self.instance);
+        others.dedup();
         types::ReleaseRecord {
-            blockers,
+            blockers: others.iter().map(member::MemberInstance::name).collect(),
             endpoint: endpoint.clone(),
             fence: slot.map_or(0, ownership_life::OwnershipSlot::highest),
             phase: types::EndpointPhase::Unknown,
@@ -231,7 +235,7 @@
     /// Takes in what another node says of endpoints that it does not own.
     pub fn accept(
         &mut self,
-        from: &membership::MemberInstance,
+        from: &member::MemberInstance,
         releases: &[types::ReleaseRecord],
         now: time::Instant,
     ) {
@@ -240,7 +244,7 @@
                 self.slots.get_mut(&release.endpoint)
             {
                 waiting.confirm(from);
-                let blockers = release.blockers.iter().map(membership::MemberInstance::named);
+                let blockers = release.blockers.iter().map(member::MemberInstance::named);
                 blockers
                     .filter(|blocker| *blocker != self.instance)
                     .for_each(|blocker| waiting.block(blocker));
@@ -314,14 +318,21 @@
         self.inherited.insert(endpoint.clone(), load);
     }
 
-    fn observe_contact(&mut self, members: &membership::MemberTable, now: time::Instant) {
-        let frozen = self.stood_still(now);
+    fn observe_contact(&mut self, members: &mut membership::MemberTable, now: time::Instant) {
+        let frozen_since = self.observed.filter(|_| self.stood_still(now));
         self.observed = Some(now);
-        if frozen && self.contact != contact::PeerContact::Alone {
-            self.contact = contact::PeerContact::Isolated(now);
+        if let Some(since) = frozen_since {
+            members.resume(since, now);
+            if self.contact != contact::PeerContact::Alone {
+                self.contact = contact::PeerContact::Isolated(since);
+            }
+        }
+        if let Some(since) = self.regained.take() {
+            members.resume(since, now);
         }
         self.contact = self.contact.advance(members, self.times, now);
-        if frozen || matches!(self.contact, contact::PeerContact::Isolated(_)) {
+        let isolated = matches!(self.contact, contact::PeerContact::Isolated(_));
+        if frozen_since.is_some() || isolated {
             let slots = std::mem::take(&mut self.slots).into_iter();
             self.slots = slots.map(|(endpoint, slot)| (endpoint, slot.release())).collect();
         }
@@ -358,7 +369,7 @@
         previous: Option<&ids::NodeId>,
         members: &membership::MemberTable,
         now: time::Instant,
-        actions: &mut ActionList,
+        actions: &mut ownership_action::ActionList,
     ) {
         let ranked = self.ranks.get(endpoint).map(Vec::as_slice).unwrap_or_default();
         let first = ranked.first();
@@ -367,16 +378,17 @@
             (None, false) => return,
             (None, true) => {
                 let blockers = self.blockers(endpoint, previous, members);
-                let not_before = self.not_before(members, now);
-                ownership_life::OwnershipSlot::Waiting(ownership_life::EndpointOwnership::new(
-                    blockers, not_before,
-                ))
+                let waiting = ownership_life::EndpointOwnership::new(blockers);
+                ownership_life::OwnershipSlot::Waiting(waiting)
             }
             (Some(ownership_life::OwnershipSlot::Released(released)), true) => {
                 let blockers = self.blockers(endpoint, previous, members);
-                ownership_life::OwnershipSlot::Waiting(
-                    released.wait(blockers, self.not_before(members, now)),
-                )
+                ownership_life::OwnershipSlot::Waiting(released.wait(blockers))
+            }
+            (Some(ownership_life::OwnershipSlot::Waiting(mut waiting)), true) => {
+                let blockers = self.blockers(endpoint, previous, members);
+                blockers.into_iter().for_each(|blocker| waiting.block(blocker));
+                ownership_life::OwnershipSlot::Waiting(waiting)
             }
             (Some(ownership_life::OwnershipSlot::Owned(owned)), false) => {
                 if let Some(node) = first {
@@ -402,39 +414,36 @@
         mine: bool,
         members: &membership::MemberTable,
         now: time::Instant,
-        actions: &mut ActionList,
+        actions: &mut ownership_action::ActionList,
     ) -> ownership_life::OwnershipSlot {
         waiting.advance(members, self.times.lapse, now);
         if !waiting.is_clear(now) {
-            waiting.blockers().for_each(|member| actions.ask(member, endpoint));
+            if waiting.should_ask(self.times.pause(), now) {
+                waiting.blockers().for_each(|member| actions.ask(member, endpoint));
+            }
             return ownership_life::OwnershipSlot::Waiting(waiting);
         }
         if !mine {
             return ownership_life::OwnershipSlot::Released(waiting.release());
         }
-        if !self.may_acquire(now) {
+        if !self.may_acquire(members, now) {
             return ownership_life::OwnershipSlot::Waiting(waiting);
         }
         if !waiting.has_floor() {
-            actions.read_fence(endpoint);
+            if waiting.should_ask(self.times.pause(), now) {
+                actions.read_fence(endpoint);
+            }
             return ownership_life::OwnershipSlot::Waiting(waiting);
         }
         ownership_life::OwnershipSlot::Owned(waiting.own(self.tag()))
     }
 
-    /// Whether the node has been in contact with peers, or has waited long enough for them.
-    fn may_acquire(&self, now: time::Instant) -> bool {
-        match self.contact {
-            contact::PeerContact::Alone => {
-                !self.needs_peers || now >= self.started + self.times.lapse
-            }
-            contact::PeerContact::Connected(_) => self.permits(now),
-            contact::PeerContact::Isolated(_) => false,
-        }
-    }
-
-    fn not_before(&self, members: &membership::MemberTable, now: time::Instant) -> time::Instant {
-        members.predecessor().map_or(now, |learnt| learnt + self.times.lapse)
+    /// Whether this node may own endpoints that no other node owns: its start is settled, and an
+    /// earlier instance of it that had not left has lapsed.
+    fn may_acquire(&self, members: &membership::MemberTable, now: time::Instant) -> bool {
+        let lapsed = |learnt| now >= learnt + self.times.lapse;
+        let alone = members.predecessor().is_none_or(lapsed);
+        alone && self.is_settled(now) && self.permits(now)
     }
 
     /// Returns the instances that may own an endpoint besides this node.
@@ -443,12 +452,12 @@
         endpoint: &ids::EndpointId,
         previous: Option<&ids::NodeId>,
         members: &membership::MemberTable,
-    ) -> Vec<membership::MemberInstance> {
+    ) -> Vec<member::MemberInstance> {
         let ranked = self.ranks.get(endpoint).map(Vec::as_slice).unwrap_or_default();
         let named = ranked.iter().chain(previous).filter_map(|node| members.entry(node));
         let failed = types::MemberPhase::Failed;
         let held = named.filter(|entry| entry.record().phase != failed);
-        let held = held.map(|entry| membership::MemberInstance::new(entry.record()));
+        let held = held.map(|entry| member::MemberInstance::new(entry.record()));
         let mut blockers: Vec<_> = held.chain(self.askers.get(endpoint).cloned()).collect();
         blockers.sort_by(|one, other| (&one.node, one.start).cmp(&(&other.node, other.start)));
         blockers.dedup();
@@ -460,30 +469,3 @@
         u16::try_from(hash & u64::from(u16::MAX)).unwrap_or(u16::MAX)
     }
 }
-
-/// Actions of one observation, questions grouped by member.
-#[derive(Debug, Default)]
-struct ActionList {
-    questions: IndexMap<membership::MemberInstance, Vec<ids::EndpointId>>,
-    others: Vec<OwnershipAction>,
-}
-
-impl ActionList {
-    fn ask(&mut self, member: &membership::MemberInstance, endpoint: &ids::EndpointId) {
-        self.questions.entry(member.clone()).or_default().push(endpoint.clone());
-    }
-
-    fn read_fence(&mut self, endpoint: &ids::EndpointId) {
-        self.others.push(OwnershipAction::ReadFence { endpoint: endpoint.clone() });
-    }
-
-    fn notify(&mut self, node: &ids::NodeId, endpoint: &ids::EndpointId) {
-        let action = OwnershipAction::Notify { node: node.clone(), endpoint: endpoint.clone() };
-        self.others.push(action);
-    }
-
-    fn finish(self) -> Vec<OwnershipAction> {
-        let ask = |(member, endpoints)| OwnershipAction::Ask { member, endpoints };
-        self.questions.into_iter().map(ask).chain(self.others).collect()
-    }
-}
--- a/crates/comfreyspread-policy/src/ownership_life.rs
+++ b/crates/comfreyspread-policy/src/ownership_life.rs
@@ -4,7 +4,7 @@
 //! has ended with a fencing number. Each step consumes the state before it, so a released ownership
 //! cannot be used again without another wait.
 
-use crate::membership;
+use crate::{member, membership};
 use comfreyspread_schema::{ids, types};
 use indexmap::{IndexMap, IndexSet};
 use std::time;
@@ -12,10 +12,11 @@
 /// State of an ownership that other nodes may still hold.
 #[derive(Debug)]
 pub struct WaitingState {
-    blockers: IndexMap<membership::MemberInstance, OwnerAbsence>,
-    confirmed: IndexSet<membership::MemberInstance>,
-    not_before: time::Instant,
+    blockers: IndexMap<member::MemberInstance, OwnerAbsence>,
+    confirmed: IndexSet<member::MemberInstance>,
+    not_before: Option<time::Instant>,
     floor: Option<ids::FenceNumber>,
+    asked: Option<time::Instant>,
 }
 
 /// State of an ownership held by this node.
@@ -44,19 +45,19 @@
 }
 
 impl EndpointOwnership<WaitingState> {
-    /// Begins to wait for the nodes that may own the endpoint, and at least until `not_before`.
-    pub fn new(blockers: Vec<membership::MemberInstance>, not_before: time::Instant) -> Self {
-        EndpointOwnership { highest: 0, state: WaitingState::new(blockers, not_before) }
+    /// Begins to wait for the nodes that may own the endpoint.
+    pub fn new(blockers: Vec<member::MemberInstance>) -> Self {
+        EndpointOwnership { highest: 0, state: WaitingState::new(blockers, None) }
     }
 
     /// Returns the nodes that may still own the endpoint.
-    pub fn blockers(&self) -> impl Iterator<Item = &membership::MemberInstance> {
+    pub fn blockers(&self) -> impl Iterator<Item = &member::MemberInstance> {
         self.state.blockers.keys()
     }
 
     /// Whether no other node can own the endpoint any more.
     pub fn is_clear(&self, now: time::Instant) -> bool {
-        self.state.blockers.is_empty() && now >= self.state.not_before
+        self.state.blockers.is_empty() && self.state.not_before.is_none_or(|moment| now >= moment)
     }
 
     /// Whether a fencing number is known that the next one has to exceed.
@@ -66,16 +67,31 @@
 
     /// Takes note that a node confirmed it does not own the endpoint and will not before it has
     /// asked this one.
-    pub fn confirm(&mut self, instance: &membership::MemberInstance) {
-        self.state.blockers.swap_remove(instance);
+    pub fn confirm(&mut self, instance: &member::MemberInstance) {
+        let blocked = self.state.blockers.swap_remove(instance).is_some();
+        if blocked && self.state.blockers.is_empty() {
+            self.state.asked = None;
+        }
         self.state.confirmed.insert(instance.clone());
     }
 
     /// Waits for one more node, unless it has confirmed already.
-    pub fn block(&mut self, instance: membership::MemberInstance) {
-        if !self.state.confirmed.contains(&instance) {
-            self.state.blockers.entry(instance).or_default();
+    pub fn block(&mut self, instance: member::MemberInstance) {
+        if self.state.confirmed.contains(&instance) || self.state.blockers.contains_key(&instance) {
+            return;
+        }
+        self.state.blockers.insert(instance, OwnerAbsence::default());
+        self.state.asked = None;
+    }
+
+    /// Whether to put the question that the wait depends on now; it is put again only after
+    /// `pause`, so that answers to other questions do not multiply it.
+    pub fn should_ask(&mut self, pause: time::Duration, now: time::Instant) -> bool {
+        let due = self.state.asked.is_none_or(|asked| now >= asked + pause);
+        if due {
+            self.state.asked = Some(now);
         }
+        due
     }
 
     /// Takes note of a fencing number in use.
@@ -91,9 +107,13 @@
         lapse: time::Duration,
         now: time::Instant,
     ) {
+        let waited = self.state.blockers.len();
         self.state
             .blockers
             .retain(|instance, absence| !absence.is_over(instance, members, lapse, now));
+        if waited > 0 && self.state.blockers.is_empty() {
+            self.state.asked = None;
+        }
     }
 
     /// Owns the endpoint with a number above all known ones; `tag` marks the node in the low bits.
@@ -130,13 +150,9 @@
 
 impl EndpointOwnership<ReleasedState> {
     /// Waits for the endpoint again.
-    pub fn wait(
-        self,
-        blockers: Vec<membership::MemberInstance>,
-        not_before: time::Instant,
-    ) -> EndpointOwnership<WaitingState> {
-        let not_before = self.state.retry.map_or(not_before, |retry| retry.max(not_before));
-        EndpointOwnership { highest: self.highest, state: WaitingState::new(blockers, not_before) }
+    pub fn wait(self, blockers: Vec<member::MemberInstance>) -> EndpointOwnership<WaitingState> {
+        let state = WaitingState::new(blockers, self.state.retry);
+        EndpointOwnership { highest: self.highest, state }
     }
 }
 
@@ -148,9 +164,15 @@
 }
 
 impl WaitingState {
-    fn new(blockers: Vec<membership::MemberInstance>, not_before: time::Instant) -> Self {
+    fn new(blockers: Vec<member::MemberInstance>, not_before: Option<time::Instant>) -> Self {
         let blockers = blockers.into_iter().map(|node| (node, OwnerAbsence::default()));
-        Self { blockers: blockers.collect(), confirmed: IndexSet::new(), not_before, floor: None }
+        Self {
+            blockers: blockers.collect(),
+            confirmed: IndexSet::new(),
+            not_before,
+            floor: None,
+            asked: None,
+        }
     }
 }
 
@@ -158,7 +180,7 @@
     /// Whether the instance can own nothing any more.
     fn is_over(
         &mut self,
-        instance: &membership::MemberInstance,
+        instance: &member::MemberInstance,
         members: &membership::MemberTable,
         lapse: time::Duration,
         now: time::Instant,
@@ -208,11 +230,13 @@
         }
     }
 
-    /// Gives the endpoint up if it is owned; a wait goes on.
+    /// Gives the endpoint up, or the wait for it with all confirmations: they hold only as long as
+    /// the nodes that gave them take this one for alive.
     pub fn release(self) -> Self {
         match self {
             Self::Owned(owned) => Self::Released(owned.release()),
-            other => other,
+            Self::Waiting(waiting) => Self::Released(waiting.release()),
+            Self::Released(released) => Self::Released(released),
         }
     }
 }
--- /dev/null
+++ b/crates/comfreyspread-policy/tests/model/mod.rs
@@ -0,0 +1,344 @@
+//! Nodes that exchange heartbeats and hand endpoints over in injected time, under faults.
+#![allow(clippy::disallowed_methods, dead_code, reason = "one base moment; files use a part")]
+
+mod exchange;
+
+use comfreyspread_policy::{catalog, contact, member, membership, ownership};
+use comfreyspread_schema::{ids, types};
+use rand::{Rng as _, SeedableRng as _, rngs};
+use std::{collections::BinaryHeap, time};
+
+pub const HEARTBEAT: time::Duration = time::Duration::from_millis(500);
+pub const LAPSE: time::Duration = time::Duration::from_millis(3000);
+const ANSWER_LIMIT: time::Duration = time::Duration::from_millis(500);
+const RECORDS: usize = 4;
+const HELPERS: usize = 3;
+
+/// A message on its way.
+#[derive(Clone, Debug)]
+enum Message {
+    Heartbeat { members: Vec<types::MemberRecord>, whole: bool },
+    Beaten { members: Vec<types::MemberRecord>, whole: bool },
+    Question { member: types::MemberRecord, endpoints: Vec<ids::EndpointId> },
+    Notice { members: Vec<types::MemberRecord>, releases: Vec<types::ReleaseRecord> },
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Tick,
+    Arrive { from: usize, header: types::PeerHeader, message: Message, sent: time::Instant },
+    ProbeEnd { target: member::ProbeTarget, sent: time::Instant },
+}
+
+/// Event of one node's process; a frozen process finds it when it wakes.
+#[derive(Clone, Debug)]
+struct QueuedEvent {
+    at: time::Instant,
+    order: u64,
+    node: usize,
+    start: ids::StartId,
+    event: Event,
+}
+
+impl PartialEq for QueuedEvent {
+    fn eq(&self, other: &Self) -> bool {
+        self.order == other.order
+    }
+}
+
+impl Eq for QueuedEvent {}
+
+impl PartialOrd for QueuedEvent {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for QueuedEvent {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (other.at, other.order).cmp(&(self.at, self.order))
+    }
+}
+
+pub struct ModelNode {
+    pub members: membership::MemberTable,
+    pub ownership: ownership::OwnershipTable,
+    pub up: bool,
+    pub frozen_until: Option<time::Instant>,
+    answered: indexmap::IndexSet<usize>,
+    start: ids::StartId,
+}
+
+/// Senders to an endpoint beyond the first, in endpoint-seconds, by rule.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct DoubleTimes {
+    /// Whoever some node takes for the owner.
+    pub unchecked: f64,
+    /// Whoever takes itself for the owner.
+    pub checked: f64,
+    /// Whoever holds a permit.
+    pub waited: f64,
+    /// No holder of a permit, in endpoint-seconds.
+    pub unserved: f64,
+    /// Longest unbroken time with two holders of a permit.
+    pub longest: f64,
+}
+
+pub struct Model {
+    pub now: time::Instant,
+    pub nodes: Vec<ModelNode>,
+    pub catalog: catalog::ConfigurationCatalog,
+    pub fences: Vec<ids::FenceNumber>,
+    pub checks_fence: bool,
+    /// Whether double times are measured.
+    pub measures: bool,
+    pub doubles: DoubleTimes,
+    pub loss: f64,
+    /// Whether messages from the first to the second node are lost.
+    pub cut: Vec<Vec<bool>>,
+    pub random: rngs::SmallRng,
+    base: time::Instant,
+    queue: BinaryHeap<QueuedEvent>,
+    order: u64,
+    double_since: Option<time::Instant>,
+}
+
+fn zone(index: usize) -> ids::ZoneId {
+    format!("zone-{}", index % 2).into()
+}
+
+fn name(index: usize) -> ids::NodeId {
+    format!("node-{index}").into()
+}
+
+pub fn declarations(endpoints: usize) -> types::Declarations {
+    let endpoint = |index: usize| {
+        serde_json::json!({ "name": format!("endpoint-{index}"), "pool": "pool",
+            "zone": &*zone(index), "vm": "vm", "address": "127.0.0.1:1" })
+    };
+    serde_json::from_value(serde_json::json!({
+        "zones": [{ "name": "zone-0", "region": "region" }, { "name": "zone-1", "region": "region" }],
+        "endpoints": (0..endpoints).map(endpoint).collect::<Vec<_>>(),
+    }))
+    .expect("valid declarations")
+}
+
+impl Model {
+    pub fn new(nodes: usize, endpoints: usize, seed: u64) -> Self {
+        let base = time::Instant::now();
+        let document = types::ConfigurationDocument {
+            author: "".into(),
+            change: "".into(),
+            declarations: declarations(endpoints),
+            revision: 1,
+            vms_out: Vec::new(),
+            zones_out: Vec::new(),
+        };
+        let mut model = Self {
+            now: base,
+            nodes: Vec::new(),
+            catalog: catalog::ConfigurationCatalog::new(document),
+            fences: vec![0; endpoints],
+            checks_fence: true,
+            measures: false,
+            doubles: DoubleTimes::default(),
+            loss: 0.0,
+            cut: vec![vec![false; nodes]; nodes],
+            random: rngs::SmallRng::seed_from_u64(seed),
+            base,
+            queue: BinaryHeap::new(),
+            order: 0,
+            double_since: None,
+        };
+        for index in 0..nodes {
+            let node = model.fresh(index, 0);
+            model.nodes.push(node);
+            let offset = model.random.random_range(0..500);
+            model.push_at(base + time::Duration::from_millis(offset), index, Event::Tick);
+        }
+        model
+    }
+
+    fn fresh(&self, index: usize, start: ids::StartId) -> ModelNode {
+        let record = types::MemberRecord {
+            address: ([127, 0, 0, 1], u16::try_from(index + 1).unwrap_or(1)).into(),
+            incarnation: 0,
+            node: name(index),
+            node_phase: types::NodePhase::Serving,
+            phase: types::MemberPhase::Alive,
+            region: "region".into(),
+            revision: 1,
+            start,
+            vm: "vm".into(),
+            zone: zone(index),
+        };
+        let times = membership::MemberTimes { lapse: LAPSE, forget: LAPSE * 20 };
+        let instance = member::MemberInstance::new(&record);
+        let ownership_times = contact::OwnershipTimes::new(LAPSE);
+        ModelNode {
+            members: membership::MemberTable::new(record, times),
+            ownership: ownership::OwnershipTable::new(instance, ownership_times, self.now),
+            up: true,
+            frozen_until: None,
+            answered: indexmap::IndexSet::new(),
+            start,
+        }
+    }
+
+    pub fn elapsed(&self) -> time::Duration {
+        self.now - self.base
+    }
+
+    pub fn crash(&mut self, index: usize) {
+        self.nodes[index].up = false;
+    }
+
+    pub fn restart(&mut self, index: usize) {
+        let start = self.random.random();
+        self.nodes[index] = self.fresh(index, start);
+        self.push_at(self.now, index, Event::Tick);
+    }
+
+    pub fn freeze(&mut self, index: usize, length: time::Duration) {
+        self.nodes[index].frozen_until = Some(self.now + length);
+    }
+
+    /// Cuts a node from all others, in one direction or both, or heals it.
+    pub fn isolate(&mut self, index: usize, outward: bool, inward: bool) {
+        for other in (0..self.nodes.len()).filter(|other| *other != index) {
+            self.cut[index][other] = outward;
+            self.cut[other][index] = inward;
+        }
+    }
+
+    pub fn leave(&mut self, index: usize) {
+        self.nodes[index].members.leave();
+        let actions = self.observe(index);
+        for other in 0..self.nodes.len() {
+            self.beat(index, other, false, true);
+        }
+        self.carry_out(index, actions);
+    }
+
+    pub fn is_running(&self, index: usize) -> bool {
+        let node = &self.nodes[index];
+        node.up && node.frozen_until.is_none()
+    }
+
+    /// Returns the nodes that may send to an endpoint now.
+    pub fn holders(&self, endpoint: &ids::EndpointId) -> Vec<usize> {
+        let running = (0..self.nodes.len()).filter(|index| self.is_running(*index));
+        let permits =
+            |index: &usize| self.nodes[*index].ownership.permit(endpoint, self.now).is_some();
+        running.filter(permits).collect()
+    }
+
+    pub fn endpoints(&self) -> Vec<ids::EndpointId> {
+        self.catalog.endpoints().map(|entry| entry.name.clone()).collect()
+    }
+
+    pub fn most_holders(&self) -> usize {
+        let counts = self.endpoints().into_iter().map(|endpoint| self.holders(&endpoint).len());
+        counts.max().unwrap_or(0)
+    }
+
+    /// Runs until `length` has passed, with `check` after each event.
+    pub fn run(&mut self, length: time::Duration, mut check: impl FnMut(&Self)) {
+        let end = self.now + length;
+        while let Some(event) = self.queue.peek().filter(|event| event.at <= end) {
+            let at = event.at;
+            let event = self.queue.pop().expect("an event");
+            self.advance(at);
+            self.handle(event);
+            check(self);
+        }
+        self.advance(end);
+    }
+
+    fn advance(&mut self, to: time::Instant) {
+        let wakes = self.nodes.iter().filter_map(|node| node.frozen_until);
+        let wake = wakes.min().filter(|wake| *wake <= to);
+        if let Some(wake) = wake {
+            self.account(wake.max(self.now));
+            for node in &mut self.nodes {
+                if node.frozen_until == Some(wake) {
+                    node.frozen_until = None;
+                }
+            }
+            return self.advance(to);
+        }
+        self.account(to);
+    }
+
+    /// Adds the time until `to` to the double times, in steps, since permits end by time.
+    fn account(&mut self, to: time::Instant) {
+        if !self.measures {
+            self.now = self.now.max(to);
+            return;
+        }
+        while self.now < to {
+            let next = to.min(self.now + time::Duration::from_millis(20));
+            let step = (next - self.now).as_secs_f64();
+            let mut doubled = false;
+            for endpoint in self.endpoints() {
+                let running: Vec<_> =
+                    (0..self.nodes.len()).filter(|index| self.is_running(*index)).collect();
+                let views = |index: &usize| self.nodes[*index].ownership.owner_of(&endpoint);
+                let named: indexmap::IndexSet<_> = running.iter().filter_map(views).collect();
+                let selves =
+                    running.iter().filter(|index| views(index) == Some(name(**index))).count();
+                let holders = self.holders(&endpoint).len();
+                doubled |= holders > 1;
+                self.doubles.unchecked += step * named.len().saturating_sub(1) as f64;
+                self.doubles.checked += step * selves.saturating_sub(1) as f64;
+                self.doubles.waited += step * holders.saturating_sub(1) as f64;
+                self.doubles.unserved += if holders == 0 { step } else { 0.0 };
+            }
+            let since = self.double_since.filter(|_| doubled).or(doubled.then_some(self.now));
+            let length = since.map_or(0.0, |since| (next - since).as_secs_f64());
+            self.doubles.longest = self.doubles.longest.max(length);
+            self.double_since = since;
+            self.now = next;
+        }
+    }
+
+    fn push_at(&mut self, at: time::Instant, node: usize, event: Event) {
+        self.order += 1;
+        let start = self.nodes[node].start;
+        self.queue.push(QueuedEvent { at, order: self.order, node, start, event });
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message, sent: time::Instant) {
+        let lost = self.loss > 0.0 && self.random.random_bool(self.loss);
+        if from == to || lost || self.cut[from][to] || !self.nodes[to].up {
+            return;
+        }
+        let header = self.header(from);
+        let delay = time::Duration::from_millis(self.random.random_range(1..40));
+        self.push_at(self.now + delay, to, Event::Arrive { from, header, message, sent });
+    }
+
+    fn header(&self, index: usize) -> types::PeerHeader {
+        let start = self.nodes[index].start;
+        types::PeerHeader { node: name(index), protocol: 1, revision: 1, start }
+    }
+
+    fn handle(&mut self, queued: QueuedEvent) {
+        let index = queued.node;
+        let node = &self.nodes[index];
+        if !node.up || node.start != queued.start {
+            return;
+        }
+        if let Some(wake) = node.frozen_until {
+            self.queue.push(QueuedEvent { at: wake, ..queued });
+            return;
+        }
+        match queued.event {
+            Event::Tick => self.tick(index),
+            Event::ProbeEnd { target, sent } => self.end_probe(index, &target, sent),
+            Event::Arrive { from, header, message, sent } => {
+                self.arrive(index, from, &header, message, sent);
+            }
+        }
+    }
+}
