Measure what a claim costs and prove that a caller may leave

Cause: the cost of a claim was not known, and no test closed a caller's connection in the middle of a claimed call. Ruled out: a separate load generator; the lab's caller and stand-ins do. Change: lab subcommand claim-bench; test caller_gone: the call runs on to its end, a resend elsewhere gets may-have-run and then the same answer.

--- a/crates/comfreyspread-lab/src/main.rs
+++ b/crates/comfreyspread-lab/src/main.rs
@@ -4,7 +4,7 @@
 //! node it hands over to the product's own command line.
 
 use comfreyspread::{command, worker};
-use comfreyspread_lab::{bench, endpoints, platform, quickstart, relay, replay};
+use comfreyspread_lab::{bench, claim_bench, endpoints, platform, quickstart, relay, replay};
 use miette::IntoDiagnostic as _;
 use std::{env, process};
 
@@ -22,6 +22,7 @@
 #[argh(subcommand)]
 enum LabRole {
     Bench(bench::BenchArguments),
+    ClaimBench(claim_bench::ClaimBenchArguments),
     Endpoints(endpoints::EndpointsArguments),
     Platform(platform::PlatformArguments),
     Quickstart(quickstart::QuickstartArguments),
@@ -39,6 +40,7 @@
     let spawner = pool.spawner();
     let code = async_io::block_on(async {
         match arguments.role {
+            LabRole::ClaimBench(arguments) => arguments.run().await,
             LabRole::Bench(arguments) => arguments.run(&spawner).await,
             LabRole::Endpoints(arguments) => {
                 arguments.run(&spawner).await.map(|()| process::ExitCode::SUCCESS)
--- a/crates/comfreyspread-lab/tests/claims.rs
+++ b/crates/comfreyspread-lab/tests/claims.rs
@@ -227,6 +227,27 @@
     });
 }
 
+#[test]
+fn caller_gone() {
+    common::run(async {
+        let deployment = start(2).await;
+        set_call_delay(&deployment, SLOW_CALL).await;
+        let gone =
+            futures_lite::future::or(async { send(&deployment, 0, "gone").await.ok() }, async {
+                pause(UNDER_WAY).await;
+                None
+            });
+        assert!(Box::pin(gone).await.is_none(), "the caller left early");
+        let resend = send(&deployment, 1, "gone").await;
+        assert_eq!(verdict(&resend), "may-have-run");
+        outcome(&deployment, 1, "gone").await;
+        assert_eq!(runs(&deployment, "gone").await, 1);
+        let records = deployment.records().await.expect("records");
+        assert!(records.records.iter().all(|record| record.finished), "the call was cut");
+        deployment.stop().await.expect("a graceful stop");
+    });
+}
+
 #[test]
 fn frozen_holder() {
     common::run(async {
