--- a/crates/comfreyspread-policy/src/catalog.rs
+++ b/crates/comfreyspread-policy/src/catalog.rs
@@ -143,7 +143,18 @@
 
     /// Whether operators let an endpoint take new work.
     pub fn in_service(&self, endpoint: &types::EndpointDeclaration) -> bool {
-        !self.zones_out.contains(&endpoint.zone) && !self.vms_out.contains(&endpoint.vm)
+        self.place_in_service(&endpoint.zone, &endpoint.vm)
+    }
+
+    /// Whether operators let a VM in a zone take new work.
+    pub fn place_in_service(&self, zone: &ids::ZoneId, vm: &ids::VmId) -> bool {
+        !self.zones_out.contains(zone) && !self.vms_out.contains(vm)
+    }
+
+    /// Whether a document replaces this one: only a higher revision does, so that an older copy
+    /// never comes back into force.
+    pub fn superseded_by(&self, document: &types::ConfigurationDocument) -> bool {
+        document.revision > self.revision
     }
 
     /// Returns the longest wait in the queue of a pool's owner.
