Prove changes of the configuration against running nodes

Cause: the promise "an accepted configuration is in force everywhere within seconds and never reverts" had no proof with processes.

Each failed first by mutation (tried, put back): start without peers: `store_down`, `stale_store` fail; write without condition: `racing_operators` fails; no reading back of the change id: `lost_answer` fails; zones not filtered: `zone_out_and_in` fails.

The log line of a store that does not answer comes once an outage.

--- /dev/null
+++ b/crates/comfreyspread-lab/tests/configuration.rs
@@ -0,0 +1,248 @@
+//! Changes of the configuration against running nodes, under faults of the store and of nodes.
+
+mod common;
+#[path = "common/operator.rs"]
+mod operator;
+
+use comfreyspread_lab::{deployment, types};
+use comfreyspread_schema::{ids, types as wire};
+use rustix::process::Signal;
+use std::time;
+
+const FORCE_LIMIT: time::Duration = time::Duration::from_secs(3);
+const STORE_DOWN: types::StoreFaults = types::StoreFaults {
+    delay: time::Duration::ZERO,
+    down: true,
+    lose_answers: false,
+    stale: false,
+};
+
+/// Returns the declarations in use with one workspace more.
+fn with_workspace(deployment: &deployment::TestDeployment, name: &str) -> wire::Declarations {
+    let mut declarations = deployment.declarations.clone();
+    let workspace = wire::WorkspaceDeclaration { name: name.into(), weight: 1 };
+    declarations.workspaces.push(workspace);
+    declarations
+}
+
+/// Applies the declarations in use with one workspace more, through a node.
+fn apply_workspace(
+    deployment: &deployment::TestDeployment,
+    node: usize,
+    name: &str,
+    extra: &[&str],
+) -> (i32, String) {
+    let label = format!("{}-{name}", deployment.platform_address.port());
+    let file = operator::DeclarationFile::new(&label, &with_workspace(deployment, name));
+    operator::operate(deployment, node, &[&["apply", file.path()], extra].concat())
+}
+
+/// Returns the status of a call from a workspace at a node.
+async fn call_from(deployment: &deployment::TestDeployment, node: usize, workspace: &str) -> u16 {
+    let mut call = common::pipeline_call();
+    call.workspace = workspace.into();
+    let address = deployment.nodes[node].caller_address;
+    deployment.caller.call(address, &call).await.map_or(0, |answer| answer.status())
+}
+
+/// Waits until a node serves a workspace.
+async fn wait_served(deployment: &deployment::TestDeployment, node: usize, workspace: &str) {
+    let deadline = time::Instant::now() + FORCE_LIMIT;
+    while call_from(deployment, node, workspace).await != 200 {
+        assert!(time::Instant::now() < deadline, "node {node} does not know {workspace}");
+        async_io::Timer::after(time::Duration::from_millis(50)).await;
+    }
+}
+
+/// Returns the head as the store holds it.
+async fn stored_head(deployment: &deployment::TestDeployment) -> wire::ConfigurationHead {
+    let path = "/v1/tables/configuration/rows/head";
+    let answer = deployment.caller.get(deployment.platform_address, path).await.expect("a row");
+    let row: wire::TableRow = serde_json::from_slice(answer.body()).expect("a row");
+    serde_json::from_str(&row.value).expect("a head")
+}
+
+#[test]
+fn apply_everywhere() {
+    common::run(async {
+        let deployment = common::small_deployment(3).await;
+        let began = time::Instant::now();
+        let (code, text) = apply_workspace(&deployment, 0, "added", &[]);
+        assert_eq!(code, 0, "{text}");
+        assert!(began.elapsed() < FORCE_LIMIT, "took {:?}", began.elapsed());
+        for node in 0..3 {
+            assert_eq!(call_from(&deployment, node, "added").await, 200, "node {node}");
+        }
+        let (code, text) = operator::operate(&deployment, 1, &["status"]);
+        assert_eq!(code, 0, "{text}");
+        assert_eq!(text.matches("revision 2").count(), 4, "{text}");
+        deployment.stop().await.expect("a graceful stop");
+    });
+}
+
+#[test]
+fn stale_store() {
+    common::run(async {
+        let mut deployment = common::small_deployment(3).await;
+        let stale = types::StoreFaults { stale: true, ..types::StoreFaults::default() };
+        deployment.set_store_faults(&stale).await.expect("faults");
+        let (code, text) = apply_workspace(&deployment, 0, "added", &[]);
+        assert_eq!(code, 0, "{text}");
+        deployment.nodes[2].process.kill();
+        deployment.restart_node(2).expect("a node");
+        let address = deployment.nodes[2].caller_address;
+        deployment.wait_for(address, "/readyz").await.expect("ready");
+        for _ in 0..10 {
+            for node in 0..3 {
+                assert_eq!(call_from(&deployment, node, "added").await, 200, "node {node}");
+            }
+            async_io::Timer::after(time::Duration::from_millis(100)).await;
+        }
+        let (code, text) = operator::operate(&deployment, 1, &["zone", "out", "antioquia-a"]);
+        assert_eq!(code, 1, "a change against a stale copy: {text}");
+        assert!(text.contains("nothing was changed"), "{text}");
+        deployment.stop().await.expect("a graceful stop");
+    });
+}
+
+#[test]
+fn store_down() {
+    common::run(async {
+        let mut deployment = common::small_deployment(3).await;
+        let (code, text) = apply_workspace(&deployment, 0, "added", &[]);
+        assert_eq!(code, 0, "{text}");
+        deployment.set_store_faults(&STORE_DOWN).await.expect("faults");
+        deployment.nodes[1].process.kill();
+        deployment.restart_node(1).expect("a node");
+        let address = deployment.nodes[1].caller_address;
+        deployment.wait_for(address, "/readyz").await.expect("ready from peers");
+        assert_eq!(call_from(&deployment, 1, "added").await, 200);
+        let (code, text) = operator::operate(&deployment, 0, &["zone", "out", "antioquia-a"]);
+        assert_eq!(code, 1, "{text}");
+        deployment.set_store_faults(&types::StoreFaults::default()).await.expect("faults");
+        let (code, text) = operator::operate(&deployment, 0, &["zone", "out", "antioquia-a"]);
+        assert_eq!(code, 0, "{text}");
+        deployment.stop().await.expect("a graceful stop");
+    });
+}
+
+#[test]
+fn lost_answer() {
+    common::run(async {
+        let deployment = common::small_deployment(3).await;
+        let lossy = types::StoreFaults { lose_answers: true, ..types::StoreFaults::default() };
+        deployment.set_store_faults(&lossy).await.expect("faults");
+        let (code, text) = apply_workspace(&deployment, 0, "added", &["--change", "change-a"]);
+        assert_eq!(code, 0, "{text}");
+        let (code, text) = apply_workspace(&deployment, 1, "added", &["--change", "change-a"]);
+        assert_eq!(code, 0, "sent again: {text}");
+        let head = stored_head(&deployment).await;
+        let made = head.recent.iter().filter(|record| &*record.change == "change-a");
+        assert_eq!((head.revision, made.count()), (2, 1));
+        for node in 0..3 {
+            assert_eq!(call_from(&deployment, node, "added").await, 200, "node {node}");
+        }
+        deployment.stop().await.expect("a graceful stop");
+    });
+}
+
+#[test]
+fn racing_operators() {
+    common::run(async {
+        let deployment = common::small_deployment(3).await;
+        let port = deployment.platform_address.port();
+        for base in ["1", "2", "3"] {
+            let race = |node: usize, author: &'static str| {
+                let name = format!("{author}-{base}");
+                let declarations = with_workspace(&deployment, &name);
+                let file = operator::DeclarationFile::new(&format!("{port}-{name}"), &declarations);
+                let path = file.path().to_owned();
+                let arguments = ["apply", &path, "--base", base, "--author", author];
+                (operator::start(&deployment, node, &arguments), file)
+            };
+            let (one, _one) = race(0, "ana");
+            let (other, _other) = race(1, "borut");
+            let ends = [operator::finish(one), operator::finish(other)];
+            let mut codes = [ends[0].0, ends[1].0];
+            let (loser, winner) = if codes[0] == 4 { (0, "borut") } else { (1, "ana") };
+            codes.sort_unstable();
+            assert_eq!(codes, [0, 4], "{ends:?}");
+            let name = format!("by {winner}");
+            assert!(ends[loser].1.contains(&name), "{}", ends[loser].1);
+            assert_eq!(&*stored_head(&deployment).await.author, winner);
+        }
+        deployment.stop().await.expect("a graceful stop");
+    });
+}
+
+#[test]
+fn frozen_node() {
+    common::run(async {
+        let deployment = common::small_deployment(3).await;
+        deployment.nodes[2].process.signal(Signal::STOP);
+        let (code, text) = apply_workspace(&deployment, 0, "added", &["--wait-ms", "2000"]);
+        assert_eq!(code, 3, "{text}");
+        let missing = deployment.nodes[2].peer_address.to_string();
+        let named = text.contains(&missing) || text.contains(&*deployment.nodes[2].name);
+        assert!(named, "the missing node is named: {text}");
+        assert_eq!(call_from(&deployment, 1, "added").await, 200);
+        deployment.nodes[2].process.signal(Signal::CONT);
+        wait_served(&deployment, 2, "added").await;
+        let (code, text) = apply_workspace(&deployment, 0, "added", &[]);
+        assert_eq!(code, 0, "{text}");
+        deployment.stop().await.expect("a graceful stop");
+    });
+}
+
+#[test]
+fn unreachable_node() {
+    common::run(async {
+        let mut deployment = common::small_deployment(1).await;
+        deployment.nodes[0].process.kill();
+        let (code, text) = operator::operate(&deployment, 0, &["zone", "list"]);
+        assert_eq!(code, 5, "{text}");
+        assert!(text.contains(&deployment.nodes[0].caller_address.to_string()), "{text}");
+    });
+}
+
+/// Returns how many calls the endpoints of a zone received from `after` on.
+async fn zone_calls(
+    deployment: &deployment::TestDeployment,
+    zone: &str,
+    after: time::Duration,
+) -> usize {
+    let endpoints = deployment.declarations.endpoints.iter();
+    let names: Vec<ids::EndpointId> =
+        endpoints.filter(|one| &*one.zone == zone).map(|one| one.name.clone()).collect();
+    let records = deployment.records().await.expect("records").records;
+    let inside = records.iter().filter(|one| names.contains(&one.endpoint));
+    inside.filter(|one| one.arrived >= after).count()
+}
+
+#[test]
+fn zone_out_and_in() {
+    common::run(async {
+        let deployment = common::small_deployment(3).await;
+        let call_all = async || {
+            for node in [0, 1, 2, 0, 1, 2] {
+                assert_eq!(call_from(&deployment, node, "medellin").await, 200);
+            }
+        };
+        call_all().await;
+        assert!(zone_calls(&deployment, "antioquia-a", time::Duration::ZERO).await > 0);
+        let (code, text) = operator::operate(&deployment, 2, &["zone", "out", "antioquia-a"]);
+        assert_eq!(code, 0, "{text}");
+        let after = deployment.records().await.expect("records").now;
+        call_all().await;
+        assert_eq!(zone_calls(&deployment, "antioquia-a", after).await, 0);
+        let address = deployment.nodes[0].caller_address;
+        let answer = deployment.caller.get(address, "/readyz").await.expect("an answer");
+        assert_eq!(answer.status(), 503, "a node of the zone is not ready");
+        let (code, text) = operator::operate(&deployment, 0, &["zone", "in", "antioquia-a"]);
+        assert_eq!(code, 0, "{text}");
+        deployment.wait_for(address, "/readyz").await.expect("ready again");
+        call_all().await;
+        assert!(zone_calls(&deployment, "antioquia-a", after).await > 0);
+        deployment.stop().await.expect("a graceful stop");
+    });
+}
--- a/crates/comfreyspread/src/configuration.rs
+++ b/crates/comfreyspread/src/configuration.rs
@@ -68,14 +68,21 @@
 
 /// Polls the store until the process ends, while it is this node's turn.
 pub async fn poll(context: sync::Arc<context::NodeContext>) {
+    let mut answering = true;
     loop {
         async_io::Timer::after(context.settings.poll).await;
         if !polls_store(&context) {
             continue;
         }
-        if let Err(failure) = read_store(&context).await {
-            log::warn!("configuration: store not read. error={failure}");
+        let read = read_store(&context).await;
+        match &read {
+            Err(failure) if answering => {
+                log::warn!("configuration: store not read. error={failure}");
+            }
+            Ok(()) if !answering => log::info!("configuration: store answers again"),
+            _ => {}
         }
+        answering = read.is_ok();
     }
 }
 
