Hand peers the steps between revisions instead of the whole document

Cause: a node that was behind fetched the whole document from a peer. A message of a newer protocol was called undecodable when its fields had changed, which hides the reason from operators.

Ruled out: steps kept in the store (a second row a change, and reads by every node); binary differences of the encoding (ties the step to the codec).

Change: a catalog keeps up to 64 steps of together at most 4096 items; a peer that is behind gets the steps from its revision, or the document if they are not at hand. Lists are kept in order of names, so both ways give the same document. The header is decoded and its version checked before the rest of a message.

`any_text`, `damaged_sample`, `formats_agree`, `files_merge`, `foreign_messages` pass.

--- a/crates/comfreyspread-lab/src/caller.rs
+++ b/crates/comfreyspread-lab/src/caller.rs
@@ -82,7 +82,12 @@
         self.send(address, request).await
     }
 
-    async fn send(
+    /// Sends a request as it is.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no whole answer.
+    pub async fn send(
         &self,
         address: net::SocketAddr,
         request: Request,
--- a/crates/comfreyspread-lab/tests/configuration.rs
+++ b/crates/comfreyspread-lab/tests/configuration.rs
@@ -205,6 +205,32 @@
     });
 }
 
+#[test]
+fn foreign_messages() {
+    common::run(async {
+        let deployment = common::small_deployment(2).await;
+        let peer = deployment.nodes[0].peer_address;
+        let header =
+            wire::PeerHeader { node: "entry-9".into(), protocol: 99, revision: 1000, start: 1 };
+        let newer = rmp_serde::to_vec_named(&wire::RevisionReply { header }).expect("a message");
+        let bodies = [newer, b"garbage".to_vec(), Vec::new(), vec![0xc1; 4096]];
+        for (body, expected) in bodies.iter().zip(["protocol version 99", "", "", ""]) {
+            for path in ["/peer/configuration", "/peer/revision", "/peer/status"] {
+                let url = format!("http://{peer}{path}");
+                let mut request = http_types::Request::new(http_types::Method::Post, url.as_str());
+                request.set_body(body.clone());
+                let answer = deployment.caller.send(peer, request).await.expect("an answer");
+                assert_eq!(answer.status(), 400, "{path}");
+                let text = String::from_utf8_lossy(answer.body()).into_owned();
+                assert!(text.contains(expected), "{text}");
+            }
+        }
+        assert_eq!(call_from(&deployment, 0, "medellin").await, 200);
+        assert_eq!(stored_head(&deployment).await.revision, 1);
+        deployment.stop().await.expect("a graceful stop");
+    });
+}
+
 /// Returns how many calls the endpoints of a zone received from `after` on.
 async fn zone_calls(
     deployment: &deployment::TestDeployment,
--- a/crates/comfreyspread-policy/src/catalog.rs
+++ b/crates/comfreyspread-policy/src/catalog.rs
@@ -1,8 +1,14 @@
 //! Index of one revision of the configuration, for lookups by name.
 
+use crate::delta;
 use comfreyspread_schema::{ids, types};
 use indexmap::{IndexMap, IndexSet};
-use std::time;
+use std::{sync, time};
+
+/// Most steps to earlier revisions that are kept.
+const DELTA_LIMIT: usize = 64;
+/// Most items that the steps kept may name together.
+const DELTA_ITEM_LIMIT: usize = 4096;
 
 /// One revision of the configuration, indexed.
 #[derive(Debug, Default)]
@@ -19,6 +25,7 @@
     zones_out: IndexSet<ids::ZoneId>,
     vms_out: IndexSet<ids::VmId>,
     document: Option<types::ConfigurationDocument>,
+    deltas: Vec<sync::Arc<types::ConfigurationDelta>>,
 }
 
 /// A pool with its endpoints.
@@ -42,7 +49,8 @@
 
 impl ConfigurationCatalog {
     /// Indexes a document whose references have been validated.
-    pub fn new(document: types::ConfigurationDocument) -> Self {
+    pub fn new(mut document: types::ConfigurationDocument) -> Self {
+        delta::sort(&mut document.declarations);
         let declarations = document.declarations.clone();
         let mut pools = IndexMap::new();
         for pool in declarations.pools {
@@ -68,9 +76,36 @@
             zones_out: document.zones_out.iter().cloned().collect(),
             vms_out: document.vms_out.iter().cloned().collect(),
             document: Some(document),
+            deltas: Vec::new(),
         }
     }
 
+    /// Adds the steps that led here from the configuration in force before, as far as they are
+    /// small.
+    pub fn with_history(mut self, before: &Self) -> Self {
+        let (Some(old), Some(new)) = (&before.document, &self.document) else { return self };
+        self.deltas.clone_from(&before.deltas);
+        self.deltas.push(sync::Arc::new(delta::between(old, new)));
+        let mut kept = 0;
+        let newest = self.deltas.iter().rev().take(DELTA_LIMIT);
+        let small = newest.take_while(|step| {
+            kept += delta::size(step);
+            kept <= DELTA_ITEM_LIMIT
+        });
+        let oldest = self.deltas.len() - small.count();
+        self.deltas.drain(..oldest);
+        self
+    }
+
+    /// Returns the steps from `revision` to this one, in order; none if they are not at hand.
+    pub fn steps_from(
+        &self,
+        revision: ids::RevisionNumber,
+    ) -> Option<&[sync::Arc<types::ConfigurationDelta>]> {
+        let first = self.deltas.iter().position(|step| step.base == revision)?;
+        Some(&self.deltas[first..])
+    }
+
     /// Returns the revision; zero if there is no configuration yet.
     pub fn revision(&self) -> ids::RevisionNumber {
         self.revision
--- a/crates/comfreyspread-policy/src/change.rs
+++ b/crates/comfreyspread-policy/src/change.rs
@@ -8,7 +8,7 @@
 //!
 //! A staged change is accepted once every node that can still be serving has confirmed it.
 
-use crate::{comparison, validation};
+use crate::{comparison, delta, validation};
 use comfreyspread_schema::{ids, types};
 use indexmap::IndexSet;
 
@@ -155,6 +155,7 @@
         return Err(ChangeRefusal::Conflict(head.record()));
     }
     let mut document = head.document.clone().unwrap_or_else(empty_document);
+    delta::sort(&mut document.declarations);
     let summary = carry_out(&mut document, &request.order, vms)?;
     if head.document.as_ref().is_some_and(|current| same_content(current, &document)) {
         return Ok(ChangePlan::Standing(staged(request.change.clone(), head.revision())));
@@ -238,6 +239,7 @@
     }
     let changes = comparison::compare(&document.declarations, declarations);
     document.declarations = declarations.clone();
+    delta::sort(&mut document.declarations);
     let zones: IndexSet<_> = declarations.zones.iter().map(|zone| &zone.name).collect();
     document.zones_out.retain(|zone| zones.contains(zone));
     Ok(comparison::summarize(&changes))
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod claim;
 pub mod comparison;
 pub mod contact;
+pub mod delta;
 pub mod item;
 pub mod latency;
 pub mod life;
--- a/crates/comfreyspread/src/configuration.rs
+++ b/crates/comfreyspread/src/configuration.rs
@@ -7,7 +7,7 @@
 //! if any peer is up, and the load on the store does not grow with the number of nodes.
 
 use crate::{contact, context, failure, head, http_client, peer};
-use comfreyspread_policy::{catalog, poller};
+use comfreyspread_policy::{catalog, delta, poller};
 use comfreyspread_schema::{ids, types};
 use rand::seq::SliceRandom as _;
 use std::{net, sync, time};
@@ -120,7 +120,8 @@
     }
     log::info!(revision = document.revision, change = document.change.as_ref();
         "configuration: in force");
-    *current = sync::Arc::new(catalog::ConfigurationCatalog::new(document));
+    let next = catalog::ConfigurationCatalog::new(document).with_history(&current);
+    *current = sync::Arc::new(next);
     drop(current);
     context.tables.changed.notify(usize::MAX);
 }
@@ -142,15 +143,23 @@
     http_client::before(time::Instant::now() + limit, reached).await;
 }
 
-/// Answers a peer that asks for the configuration, with the document if the peer is behind.
+/// Answers a peer that asks for the configuration: if the peer is behind, with the steps from its
+/// revision or else the document.
 pub fn reply(
     context: &context::NodeContext,
     request: &types::ConfigurationRequest,
 ) -> types::ConfigurationReply {
     let catalog = context.tables.catalog();
-    let behind = request.header.revision < catalog.revision();
-    let document = catalog.document().filter(|_| behind).cloned();
-    types::ConfigurationReply { document, header: context.peer_header() }
+    let header = context.peer_header();
+    if request.header.revision >= catalog.revision() {
+        return types::ConfigurationReply { deltas: Vec::new(), document: None, header };
+    }
+    if let Some(steps) = catalog.steps_from(request.header.revision) {
+        let deltas = steps.iter().map(|step| (**step).clone()).collect();
+        return types::ConfigurationReply { deltas, document: None, header };
+    }
+    let document = catalog.document().cloned();
+    types::ConfigurationReply { deltas: Vec::new(), document, header }
 }
 
 /// Answers a peer that tells of a revision, once it is in force here or the wait has passed.
@@ -195,9 +204,20 @@
     if let Some(document) = reply.document {
         adopt(context, document);
     }
+    for step in &reply.deltas {
+        adopt_step(context, step);
+    }
     Ok(())
 }
 
+/// Brings a step into force if it starts at the revision in force.
+fn adopt_step(context: &context::NodeContext, step: &types::ConfigurationDelta) {
+    let catalog = context.tables.catalog();
+    if let Some(document) = catalog.document().and_then(|before| delta::apply(before, step)) {
+        adopt(context, document);
+    }
+}
+
 async fn fetch_newer(context: &context::NodeContext, newer: NewerRevision) -> bool {
     let mut addresses: Vec<_> = newer.address.into_iter().collect();
     addresses.extend(some_peers(context, PEERS_ASKED));
--- a/crates/comfreyspread/src/peer.rs
+++ b/crates/comfreyspread/src/peer.rs
@@ -221,20 +221,31 @@
     where
         Message: PeerMessage + serde::de::DeserializeOwned,
     {
-        let message: Message = rmp_serde::from_slice(request.body()).map_err(|error| {
-            let detail = format!("the message cannot be decoded: {error}");
-            failure::CallFailure::new(types::ProblemKind::BadRequest, detail)
-        })?;
-        let version = message.header().protocol;
+        let envelope: types::RevisionReply = decode_body(request.body())?;
+        let version = envelope.header.protocol;
         if version != context::PEER_PROTOCOL_VERSION {
-            let detail = format!("the message has protocol version {version}");
+            let node = &envelope.header.node;
+            let own = context::PEER_PROTOCOL_VERSION;
+            let detail =
+                format!("{node} speaks protocol version {version}; this node speaks {own}");
             return Err(failure::CallFailure::new(types::ProblemKind::BadRequest, detail));
         }
+        let message: Message = decode_body(request.body())?;
         observe(&self.context, message.header());
         Ok(message)
     }
 }
 
+fn decode_body<Message>(body: &[u8]) -> Result<Message, failure::CallFailure>
+where
+    Message: serde::de::DeserializeOwned,
+{
+    rmp_serde::from_slice(body).map_err(|error| {
+        let detail = format!("the message cannot be decoded: {error}");
+        failure::CallFailure::new(types::ProblemKind::BadRequest, detail)
+    })
+}
+
 impl http_server::RequestHandler for PeerHandler {
     async fn handle(&self, request: http_server::ServerRequest) -> Response {
         self.serve(&request).await.unwrap_or_else(|failure| refusal(&failure))
--- /dev/null
+++ b/crates/comfreyspread/tests/declarations.rs
@@ -0,0 +1,71 @@
+//! Decoding of declarations: no text brings a panic, and valid ones survive a round trip.
+
+use comfreyspread::declarations;
+use comfreyspread_policy::validation;
+use comfreyspread_schema::types;
+use declarations::FileFormat;
+use std::path;
+
+const SAMPLE: &str = include_str!("../../comfreyspread-lab/samples/quickstart.json");
+
+fn sample() -> types::Declarations {
+    FileFormat::Json.decode(SAMPLE).expect("the sample is valid")
+}
+
+#[test]
+fn any_text() {
+    bolero::check!().for_each(|bytes: &[u8]| {
+        let text = String::from_utf8_lossy(bytes);
+        for format in [FileFormat::Json, FileFormat::Toml] {
+            if let Ok(decoded) = format.decode(&text) {
+                validation::validate(&decoded);
+            }
+        }
+    });
+}
+
+#[test]
+fn damaged_sample() {
+    bolero::check!().with_type::<Vec<(u16, u8)>>().for_each(|damages| {
+        let mut bytes = SAMPLE.as_bytes().to_vec();
+        for (place, byte) in damages.iter().take(4) {
+            let index = usize::from(*place) % bytes.len();
+            bytes[index] = *byte;
+        }
+        let Ok(decoded) = FileFormat::Json.decode(&String::from_utf8_lossy(&bytes)) else { return };
+        validation::validate(&decoded);
+        let text = serde_json::to_string(&decoded).expect("JSON");
+        assert_eq!(FileFormat::Json.decode(&text), Ok(decoded));
+    });
+}
+
+#[test]
+fn formats_agree() {
+    let toml = "[[zones]]\nname = \"celje-a\"\nregion = \"celje\"\n\n\
+        [[profiles]]\nname = \"jam\"\ndeadline_ms = 3000\npriority = \"high\"\n\
+        cost_limit = 10\nidempotent = true\n";
+    let json = r#"{"zones": [{"name": "celje-a", "region": "celje"}], "profiles":
+        [{"name": "jam", "deadline_ms": 3000, "priority": "high", "cost_limit": 10,
+        "idempotent": true}]}"#;
+    assert_eq!(FileFormat::Toml.decode(toml), FileFormat::Json.decode(json));
+    assert_eq!(FileFormat::of(path::Path::new("a.toml")), Some(FileFormat::Toml));
+    assert_eq!(FileFormat::of(path::Path::new("a.yaml")), None);
+    let misspelt = FileFormat::Toml.decode("[[zones]]\nnom = \"celje-a\"\n").expect_err("a fault");
+    assert!(misspelt.contains("nom"), "{misspelt}");
+}
+
+#[test]
+fn files_merge() {
+    let twice = declarations::merge(sample(), sample());
+    let faults = validation::validate(&twice);
+    let names = faults.iter().filter(|fault| &*fault.field == "name").count();
+    let once = sample();
+    let items = once.zones.len()
+        + once.pools.len()
+        + once.endpoints.len()
+        + once.pipelines.len()
+        + once.services.len()
+        + once.profiles.len()
+        + once.workspaces.len();
+    assert_eq!(names, items, "each name that stands twice is a fault");
+}
