Wait for every node that may be serving, and measure changes

Cause: acceptance counted the seeds. A seed whose VM was replaced would have blocked each change for ever, a node that is no seed did not count at all, and every node polled the store.

Ruled out: counting only members that are alive (a region that is cut off falls silent, goes on serving and would not count); forgetting nodes after a time (the same).

Change: a node counts until it left, or failed and refuses connections, or failed and the platform no longer lists its VM; listed VMs count also if no member runs there. Seeds count only while the list is not known. `comfreyspread-lab configuration-report` measures. The lab's platform lists the nodes' VMs from the start.

--- a/crates/comfreyspread-lab/src/deployment.rs
+++ b/crates/comfreyspread-lab/src/deployment.rs
@@ -130,6 +130,8 @@
         }
         let mut plans = plan_nodes(places, &addresses[count + 1..], platform_address);
         deployment.place_relay(&mut plans).await?;
+        let vms: Vec<_> = plans.iter().map(NodePlan::vm_record).collect();
+        deployment.list_vms(vms).await?;
         deployment.start_nodes(&plans)?;
         Ok(deployment)
     }
@@ -272,6 +274,16 @@
         serde_json::from_slice(answer.body()).into_diagnostic()
     }
 
+    /// Replaces the platform's list of VMs; at the start it holds those of all nodes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the stand-in does not answer.
+    pub async fn list_vms(&self, vms: Vec<wire::VmRecord>) -> miette::Result<()> {
+        self.caller.put(self.platform_address, "/v1/vms", &wire::VmList { vms }).await?;
+        Ok(())
+    }
+
     /// Sets the faults of the platform stand-in.
     ///
     /// # Errors
@@ -394,6 +406,15 @@
 }
 
 impl NodePlan {
+    fn vm_record(&self) -> wire::VmRecord {
+        wire::VmRecord {
+            address: self.advertised,
+            state: wire::VmState::Live,
+            vm: self.place.name.clone(),
+            zone: self.place.zone.clone(),
+        }
+    }
+
     fn arguments(&self) -> Vec<ids::Text> {
         let texts: [&str; 18] = [
             "product",
--- a/crates/comfreyspread-lab/src/lib.rs
+++ b/crates/comfreyspread-lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod bench;
 pub mod call_log;
 pub mod caller;
+pub mod configuration_report;
 pub mod deployment;
 pub mod driver;
 pub mod endpoints;
--- a/crates/comfreyspread-lab/src/main.rs
+++ b/crates/comfreyspread-lab/src/main.rs
@@ -4,7 +4,9 @@
 //! node it hands over to the product's own command line.
 
 use comfreyspread::{command, worker};
-use comfreyspread_lab::{bench, endpoints, platform, quickstart, relay, replay};
+use comfreyspread_lab::{
+    bench, configuration_report, endpoints, platform, quickstart, relay, replay,
+};
 use miette::IntoDiagnostic as _;
 use std::{env, process};
 
@@ -22,6 +24,7 @@
 #[argh(subcommand)]
 enum LabRole {
     Bench(bench::BenchArguments),
+    Configuration(configuration_report::ConfigurationArguments),
     Endpoints(endpoints::EndpointsArguments),
     Platform(platform::PlatformArguments),
     Quickstart(quickstart::QuickstartArguments),
@@ -41,6 +44,7 @@
     let code = async_io::block_on(async {
         match arguments.role {
             LabRole::Bench(arguments) => arguments.run(&spawner).await,
+            LabRole::Configuration(arguments) => arguments.run().await,
             LabRole::Endpoints(arguments) => {
                 arguments.run(&spawner).await.map(|()| process::ExitCode::SUCCESS)
             }
--- a/crates/comfreyspread-lab/tests/configuration.rs
+++ b/crates/comfreyspread-lab/tests/configuration.rs
@@ -194,6 +194,41 @@
     });
 }
 
+/// Silence after which a node counts as failed, with the default settings.
+const FAILED_AFTER: time::Duration = time::Duration::from_secs(7);
+
+#[test]
+fn silent_node() {
+    common::run(async {
+        let deployment = common::small_deployment(3).await;
+        deployment.nodes[2].process.signal(Signal::STOP);
+        async_io::Timer::after(FAILED_AFTER).await;
+        let (code, text) = apply_workspace(&deployment, 0, "added", &["--wait-ms", "1500"]);
+        assert_eq!(code, 3, "a listed node may be serving though it is silent: {text}");
+        let listed = deployment.nodes[..2].iter().map(|node| wire::VmRecord {
+            address: node.peer_address,
+            state: wire::VmState::Live,
+            vm: node.name.clone(),
+            zone: "antioquia-a".into(),
+        });
+        deployment.list_vms(listed.collect()).await.expect("a list");
+        let (code, text) = apply_workspace(&deployment, 0, "added", &[]);
+        assert_eq!(code, 0, "a silent node whose VM is gone does not count: {text}");
+        deployment.nodes[2].process.signal(Signal::CONT);
+        wait_served(&deployment, 2, "added").await;
+    });
+}
+
+#[test]
+fn killed_node() {
+    common::run(async {
+        let mut deployment = common::small_deployment(3).await;
+        deployment.nodes[2].process.kill();
+        let (code, text) = apply_workspace(&deployment, 0, "added", &[]);
+        assert_eq!(code, 0, "a node that refuses connections does not count: {text}");
+    });
+}
+
 #[test]
 fn unreachable_node() {
     common::run(async {
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -13,6 +13,7 @@
 //! assert_eq!(tracker.verdict(), CallVerdict::MayHaveRun);
 //! ```
 
+pub mod acceptance;
 pub mod attempt;
 pub mod breaker;
 pub mod catalog;
--- a/crates/comfreyspread-policy/src/membership.rs
+++ b/crates/comfreyspread-policy/src/membership.rs
@@ -106,6 +106,11 @@
         self.heard
     }
 
+    /// Whether the member's address refuses connections.
+    pub fn refused(&self) -> bool {
+        self.refused
+    }
+
     /// Whether the member may be running: alive or suspect.
     pub fn is_live(&self) -> bool {
         is_live(self.record.phase)
--- a/crates/comfreyspread/src/acceptance.rs
+++ b/crates/comfreyspread/src/acceptance.rs
@@ -32,6 +32,7 @@
     answerer: async_channel::Sender<NodeAnswer>,
     asked: IndexMap<net::SocketAddr, async_executor::Task<()>>,
     latest: IndexMap<ids::Text, NodeAnswer>,
+    listed: Option<types::VmList>,
 }
 
 /// Waits until every node that may be serving has confirmed, at most `limit`.
@@ -45,7 +46,9 @@
     let context = context.clone();
     let asked = IndexMap::new();
     let latest = IndexMap::new();
-    AcceptanceRound { context, answers, answerer, asked, latest }.run(staged, deadline).await
+    let listed = Box::pin(context.platform.list_vms()).await.ok();
+    let round = AcceptanceRound { context, answers, answerer, asked, latest, listed };
+    round.run(staged, deadline).await
 }
 
 impl AcceptanceRound {
@@ -79,7 +82,7 @@
 
     /// Returns the names of all nodes that may be serving, and tells those not told yet.
     fn expected(&mut self, own: &ids::NodeId) -> IndexSet<ids::Text> {
-        let contacts = contact::all(&self.context);
+        let contacts = contact::all(&self.context, self.listed.as_ref());
         let contacts: Vec<_> = contacts.into_iter().filter(|contact| contact.may_serve).collect();
         for contact in &contacts {
             if !self.asked.contains_key(&contact.address) {
@@ -135,7 +138,7 @@
 
 async fn tell_once(context: &context::NodeContext, contact: &contact::NodeContact) -> NodeAnswer {
     let notice = types::RevisionNotice {
-        address: context.settings.peer_address,
+        address: context.settings.advertise_address,
         header: context.peer_header(),
         wait: ANSWER_LIMIT / 2,
     };
--- a/crates/comfreyspread/src/configuration.rs
+++ b/crates/comfreyspread/src/configuration.rs
@@ -250,9 +250,10 @@
 }
 
 fn some_peers(context: &context::NodeContext, count: usize) -> Vec<net::SocketAddr> {
-    let mut contacts = contact::all(context);
-    contacts.shuffle(&mut rand::rng());
-    contacts.into_iter().take(count).map(|contact| contact.address).collect()
+    let mut addresses = contact::addresses(context);
+    addresses.shuffle(&mut rand::rng());
+    addresses.truncate(count);
+    addresses
 }
 
 async fn wait_for_change(context: &context::NodeContext, limit: time::Duration) {
--- a/crates/comfreyspread/src/operator.rs
+++ b/crates/comfreyspread/src/operator.rs
@@ -205,14 +205,16 @@
 async fn known_vms(context: &context::NodeContext) -> IndexSet<ids::VmId> {
     let listed = context.platform.list_vms().await.map(|list| list.vms).unwrap_or_default();
     let listed = listed.into_iter().map(|record| record.vm);
-    listed.chain([context.settings.vm.clone()]).collect()
+    listed.chain(contact::vms(context)).collect()
 }
 
 /// Asks every node how it is.
 pub async fn status(context: &sync::Arc<context::NodeContext>) -> types::DeploymentStatus {
     let catalog = context.tables.catalog();
-    let asked: Vec<_> = contact::all(context)
-        .into_iter()
+    let listed = Box::pin(context.platform.list_vms()).await.ok();
+    let contacts = contact::all(context, listed.as_ref()).into_iter();
+    let asked: Vec<_> = contacts
+        .filter(|contact| contact.may_serve)
         .map(|contact| {
             let context = context.clone();
             context.clone().spawner.spawn(async move { node_status(&context, &contact).await })
--- a/crates/comfreyspread/src/peer.rs
+++ b/crates/comfreyspread/src/peer.rs
@@ -125,7 +125,10 @@
 
 /// Takes note of what the header of a message tells of its sender.
 pub fn observe(context: &context::NodeContext, header: &types::PeerHeader) {
-    configuration::note_revision(context, header.revision, None);
+    if header.revision > context.tables.catalog().revision() {
+        let address = context.tables.members.lock().address_of(&header.node);
+        configuration::note_revision(context, header.revision, address);
+    }
 }
 
 /// Answers other nodes.
