Name only the fault that a test sets

Cause: the stand-in's faults gained a field and the test named all of them. Change: the others come from the default.

--- a/crates/comfreyspread-lab/tests/configuration.rs
+++ b/crates/comfreyspread-lab/tests/configuration.rs
@@ -10,13 +10,6 @@
 use std::time;
 
 const FORCE_LIMIT: time::Duration = time::Duration::from_secs(3);
-const STORE_DOWN: types::StoreFaults = types::StoreFaults {
-    delay: time::Duration::ZERO,
-    down: true,
-    lose_answers: false,
-    stale: false,
-};
-
 /// Returns the declarations in use with one workspace more.
 fn with_workspace(deployment: &deployment::TestDeployment, name: &str) -> wire::Declarations {
     let mut declarations = deployment.declarations.clone();
@@ -111,7 +104,8 @@
         let mut deployment = common::small_deployment(3).await;
         let (code, text) = apply_workspace(&deployment, 0, "added", &[]);
         assert_eq!(code, 0, "{text}");
-        deployment.set_store_faults(&STORE_DOWN).await.expect("faults");
+        let down = types::StoreFaults { down: true, ..types::StoreFaults::default() };
+        deployment.set_store_faults(&down).await.expect("faults");
         deployment.nodes[1].process.kill();
         deployment.restart_node(1).expect("a node");
         let address = deployment.nodes[1].caller_address;
