--- a/crates/comfreyspread-lab/src/main.rs
+++ b/crates/comfreyspread-lab/src/main.rs
@@ -4,7 +4,9 @@
 //! node it hands over to the product's own command line.
 
 use comfreyspread::{command, worker};
-use comfreyspread_lab::{bench, claim_bench, endpoints, platform, quickstart, relay, replay};
+use comfreyspread_lab::{
+    bench, claim_bench, configuration_report, endpoints, platform, quickstart, relay, replay,
+};
 use miette::IntoDiagnostic as _;
 use std::{env, process};
 
@@ -23,6 +25,7 @@
 enum LabRole {
     Bench(bench::BenchArguments),
     ClaimBench(claim_bench::ClaimBenchArguments),
+    Configuration(configuration_report::ConfigurationArguments),
     Endpoints(endpoints::EndpointsArguments),
     Platform(platform::PlatformArguments),
     Quickstart(quickstart::QuickstartArguments),
@@ -33,7 +36,8 @@
 fn main() -> miette::Result<process::ExitCode> {
     let arguments: Vec<String> = env::args().collect();
     if arguments.get(1).is_some_and(|role| role == PRODUCT_ROLE) {
-        return run_product(&arguments[2..]);
+        let arguments: Vec<_> = arguments[2..].iter().map(String::as_str).collect();
+        return Ok(command::run(&arguments));
     }
     let arguments: LabArguments = argh::from_env();
     let pool = worker::WorkerPool::new(WORKER_THREADS).into_diagnostic()?;
@@ -42,6 +46,7 @@
         match arguments.role {
             LabRole::ClaimBench(arguments) => arguments.run().await,
             LabRole::Bench(arguments) => arguments.run(&spawner).await,
+            LabRole::Configuration(arguments) => arguments.run().await,
             LabRole::Endpoints(arguments) => {
                 arguments.run(&spawner).await.map(|()| process::ExitCode::SUCCESS)
             }
@@ -58,19 +63,3 @@
     pool.stop();
     code
 }
-
-fn run_product(arguments: &[String]) -> miette::Result<process::ExitCode> {
-    let texts: Vec<_> = arguments.iter().map(String::as_str).collect();
-    let parsed = <command::TopArguments as argh::FromArgs>::from_args(&["comfreyspread"], &texts);
-    match parsed {
-        Ok(arguments) => arguments.run(),
-        Err(exit) => {
-            println!("{}", exit.output);
-            Ok(if exit.status.is_ok() {
-                process::ExitCode::SUCCESS
-            } else {
-                process::ExitCode::FAILURE
-            })
-        }
-    }
-}
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -13,12 +13,17 @@
 //! assert_eq!(tracker.verdict(), CallVerdict::MayHaveRun);
 //! ```
 
+pub mod acceptance;
 pub mod attempt;
 pub mod breaker;
 pub mod catalog;
+pub mod change;
 pub mod choice;
 pub mod claim;
+pub mod comparison;
 pub mod contact;
+pub mod delta;
+pub mod item;
 pub mod latency;
 pub mod life;
 pub mod lifecycle;
@@ -30,6 +35,7 @@
 pub mod ownership;
 pub mod ownership_action;
 pub mod ownership_life;
+pub mod poller;
 pub mod queue;
 pub mod rendezvous;
 pub mod replica;
@@ -40,4 +46,5 @@
 pub mod stream;
 pub mod suspect;
 pub mod timing;
+pub mod validation;
 pub mod verdict;
