--- a/crates/comfreyspread-policy/src/choice.rs
+++ b/crates/comfreyspread-policy/src/choice.rs
@@ -5,7 +5,7 @@
 //! a stated multiple of the mean load. Any other call goes to the endpoint with the least load for
 //! what it bears.
 
-use crate::{queue, replica};
+use crate::{queue, rendezvous, replica};
 use comfreyspread_schema::ids;
 use indexmap::IndexMap;
 use std::time;
@@ -69,12 +69,10 @@
         let bound = self.affinity_bound();
         let fitting = (0..self.replicas.len())
             .filter(|index| self.replicas[*index].running() < bound && self.fits(call, *index));
-        fitting.max_by_key(|index| self.rendezvous_score(call.prefix, *index))
-    }
-
-    fn rendezvous_score(&self, prefix: ids::PrefixHash, index: usize) -> u64 {
-        let name = self.replicas.get_index(index).map_or("", |(name, _)| name);
-        xxhash_rust::xxh3::xxh3_64_with_seed(name.as_bytes(), prefix)
+        fitting.max_by_key(|index| {
+            let name = self.replicas.get_index(*index).map(|(name, _)| name);
+            name.map(|name| rendezvous::prefix_score(call.prefix, name))
+        })
     }
 
     /// Returns the calls in flight from which an endpoint is too loaded for affinity.
--- a/crates/comfreyspread/src/heartbeat.rs
+++ b/crates/comfreyspread/src/heartbeat.rs
@@ -112,10 +112,9 @@
         log::warn!(node = node.as_ref(); "heartbeat: member failed");
     }
     let before = ownership.contact();
-    let owned = ownership.owned(now);
     let actions = ownership.observe(&members, &catalog, now);
     log_contact(before, ownership.contact());
-    if ownership.owned(now) != owned {
+    if !context.tables.pools.lock().follows(&ownership.owned(now)) {
         context.tables.changed.notify(usize::MAX);
     }
     actions
--- a/crates/comfreyspread/src/pool_changes.rs
+++ b/crates/comfreyspread/src/pool_changes.rs
@@ -19,7 +19,10 @@
 pub fn apply(context: &context::NodeContext) {
     let catalog = context.tables.catalog();
     let now = time::Instant::now();
-    let inherited = context.tables.ownership.lock().all_inherited(now);
+    let ownership = context.tables.ownership.lock();
+    let inherited = ownership.all_inherited(now);
+    context.tables.pools.lock().set_owned(Some(ownership.owned(now)));
+    drop(ownership);
     for pool in catalog.pools() {
         let names = pool.endpoints().iter();
         let available: IndexSet<_> =
--- a/crates/comfreyspread/src/pools.rs
+++ b/crates/comfreyspread/src/pools.rs
@@ -29,6 +29,7 @@
 #[derive(Debug, Default)]
 pub struct PoolTable {
     pools: IndexMap<ids::PoolId, PoolEntry>,
+    owned: Option<Vec<ids::EndpointId>>,
 }
 
 /// Scheduler of one pool and the tasks that wait for it.
@@ -50,6 +51,16 @@
         self.pools.contains_key(pool)
     }
 
+    /// Whether the schedulers are in step with the ownership of exactly these endpoints.
+    pub fn follows(&self, owned: &[ids::EndpointId]) -> bool {
+        self.owned.as_deref() == Some(owned)
+    }
+
+    /// Notes which endpoints the schedulers are in step with; none if an endpoint was closed since.
+    pub fn set_owned(&mut self, owned: Option<Vec<ids::EndpointId>>) {
+        self.owned = owned;
+    }
+
     /// Returns the entry of a pool.
     pub fn get(&self, pool: &ids::PoolId) -> Option<&PoolEntry> {
         self.pools.get(pool)
--- a/crates/comfreyspread/src/slot.rs
+++ b/crates/comfreyspread/src/slot.rs
@@ -55,6 +55,7 @@
     pub fn close(self) {
         let now = time::Instant::now();
         update(&self.context, &self.pool, |entry| entry.close(&self.endpoint, now));
+        self.context.tables.pools.lock().set_owned(None);
     }
 
     /// Gives the place back.
