Send no new work to endpoints on VMs that leave

Cause: nothing read the platform's list of VMs for endpoints, so an endpoint on a VM that leaves got work until its connections failed.

Ruled out: believing each list as it is (a stale copy brings the VM back); taking out VMs that are missing from the list (an empty list takes out all).

Change: a VM seen as leaving counts as leaving until it was listed as live, and nothing else, for 30 s. Owners let its endpoints finish and send no new work, ingress nodes do not count them. The reads are spread by the list's size.

--- a/crates/comfreyspread-lab/src/caller.rs
+++ b/crates/comfreyspread-lab/src/caller.rs
@@ -62,7 +62,7 @@
         self.send(address, Request::new(Method::Get, url.as_str())).await
     }
 
-    /// Sends a JSON message to a path.
+    /// Posts a JSON message to a path.
     ///
     /// # Errors
     ///
@@ -73,16 +73,51 @@
         path: &str,
         message: &Message,
     ) -> Result<http_client::ClientAnswer, failure::CallFailure>
+    where
+        Message: serde::Serialize,
+    {
+        self.send_json(Method::Post, address, path, message).await
+    }
+
+    /// Puts a JSON message at a path.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no whole answer.
+    pub async fn put<Message>(
+        &self,
+        address: net::SocketAddr,
+        path: &str,
+        message: &Message,
+    ) -> Result<http_client::ClientAnswer, failure::CallFailure>
+    where
+        Message: serde::Serialize,
+    {
+        self.send_json(Method::Put, address, path, message).await
+    }
+
+    async fn send_json<Message>(
+        &self,
+        method: Method,
+        address: net::SocketAddr,
+        path: &str,
+        message: &Message,
+    ) -> Result<http_client::ClientAnswer, failure::CallFailure>
     where
         Message: serde::Serialize,
     {
         let url = format!("http://{address}{path}");
-        let mut request = Request::new(Method::Post, url.as_str());
+        let mut request = Request::new(method, url.as_str());
         request.set_body(serde_json::to_vec(message).unwrap_or_default());
         self.send(address, request).await
     }
 
-    async fn send(
+    /// Sends a request as it is.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no whole answer.
+    pub async fn send(
         &self,
         address: net::SocketAddr,
         request: Request,
--- a/crates/comfreyspread-lab/src/deployment.rs
+++ b/crates/comfreyspread-lab/src/deployment.rs
@@ -272,6 +272,16 @@
         serde_json::from_slice(answer.body()).into_diagnostic()
     }
 
+    /// Replaces the platform's list of VMs; at the start it holds those of all nodes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the stand-in does not answer.
+    pub async fn list_vms(&self, vms: Vec<wire::VmRecord>) -> miette::Result<()> {
+        self.caller.put(self.platform_address, "/v1/vms", &wire::VmList { vms }).await?;
+        Ok(())
+    }
+
     /// Sets the faults of the platform stand-in.
     ///
     /// # Errors
--- a/crates/comfreyspread/src/lib.rs
+++ b/crates/comfreyspread/src/lib.rs
@@ -43,4 +43,5 @@
 pub mod slot;
 pub mod stream_run;
 pub mod tables;
+pub mod vms;
 pub mod worker;
--- a/crates/comfreyspread/src/node.rs
+++ b/crates/comfreyspread/src/node.rs
@@ -1,7 +1,8 @@
 //! The node process: start, serve, drain, stop.
 
 use crate::{
-    configuration, context, front, heartbeat, http_server, peer, pool_changes, settings, worker,
+    configuration, context, front, heartbeat, http_server, peer, pool_changes, settings, vms,
+    worker,
 };
 use async_signal::{Signal, Signals};
 use comfreyspread_policy::life;
@@ -36,6 +37,7 @@
     let peers = start_peers(&context).await?;
     context.spawner.detach(pool_changes::follow(context.clone()));
     context.spawner.detach(configuration::poll(context.clone()));
+    context.spawner.detach(vms::follow(context.clone()));
     context.spawner.detach(heartbeat::run(context.clone()));
     let starting = life::NodeLife::new();
     log::info!(node = context.settings.node.as_ref(); "node: started");
--- a/crates/comfreyspread/src/owners.rs
+++ b/crates/comfreyspread/src/owners.rs
@@ -13,7 +13,10 @@
 ) -> Vec<routing::OwnerCandidate> {
     let catalog = context.tables.catalog();
     let Some(pool) = catalog.pool(&call.pool) else { return Vec::new() };
-    let in_service = |name| catalog.endpoint(name).filter(|entry| catalog.in_service(entry));
+    let in_service = |name| {
+        let entry = catalog.endpoint(name);
+        entry.filter(|entry| context.tables.in_service(&catalog, entry))
+    };
     let endpoints: Vec<_> = pool.endpoints().iter().filter_map(in_service).collect();
     let affine = affine_endpoint(call, &endpoints);
     let mut found = IndexMap::<ids::NodeId, routing::OwnerCandidate>::new();
--- a/crates/comfreyspread/src/pool_changes.rs
+++ b/crates/comfreyspread/src/pool_changes.rs
@@ -40,7 +40,7 @@
     now: time::Instant,
 ) -> Option<ids::FenceNumber> {
     let declaration = catalog.endpoint(endpoint)?;
-    if !catalog.in_service(declaration) {
+    if !context.tables.in_service(catalog, declaration) {
         return None;
     }
     context.tables.ownership.lock().permit(endpoint, now)
--- a/crates/comfreyspread/src/rank.rs
+++ b/crates/comfreyspread/src/rank.rs
@@ -35,6 +35,8 @@
     LifeRank = 10;
     /// Rank of the configuration in force.
     ConfigurationRank = 20;
+    /// Rank of the VMs that leave.
+    VmRank = 25;
     /// Rank of the member table.
     MemberRank = 30;
     /// Rank of the ownership table.
--- a/crates/comfreyspread/src/settings.rs
+++ b/crates/comfreyspread/src/settings.rs
@@ -100,6 +100,8 @@
     pub lapse: time::Duration,
     /// Time between polls of the platform.
     pub poll: time::Duration,
+    /// Least time between reads of the platform's list of VMs.
+    pub vm_poll: time::Duration,
     /// Longest wait for an answer of the platform.
     pub store_timeout: time::Duration,
     /// Time between turning unready and leaving.
@@ -171,6 +173,7 @@
             suspect: self.length("suspect_ms"),
             lapse: self.length("lapse_ms"),
             poll: self.length("poll_ms"),
+            vm_poll: self.length("vm_poll_ms"),
             store_timeout: self.length("store_timeout_ms"),
             grace: self.length("grace_ms"),
             shutdown: self.length("shutdown_ms"),
--- a/crates/comfreyspread/src/tables.rs
+++ b/crates/comfreyspread/src/tables.rs
@@ -3,7 +3,9 @@
 //! Locks are taken in the order of [`rank`]: the order of the fields here.
 
 use crate::{claim_table, handover, heartbeat, pools, rank, settings};
-use comfreyspread_policy::{catalog, link, membership, ownership, retry, routing, suspect, timing};
+use comfreyspread_policy::{
+    catalog, link, membership, ownership, retry, routing, suspect, timing, vm_list,
+};
 use comfreyspread_schema::{ids, types};
 use std::{sync, time};
 
@@ -15,6 +17,8 @@
     /// Configuration in force.
     pub catalog:
         rank::RankedLock<rank::ConfigurationRank, sync::Arc<catalog::ConfigurationCatalog>>,
+    /// VMs that are leaving.
+    pub vms: rank::RankedLock<rank::VmRank, vm_list::VmTable>,
     /// Members of the deployment.
     pub members: rank::RankedLock<rank::MemberRank, membership::MemberTable>,
     /// Ownerships of endpoints.
@@ -41,6 +45,7 @@
         Self {
             phase: rank::RankedLock::new(types::NodePhase::Starting),
             catalog: rank::RankedLock::new(sync::Arc::default()),
+            vms: rank::RankedLock::new(vm_list::VmTable::new()),
             members: rank::RankedLock::new(heartbeat::new_members(settings, start)),
             ownership: rank::RankedLock::new(handover::new_ownerships(settings, start, now)),
             pools: rank::RankedLock::new(pools::PoolTable::new()),
@@ -58,6 +63,15 @@
         self.catalog.lock().clone()
     }
 
+    /// Whether an endpoint may take new work: operators let it, and its VM is not leaving.
+    pub fn in_service(
+        &self,
+        catalog: &catalog::ConfigurationCatalog,
+        endpoint: &types::EndpointDeclaration,
+    ) -> bool {
+        catalog.in_service(endpoint) && !self.vms.lock().is_leaving(&endpoint.vm)
+    }
+
     /// Returns the phase of the node.
     pub fn phase(&self) -> types::NodePhase {
         *self.phase.lock()
