Say which refusals another owner may take

Cause: a call refused because the wait at this owner is too long was called hopeless (deadline), which ends all attempts, although another owner of the pool may have been in time; and a node that owns no endpoint of a pool called it unavailable, so the ingress did not look for the other owner.

Ruled out: deciding it at the ingress; it does not see the wait.

Change: deadline only if a call could not make it without any wait, overloaded for the wait; not-owner if the pool has an endpoint in service elsewhere.

Conclusion: the kind of a refusal now tells the ingress what to do.

--- a/crates/comfreyspread-policy/src/schedule.rs
+++ b/crates/comfreyspread-policy/src/schedule.rs
@@ -217,10 +217,11 @@
         let wait = self.estimate_wait(&call, now);
         let latest_start = self.latest_start(&call, now);
         if now + wait > latest_start {
-            let problem = if wait > self.pool.queue {
-                types::ProblemKind::Overloaded
-            } else {
+            let hopeless = latest_start < now;
+            let problem = if hopeless {
                 types::ProblemKind::Deadline
+            } else {
+                types::ProblemKind::Overloaded
             };
             return Err(refuse(problem, wait));
         }
--- a/crates/comfreyspread-policy/tests/scheduler.rs
+++ b/crates/comfreyspread-policy/tests/scheduler.rs
@@ -265,6 +265,32 @@
     assert!(!refusal.retry_after.is_zero());
 }
 
+#[test]
+fn refused_at_door() {
+    let now = time::Instant::now();
+    let second = time::Duration::from_secs(1);
+    let mut scheduler = common::scheduler(1);
+    scheduler.offer(common::call(0, now), now).expect("room in the queue");
+    let ticket = started(scheduler.next(now));
+    scheduler.finish(ticket, answered(second), now + second);
+    let now = now + second;
+    let hopeless = schedule::OfferedCall { deadline: now + second / 2, ..common::call(0, now) };
+    let refusal = scheduler.offer(hopeless, now).expect_err("no endpoint is that fast");
+    assert_eq!(refusal.problem, types::ProblemKind::Deadline);
+    let mut refused = None;
+    while refused.is_none() {
+        let call = schedule::OfferedCall { deadline: now + second * 3, ..common::call(0, now) };
+        refused = scheduler.offer(call, now).err();
+        scheduler.next(now);
+    }
+    let refusal = refused.expect("the queue is bounded by time");
+    assert_eq!(refusal.problem, types::ProblemKind::Overloaded, "another owner may be in time");
+    assert!(refusal.retry_after >= second, "{refusal:?}");
+    scheduler.set_available(&common::endpoint(0), false);
+    let refusal = scheduler.offer(common::call(0, now), now).expect_err("there is no endpoint");
+    assert_eq!(refusal.problem, types::ProblemKind::Unavailable);
+}
+
 #[test]
 fn slow_ejected() {
     let mut now = time::Instant::now();
--- a/crates/comfreyspread/src/pool_changes.rs
+++ b/crates/comfreyspread/src/pool_changes.rs
@@ -46,6 +46,24 @@
     context.tables.ownership.lock().permit(endpoint, now)
 }
 
+/// Returns the kind of a refusal: a pool without an endpoint that this node may send to has
+/// another owner if any of its endpoints may take work.
+pub fn refusal_kind(
+    context: &context::NodeContext,
+    pool: &ids::PoolId,
+    problem: types::ProblemKind,
+) -> types::ProblemKind {
+    let catalog = context.tables.catalog();
+    let names = catalog.pool(pool).map(|entry| entry.endpoints()).unwrap_or_default();
+    let mut endpoints = names.iter().filter_map(|name| catalog.endpoint(name));
+    let elsewhere = endpoints.any(|endpoint| context.tables.in_service(&catalog, endpoint));
+    if problem == types::ProblemKind::Unavailable && elsewhere {
+        types::ProblemKind::NotOwner
+    } else {
+        problem
+    }
+}
+
 /// State of one endpoint in its pool's scheduler.
 #[derive(Clone, Copy, Debug)]
 pub struct ReplicaState {
--- a/crates/comfreyspread/src/slot.rs
+++ b/crates/comfreyspread/src/slot.rs
@@ -99,9 +99,10 @@
         }
         let queued = update(context, &call.pool, offer);
         let unknown = || refusal(context, types::ProblemKind::Unavailable, time::Duration::ZERO);
-        let queued = queued
-            .ok_or_else(unknown)?
-            .map_err(|refused| refusal(context, refused.problem, refused.retry_after))?;
+        let queued = queued.ok_or_else(unknown)?.map_err(|refused| {
+            let problem = pool_changes::refusal_kind(context, &call.pool, refused.problem);
+            refusal(context, problem, refused.retry_after)
+        })?;
         let context = context.clone();
         Ok(Self { context, pool: call.pool.clone(), since: now, queued, settled: false })
     }
