--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -48,3 +48,4 @@
 pub mod timing;
 pub mod validation;
 pub mod verdict;
+pub mod vm_list;
--- a/crates/comfreyspread/src/lib.rs
+++ b/crates/comfreyspread/src/lib.rs
@@ -57,4 +57,5 @@
 pub mod stream_run;
 pub mod tables;
 pub mod tally;
+pub mod vms;
 pub mod worker;
