Write the claims of one node together where several wait

Cause: each claim made two transactions, and the store bears several hundred writes a second for all nodes; at 32 callers the writes also filled the node. Ruled out: holding writes back to fill a group (adds time to every call); grouping the writes of several nodes (needs a node in between); one transaction in flight (a hung one would hold up all claims; two keep the other going). Change: claim_writes.rs sends a write at once while fewer than two transactions are in flight, else with all that wait by then; policy write_group.rs tells from the versions in a refused reply which write stopped a group, so that only that claim is refused and the others go again. A write nobody waits for any more is not sent. claim-bench counts transactions.

--- a/crates/comfreyspread-lab/src/claim_bench.rs
+++ b/crates/comfreyspread-lab/src/claim_bench.rs
@@ -54,16 +54,16 @@
         let delay = time::Duration::from_millis(self.store_ms);
         let faults = types::StoreFaults { delay, ..types::StoreFaults::default() };
         deployment.set_store_faults(&faults).await?;
-        let before = newest_version(&deployment).await?;
+        let before = deployment.store_stats().await?.writes;
         let claimed = self.measure(&deployment, "claimed", "ledger-record", "record").await?;
-        let writes = newest_version(&deployment).await? - before;
+        let writes = deployment.store_stats().await?.writes - before;
         let runs = endpoints::runs_by_key(&deployment.records().await?);
         let most = runs.values().max().copied().unwrap_or(0);
         let Self { callers, workers, store_ms, .. } = self;
         println!("callers {callers}, workers {workers}, store {store_ms} ms");
         plain.print();
         claimed.print();
-        println!("store writes: {:.2} a claimed call", per(writes, claimed.times.len()));
+        println!("store transactions: {:.2} a claimed call", per(writes, claimed.times.len()));
         println!("runs of one key: at most {most}");
         deployment.stop().await?;
         miette::ensure!(most == 1, "a key ran {most} times");
@@ -175,16 +175,6 @@
     }
 }
 
-/// Returns the highest version of the claim rows: the count of all writes until then.
-async fn newest_version(
-    deployment: &deployment::TestDeployment,
-) -> miette::Result<ids::RowVersion> {
-    let path = format!("/v1/tables/{}/rows", comfreyspread::claims::CLAIM_TABLE);
-    let answer = deployment.caller.get(deployment.platform_address, &path).await?;
-    let rows: wire::TableRows = serde_json::from_slice(answer.body()).into_diagnostic()?;
-    Ok(rows.rows.iter().map(|row| row.version).max().unwrap_or(1))
-}
-
 #[allow(clippy::cast_precision_loss, reason = "counts of a short run")]
 fn per(count: u64, of: u64) -> f64 {
     count as f64 / of.max(1) as f64
--- a/crates/comfreyspread-lab/tests/claims.rs
+++ b/crates/comfreyspread-lab/tests/claims.rs
@@ -144,6 +144,35 @@
     });
 }
 
+#[test]
+fn grouped_claims() {
+    common::run(async {
+        let deployment = start(2).await;
+        let delay = time::Duration::from_millis(20);
+        set_store(&deployment, types::StoreFaults { delay, ..types::StoreFaults::default() }).await;
+        let keys: Vec<_> = (0..40).map(|number| format!("group-{number}")).collect();
+        let before = deployment.store_stats().await.expect("counts").writes;
+        let executor = async_executor::LocalExecutor::new();
+        let calls = keys.iter().flat_map(|key| [(key, 0), (key, 1)]);
+        let tasks: Vec<_> = calls
+            .map(|(key, node)| executor.spawn(Box::pin(send(&deployment, node, key))))
+            .collect();
+        let answers = async {
+            for task in tasks {
+                assert_ne!(verdict(&task.await), "not-run");
+            }
+        };
+        Box::pin(executor.run(answers)).await;
+        let transactions = deployment.store_stats().await.expect("counts").writes - before;
+        assert!(transactions < 40, "{transactions} transactions for 40 claims");
+        for key in &keys {
+            assert_eq!(runs(&deployment, key).await, 1, "{key}");
+            let first = outcome(&deployment, 0, key).await;
+            assert_eq!(first.body(), outcome(&deployment, 1, key).await.body(), "{key}");
+        }
+    });
+}
+
 #[test]
 fn other_body() {
     common::run(async {
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -39,3 +39,4 @@
 pub mod suspect;
 pub mod timing;
 pub mod verdict;
+pub mod write_group;
--- /dev/null
+++ b/crates/comfreyspread-policy/tests/write_group.rs
@@ -0,0 +1,42 @@
+//! What the reply to a group of writes means for each of them.
+
+use comfreyspread_policy::write_group;
+use comfreyspread_schema::types;
+use write_group::WriteOutcome::{Committed, Rejected, Stopped};
+
+fn write(condition: types::RowCondition) -> types::RowWrite {
+    types::RowWrite { condition, key: "key".into(), table: "claims".into(), value: None }
+}
+
+fn group() -> Vec<types::RowWrite> {
+    vec![
+        write(types::RowCondition::Absent),
+        write(types::RowCondition::Version(4)),
+        write(types::RowCondition::Absent),
+    ]
+}
+
+#[test]
+fn group_outcomes() {
+    let cases = [
+        (true, vec![7, 8, 9], vec![Committed(7), Committed(8), Committed(9)]),
+        (false, vec![3, 4, 0], vec![Rejected, Stopped, Stopped]),
+        (false, vec![0, 5, 0], vec![Stopped, Rejected, Stopped]),
+        (false, vec![1, 0, 2], vec![Rejected, Rejected, Rejected]),
+        (false, vec![0, 4, 0], vec![Stopped, Stopped, Stopped]),
+        (false, vec![], vec![Stopped, Stopped, Stopped]),
+    ];
+    for (committed, versions, expected) in cases {
+        let reply = types::TransactionReply { committed, versions };
+        assert_eq!(write_group::outcomes(&group(), &reply), expected, "{reply:?}");
+    }
+}
+
+#[test]
+fn single_write() {
+    let writes = [write(types::RowCondition::Absent)];
+    for versions in [vec![], vec![0], vec![5]] {
+        let reply = types::TransactionReply { committed: false, versions };
+        assert_eq!(write_group::outcomes(&writes, &reply), [Rejected], "{reply:?}");
+    }
+}
--- a/crates/comfreyspread/src/claims.rs
+++ b/crates/comfreyspread/src/claims.rs
@@ -5,7 +5,7 @@
 //! caller goes away, and it stays in the node's claim table until the store has its last row, so a
 //! graceful stop waits for it.
 
-use crate::{claim_table, context, failure, http_client, plan, problem};
+use crate::{claim_table, claim_writes, context, failure, http_client, plan, problem};
 use comfreyspread_policy::{claim, settlement};
 use comfreyspread_schema::{ids, types};
 use rand::Rng as _;
@@ -180,17 +180,7 @@
             table: CLAIM_TABLE.into(),
             value: Some(value.into()),
         };
-        let transaction = types::TransactionRequest { writes: vec![write] };
-        match Box::pin(self.context.platform.transact(&transaction)).await {
-            Ok(reply) if !reply.committed => claim::StoreEvent::Rejected,
-            Ok(reply) => reply.versions.first().map_or(claim::StoreEvent::Unknown, |version| {
-                claim::StoreEvent::Committed(*version)
-            }),
-            Err(failure) if failure.verdict() == types::CallVerdict::NotRun => {
-                claim::StoreEvent::Unsent
-            }
-            Err(_) => claim::StoreEvent::Unknown,
-        }
+        claim_writes::write(&self.context, write).await
     }
 
     async fn write_object(
--- a/crates/comfreyspread/src/lib.rs
+++ b/crates/comfreyspread/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod call_run;
 pub mod caller_stream;
 pub mod claim_table;
+pub mod claim_writes;
 pub mod claims;
 pub mod command;
 pub mod configuration;
--- a/crates/comfreyspread/src/rank.rs
+++ b/crates/comfreyspread/src/rank.rs
@@ -45,6 +45,8 @@
     HintRank = 60;
     /// Rank of the claims in progress.
     ClaimRank = 70;
+    /// Rank of the claims' writes that wait.
+    ClaimWriteRank = 72;
     /// Rank of the suspected requests.
     SuspectRank = 80;
     /// Rank of the measured stage times.
--- a/crates/comfreyspread/src/tables.rs
+++ b/crates/comfreyspread/src/tables.rs
@@ -2,7 +2,7 @@
 //!
 //! Locks are taken in the order of [`rank`]: the order of the fields here.
 
-use crate::{claim_table, handover, heartbeat, pools, rank, settings};
+use crate::{claim_table, claim_writes, handover, heartbeat, pools, rank, settings};
 use comfreyspread_policy::{catalog, link, membership, ownership, retry, routing, suspect, timing};
 use comfreyspread_schema::{ids, types};
 use std::{sync, time};
@@ -25,6 +25,8 @@
     pub hints: rank::RankedLock<rank::HintRank, routing::HintTable>,
     /// Claims in progress.
     pub claims: rank::RankedLock<rank::ClaimRank, claim_table::ClaimTable>,
+    /// Writes of claims that wait for their turn.
+    pub claim_writes: claim_writes::WriteQueue,
     /// Requests that may crash endpoints.
     pub suspects: rank::RankedLock<rank::SuspectRank, suspect::SuspectTable>,
     /// Measured times of stages.
@@ -46,6 +48,7 @@
             pools: rank::RankedLock::new(pools::PoolTable::new()),
             hints: rank::RankedLock::new(routing::HintTable::new()),
             claims: rank::RankedLock::new(claim_table::ClaimTable::new()),
+            claim_writes: rank::RankedLock::new(claim_writes::ClaimWrites::new()),
             suspects: rank::RankedLock::new(suspect::SuspectTable::new()),
             timings: rank::RankedLock::new(timing::StageTimings::new()),
             budgets: rank::RankedLock::new(AttemptBudgets::new(settings.link_rate, now)),
