Tell a resend whether the holder of its claim is gone

Cause: a resend of a claim whose holder was killed was told 'in progress' for ever by every node but the restarted one, so a caller would wait in vain. Ruled out: letting membership decide anything; the verdict is may-have-run in both cases, only the kind of problem differs. Change: outcome-unknown where the member table shows the holder's process as ended or started again, in-progress otherwise. killed_holder now waits for outcome-unknown at both nodes; it failed before at the second node.

--- a/crates/comfreyspread-lab/tests/claims.rs
+++ b/crates/comfreyspread-lab/tests/claims.rs
@@ -117,6 +117,25 @@
     }
 }
 
+/// Resends until the answer is this kind of problem.
+async fn wait_for_problem(
+    deployment: &deployment::TestDeployment,
+    node: usize,
+    key: &str,
+    kind: &str,
+) -> CallAnswer {
+    let deadline = time::Instant::now() + SETTLE_LIMIT;
+    loop {
+        let answer = send(deployment, node, key).await;
+        let body = answer.as_ref().expect("a whole answer").body();
+        if String::from_utf8_lossy(body).contains(kind) {
+            return answer;
+        }
+        assert!(time::Instant::now() < deadline, "{key} at {node}: {body:?}");
+        pause(RESEND_PAUSE).await;
+    }
+}
+
 async fn open_claims(deployment: &deployment::TestDeployment) -> Vec<ids::RequestKey> {
     let node = deployment.nodes.last().expect("a node").caller_address;
     let answer = deployment.caller.get(node, "/operator/claims").await.expect("a list");
@@ -341,8 +360,10 @@
         deployment.restart_node(0).expect("the node starts");
         let address = deployment.nodes[0].caller_address;
         deployment.wait_for(address, "/readyz").await.expect("the node becomes ready");
-        let resend = send(&deployment, 0, "killed").await;
-        assert_eq!(verdict(&resend), "may-have-run");
+        for node in 0..2 {
+            let resend = wait_for_problem(&deployment, node, "killed", "outcome-unknown").await;
+            assert_eq!(verdict(&resend), "may-have-run");
+        }
         assert_eq!(runs(&deployment, "killed").await, 1);
     });
 }
--- a/crates/comfreyspread/src/claims.rs
+++ b/crates/comfreyspread/src/claims.rs
@@ -441,8 +441,7 @@
 
 /// Returns the failure of a request whose key is held by the claim of `row`.
 fn open(context: &context::NodeContext, row: &types::ClaimRow) -> failure::CallFailure {
-    let own = row.node == context.settings.node;
-    let failure = if own && row.start != context.start {
+    let failure = if holder_is_gone(context, row) {
         let detail = format!("{} ended before the outcome of {} was stored", row.node, row.request);
         failure::CallFailure::new(types::ProblemKind::OutcomeUnknown, detail)
     } else {
@@ -453,6 +452,17 @@
     failure.with_verdict(types::CallVerdict::MayHaveRun)
 }
 
+/// Returns whether the process that holds a claim is known to have ended. It decides what a caller
+/// is told, never whether a request may run.
+fn holder_is_gone(context: &context::NodeContext, row: &types::ClaimRow) -> bool {
+    if row.node == context.settings.node {
+        return row.start != context.start;
+    }
+    let members = context.tables.members.lock();
+    let entry = members.entry(&row.node);
+    entry.is_some_and(|entry| entry.record().start != row.start || !entry.is_live())
+}
+
 fn full() -> failure::CallFailure {
     let detail = "too many claims are in progress at this node";
     failure::CallFailure::new(types::ProblemKind::Overloaded, detail).with_retry_after(RESEND_PAUSE)
