--- a/crates/comfreyspread-lab/tests/claims.rs
+++ b/crates/comfreyspread-lab/tests/claims.rs
@@ -117,6 +117,25 @@
     }
 }
 
+/// Resends until the answer is this kind of problem.
+async fn wait_for_problem(
+    deployment: &deployment::TestDeployment,
+    node: usize,
+    key: &str,
+    kind: &str,
+) -> CallAnswer {
+    let deadline = time::Instant::now() + SETTLE_LIMIT;
+    loop {
+        let answer = send(deployment, node, key).await;
+        let body = answer.as_ref().expect("a whole answer").body();
+        if String::from_utf8_lossy(body).contains(kind) {
+            return answer;
+        }
+        assert!(time::Instant::now() < deadline, "{key} at {node}: {body:?}");
+        pause(RESEND_PAUSE).await;
+    }
+}
+
 async fn open_claims(deployment: &deployment::TestDeployment) -> Vec<ids::RequestKey> {
     let node = deployment.nodes.last().expect("a node").caller_address;
     let answer = deployment.caller.get(node, "/operator/claims").await.expect("a list");
@@ -144,6 +163,35 @@
     });
 }
 
+#[test]
+fn grouped_claims() {
+    common::run(async {
+        let deployment = start(2).await;
+        let delay = time::Duration::from_millis(20);
+        set_store(&deployment, types::StoreFaults { delay, ..types::StoreFaults::default() }).await;
+        let keys: Vec<_> = (0..40).map(|number| format!("group-{number}")).collect();
+        let before = deployment.store_stats().await.expect("counts").writes;
+        let executor = async_executor::LocalExecutor::new();
+        let calls = keys.iter().flat_map(|key| [(key, 0), (key, 1)]);
+        let tasks: Vec<_> = calls
+            .map(|(key, node)| executor.spawn(Box::pin(send(&deployment, node, key))))
+            .collect();
+        let answers = async {
+            for task in tasks {
+                assert_ne!(verdict(&task.await), "not-run");
+            }
+        };
+        Box::pin(executor.run(answers)).await;
+        let transactions = deployment.store_stats().await.expect("counts").writes - before;
+        assert!(transactions < 40, "{transactions} transactions for 40 claims");
+        for key in &keys {
+            assert_eq!(runs(&deployment, key).await, 1, "{key}");
+            let first = outcome(&deployment, 0, key).await;
+            assert_eq!(first.body(), outcome(&deployment, 1, key).await.body(), "{key}");
+        }
+    });
+}
+
 #[test]
 fn other_body() {
     common::run(async {
@@ -312,8 +360,10 @@
         deployment.restart_node(0).expect("the node starts");
         let address = deployment.nodes[0].caller_address;
         deployment.wait_for(address, "/readyz").await.expect("the node becomes ready");
-        let resend = send(&deployment, 0, "killed").await;
-        assert_eq!(verdict(&resend), "may-have-run");
+        for node in 0..2 {
+            let resend = wait_for_problem(&deployment, node, "killed", "outcome-unknown").await;
+            assert_eq!(verdict(&resend), "may-have-run");
+        }
         assert_eq!(runs(&deployment, "killed").await, 1);
     });
 }
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -49,3 +49,4 @@
 pub mod validation;
 pub mod verdict;
 pub mod vm_list;
+pub mod write_group;
--- a/crates/comfreyspread/src/claims.rs
+++ b/crates/comfreyspread/src/claims.rs
@@ -5,7 +5,7 @@
 //! caller goes away, and it stays in the node's claim table until the store has its last row, so a
 //! graceful stop waits for it.
 
-use crate::{claim_table, context, failure, http_client, plan, problem, tally};
+use crate::{claim_table, claim_writes, context, failure, http_client, plan, problem, tally};
 use comfreyspread_policy::{claim, settlement};
 use comfreyspread_schema::{ids, types};
 use rand::Rng as _;
@@ -180,17 +180,7 @@
             table: CLAIM_TABLE.into(),
             value: Some(value.into()),
         };
-        let transaction = types::TransactionRequest { writes: vec![write] };
-        match Box::pin(self.context.platform.transact(&transaction)).await {
-            Ok(reply) if !reply.committed => claim::StoreEvent::Rejected,
-            Ok(reply) => reply.versions.first().map_or(claim::StoreEvent::Unknown, |version| {
-                claim::StoreEvent::Committed(*version)
-            }),
-            Err(failure) if failure.verdict() == types::CallVerdict::NotRun => {
-                claim::StoreEvent::Unsent
-            }
-            Err(_) => claim::StoreEvent::Unknown,
-        }
+        claim_writes::write(&self.context, write).await
     }
 
     async fn write_object(
@@ -451,8 +441,7 @@
 
 /// Returns the failure of a request whose key is held by the claim of `row`.
 fn open(context: &context::NodeContext, row: &types::ClaimRow) -> failure::CallFailure {
-    let own = row.node == context.settings.node;
-    let failure = if own && row.start != context.start {
+    let failure = if holder_is_gone(context, row) {
         let detail = format!("{} ended before the outcome of {} was stored", row.node, row.request);
         failure::CallFailure::new(types::ProblemKind::OutcomeUnknown, detail)
     } else {
@@ -463,6 +452,17 @@
     failure.with_verdict(types::CallVerdict::MayHaveRun)
 }
 
+/// Returns whether the process that holds a claim is known to have ended. It decides what a caller
+/// is told, never whether a request may run.
+fn holder_is_gone(context: &context::NodeContext, row: &types::ClaimRow) -> bool {
+    if row.node == context.settings.node {
+        return row.start != context.start;
+    }
+    let members = context.tables.members.lock();
+    let entry = members.entry(&row.node);
+    entry.is_some_and(|entry| entry.record().start != row.start || !entry.is_live())
+}
+
 fn full() -> failure::CallFailure {
     let detail = "too many claims are in progress at this node";
     failure::CallFailure::new(types::ProblemKind::Overloaded, detail).with_retry_after(RESEND_PAUSE)
