Know the sender of a connection by its requests, and measure slopes

Cause: the relay read the system's socket table for each new connection; with 75,000 sockets on the machine one reading took 150 ms, so connections of a busy replay waited longer than their calls and failed, which opened more. Ruled out: reading it once for all that wait (still 150 ms each), uids or source addresses of their own for nodes (need rights or a setting the product has no use for). Change: nodes name themselves in the usual user-agent header; the relay reads it from the first request. The lab role slopes measures deployments at growing sizes.

--- a/crates/comfreyspread-lab/src/deployment.rs
+++ b/crates/comfreyspread-lab/src/deployment.rs
@@ -9,6 +9,7 @@
 const READY_POLL: time::Duration = time::Duration::from_millis(20);
 const READY_LIMIT: time::Duration = time::Duration::from_secs(30);
 const CALL_PATIENCE: time::Duration = time::Duration::from_secs(30);
+const SHORT_POLL: time::Duration = time::Duration::from_millis(100);
 const STOP_LIMIT: time::Duration = time::Duration::from_secs(10);
 
 /// One node process and its addresses.
@@ -37,7 +38,7 @@
 }
 
 /// What a deployment has besides the usual.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct DeploymentOptions {
     /// Arguments added to those of each node.
     pub node_arguments: Vec<ids::Text>,
@@ -47,10 +48,25 @@
     pub link: Option<types::RelayLink>,
     /// Program for the nodes if it is another build.
     pub node_program: Option<path::PathBuf>,
+    /// Time between the nodes' polls of the platform.
+    pub poll: time::Duration,
     /// Folder for the log files of the nodes.
     pub log_folder: Option<path::PathBuf>,
 }
 
+impl Default for DeploymentOptions {
+    fn default() -> Self {
+        Self {
+            node_arguments: Vec::new(),
+            endpoint_arguments: Vec::new(),
+            link: None,
+            node_program: None,
+            poll: SHORT_POLL,
+            log_folder: None,
+        }
+    }
+}
+
 /// A running deployment.
 #[derive(Debug)]
 pub struct TestDeployment {
@@ -161,7 +177,9 @@
         let seeds: Vec<_> = plans.iter().map(|plan| plan.advertised.to_string()).collect();
         for plan in plans {
             let mut arguments = plan.arguments();
+            let poll = self.options.poll.as_millis().to_string();
             arguments.extend(["--seeds".into(), seeds.join(",").into()]);
+            arguments.extend(["--poll-ms".into(), poll.into()]);
             arguments.extend(self.options.node_arguments.iter().cloned());
             let process = self.start_node(&plan.place.name, &arguments)?;
             self.nodes.push(NodeProcess {
@@ -416,7 +434,7 @@
     }
 
     fn arguments(&self) -> Vec<ids::Text> {
-        let texts: [&str; 18] = [
+        let texts: [&str; 16] = [
             "product",
             "node",
             "--node",
@@ -433,8 +451,6 @@
             &self.peer.to_string(),
             "--platform-address",
             &self.platform.to_string(),
-            "--poll-ms",
-            "100",
         ];
         let mut arguments: Vec<_> = texts.map(ids::Text::from).into();
         if self.advertised != self.peer {
--- a/crates/comfreyspread-lab/src/lib.rs
+++ b/crates/comfreyspread-lab/src/lib.rs
@@ -21,7 +21,7 @@
 pub mod replay;
 pub mod report;
 pub mod serving;
-pub mod socket;
+pub mod slopes;
 pub mod stand_in;
 pub mod tally;
 pub mod trace;
--- a/crates/comfreyspread-lab/src/main.rs
+++ b/crates/comfreyspread-lab/src/main.rs
@@ -6,6 +6,7 @@
 use comfreyspread::{command, worker};
 use comfreyspread_lab::{
     bench, claim_bench, configuration_report, endpoints, platform, quickstart, relay, replay,
+    slopes,
 };
 use miette::IntoDiagnostic as _;
 use std::{env, process};
@@ -31,6 +32,7 @@
     Quickstart(quickstart::QuickstartArguments),
     Relay(relay::RelayArguments),
     Replay(replay::ReplayArguments),
+    Slopes(slopes::SlopesArguments),
 }
 
 fn main() -> miette::Result<process::ExitCode> {
@@ -55,6 +57,7 @@
             }
             LabRole::Quickstart(arguments) => arguments.run().await,
             LabRole::Replay(arguments) => arguments.run(&spawner).await,
+            LabRole::Slopes(arguments) => arguments.run(&spawner).await,
             LabRole::Relay(arguments) => {
                 arguments.run(&spawner).await.map(|()| process::ExitCode::SUCCESS)
             }
--- a/crates/comfreyspread-lab/src/network.rs
+++ b/crates/comfreyspread-lab/src/network.rs
@@ -99,7 +99,7 @@
         peer_address: net::SocketAddr,
     ) -> miette::Result<net::SocketAddr> {
         let place = self.place(&node.name, &node.zone);
-        self.plan.nodes.push(types::RelayNode { peer_address, place: place.clone() });
+        self.plan.nodes.push(place.clone());
         self.route(peer_address, place)
     }
 
--- a/crates/comfreyspread-lab/src/platform.rs
+++ b/crates/comfreyspread-lab/src/platform.rs
@@ -242,6 +242,8 @@
             return serving::cut();
         }
         let answer = self.answer(&request);
+        let sent = answer.len().and_then(|length| u64::try_from(length).ok()).unwrap_or(0);
+        self.tables.lock().stats.bytes += sent;
         let wrote = request.method() != Method::Get;
         if faults.lose_answers && wrote { serving::cut() } else { answer }
     }
--- a/crates/comfreyspread-lab/src/relay.rs
+++ b/crates/comfreyspread-lab/src/relay.rs
@@ -5,12 +5,15 @@
 //! waits for its share of the link's byte rate and for the one-way delay. A direction that is cut
 //! holds its bytes until it is healed, as a network that drops packets does for as long as both
 //! sides send them again; memory stays bounded because a held connection is not read.
+//! Each endpoint and node has one address for all that call it, so a connection is known by the name
+//! of the node in the header of its first request.
+//!
 //! `POST /faults` takes a [`types::RelayFaults`], `GET /stats` returns a [`types::RelayStats`].
 
-use crate::{serving, socket, types};
+use crate::{serving, types};
 use async_io::Timer;
 use async_net::{TcpListener, TcpStream};
-use comfreyspread::{http_server, rank, worker};
+use comfreyspread::{header, http_server, rank, worker};
 use comfreyspread_schema::ids;
 use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, future};
 use http_types::{Method, Response, StatusCode};
@@ -18,6 +21,7 @@
 use std::{fs, net, path, sync, time};
 
 const CHUNK_BYTES: usize = 16 * 1024;
+const HEAD_END: &[u8] = b"\r\n\r\n";
 const CHUNKS_IN_FLIGHT: usize = 32;
 
 /// Runs the network stand-in.
@@ -83,7 +87,7 @@
 #[derive(Debug)]
 struct RelayTable {
     link: types::RelayLink,
-    finder: socket::SocketFinder,
+    nodes: Vec<types::RelayPlace>,
     spawner: worker::TaskSpawner,
     links: rank::RankedLock<rank::PoolRank, Vec<LinkState>>,
     cuts: rank::RankedLock<rank::HintRank, Vec<types::LinkCut>>,
@@ -100,12 +104,12 @@
 impl RelayTable {
     fn new(
         link: types::RelayLink,
-        nodes: Vec<types::RelayNode>,
+        nodes: Vec<types::RelayPlace>,
         spawner: worker::TaskSpawner,
     ) -> Self {
         Self {
             link,
-            finder: socket::SocketFinder::new(nodes, &spawner),
+            nodes,
             spawner,
             links: rank::RankedLock::new(Vec::new()),
             cuts: rank::RankedLock::new(Vec::new()),
@@ -114,31 +118,43 @@
     }
 
     async fn accept(self: sync::Arc<Self>, listener: TcpListener, route: types::RelayRoute) {
-        while let Ok((stream, remote)) = listener.accept().await {
-            self.spawner.detach(self.clone().forward(stream, remote, route.clone()));
+        while let Ok((stream, _)) = listener.accept().await {
+            self.spawner.detach(self.clone().forward(stream, route.clone()));
         }
     }
 
-    async fn forward(
-        self: sync::Arc<Self>,
-        stream: TcpStream,
-        remote: net::SocketAddr,
-        route: types::RelayRoute,
-    ) {
-        let source = self.finder.place(remote, route.listen).await;
-        let path = source.map(|from| RelayPath { from, to: route.place });
+    async fn forward(self: sync::Arc<Self>, mut stream: TcpStream, route: types::RelayRoute) {
+        let head = read_head(&mut stream).await;
+        let path = self.sender(&head).map(|from| RelayPath { from, to: route.place });
         let Ok(target) = TcpStream::connect(route.target).await else { return };
         stream.set_nodelay(true).ok();
         target.set_nodelay(true).ok();
         let back = path.as_ref().map(RelayPath::reversed);
-        let outward = self.pump(stream.clone(), target.clone(), path.as_ref());
-        let inward = self.pump(target, stream, back.as_ref());
+        let outward = self.pump(stream.clone(), target.clone(), path.as_ref(), head);
+        let inward = self.pump(target, stream, back.as_ref(), Vec::new());
         future::zip(outward, inward).await;
     }
 
+    /// Returns the place of the node that sent a request.
+    fn sender(&self, head: &[u8]) -> Option<types::RelayPlace> {
+        let head = String::from_utf8_lossy(head);
+        let line = head.lines().find_map(|line| named_value(line, header::USER_AGENT));
+        let agent = line.and_then(|value| value.strip_prefix(header::AGENT_PREFIX));
+        // Nodes of the thin path name themselves in the identifier of the request only.
+        let request = head.lines().find_map(|line| named_value(line, header::REQUEST));
+        let is_sender = |place: &&types::RelayPlace| {
+            agent == Some(&*place.name)
+                || request.is_some_and(|id| id.strip_prefix(&*place.name).is_some_and(follows))
+        };
+        self.nodes.iter().find(is_sender).cloned()
+    }
+
     /// Carries one direction of a connection until either side ends.
-    async fn pump(&self, from: TcpStream, to: TcpStream, path: Option<&RelayPath>) {
+    async fn pump(&self, from: TcpStream, to: TcpStream, path: Option<&RelayPath>, first: Vec<u8>) {
         let (sender, receiver) = async_channel::bounded(CHUNKS_IN_FLIGHT);
+        if !first.is_empty() {
+            sender.send(self.chunk(path, first)).await.ok();
+        }
         let reading = self.read_chunks(from.clone(), path, sender);
         let writing = async {
             if self.write_chunks(to, path, receiver).await.is_err() {
@@ -159,8 +175,7 @@
             if count == 0 {
                 return;
             }
-            let due = path.map_or_else(time::Instant::now, |path| self.schedule(path, count));
-            let chunk = RelayChunk { bytes: buffer[..count].to_vec(), due };
+            let chunk = self.chunk(path, buffer[..count].to_vec());
             if sender.send(chunk).await.is_err() {
                 return;
             }
@@ -184,6 +199,11 @@
         to.shutdown(net::Shutdown::Write)
     }
 
+    fn chunk(&self, path: Option<&RelayPath>, bytes: Vec<u8>) -> RelayChunk {
+        let due = path.map_or_else(time::Instant::now, |path| self.schedule(path, bytes.len()));
+        RelayChunk { bytes, due }
+    }
+
     /// Takes the link for `count` bytes and returns the moment at which they arrive.
     fn schedule(&self, path: &RelayPath, count: usize) -> time::Instant {
         let now = time::Instant::now();
@@ -222,6 +242,31 @@
     }
 }
 
+/// Reads the head of the first request of a connection, and what came with it.
+async fn read_head(stream: &mut TcpStream) -> Vec<u8> {
+    let mut head = Vec::new();
+    let mut buffer = vec![0; CHUNK_BYTES];
+    while let Ok(count) = stream.read(&mut buffer).await {
+        head.extend_from_slice(&buffer[..count]);
+        let whole = head.windows(HEAD_END.len()).any(|window| window == HEAD_END);
+        if count == 0 || whole || head.len() >= CHUNK_BYTES {
+            break;
+        }
+    }
+    head
+}
+
+/// Returns the value of a header line with this name.
+fn named_value<'line>(line: &'line str, name: &str) -> Option<&'line str> {
+    let (found, value) = line.split_once(':')?;
+    found.eq_ignore_ascii_case(name).then(|| value.trim())
+}
+
+/// Whether the rest of a request's identifier follows a whole node name.
+fn follows(rest: &str) -> bool {
+    rest.starts_with('-')
+}
+
 fn link_of<'links>(
     links: &'links mut Vec<LinkState>,
     path: &RelayPath,
--- a/crates/comfreyspread-lab/src/replay.rs
+++ b/crates/comfreyspread-lab/src/replay.rs
@@ -36,6 +36,9 @@
     /// leave out the change of the availability zone
     #[argh(switch)]
     steady: bool,
+    /// leave out the network stand-in, so that all regions are as near as one
+    #[argh(switch)]
+    direct: bool,
     /// lab program of another build for the nodes
     #[argh(option)]
     node_program: Option<path::PathBuf>,
@@ -194,9 +197,10 @@
         let options = deployment::DeploymentOptions {
             node_arguments: ["--log-level", "warn"].map(ids::Text::from).into(),
             endpoint_arguments: vec!["--times".into(), times.to_string_lossy().into()],
-            link: Some(sample.plan.link.clone()),
+            link: (!self.direct).then(|| sample.plan.link.clone()),
             node_program: self.node_program.clone(),
             log_folder: Some(folder.to_owned()),
+            ..deployment::DeploymentOptions::default()
         };
         let program = process::own_program()?;
         let declarations = sample.declarations.clone();
@@ -259,7 +263,7 @@
             first_token: evidence.first_token(),
             goodput: evidence.goodput(),
             groups: evidence.groups(),
-            links: running.link_stats().await?.links,
+            links: if self.direct { Vec::new() } else { running.link_stats().await?.links },
             load: self.load,
             misses: Vec::new(),
             nodes: Vec::new(),
--- a/crates/comfreyspread/src/context.rs
+++ b/crates/comfreyspread/src/context.rs
@@ -40,12 +40,13 @@
     /// Creates the context of a node that starts.
     pub fn new(settings: settings::NodeSettings, spawner: worker::TaskSpawner) -> Self {
         let platform =
-            platform::PlatformClient::new(settings.platform_address, settings.store_timeout);
+            platform::PlatformClient::new(settings.platform_address, settings.store_timeout)
+                .with_agent(&settings.node);
         let start = rand::random();
         Self {
             start,
             tables: tables::SharedTables::new(&settings, start, time::Instant::now()),
-            client: http_client::HttpClient::new(settings.body_limit),
+            client: http_client::HttpClient::new(settings.body_limit).with_agent(&settings.node),
             platform,
             metrics: metrics::NodeMetrics::new(),
             spawner,
--- a/crates/comfreyspread/src/header.rs
+++ b/crates/comfreyspread/src/header.rs
@@ -30,3 +30,7 @@
 pub const EVENT_STREAM: &str = "text/event-stream";
 /// Media type of JSON.
 pub const JSON: &str = "application/json";
+/// Name of the sender of a request.
+pub const USER_AGENT: &str = "user-agent";
+/// What stands before the name of a node in the name of a sender.
+pub const AGENT_PREFIX: &str = "comfreyspread/";
--- a/crates/comfreyspread/src/http_client.rs
+++ b/crates/comfreyspread/src/http_client.rs
@@ -3,9 +3,9 @@
 //! A connection is used again only after an answer was read whole. A call that may not be repeated
 //! takes a fresh connection, so that a stale one cannot leave it in doubt.
 
-use crate::{deadline as deadlines, failure, rank};
+use crate::{deadline as deadlines, failure, header, rank};
 use async_net::TcpStream;
-use comfreyspread_schema::types;
+use comfreyspread_schema::{ids, types};
 use futures_lite::{AsyncReadExt as _, FutureExt as _};
 use http_types::{Request, Response, headers};
 use indexmap::IndexMap;
@@ -53,6 +53,7 @@
 pub struct HttpClient {
     idle: rank::RankedLock<rank::ConnectionRank, IndexMap<net::SocketAddr, Vec<IdleConnection>>>,
     body_limit: usize,
+    agent: Option<ids::Text>,
 }
 
 #[derive(Debug)]
@@ -64,7 +65,12 @@
 impl HttpClient {
     /// Creates a client that takes answers of up to `body_limit` bytes.
     pub fn new(body_limit: usize) -> Self {
-        Self { idle: rank::RankedLock::new(IndexMap::new()), body_limit }
+        Self { idle: rank::RankedLock::new(IndexMap::new()), body_limit, agent: None }
+    }
+
+    /// Sets the node named as the sender of each request.
+    pub fn with_agent(self, node: &ids::NodeId) -> Self {
+        Self { agent: Some(format!("{}{node}", header::AGENT_PREFIX).into()), ..self }
     }
 
     /// Makes a call and reads the whole answer.
@@ -83,7 +89,7 @@
         let stream = self.connect(address, connection, deadline).await?;
         check_time(deadline)?;
         let exchange = async {
-            let mut head = exchange_head(stream.clone(), request).await?;
+            let mut head = exchange_head(stream.clone(), self.signed(request)).await?;
             let body = read_whole(&mut head, self.body_limit).await?;
             Ok(ClientAnswer { head, body })
         };
@@ -108,7 +114,14 @@
     ) -> Result<Response, failure::CallFailure> {
         let stream = self.connect(address, ConnectionUse::Fresh, deadline).await?;
         check_time(deadline)?;
-        exchange_head(stream, request).or(timeout(deadline)).await
+        exchange_head(stream, self.signed(request)).or(timeout(deadline)).await
+    }
+
+    fn signed(&self, mut request: Request) -> Request {
+        if let Some(agent) = &self.agent {
+            request.insert_header(header::USER_AGENT, &**agent);
+        }
+        request
     }
 
     async fn connect(
--- a/crates/comfreyspread/src/platform.rs
+++ b/crates/comfreyspread/src/platform.rs
@@ -27,6 +27,11 @@
         Self { address, client: http_client::HttpClient::new(ANSWER_LIMIT_BYTES), timeout }
     }
 
+    /// Sets the node named as the sender of each request.
+    pub fn with_agent(self, node: &ids::NodeId) -> Self {
+        Self { client: self.client.with_agent(node), ..self }
+    }
+
     /// Reads one row; none if it is absent.
     ///
     /// # Errors
