Say that stages ran when the streamed one is refused

A streamed last stage gave its own verdict and forgot the stages before it. Ruled out: late records (the calls had finished before the refusal). Result: streams::stages_ran fails without the change (not-run) and passes with it.

--- a/crates/comfreyspread-lab/src/driver.rs
+++ b/crates/comfreyspread-lab/src/driver.rs
@@ -312,6 +312,8 @@
             let end = serde_json::from_slice::<wire::StreamEnd>(message.data());
             let whole = end.is_ok_and(|end| end.tokens == expected);
             return if whole { CallEnding::Answered } else { CallEnding::Cut };
+        } else if message.name() == "error" {
+            return CallEnding::MayHaveRun;
         }
     }
     CallEnding::Cut
--- a/crates/comfreyspread-lab/tests/streams.rs
+++ b/crates/comfreyspread-lab/tests/streams.rs
@@ -35,3 +35,23 @@
         deployment.stop().await.expect("a graceful stop");
     });
 }
+
+#[test]
+fn stages_ran() {
+    common::run(async {
+        let mut declarations = common::sample();
+        declarations.endpoints.retain(|endpoint| &*endpoint.pool != "appraise");
+        let deployment = common::deployment_with(declarations, 1, &[]).await;
+        let address = deployment.nodes[0].caller_address;
+        let mut request = caller::http_request(address, &common::pipeline_call());
+        request.insert_header("accept", header::EVENT_STREAM);
+        let client = http_client::HttpClient::new(1 << 20);
+        let deadline = time::Instant::now() + time::Duration::from_secs(30);
+        let fresh = http_client::ConnectionUse::Fresh;
+        let answer = client.call(address, request, fresh, deadline).await.expect("an answer");
+        assert_ne!(answer.status(), 200);
+        let records = deployment.records().await.expect("records").records;
+        assert!(!records.is_empty(), "the stages before the stream ran");
+        assert_eq!(answer.header(header::VERDICT), Some("may-have-run"));
+    });
+}
--- a/crates/comfreyspread/src/pipeline.rs
+++ b/crates/comfreyspread/src/pipeline.rs
@@ -63,7 +63,8 @@
     ) -> Result<StreamInput, failure::CallFailure> {
         let Some((last, stages)) = pipeline.stages.split_last() else { return Err(no_stages()) };
         let input = self.run_stages(pipeline, stages, body).await?;
-        Ok(StreamInput { ledger: self.ledger, stage: last.clone(), body: input })
+        let ran = !stages.is_empty();
+        Ok(StreamInput { ledger: self.ledger, stage: last.clone(), body: input, ran })
     }
 
     /// Runs one call of a stage or service.
@@ -130,6 +131,8 @@
     pub stage: types::StageDeclaration,
     /// Its input.
     pub body: ids::Payload,
+    /// Whether earlier stages ran.
+    pub ran: bool,
 }
 
 fn no_stages() -> failure::CallFailure {
@@ -137,7 +140,7 @@
 }
 
 /// Makes the verdict say that earlier stages ran.
-fn after_stages(failure: failure::CallFailure, ran: bool) -> failure::CallFailure {
+pub fn after_stages(failure: failure::CallFailure, ran: bool) -> failure::CallFailure {
     if ran && failure.verdict() == types::CallVerdict::NotRun {
         return failure.with_verdict(types::CallVerdict::MayHaveRun);
     }
--- a/crates/comfreyspread/src/stream_run.rs
+++ b/crates/comfreyspread/src/stream_run.rs
@@ -13,6 +13,7 @@
     cursor: stream::StreamCursor,
     source: Option<dispatch::OwnerStream>,
     began: time::Instant,
+    ran: bool,
 }
 
 /// What comes next of a streamed answer.
@@ -35,6 +36,7 @@
             cursor: stream::StreamCursor::new(),
             source: None,
             began: time::Instant::now(),
+            ran: input.ran,
         }
     }
 
@@ -51,6 +53,11 @@
     ///
     /// Fails with the verdict over all attempts if the stream cannot go on.
     pub async fn next(&mut self) -> Result<StreamStep, failure::CallFailure> {
+        let step = self.next_step().await;
+        step.map_err(|failure| pipeline::after_stages(failure, self.ran))
+    }
+
+    async fn next_step(&mut self) -> Result<StreamStep, failure::CallFailure> {
         loop {
             let failed = match self.next_frame().await? {
                 Ok(types::StageFrame::Token { run }) => match self.cursor.accept(&run) {
