Believe an endpoint's own word that it is leaving

Cause: the platform's list of VMs lags, and at 1,900 VMs a read of it is spread over 76 s, so an endpoint that leaves got work for longer than a few seconds.

Ruled out: waiting for the list; asking each endpoint for its state all the time (its answers carry it for nothing).

Change: an answer with `comfreyspread-engine-leaving: true` takes the endpoint's VM as leaving, whatever the list says, until the list has shown it live for 30 s.

Conclusion: the direct sign wins over the list; at most the cold limit of calls once in 30 s if the list lags by longer than that.

--- a/crates/comfreyspread-lab/src/endpoints.rs
+++ b/crates/comfreyspread-lab/src/endpoints.rs
@@ -91,6 +91,10 @@
     async fn handle(&self, request: http_server::ServerRequest) -> Response {
         match (request.method(), request.path()) {
             (Method::Get, "/records") => serving::json(&self.stand_in.records()),
+            (Method::Post, "/leave") => {
+                self.stand_in.leave();
+                Response::new(StatusCode::Ok)
+            }
             (Method::Post, "/faults") => serving::with_json(&request, |faults| {
                 self.stand_in.set_faults(faults);
                 Response::new(StatusCode::Ok)
--- a/crates/comfreyspread-lab/src/stand_in.rs
+++ b/crates/comfreyspread-lab/src/stand_in.rs
@@ -27,6 +27,7 @@
     faults: types::EndpointFaults,
     random: rngs::SmallRng,
     reported: Option<LoadSample>,
+    leaving: bool,
 }
 
 /// Calls in flight at a moment that has passed.
@@ -53,6 +54,7 @@
             faults,
             random: rngs::SmallRng::seed_from_u64(seed),
             reported: None,
+            leaving: false,
         }
     }
 
@@ -152,6 +154,11 @@
         memory.faults = faults;
     }
 
+    /// Says with each answer from now on that the endpoint is leaving.
+    pub fn leave(&self) {
+        self.memory.lock().leaving = true;
+    }
+
     /// Answers a call as the endpoint would.
     pub async fn answer(self: &sync::Arc<Self>, request: &http_server::ServerRequest) -> Response {
         if self.crashes(request) {
@@ -277,6 +284,9 @@
         let memory = self.memory.lock();
         response.insert_header(header::ENGINE_START, memory.start.to_string());
         response.insert_header(header::ENGINE_COLD, self.is_cold(&memory).to_string());
+        if memory.leaving {
+            response.insert_header(header::ENGINE_LEAVING, "true");
+        }
         response
     }
 }
--- a/crates/comfreyspread-policy/src/lifecycle.rs
+++ b/crates/comfreyspread-policy/src/lifecycle.rs
@@ -15,6 +15,8 @@
     pub start: Option<ids::StartId>,
     /// Whether it reports itself in cold start, if it says so or not.
     pub cold: Option<bool>,
+    /// Whether it reports that it is leaving.
+    pub leaving: bool,
 }
 
 /// One answer, as evidence of the state of its endpoint.
--- a/crates/comfreyspread-policy/src/vm_list.rs
+++ b/crates/comfreyspread-policy/src/vm_list.rs
@@ -3,7 +3,7 @@
 //! The list lags behind reality, and a read may come from a copy that is older than the one before.
 //! So a VM seen as leaving counts as leaving until reads have shown it live, and nothing else, for
 //! a stated time. A VM that is missing from the list says nothing: an endpoint on a VM that is gone
-//! is found by its connections.
+//! is found by its connections. An endpoint's own word that it is leaving counts like the list's.
 
 use comfreyspread_schema::{ids, types};
 use indexmap::IndexMap;
@@ -35,14 +35,17 @@
         self.leaving.contains_key(vm)
     }
 
+    /// Takes in an endpoint's own word that its VM is leaving, and returns whether that is new.
+    pub fn note_leaving(&mut self, vm: &ids::VmId) -> bool {
+        self.leaving.insert(vm.clone(), LeavingVm::default()).is_none()
+    }
+
     /// Takes in a list read at `now` and returns whether the VMs that count as leaving changed.
     pub fn observe(&mut self, list: &types::VmList, now: time::Instant) -> bool {
         let mut changed = false;
         for record in &list.vms {
             changed |= match record.state {
-                types::VmState::Leaving => {
-                    self.leaving.insert(record.vm.clone(), LeavingVm::default()).is_none()
-                }
+                types::VmState::Leaving => self.note_leaving(&record.vm),
                 types::VmState::Live => self.note_live(&record.vm, now),
             };
         }
--- a/crates/comfreyspread-policy/tests/lifecycle.rs
+++ b/crates/comfreyspread-policy/tests/lifecycle.rs
@@ -29,7 +29,7 @@
     for (event, now) in events.iter().zip((10..).step_by(10)) {
         match *event {
             Answer(sent, start, cold, slow) => {
-                let signs = lifecycle::EndpointSigns { start, cold };
+                let signs = lifecycle::EndpointSigns { start, cold, leaving: false };
                 let sample =
                     lifecycle::AnswerSample { signs, sent: at(sent), answered: at(now), slow };
                 life.note_answer(&sample, WARM_AFTER);
--- a/crates/comfreyspread-policy/tests/scheduler.rs
+++ b/crates/comfreyspread-policy/tests/scheduler.rs
@@ -115,7 +115,8 @@
 }
 
 fn outcome_of(choice: u8, start: u8) -> replica::CallOutcome {
-    let signs = lifecycle::EndpointSigns { start: Some(u64::from(start % 2)), cold: None };
+    let start = Some(u64::from(start % 2));
+    let signs = lifecycle::EndpointSigns { start, ..lifecycle::EndpointSigns::default() };
     match choice % 12 {
         0 => replica::CallOutcome::Crashed,
         1 => replica::CallOutcome::Unreachable,
--- a/crates/comfreyspread/src/endpoint.rs
+++ b/crates/comfreyspread/src/endpoint.rs
@@ -159,6 +159,7 @@
     lifecycle::EndpointSigns {
         start: value(header::ENGINE_START).and_then(|text| text.parse().ok()),
         cold: value(header::ENGINE_COLD).and_then(|text| text.parse().ok()),
+        leaving: value(header::ENGINE_LEAVING) == Some("true"),
     }
 }
 
--- a/crates/comfreyspread/src/header.rs
+++ b/crates/comfreyspread/src/header.rs
@@ -26,6 +26,8 @@
 pub const ENGINE_START: &str = "comfreyspread-engine-start";
 /// Whether an endpoint reports itself in cold start.
 pub const ENGINE_COLD: &str = "comfreyspread-engine-cold";
+/// Whether an endpoint reports that it is leaving.
+pub const ENGINE_LEAVING: &str = "comfreyspread-engine-leaving";
 /// Media type of a streamed answer.
 pub const EVENT_STREAM: &str = "text/event-stream";
 /// Media type of JSON.
--- a/crates/comfreyspread/src/placement.rs
+++ b/crates/comfreyspread/src/placement.rs
@@ -4,7 +4,7 @@
 //! operators let it take work; if not, the call goes back to the queue.
 
 use crate::{context, endpoint, failure, frames, pool_changes, slot};
-use comfreyspread_policy::{attempt, replica, stream};
+use comfreyspread_policy::{attempt, lifecycle, replica, stream};
 use comfreyspread_schema::{ids, types};
 use std::{sync, time};
 
@@ -93,6 +93,7 @@
         let relayed = async {
             let mut opened = self.call.open(context, planned).await?;
             self.slot.note_signs(opened.signs);
+            self.check_leaving(context, opened.signs);
             relay_events(&mut opened, cursor, sender, self.call.deadline).await?;
             Ok(opened)
         };
@@ -114,6 +115,9 @@
         self.slot.note_sent();
         let answer = self.call.send(context, planned).await;
         self.check_fence(context, answer.as_ref().err());
+        if let Ok(answer) = &answer {
+            self.check_leaving(context, answer.signs);
+        }
         self.slot.finish(match &answer {
             Ok(answer) => {
                 let latency = Some(started.elapsed());
@@ -126,6 +130,16 @@
 }
 
 impl PlacedCall {
+    /// Takes the endpoint's VM as leaving if the endpoint says so, whatever the list says.
+    fn check_leaving(&self, context: &context::NodeContext, signs: lifecycle::EndpointSigns) {
+        let catalog = context.tables.catalog();
+        let Some(declaration) = catalog.endpoint(self.endpoint()) else { return };
+        if signs.leaving && context.tables.vms.lock().note_leaving(&declaration.vm) {
+            log::info!(endpoint = self.endpoint().as_ref(); "owner: the endpoint is leaving");
+            context.tables.changed.notify(usize::MAX);
+        }
+    }
+
     /// Gives the ownership up if the endpoint has seen a newer fencing number.
     fn check_fence(&self, context: &context::NodeContext, failure: Option<&failure::CallFailure>) {
         if failure.is_none_or(|failure| failure.problem() != types::ProblemKind::StaleFence) {
