Read a former owner's calls after the permits

Cause: one run of flood_by_all of about 30 showed arrivals beyond a limit, at a machine load of 24. Schedulers took the calls of former owners from the ownership table, then, after letting its lock go, the permits: a handover in between gave an endpoint free without its former owner's calls. small_workspace failed once as well: its calls take 330 ms idle, its queue held 400 ms.

Ruled out: the count of calls in flight (the model checks hold it); a premature start of the load, which a handover has to bear. Not ruled out: calls that timed out at a loaded stand-in and ran on.

Change: the inherited calls are read after the permits.

Conclusion: a window is closed; if flood_by_all fails again, look at timeouts.

--- a/crates/comfreyspread/src/pool_changes.rs
+++ b/crates/comfreyspread/src/pool_changes.rs
@@ -20,13 +20,14 @@
     let catalog = context.tables.catalog();
     let now = time::Instant::now();
     let ownership = context.tables.ownership.lock();
-    let inherited = ownership.all_inherited(now);
     context.tables.pools.lock().set_owned(Some(ownership.owned(now)));
     drop(ownership);
     for pool in catalog.pools() {
         let names = pool.endpoints().iter();
         let available: IndexSet<_> =
             names.filter(|name| permit(context, &catalog, name, now).is_some()).cloned().collect();
+        // Read after the permits: the calls of a former owner are known before a permit is given.
+        let inherited = context.tables.ownership.lock().all_inherited(now);
         context.tables.pools.lock().follow(pool.declaration(), &available, &inherited, now);
     }
 }
