Bound what an isolated node asks, and let fencing numbers count from the clock

Ruled out: a shorter pause between questions; the waits were new each time.

Change: waits are dropped only when contact is lost, regained or after a freeze; a question is put again after a pause or when it goes to other nodes; numbers count at least from the wall clock.

--- a/crates/comfreyspread-lab/tests/endpoint_owners.rs
+++ b/crates/comfreyspread-lab/tests/endpoint_owners.rs
@@ -118,3 +118,29 @@
         assert_eq!(seen.expect("a record").record.start, second);
     });
 }
+
+#[test]
+fn owner_frozen() {
+    common::run(async {
+        let deployment = common::deployment_with(common::sample(), 3, &TIMES).await;
+        let before = settled(&deployment, &[0, 1, 2]).await;
+        let frozen = owned_by(&before, "entry-1");
+        assert!(!frozen.is_empty(), "the node frozen owned nothing");
+        deployment.nodes[0].process.signal(Signal::STOP);
+        let during = settled(&deployment, &[1, 2]).await;
+        deployment.nodes[0].process.signal(Signal::CONT);
+        for endpoint in &frozen {
+            assert!(rises(&before, &during, endpoint), "{endpoint} kept its fencing number");
+        }
+        let deadline = time::Instant::now() + SETTLE_LIMIT;
+        let mut after = settled(&deployment, &[0, 1, 2]).await;
+        while owned_by(&after, "entry-1").len() != frozen.len() {
+            assert!(time::Instant::now() < deadline, "the node woken owns nothing again");
+            async_io::Timer::after(POLL).await;
+            after = settled(&deployment, &[0, 1, 2]).await;
+        }
+        for endpoint in &frozen {
+            assert!(rises(&during, &after, endpoint), "{endpoint} was used without a handover");
+        }
+    });
+}
--- a/crates/comfreyspread-policy/src/ownership.rs
+++ b/crates/comfreyspread-policy/src/ownership.rs
@@ -34,10 +34,12 @@
     instance: member::MemberInstance,
     times: contact::OwnershipTimes,
     started: time::Instant,
+    started_millis: u64,
     seeds: contact::SeedContact,
     contact: contact::PeerContact,
     observed: Option<time::Instant>,
     regained: Option<time::Instant>,
+    dropped: bool,
     view: Option<(u64, ids::RevisionNumber)>,
     ranks: IndexMap<ids::EndpointId, Vec<ids::NodeId>>,
     slots: IndexMap<ids::EndpointId, ownership_life::OwnershipSlot>,
@@ -57,10 +59,12 @@
             instance,
             times,
             started,
+            started_millis: 0,
             seeds: contact::SeedContact::Silent,
             contact: contact::PeerContact::Alone,
             observed: None,
             regained: None,
+            dropped: false,
             view: None,
             ranks: IndexMap::new(),
             slots: IndexMap::new(),
@@ -75,6 +79,11 @@
         Self { seeds: contact::SeedContact::Answered, ..self }
     }
 
+    /// Sets the wall-clock time of the start in milliseconds, from which fencing numbers count.
+    pub fn with_start_time(self, started_millis: u64) -> Self {
+        Self { started_millis, ..self }
+    }
+
     /// Returns the node through which calls to an endpoint pass in this node's view.
     pub fn owner_of(&self, endpoint: &ids::EndpointId) -> Option<ids::NodeId> {
         self.ranks.get(endpoint)?.first().cloned()
@@ -327,12 +336,15 @@
                 self.contact = contact::PeerContact::Isolated(since);
             }
         }
-        if let Some(since) = self.regained.take() {
+        let regained = self.regained.take();
+        if let Some(since) = regained {
             members.resume(since, now);
         }
         self.contact = self.contact.advance(members, self.times, now);
         let isolated = matches!(self.contact, contact::PeerContact::Isolated(_));
-        if frozen_since.is_some() || isolated {
+        let lost = isolated && !self.dropped;
+        self.dropped = isolated;
+        if frozen_since.is_some() || regained.is_some() || lost {
             let slots = std::mem::take(&mut self.slots).into_iter();
             self.slots = slots.map(|(endpoint, slot)| (endpoint, slot.release())).collect();
         }
@@ -435,7 +447,7 @@
             }
             return ownership_life::OwnershipSlot::Waiting(waiting);
         }
-        ownership_life::OwnershipSlot::Owned(waiting.own(self.tag()))
+        ownership_life::OwnershipSlot::Owned(waiting.own(self.tag(), self.wall_millis(now)))
     }
 
     /// Whether this node may own endpoints that no other node owns: its start is settled, and an
@@ -458,12 +470,18 @@
         let failed = types::MemberPhase::Failed;
         let held = named.filter(|entry| entry.record().phase != failed);
         let held = held.map(|entry| member::MemberInstance::new(entry.record()));
-        let mut blockers: Vec<_> = held.chain(self.askers.get(endpoint).cloned()).collect();
+        let asker = self.askers.get(endpoint).filter(|asker| members.is_live(asker));
+        let mut blockers: Vec<_> = held.chain(asker.cloned()).collect();
         blockers.sort_by(|one, other| (&one.node, one.start).cmp(&(&other.node, other.start)));
         blockers.dedup();
         blockers
     }
 
+    fn wall_millis(&self, now: time::Instant) -> u64 {
+        let since = now.saturating_duration_since(self.started).as_millis();
+        self.started_millis.saturating_add(u64::try_from(since).unwrap_or(u64::MAX))
+    }
+
     fn tag(&self) -> u16 {
         let hash = xxh3::xxh3_64_with_seed(self.instance.node.as_bytes(), self.instance.start);
         u16::try_from(hash & u64::from(u16::MAX)).unwrap_or(u16::MAX)
--- a/crates/comfreyspread-policy/src/ownership_life.rs
+++ b/crates/comfreyspread-policy/src/ownership_life.rs
@@ -16,7 +16,14 @@
     confirmed: IndexSet<member::MemberInstance>,
     not_before: Option<time::Instant>,
     floor: Option<ids::FenceNumber>,
-    asked: Option<time::Instant>,
+    asked: Option<Box<PutQuestion>>,
+}
+
+/// The last question put for an endpoint.
+#[derive(Debug)]
+struct PutQuestion {
+    at: time::Instant,
+    to: IndexSet<member::MemberInstance>,
 }
 
 /// State of an ownership held by this node.
@@ -68,10 +75,7 @@
     /// Takes note that a node confirmed it does not own the endpoint and will not before it has
     /// asked this one.
     pub fn confirm(&mut self, instance: &member::MemberInstance) {
-        let blocked = self.state.blockers.swap_remove(instance).is_some();
-        if blocked && self.state.blockers.is_empty() {
-            self.state.asked = None;
-        }
+        self.state.blockers.swap_remove(instance);
         self.state.confirmed.insert(instance.clone());
     }
 
@@ -81,17 +85,23 @@
             return;
         }
         self.state.blockers.insert(instance, OwnerAbsence::default());
-        self.state.asked = None;
     }
 
-    /// Whether to put the question that the wait depends on now; it is put again only after
-    /// `pause`, so that answers to other questions do not multiply it.
+    /// Whether to put the question that the wait depends on now: to the nodes waited for or, once
+    /// there are none, to the endpoint. It is put again only after `pause` or to other nodes, so
+    /// that answers to other questions do not multiply it.
     pub fn should_ask(&mut self, pause: time::Duration, now: time::Instant) -> bool {
-        let due = self.state.asked.is_none_or(|asked| now >= asked + pause);
-        if due {
-            self.state.asked = Some(now);
+        let blockers = &self.state.blockers;
+        let put = self.state.asked.as_ref().is_some_and(|asked| {
+            let same = blockers.keys().all(|blocker| asked.to.contains(blocker));
+            let endpoint = blockers.is_empty() == asked.to.is_empty();
+            now < asked.at + pause && same && endpoint
+        });
+        if !put {
+            let to = blockers.keys().cloned().collect();
+            self.state.asked = Some(Box::new(PutQuestion { at: now, to }));
         }
-        due
+        !put
     }
 
     /// Takes note of a fencing number in use.
@@ -107,19 +117,17 @@
         lapse: time::Duration,
         now: time::Instant,
     ) {
-        let waited = self.state.blockers.len();
         self.state
             .blockers
             .retain(|instance, absence| !absence.is_over(instance, members, lapse, now));
-        if waited > 0 && self.state.blockers.is_empty() {
-            self.state.asked = None;
-        }
     }
 
     /// Owns the endpoint with a number above all known ones; `tag` marks the node in the low bits.
-    pub fn own(self, tag: u16) -> EndpointOwnership<OwnedState> {
+    /// The number counts at least to `least`, which grows with time, so that it also exceeds the
+    /// number of a former owner that the endpoint never saw.
+    pub fn own(self, tag: u16, least: u64) -> EndpointOwnership<OwnedState> {
         let known = self.highest.max(self.state.floor.unwrap_or(0));
-        let count = (known >> u16::BITS) + 1;
+        let count = ((known >> u16::BITS) + 1).max(least);
         let fence = (count << u16::BITS) | u64::from(tag);
         EndpointOwnership { highest: fence, state: OwnedState { fence } }
     }
--- a/crates/comfreyspread-policy/tests/model/exchange.rs
+++ b/crates/comfreyspread-policy/tests/model/exchange.rs
@@ -1,8 +1,7 @@
 //! What a node of the model does at a heartbeat and with each message.
 
 use super::{ANSWER_LIMIT, Event, HEARTBEAT, HELPERS, Message, Model, RECORDS, name};
-use comfreyspread_policy::ownership_action::OwnershipAction;
-use comfreyspread_policy::{contact, member};
+use comfreyspread_policy::{contact, member, ownership_action};
 use comfreyspread_schema::{ids, types};
 use rand::Rng as _;
 use std::time;
@@ -53,7 +52,7 @@
         self.send(from, to, Message::Heartbeat { members: records, whole }, self.now);
     }
 
-    pub(super) fn observe(&mut self, index: usize) -> Vec<OwnershipAction> {
+    pub(super) fn observe(&mut self, index: usize) -> Vec<ownership_action::OwnershipAction> {
         let now = self.now;
         let node = &mut self.nodes[index];
         if !node.ownership.stood_still(now) {
@@ -62,20 +61,24 @@
         node.ownership.observe(&mut node.members, &self.catalog, now)
     }
 
-    pub(super) fn carry_out(&mut self, index: usize, actions: Vec<OwnershipAction>) {
+    pub(super) fn carry_out(
+        &mut self,
+        index: usize,
+        actions: Vec<ownership_action::OwnershipAction>,
+    ) {
         for action in actions {
             match action {
-                OwnershipAction::Ask { member, endpoints } => {
+                ownership_action::OwnershipAction::Ask { member, endpoints } => {
                     let Some(to) = self.position(&member.node) else { continue };
                     let member = self.nodes[index].members.local().clone();
                     self.send(index, to, Message::Question { member, endpoints }, self.now);
                 }
-                OwnershipAction::ReadFence { endpoint } => {
+                ownership_action::OwnershipAction::ReadFence { endpoint } => {
                     let place = self.catalog.endpoints().position(|entry| entry.name == endpoint);
                     let fence = self.fences[place.expect("declared")];
                     self.nodes[index].ownership.learn(&endpoint, fence, 0, self.now);
                 }
-                OwnershipAction::Notify { node, endpoint } => {
+                ownership_action::OwnershipAction::Notify { node, endpoint } => {
                     let Some(to) = self.position(&node) else { continue };
                     let next = self.instance(to);
                     let node = &self.nodes[index];
--- a/crates/comfreyspread-policy/tests/model/mod.rs
+++ b/crates/comfreyspread-policy/tests/model/mod.rs
@@ -34,7 +34,7 @@
 #[derive(Clone, Debug)]
 struct QueuedEvent {
     at: time::Instant,
-    order: u64,
+    pub order: u64,
     node: usize,
     start: ids::StartId,
     event: Event,
@@ -99,7 +99,7 @@
     pub random: rngs::SmallRng,
     base: time::Instant,
     queue: BinaryHeap<QueuedEvent>,
-    order: u64,
+    pub order: u64,
     double_since: Option<time::Instant>,
 }
 
--- a/crates/comfreyspread-policy/tests/single_owner.rs
+++ b/crates/comfreyspread-policy/tests/single_owner.rs
@@ -117,3 +117,17 @@
     model.run(time::Duration::from_millis(2500), assert_single);
     assert!(model.nodes[4].ownership.owned(model.now).is_empty());
 }
+
+#[test]
+fn bounded_messages() {
+    let mut model = model::Model::new(5, 6, 1);
+    for _ in 0..3 {
+        model.isolate(4, true, true);
+        model.run(time::Duration::from_secs(4), assert_single);
+        model.isolate(4, false, false);
+        let before = model.order;
+        model.run(time::Duration::from_secs(10), assert_single);
+        let events = model.order - before;
+        assert!(events < 1000, "{events} events after a cut of one node");
+    }
+}
--- a/crates/comfreyspread/src/handover.rs
+++ b/crates/comfreyspread/src/handover.rs
@@ -26,7 +26,8 @@
 ) -> ownership::OwnershipTable {
     let instance = member::MemberInstance { node: settings.node.clone(), start };
     let times = contact::OwnershipTimes::new(settings.lapse);
-    let table = ownership::OwnershipTable::new(instance, times, now);
+    let millis = u64::try_from(jiff::Timestamp::now().as_millisecond()).unwrap_or(0);
+    let table = ownership::OwnershipTable::new(instance, times, now).with_start_time(millis);
     let own_seeds = settings.seeds.iter().all(|seed| *seed == settings.peer_address);
     if own_seeds { table.with_no_seeds() } else { table }
 }
--- /dev/null
+++ b/crates/comfreyspread/tests/heartbeat_size.rs
@@ -0,0 +1,66 @@
+//! Bytes a node spends on heartbeats stay flat as the deployment grows.
+
+use comfreyspread_policy::membership;
+use comfreyspread_schema::types;
+use std::time;
+
+const RECORDS_PER_MESSAGE: usize = 4;
+const MESSAGES: usize = 200;
+/// Messages a node sends each second: two probes, and the replies to two.
+const MESSAGES_PER_SECOND: f64 = 4.0;
+/// Bytes of HTTP around one message.
+const HTTP_BYTES: f64 = 200.0;
+
+fn record(index: usize) -> types::MemberRecord {
+    types::MemberRecord {
+        address: ([10, 0, 0, 1], 18_000).into(),
+        incarnation: 3,
+        node: format!("entry-antioquia-{index:03}").into(),
+        node_phase: types::NodePhase::Serving,
+        phase: types::MemberPhase::Alive,
+        region: "antioquia".into(),
+        revision: 2400,
+        start: u64::MAX - 1,
+        vm: format!("vm-antioquia-{index:03}").into(),
+        zone: "antioquia-a".into(),
+    }
+}
+
+/// Returns the mean size of a message, with changes to pass on in each.
+fn mean_bytes(members: usize) -> f64 {
+    let now = time::Instant::now();
+    let lapse = time::Duration::from_secs(3);
+    let times = membership::MemberTimes { lapse, forget: lapse * 20 };
+    let mut table = membership::MemberTable::new(record(0), times);
+    let mut total = 0;
+    for index in 0..MESSAGES {
+        (1..members).for_each(|other| {
+            table.merge(types::MemberRecord { incarnation: index as u64, ..record(other) }, now);
+        });
+        let message = types::Heartbeat {
+            header: types::PeerHeader {
+                node: record(0).node,
+                protocol: 1,
+                revision: 2400,
+                start: u64::MAX - 1,
+            },
+            hints: Vec::new(),
+            members: table.take_records(RECORDS_PER_MESSAGE, &mut rand::rng()),
+            suspects: Vec::new(),
+            target: None,
+            whole: false,
+        };
+        total += rmp_serde::to_vec_named(&message).expect("encodable").len();
+    }
+    total as f64 / MESSAGES as f64
+}
+
+#[test]
+fn flat_cost() {
+    for members in [8, 64, 256, 670] {
+        let bytes = mean_bytes(members);
+        let rate = (bytes + HTTP_BYTES) * MESSAGES_PER_SECOND;
+        println!("{members} members: {bytes:.0} bytes a message, {rate:.0} bytes a second");
+        assert!(rate < 5000.0, "{rate} bytes a second at {members} members");
+    }
+}
