--- a/crates/comfreyspread-lab/src/configuration_report.rs
+++ b/crates/comfreyspread-lab/src/configuration_report.rs
@@ -1,6 +1,6 @@
 //! Report on changes of the configuration: time until in force at every node, and sizes.
 
-use crate::{caller, deployment, process};
+use crate::{caller, deployment, process, types};
 use async_io::Timer;
 use comfreyspread::operator;
 use comfreyspread_policy::{catalog, delta, validation};
@@ -11,6 +11,7 @@
 
 const SAMPLE: &str = include_str!("../samples/quickstart.json");
 const LOOK_PERIOD: time::Duration = time::Duration::from_millis(5);
+const IDLE_TIME: time::Duration = time::Duration::from_secs(5);
 const LOOK_LIMIT: time::Duration = time::Duration::from_secs(10);
 const MOST_MICROS: u64 = 60_000_000;
 const SIGNIFICANT_DIGITS: u8 = 3;
@@ -56,6 +57,9 @@
     }
 
     async fn time_changes(&self, deployment: &deployment::TestDeployment) -> miette::Result<()> {
+        let idle = deployment.store_stats().await?;
+        Timer::after(IDLE_TIME).await;
+        let before = deployment.store_stats().await?;
         let mut in_force = new_histogram()?;
         let mut accepted = new_histogram()?;
         let mut declarations = deployment.declarations.clone();
@@ -78,6 +82,7 @@
         println!("{nodes} nodes, {} changes, from the start of the write", self.changes);
         print_times("in force at every node", &in_force);
         print_times("accepted", &accepted);
+        print_store(&idle, &before, &deployment.store_stats().await?);
         Ok(())
     }
 }
@@ -136,6 +141,20 @@
     }
 }
 
+/// Prints what the platform was asked while idle and during the changes.
+fn print_store(idle: &types::StoreStats, before: &types::StoreStats, after: &types::StoreStats) {
+    let span = |from: &types::StoreStats, to: &types::StoreStats| {
+        let time = to.now.saturating_sub(from.now).as_millis();
+        format!(
+            "{} reads and {} writes in {time} ms",
+            to.reads - from.reads,
+            to.writes - from.writes
+        )
+    };
+    println!("platform while idle: {}", span(idle, before));
+    println!("platform during the changes: {}", span(before, after));
+}
+
 fn print_sizes() -> miette::Result<()> {
     println!(
         "workspaces endpoints document_json document_wire step_wire validate_us index_us step_us"
--- a/crates/comfreyspread-policy/src/change.rs
+++ b/crates/comfreyspread-policy/src/change.rs
@@ -154,6 +154,10 @@
     if request.base != head.revision() {
         return Err(ChangeRefusal::Conflict(head.record()));
     }
+    if head.document.is_none() && !matches!(request.order, types::ChangeOrder::Declare { .. }) {
+        let detail = "there is no configuration yet; apply declarations first";
+        return Err(ChangeRefusal::Unknown(detail.into()));
+    }
     let mut document = head.document.clone().unwrap_or_else(empty_document);
     delta::sort(&mut document.declarations);
     let summary = carry_out(&mut document, &request.order, vms)?;
--- a/crates/comfreyspread-policy/tests/change.rs
+++ b/crates/comfreyspread-policy/tests/change.rs
@@ -243,3 +243,12 @@
     let refusal = change::plan(store.current(), &order, &IndexSet::new());
     assert!(matches!(refusal, Err(change::ChangeRefusal::Unknown(_))));
 }
+
+#[test]
+fn declarations_first() {
+    let mut order = request("one", 0);
+    order.order = types::ChangeOrder::VmOut { vm: "entry-1".into() };
+    let vms = ["entry-1".into()].into_iter().collect();
+    let refusal = change::plan(&change::StoredHead::new(), &order, &vms);
+    assert!(matches!(refusal, Err(change::ChangeRefusal::Unknown(_))), "{refusal:?}");
+}
--- a/crates/comfreyspread/src/command.rs
+++ b/crates/comfreyspread/src/command.rs
@@ -19,6 +19,7 @@
 #[argh(subcommand)]
 enum TopVerb {
     Apply(declaration_verbs::ApplyArguments),
+    Claims(state_verbs::ClaimsArguments),
     Diff(declaration_verbs::DiffArguments),
     Dump(state_verbs::DumpArguments),
     Node(Box<schema_settings::NodeFlags>),
@@ -49,6 +50,7 @@
     pub fn run(self) -> process::ExitCode {
         let done = match self.verb {
             TopVerb::Apply(arguments) => async_io::block_on(arguments.run()),
+            TopVerb::Claims(arguments) => async_io::block_on(arguments.run()),
             TopVerb::Diff(arguments) => async_io::block_on(arguments.run()),
             TopVerb::Dump(arguments) => async_io::block_on(arguments.run()),
             TopVerb::Node(flags) => return report_node(run_node(&flags)),
--- a/crates/comfreyspread/src/front.rs
+++ b/crates/comfreyspread/src/front.rs
@@ -45,7 +45,7 @@
                 response.insert_header("content-type", METRICS_MEDIA_TYPE);
                 response
             }
-            (Method::Get, "/operator/claims") => self.list_claims().await,
+            (Method::Get, operator::CLAIM_PATH) => self.list_claims().await,
             _ if path.starts_with(operator::PATH_PREFIX) => {
                 operator::serve(&self.context, request).await
             }
--- a/crates/comfreyspread/src/operator_client.rs
+++ b/crates/comfreyspread/src/operator_client.rs
@@ -70,6 +70,16 @@
         self.decode(&answer)
     }
 
+    /// Returns the claims whose outcome is not known.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the node or its store does not answer.
+    pub async fn claims(&self) -> Result<types::ClaimList, operator_exit::OperatorError> {
+        let answer = self.get(operator::CLAIM_PATH).await?;
+        self.decode(&answer)
+    }
+
     /// Submits a change and returns what became of it.
     ///
     /// # Errors
--- a/crates/comfreyspread/src/operator_exit.rs
+++ b/crates/comfreyspread/src/operator_exit.rs
@@ -113,6 +113,8 @@
     /// Prints the report for people and returns the exit code.
     pub fn report(self) -> process::ExitCode {
         let code = process::ExitCode::from(self.code());
+        let options = || miette::MietteHandlerOpts::new().wrap_lines(false).break_words(false);
+        miette::set_hook(Box::new(move |_| Box::new(options().build()))).ok();
         eprintln!("{:?}", miette::Report::new(self));
         code
     }
--- a/crates/comfreyspread/src/state_verbs.rs
+++ b/crates/comfreyspread/src/state_verbs.rs
@@ -1,4 +1,4 @@
-//! Commands that show state: `status` of all nodes and `dump` of one.
+//! Commands that show state: `status` of all nodes, `dump` of one, and `claims`.
 
 use crate::{operator_client, operator_exit, service_verbs};
 use comfreyspread_schema::{ids, types};
@@ -30,6 +30,42 @@
     json: bool,
 }
 
+/// list the claims of non-repeatable requests whose outcome is not known
+#[derive(Debug, argh::FromArgs)]
+#[argh(subcommand, name = "claims")]
+pub struct ClaimsArguments {
+    /// caller address of any node (default: COMFREYSPREAD_OPERATOR_NODE or 127.0.0.1:8080)
+    #[argh(option, from_str_fn(service_verbs::text))]
+    node: Option<ids::Text>,
+    /// print the claims as JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+impl ClaimsArguments {
+    /// Lists the claims.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the node or its store does not answer.
+    pub async fn run(&self) -> Result<process::ExitCode, operator_exit::OperatorError> {
+        let client = operator_client::OperatorClient::new(self.node.as_deref());
+        let list = client.claims().await?;
+        if self.json {
+            service_verbs::print_json(&list);
+            return Ok(process::ExitCode::from(operator_exit::DONE));
+        }
+        for claim in &list.claims {
+            println!(
+                "{:<20} {:<32} {:<10} held by {} for request {}",
+                claim.workspace, claim.key, claim.phase, claim.node, claim.request
+            );
+        }
+        println!("claims without a known outcome: {}", list.claims.len());
+        Ok(process::ExitCode::from(operator_exit::DONE))
+    }
+}
+
 impl StatusArguments {
     /// Shows the state of all nodes.
     ///
--- a/crates/comfreyspread/tests/declarations.rs
+++ b/crates/comfreyspread/tests/declarations.rs
@@ -54,6 +54,19 @@
     assert!(misspelt.contains("nom"), "{misspelt}");
 }
 
+#[test]
+fn samples_valid() {
+    let samples = [
+        SAMPLE,
+        include_str!("../../comfreyspread-lab/samples/oro-vivo.json"),
+        include_str!("../../comfreyspread-lab/samples/savinja.json"),
+    ];
+    for sample in samples {
+        let declarations = FileFormat::Json.decode(sample).expect("a sample");
+        assert_eq!(validation::validate(&declarations), []);
+    }
+}
+
 #[test]
 fn files_merge() {
     let twice = declarations::merge(sample(), sample());
--- /dev/null
+++ b/crates/comfreyspread/tests/settings_table.rs
@@ -0,0 +1,28 @@
+//! The settings table of the operators' page is that of the schema.
+
+use comfreyspread_schema::{setting, settings};
+
+const PAGE: &str = include_str!("../../../docs/OPERATORS.md");
+
+/// Returns the line of the table that describes a setting.
+fn line(row: &setting::SettingRow) -> String {
+    let flag = row.name.replace('_', "-");
+    let allowed = match row.allowed {
+        setting::AllowedValues::Text => "text".to_owned(),
+        setting::AllowedValues::Words(words) => words.join(", "),
+        setting::AllowedValues::Range { least, most } => format!("{least} to {most}"),
+    };
+    let default = match row.default {
+        Some("") => "empty",
+        Some(text) => text,
+        None => "required",
+    };
+    format!("| `--{flag}` | `{}` | {default} | {allowed} | {} |", row.variable, row.help)
+}
+
+#[test]
+fn rows_agree() {
+    let expected: Vec<_> = settings::SETTING_ROWS.iter().map(line).collect();
+    let found: Vec<_> = PAGE.lines().filter(|line| line.starts_with("| `--")).collect();
+    assert_eq!(found, expected, "put these lines into the table of docs/OPERATORS.md");
+}
