--- a/crates/comfreyspread-policy/src/ownership.rs
+++ b/crates/comfreyspread-policy/src/ownership.rs
@@ -257,9 +257,7 @@
                 blockers
                     .filter(|blocker| *blocker != self.instance)
                     .for_each(|blocker| waiting.block(blocker));
-                if release.fence > 0 {
-                    waiting.learn(release.fence);
-                }
+                waiting.raise(release.fence);
             }
             if release.running > 0 || release.phase != types::EndpointPhase::Unknown {
                 self.inherit(&release.endpoint, release.running, release.phase, now);
--- a/crates/comfreyspread-policy/src/ownership_life.rs
+++ b/crates/comfreyspread-policy/src/ownership_life.rs
@@ -104,7 +104,12 @@
         !put
     }
 
-    /// Takes note of a fencing number in use.
+    /// Takes note of a number that another node used; the endpoint may have seen a higher one.
+    pub fn raise(&mut self, fence: ids::FenceNumber) {
+        self.highest = self.highest.max(fence);
+    }
+
+    /// Takes note of the highest number that the endpoint has seen.
     pub fn learn(&mut self, fence: ids::FenceNumber) {
         let floor = self.state.floor.unwrap_or(0).max(fence);
         self.state.floor = Some(floor);
