--- a/crates/comfreyspread-policy/tests/acceptance.rs
+++ b/crates/comfreyspread-policy/tests/acceptance.rs
@@ -1,7 +1,8 @@
 //! Which nodes have to confirm a change.
 
 use comfreyspread_policy::acceptance;
-use comfreyspread_schema::types::MemberPhase;
+use comfreyspread_schema::types;
+use types::MemberPhase;
 
 #[test]
 fn serving_nodes() {
