Count a node as settled though an endpoint does not answer

Ruled out: the order of start and configuration (late_configuration passed). Change: an endpoint no other node stands before counts as settled.

--- a/crates/comfreyspread-lab/tests/thin_path.rs
+++ b/crates/comfreyspread-lab/tests/thin_path.rs
@@ -3,6 +3,10 @@
 mod common;
 
 use comfreyspread::header;
+use comfreyspread_lab::deployment;
+use std::{path, time};
+
+const BEFORE_CONFIGURATION: time::Duration = time::Duration::from_secs(5);
 
 #[test]
 fn pipeline_served() {
@@ -38,3 +42,36 @@
         assert!(deployment.records().await.expect("records").records.is_empty());
     });
 }
+
+#[test]
+fn late_configuration() {
+    common::run(async {
+        let program = path::PathBuf::from(env!("CARGO_BIN_EXE_comfreyspread-lab"));
+        let places = common::places(2);
+        let started =
+            deployment::TestDeployment::new(program, common::sample(), &places, &[]).await;
+        let deployment = started.expect("the processes start");
+        async_io::Timer::after(BEFORE_CONFIGURATION).await;
+        deployment.configure(1).await.expect("the nodes become ready");
+        deployment.stop().await.expect("a graceful stop");
+    });
+}
+
+#[test]
+fn endpoints_down() {
+    common::run(async {
+        let program = path::PathBuf::from(env!("CARGO_BIN_EXE_comfreyspread-lab"));
+        let places = common::places(2);
+        let started =
+            deployment::TestDeployment::new(program, common::sample(), &places, &[]).await;
+        let mut deployment = started.expect("the processes start");
+        deployment.endpoints.kill();
+        deployment.configure(1).await.expect("the nodes become ready");
+        let answer = deployment
+            .caller
+            .call(deployment.nodes[0].caller_address, &common::pipeline_call())
+            .await
+            .expect("a whole answer");
+        assert_eq!(answer.header(header::VERDICT), Some("not-run"));
+    });
+}
--- a/crates/comfreyspread-policy/src/ownership.rs
+++ b/crates/comfreyspread-policy/src/ownership.rs
@@ -190,7 +190,7 @@
             self.step(&endpoint, previous, members, now, &mut actions);
         }
         let serving = members.local().node_phase == types::NodePhase::Serving;
-        self.settled |= serving && catalog.revision() > 0 && self.owns_its_own();
+        self.settled |= serving && catalog.revision() > 0 && self.has_its_own(members, now);
         actions.finish()
     }
 
@@ -305,11 +305,18 @@
         owned || first == Some(&self.instance.node)
     }
 
-    fn owns_its_own(&self) -> bool {
+    /// Whether no other node stands between this node and the endpoints that fall to it. One that
+    /// does not answer is waited for by its calls, not by the node.
+    fn has_its_own(&self, members: &membership::MemberTable, now: time::Instant) -> bool {
+        let may_acquire = self.may_acquire(members, now);
         let mut own =
             self.ranks.iter().filter(|(_, ranked)| ranked.first() == Some(&self.instance.node));
-        own.all(|(endpoint, _)| {
-            matches!(self.slots.get(endpoint), Some(ownership_life::OwnershipSlot::Owned(_)))
+        own.all(|(endpoint, _)| match self.slots.get(endpoint) {
+            Some(ownership_life::OwnershipSlot::Owned(_)) => true,
+            Some(ownership_life::OwnershipSlot::Waiting(waiting)) => {
+                may_acquire && waiting.is_clear(now)
+            }
+            _ => false,
         })
     }
 
