--- a/crates/comfreyspread-policy/src/queue.rs
+++ b/crates/comfreyspread-policy/src/queue.rs
@@ -97,6 +97,11 @@
         self.places.len()
     }
 
+    /// Returns the number of calls of one priority waiting.
+    pub fn len_of(&self, priority: types::PriorityLevel) -> usize {
+        self.levels[level_index(priority)].waiting
+    }
+
     /// Whether no call waits.
     pub fn is_empty(&self) -> bool {
         self.places.is_empty()
--- a/crates/comfreyspread-policy/src/routing.rs
+++ b/crates/comfreyspread-policy/src/routing.rs
@@ -84,6 +84,26 @@
         known.max(entry.outstanding).saturating_mul(100) / limit
     }
 
+    /// Returns the shortest wait that owners of `pool` report for a new call of this priority; zero
+    /// if none has reported lately.
+    pub fn least_wait(
+        &self,
+        pool: &ids::PoolId,
+        priority: types::PriorityLevel,
+        now: time::Instant,
+    ) -> time::Duration {
+        let entries = self.nodes.values().filter_map(|pools| pools.get(pool));
+        let fresh = entries.filter(|entry| {
+            now.saturating_duration_since(entry.heard) < HINT_LIFE && entry.hint.is_some()
+        });
+        let wait = |hint: &types::PoolHint| match priority {
+            types::PriorityLevel::High => hint.high_wait,
+            types::PriorityLevel::Low | types::PriorityLevel::Normal => hint.wait,
+        };
+        let waits = fresh.filter_map(|entry| entry.hint.as_ref()).map(wait);
+        waits.min().unwrap_or_default()
+    }
+
     /// Counts a call that is being sent to an owner.
     pub fn begin(&mut self, node: &ids::NodeId, pool: &ids::PoolId, now: time::Instant) {
         self.entry(node, pool, now).outstanding += 1;
--- a/crates/comfreyspread-policy/src/schedule.rs
+++ b/crates/comfreyspread-policy/src/schedule.rs
@@ -138,11 +138,19 @@
         types::PoolHint {
             limit: self.capacity(),
             pool: self.pool.name.clone(),
+            high_wait: self.wait_behind(self.queue.len_of(types::PriorityLevel::High)),
             queued: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
             running,
+            wait: self.wait_behind(self.queue.len()),
         }
     }
 
+    /// Returns the wait behind so many queued calls; none behind an empty queue.
+    fn wait_behind(&self, queued: usize) -> time::Duration {
+        let queued = u32::try_from(queued).unwrap_or(u32::MAX);
+        self.service.typical().saturating_mul(queued) / self.capacity().max(1)
+    }
+
     /// Returns the wait that a new call has to expect.
     pub fn estimate_wait(&self, call: &OfferedCall, now: time::Instant) -> time::Duration {
         if self.queue.is_empty() && self.has_room(now) {
--- a/crates/comfreyspread-policy/tests/routing.rs
+++ b/crates/comfreyspread-policy/tests/routing.rs
@@ -11,7 +11,14 @@
 }
 
 fn hint(running: u32, queued: u32, limit: u32) -> types::PoolHint {
-    types::PoolHint { limit, pool: "p".into(), queued, running }
+    types::PoolHint {
+        high_wait: time::Duration::from_millis(queued.into()),
+        limit,
+        pool: "p".into(),
+        queued,
+        running,
+        wait: time::Duration::from_millis(2 * u64::from(queued)),
+    }
 }
 
 fn choose(
@@ -90,3 +97,19 @@
     let later = now + time::Duration::from_millis(600);
     assert_eq!(choose(&candidates, &hints, true, later).as_deref(), Some("self"));
 }
+
+#[test]
+fn least_wait() {
+    let now = time::Instant::now();
+    let pool = "p".into();
+    let mut hints = routing::HintTable::new();
+    let wait = |hints: &routing::HintTable, level, now| hints.least_wait(&pool, level, now);
+    assert_eq!(wait(&hints, types::PriorityLevel::High, now), time::Duration::ZERO);
+    hints.note(&"a".into(), hint(8, 30, 8), now);
+    hints.note(&"b".into(), hint(8, 10, 8), now);
+    let millis = time::Duration::from_millis;
+    assert_eq!(wait(&hints, types::PriorityLevel::High, now), millis(10));
+    assert_eq!(wait(&hints, types::PriorityLevel::Normal, now), millis(20));
+    let later = now + time::Duration::from_secs(6);
+    assert_eq!(wait(&hints, types::PriorityLevel::High, later), time::Duration::ZERO);
+}
--- a/crates/comfreyspread/src/pipeline.rs
+++ b/crates/comfreyspread/src/pipeline.rs
@@ -111,8 +111,8 @@
     /// Refuses to go on if the stages left cannot be expected to make the deadline.
     fn check_deadline(&self, pools: &[ids::PoolId]) -> Result<(), failure::CallFailure> {
         let now = time::Instant::now();
-        let remaining = self.ledger.remaining();
         let context = self.ledger.context();
+        let remaining = self.ledger.remaining().saturating_sub(self.least_wait(pools, now));
         if context.tables.timings.lock().fits(pools, remaining, now) {
             return Ok(());
         }
@@ -122,6 +122,15 @@
     }
 }
 
+impl PipelineRun {
+    /// Returns the wait in the queues of `pools` that no owner can spare the request.
+    fn least_wait(&self, pools: &[ids::PoolId], now: time::Instant) -> time::Duration {
+        let priority = self.ledger.plan().profile.priority;
+        let hints = self.ledger.context().tables.hints.lock();
+        pools.iter().map(|pool| hints.least_wait(pool, priority, now)).sum()
+    }
+}
+
 /// Everything the streamed last stage of a pipeline needs.
 #[derive(Debug)]
 pub struct StreamInput {
--- a/crates/comfreyspread/src/pools.rs
+++ b/crates/comfreyspread/src/pools.rs
@@ -78,7 +78,14 @@
 
     /// Returns the load of one pool; nothing at all if it has no scheduler here.
     pub fn hint(&self, pool: &ids::PoolId) -> types::PoolHint {
-        let none = || types::PoolHint { limit: 0, pool: pool.clone(), queued: 0, running: 0 };
+        let none = || types::PoolHint {
+            high_wait: time::Duration::ZERO,
+            limit: 0,
+            pool: pool.clone(),
+            queued: 0,
+            running: 0,
+            wait: time::Duration::ZERO,
+        };
         self.pools.get(pool).map_or_else(none, |entry| entry.scheduler.hint())
     }
 
