Prove that a cut stream goes on at its offset

Cause: resume was only proved by its cursor. Change: engine stand-ins can cut a stream before a token.

--- a/crates/comfreyspread-lab/src/fault.rs
+++ b/crates/comfreyspread-lab/src/fault.rs
@@ -135,6 +135,7 @@
 
 fn no_faults(endpoint: &ids::EndpointId) -> types::EndpointFaults {
     types::EndpointFaults {
+        cut_at: 0,
         delay: time::Duration::ZERO,
         down: false,
         endpoint: endpoint.clone(),
--- a/crates/comfreyspread-lab/src/stand_in.rs
+++ b/crates/comfreyspread-lab/src/stand_in.rs
@@ -40,6 +40,7 @@
 impl EndpointMemory {
     fn new(endpoint: &ids::EndpointId, seed: u64) -> Self {
         let faults = types::EndpointFaults {
+            cut_at: 0,
             delay: time::Duration::ZERO,
             down: false,
             endpoint: endpoint.clone(),
@@ -262,8 +263,10 @@
             request.header(header::OFFSET).and_then(|value| value.parse().ok()).unwrap_or(0);
         let (sender, encoder) = async_sse::encode();
         let times = self.times.clone();
+        let cut_at = self.memory.lock().faults.cut_at;
         self.spawner.detach(async move {
-            if send_tokens(&sender, first, &times, &call.note).await {
+            let sender = StreamSender { sender, first, cut_at };
+            if send_tokens(&sender, &times, &call.note).await {
                 call.finish();
             } else {
                 call.cancel();
@@ -291,29 +294,50 @@
     }
 }
 
-/// Sends the tokens from offset `first` on and the end; returns whether all were taken.
-async fn send_tokens(
-    sender: &async_sse::Sender,
+/// Sending side of a stream.
+struct StreamSender {
+    sender: async_sse::Sender,
     first: ids::StreamOffset,
+    cut_at: ids::StreamOffset,
+}
+
+impl StreamSender {
+    async fn send<Message>(&self, name: &str, message: &Message) -> bool
+    where
+        Message: serde::Serialize,
+    {
+        let data = serde_json::to_string(message).unwrap_or_default();
+        self.sender.send(name, &data, None).await.is_ok()
+    }
+
+    fn is_cut(&self, offset: ids::StreamOffset) -> bool {
+        self.first < self.cut_at && offset == self.cut_at
+    }
+}
+
+/// Sends the tokens from the first offset on and the end; returns whether all were taken.
+async fn send_tokens(
+    sender: &StreamSender,
     times: &types::PoolTimes,
     note: &types::WorkNote,
 ) -> bool {
     let mut due = time::Instant::now();
-    for offset in first..times.tokens {
+    for offset in sender.first..times.tokens {
+        if sender.is_cut(offset) {
+            return false;
+        }
         due += times.token;
         if !times.token.is_zero() {
             Timer::at(due).await;
         }
         let text = token_text(note.marker.as_deref(), offset);
         let run = wire::TokenRun { count: 1, offset, text };
-        let data = serde_json::to_string(&run).unwrap_or_default();
-        if sender.send("token", &data, None).await.is_err() {
+        if !sender.send("token", &run).await {
             return false;
         }
     }
     let end = wire::StreamEnd { tokens: times.tokens };
-    let data = serde_json::to_string(&end).unwrap_or_default();
-    sender.send("end", &data, None).await.is_ok()
+    sender.send("end", &end).await
 }
 
 /// Returns the text of a streamed token.
--- a/crates/comfreyspread-lab/tests/claims.rs
+++ b/crates/comfreyspread-lab/tests/claims.rs
@@ -77,6 +77,7 @@
     let ledgers = deployment.declarations.endpoints.iter().filter(|entry| &*entry.pool == "ledger");
     for endpoint in ledgers {
         let faults = types::EndpointFaults {
+            cut_at: 0,
             delay,
             down: false,
             endpoint: endpoint.name.clone(),
--- a/crates/comfreyspread-lab/tests/common/mod.rs
+++ b/crates/comfreyspread-lab/tests/common/mod.rs
@@ -57,6 +57,7 @@
 /// Returns faults that change nothing at an endpoint.
 pub fn no_faults(endpoint: &ids::EndpointId) -> types::EndpointFaults {
     types::EndpointFaults {
+        cut_at: 0,
         delay: time::Duration::ZERO,
         down: false,
         endpoint: endpoint.clone(),
--- a/crates/comfreyspread-lab/tests/streams.rs
+++ b/crates/comfreyspread-lab/tests/streams.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use comfreyspread::{header, http_client};
-use comfreyspread_lab::{caller, deployment};
+use comfreyspread_lab::{caller, deployment, types};
 use std::time;
 
 const TOKENS: usize = 40;
@@ -55,3 +55,24 @@
         assert_eq!(answer.header(header::VERDICT), Some("may-have-run"));
     });
 }
+
+#[test]
+fn resumed_elsewhere() {
+    common::run(async {
+        let deployment = common::small_deployment(2).await;
+        for endpoint in &deployment.declarations.endpoints {
+            let faults = types::EndpointFaults { cut_at: 15, ..common::no_faults(&endpoint.name) };
+            deployment.set_endpoint_faults(&faults).await.expect("the stand-in answers");
+        }
+        let text = read_stream(&deployment, 0).await;
+        let offsets: Vec<_> =
+            (0..TOKENS).map(|offset| text.find(&format!("\"t{offset} \""))).collect();
+        assert!(offsets.iter().all(Option::is_some), "{text}");
+        assert!(offsets.is_sorted(), "{text}");
+        assert_eq!(text.matches("event:token").count(), TOKENS);
+        assert!(text.contains("event:end"), "{text}");
+        let records = deployment.records().await.expect("records").records;
+        let streams = records.iter().filter(|record| record.endpoint.starts_with("appraise"));
+        assert_eq!(streams.count(), 2, "the stream was cut once and resumed once");
+    });
+}
