--- a/crates/comfreyspread/src/call_run.rs
+++ b/crates/comfreyspread/src/call_run.rs
@@ -140,7 +140,7 @@
             future::Either::Left((reply, _)) => return reply,
             future::Either::Right((_, first)) => first,
         };
-        if !context.tables.budgets.lock().hedges.withdraw() {
+        if !self.has_room_for_hedge() || !context.tables.budgets.lock().hedges.withdraw() {
             return first.await;
         }
         let Ok(call) = self.next_call(ledger, 0) else { return first.await };
@@ -159,6 +159,14 @@
         self.context.tables.timings.lock().quantile(&self.pool, HEDGE_QUANTILE, now)
     }
 
+    /// Whether some owner can take a call without a wait; a hedge behind a queue only makes it
+    /// longer.
+    fn has_room_for_hedge(&self) -> bool {
+        let now = time::Instant::now();
+        let hints = self.context.tables.hints.lock();
+        hints.least_wait(&self.pool, types::PriorityLevel::Low, now).is_zero()
+    }
+
     fn check_suspicion(
         &mut self,
         ledger: &plan::RequestLedger,
