Name faults of endpoints in one place

Cause: three copies of a list of fields stood in stand-ins and tests, and two checks of a whole stream. Change: one function each.

--- a/crates/comfreyspread-lab/src/fault.rs
+++ b/crates/comfreyspread-lab/src/fault.rs
@@ -133,7 +133,8 @@
     Ok(())
 }
 
-fn no_faults(endpoint: &ids::EndpointId) -> types::EndpointFaults {
+/// Returns faults that change nothing at an endpoint.
+pub fn no_faults(endpoint: &ids::EndpointId) -> types::EndpointFaults {
     types::EndpointFaults {
         cut_at: 0,
         delay: time::Duration::ZERO,
--- a/crates/comfreyspread-lab/src/stand_in.rs
+++ b/crates/comfreyspread-lab/src/stand_in.rs
@@ -4,7 +4,7 @@
 //! cold start the endpoint bears its pool's cold limit; every call beyond the limit is recorded as
 //! overshoot, takes several times as long and does not warm the endpoint.
 
-use crate::{call_log, serving, types};
+use crate::{call_log, fault, serving, types};
 use async_io::Timer;
 use comfreyspread::{header, http_server, rank, worker};
 use comfreyspread_schema::{ids, types as wire};
@@ -39,14 +39,7 @@
 
 impl EndpointMemory {
     fn new(endpoint: &ids::EndpointId, seed: u64) -> Self {
-        let faults = types::EndpointFaults {
-            cut_at: 0,
-            delay: time::Duration::ZERO,
-            down: false,
-            endpoint: endpoint.clone(),
-            poison: None,
-            turn_cold: false,
-        };
+        let faults = fault::no_faults(endpoint);
         Self {
             start: rand::random(),
             running: 0,
--- a/crates/comfreyspread-lab/tests/claims.rs
+++ b/crates/comfreyspread-lab/tests/claims.rs
@@ -76,14 +76,7 @@
 async fn set_call_delay(deployment: &deployment::TestDeployment, delay: time::Duration) {
     let ledgers = deployment.declarations.endpoints.iter().filter(|entry| &*entry.pool == "ledger");
     for endpoint in ledgers {
-        let faults = types::EndpointFaults {
-            cut_at: 0,
-            delay,
-            down: false,
-            endpoint: endpoint.name.clone(),
-            poison: None,
-            turn_cold: false,
-        };
+        let faults = types::EndpointFaults { delay, ..common::no_faults(&endpoint.name) };
         deployment.set_endpoint_faults(&faults).await.expect("the endpoint takes its faults");
     }
 }
--- a/crates/comfreyspread-lab/tests/common/mod.rs
+++ b/crates/comfreyspread-lab/tests/common/mod.rs
@@ -2,10 +2,10 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 use comfreyspread::{failure, header, http_client};
-use comfreyspread_lab::{caller, deployment, types};
+use comfreyspread_lab::{caller, deployment, fault, types};
 use comfreyspread_schema::{ids, types as wire};
 use futures_util::future as futures;
-use std::{future, path, time};
+use std::{future, path};
 
 const SAMPLE: &str = include_str!("../../samples/quickstart.json");
 
@@ -56,14 +56,7 @@
 
 /// Returns faults that change nothing at an endpoint.
 pub fn no_faults(endpoint: &ids::EndpointId) -> types::EndpointFaults {
-    types::EndpointFaults {
-        cut_at: 0,
-        delay: time::Duration::ZERO,
-        down: false,
-        endpoint: endpoint.clone(),
-        poison: None,
-        turn_cold: false,
-    }
+    fault::no_faults(endpoint)
 }
 
 /// Returns the most calls beyond its limit that any endpoint had.
--- a/crates/comfreyspread-lab/tests/streams.rs
+++ b/crates/comfreyspread-lab/tests/streams.rs
@@ -21,17 +21,21 @@
     String::from_utf8(answer.body().to_vec()).expect("text")
 }
 
+/// Checks that a stream holds every token once, in order, and its end.
+fn check_whole(text: &str) {
+    let offsets: Vec<_> = (0..TOKENS).map(|offset| text.find(&format!("\"t{offset} \""))).collect();
+    assert!(offsets.iter().all(Option::is_some), "{text}");
+    assert!(offsets.is_sorted(), "{text}");
+    assert_eq!(text.matches("event:token").count(), TOKENS);
+    assert!(text.contains("event:end"), "{text}");
+}
+
 #[test]
 fn whole_stream() {
     common::run(async {
         let deployment = common::small_deployment(2).await;
         let text = read_stream(&deployment, 0).await;
-        let offsets: Vec<_> =
-            (0..TOKENS).map(|offset| text.find(&format!("\"t{offset} \""))).collect();
-        assert!(offsets.iter().all(Option::is_some), "{text}");
-        assert!(offsets.is_sorted(), "{text}");
-        assert_eq!(text.matches("event:token").count(), TOKENS);
-        assert!(text.contains("event:end"), "{text}");
+        check_whole(&text);
         deployment.stop().await.expect("a graceful stop");
     });
 }
@@ -65,12 +69,7 @@
             deployment.set_endpoint_faults(&faults).await.expect("the stand-in answers");
         }
         let text = read_stream(&deployment, 0).await;
-        let offsets: Vec<_> =
-            (0..TOKENS).map(|offset| text.find(&format!("\"t{offset} \""))).collect();
-        assert!(offsets.iter().all(Option::is_some), "{text}");
-        assert!(offsets.is_sorted(), "{text}");
-        assert_eq!(text.matches("event:token").count(), TOKENS);
-        assert!(text.contains("event:end"), "{text}");
+        check_whole(&text);
         let records = deployment.records().await.expect("records").records;
         let streams = records.iter().filter(|record| record.endpoint.starts_with("appraise"));
         assert_eq!(streams.count(), 2, "the stream was cut once and resumed once");
--- a/crates/comfreyspread-policy/tests/member_convergence.rs
+++ b/crates/comfreyspread-policy/tests/member_convergence.rs
@@ -2,10 +2,10 @@
 
 mod model;
 
-use comfreyspread_schema::types::MemberPhase;
+use comfreyspread_schema::types;
 use std::time;
 
-fn phases(model: &model::Model, of: usize) -> Vec<MemberPhase> {
+fn phases(model: &model::Model, of: usize) -> Vec<types::MemberPhase> {
     let name = model.nodes[of].members.local().node.clone();
     let others = (0..model.nodes.len()).filter(|index| *index != of);
     let entries = others.filter_map(|index| model.nodes[index].members.entry(&name));
@@ -17,13 +17,13 @@
     for seed in 0..10 {
         let mut model = model::Model::new(8, 8, seed);
         model.run(time::Duration::from_secs(10), |_| {});
-        assert_eq!(phases(&model, 2), [MemberPhase::Alive; 7]);
+        assert_eq!(phases(&model, 2), [types::MemberPhase::Alive; 7]);
         model.crash(2);
         model.run(time::Duration::from_secs(10), |_| {});
-        assert_eq!(phases(&model, 2), [MemberPhase::Failed; 7]);
+        assert_eq!(phases(&model, 2), [types::MemberPhase::Failed; 7]);
         model.restart(2);
         model.run(time::Duration::from_secs(10), |_| {});
-        assert_eq!(phases(&model, 2), [MemberPhase::Alive; 7]);
+        assert_eq!(phases(&model, 2), [types::MemberPhase::Alive; 7]);
     }
 }
 
@@ -35,7 +35,7 @@
     model.run(time::Duration::from_millis(2500), |_| {});
     model.isolate(2, false, false);
     model.run(time::Duration::from_secs(10), |_| {});
-    assert_eq!(phases(&model, 2), [MemberPhase::Alive; 7]);
+    assert_eq!(phases(&model, 2), [types::MemberPhase::Alive; 7]);
     assert!(model.nodes[2].members.local().incarnation > 0, "nobody suspected the node");
 }
 
@@ -46,5 +46,5 @@
     model.cut[2][3] = true;
     model.cut[3][2] = true;
     model.run(time::Duration::from_secs(60), |model| assert!(model.most_holders() <= 1));
-    assert!(phases(&model, 2).iter().all(|phase| *phase == MemberPhase::Alive));
+    assert!(phases(&model, 2).iter().all(|phase| *phase == types::MemberPhase::Alive));
 }
