--- a/crates/comfreyspread-lab/src/lib.rs
+++ b/crates/comfreyspread-lab/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod serving;
 pub mod slopes;
 pub mod stand_in;
+pub mod store_control;
 pub mod tally;
 pub mod trace;
 pub mod usage;
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -5,6 +5,15 @@
 //! what is to be done. The node crate carries it out. So another front end can use the same
 //! decisions, and tests run them on injected time.
 //!
+//! - The ingress node: [`verdict`], [`attempt`], [`routing`], [`retry`], [`timing`], [`stream`],
+//!   [`suspect`], [`link`].
+//! - Requests that may run at most once: [`claim`], [`settlement`], [`write_group`].
+//! - The owner: [`schedule`] over [`queue`], [`replica`], [`lifecycle`], [`limit`], [`breaker`],
+//!   [`outlier`], [`choice`], [`latency`].
+//! - Members and ownership: [`membership`], [`contact`], [`rendezvous`], [`ownership`],
+//!   [`ownership_life`], [`vm_list`], [`life`].
+//! - Configuration: [`validation`], [`catalog`], [`change`], [`acceptance`], [`delta`], [`poller`].
+//!
 //! ```
 //! use comfreyspread_policy::verdict;
 //! use comfreyspread_schema::types::CallVerdict;
--- a/crates/comfreyspread/src/lib.rs
+++ b/crates/comfreyspread/src/lib.rs
@@ -1,9 +1,20 @@
 //! The node of comfreyspread: everything that touches sockets, clocks and messages.
 //!
-//! Decisions are made in `comfreyspread-policy`; this crate carries them out. A request comes in at
-//! [`front`] and is run stage by stage by [`pipeline`]. Each stage's call is sent by [`dispatch`],
-//! through [`peer`] where another node owns the endpoint, to [`owner`], which puts it to the
-//! endpoint through [`endpoint`].
+//! Decisions are made in `comfreyspread-policy`; this crate carries them out.
+//!
+//! - A request: [`front`] reads it, [`plan`] resolves it, [`claims`] makes sure that it runs at most
+//!   once where that is asked for, [`pipeline`] runs its stages, [`call_run`] makes the attempts at one
+//!   call and [`stream_run`] those at a streamed one, [`dispatch`] sends each to an owner.
+//! - At the owner: [`owner`] serves a call, [`slot`] waits for a place in [`pools`], [`placement`]
+//!   sends it through [`endpoint`].
+//! - Between nodes: [`peer`] carries messages, [`heartbeat`] knows the members, [`handover`] moves
+//!   endpoints.
+//! - Configuration: [`head`] reads and writes it in the store, [`configuration`] brings it into force,
+//!   [`acceptance`] waits for all nodes, [`operator`] serves operators.
+//! - Commands: [`command`] and the `_verbs` modules.
+//! - Underneath: [`node`] is the process, [`worker`] its threads, [`tables`] its shared tables behind
+//!   the locks of [`rank`], [`deadline`] its timers, [`http_server`], [`http_client`] and [`platform`]
+//!   its connections.
 
 pub mod acceptance;
 pub mod body;
