Call what is there already, and drop what nothing calls

Cause: a read of the whole change found a wait for a deadline written twice, a wrapper with no content, an impl block split in two and a lookup without callers. Ruled out: one struct for the flags of zone and vm (argh has no way to share fields), and changes of behaviour of any kind. Change: http_client::before calls deadline::before; stream_run calls note_served; PipelineRun has one block; ConfigurationCatalog::queue_limit is gone.

--- a/crates/comfreyspread-policy/src/catalog.rs
+++ b/crates/comfreyspread-policy/src/catalog.rs
@@ -3,7 +3,7 @@
 use crate::delta;
 use comfreyspread_schema::{ids, types};
 use indexmap::{IndexMap, IndexSet};
-use std::{sync, time};
+use std::sync;
 
 /// Most steps to earlier revisions that are kept.
 const DELTA_LIMIT: usize = 64;
@@ -191,11 +191,6 @@
     pub fn superseded_by(&self, document: &types::ConfigurationDocument) -> bool {
         document.revision > self.revision
     }
-
-    /// Returns the longest wait in the queue of a pool's owner.
-    pub fn queue_limit(&self, pool: &ids::PoolId) -> time::Duration {
-        self.pool(pool).map_or(time::Duration::ZERO, |entry| entry.declaration.queue)
-    }
 }
 
 fn by_name<Name, Entry>(entries: Vec<Entry>, name: impl Fn(&Entry) -> Name) -> IndexMap<Name, Entry>
--- a/crates/comfreyspread/src/call_run.rs
+++ b/crates/comfreyspread/src/call_run.rs
@@ -116,16 +116,6 @@
         self.pause_or_stop(ledger, failure).await
     }
 
-    /// Takes note that an opened stream came to its end.
-    pub fn note_finished(
-        &self,
-        ledger: &plan::RequestLedger,
-        reply: &types::StageReply,
-        began: time::Instant,
-    ) {
-        self.note_served(ledger, reply, began);
-    }
-
     async fn attempt_once(
         &mut self,
         ledger: &mut plan::RequestLedger,
@@ -212,7 +202,8 @@
         })
     }
 
-    fn note_served(
+    /// Takes note that an attempt begun at `began` was answered whole, if the reply says so.
+    pub fn note_served(
         &self,
         ledger: &plan::RequestLedger,
         reply: &types::StageReply,
--- a/crates/comfreyspread/src/http_client.rs
+++ b/crates/comfreyspread/src/http_client.rs
@@ -237,10 +237,5 @@
 where
     Work: future::Future,
 {
-    let done = async { Some(work.await) };
-    let late = async {
-        deadlines::DeadlineTimer::new(deadline).await;
-        None
-    };
-    done.or(late).await
+    deadlines::before(&mut deadlines::DeadlineTimer::new(deadline), work).await
 }
--- a/crates/comfreyspread/src/pipeline.rs
+++ b/crates/comfreyspread/src/pipeline.rs
@@ -120,9 +120,7 @@
         Err(failure::CallFailure::new(types::ProblemKind::Deadline, detail)
             .with_retry_after(DEADLINE_RETRY_AFTER))
     }
-}
 
-impl PipelineRun {
     /// Returns the wait in the queues of `pools` that no owner can spare the request.
     fn least_wait(&self, pools: &[ids::PoolId], now: time::Instant) -> time::Duration {
         let priority = self.ledger.plan().profile.priority;
--- a/crates/comfreyspread/src/stream_run.rs
+++ b/crates/comfreyspread/src/stream_run.rs
@@ -102,7 +102,7 @@
         failure::CallFailure::from_outcome(reply.outcome.clone())?;
         let end = types::StreamEnd { tokens };
         self.cursor.finish(&end).map_err(frames::broken)?;
-        self.run.note_finished(&self.ledger, reply, self.began);
+        self.run.note_served(&self.ledger, reply, self.began);
         Ok(end)
     }
 }
