--- a/crates/comfreyspread-lab/src/bench.rs
+++ b/crates/comfreyspread-lab/src/bench.rs
@@ -4,7 +4,7 @@
 //! and through nodes take turns in one run, so that a busy machine burdens both alike.
 
 use crate::{caller, deployment, process, tally, types, usage};
-use comfreyspread::{failure, header, http_client, worker};
+use comfreyspread::{failure, header, http_client, http_message, worker};
 use comfreyspread_schema::{ids, types as wire};
 use futures_lite::StreamExt as _;
 use miette::IntoDiagnostic as _;
@@ -254,7 +254,7 @@
 
     async fn time_call(
         &self,
-        request: http_types::Request,
+        request: http_message::Request,
         address: net::SocketAddr,
     ) -> miette::Result<time::Duration> {
         let started = time::Instant::now();
@@ -332,12 +332,12 @@
     async fn stream(
         &self,
         node: net::SocketAddr,
-        mut request: http_types::Request,
+        mut request: http_message::Request,
         deadline: time::Instant,
     ) -> Result<u64, failure::CallFailure> {
         request.insert_header("accept", header::EVENT_STREAM);
-        let response = self.client.open(node, request, deadline).await?;
-        let mut events = async_sse::decode(response);
+        let mut response = self.client.open(node, request, deadline).await?;
+        let mut events = async_sse::decode(response.take_body());
         let mut tokens = 0;
         while let Some(Ok(event)) = events.next().await {
             let async_sse::Event::Message(message) = event else { continue };
@@ -376,9 +376,9 @@
     }
 }
 
-fn direct_request(endpoint: net::SocketAddr) -> http_types::Request {
+fn direct_request(endpoint: net::SocketAddr) -> http_message::Request {
     let url = format!("http://{endpoint}/v1/stages/ledger-read");
-    let mut request = http_types::Request::new(http_types::Method::Post, url.as_str());
+    let mut request = http_message::Request::new(http::Method::POST, url.as_str());
     request.set_body(r#"{"seller":"s-17"}"#);
     request.insert_header(header::REQUEST, "bench");
     request
--- a/crates/comfreyspread-lab/src/caller.rs
+++ b/crates/comfreyspread-lab/src/caller.rs
@@ -1,8 +1,8 @@
 //! A caller: makes requests as a service or an operator would.
 
-use comfreyspread::{failure, header, http_client};
+use comfreyspread::{failure, header, http_client, http_message};
 use comfreyspread_schema::ids;
-use http_types::{Method, Request};
+use http::Method;
 use std::{net, time};
 
 const ANSWER_LIMIT_BYTES: usize = 64 * 1024 * 1024;
@@ -59,7 +59,7 @@
         path: &str,
     ) -> Result<http_client::ClientAnswer, failure::CallFailure> {
         let url = format!("http://{address}{path}");
-        self.send(address, Request::new(Method::Get, url.as_str())).await
+        self.send(address, http_message::Request::new(Method::GET, url.as_str())).await
     }
 
     /// Posts a JSON message to a path.
@@ -76,7 +76,7 @@
     where
         Message: serde::Serialize,
     {
-        self.send_json(Method::Post, address, path, message).await
+        self.send_json(Method::POST, address, path, message).await
     }
 
     /// Puts a JSON message at a path.
@@ -93,7 +93,7 @@
     where
         Message: serde::Serialize,
     {
-        self.send_json(Method::Put, address, path, message).await
+        self.send_json(Method::PUT, address, path, message).await
     }
 
     async fn send_json<Message>(
@@ -107,7 +107,7 @@
         Message: serde::Serialize,
     {
         let url = format!("http://{address}{path}");
-        let mut request = Request::new(method, url.as_str());
+        let mut request = http_message::Request::new(method, url.as_str());
         request.set_body(serde_json::to_vec(message).unwrap_or_default());
         self.send(address, request).await
     }
@@ -120,7 +120,7 @@
     pub async fn send(
         &self,
         address: net::SocketAddr,
-        request: Request,
+        request: http_message::Request,
     ) -> Result<http_client::ClientAnswer, failure::CallFailure> {
         let deadline = time::Instant::now() + self.patience;
         let connection = http_client::ConnectionUse::Fresh;
@@ -129,10 +129,10 @@
 }
 
 /// Returns the HTTP request of a call.
-pub fn http_request(node: net::SocketAddr, call: &CallerRequest) -> Request {
+pub fn http_request(node: net::SocketAddr, call: &CallerRequest) -> http_message::Request {
     let url = format!("http://{node}{}", call.path);
-    let mut request = Request::new(Method::Post, url.as_str());
-    request.set_body(call.body.as_bytes());
+    let mut request = http_message::Request::new(Method::POST, url.as_str());
+    request.set_body(call.body.as_bytes().to_vec());
     request.insert_header(header::WORKSPACE, &*call.workspace);
     request.insert_header(header::PROFILE, &*call.profile);
     if let Some(key) = &call.key {
--- a/crates/comfreyspread-lab/src/driver.rs
+++ b/crates/comfreyspread-lab/src/driver.rs
@@ -2,7 +2,7 @@
 //! through nodes that are ready, and send it again through another node as a balancer would.
 
 use crate::{caller, stand_in};
-use comfreyspread::{failure, header, http_client};
+use comfreyspread::{failure, header, http_client, http_message};
 use comfreyspread_schema::{ids, types as wire};
 use futures_lite::{FutureExt as _, StreamExt as _};
 use std::{
@@ -116,7 +116,7 @@
         let Some(target) = self.targets.get(index) else { return };
         loop {
             let url = format!("http://{}/readyz", target.address);
-            let request = http_types::Request::new(http_types::Method::Get, url.as_str());
+            let request = http_message::Request::new(http::Method::GET, url.as_str());
             let deadline = time::Instant::now() + READY_INTERVAL;
             let connection = http_client::ConnectionUse::Fresh;
             let answer = self.client.call(target.address, request, connection, deadline).await;
@@ -219,14 +219,16 @@
         let mut message = caller::http_request(node, &request.call);
         message.insert_header("accept", header::EVENT_STREAM);
         let mut response = self.client.open(node, message, limit).await?;
-        let value = |name: &str| response.header(name).map(|values| values.as_str().into());
+        let value = |name: &str| response.header(name).map(Into::into);
         let media: Option<ids::Text> = value("content-type");
         let streamed = media.is_some_and(|media| media.starts_with(header::EVENT_STREAM));
         if response.status() != 200 || !streamed {
             let status = response.status().into();
             let verdict = value(header::VERDICT);
             let id = value(header::REQUEST);
-            let body = response.body_bytes().await.unwrap_or_default().into();
+            let body = http_client::read_whole(&mut response.take_body(), ANSWER_LIMIT_BYTES)
+                .await
+                .unwrap_or_default();
             let answer = NodeAnswer { status, verdict, request: id, body };
             return Ok(judge(answer, &request.marker));
         }
@@ -287,11 +289,11 @@
 }
 
 async fn read_tokens(
-    response: http_types::Response,
+    mut response: http_message::Response,
     request: &DrivenRequest,
     tokens: &mut Vec<time::Duration>,
 ) -> CallEnding {
-    let mut events = async_sse::decode(response);
+    let mut events = async_sse::decode(response.take_body());
     let mut expected = 0;
     while let Some(Ok(event)) = events.next().await {
         let async_sse::Event::Message(message) = event else { continue };
--- a/crates/comfreyspread-lab/src/endpoints.rs
+++ b/crates/comfreyspread-lab/src/endpoints.rs
@@ -5,9 +5,9 @@
 //! `POST /faults` takes a [`types::EndpointFaults`].
 
 use crate::{call_log, serving, stand_in, types};
-use comfreyspread::{http_server, worker};
+use comfreyspread::{http_message, http_server, worker};
 use comfreyspread_schema::{ids, types as wire};
-use http_types::{Method, Response, StatusCode};
+use http::{Method, StatusCode};
 use indexmap::IndexMap;
 use miette::IntoDiagnostic as _;
 use std::{fs, path, sync, time};
@@ -88,26 +88,26 @@
 }
 
 impl http_server::RequestHandler for EndpointHandler {
-    async fn handle(&self, request: http_server::ServerRequest) -> Response {
+    async fn handle(&self, request: http_server::ServerRequest) -> http_message::Response {
         match (request.method(), request.path()) {
-            (Method::Get, "/records") => serving::json(&self.stand_in.records()),
-            (Method::Post, "/leave") => {
+            (&Method::GET, "/records") => serving::json(&self.stand_in.records()),
+            (&Method::POST, "/leave") => {
                 self.stand_in.leave();
-                Response::new(StatusCode::Ok)
+                http_message::Response::new(StatusCode::OK)
             }
-            (Method::Post, "/faults") => serving::with_json(&request, |faults| {
+            (&Method::POST, "/faults") => serving::with_json(&request, |faults| {
                 self.stand_in.set_faults(faults);
-                Response::new(StatusCode::Ok)
+                http_message::Response::new(StatusCode::OK)
             }),
-            (Method::Get, "/v1/status") => serving::json(&self.stand_in.report()),
-            (Method::Post, path) if path.starts_with("/v1/stages/") => {
+            (&Method::GET, "/v1/status") => serving::json(&self.stand_in.report()),
+            (&Method::POST, path) if path.starts_with("/v1/stages/") => {
                 self.stand_in.answer(&request).await
             }
-            _ => Response::new(StatusCode::NotFound),
+            _ => http_message::Response::new(StatusCode::NOT_FOUND),
         }
     }
 
-    fn refuse(&self, _fault: http_server::RequestFault) -> Response {
+    fn refuse(&self, _fault: http_server::RequestFault) -> http_message::Response {
         serving::refuse()
     }
 }
--- a/crates/comfreyspread-lab/src/platform.rs
+++ b/crates/comfreyspread-lab/src/platform.rs
@@ -5,9 +5,9 @@
 
 use crate::{serving, types};
 use async_io::Timer;
-use comfreyspread::{http_server, rank, worker};
+use comfreyspread::{http_message, http_server, rank, worker};
 use comfreyspread_schema::{ids, types as wire};
-use http_types::{Method, Response, StatusCode};
+use http::{Method, StatusCode};
 use indexmap::IndexMap;
 use std::{net, sync, time};
 
@@ -66,7 +66,7 @@
 
 impl PlatformTables {
     fn count(&mut self, request: &http_server::ServerRequest) {
-        if request.method() == Method::Get {
+        if request.method() == Method::GET {
             self.stats.reads += 1;
         } else {
             self.stats.writes += 1;
@@ -102,45 +102,49 @@
         Self { started: time::Instant::now(), tables }
     }
 
-    fn answer(&self, request: &http_server::ServerRequest) -> Response {
+    fn answer(&self, request: &http_server::ServerRequest) -> http_message::Response {
         let path = request.path();
         self.tables.lock().count(request);
         match (request.method(), path) {
-            (Method::Post, "/v1/transactions") => {
+            (&Method::POST, "/v1/transactions") => {
                 serving::with_json(request, |transaction| self.transact(&transaction))
             }
-            (Method::Get, "/v1/vms") => {
+            (&Method::GET, "/v1/vms") => {
                 self.tables.lock().show_vms();
                 let vms = self.read(|state| state.vms.clone());
                 serving::json(&wire::VmList { vms })
             }
-            (Method::Put, "/v1/vms") => serving::with_json(request, |list: wire::VmList| {
+            (&Method::PUT, "/v1/vms") => serving::with_json(request, |list: wire::VmList| {
                 self.tables.lock().set_vms(list.vms);
-                Response::new(StatusCode::Ok)
+                http_message::Response::new(StatusCode::OK)
             }),
-            (Method::Get, _) if path.starts_with(ROWS_PATH) => self.read_rows(request),
-            (Method::Get, _) if path.starts_with(OBJECTS_PATH) => {
+            (&Method::GET, _) if path.starts_with(ROWS_PATH) => self.read_rows(request),
+            (&Method::GET, _) if path.starts_with(OBJECTS_PATH) => {
                 let object = self.read(|state| state.objects.get(path).cloned());
-                object.map_or_else(not_found, |body| Response::from(body.to_vec()))
+                object.map_or_else(not_found, |body| {
+                    let mut response = http_message::Response::new(StatusCode::OK);
+                    response.set_body(body);
+                    response
+                })
             }
-            (Method::Put, _) if path.starts_with(OBJECTS_PATH) => {
+            (&Method::PUT, _) if path.starts_with(OBJECTS_PATH) => {
                 self.tables.lock().state.objects.insert(path.into(), request.body().clone());
-                Response::new(StatusCode::Ok)
+                http_message::Response::new(StatusCode::OK)
             }
             _ => not_found(),
         }
     }
 
-    fn stats(&self) -> Response {
+    fn stats(&self) -> http_message::Response {
         let stats = self.tables.lock().stats.clone();
         serving::json(&types::StoreStats { now: self.started.elapsed(), ..stats })
     }
 
-    fn set_faults(&self, faults: types::StoreFaults) -> Response {
+    fn set_faults(&self, faults: types::StoreFaults) -> http_message::Response {
         let mut tables = self.tables.lock();
         tables.stale = faults.stale.then(|| tables.state.clone());
         tables.faults = faults;
-        Response::new(StatusCode::Ok)
+        http_message::Response::new(StatusCode::OK)
     }
 
     fn read<Value>(&self, read: impl FnOnce(&PlatformState) -> Value) -> Value {
@@ -148,7 +152,7 @@
         read(tables.stale.as_ref().unwrap_or(&tables.state))
     }
 
-    fn read_rows(&self, request: &http_server::ServerRequest) -> Response {
+    fn read_rows(&self, request: &http_server::ServerRequest) -> http_message::Response {
         let path = request.path().trim_start_matches(ROWS_PATH);
         let Some((table, key)) = path.split_once("/rows") else { return not_found() };
         if let Some(key) = key.strip_prefix('/') {
@@ -160,7 +164,7 @@
         serving::json(&wire::TableRows { rows })
     }
 
-    fn transact(&self, request: &wire::TransactionRequest) -> Response {
+    fn transact(&self, request: &wire::TransactionRequest) -> http_message::Response {
         let mut tables = self.tables.lock();
         let state = &mut tables.state;
         let committed = request.writes.iter().all(|write| state.holds(write));
@@ -222,12 +226,12 @@
     found
 }
 
-fn not_found() -> Response {
-    Response::new(StatusCode::NotFound)
+fn not_found() -> http_message::Response {
+    http_message::Response::new(StatusCode::NOT_FOUND)
 }
 
 impl http_server::RequestHandler for PlatformHandler {
-    async fn handle(&self, request: http_server::ServerRequest) -> Response {
+    async fn handle(&self, request: http_server::ServerRequest) -> http_message::Response {
         if request.path() == "/faults" {
             return serving::with_json(&request, |faults| self.set_faults(faults));
         }
@@ -242,13 +246,13 @@
             return serving::cut();
         }
         let answer = self.answer(&request);
-        let sent = answer.len().and_then(|length| u64::try_from(length).ok()).unwrap_or(0);
+        let sent = answer.len().unwrap_or(0);
         self.tables.lock().stats.bytes += sent;
-        let wrote = request.method() != Method::Get;
+        let wrote = request.method() != Method::GET;
         if faults.lose_answers && wrote { serving::cut() } else { answer }
     }
 
-    fn refuse(&self, _fault: http_server::RequestFault) -> Response {
+    fn refuse(&self, _fault: http_server::RequestFault) -> http_message::Response {
         serving::refuse()
     }
 }
--- a/crates/comfreyspread-lab/src/relay.rs
+++ b/crates/comfreyspread-lab/src/relay.rs
@@ -13,10 +13,10 @@
 use crate::{serving, types};
 use async_io::Timer;
 use async_net::{TcpListener, TcpStream};
-use comfreyspread::{header, http_server, rank, worker};
+use comfreyspread::{header, http_message, http_server, rank, worker};
 use comfreyspread_schema::ids;
 use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, future};
-use http_types::{Method, Response, StatusCode};
+use http::{Method, StatusCode};
 use miette::IntoDiagnostic as _;
 use std::{fs, net, path, sync, time};
 
@@ -230,10 +230,10 @@
         }
     }
 
-    fn set_faults(&self, faults: types::RelayFaults) -> Response {
+    fn set_faults(&self, faults: types::RelayFaults) -> http_message::Response {
         *self.cuts.lock() = faults.cuts;
         self.changed.notify(usize::MAX);
-        Response::new(StatusCode::Ok)
+        http_message::Response::new(StatusCode::OK)
     }
 
     fn stats(&self) -> types::RelayStats {
@@ -297,17 +297,17 @@
 }
 
 impl http_server::RequestHandler for RelayHandler {
-    async fn handle(&self, request: http_server::ServerRequest) -> Response {
+    async fn handle(&self, request: http_server::ServerRequest) -> http_message::Response {
         match (request.method(), request.path()) {
-            (Method::Get, "/stats") => serving::json(&self.table.stats()),
-            (Method::Post, "/faults") => {
+            (&Method::GET, "/stats") => serving::json(&self.table.stats()),
+            (&Method::POST, "/faults") => {
                 serving::with_json(&request, |faults| self.table.set_faults(faults))
             }
-            _ => Response::new(StatusCode::NotFound),
+            _ => http_message::Response::new(StatusCode::NOT_FOUND),
         }
     }
 
-    fn refuse(&self, _fault: http_server::RequestFault) -> Response {
+    fn refuse(&self, _fault: http_server::RequestFault) -> http_message::Response {
         serving::refuse()
     }
 }
--- a/crates/comfreyspread-lab/src/serving.rs
+++ b/crates/comfreyspread-lab/src/serving.rs
@@ -1,8 +1,8 @@
 //! Running a stand-in as a process of its own.
 
-use comfreyspread::{front, http_server, worker};
+use comfreyspread::{front, http_body, http_message, http_server, worker};
 use futures_lite::StreamExt as _;
-use http_types::{Response, StatusCode};
+use http::StatusCode;
 use miette::{Context as _, IntoDiagnostic as _};
 use std::{net, sync, time};
 
@@ -51,22 +51,22 @@
 }
 
 /// Returns the answer to a request that could not be read.
-pub fn refuse() -> Response {
-    Response::new(StatusCode::BadRequest)
+pub fn refuse() -> http_message::Response {
+    http_message::Response::new(StatusCode::BAD_REQUEST)
 }
 
 /// Parses the JSON body of a request and acts on it, or answers with status 400.
 pub fn with_json<Message>(
     request: &http_server::ServerRequest,
-    act: impl FnOnce(Message) -> Response,
-) -> Response
+    act: impl FnOnce(Message) -> http_message::Response,
+) -> http_message::Response
 where
     Message: serde::de::DeserializeOwned,
 {
     match serde_json::from_slice(request.body()) {
         Ok(message) => act(message),
         Err(error) => {
-            let mut response = Response::new(StatusCode::BadRequest);
+            let mut response = http_message::Response::new(StatusCode::BAD_REQUEST);
             response.set_body(error.to_string());
             response
         }
@@ -74,17 +74,17 @@
 }
 
 /// Returns a JSON answer with status 200.
-pub fn json<Message>(message: &Message) -> Response
+pub fn json<Message>(message: &Message) -> http_message::Response
 where
     Message: serde::Serialize,
 {
-    front::json(StatusCode::Ok, message)
+    front::json(StatusCode::OK, message)
 }
 
 /// Returns an answer that ends the connection before it is whole.
-pub fn cut() -> Response {
-    let mut response = Response::new(StatusCode::Ok);
-    response.set_body(http_types::Body::from_reader(futures_lite::io::empty(), Some(1)));
+pub fn cut() -> http_message::Response {
+    let mut response = http_message::Response::new(StatusCode::OK);
+    response.set_body(http_body::MessageBody::from_reader(futures_lite::io::empty(), Some(1)));
     response.insert_header("connection", "close");
     response
 }
--- a/crates/comfreyspread-lab/src/stand_in.rs
+++ b/crates/comfreyspread-lab/src/stand_in.rs
@@ -6,9 +6,9 @@
 
 use crate::{call_log, fault, serving, types};
 use async_io::Timer;
-use comfreyspread::{header, http_server, rank, worker};
+use comfreyspread::{header, http_body, http_message, http_server, rank, worker};
 use comfreyspread_schema::{ids, types as wire};
-use http_types::{Body, Response, StatusCode};
+use http::StatusCode;
 use rand::{Rng as _, SeedableRng as _, rngs};
 use std::{sync, time};
 
@@ -154,13 +154,17 @@
     }
 
     /// Answers a call as the endpoint would.
-    pub async fn answer(self: &sync::Arc<Self>, request: &http_server::ServerRequest) -> Response {
+    pub async fn answer(
+        self: &sync::Arc<Self>,
+        request: &http_server::ServerRequest,
+    ) -> http_message::Response {
         if self.crashes(request) {
             drop(self.admit(request));
             return serving::cut();
         }
         let Some(call) = self.admit(request) else {
-            return self.echo(request, Response::new(StatusCode::PreconditionFailed));
+            return self
+                .echo(request, http_message::Response::new(StatusCode::PRECONDITION_FAILED));
         };
         if !call.time.is_zero() {
             Timer::after(call.time).await;
@@ -251,7 +255,7 @@
         self: &sync::Arc<Self>,
         request: &http_server::ServerRequest,
         call: RunningCall,
-    ) -> Response {
+    ) -> http_message::Response {
         let first =
             request.header(header::OFFSET).and_then(|value| value.parse().ok()).unwrap_or(0);
         let (sender, encoder) = async_sse::encode();
@@ -265,13 +269,17 @@
                 call.cancel();
             }
         });
-        let mut response = Response::new(StatusCode::Ok);
-        response.set_body(Body::from_reader(encoder, None));
+        let mut response = http_message::Response::new(StatusCode::OK);
+        response.set_body(http_body::MessageBody::from_reader(encoder, None));
         response.insert_header("content-type", header::EVENT_STREAM);
         self.echo(request, response)
     }
 
-    fn echo(&self, request: &http_server::ServerRequest, mut response: Response) -> Response {
+    fn echo(
+        &self,
+        request: &http_server::ServerRequest,
+        mut response: http_message::Response,
+    ) -> http_message::Response {
         for name in [header::REQUEST, header::ATTEMPT] {
             if let Some(value) = request.header(name) {
                 response.insert_header(name, value);
--- a/crates/comfreyspread-lab/tests/configuration.rs
+++ b/crates/comfreyspread-lab/tests/configuration.rs
@@ -4,6 +4,7 @@
 #[path = "common/operator.rs"]
 mod operator;
 
+use comfreyspread::http_message;
 use comfreyspread_lab::{deployment, types};
 use comfreyspread_schema::{ids, types as wire};
 use rustix::process::Signal;
@@ -246,7 +247,7 @@
         for (body, expected) in bodies.iter().zip(["protocol version 99", "", "", ""]) {
             for path in ["/peer/configuration", "/peer/revision", "/peer/status"] {
                 let url = format!("http://{peer}{path}");
-                let mut request = http_types::Request::new(http_types::Method::Post, url.as_str());
+                let mut request = http_message::Request::new(http::Method::POST, url.as_str());
                 request.set_body(body.clone());
                 let answer = deployment.caller.send(peer, request).await.expect("an answer");
                 assert_eq!(answer.status(), 400, "{path}");
--- a/crates/comfreyspread-lab/tests/stand_in_records.rs
+++ b/crates/comfreyspread-lab/tests/stand_in_records.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use comfreyspread::{header, http_client};
+use comfreyspread::{header, http_client, http_message};
 use comfreyspread_lab::deployment;
 use comfreyspread_schema::types as wire;
 use futures_lite::AsyncReadExt as _;
@@ -24,9 +24,9 @@
     deployment
 }
 
-fn stage_request(address: net::SocketAddr, offset: u64) -> http_types::Request {
+fn stage_request(address: net::SocketAddr, offset: u64) -> http_message::Request {
     let url = format!("http://{address}/v1/stages/generate");
-    let mut request = http_types::Request::new(http_types::Method::Post, url.as_str());
+    let mut request = http_message::Request::new(http::Method::POST, url.as_str());
     request.set_body(r#"{"request":{"marker":"m-1"}}"#);
     request.insert_header(header::REQUEST, "r-1");
     request.insert_header(header::OFFSET, offset.to_string());
@@ -63,10 +63,10 @@
         let client = http_client::HttpClient::new(1 << 20);
         let deadline = time::Instant::now() + PATIENCE;
         let opened = client.open(address, stage_request(address, 7), deadline).await;
-        let mut response = opened.expect("a stream");
+        let mut body = opened.expect("a stream").take_body();
         let mut start = [0; 64];
-        response.read(&mut start).await.expect("the first tokens");
-        drop(response);
+        body.read(&mut start).await.expect("the first tokens");
+        drop(body);
         while time::Instant::now() < deadline {
             let records = deployment.records().await.expect("records").records;
             assert_eq!(records[0].offset, 7);
--- a/crates/comfreyspread/src/body.rs
+++ b/crates/comfreyspread/src/body.rs
@@ -3,11 +3,9 @@
 //! Memory is counted against the budget as a body grows, not as its sender states it, so a caller
 //! that announces much and sends little holds little.
 
-use futures_lite::AsyncReadExt as _;
+use crate::http_body;
 use std::{sync, sync::atomic};
 
-const READ_BUFFER_BYTES: usize = 16 * 1024;
-
 /// Why a body could not be read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum BodyFault {
@@ -76,33 +74,26 @@
 ///
 /// # Errors
 ///
-/// Fails if the body is cut short of `stated` bytes, exceeds `limit` bytes, or the budget of
-/// `share` has no room for it.
+/// Fails if the body is cut short, exceeds `limit` bytes, or the budget of `share` has no room for
+/// it.
 pub async fn read_whole(
-    mut body: http_types::Body,
-    stated: Option<usize>,
+    body: &mut http_body::MessageBody,
     limit: usize,
     share: &mut BodyShare,
 ) -> Result<bytes::Bytes, BodyFault> {
+    let stated = body.stated_length().and_then(|length| usize::try_from(length).ok());
     if stated.is_some_and(|length| length > limit) {
         return Err(BodyFault::TooLarge);
     }
     let most = stated.unwrap_or(limit);
-    let mut buffer = vec![0; READ_BUFFER_BYTES];
     let mut bytes = Vec::new();
-    loop {
-        let count = body.read(&mut buffer).await.map_err(|_| BodyFault::CutShort)?;
-        if count == 0 {
-            break;
-        }
-        if bytes.len() + count > most {
+    while let Some(chunk) = body.next_chunk().await {
+        let chunk = chunk.map_err(|_| BodyFault::CutShort)?;
+        if bytes.len() + chunk.len() > most {
             return Err(BodyFault::TooLarge);
         }
-        make_room(&mut bytes, count, most, share)?;
-        bytes.extend_from_slice(&buffer[..count]);
-    }
-    if stated.is_some_and(|length| length != bytes.len()) {
-        return Err(BodyFault::CutShort);
+        make_room(&mut bytes, chunk.len(), most, share)?;
+        bytes.extend_from_slice(&chunk);
     }
     Ok(bytes.into())
 }
--- a/crates/comfreyspread/src/caller_stream.rs
+++ b/crates/comfreyspread/src/caller_stream.rs
@@ -4,9 +4,8 @@
 //! After that a failure is an event `error` with the problem as its data, and a stream is whole only
 //! if it closes with the event `end`.
 
-use crate::{failure, frames, pipeline, problem, stream_run, tally};
+use crate::{failure, frames, http_message, pipeline, problem, stream_run, tally};
 use comfreyspread_schema::types;
-use http_types::Response;
 
 const TOKEN_EVENT: &str = "token";
 const END_EVENT: &str = "end";
@@ -20,7 +19,7 @@
 pub async fn start(
     input: pipeline::StreamInput,
     active: tally::ActivityGuard,
-) -> Result<Response, failure::CallFailure> {
+) -> Result<http_message::Response, failure::CallFailure> {
     let mut run = stream_run::StreamRun::new(input);
     let first = run.next().await?;
     Ok(frames::CallerEvents::response(|events| async move {
--- a/crates/comfreyspread/src/dispatch.rs
+++ b/crates/comfreyspread/src/dispatch.rs
@@ -1,7 +1,8 @@
 //! Sending one call from the ingress node to the owner of an endpoint.
 
 use crate::{
-    context, deadline as deadlines, failure, frame_source, frames, http_client, owner, owners, peer,
+    context, deadline as deadlines, failure, frame_source, frames, http_body, http_client, owner,
+    owners, peer,
 };
 use comfreyspread_policy::routing;
 use comfreyspread_schema::{ids, types};
@@ -76,13 +77,13 @@
     address: std::net::SocketAddr,
     call: &types::StageCall,
     deadline: time::Instant,
-) -> Result<http_types::Body, failure::CallFailure> {
+) -> Result<http_body::MessageBody, failure::CallFailure> {
     let request = peer::encode_request(address, peer::STREAM_PATH, call)?;
     let opened = context.client.open(address, request, deadline + REPLY_MARGIN).await;
     let mut response = opened.map_err(|failure| failure.with_crashed(false))?;
     let status: u16 = response.status().into();
-    if status != u16::from(http_types::StatusCode::Ok) {
-        let verdict = response.header(crate::header::VERDICT).map(|values| values.as_str());
+    if status != u16::from(http::StatusCode::OK) {
+        let verdict = response.header(crate::header::VERDICT);
         return Err(peer::refused(status, verdict));
     }
     Ok(response.take_body())
@@ -100,7 +101,7 @@
 #[derive(Debug)]
 enum StreamSource {
     Local(frame_source::FrameSource),
-    Remote(http_types::Body),
+    Remote(http_body::MessageBody),
 }
 
 impl OwnerStream {
--- a/crates/comfreyspread/src/endpoint.rs
+++ b/crates/comfreyspread/src/endpoint.rs
@@ -3,10 +3,10 @@
 //! An endpoint echoes the request id and the attempt of each call. An answer that echoes anything
 //! else is dropped, so an answer can never be handed to another request.
 
-use crate::{context, failure, header, http_client};
+use crate::{context, failure, header, http_client, http_message};
 use comfreyspread_policy::{attempt, lifecycle};
 use comfreyspread_schema::{ids, types};
-use http_types::{Method, Request, Response};
+use http::Method;
 use std::{net, sync, time};
 
 const STALE_FENCE_STATUS: u16 = 412;
@@ -40,7 +40,7 @@
 #[derive(Debug)]
 pub struct EndpointStream {
     /// Head and body of the answer.
-    pub response: Response,
+    pub response: http_message::Response,
     /// What the endpoint says of itself.
     pub signs: lifecycle::EndpointSigns,
 }
@@ -89,17 +89,17 @@
     ) -> Result<EndpointStream, failure::CallFailure> {
         let _sent = planned.send();
         let response = context.client.open(self.address, self.request(), self.deadline).await?;
-        let value = |name: &str| response.header(name).map(|values| values.as_str());
+        let value = |name: &str| response.header(name);
         let echo = Echo { request: value(header::REQUEST), attempt: value(header::ATTEMPT) };
         self.check(&echo, response.status().into(), value(header::VERDICT))?;
         let signs = signs(value);
         Ok(EndpointStream { response, signs })
     }
 
-    fn request(&self) -> Request {
+    fn request(&self) -> http_message::Request {
         let call = &*self.call;
         let url = format!("http://{}/v1/stages/{}", self.address, call.target);
-        let mut request = Request::new(Method::Post, url.as_str());
+        let mut request = http_message::Request::new(Method::POST, url.as_str());
         request.set_body(call.body.to_vec());
         request.insert_header("content-type", header::JSON);
         request.insert_header(header::REQUEST, &*call.request);
--- a/crates/comfreyspread/src/frames.rs
+++ b/crates/comfreyspread/src/frames.rs
@@ -5,11 +5,13 @@
 //! filling memory. The last frame is always [`types::StageFrame::Finished`]; a stream that ends
 //! without it was cut.
 
-use crate::{deadline as deadlines, failure, frame_source, header, produced_body};
+use crate::{
+    deadline as deadlines, failure, frame_source, header, http_body, http_message, produced_body,
+};
 use comfreyspread_policy::stream;
 use comfreyspread_schema::types;
 use futures_lite::{AsyncBufRead, AsyncReadExt as _, FutureExt as _, StreamExt as _, io};
-use http_types::{Body, Response, StatusCode};
+use http::StatusCode;
 use std::time;
 
 /// Frames held between two tasks of a node.
@@ -34,12 +36,12 @@
 
 /// Reads the events of an endpoint's stream.
 pub struct EngineEvents {
-    decoder: async_sse::Decoder<Body>,
+    decoder: async_sse::Decoder<http_body::MessageBody>,
 }
 
 impl EngineEvents {
     /// Creates a reader of the body of `response`.
-    pub fn new(response: &mut Response) -> Self {
+    pub fn new(response: &mut http_message::Response) -> Self {
         Self { decoder: async_sse::decode(response.take_body()) }
     }
 
@@ -76,15 +78,15 @@
 }
 
 /// Returns the answer of a node whose body is the frames of `source`.
-pub fn peer_response(source: frame_source::FrameSource) -> Response {
+pub fn peer_response(source: frame_source::FrameSource) -> http_message::Response {
     let chunks = futures_lite::stream::unfold(source, |mut source| async move {
         let first = source.next().await?;
         Some((encode_ready(&first, &mut source), source))
     });
     let chunks = sync_wrapper::SyncStream::new(Box::pin(chunks));
     let reader = futures_util::TryStreamExt::into_async_read(chunks);
-    let mut response = Response::new(StatusCode::Ok);
-    response.set_body(Body::from_reader(reader, None));
+    let mut response = http_message::Response::new(StatusCode::OK);
+    response.set_body(http_body::MessageBody::from_reader(reader, None));
     response
 }
 
@@ -147,15 +149,15 @@
 
 impl CallerEvents {
     /// Returns the answer whose body holds the events that `produce` sends.
-    pub fn response<Produce, Producer>(produce: Produce) -> Response
+    pub fn response<Produce, Producer>(produce: Produce) -> http_message::Response
     where
         Produce: FnOnce(Self) -> Producer,
         Producer: Future<Output = ()> + Send + 'static,
     {
         let (sender, encoder) = async_sse::encode();
         let body = produced_body::ProducedBody::new(produce(Self { sender }), encoder);
-        let mut response = Response::new(StatusCode::Ok);
-        response.set_body(Body::from_reader(io::BufReader::new(body), None));
+        let mut response = http_message::Response::new(StatusCode::OK);
+        response.set_body(http_body::MessageBody::from_reader(io::BufReader::new(body), None));
         response.insert_header("content-type", header::EVENT_STREAM);
         response.insert_header("cache-control", "no-store");
         response
@@ -179,7 +181,7 @@
 
 impl EventSource {
     /// Creates a source over the body of `response`.
-    pub fn new(response: &mut Response, deadline: time::Instant) -> Self {
+    pub fn new(response: &mut http_message::Response, deadline: time::Instant) -> Self {
         Self { events: EngineEvents::new(response), timer: deadlines::DeadlineTimer::new(deadline) }
     }
 
--- a/crates/comfreyspread/src/front.rs
+++ b/crates/comfreyspread/src/front.rs
@@ -1,12 +1,12 @@
 //! HTTP towards callers and operators.
 
 use crate::{
-    caller_stream, claim_table, claims, context, failure, header, http_server, operator, pipeline,
-    plan, problem, tally,
+    caller_stream, claim_table, claims, context, failure, header, http_message, http_server,
+    operator, pipeline, plan, problem, tally,
 };
 use comfreyspread_schema::{ids, types};
 use futures_lite::FutureExt as _;
-use http_types::{Method, Response, StatusCode};
+use http::{Method, StatusCode};
 use sha2::Digest as _;
 use std::{sync, time};
 use xxhash_rust::xxh3;
@@ -28,7 +28,7 @@
         Self { context }
     }
 
-    async fn serve(&self, request: &http_server::ServerRequest) -> Response {
+    async fn serve(&self, request: &http_server::ServerRequest) -> http_message::Response {
         let path = request.path();
         if let Some(name) = path.strip_prefix(PIPELINE_PREFIX) {
             return self.serve_call(request, CallTarget::Pipeline(name.into())).await;
@@ -37,15 +37,15 @@
             return self.serve_call(request, CallTarget::Service(name.into())).await;
         }
         match (request.method(), path) {
-            (Method::Get, "/healthz") => text(StatusCode::Ok, "ok\n"),
-            (Method::Get, "/readyz") => self.readiness(),
-            (Method::Get, "/metrics") => {
+            (&Method::GET, "/healthz") => text(StatusCode::OK, "ok\n"),
+            (&Method::GET, "/readyz") => self.readiness(),
+            (&Method::GET, "/metrics") => {
                 self.context.metrics.pools.observe_pools(&self.context.tables.pools.lock());
-                let mut response = text(StatusCode::Ok, &self.context.metrics.text());
+                let mut response = text(StatusCode::OK, &self.context.metrics.text());
                 response.insert_header("content-type", METRICS_MEDIA_TYPE);
                 response
             }
-            (Method::Get, operator::CLAIM_PATH) => self.list_claims().await,
+            (&Method::GET, operator::CLAIM_PATH) => self.list_claims().await,
             _ if path.starts_with(operator::PATH_PREFIX) => {
                 operator::serve(&self.context, request).await
             }
@@ -57,9 +57,9 @@
         }
     }
 
-    fn readiness(&self) -> Response {
+    fn readiness(&self) -> http_message::Response {
         if self.context.ready() {
-            return text(StatusCode::Ok, "serving\n");
+            return text(StatusCode::OK, "serving\n");
         }
         let detail = match self.context.tables.phase() {
             types::NodePhase::Serving if self.context.in_service() => {
@@ -68,14 +68,14 @@
             types::NodePhase::Serving => "out of service".to_owned(),
             phase => phase.to_string(),
         };
-        text(StatusCode::ServiceUnavailable, &format!("{detail}\n"))
+        text(StatusCode::SERVICE_UNAVAILABLE, &format!("{detail}\n"))
     }
 
     async fn serve_call(
         &self,
         request: &http_server::ServerRequest,
         target: CallTarget,
-    ) -> Response {
+    ) -> http_message::Response {
         let arrived = time::Instant::now();
         let active = self.context.begin_request();
         let id = self.context.next_request();
@@ -108,7 +108,7 @@
         id: ids::RequestId,
         arrived: time::Instant,
     ) -> Result<plan::RequestPlan, failure::CallFailure> {
-        if request.method() != Method::Post {
+        if request.method() != Method::POST {
             return Err(bad_request("calls are made with POST"));
         }
         if self.context.tables.phase() == types::NodePhase::Starting {
@@ -195,26 +195,28 @@
         Ok(FrontAnswer { response, verdict: types::CallVerdict::Ran })
     }
 
-    async fn list_claims(&self) -> Response {
+    async fn list_claims(&self) -> http_message::Response {
         let listed = claims::list_open(&self.context).await;
         listed.map_or_else(
             |failure| refusal(&failure, &self.context.next_request()),
-            |list| json(StatusCode::Ok, &list),
+            |list| json(StatusCode::OK, &list),
         )
     }
 }
 
-/// Response to a call and whether the call may have run.
+/// http_message::Response to a call and whether the call may have run.
 struct FrontAnswer {
-    response: Response,
+    response: http_message::Response,
     verdict: types::CallVerdict,
 }
 
 impl FrontAnswer {
     fn new(answer: &claim_table::ClaimAnswer) -> Self {
         let media_type = answer.problem.map_or(header::JSON, |_| problem::PROBLEM_MEDIA_TYPE);
-        let mut response = Response::new(answer.answer.status);
-        response.set_body(answer.answer.body.to_vec());
+        let status = StatusCode::from_u16(answer.answer.status);
+        let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let mut response = http_message::Response::new(status);
+        response.set_body(answer.answer.body.clone());
         response.insert_header("content-type", media_type);
         Self { response, verdict: answer.verdict }
     }
@@ -249,11 +251,11 @@
 }
 
 impl http_server::RequestHandler for FrontHandler {
-    async fn handle(&self, request: http_server::ServerRequest) -> Response {
+    async fn handle(&self, request: http_server::ServerRequest) -> http_message::Response {
         self.serve(&request).await
     }
 
-    fn refuse(&self, fault: http_server::RequestFault) -> Response {
+    fn refuse(&self, fault: http_server::RequestFault) -> http_message::Response {
         use http_server::RequestFault as Fault;
         let (kind, detail) = match fault {
             Fault::Busy => (types::ProblemKind::Overloaded, "too many bodies are being received"),
@@ -295,12 +297,16 @@
     request: &'request http_server::ServerRequest,
     name: &str,
 ) -> Result<Option<&'request str>, failure::CallFailure> {
-    let Some(values) = request.headers(name) else { return Ok(None) };
-    if values.iter().count() > 1 {
+    let mut values = request.headers(name).iter();
+    let Some(value) = values.next() else { return Ok(None) };
+    if values.next().is_some() {
         return Err(bad_request(&format!("the header {name} is given more than once")));
     }
-    check_length(values.as_str(), &format!("the header {name}"))?;
-    Ok(Some(values.as_str()))
+    let Ok(value) = value.to_str() else {
+        return Err(bad_request(&format!("the header {name} is not text")));
+    };
+    check_length(value, &format!("the header {name}"))?;
+    Ok(Some(value))
 }
 
 fn check_length(value: &str, what: &str) -> Result<(), failure::CallFailure> {
@@ -343,26 +349,26 @@
         verdict: types::CallVerdict::Ran,
     };
     let body = serde_json::to_vec(&whole).map_err(failed)?;
-    Ok(failure::WholeAnswer { status: StatusCode::Ok.into(), body: body.into() })
+    Ok(failure::WholeAnswer { status: StatusCode::OK.into(), body: body.into() })
 }
 
-fn text(status: StatusCode, body: &str) -> Response {
-    let mut response = Response::new(status);
-    response.set_body(body);
+fn text(status: StatusCode, body: &str) -> http_message::Response {
+    let mut response = http_message::Response::new(status);
+    response.set_body(body.to_owned());
     response
 }
 
 /// Returns a JSON response.
-pub fn json<Message>(status: StatusCode, message: &Message) -> Response
+pub fn json<Message>(status: StatusCode, message: &Message) -> http_message::Response
 where
     Message: serde::Serialize,
 {
-    let mut response = Response::new(status);
+    let mut response = http_message::Response::new(status);
     match serde_json::to_vec(message) {
         Ok(body) => response.set_body(body),
         Err(error) => {
             log::error!("front: answer cannot be encoded. error={error}");
-            response.set_status(StatusCode::InternalServerError);
+            response.set_status(StatusCode::INTERNAL_SERVER_ERROR);
         }
     }
     response.insert_header("content-type", header::JSON);
@@ -370,9 +376,9 @@
 }
 
 /// Returns the response to a failure.
-pub fn refusal(failure: &failure::CallFailure, request: &ids::RequestId) -> Response {
+pub fn refusal(failure: &failure::CallFailure, request: &ids::RequestId) -> http_message::Response {
     let body = problem::body(failure, request);
-    let status = StatusCode::try_from(body.status).unwrap_or(StatusCode::InternalServerError);
+    let status = StatusCode::try_from(body.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut response = json(status, &body);
     response.insert_header("content-type", problem::PROBLEM_MEDIA_TYPE);
     response.insert_header(header::VERDICT, body.verdict.to_string());
--- a/crates/comfreyspread/src/handover.rs
+++ b/crates/comfreyspread/src/handover.rs
@@ -4,10 +4,10 @@
 //! number from the endpoint where no former owner told it. A node that released endpoints tells
 //! their next owner, with the calls that still run, until the last of them has ended.
 
-use crate::{context, failure, heartbeat, http_client, peer, pool_changes, settings};
+use crate::{context, failure, heartbeat, http_client, http_message, peer, pool_changes, settings};
 use comfreyspread_policy::{contact, member, ownership, ownership_action};
 use comfreyspread_schema::{ids, types};
-use http_types::{Method, Request};
+use http::Method;
 use std::{net, sync, time};
 
 /// Path of a question for endpoints, answered by a [`types::ReleaseNotice`].
@@ -141,7 +141,7 @@
     address: net::SocketAddr,
 ) -> Result<(ids::FenceNumber, u32), failure::CallFailure> {
     let url = format!("http://{address}{STATUS_PATH}");
-    let request = Request::new(Method::Get, url.as_str());
+    let request = http_message::Request::new(Method::GET, url.as_str());
     let deadline = context.deadline(context.settings.suspect);
     let connection = http_client::ConnectionUse::Fresh;
     let answer = context.client.call(address, request, connection, deadline).await?;
--- a/crates/comfreyspread/src/http_client.rs
+++ b/crates/comfreyspread/src/http_client.rs
@@ -3,13 +3,13 @@
 //! A connection is used again only after an answer was read whole. A call that may not be repeated
 //! takes a fresh connection, so that a stale one cannot leave it in doubt.
 
-use crate::{deadline as deadlines, failure, header, rank};
-use async_net::TcpStream;
+use crate::{
+    client_connection, deadline as deadlines, failure, header, http_body, http_message, rank,
+};
 use comfreyspread_schema::{ids, types};
-use futures_lite::{AsyncReadExt as _, FutureExt as _};
-use http_types::{Request, Response, headers};
+use futures_lite::FutureExt as _;
 use indexmap::IndexMap;
-use std::{future, io, net, time};
+use std::{future, io, net, pin, sync, task, time};
 
 const IDLE_LIMIT: time::Duration = time::Duration::from_secs(3);
 const IDLE_CONNECTIONS_PER_ADDRESS: usize = 64;
@@ -27,19 +27,24 @@
 /// A whole answer.
 #[derive(Debug)]
 pub struct ClientAnswer {
-    head: Response,
+    head: http::response::Parts,
     body: bytes::Bytes,
 }
 
 impl ClientAnswer {
     /// Returns the HTTP status.
     pub fn status(&self) -> u16 {
-        self.head.status().into()
+        self.head.status.as_u16()
     }
 
     /// Returns the first value of a header.
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.head.header(name).map(|values| values.as_str())
+        http_message::text(&self.head.headers, name)
+    }
+
+    /// Returns the head.
+    pub fn head(&self) -> &http::response::Parts {
+        &self.head
     }
 
     /// Returns the body.
@@ -51,21 +56,27 @@
 /// Client with idle connections to many addresses.
 #[derive(Debug)]
 pub struct HttpClient {
-    idle: rank::RankedLock<rank::ConnectionRank, IndexMap<net::SocketAddr, Vec<IdleConnection>>>,
+    idle: sync::Arc<IdleConnections>,
     body_limit: usize,
     agent: Option<ids::Text>,
 }
 
+/// Connections on which no exchange is in progress.
 #[derive(Debug)]
-struct IdleConnection {
-    stream: TcpStream,
-    since: time::Instant,
+struct IdleConnections {
+    limit: time::Duration,
+    connections: rank::RankedLock<
+        rank::ConnectionRank,
+        IndexMap<net::SocketAddr, Vec<client_connection::ClientConnection>>,
+    >,
 }
 
 impl HttpClient {
     /// Creates a client that takes answers of up to `body_limit` bytes.
     pub fn new(body_limit: usize) -> Self {
-        Self { idle: rank::RankedLock::new(IndexMap::new()), body_limit, agent: None }
+        let connections = rank::RankedLock::new(IndexMap::new());
+        let idle = sync::Arc::new(IdleConnections { limit: IDLE_LIMIT, connections });
+        Self { idle, body_limit, agent: None }
     }
 
     /// Sets the node named as the sender of each request.
@@ -73,6 +84,12 @@
         Self { agent: Some(format!("{}{node}", header::AGENT_PREFIX).into()), ..self }
     }
 
+    /// Sets how long a connection may be idle before it is closed.
+    pub fn with_idle_limit(self, limit: time::Duration) -> Self {
+        let connections = rank::RankedLock::new(IndexMap::new());
+        Self { idle: sync::Arc::new(IdleConnections { limit, connections }), ..self }
+    }
+
     /// Makes a call and reads the whole answer.
     ///
     /// # Errors
@@ -82,26 +99,21 @@
     pub async fn call(
         &self,
         address: net::SocketAddr,
-        request: Request,
+        request: http_message::Request,
         connection: ConnectionUse,
         deadline: time::Instant,
     ) -> Result<ClientAnswer, failure::CallFailure> {
-        let stream = self.connect(address, connection, deadline).await?;
-        check_time(deadline)?;
         let exchange = async {
-            let mut head = exchange_head(stream.clone(), self.signed(request)).await?;
-            let body = read_whole(&mut head, self.body_limit).await?;
-            Ok(ClientAnswer { head, body })
+            let mut response = self.begin(address, request, connection, deadline).await?;
+            check_framing(&response)?;
+            let body = read_whole(&mut response.take_body(), self.body_limit).await?;
+            Ok(ClientAnswer { head: response.head().clone(), body })
         };
-        let answer = exchange.or(timeout(deadline)).await?;
-        if !wants_close(&answer.head) {
-            self.keep(address, stream);
-        }
-        Ok(answer)
+        exchange.or(timeout(deadline)).await
     }
 
     /// Makes a call and returns once the head of its answer has come; the body is read by the
-    /// caller. The connection is closed when the answer is dropped.
+    /// caller. The connection is closed when the answer is dropped before its end.
     ///
     /// # Errors
     ///
@@ -109,17 +121,49 @@
     pub async fn open(
         &self,
         address: net::SocketAddr,
-        request: Request,
+        request: http_message::Request,
+        deadline: time::Instant,
+    ) -> Result<http_message::Response, failure::CallFailure> {
+        let response = self.begin(address, request, ConnectionUse::Fresh, deadline).await?;
+        check_framing(&response)?;
+        Ok(response)
+    }
+
+    /// Makes a call like [`HttpClient::open`], over any connection, and takes an answer that ends
+    /// with its connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`HttpClient::call`].
+    pub async fn begin(
+        &self,
+        address: net::SocketAddr,
+        request: http_message::Request,
+        connection: ConnectionUse,
         deadline: time::Instant,
-    ) -> Result<Response, failure::CallFailure> {
-        let stream = self.connect(address, ConnectionUse::Fresh, deadline).await?;
+    ) -> Result<http_message::Response, failure::CallFailure> {
+        let mut connection = self.connect(address, connection, deadline).await?;
         check_time(deadline)?;
-        exchange_head(stream, self.signed(request)).or(timeout(deadline)).await
+        let exchange = async {
+            let sent = connection.exchange(self.signed(request)).await;
+            sent.map_err(|fault| match fault {
+                client_connection::ExchangeFault::Unsent => unsent(address, "it was closed"),
+                client_connection::ExchangeFault::Lost(error) => {
+                    lost(format!("the exchange failed: {error}")).with_crashed(true)
+                }
+            })
+        };
+        let (head, incoming) = exchange.or(timeout(deadline)).await?.into_parts();
+        let length = hyper::body::Body::size_hint(&incoming).exact();
+        let home = self.idle.clone();
+        let source = AnswerSource { incoming, connection: Some(connection), home };
+        let body = http_body::MessageBody::from_source(source, length);
+        Ok(http_message::Response::from_parts(head, body))
     }
 
-    fn signed(&self, mut request: Request) -> Request {
+    fn signed(&self, mut request: http_message::Request) -> http_message::Request {
         if let Some(agent) = &self.agent {
-            request.insert_header(header::USER_AGENT, &**agent);
+            request.insert_header(header::USER_AGENT, agent);
         }
         request
     }
@@ -129,82 +173,112 @@
         address: net::SocketAddr,
         connection: ConnectionUse,
         deadline: time::Instant,
-    ) -> Result<TcpStream, failure::CallFailure> {
-        if connection == ConnectionUse::Shared
-            && let Some(stream) = self.take_idle(address)
-        {
-            return Ok(stream);
+    ) -> Result<client_connection::ClientConnection, failure::CallFailure> {
+        if connection == ConnectionUse::Shared {
+            while let Some(mut connection) = self.idle.take(address) {
+                if connection.is_usable().await {
+                    return Ok(connection);
+                }
+            }
         }
-        let opened = async {
-            let stream = TcpStream::connect(address).await?;
-            stream.set_nodelay(true)?;
-            io::Result::Ok(stream)
-        };
+        let opened = client_connection::ClientConnection::new(address);
         let late = async {
             deadlines::DeadlineTimer::new(deadline).await;
             Err(io::ErrorKind::TimedOut.into())
         };
-        opened.or(late).await.map_err(|error| {
-            let detail = format!("cannot connect to {address}: {error}");
-            failure::CallFailure::new(types::ProblemKind::Unavailable, detail)
-        })
+        opened.or(late).await.map_err(|error| unsent(address, &error.to_string()))
     }
+}
 
-    fn take_idle(&self, address: net::SocketAddr) -> Option<TcpStream> {
-        let mut idle = self.idle.lock();
+impl IdleConnections {
+    fn take(&self, address: net::SocketAddr) -> Option<client_connection::ClientConnection> {
+        let mut idle = self.connections.lock();
         let connections = idle.get_mut(&address)?;
         while let Some(connection) = connections.pop() {
-            if connection.since.elapsed() < IDLE_LIMIT {
-                return Some(connection.stream);
+            if connection.idle_since().elapsed() < self.limit {
+                return Some(connection);
             }
         }
         None
     }
 
-    fn keep(&self, address: net::SocketAddr, stream: TcpStream) {
-        let mut idle = self.idle.lock();
-        let connections = idle.entry(address).or_default();
-        connections.retain(|connection| connection.since.elapsed() < IDLE_LIMIT);
+    fn keep(&self, mut connection: client_connection::ClientConnection) {
+        connection.rest();
+        let mut idle = self.connections.lock();
+        let connections = idle.entry(connection.address()).or_default();
+        connections.retain(|connection| connection.idle_since().elapsed() < self.limit);
         if connections.len() < IDLE_CONNECTIONS_PER_ADDRESS {
-            connections.push(IdleConnection { stream, since: time::Instant::now() });
+            connections.push(connection);
         }
     }
 }
 
-async fn exchange_head(
-    stream: TcpStream,
-    request: Request,
-) -> Result<Response, failure::CallFailure> {
-    let response = async_h1::connect(stream, request)
-        .await
-        .map_err(|error| lost(format!("the exchange failed: {error}")).with_crashed(true))?;
-    let chunked = response.header(headers::TRANSFER_ENCODING).is_some();
-    let sized = response.header(headers::CONTENT_LENGTH).is_some();
-    let empty = u16::from(response.status()) == NO_CONTENT_STATUS;
-    if !chunked && !sized && !empty {
-        return Err(lost("the answer has neither a length nor chunks".to_owned()));
+/// Body of an answer, with the connection it comes over.
+struct AnswerSource {
+    incoming: hyper::body::Incoming,
+    connection: Option<client_connection::ClientConnection>,
+    home: sync::Arc<IdleConnections>,
+}
+
+impl AnswerSource {
+    /// Keeps the connection for another exchange if it can bear one.
+    fn finish(&mut self, cx: &mut task::Context<'_>) {
+        let Some(mut connection) = self.connection.take() else { return };
+        connection.poll_driver(cx);
+        if connection.is_ready() {
+            self.home.keep(connection);
+        }
     }
-    Ok(response)
 }
 
-async fn read_whole(
-    head: &mut Response,
-    limit: usize,
-) -> Result<bytes::Bytes, failure::CallFailure> {
-    let stated = head.len();
-    let mut bytes = Vec::with_capacity(stated.unwrap_or(0).min(limit));
-    let most = u64::try_from(limit).unwrap_or(u64::MAX).saturating_add(1);
-    let read = head.take_body().take(most).read_to_end(&mut bytes).await;
-    if let Err(error) = read {
-        return Err(lost(format!("the answer was cut short: {error}")).with_crashed(true));
+impl http_body::ChunkSource for AnswerSource {
+    fn poll_chunk(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<Option<io::Result<bytes::Bytes>>> {
+        let source = &mut *self;
+        if let Some(connection) = &mut source.connection {
+            connection.poll_driver(cx);
+        }
+        let chunk = pin::Pin::new(&mut source.incoming).poll_chunk(cx);
+        if matches!(chunk, task::Poll::Ready(None)) {
+            source.finish(cx);
+        }
+        chunk
     }
-    if bytes.len() > limit {
-        return Err(lost(format!("the answer is larger than {limit} bytes")));
+}
+
+/// Refuses an answer that neither states its length nor marks its end.
+fn check_framing(response: &http_message::Response) -> Result<(), failure::CallFailure> {
+    let chunked = response.header("transfer-encoding").is_some();
+    let sized = response.header("content-length").is_some();
+    let empty = response.status().as_u16() == NO_CONTENT_STATUS;
+    if chunked || sized || empty {
+        return Ok(());
     }
-    if stated.is_some_and(|length| length != bytes.len()) {
-        return Err(lost("the answer was cut short".to_owned()).with_crashed(true));
+    Err(lost("the answer has neither a length nor chunks".to_owned()))
+}
+
+/// Reads the body of an answer.
+///
+/// # Errors
+///
+/// Fails if the body is cut short or longer than `limit` bytes; the call has run then.
+pub async fn read_whole(
+    body: &mut http_body::MessageBody,
+    limit: usize,
+) -> Result<bytes::Bytes, failure::CallFailure> {
+    let mut whole = bytes::BytesMut::new();
+    while let Some(chunk) = body.next_chunk().await {
+        let chunk = chunk.map_err(|error| {
+            lost(format!("the answer was cut short: {error}")).with_crashed(true)
+        })?;
+        if whole.len() + chunk.len() > limit {
+            return Err(lost(format!("the answer is larger than {limit} bytes")));
+        }
+        whole.extend_from_slice(&chunk);
     }
-    Ok(bytes.into())
+    Ok(whole.freeze())
 }
 
 async fn timeout<Answer>(deadline: time::Instant) -> Result<Answer, failure::CallFailure> {
@@ -222,16 +296,16 @@
     Err(failure::CallFailure::new(types::ProblemKind::Timeout, detail))
 }
 
+fn unsent(address: net::SocketAddr, reason: &str) -> failure::CallFailure {
+    let detail = format!("cannot connect to {address}: {reason}");
+    failure::CallFailure::new(types::ProblemKind::Unavailable, detail)
+}
+
 fn lost(detail: String) -> failure::CallFailure {
     failure::CallFailure::new(types::ProblemKind::EndpointFailed, detail)
         .with_verdict(types::CallVerdict::MayHaveRun)
 }
 
-fn wants_close(response: &Response) -> bool {
-    let value = response.header(headers::CONNECTION);
-    value.is_some_and(|values| values.as_str().eq_ignore_ascii_case("close"))
-}
-
 /// Waits for `work`, or returns none once `deadline` has passed.
 pub async fn before<Work>(deadline: time::Instant, work: Work) -> Option<Work::Output>
 where
--- a/crates/comfreyspread/src/http_server.rs
+++ b/crates/comfreyspread/src/http_server.rs
@@ -1,17 +1,15 @@
 //! HTTP/1.1 server on one address.
 //!
-//! Decoding and encoding are `async-h1`'s. This module adds what the library leaves to its user:
-//! limits on time and size, a check that a body is whole, an answer to malformed requests, and a
-//! way to notice that the caller went away.
+//! Decoding and encoding are `hyper`'s. This module adds what the library leaves to its user:
+//! limits on time and size, an answer to malformed requests, and a way to notice that the caller
+//! went away.
 
-use crate::{body, deadline, tally, worker};
-use async_h1::server;
+use crate::{body, deadline, http_body, http_message, server_stream, tally, worker};
 use async_net::TcpStream;
-use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, FutureExt as _, io};
-use http_types::{Method, Response, headers};
-use std::{future, net, sync, time};
+use futures_lite::{AsyncWriteExt as _, FutureExt as _, io};
+use hyper::{server::conn::http1, service};
+use std::{convert, future, net, pin, sync, task, time};
 
-const COPY_BUFFER_BYTES: usize = 16 * 1024;
 const BUSY_ANSWER: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\ncomfreyspread-verdict: not-run\r\n\
 retry-after: 1\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
@@ -19,7 +17,7 @@
 /// A request whose body has been read whole.
 #[derive(Debug)]
 pub struct ServerRequest {
-    head: http_types::Request,
+    head: http::request::Parts,
     body: bytes::Bytes,
     connection: ConnectionWatch,
     _share: body::BodyShare,
@@ -27,28 +25,33 @@
 
 impl ServerRequest {
     /// Returns the method.
-    pub fn method(&self) -> Method {
-        self.head.method()
+    pub fn method(&self) -> &http::Method {
+        &self.head.method
     }
 
     /// Returns the path without the query.
     pub fn path(&self) -> &str {
-        self.head.url().path()
+        self.head.uri.path()
     }
 
     /// Returns the query, if any.
     pub fn query(&self) -> Option<&str> {
-        self.head.url().query()
+        self.head.uri.query()
+    }
+
+    /// Returns the head as it came.
+    pub fn head(&self) -> &http::request::Parts {
+        &self.head
     }
 
     /// Returns the first value of a header.
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.head.header(name).map(|values| values.as_str())
+        http_message::text(&self.head.headers, name)
     }
 
     /// Returns all values of a header.
-    pub fn headers(&self, name: &str) -> Option<&headers::HeaderValues> {
-        self.head.header(name)
+    pub fn headers(&self, name: &str) -> http::header::GetAll<'_, http::HeaderValue> {
+        self.head.headers.get_all(name)
     }
 
     /// Returns the body.
@@ -82,10 +85,11 @@
 /// Answers requests.
 pub trait RequestHandler: Send + Sync + 'static {
     /// Answers one request.
-    fn handle(&self, request: ServerRequest) -> impl Future<Output = Response> + Send;
+    fn handle(&self, request: ServerRequest)
+    -> impl Future<Output = http_message::Response> + Send;
 
     /// Answers a request that could not be read, with the reason.
-    fn refuse(&self, fault: RequestFault) -> Response;
+    fn refuse(&self, fault: RequestFault) -> http_message::Response;
 }
 
 /// Why a request could not be read.
@@ -124,7 +128,7 @@
     pub body_timeout: time::Duration,
     /// Most connections held at once.
     pub connections: usize,
-    /// Longest wait for a header, also between requests.
+    /// Longest wait for a header, and for the next request.
     pub header_timeout: time::Duration,
 }
 
@@ -252,85 +256,96 @@
 where
     Handler: RequestHandler,
 {
-    async fn turn_away(mut self) -> http_types::Result<()> {
-        Ok(self.stream.write_all(BUSY_ANSWER).await?)
-    }
-
-    async fn run(mut self) -> http_types::Result<()> {
-        self.stream.set_nodelay(true)?;
-        while self.serve_one().await? {}
+    async fn turn_away(mut self) -> Result<(), hyper::Error> {
+        if let Err(error) = self.stream.write_all(BUSY_ANSWER).await {
+            log::debug!("http: caller not turned away. error={error}");
+        }
         Ok(())
     }
 
-    /// Serves one request and returns whether the connection can serve another.
-    async fn serve_one(&mut self) -> http_types::Result<bool> {
-        if !self.wait_for_head().await {
-            return Ok(false);
+    async fn run(self) -> Result<(), hyper::Error> {
+        if let Err(error) = self.stream.set_nodelay(true) {
+            log::debug!("http: delay of small writes not switched off. error={error}");
+        }
+        let mark = server_stream::ServedMark::default();
+        let patience = self.limits.body_timeout;
+        let stream = server_stream::ServerStream::new(self.stream.clone(), mark.clone(), patience);
+        let served = self.serve(stream, &mark).await;
+        if mark.is_set() {
+            return served;
+        }
+        match served {
+            Err(error) if error.is_timeout() => self.refuse(RequestFault::Slow).await,
+            Err(error) if error.is_parse() => self.refuse(RequestFault::Malformed).await,
+            ended => ended,
         }
-        let mut head = match self.read_head().await {
-            Ok(Some(head)) => head,
-            Ok(None) => return Ok(false),
-            Err(fault) => {
-                self.write(self.handler.refuse(fault), Method::Get).await?;
-                return Ok(false);
-            }
-        };
-        let method = head.method();
-        let wants_close = has_close(head.header(headers::CONNECTION));
-        let mut share = body::BodyShare::new(self.budget.clone());
-        let (response, whole) = match self.read_body(&mut head, &mut share).await {
-            Ok(body) => {
-                let connection = ConnectionWatch { stream: self.stream.clone() };
-                let request = ServerRequest { head, body, connection, _share: share };
-                (self.handler.handle(request).await, true)
-            }
-            Err(fault) => (self.handler.refuse(fault), false),
-        };
-        let close = wants_close || !whole || has_close(response.header(headers::CONNECTION));
-        self.write(response, method).await?;
-        Ok(!close && !self.closing.is_closed())
     }
 
-    /// Waits for the first byte of a request; false if none comes.
-    async fn wait_for_head(&self) -> bool {
-        let mut byte = [0];
-        let first = async { self.stream.peek(&mut byte).await.is_ok_and(|count| count > 0) };
-        let late = async {
-            deadline::DeadlineTimer::after(self.limits.header_timeout).await;
-            false
-        };
+    async fn serve(
+        &self,
+        stream: server_stream::ServerStream,
+        mark: &server_stream::ServedMark,
+    ) -> Result<(), hyper::Error> {
+        let answer = service::service_fn(|request| async {
+            mark.set();
+            let response = self.answer(request).await;
+            Ok::<_, convert::Infallible>(response.into_http())
+        });
+        let connection = http1::Builder::new()
+            .half_close(true)
+            .preserve_header_case(true)
+            .timer(ServerTimer)
+            .header_read_timeout(self.limits.header_timeout)
+            .serve_connection(smol_hyper::rt::FuturesIo::new(stream), answer);
+        let mut connection = pin::pin!(connection);
         let closed = async {
             self.closing.recv().await.ok();
-            false
+            None
         };
-        first.or(late).or(closed).await
+        let ended = async { Some(connection.as_mut().await) };
+        if let Some(ended) = ended.or(closed).await {
+            return ended;
+        }
+        connection.as_mut().graceful_shutdown();
+        connection.await
     }
 
-    /// Reads a header; none if the other side went away in the middle of it.
-    async fn read_head(&self) -> Result<Option<http_types::Request>, RequestFault> {
-        let decoded = async {
-            let decoded = server::decode(self.stream.clone()).await;
-            decoded.map_err(|_| RequestFault::Malformed)
-        };
-        let late = async {
-            deadline::DeadlineTimer::after(self.limits.header_timeout).await;
-            Err(RequestFault::Slow)
+    /// Answers one request.
+    async fn answer(
+        &self,
+        request: http::Request<hyper::body::Incoming>,
+    ) -> http_message::Response {
+        let (head, incoming) = request.into_parts();
+        let mut share = body::BodyShare::new(self.budget.clone());
+        let watch = ConnectionWatch { stream: self.stream.clone() };
+        let mut response = match self.read_body(incoming, &mut share).await {
+            Ok(body) => {
+                let connection = watch.clone();
+                let request = ServerRequest { head, body, connection, _share: share };
+                self.handler.handle(request).await
+            }
+            Err(fault) => {
+                let mut response = self.handler.refuse(fault);
+                response.insert_header("connection", "close");
+                response
+            }
         };
-        Ok(decoded.or(late).await?.map(|(request, _)| request))
+        if response.len().is_none() {
+            let body = response.take_body();
+            response.set_body(WatchedBody::body(body, watch));
+        }
+        response
     }
 
     async fn read_body(
         &self,
-        head: &mut http_types::Request,
+        incoming: hyper::body::Incoming,
         share: &mut body::BodyShare,
     ) -> Result<bytes::Bytes, RequestFault> {
-        let lengths = head.header(headers::CONTENT_LENGTH);
-        if lengths.is_some_and(|values| values.iter().any(|value| value != values.last())) {
-            return Err(RequestFault::Malformed);
-        }
-        let stated = head.len();
+        let length = hyper::body::Body::size_hint(&incoming).exact();
+        let mut body = http_body::MessageBody::from_source(incoming, length);
         let read = async {
-            let read = body::read_whole(head.take_body(), stated, self.limits.body, share).await;
+            let read = body::read_whole(&mut body, self.limits.body, share).await;
             read.map_err(RequestFault::from)
         };
         let late = async {
@@ -340,31 +355,59 @@
         read.or(late).await
     }
 
-    async fn write(&mut self, response: Response, method: Method) -> http_types::Result<()> {
-        let mut encoder = server::Encoder::new(response, method);
-        let mut buffer = vec![0; COPY_BUFFER_BYTES];
-        let watch = ConnectionWatch { stream: self.stream.clone() };
-        let mut closed = Box::pin(watch.closed());
-        loop {
-            let gone = async {
-                (&mut closed).await;
-                Err(io::ErrorKind::ConnectionAborted.into())
-            };
-            let count = encoder.read(&mut buffer).or(gone).await?;
-            if count == 0 {
-                return Ok(());
-            }
-            let limit = self.limits.body_timeout;
-            let written = self.stream.write_all(&buffer[..count]);
-            let late = async {
-                deadline::DeadlineTimer::after(limit).await;
-                Err(io::ErrorKind::TimedOut.into())
-            };
-            written.or(late).await?;
+    /// Tells a caller whose head could not be read why.
+    async fn refuse(self, fault: RequestFault) -> Result<(), hyper::Error> {
+        let stream = server_stream::RefusalStream::new(self.stream.clone());
+        let answer = service::service_fn(|_| async {
+            let mut response = self.handler.refuse(fault);
+            response.insert_header("connection", "close");
+            Ok::<_, convert::Infallible>(response.into_http())
+        });
+        let stream = smol_hyper::rt::FuturesIo::new(stream);
+        http1::Builder::new().half_close(true).serve_connection(stream, answer).await
+    }
+}
+
+/// Body of a streamed answer, which fails once the caller has gone away.
+struct WatchedBody {
+    body: http_body::MessageBody,
+    closed: sync_wrapper::SyncFuture<pin::Pin<Box<dyn Future<Output = ()> + Send>>>,
+}
+
+impl WatchedBody {
+    fn body(body: http_body::MessageBody, watch: ConnectionWatch) -> http_body::MessageBody {
+        let closed: pin::Pin<Box<dyn Future<Output = ()> + Send>> =
+            Box::pin(async move { watch.closed().await });
+        let closed = sync_wrapper::SyncFuture::new(closed);
+        http_body::MessageBody::from_source(Self { body, closed }, None)
+    }
+}
+
+impl http_body::ChunkSource for WatchedBody {
+    fn poll_chunk(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<Option<io::Result<bytes::Bytes>>> {
+        if pin::Pin::new(&mut self.closed).poll(cx).is_ready() {
+            let gone = io::Error::from(io::ErrorKind::ConnectionAborted);
+            return task::Poll::Ready(Some(Err(gone)));
         }
+        pin::Pin::new(&mut self.body).poll_chunk(cx)
     }
 }
 
-fn has_close(values: Option<&headers::HeaderValues>) -> bool {
-    values.is_some_and(|values| values.as_str().eq_ignore_ascii_case("close"))
+/// Timer of the library, over the deadlines of the process.
+#[derive(Clone, Copy, Debug)]
+struct ServerTimer;
+
+impl hyper::rt::Timer for ServerTimer {
+    fn sleep(&self, length: time::Duration) -> pin::Pin<Box<dyn hyper::rt::Sleep>> {
+        Box::pin(deadline::DeadlineTimer::after(length))
+    }
+
+    fn sleep_until(&self, moment: time::Instant) -> pin::Pin<Box<dyn hyper::rt::Sleep>> {
+        Box::pin(deadline::DeadlineTimer::new(moment))
+    }
 }
+
+impl hyper::rt::Sleep for deadline::DeadlineTimer {}
--- a/crates/comfreyspread/src/operator.rs
+++ b/crates/comfreyspread/src/operator.rs
@@ -5,11 +5,11 @@
 
 use crate::{
     acceptance, configuration, contact, context, dump, failure, front, head, http_client,
-    http_server, peer,
+    http_message, http_server, peer,
 };
 use comfreyspread_policy::change;
 use comfreyspread_schema::{ids, types};
-use http_types::{Method, Response, StatusCode};
+use http::{Method, StatusCode};
 use indexmap::IndexSet;
 use std::{sync, time};
 
@@ -39,23 +39,23 @@
 pub async fn serve(
     context: &sync::Arc<context::NodeContext>,
     request: &http_server::ServerRequest,
-) -> Response {
+) -> http_message::Response {
     match (request.method(), request.path()) {
-        (Method::Post, CHANGE_PATH) => match serde_json::from_slice(request.body()) {
+        (&Method::POST, CHANGE_PATH) => match serde_json::from_slice(request.body()) {
             Ok(change) => change_answer(&submit(context, change).await),
             Err(error) => refuse(types::ProblemKind::BadRequest, &error.to_string()),
         },
-        (Method::Get, CONFIGURATION_PATH) => {
+        (&Method::GET, CONFIGURATION_PATH) => {
             if let Err(failure) = configuration::read_store(context).await {
                 log::warn!("operator: store not read. error={failure}");
             }
             match context.tables.catalog().document() {
-                Some(document) => front::json(StatusCode::Ok, document),
+                Some(document) => front::json(StatusCode::OK, document),
                 None => refuse(types::ProblemKind::UnknownName, "there is no configuration yet"),
             }
         }
-        (Method::Get, STATUS_PATH) => front::json(StatusCode::Ok, &status(context).await),
-        (Method::Get, DUMP_PATH) => front::json(StatusCode::Ok, &dump::collect(context)),
+        (&Method::GET, STATUS_PATH) => front::json(StatusCode::OK, &status(context).await),
+        (&Method::GET, DUMP_PATH) => front::json(StatusCode::OK, &dump::collect(context)),
         (_, path) => {
             refuse(types::ProblemKind::UnknownName, &format!("there is nothing at {path}"))
         }
@@ -188,18 +188,18 @@
     types::ChangeOutcome::Refused { detail: detail.into(), faults: Vec::new() }
 }
 
-fn change_answer(outcome: &types::ChangeOutcome) -> Response {
+fn change_answer(outcome: &types::ChangeOutcome) -> http_message::Response {
     let status = match outcome {
-        types::ChangeOutcome::Accepted { .. } => StatusCode::Ok,
-        types::ChangeOutcome::Staged { .. } => StatusCode::Accepted,
-        types::ChangeOutcome::Conflict { .. } => StatusCode::Conflict,
-        types::ChangeOutcome::Refused { .. } => StatusCode::UnprocessableEntity,
-        types::ChangeOutcome::InDoubt { .. } => StatusCode::ServiceUnavailable,
+        types::ChangeOutcome::Accepted { .. } => StatusCode::OK,
+        types::ChangeOutcome::Staged { .. } => StatusCode::ACCEPTED,
+        types::ChangeOutcome::Conflict { .. } => StatusCode::CONFLICT,
+        types::ChangeOutcome::Refused { .. } => StatusCode::UNPROCESSABLE_ENTITY,
+        types::ChangeOutcome::InDoubt { .. } => StatusCode::SERVICE_UNAVAILABLE,
     };
     front::json(status, outcome)
 }
 
-fn refuse(kind: types::ProblemKind, detail: &str) -> Response {
+fn refuse(kind: types::ProblemKind, detail: &str) -> http_message::Response {
     front::refusal(&failure::CallFailure::new(kind, detail), &"".into())
 }
 
--- a/crates/comfreyspread/src/operator_client.rs
+++ b/crates/comfreyspread/src/operator_client.rs
@@ -1,8 +1,8 @@
 //! Client of a node for the operators' commands.
 
-use crate::{http_client, operator, operator_exit};
+use crate::{http_client, http_message, operator, operator_exit};
 use comfreyspread_schema::{ids, types};
-use http_types::{Method, Request};
+use http::Method;
 use std::{env, net, time};
 
 /// Prefix of the variables that operators' commands read; a node passes over them.
@@ -89,7 +89,7 @@
         &self,
         change: &types::ChangeRequest,
     ) -> Result<types::ChangeOutcome, operator_exit::OperatorError> {
-        let mut request = self.request(Method::Post, operator::CHANGE_PATH)?;
+        let mut request = self.request(Method::POST, operator::CHANGE_PATH)?;
         let body = serde_json::to_vec(change).map_err(|error| self.unreachable(&error))?;
         request.set_body(body);
         let deadline = time::Instant::now() + change.wait + ANSWER_LIMIT;
@@ -109,16 +109,20 @@
         &self,
         path: &str,
     ) -> Result<http_client::ClientAnswer, operator_exit::OperatorError> {
-        let request = self.request(Method::Get, path)?;
+        let request = self.request(Method::GET, path)?;
         let deadline = time::Instant::now() + ANSWER_LIMIT;
         let connection = http_client::ConnectionUse::Fresh;
         let answer = self.client.call(self.socket()?, request, connection, deadline).await;
         answer.map_err(|failure| self.unreachable(failure.detail()))
     }
 
-    fn request(&self, method: Method, path: &str) -> Result<Request, operator_exit::OperatorError> {
+    fn request(
+        &self,
+        method: Method,
+        path: &str,
+    ) -> Result<http_message::Request, operator_exit::OperatorError> {
         let url = format!("http://{}{path}", self.socket()?);
-        Ok(Request::new(method, url.as_str()))
+        Ok(http_message::Request::new(method, url.as_str()))
     }
 
     fn socket(&self) -> Result<net::SocketAddr, operator_exit::OperatorError> {
--- a/crates/comfreyspread/src/peer.rs
+++ b/crates/comfreyspread/src/peer.rs
@@ -6,11 +6,11 @@
 
 use crate::{
     configuration, context, dump, failure, frames, handover, header, heartbeat, http_client,
-    http_server, owner, problem,
+    http_message, http_server, owner, problem,
 };
 use comfreyspread_schema::types;
 use futures_lite::FutureExt as _;
-use http_types::{Method, Request, Response, StatusCode};
+use http::{Method, StatusCode};
 use std::{future, net, sync, time};
 
 /// Media type of messages between nodes.
@@ -78,7 +78,7 @@
     let request = encode_request(address, path, message)?;
     let sent = context.client.call(address, request, connection, deadline).await;
     let answer = sent.map_err(|failure| failure.with_crashed(false))?;
-    if answer.status() != u16::from(StatusCode::Ok) {
+    if answer.status() != u16::from(StatusCode::OK) {
         return Err(refused(answer.status(), answer.header(header::VERDICT)));
     }
     let reply: Reply = rmp_serde::from_slice(answer.body()).map_err(|error| {
@@ -99,7 +99,7 @@
     address: net::SocketAddr,
     path: &str,
     message: &Message,
-) -> Result<Request, failure::CallFailure>
+) -> Result<http_message::Request, failure::CallFailure>
 where
     Message: serde::Serialize,
 {
@@ -107,7 +107,7 @@
         failure::CallFailure::new(types::ProblemKind::Internal, error.to_string())
     })?;
     let url = format!("http://{address}{path}");
-    let mut request = Request::new(Method::Post, url.as_str());
+    let mut request = http_message::Request::new(Method::POST, url.as_str());
     request.set_body(body);
     request.insert_header("content-type", PEER_MEDIA_TYPE);
     Ok(request)
@@ -146,31 +146,31 @@
     async fn serve(
         &self,
         request: &http_server::ServerRequest,
-    ) -> Result<Response, failure::CallFailure> {
+    ) -> Result<http_message::Response, failure::CallFailure> {
         match (request.method(), request.path()) {
-            (Method::Post, CALL_PATH) => self.serve_call(request).await,
-            (Method::Post, STREAM_PATH) => self.serve_stream(request),
-            (Method::Post, heartbeat::HEARTBEAT_PATH) => {
+            (&Method::POST, CALL_PATH) => self.serve_call(request).await,
+            (&Method::POST, STREAM_PATH) => self.serve_stream(request),
+            (&Method::POST, heartbeat::HEARTBEAT_PATH) => {
                 let message = self.decode(request)?;
                 encode_reply(&heartbeat::answer(&self.context, message).await)
             }
-            (Method::Post, handover::QUESTION_PATH) => {
+            (&Method::POST, handover::QUESTION_PATH) => {
                 let message = self.decode(request)?;
                 encode_reply(&handover::answer(&self.context, message))
             }
-            (Method::Post, handover::NOTICE_PATH) => {
+            (&Method::POST, handover::NOTICE_PATH) => {
                 let message = self.decode(request)?;
                 encode_reply(&handover::accept_notice(&self.context, message))
             }
-            (Method::Post, CONFIGURATION_PATH) => {
+            (&Method::POST, CONFIGURATION_PATH) => {
                 let question: types::ConfigurationRequest = self.decode(request)?;
                 encode_reply(&configuration::reply(&self.context, &question))
             }
-            (Method::Post, REVISION_PATH) => {
+            (&Method::POST, REVISION_PATH) => {
                 let notice: types::RevisionNotice = self.decode(request)?;
                 encode_reply(&configuration::confirm(&self.context, &notice).await)
             }
-            (Method::Post, STATUS_PATH) => {
+            (&Method::POST, STATUS_PATH) => {
                 let _: types::StatusRequest = self.decode(request)?;
                 let status = dump::status(&self.context);
                 let header = self.context.peer_header();
@@ -186,7 +186,7 @@
     async fn serve_call(
         &self,
         request: &http_server::ServerRequest,
-    ) -> Result<Response, failure::CallFailure> {
+    ) -> Result<http_message::Response, failure::CallFailure> {
         let call: types::StageCall = self.decode(request)?;
         let deadline = self.context.deadline(call.budget);
         let connection = request.connection().clone();
@@ -210,7 +210,7 @@
     fn serve_stream(
         &self,
         request: &http_server::ServerRequest,
-    ) -> Result<Response, failure::CallFailure> {
+    ) -> Result<http_message::Response, failure::CallFailure> {
         let call: types::StageCall = self.decode(request)?;
         let deadline = self.context.deadline(call.budget);
         Ok(frames::peer_response(owner::start_stream(&self.context, call, deadline)))
@@ -250,17 +250,17 @@
 }
 
 impl http_server::RequestHandler for PeerHandler {
-    async fn handle(&self, request: http_server::ServerRequest) -> Response {
+    async fn handle(&self, request: http_server::ServerRequest) -> http_message::Response {
         self.serve(&request).await.unwrap_or_else(|failure| refusal(&failure))
     }
 
-    fn refuse(&self, fault: http_server::RequestFault) -> Response {
+    fn refuse(&self, fault: http_server::RequestFault) -> http_message::Response {
         let detail = format!("the message could not be read: {fault:?}");
         refusal(&failure::CallFailure::new(types::ProblemKind::BadRequest, detail))
     }
 }
 
-fn encode_reply<Reply>(reply: &Reply) -> Result<Response, failure::CallFailure>
+fn encode_reply<Reply>(reply: &Reply) -> Result<http_message::Response, failure::CallFailure>
 where
     Reply: serde::Serialize,
 {
@@ -268,16 +268,17 @@
         failure::CallFailure::new(types::ProblemKind::Internal, error.to_string())
             .with_verdict(types::CallVerdict::MayHaveRun)
     })?;
-    let mut response = Response::new(StatusCode::Ok);
+    let mut response = http_message::Response::new(StatusCode::OK);
     response.set_body(body);
     response.insert_header("content-type", PEER_MEDIA_TYPE);
     Ok(response)
 }
 
-fn refusal(failure: &failure::CallFailure) -> Response {
+fn refusal(failure: &failure::CallFailure) -> http_message::Response {
     log::warn!(detail = failure.detail().as_ref(); "peer: message refused");
     let status = StatusCode::try_from(problem::status(failure.problem()));
-    let mut response = Response::new(status.unwrap_or(StatusCode::InternalServerError));
+    let mut response =
+        http_message::Response::new(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
     response.set_body(failure.to_string());
     response.insert_header(header::VERDICT, failure.verdict().to_string());
     response
--- a/crates/comfreyspread/src/platform.rs
+++ b/crates/comfreyspread/src/platform.rs
@@ -3,9 +3,9 @@
 //! A transaction whose answer is lost may have taken effect; the failure's verdict says so, and
 //! the caller settles it by reading back.
 
-use crate::{failure, http_client};
+use crate::{failure, http_client, http_message};
 use comfreyspread_schema::{ids, types};
-use http_types::{Method, Request};
+use http::Method;
 use std::{net, time};
 
 const ANSWER_LIMIT_BYTES: usize = 64 * 1024 * 1024;
@@ -76,7 +76,7 @@
         let body = serde_json::to_vec(request).map_err(|error| {
             failure::CallFailure::new(types::ProblemKind::Internal, error.to_string())
         })?;
-        let answer = self.send(Method::Post, "/v1/transactions", body).await?;
+        let answer = self.send(Method::POST, "/v1/transactions", body).await?;
         decode(&answer)
     }
 
@@ -108,7 +108,7 @@
         body: ids::Payload,
     ) -> Result<(), failure::CallFailure> {
         let path = format!("/v1/objects/{name}");
-        let answer = self.send(Method::Put, &path, body.to_vec()).await?;
+        let answer = self.send(Method::PUT, &path, body.to_vec()).await?;
         check_status(&answer)
     }
 
@@ -123,7 +123,7 @@
     }
 
     async fn get(&self, path: &str) -> Result<http_client::ClientAnswer, failure::CallFailure> {
-        self.send(Method::Get, path, Vec::new()).await
+        self.send(Method::GET, path, Vec::new()).await
     }
 
     async fn send(
@@ -133,15 +133,15 @@
         body: Vec<u8>,
     ) -> Result<http_client::ClientAnswer, failure::CallFailure> {
         let url = format!("http://{}{path}", self.address);
-        let mut request = Request::new(method, url.as_str());
-        if method != Method::Get {
-            request.set_body(body);
-            request.insert_header("content-type", JSON_MEDIA_TYPE);
-        }
         let connection = match method {
-            Method::Get => http_client::ConnectionUse::Shared,
+            Method::GET => http_client::ConnectionUse::Shared,
             _ => http_client::ConnectionUse::Fresh,
         };
+        let mut request = http_message::Request::new(method, url.as_str());
+        if connection == http_client::ConnectionUse::Fresh {
+            request.set_body(body);
+            request.insert_header("content-type", JSON_MEDIA_TYPE);
+        }
         let deadline = time::Instant::now() + self.timeout;
         self.client
             .call(self.address, request, connection, deadline)
--- a/crates/comfreyspread/tests/frames.rs
+++ b/crates/comfreyspread/tests/frames.rs
@@ -1,7 +1,7 @@
 //! Streamed answers between nodes.
 
 use bolero::check;
-use comfreyspread::{frame_source, frames};
+use comfreyspread::{frame_source, frames, http_client};
 use comfreyspread_schema::types;
 use futures_lite::{future, io};
 
@@ -16,8 +16,9 @@
             sender.send(token(offset)).await.expect("an open channel");
         }
     });
-    let body = frames::peer_response(source).take_body();
-    future::block_on(body.into_bytes()).expect("a whole body")
+    let mut body = frames::peer_response(source).take_body();
+    let whole = future::block_on(http_client::read_whole(&mut body, usize::MAX));
+    whole.expect("a whole body").to_vec()
 }
 
 #[test]
