--- a/crates/comfreyspread-codegen/src/definitions.rs
+++ b/crates/comfreyspread-codegen/src/definitions.rs
@@ -9,7 +9,9 @@
 use std::{fs, iter, path};
 use syn::{parse_quote, visit_mut, visit_mut::VisitMut as _};
 
-const SCHEMA_FILES: [&str; 4] = ["ids.json", "declarations.json", "messages.json", "platform.json"];
+const SCHEMA_FILES: [&str; 5] =
+    ["ids.json", "declarations.json", "messages.json", "platform.json", "routing.json"];
+const WIRE_FILES: [&str; 1] = ["wire.json"];
 const LAB_FILES: [&str; 1] = ["lab.json"];
 const ALIAS_KEY: &str = "x-alias";
 const MILLISECOND_SUFFIX: &str = "_ms";
@@ -72,6 +74,18 @@
     generate(&settings, &definitions, &parse_quote!(comfreyspread_schema))
 }
 
+/// Generates the bodies as the platform spells them; numbers stay as they are on the wire.
+///
+/// # Errors
+///
+/// Fails if a schema file cannot be read or describes a type that cannot be generated.
+pub fn generate_wire_types(schema: &path::Path) -> miette::Result<syn::File> {
+    let definitions = read_definitions(schema, &WIRE_FILES)?;
+    let mut file = expand(&new_settings(), &definitions)?;
+    DeriveSorter.visit_file_mut(&mut file);
+    Ok(file)
+}
+
 fn new_settings() -> typify::TypeSpaceSettings {
     let mut settings = typify::TypeSpaceSettings::default();
     settings.with_derive("PartialEq".to_owned());
@@ -83,20 +97,28 @@
     settings: &typify::TypeSpaceSettings,
     definitions: &JsonObject,
     root_path: &syn::Path,
+) -> miette::Result<syn::File> {
+    let mut file = expand(settings, definitions)?;
+    let module = quote!(#root_path::millis).to_string().replace(' ', "").into();
+    FieldRewriter { module }.visit_file_mut(&mut file);
+    DeriveSorter.visit_file_mut(&mut file);
+    Ok(file)
+}
+
+fn expand(
+    settings: &typify::TypeSpaceSettings,
+    definitions: &JsonObject,
 ) -> miette::Result<syn::File> {
     let root = serde_json::json!({ "definitions": definitions });
     let root: schemars::schema::RootSchema = serde_json::from_value(root).into_diagnostic()?;
     let mut space = typify::TypeSpace::new(settings);
     space.add_ref_types(root.definitions).into_diagnostic()?;
     let tokens = space.to_stream();
-    let mut file: syn::File = syn::parse2(quote! {
+    syn::parse2(quote! {
         //! Messages, declarations and rows. Generated; do not edit.
         #tokens
     })
-    .into_diagnostic()?;
-    let module = quote!(#root_path::millis).to_string().replace(' ', "").into();
-    FieldRewriter { module }.visit_file_mut(&mut file);
-    Ok(file)
+    .into_diagnostic()
 }
 
 fn read_definitions(schema: &path::Path, files: &[&str]) -> miette::Result<JsonObject> {
@@ -116,7 +138,7 @@
     definition[ALIAS_KEY].as_str()
 }
 
-/// Gives lengths of time their wire form and sorts derives.
+/// Gives lengths of time their wire form.
 struct FieldRewriter {
     module: Box<str>,
 }
@@ -131,7 +153,12 @@
         field.attrs.push(parse_quote!(#[serde(default, rename = #name, with = #module)]));
         field.ty = parse_quote!(::std::time::Duration);
     }
+}
+
+/// Sorts derives.
+struct DeriveSorter;
 
+impl visit_mut::VisitMut for DeriveSorter {
     fn visit_attribute_mut(&mut self, attribute: &mut syn::Attribute) {
         if !attribute.path().is_ident("derive") {
             return;
--- a/crates/comfreyspread-codegen/src/main.rs
+++ b/crates/comfreyspread-codegen/src/main.rs
@@ -41,5 +41,8 @@
     let lab = root.join("crates/comfreyspread-lab/src/generated");
     let types = definitions::generate_lab_types(&schema)?;
     output::GeneratedFile::new("types.rs", types).settle(&lab, arguments.check)?;
+    let platform = root.join("platform/src/generated");
+    let bodies = definitions::generate_wire_types(&schema)?;
+    output::GeneratedFile::new("bodies.rs", bodies).settle(&platform, arguments.check)?;
     Ok(())
 }
--- /dev/null
+++ b/crates/comfreyspread-policy/src/batch_queue.rs
@@ -0,0 +1,526 @@
+//! Pieces of one stage service, of requests from all nodes, that share calls.
+//!
+//! A call takes a long time whatever it holds, so pieces of different requests are put into one.
+//! A call is made whenever an endpoint is free, with what waits; an endpoint never idles for the
+//! sake of a fuller call. Pieces that can still make their target go first, by rank; those that can
+//! only be late follow, by deadline; those that nobody can use any more are dropped at once.
+
+use comfreyspread_schema::{ids, types};
+use indexmap::IndexMap;
+use std::{net, time};
+
+/// Number of a group of pieces within its queue.
+pub type GroupNumber = u64;
+/// Number of a call within its queue.
+pub type CallNumber = u64;
+
+/// Weight of the newest call in an endpoint's average.
+const NEW_WEIGHT: f64 = 0.3;
+/// Multiple of the best endpoint's time above which an endpoint counts as slow.
+const SLOW_FACTOR: f64 = 1.8;
+/// Interval at which a slow endpoint is given a call, to see whether it still is.
+const SLOW_PROBE_INTERVAL: time::Duration = time::Duration::from_secs(3);
+/// How long an endpoint is passed over that refused a call because it was full.
+const REST_AFTER_FULL: time::Duration = time::Duration::from_millis(60);
+/// How long an endpoint is passed over that could not be reached or failed a call.
+const REST_AFTER_FAILURE: time::Duration = time::Duration::from_millis(500);
+/// How long an endpoint is passed over whose room is taken by results this queue doesn't know.
+const REST_AFTER_NO_ROOM: time::Duration = time::Duration::from_millis(100);
+/// Multiple of the expected time after which a call is given up.
+const PATIENCE_FACTOR: f64 = 3.0;
+/// Time beyond that multiple.
+const PATIENCE_SLACK: time::Duration = time::Duration::from_millis(400);
+/// Failures of one piece after which it is given up.
+const MOST_FAILURES: u32 = 4;
+
+/// Pieces of one stage of one request.
+#[derive(Clone, Debug)]
+pub struct PieceGroup {
+    /// The pieces.
+    pub orders: Vec<types::PieceOrder>,
+    /// Rank of the request; zero is the highest.
+    pub priority: u32,
+    /// Size of one result in bytes.
+    pub bytes: u64,
+    /// Moment until which the pieces are in time for the request's target.
+    pub target: time::Instant,
+    /// Moment after which nobody wants the pieces.
+    pub deadline: time::Instant,
+}
+
+#[derive(Debug)]
+struct QueuedGroup {
+    group: PieceGroup,
+    pieces: Vec<PieceState>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum PieceState {
+    Waiting { failures: u32 },
+    Running { failures: u32 },
+    Done(types::PieceOutcome),
+}
+
+/// An endpoint of the service, as the queue sees it.
+#[derive(Debug)]
+struct BatchWorker {
+    address: net::SocketAddr,
+    call: Option<CallNumber>,
+    factor: f64,
+    used: time::Instant,
+    resting_until: Option<time::Instant>,
+}
+
+#[derive(Debug)]
+struct RunningCall {
+    endpoint: ids::EndpointId,
+    started: time::Instant,
+    usual: time::Duration,
+    pieces: Vec<(GroupNumber, usize)>,
+    bytes: u64,
+}
+
+/// A call to be made now.
+#[derive(Clone, Debug)]
+pub struct PlannedCall {
+    /// Its number.
+    pub number: CallNumber,
+    /// Endpoint to call.
+    pub endpoint: ids::EndpointId,
+    /// Address of the endpoint.
+    pub address: net::SocketAddr,
+    /// Pieces to be made.
+    pub orders: Vec<types::PieceOrder>,
+    /// Time after which the call is given up.
+    pub patience: time::Duration,
+}
+
+/// How a call ended.
+#[derive(Clone, Debug)]
+pub enum BatchEnding {
+    /// It was answered, piece by piece.
+    Answered(Vec<types::PieceOutcome>),
+    /// The endpoint was full and made nothing.
+    Full,
+    /// Another endpoint has the address, or this one leaves.
+    Gone,
+    /// It failed, or took too long.
+    Failed,
+}
+
+/// A group whose pieces are all settled.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SettledGroup {
+    /// Its number.
+    pub number: GroupNumber,
+    /// Outcomes of its pieces, in their order.
+    pub outcomes: Vec<types::PieceOutcome>,
+}
+
+/// Results that stand at their makers.
+#[derive(Debug)]
+struct KeptResult {
+    maker: net::SocketAddr,
+    bytes: u64,
+    until: time::Instant,
+}
+
+/// Queue of one stage service in one region.
+#[derive(Debug)]
+pub struct BatchQueue {
+    capacity: types::StageCapacity,
+    workers: IndexMap<ids::EndpointId, BatchWorker>,
+    groups: IndexMap<GroupNumber, QueuedGroup>,
+    calls: IndexMap<CallNumber, RunningCall>,
+    kept: IndexMap<ids::ResultHandle, KeptResult>,
+    next: u64,
+}
+
+impl BatchQueue {
+    /// Creates the queue of a service whose endpoints have `capacity`.
+    pub fn new(capacity: types::StageCapacity) -> Self {
+        Self {
+            capacity,
+            workers: IndexMap::new(),
+            groups: IndexMap::new(),
+            calls: IndexMap::new(),
+            kept: IndexMap::new(),
+            next: 0,
+        }
+    }
+
+    /// Sets what one endpoint can do.
+    pub fn set_capacity(&mut self, capacity: types::StageCapacity) {
+        self.capacity = capacity;
+    }
+
+    /// Sets the endpoints that may be called.
+    pub fn set_workers<Workers>(&mut self, workers: Workers, now: time::Instant)
+    where
+        Workers: Iterator<Item = (ids::EndpointId, net::SocketAddr)>,
+    {
+        let workers: IndexMap<_, _> = workers.collect();
+        self.workers.retain(|endpoint, _| workers.contains_key(endpoint));
+        for (endpoint, address) in workers {
+            self.workers.entry(endpoint).or_insert_with(|| BatchWorker {
+                address,
+                call: None,
+                factor: 1.0,
+                used: now,
+                resting_until: None,
+            });
+        }
+    }
+
+    /// Takes in a group of pieces.
+    pub fn push(&mut self, group: PieceGroup) -> GroupNumber {
+        let number = self.next_number();
+        let pieces = vec![PieceState::Waiting { failures: 0 }; group.orders.len()];
+        self.groups.insert(number, QueuedGroup { group, pieces });
+        number
+    }
+
+    /// Forgets a group that nobody waits for any more.
+    pub fn cancel(&mut self, number: GroupNumber) {
+        self.groups.shift_remove(&number);
+    }
+
+    /// Returns the calls to be made now.
+    pub fn plan(&mut self, now: time::Instant) -> Vec<PlannedCall> {
+        self.kept.retain(|_, kept| kept.until > now);
+        std::iter::from_fn(|| self.plan_one(now)).collect()
+    }
+
+    /// Takes in how a call ended; the groups that are settled can then be taken out.
+    pub fn finish(&mut self, number: CallNumber, ending: &BatchEnding, now: time::Instant) {
+        let Some(call) = self.calls.shift_remove(&number) else { return };
+        self.note_worker(&call, ending, now);
+        for (place, (group, piece)) in call.pieces.iter().enumerate() {
+            let outcome = match ending {
+                BatchEnding::Answered(outcomes) => outcomes
+                    .get(place)
+                    .cloned()
+                    .unwrap_or(types::PieceOutcome::Failed(types::PieceFault::Failed)),
+                BatchEnding::Full | BatchEnding::Gone => {
+                    types::PieceOutcome::Failed(types::PieceFault::Refused)
+                }
+                BatchEnding::Failed => types::PieceOutcome::Failed(types::PieceFault::Unreachable),
+            };
+            self.settle(*group, *piece, outcome, &call, now);
+        }
+    }
+
+    /// Drops the pieces that cannot be made in time, and takes out the groups that are settled.
+    pub fn take_settled(&mut self, now: time::Instant) -> Vec<SettledGroup> {
+        for queued in self.groups.values_mut() {
+            if queued.group.deadline <= now {
+                queued.drop_waiting(types::PieceFault::Late);
+            }
+        }
+        let settled: Vec<_> =
+            self.groups.iter().filter_map(|(number, queued)| queued.settled(*number)).collect();
+        for group in &settled {
+            self.groups.shift_remove(&group.number);
+        }
+        settled
+    }
+
+    /// Takes out results that nobody needs; returns them by the address of their maker.
+    pub fn release(
+        &mut self,
+        handles: &[ids::ResultHandle],
+    ) -> IndexMap<net::SocketAddr, Vec<ids::ResultHandle>> {
+        let mut makers = IndexMap::<_, Vec<_>>::new();
+        for handle in handles {
+            if let Some(kept) = self.kept.shift_remove(handle) {
+                makers.entry(kept.maker).or_default().push(handle.clone());
+            }
+        }
+        makers
+    }
+
+    /// Returns the moment at which something is to be done though no call ends: the next deadline,
+    /// or an endpoint whose rest is over.
+    pub fn next_moment(&self, now: time::Instant) -> Option<time::Instant> {
+        if self.groups.is_empty() {
+            return None;
+        }
+        let waiting = self.groups.values().filter(|queued| queued.is_waiting());
+        let deadlines = waiting.map(|queued| queued.group.deadline);
+        let rests = self.workers.values().filter_map(|worker| worker.resting_until);
+        deadlines.chain(rests.filter(|rest| *rest > now)).min()
+    }
+
+    /// Returns the time that a new piece has to expect, its own call included.
+    pub fn expected_wait(&self, now: time::Instant) -> time::Duration {
+        let awake = self.workers.values().filter(|worker| !worker.is_resting(now)).count();
+        let workers = u32::try_from(awake.max(1)).unwrap_or(1);
+        let waiting: usize = self.groups.values().map(QueuedGroup::waiting).sum();
+        let batch = usize::try_from(self.capacity.batch).unwrap_or(1);
+        let calls = u32::try_from(waiting.div_ceil(batch)).unwrap_or(u32::MAX);
+        let full = self.call_time(batch);
+        let running = self
+            .calls
+            .values()
+            .map(|call| (call.started + call.usual).saturating_duration_since(now));
+        let busy: time::Duration = running.sum();
+        (busy + full * calls) / workers
+    }
+
+    /// Returns the usual time of a call with `pieces` pieces.
+    pub fn call_time(&self, pieces: usize) -> time::Duration {
+        call_time(&self.capacity, u32::try_from(pieces).unwrap_or(u32::MAX))
+    }
+
+    /// Whether an endpoint is there that could be called.
+    pub fn has_workers(&self) -> bool {
+        !self.workers.is_empty()
+    }
+
+    /// Returns the pieces that wait and the calls that run.
+    pub fn load(&self) -> (usize, usize) {
+        (self.groups.values().map(QueuedGroup::waiting).sum(), self.calls.len())
+    }
+
+    fn next_number(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    fn plan_one(&mut self, now: time::Instant) -> Option<PlannedCall> {
+        let order = self.order(now);
+        let first = self.groups.get(order.first()?)?;
+        let (target, first_bytes) = (first.group.target, first.group.bytes);
+        let endpoint = self.free_worker(target, first_bytes, now)?;
+        let room = self.room_left(&endpoint);
+        let pieces = self.fill(&order, room);
+        if pieces.is_empty() {
+            return None;
+        }
+        Some(self.start(endpoint, pieces, now))
+    }
+
+    /// Returns the groups with pieces that wait, in the order in which they are served.
+    fn order(&self, now: time::Instant) -> Vec<GroupNumber> {
+        let soonest = self.call_time(1);
+        let waiting = self.groups.iter().filter(|(_, queued)| queued.is_waiting());
+        let mut order: Vec<_> = waiting
+            .map(|(number, queued)| {
+                let group = &queued.group;
+                let late = now + soonest > group.target;
+                let rank = if late { u32::MAX } else { group.priority };
+                let moment = if late { group.deadline } else { group.target };
+                ((late, rank, moment), *number)
+            })
+            .collect();
+        order.sort_unstable();
+        order.into_iter().map(|(_, number)| number).collect()
+    }
+
+    /// Returns an endpoint for a call whose first pieces have this target.
+    fn free_worker(
+        &self,
+        target: time::Instant,
+        bytes: u64,
+        now: time::Instant,
+    ) -> Option<ids::EndpointId> {
+        let awake = self.workers.iter().filter(|(_, worker)| !worker.is_resting(now));
+        let best = awake.clone().map(|(_, worker)| worker.factor).fold(f64::INFINITY, f64::min);
+        let usual = self.call_time(usize::try_from(self.capacity.batch).unwrap_or(1));
+        let useful = |worker: &BatchWorker| {
+            worker.factor <= best * SLOW_FACTOR
+                || now + usual.mul_f64(worker.factor) <= target
+                || now.saturating_duration_since(worker.used) > SLOW_PROBE_INTERVAL
+        };
+        let free = awake.filter(|(endpoint, worker)| {
+            worker.call.is_none() && useful(worker) && self.room_left(endpoint) >= bytes
+        });
+        let fastest = free.min_by(|(_, one), (_, other)| {
+            one.factor.total_cmp(&other.factor).then(one.used.cmp(&other.used))
+        });
+        fastest.map(|(endpoint, _)| endpoint.clone())
+    }
+
+    fn room_left(&self, endpoint: &ids::EndpointId) -> u64 {
+        let Some(worker) = self.workers.get(endpoint) else { return 0 };
+        if self.capacity.room_bytes == 0 {
+            return u64::MAX;
+        }
+        let kept = self.kept.values().filter(|kept| kept.maker == worker.address);
+        let used: u64 = kept.map(|kept| kept.bytes).sum();
+        self.capacity.room_bytes.saturating_sub(used)
+    }
+
+    /// Returns the pieces of the next call, as many as fit it and the room of its endpoint.
+    fn fill(&self, order: &[GroupNumber], mut room: u64) -> Vec<(GroupNumber, usize)> {
+        let batch = usize::try_from(self.capacity.batch).unwrap_or(1);
+        let mut pieces = Vec::with_capacity(batch);
+        for number in order {
+            let Some(queued) = self.groups.get(number) else { continue };
+            for (place, state) in queued.pieces.iter().enumerate() {
+                if pieces.len() == batch {
+                    return pieces;
+                }
+                if matches!(state, PieceState::Waiting { .. }) && queued.group.bytes <= room {
+                    room -= queued.group.bytes;
+                    pieces.push((*number, place));
+                }
+            }
+        }
+        pieces
+    }
+
+    fn start(
+        &mut self,
+        endpoint: ids::EndpointId,
+        pieces: Vec<(GroupNumber, usize)>,
+        now: time::Instant,
+    ) -> PlannedCall {
+        let number = self.next_number();
+        let usual = self.call_time(pieces.len());
+        let mut orders = Vec::with_capacity(pieces.len());
+        let mut bytes = 0;
+        for (group, place) in &pieces {
+            let Some(queued) = self.groups.get_mut(group) else { continue };
+            queued.start(*place);
+            let mut order = queued.group.orders[*place].clone();
+            order.left = queued.group.deadline.saturating_duration_since(now);
+            bytes += queued.group.bytes;
+            orders.push(order);
+        }
+        let mut address = net::SocketAddr::from(([0, 0, 0, 0], 0));
+        let mut factor = 1.0;
+        if let Some(worker) = self.workers.get_mut(&endpoint) {
+            worker.call = Some(number);
+            worker.used = now;
+            address = worker.address;
+            factor = worker.factor;
+        }
+        let patience = usual.mul_f64(factor * PATIENCE_FACTOR) + PATIENCE_SLACK;
+        let call = RunningCall { endpoint: endpoint.clone(), started: now, usual, pieces, bytes };
+        self.calls.insert(number, call);
+        PlannedCall { number, endpoint, address, orders, patience }
+    }
+
+    fn note_worker(&mut self, call: &RunningCall, ending: &BatchEnding, now: time::Instant) {
+        if matches!(ending, BatchEnding::Gone) {
+            self.workers.shift_remove(&call.endpoint);
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(&call.endpoint) else { return };
+        worker.call = None;
+        let took = now.saturating_duration_since(call.started);
+        let ratio = took.as_secs_f64() / call.usual.as_secs_f64().max(f64::EPSILON);
+        let weighed = worker.factor * (1.0 - NEW_WEIGHT) + ratio * NEW_WEIGHT;
+        match ending {
+            BatchEnding::Answered(outcomes) => {
+                worker.factor = if ratio > worker.factor * SLOW_FACTOR { ratio } else { weighed };
+                let full = |outcome: &types::PieceOutcome| {
+                    *outcome == types::PieceOutcome::Failed(types::PieceFault::NoRoom)
+                };
+                if outcomes.iter().any(full) {
+                    worker.resting_until = Some(now + REST_AFTER_NO_ROOM);
+                }
+            }
+            BatchEnding::Full => worker.resting_until = Some(now + REST_AFTER_FULL),
+            BatchEnding::Failed | BatchEnding::Gone => {
+                worker.resting_until = Some(now + REST_AFTER_FAILURE);
+            }
+        }
+    }
+
+    fn settle(
+        &mut self,
+        number: GroupNumber,
+        piece: usize,
+        outcome: types::PieceOutcome,
+        call: &RunningCall,
+        now: time::Instant,
+    ) {
+        let maker = self.workers.get(&call.endpoint).map(|worker| worker.address);
+        let wanted = self.groups.get_mut(&number);
+        if let (types::PieceOutcome::Made(handle), Some(maker)) = (&outcome, maker) {
+            let count = u64::try_from(call.pieces.len()).unwrap_or(1).max(1);
+            let bytes = wanted.as_ref().map_or(call.bytes / count, |queued| queued.group.bytes);
+            let until = now + self.capacity.result_life;
+            self.kept.insert(handle.clone(), KeptResult { maker, bytes, until });
+        }
+        if let Some(queued) = wanted {
+            queued.settle(piece, outcome);
+        }
+    }
+}
+
+impl BatchWorker {
+    fn is_resting(&self, now: time::Instant) -> bool {
+        self.resting_until.is_some_and(|until| until > now)
+    }
+}
+
+impl QueuedGroup {
+    fn waiting(&self) -> usize {
+        let waiting = |piece: &&PieceState| matches!(piece, PieceState::Waiting { .. });
+        self.pieces.iter().filter(waiting).count()
+    }
+
+    fn is_waiting(&self) -> bool {
+        self.waiting() > 0
+    }
+
+    fn start(&mut self, piece: usize) {
+        if let PieceState::Waiting { failures } = self.pieces[piece] {
+            self.pieces[piece] = PieceState::Running { failures };
+        }
+    }
+
+    /// Settles a piece, or lets it wait again if another endpoint may make it.
+    fn settle(&mut self, piece: usize, outcome: types::PieceOutcome) {
+        let PieceState::Running { failures } = self.pieces[piece] else { return };
+        let again = match &outcome {
+            types::PieceOutcome::Made(_) => false,
+            types::PieceOutcome::Failed(fault) => match fault {
+                types::PieceFault::Late | types::PieceFault::InputGone => false,
+                types::PieceFault::Refused | types::PieceFault::NoRoom => true,
+                types::PieceFault::Failed | types::PieceFault::Unreachable => {
+                    failures + 1 < MOST_FAILURES
+                }
+            },
+        };
+        self.pieces[piece] = match outcome {
+            types::PieceOutcome::Failed(
+                types::PieceFault::Failed | types::PieceFault::Unreachable,
+            ) if again => PieceState::Waiting { failures: failures + 1 },
+            _ if again => PieceState::Waiting { failures },
+            settled => PieceState::Done(settled),
+        };
+        if matches!(&self.pieces[piece], PieceState::Done(types::PieceOutcome::Failed(_))) {
+            self.drop_waiting(types::PieceFault::Late);
+        }
+    }
+
+    fn drop_waiting(&mut self, fault: types::PieceFault) {
+        for piece in &mut self.pieces {
+            if matches!(piece, PieceState::Waiting { .. }) {
+                *piece = PieceState::Done(types::PieceOutcome::Failed(fault));
+            }
+        }
+    }
+
+    fn settled(&self, number: GroupNumber) -> Option<SettledGroup> {
+        let outcomes: Option<Vec<_>> = self
+            .pieces
+            .iter()
+            .map(|piece| match piece {
+                PieceState::Done(outcome) => Some(outcome.clone()),
+                PieceState::Running { .. } | PieceState::Waiting { .. } => None,
+            })
+            .collect();
+        Some(SettledGroup { number, outcomes: outcomes? })
+    }
+}
+
+/// Returns the usual time of a call with `pieces` pieces at an endpoint with `capacity`.
+pub fn call_time(capacity: &types::StageCapacity, pieces: u32) -> time::Duration {
+    time::Duration::from_micros(capacity.call_us)
+        + time::Duration::from_micros(capacity.piece_us) * pieces
+}
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -8,6 +8,8 @@
 //! - The ingress node: [`verdict`], [`attempt`], [`routing`], [`retry`], [`timing`], [`stream`],
 //!   [`suspect`], [`link`].
 //! - Requests that may run at most once: [`claim`], [`settlement`], [`write_group`].
+//! - On the users' platform: [`route_table`], [`directory`] of endpoints, [`stage_graph`] of a
+//!   request, [`batch_queue`] of a stage service, [`event_buffer`], [`repeat_budget`].
 //! - The owner: [`schedule`] over [`queue`], [`replica`], [`lifecycle`], [`limit`], [`breaker`],
 //!   [`outlier`], [`choice`], [`latency`].
 //! - Members and ownership: [`membership`], [`contact`], [`rendezvous`], [`ownership`],
@@ -24,6 +26,7 @@
 
 pub mod acceptance;
 pub mod attempt;
+pub mod batch_queue;
 pub mod breaker;
 pub mod catalog;
 pub mod change;
@@ -32,6 +35,8 @@
 pub mod comparison;
 pub mod contact;
 pub mod delta;
+pub mod directory;
+pub mod event_buffer;
 pub mod item;
 pub mod latency;
 pub mod life;
@@ -47,11 +52,14 @@
 pub mod poller;
 pub mod queue;
 pub mod rendezvous;
+pub mod repeat_budget;
 pub mod replica;
 pub mod retry;
+pub mod route_table;
 pub mod routing;
 pub mod schedule;
 pub mod settlement;
+pub mod stage_graph;
 pub mod stream;
 pub mod suspect;
 pub mod timing;
--- /dev/null
+++ b/crates/comfreyspread-policy/src/route_table.rs
@@ -0,0 +1,118 @@
+//! Routes in force: which rule serves a request, and for whom.
+//!
+//! ```
+//! use comfreyspread_policy::route_table;
+//!
+//! let table = route_table::RouteTable::default();
+//! assert!(table.find("host", "/path/").is_none());
+//! ```
+
+use comfreyspread_schema::{ids, types};
+use indexmap::IndexMap;
+use std::{cmp, sync};
+
+/// Routes, services and workspaces of one document.
+#[derive(Debug, Default)]
+pub struct RouteTable {
+    version: u64,
+    hosts: IndexMap<ids::Text, Vec<sync::Arc<types::RouteRule>>>,
+    services: IndexMap<ids::EndpointService, sync::Arc<types::ServiceRule>>,
+    keys: IndexMap<ids::Text, sync::Arc<types::WorkspaceRule>>,
+    limits: Option<types::CallerLimits>,
+}
+
+impl RouteTable {
+    /// Creates the table of a document.
+    pub fn new(document: types::RouteDocument) -> Self {
+        let mut hosts = IndexMap::<ids::Text, Vec<sync::Arc<types::RouteRule>>>::new();
+        for route in document.routes {
+            hosts.entry(route.host.clone()).or_default().push(sync::Arc::new(route));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| cmp::Reverse(route.prefix.len()));
+        }
+        let services = document.services.into_iter();
+        let services = services.map(|service| (service.name.clone(), sync::Arc::new(service)));
+        let mut keys = IndexMap::new();
+        for workspace in document.workspaces {
+            let workspace = sync::Arc::new(workspace);
+            keys.extend(workspace.keys.iter().map(|key| (key.clone(), workspace.clone())));
+        }
+        let limits = Some(document.limits);
+        Self { version: document.version, hosts, services: services.collect(), keys, limits }
+    }
+
+    /// Returns the version of the document; zero if there is none yet.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the route with the longest prefix that begins the path.
+    pub fn find(&self, host: &str, path: &str) -> Option<&sync::Arc<types::RouteRule>> {
+        let routes = self.hosts.get(host)?;
+        routes.iter().find(|route| path.starts_with(&*route.prefix))
+    }
+
+    /// Returns what is known of a service.
+    pub fn service(&self, name: &str) -> Option<&sync::Arc<types::ServiceRule>> {
+        self.services.get(name)
+    }
+
+    /// Returns the services that make pieces of stages.
+    pub fn stage_services(&self) -> impl Iterator<Item = &sync::Arc<types::ServiceRule>> {
+        self.services.values().filter(|service| service.pieces.is_some())
+    }
+
+    /// Returns the workspace that holds a key.
+    pub fn workspace(&self, key: &str) -> Option<&sync::Arc<types::WorkspaceRule>> {
+        self.keys.get(key)
+    }
+
+    /// Whether requests need a key, but for those of public routes.
+    pub fn needs_key(&self) -> bool {
+        !self.keys.is_empty()
+    }
+
+    /// Returns what callers may send; none before the first document.
+    pub fn limits(&self) -> Option<&types::CallerLimits> {
+        self.limits.as_ref()
+    }
+}
+
+/// Chooses the service that runs a request, by the weights of its route.
+pub fn choose_service<'route, Source>(
+    route: &'route types::RouteRule,
+    random: &mut Source,
+) -> Option<&'route ids::EndpointService>
+where
+    Source: rand::Rng,
+{
+    let total: u32 = route.shares.iter().map(|share| share.weight).sum();
+    if total == 0 {
+        return route.shares.first().map(|share| &share.service);
+    }
+    let mut drawn = random.random_range(0..total);
+    let chosen = route.shares.iter().find(|share| {
+        let inside = drawn < share.weight;
+        drawn = drawn.saturating_sub(share.weight);
+        inside
+    });
+    chosen.map(|share| &share.service)
+}
+
+/// Returns the regions that may serve a request; none if all may.
+pub fn allowed_regions(
+    route: &types::RouteRule,
+    workspace: Option<&types::WorkspaceRule>,
+) -> Option<Vec<ids::RegionId>> {
+    let workspace = workspace.map_or(&[][..], |workspace| &workspace.regions);
+    match (route.regions.is_empty(), workspace.is_empty()) {
+        (true, true) => None,
+        (false, true) => Some(route.regions.clone()),
+        (true, false) => Some(workspace.to_vec()),
+        (false, false) => {
+            let both = route.regions.iter().filter(|region| workspace.contains(region));
+            Some(both.cloned().collect())
+        }
+    }
+}
--- a/crates/comfreyspread/src/command.rs
+++ b/crates/comfreyspread/src/command.rs
@@ -1,6 +1,8 @@
 //! The command line.
 
-use crate::{declaration_verbs, logs, node, operator_exit, service_verbs, settings, state_verbs};
+use crate::{
+    declaration_verbs, gateway, logs, node, operator_exit, service_verbs, settings, state_verbs,
+};
 use comfreyspread_schema::settings as schema_settings;
 use indexmap::IndexMap;
 use miette::IntoDiagnostic as _;
@@ -22,6 +24,7 @@
     Claims(state_verbs::ClaimsArguments),
     Diff(declaration_verbs::DiffArguments),
     Dump(state_verbs::DumpArguments),
+    Gateway(gateway::process::GatewayArguments),
     Node(Box<schema_settings::NodeFlags>),
     Status(state_verbs::StatusArguments),
     Validate(declaration_verbs::ValidateArguments),
@@ -53,6 +56,9 @@
             TopVerb::Claims(arguments) => async_io::block_on(arguments.run()),
             TopVerb::Diff(arguments) => async_io::block_on(arguments.run()),
             TopVerb::Dump(arguments) => async_io::block_on(arguments.run()),
+            TopVerb::Gateway(arguments) => {
+                return report_node(arguments.run(&environment()));
+            }
             TopVerb::Node(flags) => return report_node(run_node(&flags)),
             TopVerb::Status(arguments) => async_io::block_on(arguments.run()),
             TopVerb::Validate(arguments) => arguments.run(),
--- /dev/null
+++ b/crates/comfreyspread/src/gateway/call_plan.rs
@@ -0,0 +1,132 @@
+//! What is known of a caller's request before its first attempt.
+
+use super::state;
+use crate::failure;
+use comfreyspread_policy::route_table;
+use comfreyspread_schema::{ids, types};
+use std::{sync, time};
+use xxhash_rust::xxh3;
+
+/// A request with its route, its workspace and its times.
+#[derive(Debug)]
+pub struct CallPlan {
+    /// Head as it came.
+    pub head: http::request::Parts,
+    /// What the caller says of the request.
+    pub call: types::CallHead,
+    /// Body.
+    pub body: bytes::Bytes,
+    /// Route that serves it.
+    pub route: sync::Arc<types::RouteRule>,
+    /// Service that runs it.
+    pub service: sync::Arc<types::ServiceRule>,
+    /// Workspace of the caller.
+    pub workspace: Option<sync::Arc<types::WorkspaceRule>>,
+    /// Regions that may run it; none if all may.
+    pub regions: Option<Vec<ids::RegionId>>,
+    /// Moment at which it arrived.
+    pub arrived: time::Instant,
+    /// Moment until which an answer is on time.
+    pub target: time::Instant,
+    /// Moment after which nobody waits any more.
+    pub deadline: time::Instant,
+    /// Version of the routes.
+    pub version: u64,
+}
+
+/// Why a request is not planned.
+#[derive(Debug)]
+pub enum PlanFault {
+    /// The node knows no routes yet.
+    NotInformed,
+    /// The head is not valid.
+    Malformed(ids::Text),
+    /// No route matches.
+    NoRoute,
+    /// The key is missing or not known.
+    NoKey,
+    /// The route names a service that is not described.
+    NoService,
+}
+
+impl CallPlan {
+    /// Plans a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it is not to be served.
+    pub fn new(
+        state: &state::GatewayState,
+        head: http::request::Parts,
+        body: bytes::Bytes,
+        arrived: time::Instant,
+    ) -> Result<Self, PlanFault> {
+        let routes = state.routes();
+        if routes.version() == 0 {
+            return Err(PlanFault::NotInformed);
+        }
+        let call = comfreyspread_platform::call::decode(&head)
+            .map_err(|fault| PlanFault::Malformed(fault.to_string().into()))?;
+        let route = routes.find(&call.host, &call.path).ok_or(PlanFault::NoRoute)?.clone();
+        let workspace = call.key.as_ref().and_then(|key| routes.workspace(key)).cloned();
+        if workspace.is_none() && routes.needs_key() && !route.public {
+            return Err(PlanFault::NoKey);
+        }
+        let name = route_table::choose_service(&route, &mut rand::rng());
+        let service = name.and_then(|name| routes.service(name)).cloned();
+        let service = service.ok_or(PlanFault::NoService)?;
+        let regions = route_table::allowed_regions(&route, workspace.as_deref());
+        let longest =
+            if call.patience.is_zero() { route.timeout } else { call.patience.min(route.timeout) };
+        let (target, deadline) = (arrived + route.target, arrived + longest);
+        let version = routes.version();
+        Ok(Self {
+            head,
+            call,
+            body,
+            route,
+            service,
+            workspace,
+            regions,
+            arrived,
+            target,
+            deadline,
+            version,
+        })
+    }
+
+    /// Returns the rank of the request; zero is the highest.
+    pub fn priority(&self) -> u32 {
+        let own = self.workspace.as_ref().and_then(|workspace| workspace.priority);
+        own.unwrap_or(self.route.priority)
+    }
+
+    /// Whether the request may run more than once.
+    pub fn is_repeatable(&self) -> bool {
+        match self.route.kind {
+            types::RequestKind::Repeatable => true,
+            types::RequestKind::Single => false,
+            types::RequestKind::Stream => self.route.resumable,
+        }
+    }
+
+    /// Returns the time left.
+    pub fn left(&self, now: time::Instant) -> time::Duration {
+        self.deadline.saturating_duration_since(now)
+    }
+
+    /// Returns the hash of the beginning that the prompt shares with others: all listed parts but
+    /// the last, which is the request's own.
+    pub fn prefix(&self) -> Option<ids::PrefixHash> {
+        self.service.engine.as_ref()?;
+        let parts = &self.call.parts;
+        let shared = parts.len().checked_sub(2).and_then(|place| parts.get(place));
+        let part = shared.or_else(|| parts.last());
+        Some(part.map_or(0, |part| xxh3::xxh3_64(part.part.as_bytes())))
+    }
+
+    /// Returns a failure of a request that has not run, with a time to come back.
+    pub fn not_run(problem: types::ProblemKind, detail: &str) -> failure::CallFailure {
+        failure::CallFailure::new(problem, detail).with_retry_after(super::entry::RETRY_AFTER)
+    }
+}
--- /dev/null
+++ b/crates/comfreyspread/src/gateway/piece_send.rs
@@ -0,0 +1,169 @@
+//! Pieces on their way to the node that batches their service, and the messages for it.
+
+use super::{batcher, state};
+use crate::{failure, http_client, http_message, http_server, peer};
+use comfreyspread_policy::batch_queue;
+use comfreyspread_schema::{ids, types};
+use futures_lite::FutureExt as _;
+use std::{sync, time};
+
+/// Path of a request for pieces, answered by a [`types::PieceReply`].
+pub const PIECE_PATH: &str = "/peer/pieces";
+/// Path of a release of results, answered by a [`types::ResultReleased`].
+pub const RELEASE_PATH: &str = "/peer/results/release";
+
+/// Longest wait for the receipt of a release.
+const RELEASE_LIMIT: time::Duration = time::Duration::from_millis(800);
+/// Time that the batching node gets beyond the pieces' deadline to answer.
+const REPLY_MARGIN: time::Duration = time::Duration::from_millis(100);
+
+/// Pieces of one stage and where they are made.
+#[derive(Clone, Debug)]
+pub struct PieceOrders {
+    /// Service that makes them.
+    pub service: ids::EndpointService,
+    /// Region whose endpoints make them.
+    pub region: ids::RegionId,
+    /// The pieces and their times.
+    pub group: batch_queue::PieceGroup,
+}
+
+/// Has pieces made and returns their outcomes.
+pub async fn make(
+    state: &sync::Arc<state::GatewayState>,
+    orders: &PieceOrders,
+) -> batcher::GroupOutcomes {
+    let (node, address) = state.batching_node(&orders.service, &orders.region);
+    let Some(address) = address else {
+        return batcher::make(state, &orders.service, orders.group.clone()).await.0;
+    };
+    let message = request(state, orders);
+    let deadline = orders.group.deadline + REPLY_MARGIN;
+    let connection = http_client::ConnectionUse::Shared;
+    let path = PIECE_PATH;
+    let reply: Result<types::PieceReply, _> =
+        peer::exchange(&state.context, address, path, &message, connection, deadline).await;
+    match reply {
+        Ok(reply) if reply.outcomes.len() == orders.group.orders.len() => reply.outcomes,
+        Ok(reply) => {
+            log::error!(node = node.as_ref(), got = reply.outcomes.len();
+                "pieces: reply has other pieces");
+            vec![types::PieceOutcome::Failed(types::PieceFault::Failed); orders.group.orders.len()]
+        }
+        Err(failure) => {
+            log::warn!(node = node.as_ref(), service = orders.service.as_ref();
+                "pieces: batching node passed over. error={failure}");
+            batcher::make(state, &orders.service, orders.group.clone()).await.0
+        }
+    }
+}
+
+/// Frees results at their makers, through the node that batches their service.
+pub fn release(
+    state: &sync::Arc<state::GatewayState>,
+    service: &ids::EndpointService,
+    region: &ids::RegionId,
+    handles: Vec<ids::ResultHandle>,
+) {
+    if handles.is_empty() {
+        return;
+    }
+    let (_, address) = state.batching_node(service, region);
+    let Some(address) = address else {
+        batcher::release(state, service, &handles);
+        return;
+    };
+    let header = state.context.peer_header();
+    let message = types::ResultRelease { handles, header, service: service.clone() };
+    let task_state = state.clone();
+    state.context.spawner.detach(async move {
+        let deadline = time::Instant::now() + RELEASE_LIMIT;
+        let connection = http_client::ConnectionUse::Shared;
+        let context = &task_state.context;
+        let path = RELEASE_PATH;
+        let receipt: Result<types::ResultReleased, _> =
+            peer::exchange(context, address, path, &message, connection, deadline).await;
+        if let Err(failure) = receipt {
+            log::debug!("pieces: release not taken. error={failure}");
+            batcher::release(&task_state, &message.service, &message.handles);
+        }
+    });
+}
+
+fn request(state: &state::GatewayState, orders: &PieceOrders) -> types::PieceRequest {
+    let now = time::Instant::now();
+    let group = &orders.group;
+    let left = group.deadline.saturating_duration_since(now);
+    let with_left = |order: &types::PieceOrder| types::PieceOrder { left, ..order.clone() };
+    types::PieceRequest {
+        bytes: group.bytes,
+        header: state.context.peer_header(),
+        orders: group.orders.iter().map(with_left).collect(),
+        priority: group.priority,
+        region: orders.region.clone(),
+        service: orders.service.clone(),
+        target: group.target.saturating_duration_since(now),
+    }
+}
+
+/// Answers messages about pieces.
+pub struct PieceExtension {
+    state: sync::Arc<state::GatewayState>,
+}
+
+impl PieceExtension {
+    /// Creates the extension.
+    pub fn new(state: sync::Arc<state::GatewayState>) -> Self {
+        Self { state }
+    }
+
+    async fn make(
+        &self,
+        request: &http_server::ServerRequest,
+    ) -> Result<http_message::Response, failure::CallFailure> {
+        let message: types::PieceRequest = peer::decode_message(&self.state.context, request)?;
+        let now = time::Instant::now();
+        let left = message.orders.iter().map(|order| order.left).max().unwrap_or_default();
+        let group = batch_queue::PieceGroup {
+            orders: message.orders,
+            priority: message.priority,
+            bytes: message.bytes,
+            target: now + message.target,
+            deadline: now + left,
+        };
+        let made = async { Some(batcher::make(&self.state, &message.service, group).await) };
+        let gone = async {
+            request.connection().closed().await;
+            None
+        };
+        let Some((outcomes, wait)) = made.or(gone).await else {
+            let detail = "the other node went away";
+            return Err(failure::CallFailure::new(types::ProblemKind::Unavailable, detail));
+        };
+        let header = self.state.context.peer_header();
+        peer::encode_reply(&types::PieceReply { header, outcomes, wait })
+    }
+
+    fn release(
+        &self,
+        request: &http_server::ServerRequest,
+    ) -> Result<http_message::Response, failure::CallFailure> {
+        let message: types::ResultRelease = peer::decode_message(&self.state.context, request)?;
+        batcher::release(&self.state, &message.service, &message.handles);
+        peer::encode_reply(&types::ResultReleased { header: self.state.context.peer_header() })
+    }
+}
+
+impl peer::PeerExtension for PieceExtension {
+    fn answer<'answer>(
+        &'answer self,
+        path: &str,
+        request: &'answer http_server::ServerRequest,
+    ) -> Option<peer::AnswerFuture<'answer>> {
+        match path {
+            PIECE_PATH => Some(Box::pin(self.make(request))),
+            RELEASE_PATH => Some(Box::pin(async move { self.release(request) })),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/comfreyspread/src/gateway/route_follow.rs
@@ -0,0 +1,52 @@
+//! Bringing the operator's documents into force: routes, and availability zones out of service.
+
+use super::{state, table_follow};
+use comfreyspread_platform::{document, store};
+use comfreyspread_policy::route_table;
+use comfreyspread_schema::types;
+use std::sync;
+
+/// Follows the operator's table.
+#[derive(Debug)]
+pub struct RouteFollower;
+
+impl table_follow::TableFollower for RouteFollower {
+    const TABLE: &'static str = store::OPERATOR_TABLE;
+
+    fn replace(&self, state: &state::GatewayState, rows: Vec<types::StoreRow>) {
+        state.directory.lock().clear_zones_out();
+        self.change(state, rows);
+    }
+
+    fn change(&self, state: &state::GatewayState, rows: Vec<types::StoreRow>) {
+        for row in rows {
+            if let Some(zone) = row.key.strip_prefix(store::ZONE_OUT_PREFIX) {
+                let out = row.value.is_some();
+                log::info!(zone = zone, out = out; "routes: zone changed");
+                state.directory.lock().set_zone_out(zone.into(), out);
+            } else if *row.key == *store::ROUTES_KEY
+                && let Some(body) = &row.value
+            {
+                bring_into_force(state, body);
+            }
+        }
+    }
+}
+
+/// Brings a document into force if it is newer than the one that is.
+pub fn bring_into_force(state: &state::GatewayState, body: &[u8]) {
+    let decoded = match document::decode(body) {
+        Ok(decoded) => decoded,
+        Err(fault) => {
+            log::error!("routes: document not taken. error={fault}");
+            return;
+        }
+    };
+    let mut routes = state.routes.lock();
+    if decoded.version <= routes.version() {
+        return;
+    }
+    let count = decoded.routes.len();
+    log::info!(version = decoded.version, routes = count; "routes: in force");
+    *routes = sync::Arc::new(route_table::RouteTable::new(decoded));
+}
--- /dev/null
+++ b/crates/comfreyspread/src/gateway/stage_run.rs
@@ -0,0 +1,192 @@
+//! Having the stages of a request made.
+
+use super::{call_plan, piece_send, state};
+use crate::failure;
+use comfreyspread_policy::{batch_queue, stage_graph};
+use comfreyspread_schema::{ids, types};
+use futures_lite::StreamExt as _;
+use futures_util::stream::FuturesUnordered;
+use std::{sync, time};
+
+/// Times that lost results are made again for one request.
+const MOST_LOSSES: u32 = 3;
+/// Time that a request itself is expected to take to its first event.
+const RUN_TIME: time::Duration = time::Duration::from_millis(250);
+
+/// Results of a request's stages, freed when this is dropped.
+pub struct StageResults {
+    state: sync::Arc<state::GatewayState>,
+    region: ids::RegionId,
+    rules: Vec<types::StageRule>,
+    graph: stage_graph::StageGraph,
+    losses: u32,
+}
+
+type StageEnd = (usize, Vec<types::PieceOutcome>);
+
+impl StageResults {
+    /// Creates the stages of a request, none of them made.
+    pub fn new(
+        state: &sync::Arc<state::GatewayState>,
+        plan: &call_plan::CallPlan,
+        region: ids::RegionId,
+    ) -> Self {
+        let rules = plan.route.stages.clone();
+        let routes = state.routes();
+        let graph = stage_graph::StageGraph::new(&rules, &plan.call.pieces, |rule, pieces| {
+            let capacity = routes.service(&rule.service).and_then(|one| one.pieces.as_ref());
+            capacity.map_or(time::Duration::ZERO, |capacity| {
+                batch_queue::call_time(capacity, capacity.batch.max(pieces))
+            })
+        });
+        Self { state: state.clone(), region, rules, graph, losses: 0 }
+    }
+
+    /// Returns the region in which the results stand.
+    pub fn region(&self) -> &ids::RegionId {
+        &self.region
+    }
+
+    /// Returns the results that the request is made of.
+    pub fn outputs(&self) -> Vec<ids::ResultHandle> {
+        self.graph.outputs()
+    }
+
+    /// Has the stages made that are not.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a piece cannot be made in time; the request has not run then.
+    pub async fn make(&mut self, plan: &call_plan::CallPlan) -> Result<(), failure::CallFailure> {
+        let mut running = FuturesUnordered::new();
+        while !self.graph.is_made() {
+            for stage in self.graph.start_ready() {
+                running.push(run_stage(self.state.clone(), stage, self.orders(plan, stage)));
+            }
+            let Some((stage, outcomes)) = running.next().await else {
+                let detail = "the stages cannot be put in order";
+                return Err(call_plan::CallPlan::not_run(types::ProblemKind::Internal, detail));
+            };
+            self.take(stage, &outcomes)?;
+        }
+        Ok(())
+    }
+
+    /// Takes note that results were gone when the request needed them, so that they are made again.
+    ///
+    /// # Errors
+    ///
+    /// Fails if that has happened too often.
+    pub fn lose_outputs(&mut self) -> Result<(), failure::CallFailure> {
+        for stage in self.graph.last() {
+            if self.graph.pieces(stage) > 0 {
+                self.lose(stage)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Frees all results: the request has what it needs of them.
+    pub fn free(&mut self) {
+        for stage in 0..self.rules.len() {
+            self.free_stage(stage);
+        }
+    }
+
+    fn take(
+        &mut self,
+        stage: usize,
+        outcomes: &[types::PieceOutcome],
+    ) -> Result<(), failure::CallFailure> {
+        let made = |outcome: &types::PieceOutcome| match outcome {
+            types::PieceOutcome::Made(handle) => Some(handle.clone()),
+            types::PieceOutcome::Failed(_) => None,
+        };
+        let handles: Vec<_> = outcomes.iter().filter_map(made).collect();
+        let fault = outcomes.iter().find_map(|outcome| match outcome {
+            types::PieceOutcome::Failed(fault) => Some(*fault),
+            types::PieceOutcome::Made(_) => None,
+        });
+        let Some(fault) = fault else {
+            let used = self.graph.finish(stage, handles);
+            used.into_iter().for_each(|before| self.free_stage(before));
+            return Ok(());
+        };
+        self.release(stage, handles);
+        if fault == types::PieceFault::InputGone {
+            let before = self.graph.before(stage).to_vec();
+            self.graph.lose(stage);
+            return before.into_iter().try_for_each(|before| self.lose(before));
+        }
+        let detail = format!("stage {stage} was not made: {fault}");
+        Err(call_plan::CallPlan::not_run(types::ProblemKind::Overloaded, &detail))
+    }
+
+    fn lose(&mut self, stage: usize) -> Result<(), failure::CallFailure> {
+        self.losses += 1;
+        if self.losses > MOST_LOSSES {
+            let detail = format!("results of stage {stage} were lost again");
+            return Err(call_plan::CallPlan::not_run(types::ProblemKind::EndpointFailed, &detail));
+        }
+        self.free_stage(stage);
+        self.graph.lose(stage);
+        for before in self.graph.before(stage).to_vec() {
+            if self.graph.results(before).is_empty() && self.graph.pieces(before) > 0 {
+                self.graph.lose(before);
+            }
+        }
+        Ok(())
+    }
+
+    fn free_stage(&mut self, stage: usize) {
+        let handles = self.graph.take_results(stage);
+        self.release(stage, handles);
+    }
+
+    fn release(&self, stage: usize, handles: Vec<ids::ResultHandle>) {
+        let service = &self.rules[stage].service;
+        piece_send::release(&self.state, service, &self.region, handles);
+    }
+
+    fn orders(&self, plan: &call_plan::CallPlan, stage: usize) -> piece_send::PieceOrders {
+        let inputs = self.graph.inputs(stage);
+        let key = self.graph.before(stage).is_empty().then(|| plan.call.piece_key.clone());
+        let number = u32::try_from(stage).unwrap_or(u32::MAX);
+        let order = |piece| types::PieceOrder {
+            inputs: inputs.clone(),
+            key: key.clone().flatten(),
+            left: time::Duration::ZERO,
+            piece,
+            request: plan.call.request.clone(),
+            stage: number,
+        };
+        let rest = self.graph.remaining_after(stage) + RUN_TIME;
+        let by = |moment: time::Instant| moment.checked_sub(rest).unwrap_or(plan.arrived);
+        piece_send::PieceOrders {
+            service: self.rules[stage].service.clone(),
+            region: self.region.clone(),
+            group: batch_queue::PieceGroup {
+                orders: (0..self.graph.pieces(stage)).map(order).collect(),
+                priority: plan.priority(),
+                bytes: self.rules[stage].bytes,
+                target: by(plan.target),
+                deadline: by(plan.deadline),
+            },
+        }
+    }
+}
+
+impl Drop for StageResults {
+    fn drop(&mut self) {
+        self.free();
+    }
+}
+
+async fn run_stage(
+    state: sync::Arc<state::GatewayState>,
+    stage: usize,
+    orders: piece_send::PieceOrders,
+) -> StageEnd {
+    let outcomes = piece_send::make(&state, &orders).await;
+    (stage, outcomes)
+}
--- /dev/null
+++ b/crates/comfreyspread/src/gateway/state.rs
@@ -0,0 +1,127 @@
+//! What every part of the platform's front end needs.
+
+use crate::{context, http_client, rank};
+use comfreyspread_policy::{directory, rendezvous, repeat_budget, route_table};
+use comfreyspread_schema::{ids, types};
+use futures_lite::future;
+use std::{fmt, net, sync, sync::atomic, time};
+
+use super::{batcher, store_client};
+
+/// Largest answer that is read whole, in bytes.
+const ANSWER_LIMIT_BYTES: usize = 16 * 1024 * 1024;
+/// Longest time that a connection to an endpoint is idle.
+const ENDPOINT_IDLE_LIMIT: time::Duration = time::Duration::from_millis(2500);
+/// Nodes counted beside the known ones when a limit over all nodes is shared out.
+const SPARE_NODES: usize = 4;
+
+/// State of the platform's front end at one node.
+pub struct GatewayState {
+    /// The node.
+    pub context: sync::Arc<context::NodeContext>,
+    /// What the platform said of the VM and the deployment.
+    pub machine: types::MachineSettings,
+    /// Routes in force.
+    pub routes: rank::RankedLock<rank::RouteRank, sync::Arc<route_table::RouteTable>>,
+    /// Endpoints that have registered.
+    pub directory: rank::RankedLock<rank::DirectoryRank, directory::EndpointDirectory>,
+    /// Queues of stage services that this node batches.
+    pub batches: rank::RankedLock<rank::BatchRank, batcher::BatchTable>,
+    /// Shared budget of repeats.
+    pub repeats: rank::RankedLock<rank::RepeatRank, repeat_budget::RepeatBudget>,
+    /// Client of endpoints.
+    pub client: http_client::HttpClient,
+    /// Client of the platform's store.
+    pub store: store_client::StoreClient,
+    /// Whether the endpoints have been read once.
+    pub endpoints_read: atomic::AtomicBool,
+}
+
+impl fmt::Debug for GatewayState {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("GatewayState").field("node", &self.machine.node).finish()
+    }
+}
+
+impl GatewayState {
+    /// Creates the state of a node that knows nothing yet.
+    pub fn new(context: sync::Arc<context::NodeContext>, machine: types::MachineSettings) -> Self {
+        let rules = repeat_budget::RepeatRules {
+            ratio: machine.retry_ratio,
+            slack: machine.retry_slack,
+            window: machine.retry_window,
+        };
+        let zones = machine.zones.iter();
+        let zones = zones.map(|(zone, region)| (zone.as_str().into(), region.clone())).collect();
+        Self {
+            routes: rank::RankedLock::new(sync::Arc::default()),
+            directory: rank::RankedLock::new(directory::EndpointDirectory::new(zones)),
+            batches: rank::RankedLock::new(batcher::BatchTable::default()),
+            repeats: rank::RankedLock::new(repeat_budget::RepeatBudget::new(rules)),
+            client: http_client::HttpClient::new(ANSWER_LIMIT_BYTES)
+                .with_idle_limit(ENDPOINT_IDLE_LIMIT),
+            store: store_client::StoreClient::new(machine.store_address),
+            endpoints_read: atomic::AtomicBool::new(false),
+            context,
+            machine,
+        }
+    }
+
+    /// Returns the routes in force.
+    pub fn routes(&self) -> sync::Arc<route_table::RouteTable> {
+        self.routes.lock().clone()
+    }
+
+    /// Whether the node asks for new requests.
+    pub fn ready(&self) -> bool {
+        self.context.tables.phase() == types::NodePhase::Serving && self.is_informed()
+    }
+
+    /// Whether routes and endpoints are known.
+    pub fn is_informed(&self) -> bool {
+        self.routes.lock().version() > 0 && self.endpoints_read.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Returns the number of nodes among which limits over all nodes are shared out.
+    pub fn sharing_nodes(&self) -> usize {
+        self.context.tables.members.lock().live().count() + SPARE_NODES
+    }
+
+    /// Returns how many requests in any second this node may send to a cold endpoint of a service.
+    pub fn cold_rate(&self, service: &types::ServiceRule) -> u32 {
+        let all = service.cold_per_s * self.machine.cold_factor + self.machine.cold_slack;
+        let share = all / self.sharing_nodes() as f64;
+        share.max(0.0) as u32
+    }
+
+    /// Returns the node that batches the calls to a stage service in a region, and its address;
+    /// no address if it is this node.
+    pub fn batching_node(
+        &self,
+        service: &ids::EndpointService,
+        region: &ids::RegionId,
+    ) -> (ids::NodeId, Option<net::SocketAddr>) {
+        let own = &self.context.settings.node;
+        let members = self.context.tables.members.lock();
+        let serving = |record: &&types::MemberRecord| {
+            record.region == *region && record.node_phase == types::NodePhase::Serving
+        };
+        let candidates = members.live().filter(serving).map(|record| {
+            (rendezvous::OwnerCandidate::new(record.node.clone()).score(service), record)
+        });
+        let best = candidates.max_by(|one, other| one.0.total_cmp(&other.0));
+        match best {
+            Some((_, record)) if record.node != *own => (record.node.clone(), Some(record.address)),
+            _ => (own.clone(), None),
+        }
+    }
+
+    /// Waits until the node knows routes and endpoints.
+    pub async fn informed(&self) {
+        const PAUSE: time::Duration = time::Duration::from_millis(20);
+        while !self.is_informed() {
+            async_io::Timer::after(PAUSE).await;
+        }
+        future::yield_now().await;
+    }
+}
--- /dev/null
+++ b/crates/comfreyspread/src/gateway/store_client.rs
@@ -0,0 +1,135 @@
+//! Client of the platform's metadata store.
+
+use crate::{failure, http_client, http_message};
+use comfreyspread_platform::store;
+use comfreyspread_schema::types;
+use std::{net, time};
+
+const ANSWER_LIMIT_BYTES: usize = 64 * 1024 * 1024;
+const OK_STATUS: u16 = 200;
+/// Longest wait for an answer that does not wait for changes.
+const ANSWER_LIMIT: time::Duration = time::Duration::from_millis(1500);
+/// How long the store keeps a question for changes waiting.
+const FEED_WAIT: time::Duration = time::Duration::from_secs(8);
+const CONNECTION_LIFE: time::Duration = time::Duration::from_secs(5);
+
+/// Changes of a table, or word that the history asked for is gone.
+#[derive(Debug)]
+pub enum StoreFeed {
+    /// The changes since the version asked for.
+    Changes(types::StorePage),
+    /// The table has to be read anew.
+    HistoryGone,
+}
+
+/// Client of the store.
+#[derive(Debug)]
+pub struct StoreClient {
+    address: net::SocketAddr,
+    client: http_client::HttpClient,
+}
+
+impl StoreClient {
+    /// Creates a client of the store at `address`.
+    pub fn new(address: net::SocketAddr) -> Self {
+        let client = http_client::HttpClient::new(ANSWER_LIMIT_BYTES);
+        Self { address, client: client.with_idle_limit(CONNECTION_LIFE) }
+    }
+
+    /// Reads all rows of a table.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not answer, or refuses.
+    pub async fn read_table(&self, table: &str) -> Result<types::StorePage, failure::CallFailure> {
+        let mut whole = self.read_page(table, None).await?;
+        while whole.more {
+            let Some(last) = whole.rows.last() else { break };
+            let next = store::next_key(&last.key);
+            let page = self.read_page(table, Some(&next)).await?;
+            whole.version = whole.version.min(page.version);
+            whole.more = page.more;
+            whole.rows.extend(page.rows);
+        }
+        Ok(whole)
+    }
+
+    /// Waits for changes of a table after `version`; returns none after a while without any.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not answer, or refuses.
+    pub async fn feed(&self, table: &str, version: u64) -> Result<StoreFeed, failure::CallFailure> {
+        let path = store::feed_path(table, version, FEED_WAIT);
+        let answer = self.send(http::Method::GET, &path, None, FEED_WAIT + ANSWER_LIMIT).await?;
+        if answer.status() == store::HISTORY_GONE_STATUS {
+            return Ok(StoreFeed::HistoryGone);
+        }
+        decode(&answer).map(StoreFeed::Changes)
+    }
+
+    /// Writes a row, whatever stands there.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not answer, or refuses; the row may be written then.
+    pub async fn write(
+        &self,
+        table: &str,
+        key: &str,
+        value: &[u8],
+    ) -> Result<(), failure::CallFailure> {
+        let body = store::encode_write(table, key, value).map_err(|fault| {
+            failure::CallFailure::new(types::ProblemKind::Internal, fault.to_string())
+        })?;
+        let path = store::TRANSACTION_PATH;
+        let answer = self.send(http::Method::POST, path, Some(body), ANSWER_LIMIT).await?;
+        check(&answer)
+    }
+
+    async fn read_page(
+        &self,
+        table: &str,
+        first: Option<&str>,
+    ) -> Result<types::StorePage, failure::CallFailure> {
+        let path = store::page_path(table, first);
+        decode(&self.send(http::Method::GET, &path, None, ANSWER_LIMIT).await?)
+    }
+
+    async fn send(
+        &self,
+        method: http::Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+        patience: time::Duration,
+    ) -> Result<http_client::ClientAnswer, failure::CallFailure> {
+        let url = format!("http://{}{path}", self.address);
+        let mut request = http_message::Request::new(method, &url);
+        if let Some(body) = body {
+            request.set_body(body);
+            request.insert_header("content-type", crate::header::JSON);
+        }
+        let connection = http_client::ConnectionUse::Shared;
+        let deadline = time::Instant::now() + patience;
+        self.client.call(self.address, request, connection, deadline).await
+    }
+}
+
+fn check(answer: &http_client::ClientAnswer) -> Result<(), failure::CallFailure> {
+    if answer.status() == OK_STATUS {
+        return Ok(());
+    }
+    let detail = format!("the store answered with status {}", answer.status());
+    Err(failure::CallFailure::new(types::ProblemKind::StoreUnavailable, detail))
+}
+
+fn decode(answer: &http_client::ClientAnswer) -> Result<types::StorePage, failure::CallFailure> {
+    check(answer)?;
+    let decoded = store::decode_page(answer.body()).map_err(|fault| {
+        failure::CallFailure::new(types::ProblemKind::StoreUnavailable, fault.to_string())
+    })?;
+    for fault in decoded.1 {
+        log::warn!("store: row left out. error={fault}");
+    }
+    Ok(decoded.0)
+}
--- /dev/null
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -0,0 +1,249 @@
+//! Requests whose answer is a stream of events.
+//!
+//! Only whole events are passed on. Where the route allows it, a stream that breaks off goes on at
+//! another endpoint behind the last event passed on, within the answer that has begun.
+
+use super::{attempt_send, call_plan, produced_chunks, stage_run, state};
+use crate::{failure, http_client, http_message};
+use comfreyspread_platform::answer;
+use comfreyspread_policy::{attempt, directory, event_buffer, verdict};
+use comfreyspread_schema::{ids, types};
+use futures_lite::io;
+use std::{sync, time};
+
+/// Largest answer that is not a stream, in bytes.
+const ANSWER_LIMIT_BYTES: usize = 16 * 1024 * 1024;
+/// Longest event in bytes.
+const EVENT_LIMIT_BYTES: usize = 4 * 1024 * 1024;
+/// Endpoints that may refuse a request before it is refused as a whole.
+const MOST_REFUSALS: u32 = 3;
+/// Pauses on time that a stream may take before it is taken to another endpoint.
+const STALL_PAUSES: u32 = 3;
+/// Shortest silence after which a stream is taken to another endpoint.
+const LEAST_STALL: time::Duration = time::Duration::from_millis(1000);
+
+/// Runs a request until its answer has begun; the answer's body goes on by itself.
+///
+/// # Errors
+///
+/// Fails if no endpoint has begun an answer; the verdict says whether one may have run it.
+pub async fn run(
+    state: &sync::Arc<state::GatewayState>,
+    plan: call_plan::CallPlan,
+) -> Result<http_message::Response, failure::CallFailure> {
+    let region = state.machine.region.clone();
+    let stages = stage_run::StageResults::new(state, &plan, region);
+    let resumed = plan.call.resume_after;
+    let mut run = StreamRun {
+        state: state.clone(),
+        stages,
+        tried: Vec::new(),
+        runs: 0,
+        refusals: 0,
+        passed: resumed,
+        verdict: verdict::VerdictTracker::new(),
+        plan,
+    };
+    let answer = run.begin().await?;
+    if !answer.response.status().is_success() {
+        return whole(&run.plan, answer).await;
+    }
+    let (mut head, ()) = http::Response::new(()).into_parts();
+    head.status = answer.response.status();
+    head.headers = answer::forwarded(answer.response.head());
+    let body = produced_chunks::ProducedChunks::body(|sender| run.pass_on(answer, sender));
+    Ok(http_message::Response::from_parts(head, body))
+}
+
+/// Reads an answer that is not a stream.
+async fn whole(
+    plan: &call_plan::CallPlan,
+    mut answer: attempt_send::AttemptAnswer,
+) -> Result<http_message::Response, failure::CallFailure> {
+    let mut body = answer.response.take_body();
+    let read = http_client::read_whole(&mut body, ANSWER_LIMIT_BYTES);
+    let read = http_client::before(plan.deadline, read).await;
+    answer.open.end(directory::CallEnding::Failed);
+    let body = read.ok_or_else(|| {
+        failure::CallFailure::new(types::ProblemKind::Timeout, "no whole answer in time")
+            .with_verdict(types::CallVerdict::MayHaveRun)
+    })??;
+    let (mut head, ()) = http::Response::new(()).into_parts();
+    head.status = answer.response.status();
+    head.headers = answer::forwarded(answer.response.head());
+    Ok(http_message::Response::from_parts(head, body.into()))
+}
+
+/// A streamed request and its attempts.
+struct StreamRun {
+    state: sync::Arc<state::GatewayState>,
+    plan: call_plan::CallPlan,
+    stages: stage_run::StageResults,
+    tried: Vec<ids::EndpointId>,
+    runs: u32,
+    refusals: u32,
+    passed: Option<u64>,
+    verdict: verdict::VerdictTracker,
+}
+
+impl StreamRun {
+    /// Makes attempts until an endpoint begins an answer.
+    async fn begin(&mut self) -> Result<attempt_send::AttemptAnswer, failure::CallFailure> {
+        loop {
+            self.stages.make(&self.plan).await?;
+            let failed = match self.attempt().await {
+                Ok(answer) => {
+                    self.tried.push(answer.open.chosen.endpoint.clone());
+                    self.runs += 1;
+                    return Ok(answer);
+                }
+                Err(failed) => failed,
+            };
+            if !self.goes_on(&failed)? {
+                let verdict = self.verdict.verdict();
+                return Err(failed.failure.with_verdict(verdict));
+            }
+        }
+    }
+
+    async fn attempt(
+        &mut self,
+    ) -> Result<attempt_send::AttemptAnswer, attempt_send::FailedAttempt> {
+        let number = u64::try_from(self.tried.len()).unwrap_or(u64::MAX);
+        let inputs = self.stages.outputs();
+        let input = attempt_send::AttemptInput {
+            tried: &self.tried,
+            home: self.stages.region(),
+            regions: self.plan.regions.as_deref(),
+            inputs: &inputs,
+            resume_after: self.passed,
+            number,
+        };
+        let planned = attempt::CallAttempt::new(number);
+        attempt_send::send(&self.state, &self.plan, planned, &input).await
+    }
+
+    /// Takes in a failed attempt and returns whether another one is made.
+    fn goes_on(
+        &mut self,
+        failed: &attempt_send::FailedAttempt,
+    ) -> Result<bool, failure::CallFailure> {
+        self.verdict = self.verdict.with_outcome(failed.failure.verdict());
+        if failed.inputs_gone {
+            self.stages.lose_outputs()?;
+            return Ok(self.takes_repeat());
+        }
+        let Some(endpoint) = &failed.endpoint else { return Ok(false) };
+        self.tried.push(endpoint.clone());
+        if failed.failure.verdict() == types::CallVerdict::NotRun {
+            self.refusals += 1;
+            return Ok(self.refusals < MOST_REFUSALS && self.takes_repeat());
+        }
+        self.runs += 1;
+        Ok(self.may_resume())
+    }
+
+    fn may_resume(&self) -> bool {
+        let allowed = self.plan.is_repeatable() && self.runs < self.plan.route.attempts;
+        allowed && self.takes_repeat()
+    }
+
+    /// Takes one repeat from the budget, if the request has time for it.
+    fn takes_repeat(&self) -> bool {
+        let now = time::Instant::now();
+        let nodes = self.state.sharing_nodes();
+        !self.plan.left(now).is_zero()
+            && self.state.repeats.lock().take(&self.plan.service.name, nodes, now)
+    }
+
+    /// Passes the events of an answer on, and those of further attempts where that is allowed.
+    async fn pass_on(
+        mut self,
+        first: attempt_send::AttemptAnswer,
+        sender: produced_chunks::ChunkSender,
+    ) -> io::Result<()> {
+        let mut answer = first;
+        loop {
+            let Err(cut) = self.pass_attempt(&mut answer, &sender).await else {
+                answer.open.end(directory::CallEnding::Served);
+                log::info!(request = self.plan.call.request.as_ref(),
+                    route = self.plan.route.name.as_ref(),
+                    endpoint = answer.open.chosen.endpoint.as_ref(), runs = self.runs,
+                    took_ms = self.plan.arrived.elapsed().as_millis() as u64;
+                    "stream: served");
+                return Ok(());
+            };
+            answer.open.end(directory::CallEnding::Failed);
+            log::info!(request = self.plan.call.request.as_ref(),
+                endpoint = answer.open.chosen.endpoint.as_ref(), passed = self.passed,
+                runs = self.runs; "stream: broke off. error={cut}");
+            drop(answer);
+            if !self.may_resume() {
+                return Err(cut);
+            }
+            answer = self.begin().await.map_err(io::Error::other)?;
+            if !answer.response.status().is_success() {
+                return Err(cut);
+            }
+        }
+    }
+
+    /// Passes on the events of one attempt.
+    async fn pass_attempt(
+        &mut self,
+        answer: &mut attempt_send::AttemptAnswer,
+        sender: &produced_chunks::ChunkSender,
+    ) -> io::Result<()> {
+        let mut body = answer.response.take_body();
+        let mut buffer = event_buffer::EventBuffer::default();
+        loop {
+            let moment = self.stall_moment().min(self.plan.deadline);
+            let Some(chunk) = http_client::before(moment, body.next_chunk()).await else {
+                return Err(io::Error::new(io::ErrorKind::TimedOut, "no event for too long"));
+            };
+            let Some(chunk) = chunk else { break };
+            buffer.push(&chunk?);
+            if buffer.len() > EVENT_LIMIT_BYTES {
+                return Err(io::Error::other("an event is too long"));
+            }
+            let events = buffer.take_events();
+            if !events.is_empty() {
+                self.stages.free();
+            }
+            let passed = self.passed_bytes(events);
+            if !passed.is_empty() && sender.send(passed.into()).await.is_err() {
+                return Err(io::ErrorKind::BrokenPipe.into());
+            }
+        }
+        if buffer.is_empty() {
+            return Ok(());
+        }
+        Err(io::Error::new(io::ErrorKind::UnexpectedEof, "the stream ends within an event"))
+    }
+
+    /// Returns the bytes of the events that have not been passed on yet.
+    fn passed_bytes(&mut self, events: Vec<event_buffer::WholeEvent>) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        for event in events {
+            let known = match (event.id, self.passed) {
+                (Some(id), Some(passed)) => id <= passed,
+                _ => false,
+            };
+            if !known {
+                self.passed = event.id.or(self.passed);
+                bytes.extend_from_slice(&event.bytes);
+            }
+        }
+        bytes
+    }
+
+    /// Returns the moment until which silence is borne; a stream that cannot go on elsewhere has
+    /// until its deadline.
+    fn stall_moment(&self) -> time::Instant {
+        if !self.plan.is_repeatable() || self.runs >= self.plan.route.attempts {
+            return self.plan.deadline;
+        }
+        let pause = (self.plan.route.gap * STALL_PAUSES).max(LEAST_STALL);
+        time::Instant::now() + pause
+    }
+}
--- a/crates/comfreyspread/src/http_message.rs
+++ b/crates/comfreyspread/src/http_message.rs
@@ -114,6 +114,11 @@
         insert(&mut self.head.headers, name, value.as_ref());
     }
 
+    /// Returns the headers, to be changed.
+    pub fn headers_mut(&mut self) -> &mut http::HeaderMap {
+        &mut self.head.headers
+    }
+
     /// Sets the body.
     pub fn set_body(&mut self, body: impl Into<http_body::MessageBody>) {
         self.body = body.into();
--- a/crates/comfreyspread/src/lib.rs
+++ b/crates/comfreyspread/src/lib.rs
@@ -11,6 +11,7 @@
 //!   endpoints.
 //! - Configuration: [`head`] reads and writes it in the store, [`configuration`] brings it into force,
 //!   [`acceptance`] waits for all nodes, [`operator`] serves operators.
+//! - The front end of the users' platform: [`gateway`].
 //! - Commands: [`command`] and the `_verbs` modules.
 //! - Underneath: [`node`] is the process, [`worker`] its threads, [`tables`] its shared tables behind
 //!   the locks of [`rank`], [`deadline`] its timers, [`http_server`], [`http_client`] and [`platform`]
@@ -38,6 +39,7 @@
 pub mod frame_source;
 pub mod frames;
 pub mod front;
+pub mod gateway;
 pub mod handover;
 pub mod head;
 pub mod header;
--- a/crates/comfreyspread/src/node.rs
+++ b/crates/comfreyspread/src/node.rs
@@ -32,7 +32,7 @@
 async fn serve(context: sync::Arc<context::NodeContext>) -> miette::Result<process::ExitCode> {
     let mut signals = Signals::new([Signal::Int, Signal::Term]).into_diagnostic()?;
     let closer = start_front(&context).await?;
-    let peers = start_peers(&context).await?;
+    let peers = start_peers(&context, peer::PeerHandler::new(context.clone())).await?;
     context.spawner.detach(pool_changes::follow(context.clone()));
     context.spawner.detach(vms::follow(context.clone()));
     context.spawner.detach(heartbeat::run(context.clone()));
@@ -72,10 +72,16 @@
     start_server(context, context.settings.caller_address, handler, limits).await
 }
 
-async fn start_peers(
+/// Starts to serve other nodes.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub async fn start_peers(
     context: &sync::Arc<context::NodeContext>,
+    handler: peer::PeerHandler,
 ) -> miette::Result<http_server::ServerCloser> {
-    let handler = sync::Arc::new(peer::PeerHandler::new(context.clone()));
+    let handler = sync::Arc::new(handler);
     let settings = &context.settings;
     let limits = http_server::ServerLimits {
         body: settings.body_limit.saturating_add(PEER_OVERHEAD_BYTES),
@@ -85,7 +91,12 @@
     start_server(context, settings.peer_address, handler, limits).await
 }
 
-async fn start_server<Handler>(
+/// Starts to serve `address`.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub async fn start_server<Handler>(
     context: &sync::Arc<context::NodeContext>,
     address: net::SocketAddr,
     handler: sync::Arc<Handler>,
@@ -103,7 +114,8 @@
     Ok(closer)
 }
 
-fn server_limits(settings: &settings::NodeSettings) -> http_server::ServerLimits {
+/// Returns the limits of a server that the settings state.
+pub fn server_limits(settings: &settings::NodeSettings) -> http_server::ServerLimits {
     http_server::ServerLimits {
         body: settings.body_limit,
         body_budget: settings.body_budget,
@@ -113,13 +125,14 @@
     }
 }
 
-fn set_phase(context: &context::NodeContext, phase: types::NodePhase) {
+/// Sets the phase of the node.
+pub fn set_phase(context: &context::NodeContext, phase: types::NodePhase) {
     *context.tables.phase.lock() = phase;
     log::info!(phase = phase.to_string().as_str(); "node: phase changed");
 }
 
 /// Waits for the grace, then for all requests; returns whether all of them finished.
-async fn drain(
+pub async fn drain(
     context: &context::NodeContext,
     closer: &http_server::ServerCloser,
     signals: &mut Signals,
--- a/crates/comfreyspread/src/peer.rs
+++ b/crates/comfreyspread/src/peer.rs
@@ -11,7 +11,7 @@
 use comfreyspread_schema::types;
 use futures_lite::FutureExt as _;
 use http::{Method, StatusCode};
-use std::{future, net, sync, time};
+use std::{future, net, pin, sync, time};
 
 /// Media type of messages between nodes.
 pub const PEER_MEDIA_TYPE: &str = "application/vnd.msgpack";
@@ -47,8 +47,12 @@
     ConfigurationRequest,
     Heartbeat,
     HeartbeatReply,
+    PieceReply,
+    PieceRequest,
     ReleaseNotice,
     ReleaseRequest,
+    ResultRelease,
+    ResultReleased,
     RevisionNotice,
     RevisionReply,
     StageCall,
@@ -131,16 +135,36 @@
     }
 }
 
+/// Future of an answer to another node.
+pub type AnswerFuture<'answer> = pin::Pin<
+    Box<dyn Future<Output = Result<http_message::Response, failure::CallFailure>> + Send + 'answer>,
+>;
+
+/// Answers messages that are not of the native front end.
+pub trait PeerExtension: Send + Sync {
+    /// Answers a message to `path`; none if it knows no such path.
+    fn answer<'answer>(
+        &'answer self,
+        path: &str,
+        request: &'answer http_server::ServerRequest,
+    ) -> Option<AnswerFuture<'answer>>;
+}
+
 /// Answers other nodes.
-#[derive(Debug)]
 pub struct PeerHandler {
     context: sync::Arc<context::NodeContext>,
+    extension: Option<sync::Arc<dyn PeerExtension>>,
 }
 
 impl PeerHandler {
     /// Creates the handler.
     pub fn new(context: sync::Arc<context::NodeContext>) -> Self {
-        Self { context }
+        Self { context, extension: None }
+    }
+
+    /// Sets what answers further messages.
+    pub fn with_extension(self, extension: sync::Arc<dyn PeerExtension>) -> Self {
+        Self { extension: Some(extension), ..self }
     }
 
     async fn serve(
@@ -176,8 +200,12 @@
                 let header = self.context.peer_header();
                 encode_reply(&types::StatusReply { header, status })
             }
-            _ => {
-                let detail = format!("there is nothing at {}", request.path());
+            (_, path) => {
+                let extension = self.extension.as_ref();
+                if let Some(answer) = extension.and_then(|other| other.answer(path, request)) {
+                    return answer.await;
+                }
+                let detail = format!("there is nothing at {path}");
                 Err(failure::CallFailure::new(types::ProblemKind::UnknownName, detail))
             }
         }
@@ -216,7 +244,6 @@
         Ok(frames::peer_response(owner::start_stream(&self.context, call, deadline)))
     }
 
-    /// Decodes the message of a request and checks its version.
     fn decode<Message>(
         &self,
         request: &http_server::ServerRequest,
@@ -224,21 +251,34 @@
     where
         Message: PeerMessage + serde::de::DeserializeOwned,
     {
-        let envelope: types::RevisionReply = decode_body(request.body())?;
-        let version = envelope.header.protocol;
-        if version != context::PEER_PROTOCOL_VERSION {
-            let node = &envelope.header.node;
-            let own = context::PEER_PROTOCOL_VERSION;
-            let detail =
-                format!("{node} speaks protocol version {version}; this node speaks {own}");
-            return Err(failure::CallFailure::new(types::ProblemKind::BadRequest, detail));
-        }
-        let message: Message = decode_body(request.body())?;
-        observe(&self.context, message.header());
-        Ok(message)
+        decode_message(&self.context, request)
     }
 }
 
+/// Decodes the message of a request and checks its version.
+///
+/// # Errors
+///
+/// Fails if the message is of another version or cannot be decoded; it had no effect then.
+pub fn decode_message<Message>(
+    context: &context::NodeContext,
+    request: &http_server::ServerRequest,
+) -> Result<Message, failure::CallFailure>
+where
+    Message: PeerMessage + serde::de::DeserializeOwned,
+{
+    let envelope: types::RevisionReply = decode_body(request.body())?;
+    let version = envelope.header.protocol;
+    if version != context::PEER_PROTOCOL_VERSION {
+        let node = &envelope.header.node;
+        let own = context::PEER_PROTOCOL_VERSION;
+        let detail = format!("{node} speaks protocol version {version}; this node speaks {own}");
+        return Err(failure::CallFailure::new(types::ProblemKind::BadRequest, detail));
+    }
+    let message: Message = decode_body(request.body())?;
+    observe(context, message.header());
+    Ok(message)
+}
 fn decode_body<Message>(body: &[u8]) -> Result<Message, failure::CallFailure>
 where
     Message: serde::de::DeserializeOwned,
@@ -260,7 +300,12 @@
     }
 }
 
-fn encode_reply<Reply>(reply: &Reply) -> Result<http_message::Response, failure::CallFailure>
+/// Returns the answer that carries a reply.
+///
+/// # Errors
+///
+/// Fails if the reply cannot be encoded.
+pub fn encode_reply<Reply>(reply: &Reply) -> Result<http_message::Response, failure::CallFailure>
 where
     Reply: serde::Serialize,
 {
--- a/crates/comfreyspread/src/rank.rs
+++ b/crates/comfreyspread/src/rank.rs
@@ -41,6 +41,14 @@
     MemberRank = 30;
     /// Rank of the ownership table.
     OwnershipRank = 40;
+    /// Rank of the routes in force on the users' platform.
+    RouteRank = 42;
+    /// Rank of the endpoints that have registered.
+    DirectoryRank = 44;
+    /// Rank of the queues of stage services.
+    BatchRank = 46;
+    /// Rank of the shared budget of repeats.
+    RepeatRank = 48;
     /// Rank of the pools' queues and limits.
     PoolRank = 50;
     /// Rank of the load hints of other owners.
--- a/crates/comfreyspread/src/settings.rs
+++ b/crates/comfreyspread/src/settings.rs
@@ -5,6 +5,7 @@
 //! misspelt.
 
 use crate::operator_client;
+use comfreyspread_platform::machine;
 use comfreyspread_schema::{ids, setting, settings};
 use indexmap::IndexMap;
 use std::{net, str, sync, time};
@@ -148,7 +149,8 @@
         for variable in self.environment.keys() {
             let known = settings::SETTING_ROWS.iter().any(|row| row.variable == &**variable);
             let operators = variable.starts_with(operator_client::VARIABLE_PREFIX);
-            if variable.starts_with(settings::ENVIRONMENT_PREFIX) && !known && !operators {
+            let file = **variable == *machine::FILE_VARIABLE;
+            if variable.starts_with(settings::ENVIRONMENT_PREFIX) && !known && !operators && !file {
                 self.faults.push(SettingFault::Unknown { variable: variable.clone() });
             }
         }
