--- a/crates/comfreyspread/src/gateway/batcher.rs
+++ b/crates/comfreyspread/src/gateway/batcher.rs
@@ -261,6 +261,8 @@
         return batch_queue::BatchEnding::Full;
     }
     if answered.status() != OK_STATUS || answered.body().len() > ANSWER_LIMIT_BYTES {
+        log::warn!(endpoint = call.endpoint.as_ref(), status = answered.status();
+            "batcher: call failed at the endpoint");
         return batch_queue::BatchEnding::Failed;
     }
     match piece::decode_run(answered.body()) {
--- a/crates/comfreyspread/src/http_client.rs
+++ b/crates/comfreyspread/src/http_client.rs
@@ -145,7 +145,7 @@
         let mut connection = self.connect(address, connection, deadline).await?;
         check_time(deadline)?;
         let exchange = async {
-            let sent = connection.exchange(self.signed(request)).await;
+            let sent = connection.exchange(self.signed(address, request)).await;
             sent.map_err(|fault| match fault {
                 client_connection::ExchangeFault::Unsent => unsent(address, "it was closed"),
                 client_connection::ExchangeFault::Lost(error) => {
@@ -161,7 +161,14 @@
         Ok(http_message::Response::from_parts(head, body))
     }
 
-    fn signed(&self, mut request: http_message::Request) -> http_message::Request {
+    fn signed(
+        &self,
+        address: net::SocketAddr,
+        mut request: http_message::Request,
+    ) -> http_message::Request {
+        if request.header("host").is_none() {
+            request.insert_header("host", address.to_string());
+        }
         if let Some(agent) = &self.agent {
             request.insert_header(header::USER_AGENT, agent);
         }
