--- a/crates/comfreyspread-policy/src/batch_queue.rs
+++ b/crates/comfreyspread-policy/src/batch_queue.rs
@@ -46,6 +46,8 @@
     pub target: time::Instant,
     /// Moment after which nobody wants the pieces.
     pub deadline: time::Instant,
+    /// Moment at which the first of the results is gone that the pieces are made of.
+    pub inputs_until: Option<time::Instant>,
 }
 
 #[derive(Debug)]
@@ -191,9 +193,16 @@
         std::iter::from_fn(|| self.plan_one(now)).collect()
     }
 
-    /// Takes in how a call ended; the groups that are settled can then be taken out.
-    pub fn finish(&mut self, number: CallNumber, ending: &BatchEnding, now: time::Instant) {
-        let Some(call) = self.calls.shift_remove(&number) else { return };
+    /// Takes in how a call ended; the groups that are settled can then be taken out. Returns the
+    /// results that nobody waits for any more.
+    pub fn finish(
+        &mut self,
+        number: CallNumber,
+        ending: &BatchEnding,
+        now: time::Instant,
+    ) -> Vec<ids::ResultHandle> {
+        let Some(call) = self.calls.shift_remove(&number) else { return Vec::new() };
+        let mut unwanted = Vec::new();
         self.note_worker(&call, ending, now);
         for (place, (group, piece)) in call.pieces.iter().enumerate() {
             let outcome = match ending {
@@ -206,8 +215,14 @@
                 }
                 BatchEnding::Failed => types::PieceOutcome::Failed(types::PieceFault::Unreachable),
             };
+            if let types::PieceOutcome::Made(handle) = &outcome
+                && !self.groups.contains_key(group)
+            {
+                unwanted.push(handle.clone());
+            }
             self.settle(*group, *piece, outcome, &call, now);
         }
+        unwanted
     }
 
     /// Drops the pieces that cannot be made in time, and takes out the groups that are settled.
@@ -225,18 +240,11 @@
         settled
     }
 
-    /// Takes out results that nobody needs; returns them by the address of their maker.
-    pub fn release(
-        &mut self,
-        handles: &[ids::ResultHandle],
-    ) -> IndexMap<net::SocketAddr, Vec<ids::ResultHandle>> {
-        let mut makers = IndexMap::<_, Vec<_>>::new();
+    /// Takes note that results have been freed at their makers.
+    pub fn forget_results(&mut self, handles: &[ids::ResultHandle]) {
         for handle in handles {
-            if let Some(kept) = self.kept.shift_remove(handle) {
-                makers.entry(kept.maker).or_default().push(handle.clone());
-            }
+            self.kept.swap_remove(handle);
         }
-        makers
     }
 
     /// Returns the moment at which something is to be done though no call ends: the next deadline,
@@ -309,7 +317,9 @@
                 let group = &queued.group;
                 let late = now + soonest > group.target;
                 let rank = if late { u32::MAX } else { group.priority };
-                let moment = if late { group.deadline } else { group.target };
+                let last =
+                    group.inputs_until.map_or(group.deadline, |until| until.min(group.deadline));
+                let moment = if late { last } else { group.target };
                 ((late, rank, moment), *number)
             })
             .collect();
--- a/crates/comfreyspread-policy/src/stage_graph.rs
+++ b/crates/comfreyspread-policy/src/stage_graph.rs
@@ -62,9 +62,17 @@
         before.into_iter().filter(|index| self.is_used_up(*index)).collect()
     }
 
-    /// Marks a stage whose results were lost, so that it runs again; also those after it that run.
+    /// Marks a stage whose results are lost, so that it runs again, after those before it whose
+    /// results are not there any more either.
     pub fn lose(&mut self, stage: usize) {
         self.stages[stage].state = StageState::Waiting;
+        for before in self.stages[stage].after.clone() {
+            let freed = matches!(&self.stages[before].state, StageState::Made(handles)
+                if handles.is_empty());
+            if freed && self.stages[before].pieces > 0 {
+                self.lose(before);
+            }
+        }
     }
 
     /// Returns the results of a stage.
--- a/crates/comfreyspread/src/gateway/batcher.rs
+++ b/crates/comfreyspread/src/gateway/batcher.rs
@@ -123,15 +123,11 @@
     service: &ids::EndpointService,
     handles: &[ids::ResultHandle],
 ) {
-    let mut makers = {
-        let mut batches = state.batches.lock();
-        let batch = batches.services.get_mut(service);
-        batch.map(|batch| batch.queue.release(handles)).unwrap_or_default()
-    };
+    let mut makers = IndexMap::<_, Vec<_>>::new();
     for handle in handles {
-        let known = makers.values().any(|known| known.contains(handle));
-        if let Some(maker) = piece::maker(handle).filter(|_| !known) {
-            makers.entry(maker).or_default().push(handle.clone());
+        match piece::maker(handle) {
+            Some(maker) => makers.entry(maker).or_default().push(handle.clone()),
+            None => log::warn!("batcher: result without a maker. handle={handle}"),
         }
     }
     for (maker, freed) in makers {
@@ -139,19 +135,15 @@
         let service = service.clone();
         state.context.spawner.detach(async move {
             free(&task_state, maker, &freed).await;
-            task_state.batches.lock().wake(&service);
+            let mut batches = task_state.batches.lock();
+            if let Some(batch) = batches.services.get_mut(&service) {
+                batch.queue.forget_results(&freed);
+                batch.wake.try_send(()).ok();
+            }
         });
     }
 }
 
-impl BatchTable {
-    fn wake(&self, service: &ids::EndpointService) {
-        if let Some(batch) = self.services.get(service) {
-            batch.wake.try_send(()).ok();
-        }
-    }
-}
-
 async fn free(state: &state::GatewayState, maker: net::SocketAddr, handles: &[ids::ResultHandle]) {
     let Ok((head, body)) = piece::encode_free(handles) else { return };
     let request = http_message::Request::from_parts(head, body.into());
@@ -228,11 +220,14 @@
         pieces = call.orders.len(),
         took_ms = now.saturating_duration_since(started).as_millis() as u64;
         "batcher: call ended. ending={ending:?}");
+    let mut unwanted = Vec::new();
     let mut batches = state.batches.lock();
     if let Some(batch) = batches.services.get_mut(service) {
-        batch.queue.finish(call.number, &ending, now);
+        unwanted = batch.queue.finish(call.number, &ending, now);
         batch.wake.try_send(()).ok();
     }
+    drop(batches);
+    release(state, service, &unwanted);
 }
 
 async fn send(
--- a/crates/comfreyspread/src/gateway/piece_send.rs
+++ b/crates/comfreyspread/src/gateway/piece_send.rs
@@ -98,6 +98,9 @@
     types::PieceRequest {
         bytes: group.bytes,
         header: state.context.peer_header(),
+        inputs_left: group
+            .inputs_until
+            .map_or(time::Duration::ZERO, |until| until.saturating_duration_since(now)),
         orders: group.orders.iter().map(with_left).collect(),
         priority: group.priority,
         region: orders.region.clone(),
@@ -130,6 +133,7 @@
             bytes: message.bytes,
             target: now + message.target,
             deadline: now + left,
+            inputs_until: (!message.inputs_left.is_zero()).then(|| now + message.inputs_left),
         };
         let made = async { Some(batcher::make(&self.state, &message.service, group).await) };
         let gone = async {
--- a/crates/comfreyspread/src/gateway/stage_run.rs
+++ b/crates/comfreyspread/src/gateway/stage_run.rs
@@ -20,6 +20,7 @@
     rules: Vec<types::StageRule>,
     graph: stage_graph::StageGraph,
     losses: u32,
+    made: Vec<Option<time::Instant>>,
 }
 
 type StageEnd = (usize, Vec<types::PieceOutcome>);
@@ -39,7 +40,8 @@
                 batch_queue::call_time(capacity, capacity.batch.max(pieces))
             })
         });
-        Self { state: state.clone(), region, rules, graph, losses: 0 }
+        let made = vec![None; rules.len()];
+        Self { state: state.clone(), region, rules, graph, losses: 0, made }
     }
 
     /// Returns the region in which the results stand.
@@ -108,6 +110,7 @@
             types::PieceOutcome::Made(_) => None,
         });
         let Some(fault) = fault else {
+            self.made[stage] = Some(time::Instant::now());
             let used = self.graph.finish(stage, handles);
             used.into_iter().for_each(|before| self.free_stage(before));
             return Ok(());
@@ -115,8 +118,9 @@
         self.release(stage, handles);
         if fault == types::PieceFault::InputGone {
             let before = self.graph.before(stage).to_vec();
+            before.into_iter().try_for_each(|before| self.lose(before))?;
             self.graph.lose(stage);
-            return before.into_iter().try_for_each(|before| self.lose(before));
+            return Ok(());
         }
         let detail = format!("stage {stage} was not made: {fault}");
         Err(call_plan::CallPlan::not_run(types::ProblemKind::Overloaded, &detail))
@@ -130,11 +134,6 @@
         }
         self.free_stage(stage);
         self.graph.lose(stage);
-        for before in self.graph.before(stage).to_vec() {
-            if self.graph.results(before).is_empty() && self.graph.pieces(before) > 0 {
-                self.graph.lose(before);
-            }
-        }
         Ok(())
     }
 
@@ -148,6 +147,16 @@
         piece_send::release(&self.state, service, &self.region, handles);
     }
 
+    /// Returns the moment at which the first of the results is gone that a stage is made of.
+    fn inputs_until(&self, stage: usize) -> Option<time::Instant> {
+        let routes = self.state.routes();
+        let until = self.graph.before(stage).iter().filter_map(|before| {
+            let rule = routes.service(&self.rules[*before].service)?;
+            Some(self.made[*before]? + rule.pieces.as_ref()?.result_life)
+        });
+        until.min()
+    }
+
     fn orders(&self, plan: &call_plan::CallPlan, stage: usize) -> piece_send::PieceOrders {
         let inputs = self.graph.inputs(stage);
         let key = self.graph.before(stage).is_empty().then(|| plan.call.piece_key.clone());
@@ -171,6 +180,7 @@
                 bytes: self.rules[stage].bytes,
                 target: by(plan.target),
                 deadline: by(plan.deadline),
+                inputs_until: self.inputs_until(stage),
             },
         }
     }
