Have stages made in another region while the own one is much busier

Cause: a burst fills the stage services of one region while those of the other idle (Oro Vivo: two of three precio-spot endpoints for 69% of the requests). Ruled out: moving single stages, as results that cross regions cost more than requests earn. Change: nodes ask the batching nodes for waits by rank, only while their own region is busy.

--- a/crates/comfreyspread-policy/src/batch_queue.rs
+++ b/crates/comfreyspread-policy/src/batch_queue.rs
@@ -30,6 +30,10 @@
 const PATIENCE_FACTOR: f64 = 3.0;
 /// Time beyond that multiple.
 const PATIENCE_SLACK: time::Duration = time::Duration::from_millis(400);
+/// Fastest that an endpoint counts as, in parts of the usual time.
+const MOST_SPEED_FACTOR: f64 = 0.5;
+/// Speed that counts where no endpoint is there, in endpoints.
+const LEAST_SPEED: f64 = 0.1;
 /// Failures of one piece after which it is given up.
 const MOST_FAILURES: u32 = 4;
 
@@ -259,20 +263,22 @@
         deadlines.chain(rests.filter(|rest| *rest > now)).min()
     }
 
-    /// Returns the time that a new piece has to expect, its own call included.
-    pub fn expected_wait(&self, now: time::Instant) -> time::Duration {
-        let awake = self.workers.values().filter(|worker| !worker.is_resting(now)).count();
-        let workers = u32::try_from(awake.max(1)).unwrap_or(1);
-        let waiting: usize = self.groups.values().map(QueuedGroup::waiting).sum();
-        let batch = usize::try_from(self.capacity.batch).unwrap_or(1);
-        let calls = u32::try_from(waiting.div_ceil(batch)).unwrap_or(u32::MAX);
+    /// Returns the time until new pieces of a request with this rank are made, their own call
+    /// included.
+    pub fn expected_wait(&self, priority: u32, now: time::Instant) -> time::Duration {
+        let awake = self.workers.values().filter(|worker| !worker.is_resting(now));
+        let speed: f64 = awake.map(|worker| 1.0 / worker.factor.max(MOST_SPEED_FACTOR)).sum();
+        let before = self.groups.values().filter(|queued| queued.group.priority <= priority);
+        let waiting: usize = before.map(QueuedGroup::waiting).sum();
+        let batch = usize::try_from(self.capacity.batch).unwrap_or(1).max(1);
         let full = self.call_time(batch);
         let running = self
             .calls
             .values()
             .map(|call| (call.started + call.usual).saturating_duration_since(now));
         let busy: time::Duration = running.sum();
-        (busy + full * calls) / workers
+        let work = busy + full.mul_f64(waiting as f64 / batch as f64);
+        work.mul_f64(1.0 / speed.max(LEAST_SPEED)) + full
     }
 
     /// Returns the usual time of a call with `pieces` pieces.
@@ -310,7 +316,7 @@
 
     /// Returns the groups with pieces that wait, in the order in which they are served.
     fn order(&self, now: time::Instant) -> Vec<GroupNumber> {
-        let soonest = self.call_time(1);
+        let soonest = self.call_time(usize::try_from(self.capacity.batch).unwrap_or(1));
         let waiting = self.groups.iter().filter(|(_, queued)| queued.is_waiting());
         let mut order: Vec<_> = waiting
             .map(|(number, queued)| {
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -9,7 +9,8 @@
 //!   [`suspect`], [`link`].
 //! - Requests that may run at most once: [`claim`], [`settlement`], [`write_group`].
 //! - On the users' platform: [`route_table`], [`directory`] of endpoints, [`stage_graph`] of a
-//!   request, [`batch_queue`] of a stage service, [`event_buffer`], [`repeat_budget`].
+//!   request, [`batch_queue`] of a stage service, [`event_buffer`], [`repeat_budget`],
+//!   [`wait_table`].
 //! - The owner: [`schedule`] over [`queue`], [`replica`], [`lifecycle`], [`limit`], [`breaker`],
 //!   [`outlier`], [`choice`], [`latency`].
 //! - Members and ownership: [`membership`], [`contact`], [`rendezvous`], [`ownership`],
@@ -66,4 +67,5 @@
 pub mod validation;
 pub mod verdict;
 pub mod vm_list;
+pub mod wait_table;
 pub mod write_group;
--- a/crates/comfreyspread/src/gateway/batcher.rs
+++ b/crates/comfreyspread/src/gateway/batcher.rs
@@ -19,6 +19,8 @@
 /// Longest sleep of a service's task while pieces wait.
 const MOST_SLEEP: time::Duration = time::Duration::from_millis(250);
 const OK_STATUS: u16 = 200;
+/// Ranks of requests whose waits are told apart.
+const STATED_RANKS: u32 = 4;
 
 /// Outcomes of a group of pieces.
 pub type GroupOutcomes = Vec<types::PieceOutcome>;
@@ -72,26 +74,30 @@
     }
 }
 
-/// Has a group of pieces made; returns their outcomes and the wait that new pieces have to expect.
+/// Has a group of pieces made and returns their outcomes.
 pub async fn make(
     state: &sync::Arc<state::GatewayState>,
     service: &ids::EndpointService,
     group: batch_queue::PieceGroup,
-) -> (GroupOutcomes, time::Duration) {
+) -> GroupOutcomes {
     let unmade = types::PieceOutcome::Failed(types::PieceFault::Unreachable);
     let unmade = vec![unmade; group.orders.len()];
     let Some((waiting, outcomes)) = enter(state, service, group) else {
         log::warn!(service = service.as_ref(); "batcher: the service makes no pieces");
-        return (unmade, time::Duration::ZERO);
+        return unmade;
     };
     let outcomes = outcomes.recv().await.unwrap_or(unmade);
-    let batches = state.batches.lock();
-    let queue = batches.services.get(service).map(|batch| &batch.queue);
-    let wait =
-        queue.map_or(time::Duration::ZERO, |queue| queue.expected_wait(time::Instant::now()));
-    drop(batches);
     drop(waiting);
-    (outcomes, wait)
+    outcomes
+}
+
+/// Returns the waits that new pieces of a service have to expect, by rank of their request.
+pub fn waits(state: &state::GatewayState, service: &ids::EndpointService) -> Vec<types::RankWait> {
+    let now = time::Instant::now();
+    let batches = state.batches.lock();
+    let Some(batch) = batches.services.get(service) else { return Vec::new() };
+    let wait = |rank| types::RankWait { wait: batch.queue.expected_wait(rank, now) };
+    (0..STATED_RANKS).map(wait).collect()
 }
 
 /// Puts a group into its service's queue, which is started if there is none.
--- a/crates/comfreyspread/src/gateway/mod.rs
+++ b/crates/comfreyspread/src/gateway/mod.rs
@@ -1,7 +1,7 @@
 //! The front end of the users' platform.
 //!
 //! - A request: [`entry`] reads it and answers, [`plain_run`] and [`stream_run`] make the attempts,
-//!   [`attempt_send`] makes one, [`stage_run`] has its stages made.
+//!   [`attempt_send`] makes one, [`region_choice`] says where its stages are made, [`stage_run`] has them made.
 //! - Stages: [`piece_send`] hands pieces to the node that batches their service, [`batcher`] makes
 //!   the calls there.
 //! - What is known: [`route_follow`] the routes, [`endpoint_follow`] the endpoints, both by
@@ -18,6 +18,7 @@
 pub mod process;
 pub mod produced_chunks;
 pub mod ready;
+pub mod region_choice;
 pub mod route_follow;
 pub mod stage_run;
 pub mod state;
--- a/crates/comfreyspread/src/gateway/piece_send.rs
+++ b/crates/comfreyspread/src/gateway/piece_send.rs
@@ -9,6 +9,8 @@
 
 /// Path of a request for pieces, answered by a [`types::PieceReply`].
 pub const PIECE_PATH: &str = "/peer/pieces";
+/// Path of a question for waits, answered by a [`types::WaitReply`].
+pub const WAIT_PATH: &str = "/peer/pieces/wait";
 /// Path of a release of results, answered by a [`types::ResultReleased`].
 pub const RELEASE_PATH: &str = "/peer/results/release";
 
@@ -35,7 +37,7 @@
 ) -> batcher::GroupOutcomes {
     let (node, address) = state.batching_node(&orders.service, &orders.region);
     let Some(address) = address else {
-        return batcher::make(state, &orders.service, orders.group.clone()).await.0;
+        return batcher::make(state, &orders.service, orders.group.clone()).await;
     };
     let message = request(state, orders);
     let deadline = orders.group.deadline + REPLY_MARGIN;
@@ -53,7 +55,7 @@
         Err(failure) => {
             log::warn!(node = node.as_ref(), service = orders.service.as_ref();
                 "pieces: batching node passed over. error={failure}");
-            batcher::make(state, &orders.service, orders.group.clone()).await.0
+            batcher::make(state, &orders.service, orders.group.clone()).await
         }
     }
 }
@@ -140,12 +142,22 @@
             request.connection().closed().await;
             None
         };
-        let Some((outcomes, wait)) = made.or(gone).await else {
+        let Some(outcomes) = made.or(gone).await else {
             let detail = "the other node went away";
             return Err(failure::CallFailure::new(types::ProblemKind::Unavailable, detail));
         };
         let header = self.state.context.peer_header();
-        peer::encode_reply(&types::PieceReply { header, outcomes, wait })
+        peer::encode_reply(&types::PieceReply { header, outcomes })
+    }
+
+    fn wait(
+        &self,
+        request: &http_server::ServerRequest,
+    ) -> Result<http_message::Response, failure::CallFailure> {
+        let message: types::WaitRequest = peer::decode_message(&self.state.context, request)?;
+        let header = self.state.context.peer_header();
+        let waits = batcher::waits(&self.state, &message.service);
+        peer::encode_reply(&types::WaitReply { header, waits })
     }
 
     fn release(
@@ -167,6 +179,7 @@
         match path {
             PIECE_PATH => Some(Box::pin(self.make(request))),
             RELEASE_PATH => Some(Box::pin(async move { self.release(request) })),
+            WAIT_PATH => Some(Box::pin(async move { self.wait(request) })),
             _ => None,
         }
     }
--- /dev/null
+++ b/crates/comfreyspread/src/gateway/region_choice.rs
@@ -0,0 +1,112 @@
+//! Where the stages of a request are made: in the node's own region, or in another one while that
+//! is much less busy. Results never cross regions; the request itself follows them.
+
+use super::{batcher, call_plan, piece_send, state};
+use crate::{http_client, peer};
+use comfreyspread_policy::wait_table;
+use comfreyspread_schema::{ids, types};
+use std::{sync, time};
+
+/// Longest wait for an answer about waits.
+const ANSWER_LIMIT: time::Duration = time::Duration::from_millis(300);
+
+/// Returns the region for the stages of a request.
+pub fn choose(state: &sync::Arc<state::GatewayState>, plan: &call_plan::CallPlan) -> ids::RegionId {
+    let home = &state.machine.region;
+    let services = stage_services(plan);
+    let regions = able_regions(state, plan, &services);
+    if !regions.contains(home) {
+        return regions.first().unwrap_or(home).clone();
+    }
+    let own = wait(state, plan, &services, home);
+    if own <= wait_table::BORNE_WAIT {
+        return home.clone();
+    }
+    let others = regions.iter().filter(|region| *region != home);
+    let waits = others.map(|region| (wait(state, plan, &services, region), region));
+    let Some((least, region)) = waits.min() else { return home.clone() };
+    if wait_table::goes_elsewhere(own, least, &mut rand::rng()) {
+        log::info!(request = plan.call.request.as_ref(), region = region.as_ref(),
+            own_ms = own.as_millis() as u64, there_ms = least.as_millis() as u64;
+            "stages: made in another region");
+        return region.clone();
+    }
+    home.clone()
+}
+
+/// Returns the services that make pieces for the request.
+fn stage_services(plan: &call_plan::CallPlan) -> Vec<ids::EndpointService> {
+    let pieces = plan.call.pieces.iter().copied().chain(std::iter::repeat(0));
+    let stages = plan.route.stages.iter().zip(pieces).filter(|(_, pieces)| *pieces > 0);
+    stages.map(|(rule, _)| rule.service.clone()).collect()
+}
+
+/// Returns the regions that may serve the request and have endpoints for it.
+fn able_regions(
+    state: &state::GatewayState,
+    plan: &call_plan::CallPlan,
+    services: &[ids::EndpointService],
+) -> Vec<ids::RegionId> {
+    let mut regions: Vec<_> = state.machine.zones.values().cloned().collect();
+    regions.sort_unstable();
+    regions.dedup();
+    let directory = state.directory.lock();
+    regions.retain(|region| {
+        let has = |service: &str| directory.usable(service, Some(region)).next().is_some();
+        plan.regions.as_ref().is_none_or(|allowed| allowed.contains(region))
+            && services.iter().all(|service| has(service))
+            && has(&plan.service.name)
+    });
+    regions
+}
+
+/// Returns the waits of the request's stages in a region, one after the other; asks for those that
+/// are not fresh.
+fn wait(
+    state: &sync::Arc<state::GatewayState>,
+    plan: &call_plan::CallPlan,
+    services: &[ids::EndpointService],
+    region: &ids::RegionId,
+) -> time::Duration {
+    let now = time::Instant::now();
+    for service in services {
+        if state.waits.lock().ask(service, region, now) {
+            ask(state, service.clone(), region.clone());
+        }
+    }
+    let table = state.waits.lock();
+    let known = |service| table.wait(service, region, plan.priority(), now);
+    services.iter().filter_map(known).sum()
+}
+
+/// Asks the node that batches a service in a region how long new pieces would wait.
+fn ask(
+    state: &sync::Arc<state::GatewayState>,
+    service: ids::EndpointService,
+    region: ids::RegionId,
+) {
+    let (_, address) = state.batching_node(&service, &region);
+    let Some(address) = address else {
+        let waits = batcher::waits(state, &service);
+        state.waits.lock().note(&service, &region, waits, time::Instant::now());
+        return;
+    };
+    let task_state = state.clone();
+    state.context.spawner.detach(async move {
+        let header = task_state.context.peer_header();
+        let message = types::WaitRequest { header, service: service.clone() };
+        let deadline = time::Instant::now() + ANSWER_LIMIT;
+        let connection = http_client::ConnectionUse::Shared;
+        let path = piece_send::WAIT_PATH;
+        let context = &task_state.context;
+        let reply: Result<types::WaitReply, _> =
+            peer::exchange(context, address, path, &message, connection, deadline).await;
+        match reply {
+            Ok(reply) => {
+                let now = time::Instant::now();
+                task_state.waits.lock().note(&service, &region, reply.waits, now);
+            }
+            Err(failure) => log::debug!("stages: waits not told. error={failure}"),
+        }
+    });
+}
--- a/crates/comfreyspread/src/gateway/state.rs
+++ b/crates/comfreyspread/src/gateway/state.rs
@@ -1,7 +1,7 @@
 //! What every part of the platform's front end needs.
 
 use crate::{context, http_client, rank};
-use comfreyspread_policy::{directory, rendezvous, repeat_budget, route_table};
+use comfreyspread_policy::{directory, rendezvous, repeat_budget, route_table, wait_table};
 use comfreyspread_schema::{ids, types};
 use futures_lite::future;
 use std::{fmt, net, sync, sync::atomic, time};
@@ -27,6 +27,8 @@
     pub directory: rank::RankedLock<rank::DirectoryRank, directory::EndpointDirectory>,
     /// Queues of stage services that this node batches.
     pub batches: rank::RankedLock<rank::BatchRank, batcher::BatchTable>,
+    /// Waits at stage services, as this node was told.
+    pub waits: rank::RankedLock<rank::WaitRank, wait_table::WaitTable>,
     /// Shared budget of repeats.
     pub repeats: rank::RankedLock<rank::RepeatRank, repeat_budget::RepeatBudget>,
     /// Client of endpoints.
@@ -57,6 +59,7 @@
             routes: rank::RankedLock::new(sync::Arc::default()),
             directory: rank::RankedLock::new(directory::EndpointDirectory::new(zones)),
             batches: rank::RankedLock::new(batcher::BatchTable::default()),
+            waits: rank::RankedLock::new(wait_table::WaitTable::default()),
             repeats: rank::RankedLock::new(repeat_budget::RepeatBudget::new(rules)),
             client: http_client::HttpClient::new(ANSWER_LIMIT_BYTES)
                 .with_idle_limit(ENDPOINT_IDLE_LIMIT),
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -3,7 +3,7 @@
 //! Only whole events are passed on. Where the route allows it, a stream that breaks off goes on at
 //! another endpoint behind the last event passed on, within the answer that has begun.
 
-use super::{attempt_send, call_plan, produced_chunks, stage_run, state};
+use super::{attempt_send, call_plan, produced_chunks, region_choice, stage_run, state};
 use crate::{failure, http_client, http_message};
 use comfreyspread_platform::answer;
 use comfreyspread_policy::{attempt, directory, event_buffer, verdict};
@@ -31,7 +31,7 @@
     state: &sync::Arc<state::GatewayState>,
     plan: call_plan::CallPlan,
 ) -> Result<http_message::Response, failure::CallFailure> {
-    let region = state.machine.region.clone();
+    let region = region_choice::choose(state, &plan);
     let stages = stage_run::StageResults::new(state, &plan, region);
     let resumed = plan.call.resume_after;
     let mut run = StreamRun {
--- a/crates/comfreyspread/src/peer.rs
+++ b/crates/comfreyspread/src/peer.rs
@@ -59,6 +59,8 @@
     StageReply,
     StatusReply,
     StatusRequest,
+    WaitReply,
+    WaitRequest,
 }
 
 /// Sends `message` to the node at `address` and waits for its reply.
--- a/crates/comfreyspread/src/rank.rs
+++ b/crates/comfreyspread/src/rank.rs
@@ -47,6 +47,8 @@
     DirectoryRank = 44;
     /// Rank of the queues of stage services.
     BatchRank = 46;
+    /// Rank of the waits at stage services.
+    WaitRank = 47;
     /// Rank of the shared budget of repeats.
     RepeatRank = 48;
     /// Rank of the pools' queues and limits.
