--- a/crates/comfreyspread-policy/src/batch_queue.rs
+++ b/crates/comfreyspread-policy/src/batch_queue.rs
@@ -24,8 +24,8 @@
 const REST_AFTER_FULL: time::Duration = time::Duration::from_millis(60);
 /// How long an endpoint is passed over that could not be reached or failed a call.
 const REST_AFTER_FAILURE: time::Duration = time::Duration::from_millis(500);
-/// How long an endpoint is passed over whose room is taken by results this queue doesn't know.
-const REST_AFTER_NO_ROOM: time::Duration = time::Duration::from_millis(100);
+/// How long room counts as taken by results that this queue does not know.
+const UNKNOWN_RESULTS_LIFE: time::Duration = time::Duration::from_millis(700);
 /// Multiple of the expected time after which a call is given up.
 const PATIENCE_FACTOR: f64 = 3.0;
 /// Time beyond that multiple.
@@ -75,6 +75,14 @@
     factor: f64,
     used: time::Instant,
     resting_until: Option<time::Instant>,
+    unknown: Option<UnknownResults>,
+}
+
+/// Results at an endpoint that this queue does not know, as when another node batched before.
+#[derive(Clone, Copy, Debug)]
+struct UnknownResults {
+    bytes: u64,
+    until: time::Instant,
 }
 
 #[derive(Debug)]
@@ -174,6 +182,7 @@
                 factor: 1.0,
                 used: now,
                 resting_until: None,
+                unknown: None,
             });
         }
     }
@@ -194,6 +203,9 @@
     /// Returns the calls to be made now.
     pub fn plan(&mut self, now: time::Instant) -> Vec<PlannedCall> {
         self.kept.retain(|_, kept| kept.until > now);
+        for worker in self.workers.values_mut() {
+            worker.unknown = worker.unknown.filter(|unknown| unknown.until > now);
+        }
         std::iter::from_fn(|| self.plan_one(now)).collect()
     }
 
@@ -260,7 +272,8 @@
         let waiting = self.groups.values().filter(|queued| queued.is_waiting());
         let deadlines = waiting.map(|queued| queued.group.deadline);
         let rests = self.workers.values().filter_map(|worker| worker.resting_until);
-        deadlines.chain(rests.filter(|rest| *rest > now)).min()
+        let rooms = self.workers.values().filter_map(|worker| Some(worker.unknown?.until));
+        deadlines.chain(rests.chain(rooms).filter(|moment| *moment > now)).min()
     }
 
     /// Returns the time until new pieces of a request with this rank are made, their own call
@@ -326,7 +339,7 @@
                 let last =
                     group.inputs_until.map_or(group.deadline, |until| until.min(group.deadline));
                 let moment = if late { last } else { group.target };
-                ((late, rank, moment), *number)
+                ((late, !queued.is_begun(), rank, moment), *number)
             })
             .collect();
         order.sort_unstable();
@@ -362,17 +375,34 @@
         if self.capacity.room_bytes == 0 {
             return u64::MAX;
         }
-        let kept = self.kept.values().filter(|kept| kept.maker == worker.address);
-        let used: u64 = kept.map(|kept| kept.bytes).sum();
-        self.capacity.room_bytes.saturating_sub(used)
+        let unknown = worker.unknown.map_or(0, |unknown| unknown.bytes);
+        self.capacity.room_bytes.saturating_sub(self.known_bytes(worker.address) + unknown)
+    }
+
+    /// Returns the bytes of the results that this queue knows at an endpoint.
+    fn known_bytes(&self, maker: net::SocketAddr) -> u64 {
+        let kept = self.kept.values().filter(|kept| kept.maker == maker);
+        kept.map(|kept| kept.bytes).sum()
     }
 
     /// Returns the pieces of the next call, as many as fit it and the room of its endpoint.
+    ///
+    /// Results of a group that is made in parts take room until its last piece is made. So where
+    /// room is short a group is not divided.
     fn fill(&self, order: &[GroupNumber], mut room: u64) -> Vec<(GroupNumber, usize)> {
         let batch = usize::try_from(self.capacity.batch).unwrap_or(1);
         let mut pieces = Vec::with_capacity(batch);
         for number in order {
             let Some(queued) = self.groups.get(number) else { continue };
+            let bytes = queued.group.bytes;
+            let waiting = queued.waiting();
+            let free = batch - pieces.len();
+            let scarce = u64::try_from(batch).unwrap_or(u64::MAX).saturating_mul(bytes) > room;
+            let whole = u64::try_from(waiting).unwrap_or(u64::MAX).saturating_mul(bytes) <= room
+                && waiting <= free;
+            if scarce && !whole && !pieces.is_empty() {
+                continue;
+            }
             for (place, state) in queued.pieces.iter().enumerate() {
                 if pieces.len() == batch {
                     return pieces;
@@ -423,6 +453,8 @@
             self.workers.shift_remove(&call.endpoint);
             return;
         }
+        let maker = self.workers.get(&call.endpoint).map(|worker| worker.address);
+        let known = maker.map_or(0, |maker| self.known_bytes(maker));
         let Some(worker) = self.workers.get_mut(&call.endpoint) else { return };
         worker.call = None;
         let took = now.saturating_duration_since(call.started);
@@ -435,7 +467,12 @@
                     *outcome == types::PieceOutcome::Failed(types::PieceFault::NoRoom)
                 };
                 if outcomes.iter().any(full) {
-                    worker.resting_until = Some(now + REST_AFTER_NO_ROOM);
+                    let made = outcomes.iter().filter(|outcome| !full(outcome)).count();
+                    let each = call.bytes / u64::try_from(call.pieces.len()).unwrap_or(1).max(1);
+                    let made = each * u64::try_from(made).unwrap_or(0);
+                    let bytes = self.capacity.room_bytes.saturating_sub(known + made);
+                    let until = now + UNKNOWN_RESULTS_LIFE;
+                    worker.unknown = Some(UnknownResults { bytes, until });
                 }
             }
             BatchEnding::Full => worker.resting_until = Some(now + REST_AFTER_FULL),
@@ -483,6 +520,11 @@
         self.waiting() > 0
     }
 
+    /// Whether some of its pieces are made or being made.
+    fn is_begun(&self) -> bool {
+        self.waiting() < self.pieces.len()
+    }
+
     fn start(&mut self, piece: usize) {
         if let PieceState::Waiting { failures } = self.pieces[piece] {
             self.pieces[piece] = PieceState::Running { failures };
--- a/crates/comfreyspread-policy/src/stage_graph.rs
+++ b/crates/comfreyspread-policy/src/stage_graph.rs
@@ -3,6 +3,9 @@
 use comfreyspread_schema::{ids, types};
 use std::time;
 
+/// Time by which the results of a stage may be early.
+const EARLY_MARGIN: time::Duration = time::Duration::from_millis(250);
+
 /// One stage of a request.
 #[derive(Clone, Debug)]
 struct GraphStage {
@@ -46,8 +49,13 @@
     }
 
     /// Returns the stages that can be run now, and marks them as running.
+    ///
+    /// The results of a stage that no other follows take room until the request has them. Such a
+    /// stage is held back while others have further to go than it.
     pub fn start_ready(&mut self) -> Vec<usize> {
-        let ready: Vec<_> = (0..self.stages.len()).filter(|index| self.is_ready(*index)).collect();
+        let ready: Vec<_> = (0..self.stages.len())
+            .filter(|index| self.is_ready(*index) && !self.is_early(*index))
+            .collect();
         for index in &ready {
             self.stages[*index].state = StageState::Running;
         }
@@ -145,6 +153,27 @@
         stage.state == StageState::Waiting && stage.after.iter().all(made)
     }
 
+    /// Whether the results of a stage would only wait for those of others.
+    fn is_early(&self, index: usize) -> bool {
+        if self.stages.iter().any(|stage| stage.after.contains(&index)) {
+            return false;
+        }
+        let own = self.stages[index].expected + EARLY_MARGIN;
+        let others = (0..self.stages.len()).filter(|other| *other != index);
+        let longest = others.map(|other| self.time_left(other)).max().unwrap_or_default();
+        longest > own
+    }
+
+    /// Returns the time from the start of a stage that is not made to the end of all.
+    fn time_left(&self, index: usize) -> time::Duration {
+        match self.stages[index].state {
+            StageState::Made(_) => time::Duration::ZERO,
+            StageState::Running | StageState::Waiting => {
+                self.stages[index].expected + self.remaining_after(index)
+            }
+        }
+    }
+
     /// Whether all stages that need the results of `index` are made.
     fn is_used_up(&self, index: usize) -> bool {
         let mut followers = self.stages.iter().filter(|stage| stage.after.contains(&index));
--- a/crates/comfreyspread/src/gateway/piece_send.rs
+++ b/crates/comfreyspread/src/gateway/piece_send.rs
@@ -35,6 +35,10 @@
     state: &sync::Arc<state::GatewayState>,
     orders: &PieceOrders,
 ) -> batcher::GroupOutcomes {
+    if orders.group.deadline <= time::Instant::now() {
+        let late = types::PieceOutcome::Failed(types::PieceFault::Late);
+        return vec![late; orders.group.orders.len()];
+    }
     let (node, address) = state.batching_node(&orders.service, &orders.region);
     let Some(address) = address else {
         return batcher::make(state, &orders.service, orders.group.clone()).await;
--- a/crates/comfreyspread/src/gateway/stage_run.rs
+++ b/crates/comfreyspread/src/gateway/stage_run.rs
@@ -197,6 +197,11 @@
     stage: usize,
     orders: piece_send::PieceOrders,
 ) -> StageEnd {
+    let begun = time::Instant::now();
     let outcomes = piece_send::make(&state, &orders).await;
+    let request = orders.group.orders.first().map(|order| &*order.request);
+    log::debug!(request = request, stage = stage, service = orders.service.as_ref(),
+        region = orders.region.as_ref(), pieces = outcomes.len(),
+        took_ms = begun.elapsed().as_millis() as u64; "stages: ended");
     (stage, outcomes)
 }
