Take tables from other nodes while the store is away, and pass over what is silent

Change: mirrors of both tables, merged row by row; removals within 2.2 s of an outage wait; the system ends connections whose bytes are not confirmed; a batching node that does not answer a question is passed over; three confirmed crashes convict a request; new endpoints count as cold.

--- a/crates/comfreyspread-policy/src/directory.rs
+++ b/crates/comfreyspread-policy/src/directory.rs
@@ -108,6 +108,13 @@
     }
 }
 
+/// What is known of an endpoint that has not been there before.
+#[derive(Clone, Copy, Debug)]
+pub struct FirstSight {
+    /// How long it counts as cold at least.
+    pub cold: time::Duration,
+}
+
 /// What a request needs of an endpoint.
 #[derive(Clone, Debug)]
 pub struct EndpointQuery<'query> {
@@ -155,7 +162,7 @@
     }
 
     /// Takes in what an endpoint registered.
-    pub fn insert(&mut self, entry: types::EndpointEntry, now: time::Instant) {
+    pub fn insert(&mut self, entry: types::EndpointEntry, sight: FirstSight, now: time::Instant) {
         match self.endpoints.get_mut(&entry.endpoint) {
             Some(known) if known.entry.born == entry.born => {
                 if !entry.cold.is_zero() {
@@ -164,6 +171,8 @@
                 known.entry = entry;
             }
             _ => {
+                let cold = entry.cold.max(sight.cold);
+                let entry = types::EndpointEntry { cold, ..entry };
                 let endpoint = entry.endpoint.clone();
                 self.endpoints.insert(endpoint, DirectoryEndpoint::new(entry, now));
             }
@@ -175,15 +184,6 @@
         self.endpoints.shift_remove(endpoint);
     }
 
-    /// Forgets the endpoints that are not among `entries`, and takes those in.
-    pub fn replace(&mut self, entries: Vec<types::EndpointEntry>, now: time::Instant) {
-        let kept: IndexSet<_> = entries.iter().map(|entry| entry.endpoint.clone()).collect();
-        self.endpoints.retain(|endpoint, _| kept.contains(endpoint));
-        for entry in entries {
-            self.insert(entry, now);
-        }
-    }
-
     /// Sets the availability zones that are out of service.
     pub fn set_zone_out(&mut self, zone: ids::ZoneId, out: bool) {
         if out {
@@ -193,11 +193,6 @@
         }
     }
 
-    /// Forgets which availability zones are out of service.
-    pub fn clear_zones_out(&mut self) {
-        self.zones_out.clear();
-    }
-
     /// Returns an endpoint.
     pub fn endpoint(&self, endpoint: &ids::EndpointId) -> Option<&DirectoryEndpoint> {
         self.endpoints.get(endpoint)
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -10,7 +10,7 @@
 //! - Requests that may run at most once: [`claim`], [`settlement`], [`write_group`].
 //! - On the users' platform: [`route_table`], [`directory`] of endpoints, [`stage_graph`] of a
 //!   request, [`batch_queue`] of a stage service, [`event_buffer`], [`repeat_budget`],
-//!   [`wait_table`].
+//!   [`wait_table`], [`table_mirror`].
 //! - The owner: [`schedule`] over [`queue`], [`replica`], [`lifecycle`], [`limit`], [`breaker`],
 //!   [`outlier`], [`choice`], [`latency`].
 //! - Members and ownership: [`membership`], [`contact`], [`rendezvous`], [`ownership`],
@@ -63,6 +63,7 @@
 pub mod stage_graph;
 pub mod stream;
 pub mod suspect;
+pub mod table_mirror;
 pub mod timing;
 pub mod validation;
 pub mod verdict;
--- a/crates/comfreyspread-policy/src/suspect.rs
+++ b/crates/comfreyspread-policy/src/suspect.rs
@@ -2,7 +2,7 @@
 //!
 //! When an endpoint goes away, every call in flight there becomes a suspect. A suspect runs alone
 //! from then on, so that a second crash can only be its own doing and convicts it. A suspect that
-//! is served alone is cleared. Records are keyed by the digest of the body, since a caller sends
+//! is served alone is cleared. One that was there at several crashes is convicted all the same. Records are keyed by the digest of the body, since a caller sends
 //! the same body again under another request id, and they are shared between nodes.
 
 use comfreyspread_schema::{ids, types};
@@ -11,6 +11,8 @@
 
 const RECORD_LIFE: time::Duration = time::Duration::from_secs(600);
 const MOST_RECORDS: usize = 10_000;
+/// Crashes that convict a request whatever ran beside it.
+const CONVICTING_CRASHES: u32 = 3;
 
 /// How a request is to be treated.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -58,7 +60,7 @@
         let held = known.filter(|entry| entry.phase != types::SuspectPhase::Cleared);
         let crashes = held.map_or(0, |entry| entry.crashes) + 1;
         let convicted = held.is_some_and(|entry| entry.phase == types::SuspectPhase::Convicted);
-        let phase = if convicted || (alone && crashes > 1) {
+        let phase = if convicted || (alone && crashes > 1) || crashes >= CONVICTING_CRASHES {
             types::SuspectPhase::Convicted
         } else {
             types::SuspectPhase::Suspect
--- a/crates/comfreyspread/src/client_connection.rs
+++ b/crates/comfreyspread/src/client_connection.rs
@@ -7,11 +7,21 @@
 use async_net::TcpStream;
 use futures_lite::FutureExt as _;
 use hyper::client::conn::http1;
+use rustix::net::sockopt;
 use std::{fmt, future, io, net, pin, task, time};
 
 type LibraryConnection =
     http1::Connection<smol_hyper::rt::FuturesIo<TcpStream>, http_body::MessageBody>;
 
+/// Time after which bytes that the other side has not confirmed end a connection.
+const UNCONFIRMED_LIMIT_MS: u32 = 2000;
+/// Silence after which the other side's system is asked whether the connection still is.
+const PROBE_AFTER: time::Duration = time::Duration::from_secs(2);
+/// Time between such questions.
+const PROBE_INTERVAL: time::Duration = time::Duration::from_secs(1);
+/// Questions without an answer that end a connection.
+const MOST_PROBES: u32 = 2;
+
 /// An open connection.
 pub struct ClientConnection {
     address: net::SocketAddr,
@@ -38,6 +48,7 @@
     pub async fn new(address: net::SocketAddr) -> io::Result<Self> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
+        watch_for_silence(&stream)?;
         let (sender, driver) = http1::Builder::new()
             .preserve_header_case(true)
             .handshake(smol_hyper::rt::FuturesIo::new(stream))
@@ -127,6 +138,16 @@
     }
 }
 
+/// Has the system end the connection if the other side goes silent, as behind a cut.
+fn watch_for_silence(stream: &TcpStream) -> io::Result<()> {
+    sockopt::set_tcp_user_timeout(stream, UNCONFIRMED_LIMIT_MS)?;
+    sockopt::set_socket_keepalive(stream, true)?;
+    sockopt::set_tcp_keepidle(stream, PROBE_AFTER)?;
+    sockopt::set_tcp_keepintvl(stream, PROBE_INTERVAL)?;
+    sockopt::set_tcp_keepcnt(stream, MOST_PROBES)?;
+    Ok(())
+}
+
 impl fmt::Debug for ClientConnection {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.debug_struct("ClientConnection").field("address", &self.address).finish()
--- a/crates/comfreyspread/src/gateway/attempt_send.rs
+++ b/crates/comfreyspread/src/gateway/attempt_send.rs
@@ -6,7 +6,7 @@
 use comfreyspread_platform::{answer, call};
 use comfreyspread_policy::{attempt, directory};
 use comfreyspread_schema::{ids, types};
-use std::{sync, time};
+use std::{net, sync, time};
 
 /// Rank of requests at engines for each rank of their route.
 const ENGINE_RANK_OFFSET: u32 = 2;
@@ -55,6 +55,8 @@
 pub struct FailedAttempt {
     /// Endpoint tried; none if there was none to try.
     pub endpoint: Option<ids::EndpointId>,
+    /// Address of that endpoint.
+    pub address: Option<net::SocketAddr>,
     /// Why it failed.
     pub failure: failure::CallFailure,
     /// Whether results that the request is made of are gone.
@@ -106,7 +108,7 @@
     let Some(chosen) = state.directory.lock().begin(&query) else {
         let detail = format!("service {} has no endpoint to use", plan.service.name);
         let failure = call_plan::CallPlan::not_run(types::ProblemKind::Unavailable, &detail);
-        return Err(FailedAttempt { endpoint: None, failure, inputs_gone: false });
+        return Err(FailedAttempt { endpoint: None, address: None, failure, inputs_gone: false });
     };
     let mut open = OpenAttempt { state: state.clone(), chosen, started: now, ended: false };
     let request = request(plan, &open.chosen, input, now);
@@ -132,7 +134,8 @@
     /// Returns the attempt as one that failed.
     pub fn failed(&self, failure: failure::CallFailure, inputs_gone: bool) -> FailedAttempt {
         let endpoint = Some(self.chosen.endpoint.clone());
-        FailedAttempt { endpoint, failure, inputs_gone }
+        let address = Some(self.chosen.address);
+        FailedAttempt { endpoint, address, failure, inputs_gone }
     }
 }
 
--- a/crates/comfreyspread/src/gateway/call_plan.rs
+++ b/crates/comfreyspread/src/gateway/call_plan.rs
@@ -1,10 +1,10 @@
 //! What is known of a caller's request before its first attempt.
 
 use super::state;
-use crate::failure;
-use comfreyspread_policy::route_table;
+use crate::{client_connection, failure};
+use comfreyspread_policy::{route_table, suspect};
 use comfreyspread_schema::{ids, types};
-use std::{sync, time};
+use std::{io, net, sync, time};
 use xxhash_rust::xxh3;
 
 /// A request with its route, its workspace and its times.
@@ -32,6 +32,8 @@
     pub deadline: time::Instant,
     /// Version of the routes.
     pub version: u64,
+    /// Digest of what makes the request the same when it comes again.
+    pub digest: ids::BodyDigest,
 }
 
 /// Why a request is not planned.
@@ -80,6 +82,7 @@
             if call.patience.is_zero() { route.timeout } else { call.patience.min(route.timeout) };
         let (target, deadline) = (arrived + route.target, arrived + longest);
         let version = routes.version();
+        let digest = digest(&call, &body);
         Ok(Self {
             head,
             call,
@@ -92,9 +95,42 @@
             target,
             deadline,
             version,
+            digest,
         })
     }
 
+    /// Looks whether an endpoint that broke off has crashed, and holds that against the request.
+    ///
+    /// A lost answer is no crash: the endpoint must refuse connections.
+    pub fn note_break(&self, state: &sync::Arc<state::GatewayState>, address: net::SocketAddr) {
+        let task_state = state.clone();
+        let (digest, request) = (self.digest.clone(), self.call.request.clone());
+        state.context.spawner.detach(async move {
+            let opened = client_connection::ClientConnection::new(address).await;
+            let refused =
+                opened.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused);
+            if refused {
+                log::warn!(request = request.as_ref(), digest = digest.as_ref();
+                    "entry: endpoint crashed with the request");
+                let now = time::Instant::now();
+                task_state.context.tables.suspects.lock().note_crash(&digest, false, now);
+            }
+        });
+    }
+
+    /// Clears the request of what was held against it.
+    pub fn note_served(&self, state: &state::GatewayState) {
+        let now = time::Instant::now();
+        state.context.tables.suspects.lock().note_served(&self.digest, now);
+    }
+
+    /// Whether the request has crashed several endpoints.
+    pub fn is_convicted(&self, state: &state::GatewayState) -> bool {
+        let suspects = state.context.tables.suspects.lock();
+        let stance = suspects.stance(&self.digest, time::Instant::now());
+        stance == suspect::SuspectStance::Convicted
+    }
+
     /// Returns the rank of the request; zero is the highest.
     pub fn priority(&self) -> u32 {
         let own = self.workspace.as_ref().and_then(|workspace| workspace.priority);
@@ -130,3 +166,12 @@
         failure::CallFailure::new(problem, detail).with_retry_after(super::entry::RETRY_AFTER)
     }
 }
+
+/// Returns the digest of a request's path, caller and body.
+fn digest(call: &types::CallHead, body: &[u8]) -> ids::BodyDigest {
+    let mut hasher = xxh3::Xxh3::new();
+    hasher.update(call.path.as_bytes());
+    hasher.update(call.key.as_deref().unwrap_or_default().as_bytes());
+    hasher.update(body);
+    format!("{:032x}", hasher.digest128()).into()
+}
--- a/crates/comfreyspread/src/gateway/endpoint_follow.rs
+++ b/crates/comfreyspread/src/gateway/endpoint_follow.rs
@@ -2,41 +2,96 @@
 
 use super::{state, table_follow};
 use comfreyspread_platform::{entry, store};
-use comfreyspread_schema::types;
-use std::{sync::atomic, time};
+use comfreyspread_policy::directory;
+use comfreyspread_schema::{ids, types};
+use std::{
+    sync,
+    sync::{atomic, atomic::Ordering},
+    time,
+};
+
+/// Time after an outage in which entries may be missing of endpoints that live.
+const RETURN_TIME: time::Duration = time::Duration::from_millis(2200);
 
 /// Follows the endpoints' table.
-#[derive(Debug)]
-pub struct EndpointFollower;
+#[derive(Debug, Default)]
+pub struct EndpointFollower {
+    /// Milliseconds from the node's start to the last moment without an answer of the store.
+    outage: atomic::AtomicU64,
+}
 
 impl table_follow::TableFollower for EndpointFollower {
-    const TABLE: &'static str = store::ENDPOINT_TABLE;
-
-    fn replace(&self, state: &state::GatewayState, rows: Vec<types::StoreRow>) {
-        let entries: Vec<_> = rows.iter().filter_map(decode).collect();
-        log::info!(count = entries.len(); "endpoints: read");
-        state.directory.lock().replace(entries, time::Instant::now());
-        state.endpoints_read.store(true, atomic::Ordering::Relaxed);
-        state.batches.lock().wake_all();
-    }
+    const NAME: &'static str = store::ENDPOINT_TABLE;
+    const TABLE: types::StoreTable = types::StoreTable::Endpoints;
 
-    fn change(&self, state: &state::GatewayState, rows: Vec<types::StoreRow>) {
+    fn change(&self, state: &sync::Arc<state::GatewayState>, rows: Vec<types::StoreRow>) {
         let now = time::Instant::now();
+        let first = !state.endpoints_read.swap(true, Ordering::Relaxed);
+        if first {
+            log::info!(count = rows.len(); "endpoints: read");
+        }
+        let mut doubted = Vec::new();
         for row in rows {
             match decode(&row) {
-                Some(entry) => {
-                    log::debug!(endpoint = entry.endpoint.as_ref(), leaving = entry.leaving;
-                        "endpoints: changed");
-                    state.directory.lock().insert(entry, now);
-                }
-                None => {
-                    log::info!(endpoint = row.key.as_ref(); "endpoints: gone");
-                    state.directory.lock().remove(&row.key);
-                }
+                Some(entry) => insert(state, entry, first, now),
+                None if self.is_doubtful(state, now) => doubted.push(row),
+                None => remove(state, &row.key),
             }
         }
         state.batches.lock().wake_all();
+        if !doubted.is_empty() {
+            state.context.spawner.detach(remove_later(state.clone(), doubted));
+        }
+    }
+
+    fn note_outage(&self, state: &state::GatewayState) {
+        self.outage.store(elapsed_ms(state).max(1), Ordering::Relaxed);
+    }
+}
+
+impl EndpointFollower {
+    /// Whether an entry may be missing though its endpoint lives: the store was away just now.
+    fn is_doubtful(&self, state: &state::GatewayState, now: time::Instant) -> bool {
+        let outage = self.outage.load(Ordering::Relaxed);
+        let ended = state.started + time::Duration::from_millis(outage);
+        outage > 0 && now.saturating_duration_since(ended) < RETURN_TIME
+    }
+}
+
+fn elapsed_ms(state: &state::GatewayState) -> u64 {
+    u64::try_from(state.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+}
+
+fn insert(
+    state: &state::GatewayState,
+    entry: types::EndpointEntry,
+    first: bool,
+    now: time::Instant,
+) {
+    let service = state.routes().service(&entry.service).cloned();
+    let cold = service.filter(|_| !first).map_or(time::Duration::ZERO, |one| one.cold_start);
+    log::debug!(endpoint = entry.endpoint.as_ref(), leaving = entry.leaving; "endpoints: changed");
+    state.directory.lock().insert(entry, directory::FirstSight { cold }, now);
+}
+
+fn remove(state: &state::GatewayState, endpoint: &ids::EndpointId) {
+    log::info!(endpoint = endpoint.as_ref(); "endpoints: gone");
+    state.directory.lock().remove(endpoint);
+}
+
+/// Removes endpoints whose entries have not come back after an outage of the store.
+async fn remove_later(state: sync::Arc<state::GatewayState>, rows: Vec<types::StoreRow>) {
+    async_io::Timer::after(RETURN_TIME).await;
+    for row in rows {
+        let back = {
+            let mirrors = state.mirrors.lock();
+            mirrors.endpoints.newer(row.version).iter().any(|newer| newer.key == row.key)
+        };
+        if !back {
+            remove(&state, &row.key);
+        }
     }
+    state.batches.lock().wake_all();
 }
 
 /// Returns the entry of a row; none if it was removed or names no endpoint that can be used.
--- a/crates/comfreyspread/src/gateway/entry.rs
+++ b/crates/comfreyspread/src/gateway/entry.rs
@@ -32,6 +32,15 @@
             Err(fault) => return plan_refusal(&fault),
         };
         let id = plan.call.request.clone();
+        if plan.is_convicted(&self.state) {
+            log::warn!(request = id.as_ref(), digest = plan.digest.as_ref();
+                "entry: refused, the request crashes endpoints");
+            let detail = "the request crashes endpoints";
+            return refusal(
+                &call_plan::CallPlan::not_run(types::ProblemKind::Poisoned, detail),
+                &id,
+            );
+        }
         let route = plan.route.clone();
         let version = plan.version;
         let moment = plan.deadline.checked_sub(ANSWER_MARGIN).unwrap_or(plan.deadline);
--- a/crates/comfreyspread/src/gateway/piece_send.rs
+++ b/crates/comfreyspread/src/gateway/piece_send.rs
@@ -1,11 +1,11 @@
 //! Pieces on their way to the node that batches their service, and the messages for it.
 
-use super::{batcher, state};
+use super::{batcher, state, table_follow};
 use crate::{failure, http_client, http_message, http_server, peer};
 use comfreyspread_policy::batch_queue;
 use comfreyspread_schema::{ids, types};
 use futures_lite::FutureExt as _;
-use std::{sync, time};
+use std::{net, sync, time};
 
 /// Path of a request for pieces, answered by a [`types::PieceReply`].
 pub const PIECE_PATH: &str = "/peer/pieces";
@@ -16,6 +16,10 @@
 
 /// Longest wait for the receipt of a release.
 const RELEASE_LIMIT: time::Duration = time::Duration::from_millis(800);
+/// Interval at which a batching node is asked whether it is there, while pieces wait at it.
+const SILENCE_PROBE_INTERVAL: time::Duration = time::Duration::from_millis(900);
+/// Longest wait for an answer about waits.
+const WAIT_ANSWER_LIMIT: time::Duration = time::Duration::from_millis(300);
 /// Time that the batching node gets beyond the pieces' deadline to answer.
 const REPLY_MARGIN: time::Duration = time::Duration::from_millis(100);
 
@@ -47,8 +51,13 @@
     let deadline = orders.group.deadline + REPLY_MARGIN;
     let connection = http_client::ConnectionUse::Shared;
     let path = PIECE_PATH;
-    let reply: Result<types::PieceReply, _> =
-        peer::exchange(&state.context, address, path, &message, connection, deadline).await;
+    let exchange = peer::exchange(&state.context, address, path, &message, connection, deadline);
+    let silent = async {
+        silence(state, &orders.service, address).await;
+        let detail = "the batching node went silent";
+        Err(failure::CallFailure::new(types::ProblemKind::Unavailable, detail))
+    };
+    let reply: Result<types::PieceReply, _> = exchange.or(silent).await;
     match reply {
         Ok(reply) if reply.outcomes.len() == orders.group.orders.len() => reply.outcomes,
         Ok(reply) => {
@@ -59,11 +68,47 @@
         Err(failure) => {
             log::warn!(node = node.as_ref(), service = orders.service.as_ref();
                 "pieces: batching node passed over. error={failure}");
+            state.shun(&node);
             batcher::make(state, &orders.service, orders.group.clone()).await
         }
     }
 }
 
+/// Waits until a batching node does not answer the question for its waits; never returns while it
+/// answers.
+async fn silence(
+    state: &sync::Arc<state::GatewayState>,
+    service: &ids::EndpointService,
+    address: net::SocketAddr,
+) {
+    loop {
+        async_io::Timer::after(SILENCE_PROBE_INTERVAL).await;
+        if let Err(failure) = ask_waits(state, service, address).await {
+            log::warn!("pieces: batching node is silent. error={failure}");
+            return;
+        }
+    }
+}
+
+/// Asks a batching node how long new pieces of a service would wait.
+///
+/// # Errors
+///
+/// Fails if it does not answer in time.
+pub async fn ask_waits(
+    state: &sync::Arc<state::GatewayState>,
+    service: &ids::EndpointService,
+    address: net::SocketAddr,
+) -> Result<Vec<types::RankWait>, failure::CallFailure> {
+    let header = state.context.peer_header();
+    let message = types::WaitRequest { header, service: service.clone() };
+    let deadline = time::Instant::now() + WAIT_ANSWER_LIMIT;
+    let connection = http_client::ConnectionUse::Shared;
+    let reply: types::WaitReply =
+        peer::exchange(&state.context, address, WAIT_PATH, &message, connection, deadline).await?;
+    Ok(reply.waits)
+}
+
 /// Frees results at their makers, through the node that batches their service.
 pub fn release(
     state: &sync::Arc<state::GatewayState>,
@@ -183,6 +228,9 @@
         match path {
             PIECE_PATH => Some(Box::pin(self.make(request))),
             RELEASE_PATH => Some(Box::pin(async move { self.release(request) })),
+            table_follow::TABLE_PATH => {
+                Some(Box::pin(async move { table_follow::answer(&self.state, request) }))
+            }
             WAIT_PATH => Some(Box::pin(async move { self.wait(request) })),
             _ => None,
         }
--- a/crates/comfreyspread/src/gateway/plain_run.rs
+++ b/crates/comfreyspread/src/gateway/plain_run.rs
@@ -87,6 +87,9 @@
             }
         };
         let failed = answer.response.status().is_server_error();
+        if !failed {
+            self.plan.note_served(state);
+        }
         let ending =
             if failed { directory::CallEnding::Failed } else { directory::CallEnding::Served };
         answer.open.end(ending);
@@ -102,11 +105,16 @@
     /// Takes in a failed attempt and returns whether another one is made.
     fn goes_on(
         &mut self,
-        state: &state::GatewayState,
+        state: &sync::Arc<state::GatewayState>,
         failed: &attempt_send::FailedAttempt,
     ) -> bool {
         self.verdict = self.verdict.with_outcome(failed.failure.verdict());
         let Some(endpoint) = &failed.endpoint else { return false };
+        if failed.failure.crashed()
+            && let Some(address) = failed.address
+        {
+            self.plan.note_break(state, address);
+        }
         let answered = self.tried.contains(endpoint);
         if !answered {
             self.tried.push(endpoint.clone());
--- a/crates/comfreyspread/src/gateway/process.rs
+++ b/crates/comfreyspread/src/gateway/process.rs
@@ -108,7 +108,8 @@
     context.spawner.detach(heartbeat::run(context.clone()));
     let routes = table_follow::follow(state.clone(), route_follow::RouteFollower);
     context.spawner.detach(routes);
-    let endpoints = table_follow::follow(state.clone(), endpoint_follow::EndpointFollower);
+    let endpoints =
+        table_follow::follow(state.clone(), endpoint_follow::EndpointFollower::default());
     context.spawner.detach(endpoints);
     log::info!(node = context.settings.node.as_ref(), zone = context.settings.zone.as_ref();
         "gateway: started");
--- a/crates/comfreyspread/src/gateway/region_choice.rs
+++ b/crates/comfreyspread/src/gateway/region_choice.rs
@@ -2,36 +2,35 @@
 //! is much less busy. Results never cross regions; the request itself follows them.
 
 use super::{batcher, call_plan, piece_send, state};
-use crate::{http_client, peer};
 use comfreyspread_policy::wait_table;
-use comfreyspread_schema::{ids, types};
+use comfreyspread_schema::ids;
 use std::{sync, time};
 
-/// Longest wait for an answer about waits.
-const ANSWER_LIMIT: time::Duration = time::Duration::from_millis(300);
-
-/// Returns the region for the stages of a request.
-pub fn choose(state: &sync::Arc<state::GatewayState>, plan: &call_plan::CallPlan) -> ids::RegionId {
+/// Returns the region for the stages of a request; none if no region can make them.
+pub fn choose(
+    state: &sync::Arc<state::GatewayState>,
+    plan: &call_plan::CallPlan,
+) -> Option<ids::RegionId> {
     let home = &state.machine.region;
     let services = stage_services(plan);
     let regions = able_regions(state, plan, &services);
     if !regions.contains(home) {
-        return regions.first().unwrap_or(home).clone();
+        return regions.into_iter().next();
     }
     let own = wait(state, plan, &services, home);
     if own <= wait_table::BORNE_WAIT {
-        return home.clone();
+        return Some(home.clone());
     }
     let others = regions.iter().filter(|region| *region != home);
     let waits = others.map(|region| (wait(state, plan, &services, region), region));
-    let Some((least, region)) = waits.min() else { return home.clone() };
+    let Some((least, region)) = waits.min() else { return Some(home.clone()) };
     if wait_table::goes_elsewhere(own, least, &mut rand::rng()) {
         log::info!(request = plan.call.request.as_ref(), region = region.as_ref(),
             own_ms = own.as_millis() as u64, there_ms = least.as_millis() as u64;
             "stages: made in another region");
-        return region.clone();
+        return Some(region.clone());
     }
-    home.clone()
+    Some(home.clone())
 }
 
 /// Returns the services that make pieces for the request.
@@ -93,18 +92,10 @@
     };
     let task_state = state.clone();
     state.context.spawner.detach(async move {
-        let header = task_state.context.peer_header();
-        let message = types::WaitRequest { header, service: service.clone() };
-        let deadline = time::Instant::now() + ANSWER_LIMIT;
-        let connection = http_client::ConnectionUse::Shared;
-        let path = piece_send::WAIT_PATH;
-        let context = &task_state.context;
-        let reply: Result<types::WaitReply, _> =
-            peer::exchange(context, address, path, &message, connection, deadline).await;
-        match reply {
-            Ok(reply) => {
+        match piece_send::ask_waits(&task_state, &service, address).await {
+            Ok(waits) => {
                 let now = time::Instant::now();
-                task_state.waits.lock().note(&service, &region, reply.waits, now);
+                task_state.waits.lock().note(&service, &region, waits, now);
             }
             Err(failure) => log::debug!("stages: waits not told. error={failure}"),
         }
--- a/crates/comfreyspread/src/gateway/route_follow.rs
+++ b/crates/comfreyspread/src/gateway/route_follow.rs
@@ -11,18 +11,14 @@
 pub struct RouteFollower;
 
 impl table_follow::TableFollower for RouteFollower {
-    const TABLE: &'static str = store::OPERATOR_TABLE;
+    const NAME: &'static str = store::OPERATOR_TABLE;
+    const TABLE: types::StoreTable = types::StoreTable::Operator;
 
-    fn replace(&self, state: &state::GatewayState, rows: Vec<types::StoreRow>) {
-        state.directory.lock().clear_zones_out();
-        self.change(state, rows);
-    }
-
-    fn change(&self, state: &state::GatewayState, rows: Vec<types::StoreRow>) {
+    fn change(&self, state: &sync::Arc<state::GatewayState>, rows: Vec<types::StoreRow>) {
         for row in rows {
             if let Some(zone) = row.key.strip_prefix(store::ZONE_OUT_PREFIX) {
                 let out = row.value.is_some();
-                log::info!(zone = zone, out = out; "routes: zone changed");
+                log::info!(zone = zone, out = out, version = row.version; "routes: zone changed");
                 state.directory.lock().set_zone_out(zone.into(), out);
             } else if *row.key == *store::ROUTES_KEY
                 && let Some(body) = &row.value
@@ -31,14 +27,16 @@
             }
         }
     }
+
+    fn note_outage(&self, _state: &state::GatewayState) {}
 }
 
 /// Brings a document into force if it is newer than the one that is.
-pub fn bring_into_force(state: &state::GatewayState, body: &[u8]) {
+fn bring_into_force(state: &state::GatewayState, body: &[u8]) {
     let decoded = match document::decode(body) {
         Ok(decoded) => decoded,
         Err(fault) => {
-            log::error!("routes: document not taken. error={fault}");
+            log::error!("routes: document not taken, the one before stays. error={fault}");
             return;
         }
     };
--- a/crates/comfreyspread/src/gateway/state.rs
+++ b/crates/comfreyspread/src/gateway/state.rs
@@ -4,14 +4,17 @@
 use comfreyspread_policy::{directory, rendezvous, repeat_budget, route_table, wait_table};
 use comfreyspread_schema::{ids, types};
 use futures_lite::future;
+use indexmap::IndexMap;
 use std::{fmt, net, sync, sync::atomic, time};
 
-use super::{batcher, store_client};
+use super::{batcher, store_client, table_follow};
 
 /// Largest answer that is read whole, in bytes.
 const ANSWER_LIMIT_BYTES: usize = 16 * 1024 * 1024;
 /// Longest time that a connection to an endpoint is idle.
 const ENDPOINT_IDLE_LIMIT: time::Duration = time::Duration::from_millis(2500);
+/// How long a node that did not answer is passed over.
+const SHUN_TIME: time::Duration = time::Duration::from_secs(2);
 /// Nodes counted beside the known ones when a limit over all nodes is shared out.
 const SPARE_NODES: usize = 4;
 
@@ -21,6 +24,10 @@
     pub context: sync::Arc<context::NodeContext>,
     /// What the platform said of the VM and the deployment.
     pub machine: types::MachineSettings,
+    /// Moment at which the node started.
+    pub started: time::Instant,
+    /// Copies of the store's tables.
+    pub mirrors: rank::RankedLock<rank::MirrorRank, table_follow::TableMirrors>,
     /// Routes in force.
     pub routes: rank::RankedLock<rank::RouteRank, sync::Arc<route_table::RouteTable>>,
     /// Endpoints that have registered.
@@ -29,6 +36,8 @@
     pub batches: rank::RankedLock<rank::BatchRank, batcher::BatchTable>,
     /// Waits at stage services, as this node was told.
     pub waits: rank::RankedLock<rank::WaitRank, wait_table::WaitTable>,
+    /// Nodes that did not answer, and until when they are passed over.
+    pub shunned: rank::RankedLock<rank::ShunRank, IndexMap<ids::NodeId, time::Instant>>,
     /// Shared budget of repeats.
     pub repeats: rank::RankedLock<rank::RepeatRank, repeat_budget::RepeatBudget>,
     /// Client of endpoints.
@@ -56,6 +65,9 @@
         let zones = machine.zones.iter();
         let zones = zones.map(|(zone, region)| (zone.as_str().into(), region.clone())).collect();
         Self {
+            started: time::Instant::now(),
+            mirrors: rank::RankedLock::new(table_follow::TableMirrors::default()),
+            shunned: rank::RankedLock::new(IndexMap::new()),
             routes: rank::RankedLock::new(sync::Arc::default()),
             directory: rank::RankedLock::new(directory::EndpointDirectory::new(zones)),
             batches: rank::RankedLock::new(batcher::BatchTable::default()),
@@ -105,9 +117,17 @@
         region: &ids::RegionId,
     ) -> (ids::NodeId, Option<net::SocketAddr>) {
         let own = &self.context.settings.node;
+        let now = time::Instant::now();
+        let shunned: Vec<_> = {
+            let mut shunned = self.shunned.lock();
+            shunned.retain(|_, until| *until > now);
+            shunned.keys().cloned().collect()
+        };
         let members = self.context.tables.members.lock();
         let serving = |record: &&types::MemberRecord| {
-            record.region == *region && record.node_phase == types::NodePhase::Serving
+            record.region == *region
+                && record.node_phase == types::NodePhase::Serving
+                && !shunned.contains(&record.node)
         };
         let candidates = members.live().filter(serving).map(|record| {
             (rendezvous::OwnerCandidate::new(record.node.clone()).score(service), record)
@@ -119,6 +139,11 @@
         }
     }
 
+    /// Passes over a node that did not answer, for a while.
+    pub fn shun(&self, node: &ids::NodeId) {
+        self.shunned.lock().insert(node.clone(), time::Instant::now() + SHUN_TIME);
+    }
+
     /// Waits until the node knows routes and endpoints.
     pub async fn informed(&self) {
         const PAUSE: time::Duration = time::Duration::from_millis(20);
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -31,7 +31,10 @@
     state: &sync::Arc<state::GatewayState>,
     plan: call_plan::CallPlan,
 ) -> Result<http_message::Response, failure::CallFailure> {
-    let region = region_choice::choose(state, &plan);
+    let region = region_choice::choose(state, &plan).ok_or_else(|| {
+        let detail = "no region has endpoints for all parts of the request";
+        call_plan::CallPlan::not_run(types::ProblemKind::Unavailable, detail)
+    })?;
     let stages = stage_run::StageResults::new(state, &plan, region);
     let resumed = plan.call.resume_after;
     let mut run = StreamRun {
@@ -134,6 +137,11 @@
             return Ok(self.takes_repeat());
         }
         let Some(endpoint) = &failed.endpoint else { return Ok(false) };
+        if failed.failure.crashed()
+            && let Some(address) = failed.address
+        {
+            self.plan.note_break(&self.state, address);
+        }
         self.tried.push(endpoint.clone());
         if failed.failure.verdict() == types::CallVerdict::NotRun {
             self.refusals += 1;
@@ -166,6 +174,7 @@
         loop {
             let Err(cut) = self.pass_attempt(&mut answer, &sender).await else {
                 answer.open.end(directory::CallEnding::Served);
+                self.plan.note_served(&self.state);
                 log::info!(request = self.plan.call.request.as_ref(),
                     route = self.plan.route.name.as_ref(),
                     endpoint = answer.open.chosen.endpoint.as_ref(), runs = self.runs,
@@ -174,6 +183,7 @@
                 return Ok(());
             };
             answer.open.end(directory::CallEnding::Failed);
+            self.plan.note_break(&self.state, answer.open.chosen.address);
             log::info!(request = self.plan.call.request.as_ref(),
                 endpoint = answer.open.chosen.endpoint.as_ref(), passed = self.passed,
                 runs = self.runs; "stream: broke off. error={cut}");
--- a/crates/comfreyspread/src/peer.rs
+++ b/crates/comfreyspread/src/peer.rs
@@ -59,6 +59,8 @@
     StageReply,
     StatusReply,
     StatusRequest,
+    TableReply,
+    TableRequest,
     WaitReply,
     WaitRequest,
 }
--- a/crates/comfreyspread/src/rank.rs
+++ b/crates/comfreyspread/src/rank.rs
@@ -41,6 +41,8 @@
     MemberRank = 30;
     /// Rank of the ownership table.
     OwnershipRank = 40;
+    /// Rank of the mirrored tables of the platform's store.
+    MirrorRank = 41;
     /// Rank of the routes in force on the users' platform.
     RouteRank = 42;
     /// Rank of the endpoints that have registered.
@@ -49,6 +51,8 @@
     BatchRank = 46;
     /// Rank of the waits at stage services.
     WaitRank = 47;
+    /// Rank of the nodes that are passed over for a while.
+    ShunRank = 49;
     /// Rank of the shared budget of repeats.
     RepeatRank = 48;
     /// Rank of the pools' queues and limits.
