Make pieces near what they are made of and made for, and read the store less often

Change: groups name the zone of their inputs, or of the engine that likely has their prompt's beginning; within a rank an endpoint takes those of its zone first; 400 ms between changes. Ruled out: running requests where their results stand (re-reads took what that saved).

--- a/crates/comfreyspread-policy/src/batch_queue.rs
+++ b/crates/comfreyspread-policy/src/batch_queue.rs
@@ -18,6 +18,8 @@
 const NEW_WEIGHT: f64 = 0.3;
 /// Multiple of the best endpoint's time above which an endpoint counts as slow.
 const SLOW_FACTOR: f64 = 1.8;
+/// Multiple of its time at which an endpoint of another availability zone counts.
+const ELSEWHERE_FACTOR: f64 = 1.5;
 /// Interval at which a slow endpoint is given a call, to see whether it still is.
 const SLOW_PROBE_INTERVAL: time::Duration = time::Duration::from_secs(3);
 /// How long an endpoint is passed over that refused a call because it was full.
@@ -52,6 +54,8 @@
     pub deadline: time::Instant,
     /// Moment at which the first of the results is gone that the pieces are made of.
     pub inputs_until: Option<time::Instant>,
+    /// Availability zone in which the results are near what they are made of and made for.
+    pub zone: Option<ids::ZoneId>,
 }
 
 #[derive(Debug)]
@@ -67,10 +71,22 @@
     Done(types::PieceOutcome),
 }
 
+/// An endpoint that may be called.
+#[derive(Clone, Debug)]
+pub struct WorkerPlace {
+    /// Its name.
+    pub endpoint: ids::EndpointId,
+    /// Its address.
+    pub address: net::SocketAddr,
+    /// Its availability zone.
+    pub zone: ids::ZoneId,
+}
+
 /// An endpoint of the service, as the queue sees it.
 #[derive(Debug)]
 struct BatchWorker {
     address: net::SocketAddr,
+    zone: ids::ZoneId,
     call: Option<CallNumber>,
     factor: f64,
     used: time::Instant,
@@ -171,13 +187,15 @@
     /// Sets the endpoints that may be called.
     pub fn set_workers<Workers>(&mut self, workers: Workers, now: time::Instant)
     where
-        Workers: Iterator<Item = (ids::EndpointId, net::SocketAddr)>,
+        Workers: Iterator<Item = WorkerPlace>,
     {
-        let workers: IndexMap<_, _> = workers.collect();
+        let workers: IndexMap<_, _> =
+            workers.map(|place| (place.endpoint.clone(), place)).collect();
         self.workers.retain(|endpoint, _| workers.contains_key(endpoint));
-        for (endpoint, address) in workers {
+        for (endpoint, place) in workers {
             self.workers.entry(endpoint).or_insert_with(|| BatchWorker {
-                address,
+                address: place.address,
+                zone: place.zone,
                 call: None,
                 factor: 1.0,
                 used: now,
@@ -315,20 +333,21 @@
     }
 
     fn plan_one(&mut self, now: time::Instant) -> Option<PlannedCall> {
-        let order = self.order(now);
-        let first = self.groups.get(order.first()?)?;
-        let (target, first_bytes) = (first.group.target, first.group.bytes);
-        let endpoint = self.free_worker(target, first_bytes, now)?;
+        let order = self.order(None, now);
+        let first = &self.groups.get(order.first()?)?.group;
+        let endpoint = self.free_worker(first, now)?;
+        let zone = self.workers.get(&endpoint).map(|worker| worker.zone.clone());
         let room = self.room_left(&endpoint);
-        let pieces = self.fill(&order, room);
+        let pieces = self.fill(&self.order(zone.as_ref(), now), room);
         if pieces.is_empty() {
             return None;
         }
         Some(self.start(endpoint, pieces, now))
     }
 
-    /// Returns the groups with pieces that wait, in the order in which they are served.
-    fn order(&self, now: time::Instant) -> Vec<GroupNumber> {
+    /// Returns the groups with pieces that wait, in the order in which they are served by an
+    /// endpoint of `zone`, or of any.
+    fn order(&self, zone: Option<&ids::ZoneId>, now: time::Instant) -> Vec<GroupNumber> {
         let soonest = self.call_time(usize::try_from(self.capacity.batch).unwrap_or(1));
         let waiting = self.groups.iter().filter(|(_, queued)| queued.is_waiting());
         let mut order: Vec<_> = waiting
@@ -339,35 +358,36 @@
                 let last =
                     group.inputs_until.map_or(group.deadline, |until| until.min(group.deadline));
                 let moment = if late { last } else { group.target };
-                ((late, !queued.is_begun(), rank, moment), *number)
+                let elsewhere =
+                    zone.is_some() && group.zone.is_some() && group.zone.as_ref() != zone;
+                ((late, !queued.is_begun(), rank, elsewhere, moment), *number)
             })
             .collect();
         order.sort_unstable();
         order.into_iter().map(|(_, number)| number).collect()
     }
 
-    /// Returns an endpoint for a call whose first pieces have this target.
-    fn free_worker(
-        &self,
-        target: time::Instant,
-        bytes: u64,
-        now: time::Instant,
-    ) -> Option<ids::EndpointId> {
+    /// Returns an endpoint for a call whose first pieces are of `first`.
+    fn free_worker(&self, first: &PieceGroup, now: time::Instant) -> Option<ids::EndpointId> {
         let awake = self.workers.iter().filter(|(_, worker)| !worker.is_resting(now));
         let best = awake.clone().map(|(_, worker)| worker.factor).fold(f64::INFINITY, f64::min);
         let usual = self.call_time(usize::try_from(self.capacity.batch).unwrap_or(1));
         let useful = |worker: &BatchWorker| {
             worker.factor <= best * SLOW_FACTOR
-                || now + usual.mul_f64(worker.factor) <= target
+                || now + usual.mul_f64(worker.factor) <= first.target
                 || now.saturating_duration_since(worker.used) > SLOW_PROBE_INTERVAL
         };
         let free = awake.filter(|(endpoint, worker)| {
-            worker.call.is_none() && useful(worker) && self.room_left(endpoint) >= bytes
+            worker.call.is_none() && useful(worker) && self.room_left(endpoint) >= first.bytes
         });
-        let fastest = free.min_by(|(_, one), (_, other)| {
-            one.factor.total_cmp(&other.factor).then(one.used.cmp(&other.used))
+        let distance = |worker: &BatchWorker| {
+            let near = first.zone.is_none() || first.zone.as_ref() == Some(&worker.zone);
+            if near { worker.factor } else { worker.factor * ELSEWHERE_FACTOR }
+        };
+        let nearest = free.min_by(|(_, one), (_, other)| {
+            distance(one).total_cmp(&distance(other)).then(one.used.cmp(&other.used))
         });
-        fastest.map(|(endpoint, _)| endpoint.clone())
+        nearest.map(|(endpoint, _)| endpoint.clone())
     }
 
     fn room_left(&self, endpoint: &ids::EndpointId) -> u64 {
--- a/crates/comfreyspread-policy/src/directory.rs
+++ b/crates/comfreyspread-policy/src/directory.rs
@@ -198,6 +198,26 @@
         self.endpoints.get(endpoint)
     }
 
+    /// Returns the availability zone of the endpoint at an address.
+    pub fn zone_at(&self, address: net::SocketAddr) -> Option<&ids::ZoneId> {
+        let found = self.endpoints.values().find(|endpoint| endpoint.entry.address == address);
+        found.map(|endpoint| &endpoint.entry.zone)
+    }
+
+    /// Returns the availability zone of the endpoint in a region that most likely has a prompt's
+    /// beginning cached.
+    pub fn affine_zone(
+        &self,
+        service: &ids::EndpointService,
+        region: &ids::RegionId,
+        prefix: ids::PrefixHash,
+    ) -> Option<ids::ZoneId> {
+        let usable = self.usable(service, Some(region));
+        let score =
+            |one: &&DirectoryEndpoint| rendezvous::prefix_score(prefix, &one.entry.endpoint);
+        usable.max_by_key(score).map(|one| one.entry.zone.clone())
+    }
+
     /// Returns the number of endpoints.
     pub fn len(&self) -> usize {
         self.endpoints.len()
--- a/crates/comfreyspread/src/gateway/batcher.rs
+++ b/crates/comfreyspread/src/gateway/batcher.rs
@@ -6,7 +6,7 @@
 use super::state;
 use crate::{http_client, http_message};
 use comfreyspread_platform::{answer, piece};
-use comfreyspread_policy::batch_queue;
+use comfreyspread_policy::{batch_queue, directory};
 use comfreyspread_schema::{ids, types};
 use futures_lite::FutureExt as _;
 use indexmap::IndexMap;
@@ -195,7 +195,12 @@
     let workers: Vec<_> = {
         let directory = state.directory.lock();
         let usable = directory.usable(service, Some(region));
-        usable.map(|one| (one.entry.endpoint.clone(), one.entry.address)).collect()
+        let place = |one: &directory::DirectoryEndpoint| batch_queue::WorkerPlace {
+            endpoint: one.entry.endpoint.clone(),
+            address: one.entry.address,
+            zone: one.entry.zone.clone(),
+        };
+        usable.map(place).collect()
     };
     let mut batches = state.batches.lock();
     let batch = batches.services.get_mut(service)?;
--- a/crates/comfreyspread/src/gateway/piece_send.rs
+++ b/crates/comfreyspread/src/gateway/piece_send.rs
@@ -157,6 +157,7 @@
         region: orders.region.clone(),
         service: orders.service.clone(),
         target: group.target.saturating_duration_since(now),
+        zone: group.zone.clone(),
     }
 }
 
@@ -184,6 +185,7 @@
             bytes: message.bytes,
             target: now + message.target,
             deadline: now + left,
+            zone: message.zone,
             inputs_until: (!message.inputs_left.is_zero()).then(|| now + message.inputs_left),
         };
         let made = async { Some(batcher::make(&self.state, &message.service, group).await) };
--- a/crates/comfreyspread/src/gateway/stage_run.rs
+++ b/crates/comfreyspread/src/gateway/stage_run.rs
@@ -2,10 +2,12 @@
 
 use super::{call_plan, piece_send, state};
 use crate::failure;
+use comfreyspread_platform::piece;
 use comfreyspread_policy::{batch_queue, stage_graph};
 use comfreyspread_schema::{ids, types};
 use futures_lite::StreamExt as _;
 use futures_util::stream::FuturesUnordered;
+use indexmap::IndexMap;
 use std::{sync, time};
 
 /// Times that lost results are made again for one request.
@@ -147,6 +149,22 @@
         piece_send::release(&self.state, service, &self.region, handles);
     }
 
+    /// Returns the availability zone for a stage: that of most of its inputs, or without any that
+    /// of the endpoint which will most likely run the request.
+    fn zone_for(&self, plan: &call_plan::CallPlan, stage: usize) -> Option<ids::ZoneId> {
+        let directory = self.state.directory.lock();
+        let inputs = self.graph.inputs(stage);
+        if inputs.is_empty() {
+            return directory.affine_zone(&plan.service.name, &self.region, plan.prefix()?);
+        }
+        let mut zones = IndexMap::<ids::ZoneId, usize>::new();
+        let makers = inputs.iter().filter_map(piece::maker);
+        for zone in makers.filter_map(|maker| directory.zone_at(maker)) {
+            *zones.entry(zone.clone()).or_default() += 1;
+        }
+        zones.into_iter().max_by_key(|(_, count)| *count).map(|(zone, _)| zone)
+    }
+
     /// Returns the moment at which the first of the results is gone that a stage is made of.
     fn inputs_until(&self, stage: usize) -> Option<time::Instant> {
         let routes = self.state.routes();
@@ -181,6 +199,7 @@
                 target: by(plan.target),
                 deadline: by(plan.deadline),
                 inputs_until: self.inputs_until(stage),
+                zone: self.zone_for(plan, stage),
             },
         }
     }
--- a/crates/comfreyspread/src/gateway/table_follow.rs
+++ b/crates/comfreyspread/src/gateway/table_follow.rs
@@ -12,7 +12,7 @@
 pub const TABLE_PATH: &str = "/peer/tables";
 
 /// Pause after a change, so that those right behind it come with one answer.
-const CHANGE_PAUSE: time::Duration = time::Duration::from_millis(80);
+const CHANGE_PAUSE: time::Duration = time::Duration::from_millis(400);
 /// Shortest and longest pause after the store did not answer.
 const FAILURE_PAUSES: (time::Duration, time::Duration) =
     (time::Duration::from_millis(150), time::Duration::from_millis(450));
