--- /dev/null
+++ b/crates/comfreyspread-policy/tests/batch_queue.rs
@@ -0,0 +1,293 @@
+//! Calls that pieces of several requests share.
+
+use bolero::check;
+use comfreyspread_policy::batch_queue;
+use comfreyspread_schema::types;
+use indexmap::IndexMap;
+use std::time;
+
+const RESULT_BYTES: u64 = 10;
+
+fn ms(length: u64) -> time::Duration {
+    time::Duration::from_millis(length)
+}
+
+fn capacity() -> types::StageCapacity {
+    types::StageCapacity {
+        batch: 8,
+        call_us: 200_000,
+        piece_us: 10_000,
+        queue: 2,
+        result_life: ms(4000),
+        room_bytes: 12 * RESULT_BYTES,
+        slots: 1,
+    }
+}
+
+fn place(name: &str, port: u16, zone: &str) -> batch_queue::WorkerPlace {
+    batch_queue::WorkerPlace {
+        endpoint: name.into(),
+        address: ([10, 0, 0, 1], port).into(),
+        zone: zone.into(),
+    }
+}
+
+fn queue(workers: u16, now: time::Instant) -> batch_queue::BatchQueue {
+    let mut queue = batch_queue::BatchQueue::new(capacity());
+    let places = (0..workers).map(|number| place(&format!("w{number}"), number, "a"));
+    queue.set_workers(places, now);
+    queue
+}
+
+fn group(request: &str, pieces: u32, priority: u32, now: time::Instant) -> batch_queue::PieceGroup {
+    let order = |piece| types::PieceOrder {
+        inputs: Vec::new(),
+        key: None,
+        left: time::Duration::ZERO,
+        piece,
+        request: request.into(),
+        stage: 0,
+    };
+    batch_queue::PieceGroup {
+        bytes: RESULT_BYTES,
+        deadline: now + ms(5000),
+        inputs_until: None,
+        orders: (0..pieces).map(order).collect(),
+        priority,
+        target: now + ms(1000),
+        zone: None,
+    }
+}
+
+/// Returns the outcomes of a call whose pieces are all made.
+fn made(call: &batch_queue::PlannedCall) -> batch_queue::BatchEnding {
+    let handle = |order: &types::PieceOrder| {
+        let handle = format!("{}/{}-{}", call.address, order.request, order.piece);
+        types::PieceOutcome::Made(handle.into())
+    };
+    batch_queue::BatchEnding::Answered(call.orders.iter().map(handle).collect())
+}
+
+fn requests(call: &batch_queue::PlannedCall) -> Vec<&str> {
+    call.orders.iter().map(|order| &*order.request).collect()
+}
+
+#[test]
+fn calls_shared() {
+    let now = time::Instant::now();
+    let mut queue = queue(1, now);
+    let numbers = ["a", "b", "c"].map(|request| queue.push(group(request, 2, 0, now)));
+    let calls = queue.plan(now);
+    assert_eq!(calls.len(), 1);
+    assert_eq!(requests(&calls[0]), ["a", "a", "b", "b", "c", "c"]);
+    assert!(queue.plan(now).is_empty(), "one call at a time");
+    queue.finish(calls[0].number, &made(&calls[0]), now + ms(260));
+    let settled = queue.take_settled(now + ms(260));
+    assert_eq!(settled.iter().map(|group| group.number).collect::<Vec<_>>(), numbers);
+}
+
+#[test]
+fn urgent_first() {
+    let now = time::Instant::now();
+    let mut queue = queue(1, now);
+    queue.push(group("low", 2, 2, now));
+    queue.push(group("high", 6, 0, now));
+    let mut late = group("late", 2, 0, now);
+    late.target = now;
+    queue.push(late);
+    let call = queue.plan(now).remove(0);
+    assert_eq!(requests(&call)[..6], ["high"; 6]);
+    assert_eq!(requests(&call)[6..], ["low"; 2]);
+}
+
+/// Where room is short a group is not divided, since its results wait for its last piece.
+#[test]
+fn groups_undivided() {
+    let now = time::Instant::now();
+    let mut queue = queue(1, now);
+    queue.push(group("a", 6, 0, now));
+    let call = queue.plan(now).remove(0);
+    queue.finish(call.number, &made(&call), now + ms(260));
+    queue.take_settled(now + ms(260));
+    queue.push(group("b", 4, 0, now));
+    queue.push(group("c", 4, 0, now));
+    let call = queue.plan(now + ms(260)).remove(0);
+    assert_eq!(requests(&call), ["b"; 4]);
+}
+
+#[test]
+fn begun_first() {
+    let now = time::Instant::now();
+    let mut queue = queue(1, now);
+    queue.push(group("a", 10, 2, now));
+    let call = queue.plan(now).remove(0);
+    assert_eq!(call.orders.len(), 8);
+    queue.finish(call.number, &made(&call), now + ms(280));
+    queue.push(group("b", 2, 0, now));
+    let call = queue.plan(now + ms(280)).remove(0);
+    assert_eq!(requests(&call), ["a", "a", "b", "b"]);
+}
+
+#[test]
+fn room_counted() {
+    let now = time::Instant::now();
+    let mut queue = queue(1, now);
+    queue.push(group("a", 8, 0, now));
+    let first = queue.plan(now).remove(0);
+    let ending = made(&first);
+    queue.finish(first.number, &ending, now + ms(280));
+    queue.take_settled(now + ms(280));
+    queue.push(group("b", 8, 0, now));
+    let second = queue.plan(now + ms(280)).remove(0);
+    assert_eq!(second.orders.len(), 4, "twelve results fit, eight are kept");
+    queue.finish(second.number, &made(&second), now + ms(520));
+    assert!(queue.plan(now + ms(520)).is_empty(), "no room is left");
+    let batch_queue::BatchEnding::Answered(outcomes) = ending else { panic!("an answer") };
+    let handles = outcomes.into_iter().filter_map(|outcome| match outcome {
+        types::PieceOutcome::Made(handle) => Some(handle),
+        types::PieceOutcome::Failed(_) => None,
+    });
+    queue.forget_results(&handles.collect::<Vec<_>>());
+    assert_eq!(queue.plan(now + ms(520)).remove(0).orders.len(), 4);
+}
+
+/// Room that an endpoint says is taken, though this queue knows nothing of it, counts for a while.
+#[test]
+fn unknown_results() {
+    let now = time::Instant::now();
+    let mut queue = queue(1, now);
+    queue.push(group("a", 2, 0, now));
+    let call = queue.plan(now).remove(0);
+    let full = types::PieceOutcome::Failed(types::PieceFault::NoRoom);
+    let ending = batch_queue::BatchEnding::Answered(vec![full; 2]);
+    queue.finish(call.number, &ending, now + ms(10));
+    assert!(queue.plan(now + ms(11)).is_empty(), "it is not asked again at once");
+    assert!(queue.next_moment(now + ms(11)).is_some());
+    assert_eq!(queue.plan(now + ms(800)).len(), 1);
+}
+
+#[test]
+fn slow_passed_over() {
+    let now = time::Instant::now();
+    let mut queue = queue(2, now);
+    for round in 0..6 {
+        let moment = now + ms(round * 2000);
+        queue.push(group("x", 1, 0, moment));
+        queue.push(group("y", 8, 0, moment));
+        for call in queue.plan(moment) {
+            let took = if &*call.endpoint == "w0" { 1500 } else { 260 };
+            queue.finish(call.number, &made(&call), moment + ms(took));
+            queue.take_settled(moment + ms(took));
+        }
+    }
+    let moment = now + ms(11_600);
+    queue.push(group("z", 1, 0, moment));
+    assert_eq!(&*queue.plan(moment).remove(0).endpoint, "w1");
+}
+
+#[test]
+fn failed_elsewhere() {
+    let now = time::Instant::now();
+    let mut queue = queue(2, now);
+    queue.push(group("a", 1, 0, now));
+    let first = queue.plan(now).remove(0);
+    queue.finish(first.number, &batch_queue::BatchEnding::Failed, now + ms(5));
+    assert!(queue.take_settled(now + ms(5)).is_empty());
+    let second = queue.plan(now + ms(5)).remove(0);
+    assert_ne!(second.endpoint, first.endpoint);
+}
+
+#[test]
+fn late_dropped() {
+    let now = time::Instant::now();
+    let mut queue = queue(0, now);
+    let number = queue.push(group("a", 2, 0, now));
+    assert_eq!(queue.next_moment(now), Some(now + ms(5000)));
+    let settled = queue.take_settled(now + ms(5000));
+    let late = types::PieceOutcome::Failed(types::PieceFault::Late);
+    assert_eq!(settled, [batch_queue::SettledGroup { number, outcomes: vec![late; 2] }]);
+}
+
+/// Results of a group that nobody waits for any more are handed back, so that they can be freed.
+#[test]
+fn unwanted_results() {
+    let now = time::Instant::now();
+    let mut queue = queue(1, now);
+    let number = queue.push(group("a", 2, 0, now));
+    let call = queue.plan(now).remove(0);
+    queue.cancel(number);
+    assert_eq!(queue.finish(call.number, &made(&call), now + ms(220)).len(), 2);
+    assert!(queue.take_settled(now + ms(220)).is_empty());
+}
+
+#[test]
+fn zones_preferred() {
+    let now = time::Instant::now();
+    let mut queue = batch_queue::BatchQueue::new(capacity());
+    queue.set_workers([place("w0", 0, "a"), place("w1", 1, "b")].into_iter(), now);
+    let mut near_b = group("x", 2, 0, now);
+    near_b.zone = Some("b".into());
+    queue.push(near_b);
+    assert_eq!(&*queue.plan(now).remove(0).endpoint, "w1");
+}
+
+/// Whatever happens to calls, each group is settled exactly once, with one outcome a piece, a
+/// piece is never in two calls at once, and no endpoint gets two calls or more pieces than fit.
+#[test]
+fn settled_once() {
+    check!().with_type::<Vec<(u8, u8)>>().for_each(|steps| run_schedule(steps));
+}
+
+fn run_schedule(steps: &[(u8, u8)]) {
+    let mut now = time::Instant::now();
+    let mut queue = queue(3, now);
+    let mut open = IndexMap::<batch_queue::GroupNumber, usize>::new();
+    let mut calls = Vec::<batch_queue::PlannedCall>::new();
+    for (action, size) in steps {
+        now += ms(u64::from(size % 50) * 20);
+        match action % 8 {
+            0..=2 => {
+                let pieces = u32::from(size % 9) + 1;
+                let number = queue.push(group(&format!("r{size}"), pieces, 0, now));
+                open.insert(number, usize::try_from(pieces).unwrap());
+            }
+            3 => {
+                if let Some((number, _)) = open.pop() {
+                    queue.cancel(number);
+                }
+            }
+            kind => finish_one(&mut queue, &mut calls, kind, now),
+        }
+        for settled in queue.take_settled(now) {
+            assert_eq!(open.swap_remove(&settled.number), Some(settled.outcomes.len()));
+        }
+        for call in queue.plan(now) {
+            assert!(call.orders.len() <= 8);
+            assert!(!calls.iter().any(|other| other.endpoint == call.endpoint));
+            calls.push(call);
+        }
+    }
+    for call in calls.drain(..) {
+        queue.finish(call.number, &made(&call), now);
+    }
+    now += ms(20_000);
+    for settled in queue.take_settled(now) {
+        assert_eq!(open.swap_remove(&settled.number), Some(settled.outcomes.len()));
+    }
+    assert!(open.is_empty(), "a group was never settled");
+}
+
+fn finish_one(
+    queue: &mut batch_queue::BatchQueue,
+    calls: &mut Vec<batch_queue::PlannedCall>,
+    kind: u8,
+    now: time::Instant,
+) {
+    let Some(call) = calls.pop() else { return };
+    let ending = match kind {
+        4 | 5 => made(&call),
+        6 => batch_queue::BatchEnding::Full,
+        _ => batch_queue::BatchEnding::Failed,
+    };
+    queue.finish(call.number, &ending, now);
+}
--- /dev/null
+++ b/crates/comfreyspread-policy/tests/endpoint_directory.rs
@@ -0,0 +1,190 @@
+//! Choice among the endpoints that have registered.
+
+use comfreyspread_policy::directory;
+use comfreyspread_schema::{ids, types};
+use std::time;
+
+fn ms(length: u64) -> time::Duration {
+    time::Duration::from_millis(length)
+}
+
+fn entry(name: &str, zone: &str, port: u16) -> types::EndpointEntry {
+    types::EndpointEntry {
+        address: ([10, 0, 0, 1], port).into(),
+        born: 1,
+        cold: time::Duration::ZERO,
+        endpoint: name.into(),
+        leaving: false,
+        service: "s".into(),
+        slots: 4,
+        zone: zone.into(),
+    }
+}
+
+const KNOWN: directory::FirstSight = directory::FirstSight { cold: time::Duration::ZERO };
+
+fn new_directory(now: time::Instant) -> directory::EndpointDirectory {
+    let zones = [("a", "r"), ("b", "r"), ("c", "q")];
+    let zones = zones.map(|(zone, region)| (zone.into(), region.into()));
+    let mut directory = directory::EndpointDirectory::new(zones.into_iter().collect());
+    for (name, zone, port) in [("one", "a", 1), ("two", "b", 2), ("three", "c", 3)] {
+        directory.insert(entry(name, zone, port), KNOWN, now);
+    }
+    directory
+}
+
+struct Needs {
+    service: ids::EndpointService,
+    region: ids::RegionId,
+    zone: ids::ZoneId,
+    tried: Vec<ids::EndpointId>,
+}
+
+impl Needs {
+    fn new() -> Self {
+        Self { service: "s".into(), region: "r".into(), zone: "a".into(), tried: Vec::new() }
+    }
+
+    fn query(&self, now: time::Instant) -> directory::EndpointQuery<'_> {
+        directory::EndpointQuery {
+            cold_rate: 1,
+            home: &self.region,
+            now,
+            prefix: None,
+            regions: None,
+            service: &self.service,
+            tried: &self.tried,
+            zone: &self.zone,
+        }
+    }
+
+    fn choose(&self, directory: &mut directory::EndpointDirectory, now: time::Instant) -> String {
+        let chosen = directory.begin(&self.query(now));
+        chosen.map_or_else(String::new, |chosen| chosen.endpoint.to_string())
+    }
+}
+
+#[test]
+fn nearest_first() {
+    let now = time::Instant::now();
+    let mut directory = new_directory(now);
+    let mut needs = Needs::new();
+    for expected in ["one", "two", "three", ""] {
+        assert_eq!(needs.choose(&mut directory, now), expected);
+        needs.tried.push(expected.into());
+    }
+}
+
+#[test]
+fn slow_and_failing() {
+    let now = time::Instant::now();
+    for ending in [directory::CallEnding::Served, directory::CallEnding::Failed] {
+        let mut directory = new_directory(now);
+        let needs = Needs::new();
+        for _ in 0..20 {
+            let took = if ending == directory::CallEnding::Served { ms(900) } else { ms(20) };
+            directory.end(&"one".into(), ending, took, now);
+            directory.end(&"two".into(), directory::CallEnding::Served, ms(20), now);
+        }
+        assert_eq!(needs.choose(&mut directory, now), "two", "{ending:?}");
+        let later = now + time::Duration::from_secs(60);
+        assert_eq!(needs.choose(&mut directory, later), "one", "old impressions fade");
+    }
+}
+
+#[test]
+fn leaving_passed_over() {
+    let now = time::Instant::now();
+    let mut directory = new_directory(now);
+    let needs = Needs::new();
+    let leaving = types::EndpointEntry { leaving: true, ..entry("one", "a", 1) };
+    directory.insert(leaving, KNOWN, now);
+    assert_eq!(needs.choose(&mut directory, now), "two");
+    directory.set_zone_out("b".into(), true);
+    assert_eq!(needs.choose(&mut directory, now), "three");
+    directory.end(&"three".into(), directory::CallEnding::Gone, ms(1), now);
+    assert_eq!(needs.choose(&mut directory, now), "");
+    directory.set_zone_out("b".into(), false);
+    assert_eq!(needs.choose(&mut directory, now), "two");
+}
+
+#[test]
+fn regions_kept() {
+    let now = time::Instant::now();
+    let mut directory = new_directory(now);
+    let needs = Needs::new();
+    let regions = ["q".into()];
+    let query = directory::EndpointQuery { regions: Some(&regions), ..needs.query(now) };
+    let chosen = directory.begin(&query).expect("an endpoint");
+    assert_eq!((&*chosen.endpoint, &*chosen.region), ("three", "q"));
+}
+
+/// However many nodes there are, a cold endpoint gets no more than this node's share in a second.
+#[test]
+fn cold_share_kept() {
+    let now = time::Instant::now();
+    let mut directory =
+        directory::EndpointDirectory::new([("a".into(), "r".into())].into_iter().collect());
+    let sight = directory::FirstSight { cold: ms(3000) };
+    directory.insert(entry("one", "a", 1), sight, now);
+    let needs = Needs::new();
+    let mut sent = Vec::new();
+    for step in 0..300 {
+        let moment = now + ms(step * 10);
+        if !needs.choose(&mut directory, moment).is_empty() {
+            sent.push(moment);
+        }
+    }
+    for first in &sent {
+        let within = sent.iter().filter(|other| **other >= *first && **other < *first + ms(1000));
+        assert!(within.count() <= 1);
+    }
+    assert_eq!(sent.len(), 3);
+    assert_eq!(needs.choose(&mut directory, now + ms(3001)), "one");
+    assert_eq!(needs.choose(&mut directory, now + ms(3002)), "one", "warm endpoints take all");
+}
+
+#[test]
+fn restart_is_new() {
+    let now = time::Instant::now();
+    let mut directory = new_directory(now);
+    let needs = Needs::new();
+    directory.end(&"one".into(), directory::CallEnding::Gone, ms(1), now);
+    directory.insert(entry("one", "a", 1), KNOWN, now);
+    assert_eq!(needs.choose(&mut directory, now), "two", "the same start stays gone");
+    let started = types::EndpointEntry { born: 2, ..entry("one", "a", 1) };
+    directory.insert(started, KNOWN, now);
+    assert_eq!(needs.choose(&mut directory, now), "one");
+}
+
+#[test]
+fn prefixes_stay() {
+    let now = time::Instant::now();
+    let mut directory = new_directory(now);
+    for number in 4..10 {
+        directory.insert(entry(&format!("e{number}"), "a", number), KNOWN, now);
+    }
+    let needs = Needs::new();
+    for prefix in 0..50 {
+        let query = directory::EndpointQuery { prefix: Some(prefix), ..needs.query(now) };
+        let first = directory.begin(&query).expect("an endpoint").endpoint;
+        let second = directory.begin(&query).expect("an endpoint").endpoint;
+        assert_eq!(first, second);
+        for endpoint in [&first, &second] {
+            directory.end(endpoint, directory::CallEnding::Served, ms(50), now);
+        }
+    }
+}
+
+#[test]
+fn busy_prefix_spills() {
+    let now = time::Instant::now();
+    let mut directory = new_directory(now);
+    let needs = Needs::new();
+    let query = directory::EndpointQuery { prefix: Some(7), ..needs.query(now) };
+    let chosen: Vec<_> = (0..40).filter_map(|_| directory.begin(&query)).collect();
+    let mut names: Vec<_> = chosen.iter().map(|one| one.endpoint.clone()).collect();
+    names.sort_unstable();
+    names.dedup();
+    assert_eq!(names.len(), 2, "both endpoints of the region are used");
+}
--- /dev/null
+++ b/crates/comfreyspread-policy/tests/event_buffer.rs
@@ -0,0 +1,51 @@
+//! Whole events out of bytes in any pieces.
+
+use bolero::check;
+use comfreyspread_policy::event_buffer;
+
+const STREAM: &[u8] = b"id: 1\ndata: a\n\nversion\nid:2\ndata: b\r\n\r\nid: x\ndata\n\n: c\n\n";
+
+fn events(stream: &[u8], cuts: &[usize]) -> (Vec<event_buffer::WholeEvent>, bool) {
+    let mut buffer = event_buffer::EventBuffer::default();
+    let mut found = Vec::new();
+    let mut begin = 0;
+    for end in cuts.iter().copied().chain([stream.len()]) {
+        let end = end.clamp(begin, stream.len());
+        buffer.push(&stream[begin..end]);
+        found.extend(buffer.take_events());
+        begin = end;
+    }
+    (found, buffer.is_empty())
+}
+
+#[test]
+fn any_cut() {
+    let (whole, empty) = events(STREAM, &[]);
+    assert!(empty);
+    assert_eq!(
+        whole.iter().map(|event| event.id).collect::<Vec<_>>(),
+        [Some(1), Some(2), None, None]
+    );
+    for cut in 0..STREAM.len() {
+        assert_eq!(events(STREAM, &[cut]).0, whole, "cut at {cut}");
+    }
+}
+
+#[test]
+fn half_event() {
+    let (found, empty) = events(b"id: 1\n\nid: 2\nda", &[]);
+    assert_eq!(found.len(), 1);
+    assert!(!empty);
+}
+
+#[test]
+fn bytes_kept() {
+    check!().with_type::<(Vec<u8>, Vec<u8>)>().for_each(|(stream, cuts)| {
+        let cuts: Vec<_> = cuts.iter().map(|cut| usize::from(*cut)).collect();
+        let mut sorted = cuts.clone();
+        sorted.sort_unstable();
+        let (found, _) = events(stream, &sorted);
+        let bytes: Vec<u8> = found.iter().flat_map(|event| event.bytes.to_vec()).collect();
+        assert!(stream.starts_with(&bytes));
+    });
+}
--- /dev/null
+++ b/crates/comfreyspread-policy/tests/route_table.rs
@@ -0,0 +1,92 @@
+//! Which route serves a request, for whom and where.
+
+use comfreyspread_policy::route_table;
+use comfreyspread_schema::types;
+use rand::{SeedableRng as _, rngs};
+
+fn route(name: &str, host: &str, prefix: &str) -> types::RouteRule {
+    types::RouteRule {
+        attempts: 1,
+        gap: std::time::Duration::ZERO,
+        host: host.into(),
+        kind: types::RequestKind::Repeatable,
+        name: name.into(),
+        prefix: prefix.into(),
+        priority: 0,
+        public: false,
+        regions: Vec::new(),
+        resumable: false,
+        shares: vec![types::SplitShare { service: "s".into(), weight: 1 }],
+        stages: Vec::new(),
+        target: std::time::Duration::from_secs(1),
+        timeout: std::time::Duration::from_secs(2),
+    }
+}
+
+fn table(routes: Vec<types::RouteRule>) -> route_table::RouteTable {
+    let workspace = types::WorkspaceRule {
+        keys: vec!["k1".into(), "k2".into()],
+        name: "w".into(),
+        priority: None,
+        regions: vec!["r".into()],
+    };
+    route_table::RouteTable::new(types::RouteDocument {
+        limits: types::CallerLimits {
+            body_bytes: 0,
+            header_bytes: 0,
+            header_timeout: std::time::Duration::ZERO,
+            idle_timeout: std::time::Duration::ZERO,
+        },
+        routes,
+        services: Vec::new(),
+        version: 3,
+        workspaces: vec![workspace],
+    })
+}
+
+#[test]
+fn longest_prefix() {
+    let routes = vec![route("short", "h", "/a/"), route("long", "h", "/a/b/")];
+    let table = table(routes);
+    let name = |path| table.find("h", path).map(|route| &*route.name);
+    assert_eq!(name("/a/b/c"), Some("long"));
+    assert_eq!(name("/a/bc"), Some("short"));
+    assert_eq!(name("/a"), None);
+    assert!(table.find("other", "/a/b/c").is_none());
+}
+
+#[test]
+fn keys_found() {
+    let table = table(Vec::new());
+    assert!(table.needs_key());
+    assert_eq!(table.workspace("k2").map(|workspace| &*workspace.name), Some("w"));
+    assert!(table.workspace("k3").is_none());
+    assert!(!route_table::RouteTable::default().needs_key());
+}
+
+#[test]
+fn weights_kept() {
+    let mut route = route("r", "h", "/");
+    route.shares = vec![
+        types::SplitShare { service: "most".into(), weight: 90 },
+        types::SplitShare { service: "none".into(), weight: 0 },
+        types::SplitShare { service: "few".into(), weight: 10 },
+    ];
+    let mut random = rngs::SmallRng::seed_from_u64(1);
+    let drawn: Vec<_> =
+        (0..1000).filter_map(|_| route_table::choose_service(&route, &mut random)).collect();
+    assert!(!drawn.iter().any(|service| ***service == *"none"));
+    let most = drawn.iter().filter(|service| ****service == *"most").count();
+    assert!((850..950).contains(&most), "{most}");
+}
+
+#[test]
+fn regions_combined() {
+    let mut route = route("r", "h", "/");
+    let table = table(Vec::new());
+    let workspace = table.workspace("k1").map(|workspace| &**workspace);
+    assert_eq!(route_table::allowed_regions(&route, None), None);
+    assert_eq!(route_table::allowed_regions(&route, workspace), Some(vec!["r".into()]));
+    route.regions = vec!["q".into()];
+    assert_eq!(route_table::allowed_regions(&route, workspace), Some(Vec::new()));
+}
--- /dev/null
+++ b/crates/comfreyspread-policy/tests/stage_graph.rs
@@ -0,0 +1,76 @@
+//! The stages of one request.
+
+use comfreyspread_policy::stage_graph;
+use comfreyspread_schema::{ids, types};
+use std::time;
+
+const STAGE_TIME: time::Duration = time::Duration::from_millis(300);
+
+fn rule(after: &[u32]) -> types::StageRule {
+    types::StageRule { after: after.to_vec(), bytes: 1, service: "s".into() }
+}
+
+fn graph(rules: &[types::StageRule], pieces: &[u32]) -> stage_graph::StageGraph {
+    stage_graph::StageGraph::new(rules, pieces, |_, _| STAGE_TIME)
+}
+
+fn handles(name: &str) -> Vec<ids::ResultHandle> {
+    vec![name.into()]
+}
+
+#[test]
+fn chain_in_order() {
+    let rules = [rule(&[]), rule(&[0]), rule(&[1])];
+    let mut graph = graph(&rules, &[1, 1, 1]);
+    assert_eq!(graph.expected(), STAGE_TIME * 3);
+    assert_eq!(graph.remaining_after(0), STAGE_TIME * 2);
+    assert_eq!(graph.start_ready(), [0]);
+    assert_eq!(graph.start_ready(), Vec::<usize>::new());
+    assert_eq!(graph.finish(0, handles("a")), Vec::<usize>::new());
+    assert_eq!(graph.start_ready(), [1]);
+    assert_eq!(graph.inputs(1), handles("a"));
+    assert_eq!(graph.finish(1, handles("b")), [0], "the first results are not needed any more");
+    assert_eq!(graph.start_ready(), [2]);
+    graph.finish(2, handles("c"));
+    assert!(graph.is_made());
+    assert_eq!(graph.outputs(), handles("c"));
+}
+
+#[test]
+fn stages_left_out() {
+    let rules = [rule(&[]), rule(&[0])];
+    let mut graph = graph(&rules, &[0, 2]);
+    assert_eq!(graph.start_ready(), [1]);
+    assert!(graph.inputs(1).is_empty());
+    assert!(self::graph(&rules, &[]).is_made());
+}
+
+/// A result that would only wait for those of a longer chain is not made early.
+#[test]
+fn early_held_back() {
+    let rules = [rule(&[]), rule(&[]), rule(&[1]), rule(&[2])];
+    let mut graph = graph(&rules, &[1, 1, 1, 1]);
+    assert_eq!(graph.start_ready(), [1]);
+    graph.finish(1, handles("b"));
+    assert_eq!(graph.start_ready(), [2]);
+    graph.finish(2, handles("c"));
+    assert_eq!(graph.start_ready(), [0, 3]);
+}
+
+/// A stage whose results are lost is made again with what it needs, also if that was freed.
+#[test]
+fn lost_with_inputs() {
+    let rules = [rule(&[]), rule(&[0]), rule(&[1])];
+    let mut graph = graph(&rules, &[1, 1, 1]);
+    for (stage, name) in ["a", "b", "c"].iter().enumerate() {
+        assert_eq!(graph.start_ready(), [stage]);
+        for used in graph.finish(stage, handles(name)) {
+            graph.take_results(used);
+        }
+    }
+    graph.lose(2);
+    assert_eq!(graph.start_ready(), [0], "no stage runs without its inputs");
+    graph.finish(0, handles("a2"));
+    assert_eq!(graph.start_ready(), [1]);
+    assert_eq!(graph.inputs(1), handles("a2"));
+}
--- a/crates/comfreyspread-policy/tests/suspects.rs
+++ b/crates/comfreyspread-policy/tests/suspects.rs
@@ -104,3 +104,15 @@
     assert_eq!(one.stance(&digest, later), Clear);
     assert_eq!(other.stance(&digest, later), Clear);
 }
+
+/// A request that was there at three crashes in a row is refused, whatever ran beside it.
+#[test]
+fn third_crash_convicts() {
+    let now = time::Instant::now();
+    let mut table = suspect::SuspectTable::new();
+    let digest = "d".into();
+    for expected in [Suspect, Suspect, Convicted] {
+        table.note_crash(&digest, false, now);
+        assert_eq!(table.stance(&digest, now), expected);
+    }
+}
--- /dev/null
+++ b/crates/comfreyspread-policy/tests/table_mirror.rs
@@ -0,0 +1,53 @@
+//! Copies of the store's tables.
+
+use bolero::check;
+use comfreyspread_policy::table_mirror;
+use comfreyspread_schema::types;
+
+fn row(key: &str, version: u64, value: Option<&'static str>) -> types::StoreRow {
+    types::StoreRow { key: key.into(), value: value.map(|value| value.as_bytes().into()), version }
+}
+
+#[test]
+fn newer_wins() {
+    let mut mirror = table_mirror::TableMirror::default();
+    assert!(!mirror.is_read());
+    assert_eq!(mirror.merge(vec![row("a", 5, Some("x"))]).len(), 1);
+    assert!(mirror.merge(vec![row("a", 4, Some("old")), row("a", 5, Some("x"))]).is_empty());
+    assert_eq!(mirror.merge(vec![row("a", 6, None)]).len(), 1);
+    assert!(mirror.merge(vec![row("a", 5, Some("x"))]).is_empty(), "it stays removed");
+    assert_eq!(mirror.version(), 6);
+}
+
+#[test]
+fn whole_table() {
+    let mut mirror = table_mirror::TableMirror::default();
+    mirror.merge(vec![row("a", 1, Some("x")), row("b", 2, Some("y")), row("c", 9, Some("z"))]);
+    let news = mirror.replace(vec![row("a", 1, Some("x")), row("d", 3, Some("w"))], 8);
+    let news: Vec<_> = news.iter().map(|row| (&*row.key, row.value.is_some())).collect();
+    assert_eq!(news, [("d", true), ("b", false)], "what is newer than the copy stays");
+}
+
+/// Two mirrors that hear of the same rows in any order, directly or from each other, agree.
+#[test]
+fn any_order() {
+    check!().with_type::<Vec<(u8, bool, bool)>>().for_each(|steps| {
+        let mut mirrors = [table_mirror::TableMirror::default(), Default::default()];
+        let mut version = 0;
+        for (key, removed, first) in steps {
+            version += 1;
+            let value = (!removed).then_some("x");
+            let to = usize::from(!first);
+            mirrors[to].merge(vec![row(&format!("k{}", key % 8), version, value)]);
+        }
+        let [one, other] = &mut mirrors;
+        other.merge(one.newer(0));
+        one.merge(other.newer(0));
+        let sorted = |mirror: &table_mirror::TableMirror| {
+            let mut rows = mirror.newer(0);
+            rows.sort_by(|one, other| one.key.cmp(&other.key));
+            rows
+        };
+        assert_eq!(sorted(one), sorted(other));
+    });
+}
