Prove the whole path on the platform through real processes, and bound bodies by the document

Cause: the test of refused requests found that the document's largest body was not looked at: 200 kB passed where 100 kB are allowed. Change: the plan refuses what is larger (413, not run).

--- /dev/null
+++ b/crates/comfreyspread-lab/src/fleet.rs
@@ -0,0 +1,462 @@
+//! Stand-ins for the users' platform: its store, engines, stage workers and plain services, all in
+//! one process, and nodes started against them as processes of their own.
+//!
+//! The endpoints record what they really received. Proofs read those records, never a node's word.
+
+use crate::{process, serving};
+use base64::{Engine as _, engine::general_purpose};
+use comfreyspread::{gateway::produced_chunks, http_message, http_server, rank, worker};
+use futures_lite::FutureExt as _;
+use http::{Method, StatusCode};
+use indexmap::IndexMap;
+use miette::IntoDiagnostic as _;
+use std::{env, fs, io, net, path, sync, sync::atomic, time};
+
+/// Host of all routes.
+pub const HOST: &str = "fleet.example";
+/// Key of the only workspace.
+pub const KEY: &str = "fleet-key";
+const CALL_TIME: time::Duration = time::Duration::from_millis(60);
+const EVENT_TIME: time::Duration = time::Duration::from_millis(10);
+const EVENTS: u64 = 6;
+const BEAT_MS: u64 = 1200;
+
+/// What kind of endpoint a stand-in is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FleetKind {
+    /// A model engine.
+    Engine,
+    /// A plain service.
+    Plain,
+    /// A worker of a stage service.
+    Worker,
+}
+
+/// What an endpoint received.
+#[derive(Clone, Debug)]
+pub struct FleetRecord {
+    /// Endpoint.
+    pub endpoint: String,
+    /// Path.
+    pub path: String,
+    /// Head.
+    pub head: http::HeaderMap,
+    /// Body.
+    pub body: Vec<u8>,
+    /// Whether it was run.
+    pub ran: bool,
+}
+
+/// Faults of one endpoint.
+#[derive(Debug, Default)]
+pub struct FleetFaults {
+    /// Whether it refuses everything as full.
+    pub full: atomic::AtomicBool,
+    /// Event after which the next stream is cut; zero for none.
+    pub cut_after: atomic::AtomicU64,
+    /// Whether plain answers are cut after they have run.
+    pub lose_answers: atomic::AtomicBool,
+}
+
+/// Everything that stands around the nodes.
+#[derive(Debug)]
+pub struct FleetStandIn {
+    store: sync::Arc<StoreHandler>,
+    store_address: net::SocketAddr,
+    records: sync::Arc<FleetRecords>,
+    endpoints: IndexMap<String, sync::Arc<EndpointHandler>>,
+    spawner: worker::TaskSpawner,
+}
+
+/// What all endpoints received, in order.
+#[derive(Debug, Default)]
+struct FleetRecords {
+    records: rank::RankedLock<rank::ConnectionRank, Vec<FleetRecord>>,
+}
+
+impl FleetStandIn {
+    /// Starts a store and one endpoint for each of `endpoints`: its name, service and kind.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port is free.
+    pub async fn new(
+        spawner: &worker::TaskSpawner,
+        endpoints: &[(&str, &str, FleetKind)],
+    ) -> miette::Result<Self> {
+        let store = sync::Arc::new(StoreHandler::default());
+        let store_address = process::free_address()?;
+        serving::start(store_address, store.clone(), spawner).await?;
+        let mut fleet = Self {
+            store,
+            store_address,
+            records: sync::Arc::default(),
+            endpoints: IndexMap::new(),
+            spawner: spawner.clone(),
+        };
+        for (name, service, kind) in endpoints {
+            fleet.add(name, service, *kind).await?;
+        }
+        Ok(fleet)
+    }
+
+    /// Adds an endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port is free.
+    pub async fn add(&mut self, name: &str, service: &str, kind: FleetKind) -> miette::Result<()> {
+        let address = process::free_address()?;
+        let handler = sync::Arc::new(EndpointHandler {
+            name: name.to_owned(),
+            kind,
+            address,
+            faults: FleetFaults::default(),
+            busy: atomic::AtomicBool::new(false),
+            records: self.records.clone(),
+        });
+        serving::start(address, handler.clone(), &self.spawner).await?;
+        self.endpoints.insert(name.to_owned(), handler);
+        let entry = serde_json::json!({
+            "service": service, "address": address, "zone": "a", "slots": 4, "state": "ready",
+            "cold_left_ms": 0, "seq": 1, "born": 1,
+        });
+        self.store.put("servers", name, Some(entry.to_string()));
+        Ok(())
+    }
+
+    /// Sets the operator's document.
+    pub fn set_document(&self, document: &serde_json::Value) {
+        self.store.put("op", "config", Some(document.to_string()));
+    }
+
+    /// Sets a row of the store, or removes it.
+    pub fn set_row(&self, table: &str, key: &str, value: Option<&str>) {
+        self.store.put(table, key, value.map(str::to_owned));
+    }
+
+    /// Sets whether the store refuses all calls.
+    pub fn set_store_down(&self, down: bool) {
+        self.store.down.store(down, atomic::Ordering::Relaxed);
+    }
+
+    /// Returns the faults of an endpoint.
+    pub fn faults(&self, endpoint: &str) -> &FleetFaults {
+        &self.endpoints[endpoint].faults
+    }
+
+    /// Returns what the endpoints received.
+    pub fn records(&self) -> Vec<FleetRecord> {
+        self.records.records.lock().clone()
+    }
+
+    /// Starts a node and waits until it is ready; `seeds` are the peer addresses of others.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it cannot be started or does not become ready.
+    pub async fn start_node(
+        &self,
+        program: &path::Path,
+        name: &str,
+        seeds: &[net::SocketAddr],
+    ) -> miette::Result<FleetNode> {
+        let node = FleetNode::start(self, program, name, seeds)?;
+        node.ready().await?;
+        Ok(node)
+    }
+}
+
+/// A running node.
+#[derive(Debug)]
+pub struct FleetNode {
+    /// Address for callers.
+    pub front: net::SocketAddr,
+    /// Address for the balancer's questions.
+    pub ready: net::SocketAddr,
+    /// Address for other nodes.
+    pub control: net::SocketAddr,
+    /// The process.
+    pub process: process::ChildProcess,
+    file: path::PathBuf,
+}
+
+impl FleetNode {
+    /// Starts a node without waiting for it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it cannot be started.
+    pub fn start(
+        fleet: &FleetStandIn,
+        program: &path::Path,
+        name: &str,
+        seeds: &[net::SocketAddr],
+    ) -> miette::Result<Self> {
+        let [front, ready, control] = [(); 3].map(|()| process::free_address());
+        let (front, ready, control) = (front?, ready?, control?);
+        let file = env::temp_dir().join(format!("comfreyspread-fleet-{}.conf", front.port()));
+        let seeds: Vec<_> = seeds.iter().chain([&control]).map(ToString::to_string).collect();
+        let text = format!(
+            "node_name={name}\nzone=a\nregion=r\nzones.a=r\nlisten.front={front}\n\
+             listen.ready={ready}\nlisten.control={control}\nseeds={}\nplatform.address={}\n\
+             limits.memory_mb=260\nlimits.max_fds=4100\nheartbeat_ms={BEAT_MS}\n\
+             bounds.contact_ms=4000\nbounds.drain_ms=2500\nbounds.grace_s=8\n\
+             bounds.reuse_after_s=2\nbounds.retry_budget_ratio=0.2\nbounds.budget_slack=56\n\
+             bounds.budget_window_s=10\nbounds.cold_overshoot=1.5\nbounds.cold_slack=5\n",
+            seeds.join(","),
+            fleet.store_address
+        );
+        fs::write(&file, text).into_diagnostic()?;
+        let arguments = ["product", "gateway", "--settings", &file.to_string_lossy()];
+        let process = process::ChildProcess::new(program, &arguments)?;
+        Ok(Self { front, ready, control, process, file })
+    }
+
+    /// Waits until the node says that it is ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not within some seconds.
+    pub async fn ready(&self) -> miette::Result<()> {
+        const LIMIT: time::Duration = time::Duration::from_secs(20);
+        let client = comfreyspread::http_client::HttpClient::new(1024);
+        let until = time::Instant::now() + LIMIT;
+        while time::Instant::now() < until {
+            let url = format!("http://{}/v1/ready", self.ready);
+            let request = http_message::Request::new(Method::GET, &url);
+            let connection = comfreyspread::http_client::ConnectionUse::Fresh;
+            let answer = client.call(self.ready, request, connection, until).await;
+            if answer.is_ok_and(|answer| answer.status() == 200) {
+                return Ok(());
+            }
+            async_io::Timer::after(time::Duration::from_millis(20)).await;
+        }
+        miette::bail!("the node did not become ready")
+    }
+}
+
+impl Drop for FleetNode {
+    fn drop(&mut self) {
+        fs::remove_file(&self.file).ok();
+    }
+}
+
+/// The platform's store.
+#[derive(Debug)]
+struct StoreHandler {
+    rows: rank::RankedLock<rank::PoolRank, StoreRows>,
+    changed: event_listener::Event,
+    down: atomic::AtomicBool,
+}
+
+#[derive(Debug, Default)]
+struct StoreRows {
+    version: u64,
+    rows: IndexMap<(String, String), (Option<String>, u64)>,
+}
+
+impl Default for StoreHandler {
+    fn default() -> Self {
+        Self {
+            rows: rank::RankedLock::new(StoreRows::default()),
+            changed: event_listener::Event::new(),
+            down: atomic::AtomicBool::new(false),
+        }
+    }
+}
+
+impl StoreHandler {
+    fn put(&self, table: &str, key: &str, value: Option<String>) {
+        let mut rows = self.rows.lock();
+        rows.version += 1;
+        let version = rows.version;
+        rows.rows.insert((table.to_owned(), key.to_owned()), (value, version));
+        drop(rows);
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Returns the rows of a table that are newer than `after`; removed ones only with `removed`.
+    fn read(&self, table: &str, after: u64, removed: bool) -> (Vec<serde_json::Value>, u64) {
+        let rows = self.rows.lock();
+        let newer = rows.rows.iter().filter(|((of, _), (value, version))| {
+            of == table && *version > after && (removed || value.is_some())
+        });
+        let row = |((_, key), (value, version)): (&(String, String), &(Option<String>, u64))| {
+            let encoded = value.as_ref().map(|value| general_purpose::STANDARD.encode(value));
+            serde_json::json!({
+                "table": table, "part": "", "key": key, "value": encoded, "ver": version,
+                "removed": value.is_none(),
+            })
+        };
+        (newer.map(row).collect(), rows.version)
+    }
+
+    async fn feed(&self, table: &str, after: u64, wait: time::Duration) -> serde_json::Value {
+        let until = time::Instant::now() + wait;
+        loop {
+            let listener = self.changed.listen();
+            let (rows, version) = self.read(table, after, true);
+            let late = time::Instant::now() >= until;
+            if !rows.is_empty() || late || self.down.load(atomic::Ordering::Relaxed) {
+                return serde_json::json!({"rows": rows, "ver": version, "now_ms": 0});
+            }
+            let timer = async {
+                async_io::Timer::at(until).await;
+            };
+            listener.or(timer).await;
+        }
+    }
+}
+
+impl http_server::RequestHandler for StoreHandler {
+    async fn handle(&self, request: http_server::ServerRequest) -> http_message::Response {
+        if self.down.load(atomic::Ordering::Relaxed) {
+            return http_message::Response::new(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let query = request.query().unwrap_or_default();
+        let field = |name: &str| {
+            query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+        };
+        let number = |name: &str| field(name).and_then(|value| value.parse().ok()).unwrap_or(0);
+        let table = field("table").unwrap_or_default();
+        match request.path() {
+            "/v1/rows-get" => {
+                let (rows, version) = self.read(table, 0, false);
+                let page = serde_json::json!({"rows": rows, "ver": version, "has_more": false});
+                serving::json(&page)
+            }
+            "/v1/rows-feed" => {
+                let wait = time::Duration::from_millis(number("wait_ms"));
+                serving::json(&self.feed(table, number("after"), wait).await)
+            }
+            _ => http_message::Response::new(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn refuse(&self, _fault: http_server::RequestFault) -> http_message::Response {
+        serving::refuse()
+    }
+}
+
+/// One endpoint.
+#[derive(Debug)]
+struct EndpointHandler {
+    name: String,
+    kind: FleetKind,
+    address: net::SocketAddr,
+    faults: FleetFaults,
+    busy: atomic::AtomicBool,
+    records: sync::Arc<FleetRecords>,
+}
+
+impl EndpointHandler {
+    fn record(&self, request: &http_server::ServerRequest, ran: bool) {
+        self.records.records.lock().push(FleetRecord {
+            endpoint: self.name.clone(),
+            path: request.path().to_owned(),
+            head: request.head().headers.clone(),
+            body: request.body().to_vec(),
+            ran,
+        });
+    }
+
+    fn not_run(
+        &self,
+        request: &http_server::ServerRequest,
+        status: StatusCode,
+    ) -> http_message::Response {
+        self.record(request, false);
+        let mut response = http_message::Response::new(status);
+        response.insert_header("Not-Executed", "1");
+        response
+    }
+
+    fn stamped(&self, request: &http_server::ServerRequest) -> http_message::Response {
+        let mut response = http_message::Response::new(StatusCode::OK);
+        response.insert_header("Response-Stamp", format!("stamp-{}", self.name));
+        if let Some(id) = request.header("request-id") {
+            response.insert_header("Request-Id", id);
+        }
+        response
+    }
+
+    async fn plain(&self, request: &http_server::ServerRequest) -> http_message::Response {
+        async_io::Timer::after(EVENT_TIME).await;
+        if self.faults.lose_answers.load(atomic::Ordering::Relaxed) {
+            return serving::cut();
+        }
+        let mut response = self.stamped(request);
+        response.set_body(format!("{} ran {}", self.name, request.path()));
+        response
+    }
+
+    fn stream(&self, request: &http_server::ServerRequest) -> http_message::Response {
+        let resumed = request.header("last-event-id").and_then(|value| value.parse().ok());
+        let first: u64 = resumed.unwrap_or(0) + 1;
+        let cut_after = self.faults.cut_after.swap(0, atomic::Ordering::Relaxed);
+        let mut response = self.stamped(request);
+        response.insert_header("content-type", "text/event-stream");
+        response.set_body(produced_chunks::ProducedChunks::body(|sender| async move {
+            for id in first..=EVENTS {
+                async_io::Timer::after(EVENT_TIME).await;
+                sender.send(format!("id: {id}\ndata: e{id}\n\n").into()).await.ok();
+                if id == cut_after {
+                    sender.send(format!("id: {}\nda", id + 1).into()).await.ok();
+                    async_io::Timer::after(EVENT_TIME).await;
+                    return Err(io::ErrorKind::ConnectionAborted.into());
+                }
+            }
+            Ok(())
+        }));
+        response
+    }
+
+    async fn run_pieces(&self, request: &http_server::ServerRequest) -> http_message::Response {
+        if self.busy.swap(true, atomic::Ordering::Relaxed) {
+            return self.not_run(request, StatusCode::SERVICE_UNAVAILABLE);
+        }
+        self.record(request, true);
+        async_io::Timer::after(CALL_TIME).await;
+        self.busy.store(false, atomic::Ordering::Relaxed);
+        let body: serde_json::Value = serde_json::from_slice(request.body()).unwrap_or_default();
+        let items = body["items"].as_array().cloned().unwrap_or_default();
+        let made = items.iter().map(|item| {
+            let (id, stage, piece) = (&item["id"], &item["stage"], &item["piece"]);
+            let id = id.as_str().unwrap_or_default();
+            serde_json::json!({"handle": format!("{}/{id}-{stage}-{piece}", self.address)})
+        });
+        serving::json(&serde_json::json!({"items": made.collect::<Vec<_>>()}))
+    }
+}
+
+impl http_server::RequestHandler for EndpointHandler {
+    async fn handle(&self, request: http_server::ServerRequest) -> http_message::Response {
+        let expected = request.header("expect-instance");
+        if expected.is_some_and(|expected| expected != self.name) {
+            return self.not_run(&request, StatusCode::MISDIRECTED_REQUEST);
+        }
+        if request.path() == "/v1/stage-free" {
+            self.record(&request, true);
+            return http_message::Response::new(StatusCode::OK);
+        }
+        if self.faults.full.load(atomic::Ordering::Relaxed) {
+            return self.not_run(&request, StatusCode::SERVICE_UNAVAILABLE);
+        }
+        match self.kind {
+            FleetKind::Worker => self.run_pieces(&request).await,
+            FleetKind::Plain => {
+                self.record(&request, true);
+                self.plain(&request).await
+            }
+            FleetKind::Engine => {
+                self.record(&request, true);
+                self.stream(&request)
+            }
+        }
+    }
+
+    fn refuse(&self, _fault: http_server::RequestFault) -> http_message::Response {
+        serving::refuse()
+    }
+}
--- a/crates/comfreyspread-lab/src/lib.rs
+++ b/crates/comfreyspread-lab/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod driver;
 pub mod endpoints;
 pub mod fault;
+pub mod fleet;
 pub mod network;
 pub mod platform;
 pub mod plot;
--- a/crates/comfreyspread-policy/tests/route_table.rs
+++ b/crates/comfreyspread-policy/tests/route_table.rs
@@ -9,7 +9,7 @@
         attempts: 1,
         gap: std::time::Duration::ZERO,
         host: host.into(),
-        kind: types::RequestKind::Repeatable,
+        kind: types::RouteKind::Repeatable,
         name: name.into(),
         prefix: prefix.into(),
         priority: 0,
--- a/crates/comfreyspread/src/gateway/call_plan.rs
+++ b/crates/comfreyspread/src/gateway/call_plan.rs
@@ -45,6 +45,8 @@
     Malformed(ids::Text),
     /// No route matches.
     NoRoute,
+    /// The body is larger than callers may send.
+    TooLarge,
     /// The key is missing or not known.
     NoKey,
     /// The route names a service that is not described.
@@ -74,6 +76,10 @@
         if workspace.is_none() && routes.needs_key() && !route.public {
             return Err(PlanFault::NoKey);
         }
+        let limit = routes.limits().map_or(0, |limits| limits.body_bytes);
+        if limit > 0 && u64::try_from(body.len()).unwrap_or(u64::MAX) > limit {
+            return Err(PlanFault::TooLarge);
+        }
         let name = route_table::choose_service(&route, &mut rand::rng());
         let service = name.and_then(|name| routes.service(name)).cloned();
         let service = service.ok_or(PlanFault::NoService)?;
@@ -140,9 +146,9 @@
     /// Whether the request may run more than once.
     pub fn is_repeatable(&self) -> bool {
         match self.route.kind {
-            types::RequestKind::Repeatable => true,
-            types::RequestKind::Single => false,
-            types::RequestKind::Stream => self.route.resumable,
+            types::RouteKind::Repeatable => true,
+            types::RouteKind::Single => false,
+            types::RouteKind::Stream => self.route.resumable,
         }
     }
 
--- a/crates/comfreyspread/src/gateway/entry.rs
+++ b/crates/comfreyspread/src/gateway/entry.rs
@@ -45,7 +45,7 @@
         let version = plan.version;
         let moment = plan.deadline.checked_sub(ANSWER_MARGIN).unwrap_or(plan.deadline);
         self.state.repeats.lock().count_request(&plan.service.name, arrived);
-        let streamed = route.kind == types::RequestKind::Stream;
+        let streamed = route.kind == types::RouteKind::Stream;
         let run = async {
             let answered = if streamed {
                 stream_run::run(&self.state, plan).await
@@ -124,6 +124,7 @@
         Fault::Malformed(_) => StatusCode::BAD_REQUEST,
         Fault::NoRoute => StatusCode::NOT_FOUND,
         Fault::NoKey => StatusCode::UNAUTHORIZED,
+        Fault::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
     };
     log::info!(status = status.as_u16(); "entry: refused. fault={fault:?}");
     let mut response = http_message::Response::new(status);
