--- a/crates/comfreyspread-lab/src/fleet.rs
+++ b/crates/comfreyspread-lab/src/fleet.rs
@@ -6,6 +6,7 @@
 use crate::{process, serving};
 use base64::{Engine as _, engine::general_purpose};
 use comfreyspread::{gateway::produced_chunks, http_message, http_server, rank, worker};
+use comfreyspread_schema::ids;
 use futures_lite::FutureExt as _;
 use http::{Method, StatusCode};
 use indexmap::IndexMap;
@@ -36,9 +37,9 @@
 #[derive(Clone, Debug)]
 pub struct FleetRecord {
     /// Endpoint.
-    pub endpoint: String,
+    pub endpoint: ids::EndpointId,
     /// Path.
-    pub path: String,
+    pub path: ids::Text,
     /// Head.
     pub head: http::HeaderMap,
     /// Body.
@@ -64,7 +65,7 @@
     store: sync::Arc<StoreHandler>,
     store_address: net::SocketAddr,
     records: sync::Arc<FleetRecords>,
-    endpoints: IndexMap<String, sync::Arc<EndpointHandler>>,
+    endpoints: IndexMap<ids::EndpointId, sync::Arc<EndpointHandler>>,
     spawner: worker::TaskSpawner,
 }
 
@@ -108,7 +109,7 @@
     pub async fn add(&mut self, name: &str, service: &str, kind: FleetKind) -> miette::Result<()> {
         let address = process::free_address()?;
         let handler = sync::Arc::new(EndpointHandler {
-            name: name.to_owned(),
+            name: name.into(),
             kind,
             address,
             faults: FleetFaults::default(),
@@ -116,23 +117,23 @@
             records: self.records.clone(),
         });
         serving::start(address, handler.clone(), &self.spawner).await?;
-        self.endpoints.insert(name.to_owned(), handler);
+        self.endpoints.insert(name.into(), handler);
         let entry = serde_json::json!({
             "service": service, "address": address, "zone": "a", "slots": 4, "state": "ready",
             "cold_left_ms": 0, "seq": 1, "born": 1,
         });
-        self.store.put("servers", name, Some(entry.to_string()));
+        self.store.put("servers", name, Some(entry.to_string().into()));
         Ok(())
     }
 
     /// Sets the operator's document.
     pub fn set_document(&self, document: &serde_json::Value) {
-        self.store.put("op", "config", Some(document.to_string()));
+        self.store.put("op", "config", Some(document.to_string().into()));
     }
 
     /// Sets a row of the store, or removes it.
     pub fn set_row(&self, table: &str, key: &str, value: Option<&str>) {
-        self.store.put(table, key, value.map(str::to_owned));
+        self.store.put(table, key, value.map(Into::into));
     }
 
     /// Sets whether the store refuses all calls.
@@ -253,7 +254,7 @@
 #[derive(Debug, Default)]
 struct StoreRows {
     version: u64,
-    rows: IndexMap<(String, String), (Option<String>, u64)>,
+    rows: IndexMap<(ids::Text, ids::Text), (Option<ids::Text>, u64)>,
 }
 
 impl Default for StoreHandler {
@@ -267,11 +268,11 @@
 }
 
 impl StoreHandler {
-    fn put(&self, table: &str, key: &str, value: Option<String>) {
+    fn put(&self, table: &str, key: &str, value: Option<ids::Text>) {
         let mut rows = self.rows.lock();
         rows.version += 1;
         let version = rows.version;
-        rows.rows.insert((table.to_owned(), key.to_owned()), (value, version));
+        rows.rows.insert((table.into(), key.into()), (value, version));
         drop(rows);
         self.changed.notify(usize::MAX);
     }
@@ -280,15 +281,17 @@
     fn read(&self, table: &str, after: u64, removed: bool) -> (Vec<serde_json::Value>, u64) {
         let rows = self.rows.lock();
         let newer = rows.rows.iter().filter(|((of, _), (value, version))| {
-            of == table && *version > after && (removed || value.is_some())
+            **of == *table && *version > after && (removed || value.is_some())
         });
-        let row = |((_, key), (value, version)): (&(String, String), &(Option<String>, u64))| {
-            let encoded = value.as_ref().map(|value| general_purpose::STANDARD.encode(value));
-            serde_json::json!({
-                "table": table, "part": "", "key": key, "value": encoded, "ver": version,
-                "removed": value.is_none(),
-            })
-        };
+        let row =
+            |((_, key), (value, version)): (&(ids::Text, ids::Text), &(Option<ids::Text>, u64))| {
+                let encoded =
+                    value.as_ref().map(|value| general_purpose::STANDARD.encode(&**value));
+                serde_json::json!({
+                    "table": table, "part": "", "key": key, "value": encoded, "ver": version,
+                    "removed": value.is_none(),
+                })
+            };
         (newer.map(row).collect(), rows.version)
     }
 
@@ -342,7 +345,7 @@
 /// One endpoint.
 #[derive(Debug)]
 struct EndpointHandler {
-    name: String,
+    name: ids::EndpointId,
     kind: FleetKind,
     address: net::SocketAddr,
     faults: FleetFaults,
@@ -354,7 +357,7 @@
     fn record(&self, request: &http_server::ServerRequest, ran: bool) {
         self.records.records.lock().push(FleetRecord {
             endpoint: self.name.clone(),
-            path: request.path().to_owned(),
+            path: request.path().into(),
             head: request.head().headers.clone(),
             body: request.body().to_vec(),
             ran,
@@ -433,7 +436,7 @@
 impl http_server::RequestHandler for EndpointHandler {
     async fn handle(&self, request: http_server::ServerRequest) -> http_message::Response {
         let expected = request.header("expect-instance");
-        if expected.is_some_and(|expected| expected != self.name) {
+        if expected.is_some_and(|expected| expected != &*self.name) {
             return self.not_run(&request, StatusCode::MISDIRECTED_REQUEST);
         }
         if request.path() == "/v1/stage-free" {
--- a/crates/comfreyspread-lab/tests/platform_path.rs
+++ b/crates/comfreyspread-lab/tests/platform_path.rs
@@ -117,7 +117,7 @@
         assert_eq!(status, 200, "{body}");
         let runs = runs(&fleet, "r-1");
         assert_eq!(runs.len(), 1);
-        assert_eq!(runs[0].path, "/read/a//b");
+        assert_eq!(&*runs[0].path, "/read/a//b");
         assert_eq!(runs[0].body, b"body");
         let value = |name: &str| runs[0].head.get(name).and_then(|value| value.to_str().ok());
         assert_eq!(value("tenant"), Some("one"));
@@ -248,7 +248,7 @@
             assert_eq!((*status, event_numbers(body)), (200, ALL_EVENTS.to_vec()));
         }
         let records = fleet.records();
-        let calls = records.iter().filter(|record| record.ran && record.path == "/v1/stage-run");
+        let calls = records.iter().filter(|record| record.ran && &*record.path == "/v1/stage-run");
         let calls = calls.count();
         assert!(calls < 18, "36 pieces took {calls} calls");
         let inputs = runs(&fleet, "r-1")[0].head.get("inputs").cloned().expect("inputs");
@@ -257,7 +257,7 @@
         let freed: usize = fleet
             .records()
             .iter()
-            .filter(|record| record.path == "/v1/stage-free")
+            .filter(|record| &*record.path == "/v1/stage-free")
             .filter_map(|record| serde_json::from_slice::<serde_json::Value>(&record.body).ok())
             .filter_map(|body| Some(body["handles"].as_array()?.len()))
             .sum();
--- a/crates/comfreyspread-policy/src/batch_queue.rs
+++ b/crates/comfreyspread-policy/src/batch_queue.rs
@@ -5,12 +5,11 @@
 //! sake of a fuller call. Pieces that can still make their target go first, by rank; those that can
 //! only be late follow, by deadline; those that nobody can use any more are dropped at once.
 
+use crate::{batch_group, batch_worker};
 use comfreyspread_schema::{ids, types};
 use indexmap::IndexMap;
 use std::{net, time};
 
-/// Number of a group of pieces within its queue.
-pub type GroupNumber = u64;
 /// Number of a call within its queue.
 pub type CallNumber = u64;
 
@@ -36,77 +35,13 @@
 const MOST_SPEED_FACTOR: f64 = 0.5;
 /// Speed that counts where no endpoint is there, in endpoints.
 const LEAST_SPEED: f64 = 0.1;
-/// Failures of one piece after which it is given up.
-const MOST_FAILURES: u32 = 4;
-
-/// Pieces of one stage of one request.
-#[derive(Clone, Debug)]
-pub struct PieceGroup {
-    /// The pieces.
-    pub orders: Vec<types::PieceOrder>,
-    /// Rank of the request; zero is the highest.
-    pub priority: u32,
-    /// Size of one result in bytes.
-    pub bytes: u64,
-    /// Moment until which the pieces are in time for the request's target.
-    pub target: time::Instant,
-    /// Moment after which nobody wants the pieces.
-    pub deadline: time::Instant,
-    /// Moment at which the first of the results is gone that the pieces are made of.
-    pub inputs_until: Option<time::Instant>,
-    /// Availability zone in which the results are near what they are made of and made for.
-    pub zone: Option<ids::ZoneId>,
-}
-
-#[derive(Debug)]
-struct QueuedGroup {
-    group: PieceGroup,
-    pieces: Vec<PieceState>,
-}
-
-#[derive(Clone, Debug, PartialEq)]
-enum PieceState {
-    Waiting { failures: u32 },
-    Running { failures: u32 },
-    Done(types::PieceOutcome),
-}
-
-/// An endpoint that may be called.
-#[derive(Clone, Debug)]
-pub struct WorkerPlace {
-    /// Its name.
-    pub endpoint: ids::EndpointId,
-    /// Its address.
-    pub address: net::SocketAddr,
-    /// Its availability zone.
-    pub zone: ids::ZoneId,
-}
-
-/// An endpoint of the service, as the queue sees it.
-#[derive(Debug)]
-struct BatchWorker {
-    address: net::SocketAddr,
-    zone: ids::ZoneId,
-    call: Option<CallNumber>,
-    factor: f64,
-    used: time::Instant,
-    resting_until: Option<time::Instant>,
-    unknown: Option<UnknownResults>,
-}
-
-/// Results at an endpoint that this queue does not know, as when another node batched before.
-#[derive(Clone, Copy, Debug)]
-struct UnknownResults {
-    bytes: u64,
-    until: time::Instant,
-}
 
 #[derive(Debug)]
 struct RunningCall {
     endpoint: ids::EndpointId,
     started: time::Instant,
     usual: time::Duration,
-    pieces: Vec<(GroupNumber, usize)>,
+    pieces: Vec<(batch_group::GroupNumber, usize)>,
     bytes: u64,
 }
 
@@ -138,15 +73,6 @@
     Failed,
 }
 
-/// A group whose pieces are all settled.
-#[derive(Clone, Debug, PartialEq)]
-pub struct SettledGroup {
-    /// Its number.
-    pub number: GroupNumber,
-    /// Outcomes of its pieces, in their order.
-    pub outcomes: Vec<types::PieceOutcome>,
-}
-
 /// Results that stand at their makers.
 #[derive(Debug)]
 struct KeptResult {
@@ -159,8 +85,8 @@
 #[derive(Debug)]
 pub struct BatchQueue {
     capacity: types::StageCapacity,
-    workers: IndexMap<ids::EndpointId, BatchWorker>,
-    groups: IndexMap<GroupNumber, QueuedGroup>,
+    workers: IndexMap<ids::EndpointId, batch_worker::BatchWorker>,
+    groups: IndexMap<batch_group::GroupNumber, batch_group::QueuedGroup>,
     calls: IndexMap<CallNumber, RunningCall>,
     kept: IndexMap<ids::ResultHandle, KeptResult>,
     next: u64,
@@ -187,34 +113,27 @@
     /// Sets the endpoints that may be called.
     pub fn set_workers<Workers>(&mut self, workers: Workers, now: time::Instant)
     where
-        Workers: Iterator<Item = WorkerPlace>,
+        Workers: Iterator<Item = batch_worker::WorkerPlace>,
     {
         let workers: IndexMap<_, _> =
             workers.map(|place| (place.endpoint.clone(), place)).collect();
         self.workers.retain(|endpoint, _| workers.contains_key(endpoint));
         for (endpoint, place) in workers {
-            self.workers.entry(endpoint).or_insert_with(|| BatchWorker {
-                address: place.address,
-                zone: place.zone,
-                call: None,
-                factor: 1.0,
-                used: now,
-                resting_until: None,
-                unknown: None,
-            });
+            self.workers
+                .entry(endpoint)
+                .or_insert_with(|| batch_worker::BatchWorker::new(place, now));
         }
     }
 
     /// Takes in a group of pieces.
-    pub fn push(&mut self, group: PieceGroup) -> GroupNumber {
+    pub fn push(&mut self, group: batch_group::PieceGroup) -> batch_group::GroupNumber {
         let number = self.next_number();
-        let pieces = vec![PieceState::Waiting { failures: 0 }; group.orders.len()];
-        self.groups.insert(number, QueuedGroup { group, pieces });
+        self.groups.insert(number, batch_group::QueuedGroup::new(group));
         number
     }
 
     /// Forgets a group that nobody waits for any more.
-    pub fn cancel(&mut self, number: GroupNumber) {
+    pub fn cancel(&mut self, number: batch_group::GroupNumber) {
         self.groups.shift_remove(&number);
     }
 
@@ -260,7 +179,7 @@
     }
 
     /// Drops the pieces that cannot be made in time, and takes out the groups that are settled.
-    pub fn take_settled(&mut self, now: time::Instant) -> Vec<SettledGroup> {
+    pub fn take_settled(&mut self, now: time::Instant) -> Vec<batch_group::SettledGroup> {
         for queued in self.groups.values_mut() {
             if queued.group.deadline <= now {
                 queued.drop_waiting(types::PieceFault::Late);
@@ -300,7 +219,7 @@
         let awake = self.workers.values().filter(|worker| !worker.is_resting(now));
         let speed: f64 = awake.map(|worker| 1.0 / worker.factor.max(MOST_SPEED_FACTOR)).sum();
         let before = self.groups.values().filter(|queued| queued.group.priority <= priority);
-        let waiting: usize = before.map(QueuedGroup::waiting).sum();
+        let waiting: usize = before.map(batch_group::QueuedGroup::waiting).sum();
         let batch = usize::try_from(self.capacity.batch).unwrap_or(1).max(1);
         let full = self.call_time(batch);
         let running = self
@@ -324,7 +243,7 @@
 
     /// Returns the pieces that wait and the calls that run.
     pub fn load(&self) -> (usize, usize) {
-        (self.groups.values().map(QueuedGroup::waiting).sum(), self.calls.len())
+        (self.groups.values().map(batch_group::QueuedGroup::waiting).sum(), self.calls.len())
     }
 
     fn next_number(&mut self) -> u64 {
@@ -347,7 +266,11 @@
 
     /// Returns the groups with pieces that wait, in the order in which they are served by an
     /// endpoint of `zone`, or of any.
-    fn order(&self, zone: Option<&ids::ZoneId>, now: time::Instant) -> Vec<GroupNumber> {
+    fn order(
+        &self,
+        zone: Option<&ids::ZoneId>,
+        now: time::Instant,
+    ) -> Vec<batch_group::GroupNumber> {
         let soonest = self.call_time(usize::try_from(self.capacity.batch).unwrap_or(1));
         let waiting = self.groups.iter().filter(|(_, queued)| queued.is_waiting());
         let mut order: Vec<_> = waiting
@@ -368,11 +291,15 @@
     }
 
     /// Returns an endpoint for a call whose first pieces are of `first`.
-    fn free_worker(&self, first: &PieceGroup, now: time::Instant) -> Option<ids::EndpointId> {
+    fn free_worker(
+        &self,
+        first: &batch_group::PieceGroup,
+        now: time::Instant,
+    ) -> Option<ids::EndpointId> {
         let awake = self.workers.iter().filter(|(_, worker)| !worker.is_resting(now));
         let best = awake.clone().map(|(_, worker)| worker.factor).fold(f64::INFINITY, f64::min);
         let usual = self.call_time(usize::try_from(self.capacity.batch).unwrap_or(1));
-        let useful = |worker: &BatchWorker| {
+        let useful = |worker: &batch_worker::BatchWorker| {
             worker.factor <= best * SLOW_FACTOR
                 || now + usual.mul_f64(worker.factor) <= first.target
                 || now.saturating_duration_since(worker.used) > SLOW_PROBE_INTERVAL
@@ -380,7 +307,7 @@
         let free = awake.filter(|(endpoint, worker)| {
             worker.call.is_none() && useful(worker) && self.room_left(endpoint) >= first.bytes
         });
-        let distance = |worker: &BatchWorker| {
+        let distance = |worker: &batch_worker::BatchWorker| {
             let near = first.zone.is_none() || first.zone.as_ref() == Some(&worker.zone);
             if near { worker.factor } else { worker.factor * ELSEWHERE_FACTOR }
         };
@@ -409,7 +336,11 @@
     ///
     /// Results of a group that is made in parts take room until its last piece is made. So where
     /// room is short a group is not divided.
-    fn fill(&self, order: &[GroupNumber], mut room: u64) -> Vec<(GroupNumber, usize)> {
+    fn fill(
+        &self,
+        order: &[batch_group::GroupNumber],
+        mut room: u64,
+    ) -> Vec<(batch_group::GroupNumber, usize)> {
         let batch = usize::try_from(self.capacity.batch).unwrap_or(1);
         let mut pieces = Vec::with_capacity(batch);
         for number in order {
@@ -423,12 +354,12 @@
             if scarce && !whole && !pieces.is_empty() {
                 continue;
             }
-            for (place, state) in queued.pieces.iter().enumerate() {
+            for place in queued.waiting_places() {
                 if pieces.len() == batch {
                     return pieces;
                 }
-                if matches!(state, PieceState::Waiting { .. }) && queued.group.bytes <= room {
-                    room -= queued.group.bytes;
+                if bytes <= room {
+                    room -= bytes;
                     pieces.push((*number, place));
                 }
             }
@@ -439,7 +370,7 @@
     fn start(
         &mut self,
         endpoint: ids::EndpointId,
-        pieces: Vec<(GroupNumber, usize)>,
+        pieces: Vec<(batch_group::GroupNumber, usize)>,
         now: time::Instant,
     ) -> PlannedCall {
         let number = self.next_number();
@@ -492,7 +423,7 @@
                     let made = each * u64::try_from(made).unwrap_or(0);
                     let bytes = self.capacity.room_bytes.saturating_sub(known + made);
                     let until = now + UNKNOWN_RESULTS_LIFE;
-                    worker.unknown = Some(UnknownResults { bytes, until });
+                    worker.unknown = Some(batch_worker::UnknownResults { bytes, until });
                 }
             }
             BatchEnding::Full => worker.resting_until = Some(now + REST_AFTER_FULL),
@@ -504,7 +435,7 @@
 
     fn settle(
         &mut self,
-        number: GroupNumber,
+        number: batch_group::GroupNumber,
         piece: usize,
         outcome: types::PieceOutcome,
         call: &RunningCall,
@@ -524,79 +455,6 @@
     }
 }
 
-impl BatchWorker {
-    fn is_resting(&self, now: time::Instant) -> bool {
-        self.resting_until.is_some_and(|until| until > now)
-    }
-}
-
-impl QueuedGroup {
-    fn waiting(&self) -> usize {
-        let waiting = |piece: &&PieceState| matches!(piece, PieceState::Waiting { .. });
-        self.pieces.iter().filter(waiting).count()
-    }
-
-    fn is_waiting(&self) -> bool {
-        self.waiting() > 0
-    }
-
-    /// Whether some of its pieces are made or being made.
-    fn is_begun(&self) -> bool {
-        self.waiting() < self.pieces.len()
-    }
-
-    fn start(&mut self, piece: usize) {
-        if let PieceState::Waiting { failures } = self.pieces[piece] {
-            self.pieces[piece] = PieceState::Running { failures };
-        }
-    }
-
-    /// Settles a piece, or lets it wait again if another endpoint may make it.
-    fn settle(&mut self, piece: usize, outcome: types::PieceOutcome) {
-        let PieceState::Running { failures } = self.pieces[piece] else { return };
-        let again = match &outcome {
-            types::PieceOutcome::Made(_) => false,
-            types::PieceOutcome::Failed(fault) => match fault {
-                types::PieceFault::Late | types::PieceFault::InputGone => false,
-                types::PieceFault::Refused | types::PieceFault::NoRoom => true,
-                types::PieceFault::Failed | types::PieceFault::Unreachable => {
-                    failures + 1 < MOST_FAILURES
-                }
-            },
-        };
-        self.pieces[piece] = match outcome {
-            types::PieceOutcome::Failed(
-                types::PieceFault::Failed | types::PieceFault::Unreachable,
-            ) if again => PieceState::Waiting { failures: failures + 1 },
-            _ if again => PieceState::Waiting { failures },
-            settled => PieceState::Done(settled),
-        };
-        if matches!(&self.pieces[piece], PieceState::Done(types::PieceOutcome::Failed(_))) {
-            self.drop_waiting(types::PieceFault::Late);
-        }
-    }
-
-    fn drop_waiting(&mut self, fault: types::PieceFault) {
-        for piece in &mut self.pieces {
-            if matches!(piece, PieceState::Waiting { .. }) {
-                *piece = PieceState::Done(types::PieceOutcome::Failed(fault));
-            }
-        }
-    }
-
-    fn settled(&self, number: GroupNumber) -> Option<SettledGroup> {
-        let outcomes: Option<Vec<_>> = self
-            .pieces
-            .iter()
-            .map(|piece| match piece {
-                PieceState::Done(outcome) => Some(outcome.clone()),
-                PieceState::Running { .. } | PieceState::Waiting { .. } => None,
-            })
-            .collect();
-        Some(SettledGroup { number, outcomes: outcomes? })
-    }
-}
-
 /// Returns the usual time of a call with `pieces` pieces at an endpoint with `capacity`.
 pub fn call_time(capacity: &types::StageCapacity, pieces: u32) -> time::Duration {
     time::Duration::from_micros(capacity.call_us)
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -9,7 +9,8 @@
 //!   [`suspect`], [`link`].
 //! - Requests that may run at most once: [`claim`], [`settlement`], [`write_group`].
 //! - On the users' platform: [`route_table`], [`directory`] of endpoints, [`stage_graph`] of a
-//!   request, [`batch_queue`] of a stage service, [`event_buffer`], [`repeat_budget`],
+//!   request, [`batch_queue`] of a stage service over [`batch_group`]
+//!   and [`batch_worker`], [`event_buffer`], [`repeat_budget`],
 //!   [`wait_table`], [`table_mirror`].
 //! - The owner: [`schedule`] over [`queue`], [`replica`], [`lifecycle`], [`limit`], [`breaker`],
 //!   [`outlier`], [`choice`], [`latency`].
@@ -27,7 +28,9 @@
 
 pub mod acceptance;
 pub mod attempt;
+pub mod batch_group;
 pub mod batch_queue;
+pub mod batch_worker;
 pub mod breaker;
 pub mod catalog;
 pub mod change;
--- a/crates/comfreyspread-policy/tests/batch_queue.rs
+++ b/crates/comfreyspread-policy/tests/batch_queue.rs
@@ -1,7 +1,8 @@
 //! Calls that pieces of several requests share.
+#![allow(clippy::disallowed_methods, reason = "a base moment for injected time")]
 
 use bolero::check;
-use comfreyspread_policy::batch_queue;
+use comfreyspread_policy::{batch_group, batch_queue, batch_worker};
 use comfreyspread_schema::types;
 use indexmap::IndexMap;
 use std::time;
@@ -24,8 +25,8 @@
     }
 }
 
-fn place(name: &str, port: u16, zone: &str) -> batch_queue::WorkerPlace {
-    batch_queue::WorkerPlace {
+fn place(name: &str, port: u16, zone: &str) -> batch_worker::WorkerPlace {
+    batch_worker::WorkerPlace {
         endpoint: name.into(),
         address: ([10, 0, 0, 1], port).into(),
         zone: zone.into(),
@@ -39,7 +40,7 @@
     queue
 }
 
-fn group(request: &str, pieces: u32, priority: u32, now: time::Instant) -> batch_queue::PieceGroup {
+fn group(request: &str, pieces: u32, priority: u32, now: time::Instant) -> batch_group::PieceGroup {
     let order = |piece| types::PieceOrder {
         inputs: Vec::new(),
         key: None,
@@ -48,7 +49,7 @@
         request: request.into(),
         stage: 0,
     };
-    batch_queue::PieceGroup {
+    batch_group::PieceGroup {
         bytes: RESULT_BYTES,
         deadline: now + ms(5000),
         inputs_until: None,
@@ -205,7 +206,7 @@
     assert_eq!(queue.next_moment(now), Some(now + ms(5000)));
     let settled = queue.take_settled(now + ms(5000));
     let late = types::PieceOutcome::Failed(types::PieceFault::Late);
-    assert_eq!(settled, [batch_queue::SettledGroup { number, outcomes: vec![late; 2] }]);
+    assert_eq!(settled, [batch_group::SettledGroup { number, outcomes: vec![late; 2] }]);
 }
 
 /// Results of a group that nobody waits for any more are handed back, so that they can be freed.
@@ -241,7 +242,7 @@
 fn run_schedule(steps: &[(u8, u8)]) {
     let mut now = time::Instant::now();
     let mut queue = queue(3, now);
-    let mut open = IndexMap::<batch_queue::GroupNumber, usize>::new();
+    let mut open = IndexMap::<batch_group::GroupNumber, usize>::new();
     let mut calls = Vec::<batch_queue::PlannedCall>::new();
     for (action, size) in steps {
         now += ms(u64::from(size % 50) * 20);
@@ -249,7 +250,7 @@
             0..=2 => {
                 let pieces = u32::from(size % 9) + 1;
                 let number = queue.push(group(&format!("r{size}"), pieces, 0, now));
-                open.insert(number, usize::try_from(pieces).unwrap());
+                open.insert(number, usize::try_from(pieces).expect("a small number"));
             }
             3 => {
                 if let Some((number, _)) = open.pop() {
--- a/crates/comfreyspread-policy/tests/endpoint_directory.rs
+++ b/crates/comfreyspread-policy/tests/endpoint_directory.rs
@@ -1,4 +1,5 @@
 //! Choice among the endpoints that have registered.
+#![allow(clippy::disallowed_methods, reason = "a base moment for injected time")]
 
 use comfreyspread_policy::directory;
 use comfreyspread_schema::{ids, types};
--- a/crates/comfreyspread-policy/tests/repeat_budget.rs
+++ b/crates/comfreyspread-policy/tests/repeat_budget.rs
@@ -1,4 +1,5 @@
 //! Budget of repeats that all nodes share.
+#![allow(clippy::disallowed_methods, reason = "a base moment for injected time")]
 
 use bolero::check;
 use comfreyspread_policy::repeat_budget;
--- a/crates/comfreyspread-policy/tests/wait_table.rs
+++ b/crates/comfreyspread-policy/tests/wait_table.rs
@@ -1,4 +1,5 @@
 //! Waits at stage services, and what they decide.
+#![allow(clippy::disallowed_methods, reason = "a base moment for injected time")]
 
 use comfreyspread_policy::wait_table;
 use comfreyspread_schema::types;
--- a/crates/comfreyspread/src/client_connection.rs
+++ b/crates/comfreyspread/src/client_connection.rs
@@ -5,7 +5,6 @@
 
 use crate::{http_body, http_message};
 use async_net::TcpStream;
-use futures_lite::FutureExt as _;
 use hyper::client::conn::http1;
 use rustix::net::sockopt;
 use std::{fmt, future, io, net, pin, task, time};
@@ -75,13 +74,14 @@
 
     /// Reads what has come while the connection was idle, and returns whether it can be used.
     pub async fn is_usable(&mut self) -> bool {
-        let ready = self.drive(|sender, cx| sender.poll_ready(cx));
-        let ready = async { Some(ready.await) };
-        let later = async {
-            futures_lite::future::yield_now().await;
-            None
-        };
-        matches!(ready.or(later).await, Some(Ok(()))) && self.sender.is_ready()
+        let ready = future::poll_fn(|cx| {
+            // The first poll lets the connection say that it wants a request.
+            self.poll_driver(cx);
+            let first = self.sender.poll_ready(cx);
+            self.poll_driver(cx);
+            task::Poll::Ready(first.is_ready() || self.sender.poll_ready(cx).is_ready())
+        });
+        ready.await && self.sender.is_ready()
     }
 
     /// Sends a request and waits for the head of its answer.
--- a/crates/comfreyspread/src/gateway/piece_send.rs
+++ b/crates/comfreyspread/src/gateway/piece_send.rs
@@ -2,7 +2,7 @@
 
 use super::{batcher, state, table_follow};
 use crate::{failure, http_client, http_message, http_server, peer};
-use comfreyspread_policy::batch_queue;
+use comfreyspread_policy::batch_group;
 use comfreyspread_schema::{ids, types};
 use futures_lite::FutureExt as _;
 use std::{net, sync, time};
@@ -31,7 +31,7 @@
     /// Region whose endpoints make them.
     pub region: ids::RegionId,
     /// The pieces and their times.
-    pub group: batch_queue::PieceGroup,
+    pub group: batch_group::PieceGroup,
 }
 
 /// Has pieces made and returns their outcomes.
@@ -179,7 +179,7 @@
         let message: types::PieceRequest = peer::decode_message(&self.state.context, request)?;
         let now = time::Instant::now();
         let left = message.orders.iter().map(|order| order.left).max().unwrap_or_default();
-        let group = batch_queue::PieceGroup {
+        let group = batch_group::PieceGroup {
             orders: message.orders,
             priority: message.priority,
             bytes: message.bytes,
--- a/crates/comfreyspread/src/gateway/process.rs
+++ b/crates/comfreyspread/src/gateway/process.rs
@@ -21,7 +21,7 @@
 const OWN_DESCRIPTORS: u32 = 800;
 
 /// serve callers on the users' platform
-#[derive(argh::FromArgs, Debug)]
+#[derive(Debug, argh::FromArgs)]
 #[argh(subcommand, name = "gateway")]
 pub struct GatewayArguments {
     /// validate the settings and exit
--- a/crates/comfreyspread/src/gateway/state.rs
+++ b/crates/comfreyspread/src/gateway/state.rs
@@ -3,7 +3,6 @@
 use crate::{context, http_client, rank};
 use comfreyspread_policy::{directory, rendezvous, repeat_budget, route_table, wait_table};
 use comfreyspread_schema::{ids, types};
-use futures_lite::future;
 use indexmap::IndexMap;
 use std::{fmt, net, sync, sync::atomic, time};
 
@@ -44,6 +43,8 @@
     pub client: http_client::HttpClient,
     /// Client of the platform's store.
     pub store: store_client::StoreClient,
+    /// Notified when routes or endpoints have come.
+    pub news: event_listener::Event,
     /// Whether the endpoints have been read once.
     pub endpoints_read: atomic::AtomicBool,
 }
@@ -76,6 +77,7 @@
             client: http_client::HttpClient::new(ANSWER_LIMIT_BYTES)
                 .with_idle_limit(ENDPOINT_IDLE_LIMIT),
             store: store_client::StoreClient::new(machine.store_address),
+            news: event_listener::Event::new(),
             endpoints_read: atomic::AtomicBool::new(false),
             context,
             machine,
@@ -146,10 +148,12 @@
 
     /// Waits until the node knows routes and endpoints.
     pub async fn informed(&self) {
-        const PAUSE: time::Duration = time::Duration::from_millis(20);
-        while !self.is_informed() {
-            async_io::Timer::after(PAUSE).await;
+        loop {
+            let news = self.news.listen();
+            if self.is_informed() {
+                return;
+            }
+            news.await;
         }
-        future::yield_now().await;
     }
 }
--- a/crates/comfreyspread/src/gateway/table_follow.rs
+++ b/crates/comfreyspread/src/gateway/table_follow.rs
@@ -101,6 +101,7 @@
         let news = mirrors.table(Follower::TABLE).replace(page.rows, page.version);
         drop(mirrors);
         follower.change(state, news);
+        state.news.notify(usize::MAX);
         return Ok(false);
     };
     match state.store.feed(Follower::NAME, known).await? {
@@ -128,6 +129,7 @@
     let news = state.mirrors.lock().table(Follower::TABLE).merge(rows);
     if !news.is_empty() {
         follower.change(state, news);
+        state.news.notify(usize::MAX);
     }
 }
 
