--- a/crates/comfreyspread/src/gateway/batcher.rs
+++ b/crates/comfreyspread/src/gateway/batcher.rs
@@ -227,9 +227,11 @@
     let started = time::Instant::now();
     let ending = send(state, &call).await;
     let now = time::Instant::now();
+    let took = now.saturating_duration_since(started);
+    state.context.metrics.stages.count_call(&ending, call.orders.len(), took);
     log::debug!(service = service.as_ref(), endpoint = call.endpoint.as_ref(),
         pieces = call.orders.len(),
-        took_ms = now.saturating_duration_since(started).as_millis() as u64;
+        took_ms = took.as_millis() as u64;
         "batcher: call ended. ending={ending:?}");
     let mut unwanted = Vec::new();
     let mut batches = state.batches.lock();
--- a/crates/comfreyspread/src/gateway/piece_send.rs
+++ b/crates/comfreyspread/src/gateway/piece_send.rs
@@ -69,6 +69,7 @@
             log::warn!(node = node.as_ref(), service = orders.service.as_ref();
                 "pieces: batching node passed over. error={failure}");
             state.shun(&node);
+            state.context.metrics.stages.count_passed_over();
             batcher::make(state, &orders.service, orders.group.clone()).await
         }
     }
--- a/crates/comfreyspread/src/gateway/process.rs
+++ b/crates/comfreyspread/src/gateway/process.rs
@@ -9,7 +9,7 @@
 use futures_lite::{FutureExt as _, StreamExt as _};
 use indexmap::IndexMap;
 use miette::{Context as _, IntoDiagnostic as _};
-use std::{fs, process, sync, time};
+use std::{fs, net, process, sync, time};
 
 /// Where the settings file is if nothing names it.
 const DEFAULT_FILE: &str = "/etc/comfreyspread/settings.conf";
@@ -17,6 +17,8 @@
 const UNREADY_GRACE: time::Duration = time::Duration::from_millis(2600);
 /// Time kept back of the time to stop, for the end of the process.
 const STOP_MARGIN: time::Duration = time::Duration::from_millis(700);
+/// Longest wait for the last log lines.
+const LOG_DRAIN_LIMIT: time::Duration = time::Duration::from_millis(200);
 /// Descriptors that are not connections of callers.
 const OWN_DESCRIPTORS: u32 = 800;
 
@@ -27,6 +29,9 @@
     /// validate the settings and exit
     #[argh(switch)]
     check: bool,
+    /// port that serves metrics on the address for callers; none if left out
+    #[argh(option)]
+    metrics_port: Option<u16>,
     /// settings file of the platform, instead of the one that COMFREYSPREAD_SETTINGS names
     #[argh(option)]
     settings: Option<String>,
@@ -51,14 +56,16 @@
             println!("the settings are valid");
             return Ok(process::ExitCode::SUCCESS);
         }
-        logs::start(settings.log_level, settings.log_json).into_diagnostic()?;
+        let log = logs::start_unblocked(settings.log_level, settings.log_json)?;
         let pool = worker::WorkerPool::new(settings.workers)
             .into_diagnostic()
             .wrap_err("cannot start worker threads")?;
         let context = sync::Arc::new(context::NodeContext::new(settings, pool.spawner()));
         let state = sync::Arc::new(state::GatewayState::new(context, machine));
-        let code = async_io::block_on(serve(state, &path))?;
+        let code = async_io::block_on(serve(state, &path, self.metrics_port))?;
         pool.stop();
+        log::info!("gateway: stopped");
+        log.drain(LOG_DRAIN_LIMIT);
         Ok(code)
     }
 }
@@ -96,12 +103,17 @@
 async fn serve(
     state: sync::Arc<state::GatewayState>,
     path: &str,
+    metrics_port: Option<u16>,
 ) -> miette::Result<process::ExitCode> {
     let context = &state.context;
     let signals = [Signal::Hup, Signal::Int, Signal::Term];
     let mut signals = Signals::new(signals).into_diagnostic()?;
     let closer = start_front(&state).await?;
-    start_ready(&state).await?;
+    start_ready(&state, state.machine.ready_address).await?;
+    if let Some(port) = metrics_port {
+        let address = net::SocketAddr::new(state.machine.ready_address.ip(), port);
+        start_ready(&state, address).await?;
+    }
     let extension = sync::Arc::new(piece_send::PieceExtension::new(state.clone()));
     let handler = peer::PeerHandler::new(context.clone()).with_extension(extension);
     let peers = node::start_peers(context, handler).await?;
@@ -157,9 +169,12 @@
     node::start_server(&state.context, settings.caller_address, handler, limits).await
 }
 
-async fn start_ready(state: &sync::Arc<state::GatewayState>) -> miette::Result<()> {
+async fn start_ready(
+    state: &sync::Arc<state::GatewayState>,
+    address: net::SocketAddr,
+) -> miette::Result<()> {
     let handler = sync::Arc::new(ready::ReadyHandler::new(state.clone()));
     let limits = node::server_limits(&state.context.settings);
-    node::start_server(&state.context, state.machine.ready_address, handler, limits).await?;
+    node::start_server(&state.context, address, handler, limits).await?;
     Ok(())
 }
--- a/crates/comfreyspread/src/gateway/ready.rs
+++ b/crates/comfreyspread/src/gateway/ready.rs
@@ -23,6 +23,9 @@
 impl http_server::RequestHandler for ReadyHandler {
     async fn handle(&self, request: http_server::ServerRequest) -> http_message::Response {
         if request.path() == METRICS_PATH {
+            let known = self.state.directory.lock().len();
+            let version = self.state.routes().version();
+            self.state.context.metrics.stages.observe_known(known, version);
             let mut response = http_message::Response::new(StatusCode::OK);
             response.set_body(self.state.context.metrics.text().into_string());
             response.insert_header("content-type", METRICS_MEDIA_TYPE);
--- a/crates/comfreyspread/src/gateway/table_follow.rs
+++ b/crates/comfreyspread/src/gateway/table_follow.rs
@@ -76,6 +76,7 @@
                 }
                 answering = false;
                 follower.note_outage(&state);
+                state.context.metrics.stages.count_store_failure();
                 ask_peer(&state, &follower).await;
                 let (least, most) = FAILURE_PAUSES;
                 let pause = rand::rng().random_range(least..most);
--- a/crates/comfreyspread/src/logs.rs
+++ b/crates/comfreyspread/src/logs.rs
@@ -3,7 +3,9 @@
 //! A line holds a time, a level, a short sentence that begins with the prefix of its part, and
 //! key-value pairs. Bodies are never logged.
 
+use crate::log_writer;
 use log::kv;
+use miette::IntoDiagnostic as _;
 use std::fmt;
 
 /// Starts logging to the standard error stream.
@@ -12,13 +14,37 @@
 ///
 /// Fails if logging was started before.
 pub fn start(level: log::LevelFilter, json: bool) -> Result<(), log::SetLoggerError> {
+    start_to(std::io::stderr().into(), level, json)
+}
+
+/// Starts logging to the standard output stream, where lines are dropped rather than waited for.
+/// Returns the writer, to be drained when the process ends.
+///
+/// # Errors
+///
+/// Fails if logging was started before or the writing thread cannot be started.
+pub fn start_unblocked(
+    level: log::LevelFilter,
+    json: bool,
+) -> miette::Result<log_writer::LogWriter> {
+    let writer = log_writer::LogWriter::new(std::io::stdout()).into_diagnostic()?;
+    let output: Box<dyn std::io::Write + Send> = Box::new(writer.clone());
+    start_to(output.into(), level, json).into_diagnostic()?;
+    Ok(writer)
+}
+
+fn start_to(
+    output: fern::Output,
+    level: log::LevelFilter,
+    json: bool,
+) -> Result<(), log::SetLoggerError> {
     let format = if json { write_json } else { write_text };
     fern::Dispatch::new()
         .level(log::LevelFilter::Warn)
         .level_for("comfreyspread", level)
         .level_for("comfreyspread_lab", level)
         .format(format)
-        .chain(std::io::stderr())
+        .chain(output)
         .apply()
 }
 
--- a/crates/comfreyspread/src/metrics.rs
+++ b/crates/comfreyspread/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of a process, in the Prometheus text format.
 
-use crate::pool_metrics;
+use crate::{pool_metrics, stage_metrics};
 use comfreyspread_schema::types;
 use prometheus_client::{encoding, encoding::text, metrics, registry};
 use std::{fmt, time};
@@ -32,6 +32,8 @@
     attempts: VerdictFamily,
     /// Metrics of queues, limits and endpoints.
     pub pools: pool_metrics::PoolMetrics,
+    /// Metrics of stages and of what is known of the platform.
+    pub stages: stage_metrics::StageMetrics,
 }
 
 impl NodeMetrics {
@@ -46,7 +48,8 @@
         registry.register("request_seconds", help, request_seconds.clone());
         registry.register("attempts", "Attempts at endpoints by verdict", attempts.clone());
         let pools = pool_metrics::PoolMetrics::new(&mut registry);
-        Self { registry, requests, request_seconds, attempts, pools }
+        let stages = stage_metrics::StageMetrics::new(&mut registry);
+        Self { registry, requests, request_seconds, attempts, pools, stages }
     }
 
     /// Counts a caller request that ended.
--- a/crates/comfreyspread/src/rank.rs
+++ b/crates/comfreyspread/src/rank.rs
@@ -75,6 +75,8 @@
     ConnectionRank = 110;
     /// Rank of the queue of deadlines.
     DeadlineRank = 120;
+    /// Rank of the log lines of the present second.
+    LogRank = 250;
 }
 
 thread_local! {
