Find a silent batching node in 0.6 s, and call what is there already

Ruled out: slow endpoints (calls took their usual time), the store (rows came from other nodes). Change: 350 ms without a word of the node, then 250 ms for an answer; any answer counts as a word; passed over for 3 s.

--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -11,7 +11,8 @@
 //! - On the users' platform: [`route_table`], [`directory`] of endpoints, [`stage_graph`] of a
 //!   request, [`batch_queue`] of a stage service over [`batch_group`]
 //!   and [`batch_worker`], [`event_buffer`], [`repeat_budget`],
-//!   [`wait_table`], [`table_mirror`].
+//!   [`wait_table`], [`table_mirror`],
+//!   [`peer_sight`].
 //! - The owner: [`schedule`] over [`queue`], [`replica`], [`lifecycle`], [`limit`], [`breaker`],
 //!   [`outlier`], [`choice`], [`latency`].
 //! - Members and ownership: [`membership`], [`contact`], [`rendezvous`], [`ownership`],
@@ -53,6 +54,7 @@
 pub mod ownership;
 pub mod ownership_action;
 pub mod ownership_life;
+pub mod peer_sight;
 pub mod poller;
 pub mod queue;
 pub mod rendezvous;
--- a/crates/comfreyspread/src/gateway/attempt_send.rs
+++ b/crates/comfreyspread/src/gateway/attempt_send.rs
@@ -187,3 +187,11 @@
     }
     Ok(AttemptAnswer { open, response, signs })
 }
+
+/// Returns the answer that the caller gets: the endpoint's status and headers, and `body`.
+pub fn passed_on(response: &http_message::Response, body: bytes::Bytes) -> http_message::Response {
+    let (mut head, ()) = http::Response::new(()).into_parts();
+    head.status = response.status();
+    head.headers = answer::forwarded(response.head());
+    http_message::Response::from_parts(head, body.into())
+}
--- a/crates/comfreyspread/src/gateway/call_plan.rs
+++ b/crates/comfreyspread/src/gateway/call_plan.rs
@@ -152,6 +152,13 @@
         }
     }
 
+    /// Takes one repeat from the budget that all nodes share, if the request has time for it.
+    pub fn takes_repeat(&self, state: &state::GatewayState) -> bool {
+        let now = time::Instant::now();
+        let nodes = state.sharing_nodes();
+        !self.left(now).is_zero() && state.repeats.lock().take(&self.service.name, nodes, now)
+    }
+
     /// Returns the time left.
     pub fn left(&self, now: time::Instant) -> time::Duration {
         self.deadline.saturating_duration_since(now)
--- a/crates/comfreyspread/src/gateway/piece_send.rs
+++ b/crates/comfreyspread/src/gateway/piece_send.rs
@@ -2,7 +2,7 @@
 
 use super::{batcher, state, table_follow};
 use crate::{failure, http_client, http_message, http_server, peer};
-use comfreyspread_policy::batch_group;
+use comfreyspread_policy::{batch_group, peer_sight};
 use comfreyspread_schema::{ids, types};
 use futures_lite::FutureExt as _;
 use std::{net, sync, time};
@@ -16,10 +16,8 @@
 
 /// Longest wait for the receipt of a release.
 const RELEASE_LIMIT: time::Duration = time::Duration::from_millis(800);
-/// Interval at which a batching node is asked whether it is there, while pieces wait at it.
-const SILENCE_PROBE_INTERVAL: time::Duration = time::Duration::from_millis(900);
 /// Longest wait for an answer about waits.
-const WAIT_ANSWER_LIMIT: time::Duration = time::Duration::from_millis(300);
+const WAIT_ANSWER_LIMIT: time::Duration = time::Duration::from_millis(250);
 /// Time that the batching node gets beyond the pieces' deadline to answer.
 const REPLY_MARGIN: time::Duration = time::Duration::from_millis(100);
 
@@ -53,13 +51,16 @@
     let path = PIECE_PATH;
     let exchange = peer::exchange(&state.context, address, path, &message, connection, deadline);
     let silent = async {
-        silence(state, &orders.service, address).await;
+        silence(state, &orders.service, &node, address).await;
         let detail = "the batching node went silent";
         Err(failure::CallFailure::new(types::ProblemKind::Unavailable, detail))
     };
     let reply: Result<types::PieceReply, _> = exchange.or(silent).await;
     match reply {
-        Ok(reply) if reply.outcomes.len() == orders.group.orders.len() => reply.outcomes,
+        Ok(reply) if reply.outcomes.len() == orders.group.orders.len() => {
+            state.sight.lock().note_heard(&node, time::Instant::now());
+            reply.outcomes
+        }
         Ok(reply) => {
             log::error!(node = node.as_ref(), got = reply.outcomes.len();
                 "pieces: reply has other pieces");
@@ -68,24 +69,28 @@
         Err(failure) => {
             log::warn!(node = node.as_ref(), service = orders.service.as_ref();
                 "pieces: batching node passed over. error={failure}");
-            state.shun(&node);
+            state.sight.lock().shun(&node, time::Instant::now());
             state.context.metrics.stages.count_passed_over();
             batcher::make(state, &orders.service, orders.group.clone()).await
         }
     }
 }
 
-/// Waits until a batching node does not answer the question for its waits; never returns while it
-/// answers.
+/// Waits until a batching node does not answer the question for its waits; never returns while
+/// something is heard of it.
 async fn silence(
     state: &sync::Arc<state::GatewayState>,
     service: &ids::EndpointService,
+    node: &ids::NodeId,
     address: net::SocketAddr,
 ) {
     loop {
-        async_io::Timer::after(SILENCE_PROBE_INTERVAL).await;
+        async_io::Timer::after(peer_sight::SILENCE).await;
+        if !state.sight.lock().is_silent(node, time::Instant::now()) {
+            continue;
+        }
         if let Err(failure) = ask_waits(state, service, address).await {
-            log::warn!("pieces: batching node is silent. error={failure}");
+            log::warn!(node = node.as_ref(); "pieces: batching node is silent. error={failure}");
             return;
         }
     }
@@ -107,6 +112,7 @@
     let connection = http_client::ConnectionUse::Shared;
     let reply: types::WaitReply =
         peer::exchange(&state.context, address, WAIT_PATH, &message, connection, deadline).await?;
+    state.sight.lock().note_heard(&reply.header.node, time::Instant::now());
     Ok(reply.waits)
 }
 
--- a/crates/comfreyspread/src/gateway/plain_run.rs
+++ b/crates/comfreyspread/src/gateway/plain_run.rs
@@ -2,10 +2,9 @@
 
 use super::{attempt_send, call_plan, state};
 use crate::{failure, http_client, http_message};
-use comfreyspread_platform::answer;
 use comfreyspread_policy::{attempt, directory, verdict};
 use comfreyspread_schema::{ids, types};
-use std::{sync, time};
+use std::sync;
 
 /// Largest answer of an endpoint in bytes.
 const ANSWER_LIMIT_BYTES: usize = 16 * 1024 * 1024;
@@ -93,7 +92,7 @@
         let ending =
             if failed { directory::CallEnding::Failed } else { directory::CallEnding::Served };
         answer.open.end(ending);
-        Ok(whole(&answer.response, body))
+        Ok(attempt_send::passed_on(&answer.response, body))
     }
 
     /// Whether an answer is a failure that another endpoint may not give.
@@ -121,29 +120,13 @@
         }
         if failed.failure.verdict() == types::CallVerdict::NotRun {
             self.refusals += 1;
-            return self.refusals < MOST_REFUSALS && self.takes_repeat(state);
+            return self.refusals < MOST_REFUSALS && self.plan.takes_repeat(state);
         }
         self.runs += u32::from(!answered);
         self.plan.is_repeatable() && self.may_repeat(state)
     }
 
     fn may_repeat(&self, state: &state::GatewayState) -> bool {
-        self.runs < self.plan.route.attempts && self.takes_repeat(state)
+        self.runs < self.plan.route.attempts && self.plan.takes_repeat(state)
     }
-
-    /// Takes one repeat from the budget, if the request has time for it.
-    fn takes_repeat(&self, state: &state::GatewayState) -> bool {
-        let now = time::Instant::now();
-        let nodes = state.sharing_nodes();
-        !self.plan.left(now).is_zero()
-            && state.repeats.lock().take(&self.plan.service.name, nodes, now)
-    }
-}
-
-/// Returns the answer that the caller gets: the endpoint's, and only that.
-fn whole(response: &http_message::Response, body: bytes::Bytes) -> http_message::Response {
-    let (mut head, ()) = http::Response::new(()).into_parts();
-    head.status = response.status();
-    head.headers = answer::forwarded(response.head());
-    http_message::Response::from_parts(head, body.into())
 }
--- a/crates/comfreyspread/src/gateway/state.rs
+++ b/crates/comfreyspread/src/gateway/state.rs
@@ -1,9 +1,10 @@
 //! What every part of the platform's front end needs.
 
 use crate::{context, http_client, rank};
-use comfreyspread_policy::{directory, rendezvous, repeat_budget, route_table, wait_table};
+use comfreyspread_policy::{
+    directory, peer_sight, rendezvous, repeat_budget, route_table, wait_table,
+};
 use comfreyspread_schema::{ids, types};
-use indexmap::IndexMap;
 use std::{fmt, net, sync, sync::atomic, time};
 
 use super::{batcher, store_client, table_follow};
@@ -12,8 +13,6 @@
 const ANSWER_LIMIT_BYTES: usize = 16 * 1024 * 1024;
 /// Longest time that a connection to an endpoint is idle.
 const ENDPOINT_IDLE_LIMIT: time::Duration = time::Duration::from_millis(2500);
-/// How long a node that did not answer is passed over.
-const SHUN_TIME: time::Duration = time::Duration::from_secs(2);
 /// Nodes counted beside the known ones when a limit over all nodes is shared out.
 const SPARE_NODES: usize = 4;
 
@@ -35,8 +34,8 @@
     pub batches: rank::RankedLock<rank::BatchRank, batcher::BatchTable>,
     /// Waits at stage services, as this node was told.
     pub waits: rank::RankedLock<rank::WaitRank, wait_table::WaitTable>,
-    /// Nodes that did not answer, and until when they are passed over.
-    pub shunned: rank::RankedLock<rank::ShunRank, IndexMap<ids::NodeId, time::Instant>>,
+    /// What was seen of nodes that batch.
+    pub sight: rank::RankedLock<rank::SightRank, peer_sight::PeerSight>,
     /// Shared budget of repeats.
     pub repeats: rank::RankedLock<rank::RepeatRank, repeat_budget::RepeatBudget>,
     /// Client of endpoints.
@@ -68,7 +67,7 @@
         Self {
             started: time::Instant::now(),
             mirrors: rank::RankedLock::new(table_follow::TableMirrors::default()),
-            shunned: rank::RankedLock::new(IndexMap::new()),
+            sight: rank::RankedLock::new(peer_sight::PeerSight::default()),
             routes: rank::RankedLock::new(sync::Arc::default()),
             directory: rank::RankedLock::new(directory::EndpointDirectory::new(zones)),
             batches: rank::RankedLock::new(batcher::BatchTable::default()),
@@ -120,16 +119,12 @@
     ) -> (ids::NodeId, Option<net::SocketAddr>) {
         let own = &self.context.settings.node;
         let now = time::Instant::now();
-        let shunned: Vec<_> = {
-            let mut shunned = self.shunned.lock();
-            shunned.retain(|_, until| *until > now);
-            shunned.keys().cloned().collect()
-        };
         let members = self.context.tables.members.lock();
+        let sight = self.sight.lock();
         let serving = |record: &&types::MemberRecord| {
             record.region == *region
                 && record.node_phase == types::NodePhase::Serving
-                && !shunned.contains(&record.node)
+                && !sight.is_shunned(&record.node, now)
         };
         let candidates = members.live().filter(serving).map(|record| {
             (rendezvous::OwnerCandidate::new(record.node.clone()).score(service), record)
@@ -141,11 +136,6 @@
         }
     }
 
-    /// Passes over a node that did not answer, for a while.
-    pub fn shun(&self, node: &ids::NodeId) {
-        self.shunned.lock().insert(node.clone(), time::Instant::now() + SHUN_TIME);
-    }
-
     /// Waits until the node knows routes and endpoints.
     pub async fn informed(&self) {
         loop {
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -5,7 +5,6 @@
 
 use super::{attempt_send, call_plan, produced_chunks, region_choice, stage_run, state};
 use crate::{failure, http_client, http_message};
-use comfreyspread_platform::answer;
 use comfreyspread_policy::{attempt, directory, event_buffer, verdict};
 use comfreyspread_schema::{ids, types};
 use futures_lite::io;
@@ -51,11 +50,9 @@
     if !answer.response.status().is_success() {
         return whole(&run.plan, answer).await;
     }
-    let (mut head, ()) = http::Response::new(()).into_parts();
-    head.status = answer.response.status();
-    head.headers = answer::forwarded(answer.response.head());
-    let body = produced_chunks::ProducedChunks::body(|sender| run.pass_on(answer, sender));
-    Ok(http_message::Response::from_parts(head, body))
+    let mut response = attempt_send::passed_on(&answer.response, bytes::Bytes::new());
+    response.set_body(produced_chunks::ProducedChunks::body(|sender| run.pass_on(answer, sender)));
+    Ok(response)
 }
 
 /// Reads an answer that is not a stream.
@@ -71,10 +68,7 @@
         failure::CallFailure::new(types::ProblemKind::Timeout, "no whole answer in time")
             .with_verdict(types::CallVerdict::MayHaveRun)
     })??;
-    let (mut head, ()) = http::Response::new(()).into_parts();
-    head.status = answer.response.status();
-    head.headers = answer::forwarded(answer.response.head());
-    Ok(http_message::Response::from_parts(head, body.into()))
+    Ok(attempt_send::passed_on(&answer.response, body))
 }
 
 /// A streamed request and its attempts.
@@ -134,7 +128,7 @@
         self.verdict = self.verdict.with_outcome(failed.failure.verdict());
         if failed.inputs_gone {
             self.stages.lose_outputs()?;
-            return Ok(self.takes_repeat());
+            return Ok(self.plan.takes_repeat(&self.state));
         }
         let Some(endpoint) = &failed.endpoint else { return Ok(false) };
         if failed.failure.crashed()
@@ -145,7 +139,7 @@
         self.tried.push(endpoint.clone());
         if failed.failure.verdict() == types::CallVerdict::NotRun {
             self.refusals += 1;
-            return Ok(self.refusals < MOST_REFUSALS && self.takes_repeat());
+            return Ok(self.refusals < MOST_REFUSALS && self.plan.takes_repeat(&self.state));
         }
         self.runs += 1;
         Ok(self.may_resume())
@@ -153,15 +147,7 @@
 
     fn may_resume(&self) -> bool {
         let allowed = self.plan.is_repeatable() && self.runs < self.plan.route.attempts;
-        allowed && self.takes_repeat()
-    }
-
-    /// Takes one repeat from the budget, if the request has time for it.
-    fn takes_repeat(&self) -> bool {
-        let now = time::Instant::now();
-        let nodes = self.state.sharing_nodes();
-        !self.plan.left(now).is_zero()
-            && self.state.repeats.lock().take(&self.plan.service.name, nodes, now)
+        allowed && self.plan.takes_repeat(&self.state)
     }
 
     /// Passes the events of an answer on, and those of further attempts where that is allowed.
--- a/crates/comfreyspread/src/http_server.rs
+++ b/crates/comfreyspread/src/http_server.rs
@@ -357,7 +357,8 @@
 
     /// Tells a caller whose head could not be read why.
     async fn refuse(self, fault: RequestFault) -> Result<(), hyper::Error> {
-        let stream = server_stream::RefusalStream::new(self.stream.clone());
+        let patience = self.limits.body_timeout;
+        let stream = server_stream::ServerStream::for_refusal(self.stream.clone(), patience);
         let answer = service::service_fn(|_| async {
             let mut response = self.handler.refuse(fault);
             response.insert_header("connection", "close");
--- a/crates/comfreyspread/src/rank.rs
+++ b/crates/comfreyspread/src/rank.rs
@@ -51,8 +51,8 @@
     BatchRank = 46;
     /// Rank of the waits at stage services.
     WaitRank = 47;
-    /// Rank of the nodes that are passed over for a while.
-    ShunRank = 49;
+    /// Rank of what was seen of nodes that batch.
+    SightRank = 49;
     /// Rank of the shared budget of repeats.
     RepeatRank = 48;
     /// Rank of the pools' queues and limits.
--- a/crates/comfreyspread/src/server_stream.rs
+++ b/crates/comfreyspread/src/server_stream.rs
@@ -9,6 +9,8 @@
 use futures_lite::{AsyncRead, AsyncWrite, io};
 use std::{pin, sync, sync::atomic, task, time};
 
+const PLAIN_REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: node\r\nconnection: close\r\n\r\n";
+
 /// Whether a request has been handed to its handler.
 #[derive(Clone, Debug, Default)]
 pub struct ServedMark {
@@ -34,12 +36,21 @@
     mark: ServedMark,
     patience: time::Duration,
     late: Option<deadline::DeadlineTimer>,
+    canned: Option<&'static [u8]>,
 }
 
 impl ServerStream {
     /// Creates a stream that waits up to `patience` for a reader that takes nothing.
     pub fn new(stream: TcpStream, mark: ServedMark, patience: time::Duration) -> Self {
-        Self { stream, mark, patience, late: None }
+        Self { stream, mark, patience, late: None, canned: None }
+    }
+
+    /// Creates a stream that yields one plain request and writes its answer to `stream`: so the
+    /// library encodes the answer to a request that it could not read.
+    pub fn for_refusal(stream: TcpStream, patience: time::Duration) -> Self {
+        let mark = ServedMark::default();
+        mark.set();
+        Self { canned: Some(PLAIN_REQUEST), ..Self::new(stream, mark, patience) }
     }
 
     fn bound<Output>(
@@ -66,7 +77,10 @@
         cx: &mut task::Context<'_>,
         buffer: &mut [u8],
     ) -> task::Poll<io::Result<usize>> {
-        pin::Pin::new(&mut self.stream).poll_read(cx, buffer)
+        match &mut self.canned {
+            Some(canned) => pin::Pin::new(canned).poll_read(cx, buffer),
+            None => pin::Pin::new(&mut self.stream).poll_read(cx, buffer),
+        }
     }
 }
 
@@ -112,51 +126,3 @@
         pin::Pin::new(&mut self.stream).poll_close(cx)
     }
 }
-
-/// A request that is read again and again from memory, to encode answers to unreadable ones.
-#[derive(Debug)]
-pub struct RefusalStream {
-    request: &'static [u8],
-    stream: TcpStream,
-}
-
-impl RefusalStream {
-    /// Creates a stream that yields one plain request and writes its answer to `stream`.
-    pub fn new(stream: TcpStream) -> Self {
-        Self { request: b"GET / HTTP/1.1\r\nhost: node\r\nconnection: close\r\n\r\n", stream }
-    }
-}
-
-impl AsyncRead for RefusalStream {
-    fn poll_read(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-        buffer: &mut [u8],
-    ) -> task::Poll<io::Result<usize>> {
-        pin::Pin::new(&mut self.request).poll_read(cx, buffer)
-    }
-}
-
-impl AsyncWrite for RefusalStream {
-    fn poll_write(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-        bytes: &[u8],
-    ) -> task::Poll<io::Result<usize>> {
-        pin::Pin::new(&mut self.stream).poll_write(cx, bytes)
-    }
-
-    fn poll_flush(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_close(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(&mut self.stream).poll_close(cx)
-    }
-}
