Give the node's modules rooms

Cause: 60 flat files, read as one heap; the http, log and platform parts were added to it. Change: eight rooms (transport, runtime, membership, claiming, declaring, ingress, ownership, operations) beside gateway; names and contents of the modules stay. Result: clippy and the crate's tests pass; no behaviour changes. What stays: the native rooms still meet in runtime::context, so arrows between them run both ways there.

--- a/crates/comfreyspread-lab/src/bench.rs
+++ b/crates/comfreyspread-lab/src/bench.rs
@@ -4,7 +4,10 @@
 //! and through nodes take turns in one run, so that a busy machine burdens both alike.
 
 use crate::{caller, deployment, process, tally, types, usage};
-use comfreyspread::{failure, header, http_client, http_message, worker};
+use comfreyspread::{
+    runtime::worker,
+    transport::{failure, header, http_client, http_message},
+};
 use comfreyspread_schema::{ids, types as wire};
 use futures_lite::StreamExt as _;
 use miette::IntoDiagnostic as _;
--- a/crates/comfreyspread-lab/src/call_log.rs
+++ b/crates/comfreyspread-lab/src/call_log.rs
@@ -4,7 +4,7 @@
 //! over an incomplete log can tell.
 
 use crate::types;
-use comfreyspread::rank;
+use comfreyspread::runtime::rank;
 use std::time;
 
 /// Place of a call in the log.
--- a/crates/comfreyspread-lab/src/caller.rs
+++ b/crates/comfreyspread-lab/src/caller.rs
@@ -1,6 +1,6 @@
 //! A caller: makes requests as a service or an operator would.
 
-use comfreyspread::{failure, header, http_client, http_message};
+use comfreyspread::transport::{failure, header, http_client, http_message};
 use comfreyspread_schema::ids;
 use http::Method;
 use std::{net, time};
--- a/crates/comfreyspread-lab/src/configuration_report.rs
+++ b/crates/comfreyspread-lab/src/configuration_report.rs
@@ -2,7 +2,7 @@
 
 use crate::{caller, deployment, process, types};
 use async_io::Timer;
-use comfreyspread::operator;
+use comfreyspread::operations::operator;
 use comfreyspread_policy::{catalog, delta, validation};
 use comfreyspread_schema::types as wire;
 use hdrhistogram::Histogram;
--- a/crates/comfreyspread-lab/src/driver.rs
+++ b/crates/comfreyspread-lab/src/driver.rs
@@ -2,7 +2,7 @@
 //! through nodes that are ready, and send it again through another node as a balancer would.
 
 use crate::{caller, stand_in};
-use comfreyspread::{failure, header, http_client, http_message};
+use comfreyspread::transport::{failure, header, http_client, http_message};
 use comfreyspread_schema::{ids, types as wire};
 use futures_lite::{FutureExt as _, StreamExt as _};
 use std::{
--- a/crates/comfreyspread-lab/src/endpoints.rs
+++ b/crates/comfreyspread-lab/src/endpoints.rs
@@ -5,7 +5,10 @@
 //! `POST /faults` takes a [`types::EndpointFaults`].
 
 use crate::{call_log, serving, stand_in, types};
-use comfreyspread::{http_message, http_server, worker};
+use comfreyspread::{
+    runtime::worker,
+    transport::{http_message, http_server},
+};
 use comfreyspread_schema::{ids, types as wire};
 use http::{Method, StatusCode};
 use indexmap::IndexMap;
--- a/crates/comfreyspread-lab/src/fleet.rs
+++ b/crates/comfreyspread-lab/src/fleet.rs
@@ -5,7 +5,11 @@
 
 use crate::{process, serving};
 use base64::{Engine as _, engine::general_purpose};
-use comfreyspread::{gateway::produced_chunks, http_message, http_server, rank, worker};
+use comfreyspread::{
+    gateway::produced_chunks,
+    runtime::{rank, worker},
+    transport::{http_message, http_server},
+};
 use comfreyspread_schema::ids;
 use futures_lite::FutureExt as _;
 use http::{Method, StatusCode};
@@ -221,12 +225,12 @@
     /// Fails if it does not within some seconds.
     pub async fn ready(&self) -> miette::Result<()> {
         const LIMIT: time::Duration = time::Duration::from_secs(20);
-        let client = comfreyspread::http_client::HttpClient::new(1024);
+        let client = comfreyspread::transport::http_client::HttpClient::new(1024);
         let until = time::Instant::now() + LIMIT;
         while time::Instant::now() < until {
             let url = format!("http://{}/v1/ready", self.ready);
             let request = http_message::Request::new(Method::GET, &url);
-            let connection = comfreyspread::http_client::ConnectionUse::Fresh;
+            let connection = comfreyspread::transport::http_client::ConnectionUse::Fresh;
             let answer = client.call(self.ready, request, connection, until).await;
             if answer.is_ok_and(|answer| answer.status() == 200) {
                 return Ok(());
--- a/crates/comfreyspread-lab/src/main.rs
+++ b/crates/comfreyspread-lab/src/main.rs
@@ -3,7 +3,7 @@
 //! The lab plays every role of a small deployment, each in a process of its own. For the role of a
 //! node it hands over to the product's own command line.
 
-use comfreyspread::{command, worker};
+use comfreyspread::{operations::command, runtime::worker};
 use comfreyspread_lab::{
     bench, claim_bench, configuration_report, endpoints, platform, quickstart, relay, replay,
     slopes,
--- a/crates/comfreyspread-lab/src/platform.rs
+++ b/crates/comfreyspread-lab/src/platform.rs
@@ -5,7 +5,10 @@
 
 use crate::{serving, types};
 use async_io::Timer;
-use comfreyspread::{http_message, http_server, rank, worker};
+use comfreyspread::{
+    runtime::{rank, worker},
+    transport::{http_message, http_server},
+};
 use comfreyspread_schema::{ids, types as wire};
 use http::{Method, StatusCode};
 use indexmap::IndexMap;
--- a/crates/comfreyspread-lab/src/process.rs
+++ b/crates/comfreyspread-lab/src/process.rs
@@ -1,6 +1,6 @@
 //! Child processes of the lab: stand-ins and nodes, each the lab's own program in another role.
 
-use comfreyspread::rank;
+use comfreyspread::runtime::rank;
 use miette::IntoDiagnostic as _;
 use std::{env, fs, net, process, sync, time};
 
--- a/crates/comfreyspread-lab/src/quickstart.rs
+++ b/crates/comfreyspread-lab/src/quickstart.rs
@@ -1,7 +1,7 @@
 //! A first look: starts a small deployment, serves requests and reports what happened.
 
 use crate::{caller, deployment, driver, endpoints, process, types};
-use comfreyspread::header;
+use comfreyspread::transport::header;
 use comfreyspread_schema::{ids, types as wire};
 use miette::IntoDiagnostic as _;
 use std::{env, fs, path, time};
--- a/crates/comfreyspread-lab/src/relay.rs
+++ b/crates/comfreyspread-lab/src/relay.rs
@@ -13,7 +13,10 @@
 use crate::{serving, types};
 use async_io::Timer;
 use async_net::{TcpListener, TcpStream};
-use comfreyspread::{header, http_message, http_server, rank, worker};
+use comfreyspread::{
+    runtime::{rank, worker},
+    transport::{header, http_message, http_server},
+};
 use comfreyspread_schema::ids;
 use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, future};
 use http::{Method, StatusCode};
--- a/crates/comfreyspread-lab/src/replay.rs
+++ b/crates/comfreyspread-lab/src/replay.rs
@@ -4,7 +4,7 @@
 //! have to be reached, each a file under `samples`.
 
 use crate::{caller, deployment, driver, fault, plot, process, report, tally, trace, types, usage};
-use comfreyspread::worker;
+use comfreyspread::runtime::worker;
 use comfreyspread_schema::{ids, types as wire};
 use futures_lite::future;
 use miette::IntoDiagnostic as _;
--- a/crates/comfreyspread-lab/src/serving.rs
+++ b/crates/comfreyspread-lab/src/serving.rs
@@ -1,6 +1,10 @@
 //! Running a stand-in as a process of its own.
 
-use comfreyspread::{front, http_body, http_message, http_server, worker};
+use comfreyspread::{
+    ingress::front,
+    runtime::worker,
+    transport::{http_body, http_message, http_server},
+};
 use futures_lite::StreamExt as _;
 use http::StatusCode;
 use miette::{Context as _, IntoDiagnostic as _};
--- a/crates/comfreyspread-lab/src/slopes.rs
+++ b/crates/comfreyspread-lab/src/slopes.rs
@@ -4,7 +4,7 @@
 //! seconds. A relay without delay counts the bytes of each node.
 
 use crate::{caller, deployment, driver, process, types, usage};
-use comfreyspread::worker;
+use comfreyspread::runtime::worker;
 use comfreyspread_schema::{ids, types as wire};
 use miette::IntoDiagnostic as _;
 use std::{env, fs, process as system, sync, time};
--- a/crates/comfreyspread-lab/src/stand_in.rs
+++ b/crates/comfreyspread-lab/src/stand_in.rs
@@ -6,7 +6,10 @@
 
 use crate::{call_log, fault, serving, types};
 use async_io::Timer;
-use comfreyspread::{header, http_body, http_message, http_server, rank, worker};
+use comfreyspread::{
+    runtime::{rank, worker},
+    transport::{header, http_body, http_message, http_server},
+};
 use comfreyspread_schema::{ids, types as wire};
 use http::StatusCode;
 use rand::{Rng as _, SeedableRng as _, rngs};
--- a/crates/comfreyspread-lab/tests/claims.rs
+++ b/crates/comfreyspread-lab/tests/claims.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use comfreyspread::{failure, header, http_client};
+use comfreyspread::transport::{failure, header, http_client};
 use comfreyspread_lab::{caller, deployment, endpoints, types};
 use comfreyspread_schema::{ids, types as wire};
 use rustix::process::Signal;
--- a/crates/comfreyspread-lab/tests/commands.rs
+++ b/crates/comfreyspread-lab/tests/commands.rs
@@ -4,7 +4,7 @@
 #[path = "common/operator.rs"]
 mod operator;
 
-use comfreyspread::operator_exit;
+use comfreyspread::operations::operator_exit;
 use comfreyspread_schema::types as wire;
 use std::process;
 
--- a/crates/comfreyspread-lab/tests/common/mod.rs
+++ b/crates/comfreyspread-lab/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Small deployments for tests that run separate processes.
 #![allow(dead_code, reason = "each test file uses a part")]
 
-use comfreyspread::{failure, header, http_client};
+use comfreyspread::transport::{failure, header, http_client};
 use comfreyspread_lab::{caller, deployment, fault, types};
 use comfreyspread_schema::{ids, types as wire};
 use futures_util::future as futures;
--- a/crates/comfreyspread-lab/tests/configuration.rs
+++ b/crates/comfreyspread-lab/tests/configuration.rs
@@ -4,7 +4,7 @@
 #[path = "common/operator.rs"]
 mod operator;
 
-use comfreyspread::http_message;
+use comfreyspread::transport::http_message;
 use comfreyspread_lab::{deployment, types};
 use comfreyspread_schema::{ids, types as wire};
 use rustix::process::Signal;
--- a/crates/comfreyspread-lab/tests/platform_path.rs
+++ b/crates/comfreyspread-lab/tests/platform_path.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use comfreyspread::{http_client, http_message};
+use comfreyspread::transport::{http_client, http_message};
 use comfreyspread_lab::{fleet, fleet::FleetKind};
 use std::{net, path, sync::atomic::Ordering, time};
 
@@ -47,7 +47,7 @@
     })
 }
 
-async fn new_fleet(pool: &comfreyspread::worker::WorkerPool) -> fleet::FleetStandIn {
+async fn new_fleet(pool: &comfreyspread::runtime::worker::WorkerPool) -> fleet::FleetStandIn {
     let endpoints = [
         ("ledger-1", "ledger", FleetKind::Plain),
         ("ledger-2", "ledger", FleetKind::Plain),
@@ -94,7 +94,7 @@
     Test: FnOnce(fleet::FleetStandIn, fleet::FleetNode) -> Work,
     Work: Future<Output = ()>,
 {
-    let pool = comfreyspread::worker::WorkerPool::new(2).expect("threads");
+    let pool = comfreyspread::runtime::worker::WorkerPool::new(2).expect("threads");
     common::run(async {
         let fleet = new_fleet(&pool).await;
         let node = fleet.start_node(&program(), "node-1", &[]).await.expect("a node");
@@ -229,7 +229,7 @@
 /// Pieces of requests from two nodes share calls, inputs are handed on, and results are freed.
 #[test]
 fn pieces_shared() {
-    let pool = comfreyspread::worker::WorkerPool::new(2).expect("threads");
+    let pool = comfreyspread::runtime::worker::WorkerPool::new(2).expect("threads");
     common::run(async {
         let fleet = new_fleet(&pool).await;
         let first = fleet.start_node(&program(), "node-1", &[]).await.expect("a node");
@@ -269,7 +269,7 @@
 /// A node that the store does not answer takes routes from a node that it does, also at its start.
 #[test]
 fn store_away() {
-    let pool = comfreyspread::worker::WorkerPool::new(2).expect("threads");
+    let pool = comfreyspread::runtime::worker::WorkerPool::new(2).expect("threads");
     common::run(async {
         let fleet = new_fleet(&pool).await;
         let first = fleet.start_node(&program(), "node-1", &[]).await.expect("a node");
--- a/crates/comfreyspread-lab/tests/poison.rs
+++ b/crates/comfreyspread-lab/tests/poison.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use comfreyspread::header;
+use comfreyspread::transport::header;
 use comfreyspread_lab::{caller, deployment, types};
 use futures_util::future;
 use std::time;
--- a/crates/comfreyspread-lab/tests/stand_in_records.rs
+++ b/crates/comfreyspread-lab/tests/stand_in_records.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use comfreyspread::{header, http_client, http_message};
+use comfreyspread::transport::{header, http_client, http_message};
 use comfreyspread_lab::deployment;
 use comfreyspread_schema::types as wire;
 use futures_lite::AsyncReadExt as _;
--- a/crates/comfreyspread-lab/tests/streams.rs
+++ b/crates/comfreyspread-lab/tests/streams.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use comfreyspread::{header, http_client};
+use comfreyspread::transport::{header, http_client};
 use comfreyspread_lab::{caller, deployment, types};
 use std::time;
 
--- a/crates/comfreyspread-lab/tests/thin_path.rs
+++ b/crates/comfreyspread-lab/tests/thin_path.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use comfreyspread::header;
+use comfreyspread::transport::header;
 use comfreyspread_lab::deployment;
 use std::{path, time};
 
--- a/crates/comfreyspread/src/claim_table.rs
+++ b/crates/comfreyspread/src/claiming/claim_table.rs
@@ -3,7 +3,7 @@
 //! The table keeps two requests with the same key from racing at one node, and holds an outcome
 //! until the store has it. Whether a request may be sent is decided by the store alone.
 
-use crate::failure;
+use crate::transport::failure;
 use comfreyspread_policy::claim;
 use comfreyspread_schema::{ids, types};
 use indexmap::IndexMap;
--- a/crates/comfreyspread/src/claim_writes.rs
+++ b/crates/comfreyspread/src/claiming/claim_writes.rs
@@ -4,7 +4,7 @@
 //! that wait by then, so the transactions a node makes grow with the store's delay and not with the
 //! node's load. Nothing is held back to fill a group.
 
-use crate::{context, rank};
+use crate::runtime::{context, rank};
 use comfreyspread_policy::{claim, write_group};
 use comfreyspread_schema::types;
 use std::sync;
--- a/crates/comfreyspread/src/claims.rs
+++ b/crates/comfreyspread/src/claiming/claims.rs
@@ -5,7 +5,12 @@
 //! caller goes away, and it stays in the node's claim table until the store has its last row, so a
 //! graceful stop waits for it.
 
-use crate::{claim_table, claim_writes, context, failure, http_client, plan, problem, tally};
+use crate::{
+    claiming::{claim_table, claim_writes},
+    ingress::plan,
+    runtime::context,
+    transport::{failure, http_client, problem, tally},
+};
 use comfreyspread_policy::{claim, settlement};
 use comfreyspread_schema::{ids, types};
 use rand::Rng as _;
--- a/crates/comfreyspread/src/acceptance.rs
+++ b/crates/comfreyspread/src/declaring/acceptance.rs
@@ -3,7 +3,12 @@
 //! The node that staged the change tells every other node of the revision; each answers once it
 //! has brought it into force. A node that cannot be reached is told again until the wait is over.
 
-use crate::{configuration, contact, context, http_client, peer};
+use crate::{
+    declaring::configuration,
+    membership::{contact, peer},
+    runtime::context,
+    transport::http_client,
+};
 use comfreyspread_policy::change;
 use comfreyspread_schema::{ids, types};
 use futures_lite::FutureExt as _;
--- a/crates/comfreyspread/src/configuration.rs
+++ b/crates/comfreyspread/src/declaring/configuration.rs
@@ -6,7 +6,12 @@
 //! whoever is behind fetches the document from a peer. So a node can start while the store is down
 //! if any peer is up, and the load on the store does not grow with the number of nodes.
 
-use crate::{contact, context, failure, head, http_client, peer};
+use crate::{
+    declaring::head,
+    membership::{contact, peer},
+    runtime::context,
+    transport::{failure, http_client},
+};
 use comfreyspread_policy::{catalog, delta, poller};
 use comfreyspread_schema::{ids, types};
 use rand::seq::SliceRandom as _;
--- a/crates/comfreyspread/src/declarations.rs
+++ b/crates/comfreyspread/src/declaring/declarations.rs
@@ -3,7 +3,7 @@
 //! The ending of a file's name states its format. Several files are read as one: each list is the
 //! lists of all files one after another, and validation refuses a name that stands twice.
 
-use crate::operator_exit;
+use crate::operations::operator_exit;
 use comfreyspread_schema::{ids, types};
 use std::{fs, path};
 
--- a/crates/comfreyspread/src/head.rs
+++ b/crates/comfreyspread/src/declaring/head.rs
@@ -4,7 +4,10 @@
 //! the latest changes. Small declarations are in the row; large ones are an object named by its
 //! digest, so that a poll which finds nothing new reads only a short row.
 
-use crate::{context, failure, platform};
+use crate::{
+    runtime::{context, platform},
+    transport::failure,
+};
 use comfreyspread_policy::change;
 use comfreyspread_schema::{ids, types};
 use sha2::Digest as _;
--- a/crates/comfreyspread/src/gateway/attempt_send.rs
+++ b/crates/comfreyspread/src/gateway/attempt_send.rs
@@ -2,7 +2,7 @@
 //! checked.
 
 use super::{call_plan, state};
-use crate::{failure, http_client, http_message};
+use crate::transport::{failure, http_client, http_message};
 use comfreyspread_platform::{answer, call};
 use comfreyspread_policy::{attempt, directory};
 use comfreyspread_schema::{ids, types};
--- a/crates/comfreyspread/src/gateway/batcher.rs
+++ b/crates/comfreyspread/src/gateway/batcher.rs
@@ -4,7 +4,7 @@
 //! it. The decisions are [`batch_queue`]'s.
 
 use super::state;
-use crate::{http_client, http_message};
+use crate::transport::{http_client, http_message};
 use comfreyspread_platform::{answer, piece};
 use comfreyspread_policy::{batch_group, batch_queue, batch_worker, directory};
 use comfreyspread_schema::{ids, types};
--- a/crates/comfreyspread/src/gateway/call_plan.rs
+++ b/crates/comfreyspread/src/gateway/call_plan.rs
@@ -1,7 +1,7 @@
 //! What is known of a caller's request before its first attempt.
 
 use super::state;
-use crate::{client_connection, failure};
+use crate::transport::{client_connection, failure};
 use comfreyspread_policy::{route_table, suspect};
 use comfreyspread_schema::{ids, types};
 use std::{io, net, sync, time};
--- a/crates/comfreyspread/src/gateway/entry.rs
+++ b/crates/comfreyspread/src/gateway/entry.rs
@@ -1,7 +1,7 @@
 //! Callers' requests: reading them, and answering each one way or the other.
 
 use super::{call_plan, plain_run, state, stream_run};
-use crate::{failure, http_message, http_server};
+use crate::transport::{failure, http_message, http_server};
 use comfreyspread_platform::call;
 use comfreyspread_schema::{ids, types};
 use futures_lite::FutureExt as _;
--- a/crates/comfreyspread/src/gateway/piece_send.rs
+++ b/crates/comfreyspread/src/gateway/piece_send.rs
@@ -1,7 +1,10 @@
 //! Pieces on their way to the node that batches their service, and the messages for it.
 
 use super::{batcher, state, table_follow};
-use crate::{failure, http_client, http_message, http_server, peer};
+use crate::{
+    membership::peer,
+    transport::{failure, http_client, http_message, http_server},
+};
 use comfreyspread_policy::{batch_group, peer_sight};
 use comfreyspread_schema::{ids, types};
 use futures_lite::FutureExt as _;
--- a/crates/comfreyspread/src/gateway/plain_run.rs
+++ b/crates/comfreyspread/src/gateway/plain_run.rs
@@ -1,7 +1,7 @@
 //! Requests with one whole answer.
 
 use super::{attempt_send, call_plan, state};
-use crate::{failure, http_client, http_message};
+use crate::transport::{failure, http_client, http_message};
 use comfreyspread_policy::{attempt, directory, verdict};
 use comfreyspread_schema::{ids, types};
 use std::sync;
--- a/crates/comfreyspread/src/gateway/process.rs
+++ b/crates/comfreyspread/src/gateway/process.rs
@@ -1,7 +1,11 @@
 //! The node process on the users' platform: start, serve, drain, stop.
 
 use super::{endpoint_follow, entry, piece_send, ready, route_follow, state, table_follow};
-use crate::{context, heartbeat, http_server, logs, node, peer, settings, worker};
+use crate::{
+    membership::{heartbeat, peer},
+    runtime::{context, logs, node, settings, worker},
+    transport::http_server,
+};
 use async_signal::{Signal, Signals};
 use comfreyspread_platform::machine;
 use comfreyspread_policy::life;
--- a/crates/comfreyspread/src/gateway/produced_chunks.rs
+++ b/crates/comfreyspread/src/gateway/produced_chunks.rs
@@ -2,7 +2,7 @@
 //!
 //! Dropping the body, as when the caller goes away, cancels the work that produces it.
 
-use crate::http_body;
+use crate::transport::http_body;
 use futures_lite::io;
 use std::{pin, task};
 
--- a/crates/comfreyspread/src/gateway/ready.rs
+++ b/crates/comfreyspread/src/gateway/ready.rs
@@ -1,7 +1,7 @@
 //! The platform's questions whether a node is ready, and metrics.
 
 use super::state;
-use crate::{http_message, http_server};
+use crate::transport::{http_message, http_server};
 use http::StatusCode;
 use std::sync;
 
--- a/crates/comfreyspread/src/gateway/stage_run.rs
+++ b/crates/comfreyspread/src/gateway/stage_run.rs
@@ -1,7 +1,7 @@
 //! Having the stages of a request made.
 
 use super::{call_plan, piece_send, state};
-use crate::failure;
+use crate::transport::failure;
 use comfreyspread_platform::piece;
 use comfreyspread_policy::{batch_group, batch_queue, stage_graph};
 use comfreyspread_schema::{ids, types};
--- a/crates/comfreyspread/src/gateway/state.rs
+++ b/crates/comfreyspread/src/gateway/state.rs
@@ -1,6 +1,9 @@
 //! What every part of the platform's front end needs.
 
-use crate::{context, http_client, rank};
+use crate::{
+    runtime::{context, rank},
+    transport::http_client,
+};
 use comfreyspread_policy::{
     directory, peer_sight, rendezvous, repeat_budget, route_table, wait_table,
 };
--- a/crates/comfreyspread/src/gateway/store_client.rs
+++ b/crates/comfreyspread/src/gateway/store_client.rs
@@ -1,6 +1,6 @@
 //! Client of the platform's metadata store.
 
-use crate::{failure, http_client, http_message};
+use crate::transport::{failure, http_client, http_message};
 use comfreyspread_platform::store;
 use comfreyspread_schema::types;
 use std::{net, time};
@@ -107,7 +107,7 @@
         let mut request = http_message::Request::new(method, &url);
         if let Some(body) = body {
             request.set_body(body);
-            request.insert_header("content-type", crate::header::JSON);
+            request.insert_header("content-type", crate::transport::header::JSON);
         }
         let connection = http_client::ConnectionUse::Shared;
         let deadline = time::Instant::now() + patience;
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -4,7 +4,7 @@
 //! another endpoint behind the last event passed on, within the answer that has begun.
 
 use super::{attempt_send, call_plan, produced_chunks, region_choice, stage_run, state};
-use crate::{failure, http_client, http_message};
+use crate::transport::{failure, http_client, http_message};
 use comfreyspread_policy::{attempt, directory, event_buffer, verdict};
 use comfreyspread_schema::{ids, types};
 use futures_lite::io;
--- a/crates/comfreyspread/src/gateway/table_follow.rs
+++ b/crates/comfreyspread/src/gateway/table_follow.rs
@@ -2,7 +2,10 @@
 //! store does not answer this node, other nodes are asked for what they know.
 
 use super::{state, store_client};
-use crate::{failure, http_client, http_message, http_server, peer};
+use crate::{
+    membership::peer,
+    transport::{failure, http_client, http_message, http_server},
+};
 use comfreyspread_policy::table_mirror;
 use comfreyspread_schema::types;
 use rand::{Rng as _, seq::IteratorRandom as _};
--- a/crates/comfreyspread/src/call_run.rs
+++ b/crates/comfreyspread/src/ingress/call_run.rs
@@ -1,6 +1,10 @@
 //! Attempts at one call until it is answered or must fail.
 
-use crate::{context, deadline as deadlines, dispatch, failure, plan};
+use crate::{
+    ingress::{dispatch, plan},
+    runtime::context,
+    transport::{deadline as deadlines, failure},
+};
 use comfreyspread_policy::{retry, suspect, verdict};
 use comfreyspread_schema::{ids, types};
 use futures_util::future;
--- a/crates/comfreyspread/src/caller_stream.rs
+++ b/crates/comfreyspread/src/ingress/caller_stream.rs
@@ -4,7 +4,10 @@
 //! After that a failure is an event `error` with the problem as its data, and a stream is whole only
 //! if it closes with the event `end`.
 
-use crate::{failure, frames, http_message, pipeline, problem, stream_run, tally};
+use crate::{
+    ingress::{frames, pipeline, stream_run},
+    transport::{failure, http_message, problem, tally},
+};
 use comfreyspread_schema::types;
 
 const TOKEN_EVENT: &str = "token";
--- a/crates/comfreyspread/src/dispatch.rs
+++ b/crates/comfreyspread/src/ingress/dispatch.rs
@@ -1,8 +1,11 @@
 //! Sending one call from the ingress node to the owner of an endpoint.
 
 use crate::{
-    context, deadline as deadlines, failure, frame_source, frames, http_body, http_client, owner,
-    owners, peer,
+    ingress::{frame_source, frames},
+    membership::peer,
+    ownership::{owner, owners},
+    runtime::context,
+    transport::{deadline as deadlines, failure, http_body, http_client},
 };
 use comfreyspread_policy::routing;
 use comfreyspread_schema::{ids, types};
@@ -83,7 +86,7 @@
     let mut response = opened.map_err(|failure| failure.with_crashed(false))?;
     let status: u16 = response.status().into();
     if status != u16::from(http::StatusCode::OK) {
-        let verdict = response.header(crate::header::VERDICT);
+        let verdict = response.header(crate::transport::header::VERDICT);
         return Err(peer::refused(status, verdict));
     }
     Ok(response.take_body())
--- a/crates/comfreyspread/src/frame_source.rs
+++ b/crates/comfreyspread/src/ingress/frame_source.rs
@@ -3,7 +3,7 @@
 //! The task that wants the next frame runs the producer until there is one. So a frame costs no
 //! change of tasks, and dropping the source cancels the work.
 
-use crate::frames;
+use crate::ingress::frames;
 use comfreyspread_schema::types;
 use std::{fmt, future, pin, task};
 
--- a/crates/comfreyspread/src/frames.rs
+++ b/crates/comfreyspread/src/ingress/frames.rs
@@ -6,7 +6,8 @@
 //! without it was cut.
 
 use crate::{
-    deadline as deadlines, failure, frame_source, header, http_body, http_message, produced_body,
+    ingress::frame_source,
+    transport::{deadline as deadlines, failure, header, http_body, http_message, produced_body},
 };
 use comfreyspread_policy::stream;
 use comfreyspread_schema::types;
--- a/crates/comfreyspread/src/front.rs
+++ b/crates/comfreyspread/src/ingress/front.rs
@@ -1,8 +1,11 @@
 //! HTTP towards callers and operators.
 
 use crate::{
-    caller_stream, claim_table, claims, context, failure, header, http_message, http_server,
-    operator, pipeline, plan, problem, tally,
+    claiming::{claim_table, claims},
+    ingress::{caller_stream, pipeline, plan},
+    operations::operator,
+    runtime::context,
+    transport::{failure, header, http_message, http_server, problem, tally},
 };
 use comfreyspread_schema::{ids, types};
 use futures_lite::FutureExt as _;
--- a/crates/comfreyspread/src/pipeline.rs
+++ b/crates/comfreyspread/src/ingress/pipeline.rs
@@ -1,6 +1,10 @@
 //! Running the stages of a pipeline, or one call of a service, under one deadline.
 
-use crate::{call_run, context, failure, plan};
+use crate::{
+    ingress::{call_run, plan},
+    runtime::context,
+    transport::failure,
+};
 use comfreyspread_schema::{ids, types};
 use serde_json::value;
 use std::{sync, time};
--- a/crates/comfreyspread/src/plan.rs
+++ b/crates/comfreyspread/src/ingress/plan.rs
@@ -1,6 +1,6 @@
 //! A caller's request with its profile resolved.
 
-use crate::{context, failure};
+use crate::{runtime::context, transport::failure};
 use comfreyspread_schema::{ids, types};
 use std::{sync, time};
 
--- a/crates/comfreyspread/src/stream_run.rs
+++ b/crates/comfreyspread/src/ingress/stream_run.rs
@@ -1,6 +1,9 @@
 //! The streamed last stage of a pipeline, resumed elsewhere when its endpoint is lost.
 
-use crate::{call_run, dispatch, failure, frames, pipeline, plan};
+use crate::{
+    ingress::{call_run, dispatch, frames, pipeline, plan},
+    transport::failure,
+};
 use comfreyspread_policy::stream;
 use comfreyspread_schema::{ids, types};
 use std::time;
--- a/crates/comfreyspread/src/contact.rs
+++ b/crates/comfreyspread/src/membership/contact.rs
@@ -1,6 +1,6 @@
 //! The other nodes that this node can address.
 
-use crate::context;
+use crate::runtime::context;
 use comfreyspread_policy::{acceptance, member};
 use comfreyspread_schema::{ids, types};
 use indexmap::IndexSet;
--- a/crates/comfreyspread/src/handover.rs
+++ b/crates/comfreyspread/src/membership/handover.rs
@@ -4,7 +4,12 @@
 //! number from the endpoint where no former owner told it. A node that released endpoints tells
 //! their next owner, with the calls that still run, until the last of them has ended.
 
-use crate::{context, failure, heartbeat, http_client, http_message, peer, pool_changes, settings};
+use crate::{
+    membership::{heartbeat, peer},
+    ownership::pool_changes,
+    runtime::{context, settings},
+    transport::{failure, http_client, http_message},
+};
 use comfreyspread_policy::{contact, member, ownership, ownership_action};
 use comfreyspread_schema::{ids, types};
 use http::Method;
--- a/crates/comfreyspread/src/heartbeat.rs
+++ b/crates/comfreyspread/src/membership/heartbeat.rs
@@ -5,7 +5,11 @@
 //! carries a bounded number of recent changes, so its size does not grow with the deployment. What
 //! an answered probe or a changed view means is decided by the tables of the policy crate.
 
-use crate::{context, failure, handover, http_client, peer, rank, settings};
+use crate::{
+    membership::{handover, peer},
+    runtime::{context, rank, settings},
+    transport::{failure, http_client},
+};
 use comfreyspread_policy::{contact, member, membership, ownership_action};
 use comfreyspread_schema::{ids, types};
 use futures_util::future;
--- a/crates/comfreyspread/src/peer.rs
+++ b/crates/comfreyspread/src/membership/peer.rs
@@ -5,8 +5,13 @@
 //! be decoded, is refused without any effect, so the sender may count the call as not run.
 
 use crate::{
-    configuration, context, dump, failure, frames, handover, header, heartbeat, http_client,
-    http_message, http_server, owner, problem,
+    declaring::configuration,
+    ingress::frames,
+    membership::{handover, heartbeat},
+    operations::dump,
+    ownership::owner,
+    runtime::context,
+    transport::{failure, header, http_client, http_message, http_server, problem},
 };
 use comfreyspread_schema::types;
 use futures_lite::FutureExt as _;
--- a/crates/comfreyspread/src/vms.rs
+++ b/crates/comfreyspread/src/membership/vms.rs
@@ -3,7 +3,7 @@
 //! The time between two reads grows with the list, so that its bytes stay within a part of what a
 //! node may spend on control.
 
-use crate::context;
+use crate::runtime::context;
 use comfreyspread_schema::types;
 use std::{sync, time};
 
--- a/crates/comfreyspread/src/command.rs
+++ b/crates/comfreyspread/src/operations/command.rs
@@ -1,7 +1,9 @@
 //! The command line.
 
 use crate::{
-    declaration_verbs, gateway, logs, node, operator_exit, service_verbs, settings, state_verbs,
+    gateway,
+    operations::{declaration_verbs, operator_exit, service_verbs, state_verbs},
+    runtime::{logs, node, settings},
 };
 use comfreyspread_schema::settings as schema_settings;
 use indexmap::IndexMap;
--- a/crates/comfreyspread/src/declaration_verbs.rs
+++ b/crates/comfreyspread/src/operations/declaration_verbs.rs
@@ -1,6 +1,9 @@
 //! Commands on declarations: `validate`, `diff` and `apply`.
 
-use crate::{declarations, operator_client, operator_exit, service_verbs};
+use crate::{
+    declaring::declarations,
+    operations::{operator_client, operator_exit, service_verbs},
+};
 use comfreyspread_policy::{comparison, validation};
 use comfreyspread_schema::{ids, types};
 use std::{process, time};
--- a/crates/comfreyspread/src/dump.rs
+++ b/crates/comfreyspread/src/operations/dump.rs
@@ -1,6 +1,6 @@
 //! Dump of the whole state of a process, on request.
 
-use crate::{context, pool_changes};
+use crate::{ownership::pool_changes, runtime::context};
 use comfreyspread_policy::{catalog, ownership_life};
 use comfreyspread_schema::{ids, types};
 use std::time;
--- /dev/null
+++ b/crates/comfreyspread/src/operations/mod.rs
@@ -0,0 +1,10 @@
+//! Operators: commands, and what a node answers to them.
+
+pub mod command;
+pub mod declaration_verbs;
+pub mod dump;
+pub mod operator;
+pub mod operator_client;
+pub mod operator_exit;
+pub mod service_verbs;
+pub mod state_verbs;
--- a/crates/comfreyspread/src/operator.rs
+++ b/crates/comfreyspread/src/operations/operator.rs
@@ -4,8 +4,12 @@
 //! settles a lost answer by reading back, and waits for acceptance.
 
 use crate::{
-    acceptance, configuration, contact, context, dump, failure, front, head, http_client,
-    http_message, http_server, peer,
+    declaring::{acceptance, configuration, head},
+    ingress::front,
+    membership::{contact, peer},
+    operations::dump,
+    runtime::context,
+    transport::{failure, http_client, http_message, http_server},
 };
 use comfreyspread_policy::change;
 use comfreyspread_schema::{ids, types};
--- a/crates/comfreyspread/src/operator_client.rs
+++ b/crates/comfreyspread/src/operations/operator_client.rs
@@ -1,6 +1,9 @@
 //! Client of a node for the operators' commands.
 
-use crate::{http_client, http_message, operator, operator_exit};
+use crate::{
+    operations::{operator, operator_exit},
+    transport::{http_client, http_message},
+};
 use comfreyspread_schema::{ids, types};
 use http::Method;
 use std::{env, net, time};
--- a/crates/comfreyspread/src/service_verbs.rs
+++ b/crates/comfreyspread/src/operations/service_verbs.rs
@@ -1,6 +1,6 @@
 //! Commands that take zones and VMs out of service and back: `zone` and `vm`.
 
-use crate::{operator_client, operator_exit};
+use crate::operations::{operator_client, operator_exit};
 use comfreyspread_schema::{ids, types};
 use indexmap::IndexMap;
 use std::{env, process, str, time};
--- a/crates/comfreyspread/src/state_verbs.rs
+++ b/crates/comfreyspread/src/operations/state_verbs.rs
@@ -1,6 +1,6 @@
 //! Commands that show state: `status` of all nodes, `dump` of one, and `claims`.
 
-use crate::{operator_client, operator_exit, service_verbs};
+use crate::operations::{operator_client, operator_exit, service_verbs};
 use comfreyspread_schema::{ids, types};
 use indexmap::IndexMap;
 use std::process;
--- a/crates/comfreyspread/src/endpoint.rs
+++ b/crates/comfreyspread/src/ownership/endpoint.rs
@@ -3,7 +3,10 @@
 //! An endpoint echoes the request id and the attempt of each call. An answer that echoes anything
 //! else is dropped, so an answer can never be handed to another request.
 
-use crate::{context, failure, header, http_client, http_message};
+use crate::{
+    runtime::context,
+    transport::{failure, header, http_client, http_message},
+};
 use comfreyspread_policy::{attempt, lifecycle};
 use comfreyspread_schema::{ids, types};
 use http::Method;
--- a/crates/comfreyspread/src/owner.rs
+++ b/crates/comfreyspread/src/ownership/owner.rs
@@ -3,7 +3,12 @@
 //! A call waits in the queue of its pool, takes a place at an endpoint, is sent, and its outcome
 //! goes back to the scheduler with the reply.
 
-use crate::{context, endpoint, failure, frame_source, frames, placement};
+use crate::{
+    ingress::{frame_source, frames},
+    ownership::{endpoint, placement},
+    runtime::context,
+    transport::failure,
+};
 use comfreyspread_policy::stream;
 use comfreyspread_schema::{ids, types};
 use std::{sync, time};
--- a/crates/comfreyspread/src/owners.rs
+++ b/crates/comfreyspread/src/ownership/owners.rs
@@ -1,6 +1,6 @@
 //! Owners that could take a call.
 
-use crate::{context, failure};
+use crate::{runtime::context, transport::failure};
 use comfreyspread_policy::{catalog, member, membership, rendezvous, routing};
 use comfreyspread_schema::{ids, types};
 use indexmap::IndexMap;
--- a/crates/comfreyspread/src/placement.rs
+++ b/crates/comfreyspread/src/ownership/placement.rs
@@ -3,7 +3,12 @@
 //! Right before a call is sent, the node checks once more that it still owns the endpoint and that
 //! operators let it take work; if not, the call goes back to the queue.
 
-use crate::{context, endpoint, failure, frames, pool_changes, slot};
+use crate::{
+    ingress::frames,
+    ownership::{endpoint, pool_changes, slot},
+    runtime::context,
+    transport::failure,
+};
 use comfreyspread_policy::{attempt, lifecycle, replica, stream};
 use comfreyspread_schema::{ids, types};
 use std::{sync, time};
--- a/crates/comfreyspread/src/pool_changes.rs
+++ b/crates/comfreyspread/src/ownership/pool_changes.rs
@@ -1,12 +1,12 @@
 //! Keeping the schedulers in step with the configuration and the ownership of endpoints.
 
-use crate::context;
+use crate::runtime::context;
 use comfreyspread_policy::catalog;
 use comfreyspread_schema::{ids, types};
 use indexmap::IndexSet;
 use std::{sync, time};
 
-/// Follows each change notified by [`crate::tables::SharedTables::changed`].
+/// Follows each change notified by [`crate::runtime::tables::SharedTables::changed`].
 pub async fn follow(context: sync::Arc<context::NodeContext>) {
     loop {
         let changed = context.tables.changed.listen();
--- a/crates/comfreyspread/src/slot.rs
+++ b/crates/comfreyspread/src/ownership/slot.rs
@@ -3,7 +3,11 @@
 //! Dropping a call that waits takes it out of the queue, so it is never sent. Dropping one that was
 //! sent counts it as given up on; its connection closes, so that the endpoint can cancel it.
 
-use crate::{context, deadline as deadlines, failure, pool_changes, pools};
+use crate::{
+    ownership::{pool_changes, pools},
+    runtime::context,
+    transport::{deadline as deadlines, failure},
+};
 use comfreyspread_policy::{lifecycle, replica, schedule};
 use comfreyspread_schema::{ids, types};
 use futures_lite::FutureExt as _;
--- a/crates/comfreyspread/src/context.rs
+++ b/crates/comfreyspread/src/runtime/context.rs
@@ -1,6 +1,10 @@
 //! What every part of a node needs: identity, settings, tables, clients and workers.
 
-use crate::{configuration, http_client, metrics, platform, settings, tables, tally, worker};
+use crate::{
+    declaring::configuration,
+    runtime::{metrics, platform, settings, tables, worker},
+    transport::{http_client, tally},
+};
 use comfreyspread_schema::{ids, types};
 use std::{fmt, sync, sync::atomic, time};
 
--- a/crates/comfreyspread/src/log_writer.rs
+++ b/crates/comfreyspread/src/runtime/log_writer.rs
@@ -3,7 +3,7 @@
 //! Lines go to a thread of their own. Where there are more than a stated number a second, or the
 //! reader does not keep up, lines are dropped and counted, and the count is written as a line.
 
-use crate::rank;
+use crate::runtime::rank;
 use std::{io, sync, sync::atomic, sync::mpsc, thread, time};
 
 /// Lines written in any second at most.
--- a/crates/comfreyspread/src/logs.rs
+++ b/crates/comfreyspread/src/runtime/logs.rs
@@ -3,7 +3,7 @@
 //! A line holds a time, a level, a short sentence that begins with the prefix of its part, and
 //! key-value pairs. Bodies are never logged.
 
-use crate::log_writer;
+use crate::runtime::log_writer;
 use log::kv;
 use miette::IntoDiagnostic as _;
 use std::fmt;
--- a/crates/comfreyspread/src/metrics.rs
+++ b/crates/comfreyspread/src/runtime/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of a process, in the Prometheus text format.
 
-use crate::{pool_metrics, stage_metrics};
+use crate::runtime::{pool_metrics, stage_metrics};
 use comfreyspread_schema::types;
 use prometheus_client::{encoding, encoding::text, metrics, registry};
 use std::{fmt, time};
--- /dev/null
+++ b/crates/comfreyspread/src/runtime/mod.rs
@@ -0,0 +1,14 @@
+//! The process: settings, threads, shared tables behind ranked locks, logs and metrics.
+
+pub mod context;
+pub mod log_writer;
+pub mod logs;
+pub mod metrics;
+pub mod node;
+pub mod platform;
+pub mod pool_metrics;
+pub mod rank;
+pub mod settings;
+pub mod stage_metrics;
+pub mod tables;
+pub mod worker;
--- a/crates/comfreyspread/src/node.rs
+++ b/crates/comfreyspread/src/runtime/node.rs
@@ -1,8 +1,12 @@
 //! The node process: start, serve, drain, stop.
 
 use crate::{
-    configuration, context, front, heartbeat, http_server, peer, pool_changes, settings, vms,
-    worker,
+    declaring::configuration,
+    ingress::front,
+    membership::{heartbeat, peer, vms},
+    ownership::pool_changes,
+    runtime::{context, settings, worker},
+    transport::http_server,
 };
 use async_signal::{Signal, Signals};
 use comfreyspread_policy::life;
--- a/crates/comfreyspread/src/platform.rs
+++ b/crates/comfreyspread/src/runtime/platform.rs
@@ -3,7 +3,7 @@
 //! A transaction whose answer is lost may have taken effect; the failure's verdict says so, and
 //! the caller settles it by reading back.
 
-use crate::{failure, http_client, http_message};
+use crate::transport::{failure, http_client, http_message};
 use comfreyspread_schema::{ids, types};
 use http::Method;
 use std::{net, time};
--- a/crates/comfreyspread/src/pool_metrics.rs
+++ b/crates/comfreyspread/src/runtime/pool_metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of the pools whose endpoints a node owns.
 
-use crate::pools;
+use crate::ownership::pools;
 use comfreyspread_schema::{ids, types};
 use prometheus_client::{encoding, metrics, registry};
 use std::{fmt, time};
--- a/crates/comfreyspread/src/settings.rs
+++ b/crates/comfreyspread/src/runtime/settings.rs
@@ -4,7 +4,7 @@
 //! variable that carries the prefix and names no setting is a fault, since it is most likely
 //! misspelt.
 
-use crate::operator_client;
+use crate::operations::operator_client;
 use comfreyspread_platform::machine;
 use comfreyspread_schema::{ids, setting, settings};
 use indexmap::IndexMap;
--- a/crates/comfreyspread/src/tables.rs
+++ b/crates/comfreyspread/src/runtime/tables.rs
@@ -2,7 +2,12 @@
 //!
 //! Locks are taken in the order of [`rank`]: the order of the fields here.
 
-use crate::{claim_table, claim_writes, handover, heartbeat, pools, rank, settings};
+use crate::{
+    claiming::{claim_table, claim_writes},
+    membership::{handover, heartbeat},
+    ownership::pools,
+    runtime::{rank, settings},
+};
 use comfreyspread_policy::{
     catalog, link, membership, ownership, retry, routing, suspect, timing, vm_list,
 };
--- a/crates/comfreyspread/src/body.rs
+++ b/crates/comfreyspread/src/transport/body.rs
@@ -3,7 +3,7 @@
 //! Memory is counted against the budget as a body grows, not as its sender states it, so a caller
 //! that announces much and sends little holds little.
 
-use crate::http_body;
+use crate::transport::http_body;
 use std::{sync, sync::atomic};
 
 /// Why a body could not be read.
--- a/crates/comfreyspread/src/client_connection.rs
+++ b/crates/comfreyspread/src/transport/client_connection.rs
@@ -3,7 +3,7 @@
 //! The library's connection is polled by whoever waits for the exchange on it, so an idle
 //! connection costs no task, and dropping an exchange closes its connection.
 
-use crate::{http_body, http_message};
+use crate::transport::{http_body, http_message};
 use async_net::TcpStream;
 use hyper::client::conn::http1;
 use rustix::net::sockopt;
--- a/crates/comfreyspread/src/deadline.rs
+++ b/crates/comfreyspread/src/transport/deadline.rs
@@ -4,7 +4,7 @@
 //! node sets several for each call, and nearly all are dropped unfired. Here one thread sleeps until
 //! the earliest deadline, and setting a later one only takes a lock.
 
-use crate::rank;
+use crate::runtime::rank;
 use futures_util::task;
 use std::{cmp, collections, future, pin, sync, sync::atomic, thread, time};
 
--- a/crates/comfreyspread/src/http_client.rs
+++ b/crates/comfreyspread/src/transport/http_client.rs
@@ -4,7 +4,10 @@
 //! takes a fresh connection, so that a stale one cannot leave it in doubt.
 
 use crate::{
-    client_connection, deadline as deadlines, failure, header, http_body, http_message, rank,
+    runtime::rank,
+    transport::{
+        client_connection, deadline as deadlines, failure, header, http_body, http_message,
+    },
 };
 use comfreyspread_schema::{ids, types};
 use futures_lite::FutureExt as _;
--- a/crates/comfreyspread/src/http_message.rs
+++ b/crates/comfreyspread/src/transport/http_message.rs
@@ -9,7 +9,7 @@
 //! assert_eq!(request.header("host"), Some("127.0.0.1:80"));
 //! ```
 
-use crate::http_body;
+use crate::transport::http_body;
 use http::{Method, StatusCode, header};
 use std::mem;
 
--- a/crates/comfreyspread/src/http_server.rs
+++ b/crates/comfreyspread/src/transport/http_server.rs
@@ -4,7 +4,10 @@
 //! limits on time and size, an answer to malformed requests, and a way to notice that the caller
 //! went away.
 
-use crate::{body, deadline, http_body, http_message, server_stream, tally, worker};
+use crate::{
+    runtime::worker,
+    transport::{body, deadline, http_body, http_message, server_stream, tally},
+};
 use async_net::TcpStream;
 use futures_lite::{AsyncWriteExt as _, FutureExt as _, io};
 use hyper::{server::conn::http1, service};
--- /dev/null
+++ b/crates/comfreyspread/src/transport/mod.rs
@@ -0,0 +1,15 @@
+//! HTTP between processes: connections, messages, bodies, deadlines, and what a failure says.
+
+pub mod body;
+pub mod client_connection;
+pub mod deadline;
+pub mod failure;
+pub mod header;
+pub mod http_body;
+pub mod http_client;
+pub mod http_message;
+pub mod http_server;
+pub mod problem;
+pub mod produced_body;
+pub mod server_stream;
+pub mod tally;
--- a/crates/comfreyspread/src/problem.rs
+++ b/crates/comfreyspread/src/transport/problem.rs
@@ -1,6 +1,6 @@
 //! Problem bodies of refusals and failures (RFC 9457).
 
-use crate::failure;
+use crate::transport::failure;
 use comfreyspread_schema::{ids, types};
 
 /// Media type of problem bodies.
--- a/crates/comfreyspread/src/server_stream.rs
+++ b/crates/comfreyspread/src/transport/server_stream.rs
@@ -4,7 +4,7 @@
 //! answer, so that the server can send one that tells the caller more. It also bounds the wait for
 //! a reader that takes nothing.
 
-use crate::deadline;
+use crate::transport::deadline;
 use async_net::TcpStream;
 use futures_lite::{AsyncRead, AsyncWrite, io};
 use std::{pin, sync, sync::atomic, task, time};
--- a/crates/comfreyspread/tests/deadlines.rs
+++ b/crates/comfreyspread/tests/deadlines.rs
@@ -1,6 +1,6 @@
 //! Timers of calls.
 
-use comfreyspread::deadline;
+use comfreyspread::transport::deadline;
 use futures_lite::future;
 use std::time;
 
--- a/crates/comfreyspread/tests/declarations.rs
+++ b/crates/comfreyspread/tests/declarations.rs
@@ -1,6 +1,6 @@
 //! Decoding of declarations: no text brings a panic, and valid ones survive a round trip.
 
-use comfreyspread::declarations;
+use comfreyspread::declaring::declarations;
 use comfreyspread_policy::validation;
 use comfreyspread_schema::types;
 use declarations::FileFormat;
--- a/crates/comfreyspread/tests/frames.rs
+++ b/crates/comfreyspread/tests/frames.rs
@@ -1,7 +1,10 @@
 //! Streamed answers between nodes.
 
 use bolero::check;
-use comfreyspread::{frame_source, frames, http_client};
+use comfreyspread::{
+    ingress::{frame_source, frames},
+    transport::http_client,
+};
 use comfreyspread_schema::types;
 use futures_lite::{future, io};
 
--- a/crates/comfreyspread/tests/http_framing.rs
+++ b/crates/comfreyspread/tests/http_framing.rs
@@ -2,7 +2,10 @@
 //! one exchange never reach another.
 
 use async_net::{TcpListener, TcpStream};
-use comfreyspread::{failure, http_client, http_message, http_server, worker};
+use comfreyspread::{
+    runtime::worker,
+    transport::{failure, http_client, http_message, http_server},
+};
 use comfreyspread_schema::types;
 use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, future};
 use std::{net, sync, time};
--- a/crates/comfreyspread/tests/lock_order.rs
+++ b/crates/comfreyspread/tests/lock_order.rs
@@ -1,6 +1,6 @@
 //! The stated order of locks.
 
-use comfreyspread::rank;
+use comfreyspread::runtime::rank;
 use std::panic;
 
 #[test]
--- a/crates/comfreyspread/tests/log_writer.rs
+++ b/crates/comfreyspread/tests/log_writer.rs
@@ -1,6 +1,6 @@
 //! Log lines are dropped and counted rather than waited for.
 
-use comfreyspread::log_writer;
+use comfreyspread::runtime::log_writer;
 use std::{io, io::Write as _, sync, sync::mpsc, time};
 
 const PATIENCE: time::Duration = time::Duration::from_secs(5);
--- a/crates/comfreyspread/tests/settings.rs
+++ b/crates/comfreyspread/tests/settings.rs
@@ -1,6 +1,6 @@
 //! Settings from flags and environment variables.
 
-use comfreyspread::settings;
+use comfreyspread::runtime::settings;
 use comfreyspread_schema::settings as schema_settings;
 use indexmap::IndexMap;
 use std::{sync, time};
