--- a/crates/comfreyspread/src/transport/http_message.rs
+++ b/crates/comfreyspread/src/transport/http_message.rs
@@ -1,7 +1,7 @@
 //! HTTP requests and responses, whatever carries them.
 //!
 //! ```
-//! use comfreyspread::http_message;
+//! use comfreyspread::transport::http_message;
 //!
 //! let mut request = http_message::Request::new(http::Method::GET, "http://127.0.0.1:80/a?b=c");
 //! request.insert_header("accept", "text/plain");
