--- a/crates/comfreyspread/src/gateway/attempt_send.rs
+++ b/crates/comfreyspread/src/gateway/attempt_send.rs
@@ -111,6 +111,9 @@
         return Err(FailedAttempt { endpoint: None, address: None, failure, inputs_gone: false });
     };
     let mut open = OpenAttempt { state: state.clone(), chosen, started: now, ended: false };
+    log::info!(request = plan.call.request.as_ref(), attempt = input.number,
+        endpoint = open.chosen.endpoint.as_ref(), left_ms = plan.left(now).as_millis() as u64;
+        "attempt: sent");
     let request = request(plan, &open.chosen, input, now);
     let connection = if plan.is_repeatable() {
         http_client::ConnectionUse::Shared
--- a/crates/comfreyspread/src/gateway/batcher.rs
+++ b/crates/comfreyspread/src/gateway/batcher.rs
@@ -229,10 +229,10 @@
     let now = time::Instant::now();
     let took = now.saturating_duration_since(started);
     state.context.metrics.stages.count_call(&ending, call.orders.len(), took);
-    log::debug!(service = service.as_ref(), endpoint = call.endpoint.as_ref(),
-        pieces = call.orders.len(),
-        took_ms = took.as_millis() as u64;
-        "batcher: call ended. ending={ending:?}");
+    let (made, ended) = summary(&ending);
+    log::info!(service = service.as_ref(), endpoint = call.endpoint.as_ref(),
+        pieces = call.orders.len(), made = made, ended = ended,
+        took_ms = took.as_millis() as u64; "batcher: call ended");
     let mut unwanted = Vec::new();
     let mut batches = state.batches.lock();
     if let Some(batch) = batches.services.get_mut(service) {
@@ -243,6 +243,20 @@
     release(state, service, &unwanted);
 }
 
+/// Returns the pieces that a call made, and how it ended in a word.
+fn summary(ending: &batch_queue::BatchEnding) -> (usize, &'static str) {
+    match ending {
+        batch_queue::BatchEnding::Answered(outcomes) => {
+            let made =
+                |outcome: &&types::PieceOutcome| matches!(outcome, types::PieceOutcome::Made(_));
+            (outcomes.iter().filter(made).count(), "answered")
+        }
+        batch_queue::BatchEnding::Full => (0, "full"),
+        batch_queue::BatchEnding::Gone => (0, "gone"),
+        batch_queue::BatchEnding::Failed => (0, "failed"),
+    }
+}
+
 async fn send(
     state: &state::GatewayState,
     call: &batch_queue::PlannedCall,
--- a/crates/comfreyspread/src/gateway/stage_run.rs
+++ b/crates/comfreyspread/src/gateway/stage_run.rs
@@ -220,7 +220,7 @@
     let outcomes = piece_send::make(&state, &orders).await;
     state.context.metrics.stages.observe_stage(begun.elapsed());
     let request = orders.group.orders.first().map(|order| &*order.request);
-    log::debug!(request = request, stage = stage, service = orders.service.as_ref(),
+    log::info!(request = request, stage = stage, service = orders.service.as_ref(),
         region = orders.region.as_ref(), pieces = outcomes.len(),
         took_ms = begun.elapsed().as_millis() as u64; "stages: ended");
     (stage, outcomes)
