Serve without metrics where their port is taken

Cause: the node did not start if the port for metrics was taken; calls matter more than figures. Result: clippy passes; the line says what is missing.

--- a/crates/comfreyspread/src/gateway/process.rs
+++ b/crates/comfreyspread/src/gateway/process.rs
@@ -116,7 +116,9 @@
     start_ready(&state, state.machine.ready_address).await?;
     if let Some(port) = metrics_port {
         let address = net::SocketAddr::new(state.machine.ready_address.ip(), port);
-        start_ready(&state, address).await?;
+        if let Err(fault) = start_ready(&state, address).await {
+            log::error!("gateway: no metrics on {address}. error={fault}");
+        }
     }
     let extension = sync::Arc::new(piece_send::PieceExtension::new(state.clone()));
     let handler = peer::PeerHandler::new(context.clone()).with_extension(extension);
