Show a node's state on request, and drop what nothing reads

Cause: a dump was missing on the platform; fields, a write and a transaction were decoded or encoded for nobody; idle callers were let go after 30 s whatever the document allows them. Change: /dump, and the operators' commands, on the port for metrics; dead fields and calls gone.

--- a/crates/comfreyspread-lab/tests/platform_path.rs
+++ b/crates/comfreyspread-lab/tests/platform_path.rs
@@ -4,6 +4,7 @@
 
 use comfreyspread::transport::{http_client, http_message};
 use comfreyspread_lab::{fleet, fleet::FleetKind};
+use comfreyspread_schema::types as wire;
 use std::{net, path, sync::atomic::Ordering, time};
 
 const PATIENCE: time::Duration = time::Duration::from_secs(10);
@@ -329,3 +330,26 @@
         assert_eq!(node.process.wait(PATIENCE).await, Some(0));
     });
 }
+
+/// The state of a node can be asked for, by hand and with the operators' commands.
+#[test]
+fn state_shown() {
+    with_node(async |_fleet, node| {
+        let question = |path: &str| {
+            let url = format!("http://{}{path}", node.ready);
+            http_message::Request::new(http::Method::GET, &url)
+        };
+        let dump = answer(node.ready, question("/dump")).await;
+        let dump: wire::GatewayDump = serde_json::from_slice(dump.body()).expect("a dump");
+        assert_eq!((dump.routes_version, dump.endpoints.len()), (1, 6));
+        let metrics = answer(node.ready, question("/metrics")).await;
+        let text = String::from_utf8_lossy(metrics.body()).into_owned();
+        assert!(text.contains("comfreyspread_endpoints_known 6"), "{text}");
+        let node_address = node.ready.to_string();
+        let status = std::process::Command::new(program())
+            .args(["product", "status", "--node", &node_address])
+            .output()
+            .expect("the command runs");
+        assert!(String::from_utf8_lossy(&status.stdout).contains("node-1"), "{status:?}");
+    });
+}
--- a/crates/comfreyspread-policy/src/batch_queue.rs
+++ b/crates/comfreyspread-policy/src/batch_queue.rs
@@ -236,11 +236,6 @@
         call_time(&self.capacity, u32::try_from(pieces).unwrap_or(u32::MAX))
     }
 
-    /// Whether an endpoint is there that could be called.
-    pub fn has_workers(&self) -> bool {
-        !self.workers.is_empty()
-    }
-
     /// Returns the pieces that wait and the calls that run.
     pub fn load(&self) -> (usize, usize) {
         (self.groups.values().map(batch_group::QueuedGroup::waiting).sum(), self.calls.len())
--- a/crates/comfreyspread-policy/src/directory.rs
+++ b/crates/comfreyspread-policy/src/directory.rs
@@ -81,7 +81,7 @@
     }
 
     /// Whether it takes requests at all.
-    fn is_open(&self) -> bool {
+    pub fn is_open(&self) -> bool {
         !self.entry.leaving && !self.leaving
     }
 
@@ -193,9 +193,9 @@
         }
     }
 
-    /// Returns an endpoint.
-    pub fn endpoint(&self, endpoint: &ids::EndpointId) -> Option<&DirectoryEndpoint> {
-        self.endpoints.get(endpoint)
+    /// Returns all endpoints.
+    pub fn endpoints(&self) -> impl Iterator<Item = &DirectoryEndpoint> {
+        self.endpoints.values()
     }
 
     /// Returns the availability zone of the endpoint at an address.
--- a/crates/comfreyspread-policy/tests/route_table.rs
+++ b/crates/comfreyspread-policy/tests/route_table.rs
@@ -31,12 +31,7 @@
         regions: vec!["r".into()],
     };
     route_table::RouteTable::new(types::RouteDocument {
-        limits: types::CallerLimits {
-            body_bytes: 0,
-            header_bytes: 0,
-            header_timeout: std::time::Duration::ZERO,
-            idle_timeout: std::time::Duration::ZERO,
-        },
+        limits: types::CallerLimits { body_bytes: 0 },
         routes,
         services: Vec::new(),
         version: 3,
--- a/crates/comfreyspread/src/gateway/process.rs
+++ b/crates/comfreyspread/src/gateway/process.rs
@@ -21,6 +21,8 @@
 const UNREADY_GRACE: time::Duration = time::Duration::from_millis(2600);
 /// Time kept back of the time to stop, for the end of the process.
 const STOP_MARGIN: time::Duration = time::Duration::from_millis(700);
+/// Longest time that a caller's connection is idle, beyond what callers use.
+const IDLE_LIMIT_MS: &str = "120000";
 /// Longest wait for the last log lines.
 const LOG_DRAIN_LIMIT: time::Duration = time::Duration::from_millis(200);
 /// Descriptors that are not connections of callers.
@@ -97,7 +99,7 @@
         seeds: Some(seeds.join(",")),
         workers: Some("1".to_owned()),
         connection_limit: Some(connections.to_string()),
-        header_timeout_ms: Some("30000".to_owned()),
+        header_timeout_ms: Some(IDLE_LIMIT_MS.to_owned()),
         grace_ms: Some(UNREADY_GRACE.as_millis().to_string()),
         shutdown_ms: Some(shutdown.as_millis().to_string()),
         ..schema_settings::NodeFlags::default()
--- a/crates/comfreyspread/src/gateway/ready.rs
+++ b/crates/comfreyspread/src/gateway/ready.rs
@@ -1,10 +1,17 @@
-//! The platform's questions whether a node is ready, and metrics.
+//! The platform's questions whether a node is ready, metrics, and the node's state on request.
 
 use super::state;
-use crate::transport::{http_message, http_server};
+use crate::{
+    ingress::front,
+    operations::operator,
+    transport::{http_message, http_server},
+};
+use comfreyspread_policy::directory;
+use comfreyspread_schema::{ids, types};
 use http::StatusCode;
-use std::sync;
+use std::{sync, time};
 
+const DUMP_PATH: &str = "/dump";
 const METRICS_PATH: &str = "/metrics";
 const METRICS_MEDIA_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
@@ -18,6 +25,37 @@
     pub fn new(state: sync::Arc<state::GatewayState>) -> Self {
         Self { state }
     }
+
+    /// Returns the state of the node.
+    fn dump(&self) -> types::GatewayDump {
+        let state = &self.state;
+        let now = time::Instant::now();
+        let count = |number: usize| u64::try_from(number).unwrap_or(u64::MAX);
+        let endpoint = |one: &directory::DirectoryEndpoint| types::EndpointView {
+            address: one.entry.address,
+            cold: one.is_cold(now),
+            endpoint: one.entry.endpoint.clone(),
+            leaving: !one.is_open(),
+            running: one.running.into(),
+            service: one.entry.service.clone(),
+            zone: one.entry.zone.clone(),
+        };
+        let batch = |(service, (waiting, calls)): (&ids::EndpointService, (usize, usize))| {
+            let (waiting, calls) = (count(waiting), count(calls));
+            types::BatchView { calls, service: service.clone(), waiting }
+        };
+        let members = state.context.tables.members.lock().live().cloned().collect();
+        let endpoints = state.directory.lock().endpoints().map(endpoint).collect();
+        let batches = state.batches.lock().loads().map(batch).collect();
+        types::GatewayDump {
+            batches,
+            endpoints,
+            members,
+            node: state.machine.node.clone(),
+            phase: state.context.tables.phase(),
+            routes_version: state.routes().version(),
+        }
+    }
 }
 
 impl http_server::RequestHandler for ReadyHandler {
@@ -31,6 +69,12 @@
             response.insert_header("content-type", METRICS_MEDIA_TYPE);
             return response;
         }
+        if request.path() == DUMP_PATH {
+            return front::json(StatusCode::OK, &self.dump());
+        }
+        if request.path().starts_with(operator::PATH_PREFIX) {
+            return operator::serve(&self.state.context, &request).await;
+        }
         let ready = self.state.ready();
         http_message::Response::new(if ready {
             StatusCode::OK
--- a/crates/comfreyspread/src/gateway/store_client.rs
+++ b/crates/comfreyspread/src/gateway/store_client.rs
@@ -61,54 +61,29 @@
     /// Fails if the store does not answer, or refuses.
     pub async fn feed(&self, table: &str, version: u64) -> Result<StoreFeed, failure::CallFailure> {
         let path = store::feed_path(table, version, FEED_WAIT);
-        let answer = self.send(http::Method::GET, &path, None, FEED_WAIT + ANSWER_LIMIT).await?;
+        let answer = self.send(&path, FEED_WAIT + ANSWER_LIMIT).await?;
         if answer.status() == store::HISTORY_GONE_STATUS {
             return Ok(StoreFeed::HistoryGone);
         }
         decode(&answer).map(StoreFeed::Changes)
     }
 
-    /// Writes a row, whatever stands there.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the store does not answer, or refuses; the row may be written then.
-    pub async fn write(
-        &self,
-        table: &str,
-        key: &str,
-        value: &[u8],
-    ) -> Result<(), failure::CallFailure> {
-        let body = store::encode_write(table, key, value).map_err(|fault| {
-            failure::CallFailure::new(types::ProblemKind::Internal, fault.to_string())
-        })?;
-        let path = store::TRANSACTION_PATH;
-        let answer = self.send(http::Method::POST, path, Some(body), ANSWER_LIMIT).await?;
-        check(&answer)
-    }
-
     async fn read_page(
         &self,
         table: &str,
         first: Option<&str>,
     ) -> Result<types::StorePage, failure::CallFailure> {
         let path = store::page_path(table, first);
-        decode(&self.send(http::Method::GET, &path, None, ANSWER_LIMIT).await?)
+        decode(&self.send(&path, ANSWER_LIMIT).await?)
     }
 
     async fn send(
         &self,
-        method: http::Method,
         path: &str,
-        body: Option<Vec<u8>>,
         patience: time::Duration,
     ) -> Result<http_client::ClientAnswer, failure::CallFailure> {
         let url = format!("http://{}{path}", self.address);
-        let mut request = http_message::Request::new(method, &url);
-        if let Some(body) = body {
-            request.set_body(body);
-            request.insert_header("content-type", crate::transport::header::JSON);
-        }
+        let request = http_message::Request::new(http::Method::GET, &url);
         let connection = http_client::ConnectionUse::Shared;
         let deadline = time::Instant::now() + patience;
         self.client.call(self.address, request, connection, deadline).await
--- a/crates/comfreyspread/src/transport/http_message.rs
+++ b/crates/comfreyspread/src/transport/http_message.rs
@@ -139,11 +139,6 @@
         mem::replace(&mut self.body, http_body::MessageBody::empty())
     }
 
-    /// Whether the connection is to be closed after the response.
-    pub fn wants_close(&self) -> bool {
-        self.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"))
-    }
-
     /// Returns the response as the library takes it.
     pub fn into_http(self) -> http::Response<http_body::MessageBody> {
         http::Response::from_parts(self.head, self.body)
