Finish a stop whatever signals follow, and spread prompts that share nothing

Cause: while a node finished its requests, a second signal, also that of new settings, ended it at once and cut its streams; prompts without parts all counted as one prompt and went to one engine. Both found by tests that failed first (graceful_end with four signals, engines_spread). Ruled out: the platform's own grace, which had not passed. Change: further signals are logged and passed over; a prompt without parts has no affinity.

--- a/crates/comfreyspread-lab/tests/platform_path.rs
+++ b/crates/comfreyspread-lab/tests/platform_path.rs
@@ -227,6 +227,21 @@
     });
 }
 
+/// Requests whose prompts share nothing spread over the engines.
+#[test]
+fn engines_spread() {
+    with_node(async |fleet, node| {
+        let call =
+            |number: usize| send(node.front, request(node.front, "/chat/", &format!("r-{number}")));
+        futures_util::future::join_all((0..8).map(call)).await;
+        let records = fleet.records();
+        for engine in ["engine-1", "engine-2"] {
+            let count = records.iter().filter(|record| &*record.endpoint == engine).count();
+            assert!((2..=6).contains(&count), "{engine}: {count}");
+        }
+    });
+}
+
 /// Pieces of requests from two nodes share calls, inputs are handed on, and results are freed.
 #[test]
 fn pieces_shared() {
@@ -313,14 +328,23 @@
     });
 }
 
-/// A node that is told to stop says so, finishes what it has read, and ends by itself.
+/// A node that is told to stop, also twice and with new settings in between, says so, finishes what
+/// it has read, and ends by itself.
 #[test]
 fn graceful_end() {
     with_node(async |_fleet, mut node| {
         let stream = send(node.front, request(node.front, "/chat/", "r-1"));
         let stop = async {
             async_io::Timer::after(time::Duration::from_millis(30)).await;
-            node.process.signal(rustix::process::Signal::TERM);
+            for signal in [
+                rustix::process::Signal::HUP,
+                rustix::process::Signal::TERM,
+                rustix::process::Signal::HUP,
+                rustix::process::Signal::TERM,
+            ] {
+                node.process.signal(signal);
+                async_io::Timer::after(time::Duration::from_millis(5)).await;
+            }
         };
         let ((status, body), ()) = futures_lite::future::zip(stream, stop).await;
         assert_eq!((status, event_numbers(&body)), (200, ALL_EVENTS.to_vec()));
--- a/crates/comfreyspread/src/gateway/call_plan.rs
+++ b/crates/comfreyspread/src/gateway/call_plan.rs
@@ -165,13 +165,12 @@
     }
 
     /// Returns the hash of the beginning that the prompt shares with others: all listed parts but
-    /// the last, which is the request's own.
+    /// the last, which is the request's own. None if the prompt lists no part, or no engine runs it.
     pub fn prefix(&self) -> Option<ids::PrefixHash> {
         self.service.engine.as_ref()?;
         let parts = &self.call.parts;
         let shared = parts.len().checked_sub(2).and_then(|place| parts.get(place));
-        let part = shared.or_else(|| parts.last());
-        Some(part.map_or(0, |part| xxh3::xxh3_64(part.part.as_bytes())))
+        shared.or_else(|| parts.last()).map(|part| xxh3::xxh3_64(part.part.as_bytes()))
     }
 
     /// Returns a failure of a request that has not run, with a time to come back.
--- a/crates/comfreyspread/src/gateway/process.rs
+++ b/crates/comfreyspread/src/gateway/process.rs
@@ -13,7 +13,7 @@
 use futures_lite::{FutureExt as _, StreamExt as _};
 use indexmap::IndexMap;
 use miette::{Context as _, IntoDiagnostic as _};
-use std::{fs, net, process, sync, time};
+use std::{fs, future, net, process, sync, time};
 
 /// Where the settings file is if nothing names it.
 const DEFAULT_FILE: &str = "/etc/comfreyspread/settings.conf";
@@ -152,7 +152,7 @@
     let draining = serving.drain();
     node::set_phase(context, draining.phase());
     heartbeat::leave(context).await;
-    let whole = node::drain(context, &closer, &mut signals).await;
+    let whole = node::drain(context, &closer, pass_over(&mut signals)).await;
     peers.close();
     node::set_phase(context, draining.stop().phase());
     Ok(if whole { process::ExitCode::SUCCESS } else { process::ExitCode::FAILURE })
@@ -168,6 +168,14 @@
     }
 }
 
+/// Passes over signals, for ever: the platform kills a process that takes too long to stop.
+async fn pass_over(signals: &mut Signals) {
+    while let Some(signal) = signals.next().await {
+        log::info!("gateway: stopping already. signal={signal:?}");
+    }
+    future::pending().await
+}
+
 async fn start_front(
     state: &sync::Arc<state::GatewayState>,
 ) -> miette::Result<http_server::ServerCloser> {
--- a/crates/comfreyspread/src/runtime/node.rs
+++ b/crates/comfreyspread/src/runtime/node.rs
@@ -62,7 +62,10 @@
     let draining = serving.drain();
     set_phase(&context, draining.phase());
     heartbeat::leave(&context).await;
-    let whole = drain(&context, &closer, &mut signals).await;
+    let forced = async {
+        signals.next().await;
+    };
+    let whole = drain(&context, &closer, forced).await;
     peers.close();
     set_phase(&context, draining.stop().phase());
     Ok(if whole { process::ExitCode::SUCCESS } else { process::ExitCode::FAILURE })
@@ -135,12 +138,16 @@
     log::info!(phase = phase.to_string().as_str(); "node: phase changed");
 }
 
-/// Waits for the grace, then for all requests; returns whether all of them finished.
-pub async fn drain(
+/// Waits for the grace, then for all requests, unless `forced` ends first; returns whether all of
+/// them finished.
+pub async fn drain<Forced>(
     context: &context::NodeContext,
     closer: &http_server::ServerCloser,
-    signals: &mut Signals,
-) -> bool {
+    forced: Forced,
+) -> bool
+where
+    Forced: Future<Output = ()>,
+{
     let finished = async {
         async_io::Timer::after(context.settings.grace).await;
         closer.close();
@@ -153,7 +160,7 @@
         false
     };
     let forced = async {
-        signals.next().await;
+        forced.await;
         false
     };
     let whole = finished.or(late).or(forced).await;
