Count waiting calls before any answer has come

Cause: before its first answer an endpoint counted as taking no time, however many calls ran there, so the first in the list took all.

--- a/crates/comfreyspread-policy/src/directory.rs
+++ b/crates/comfreyspread-policy/src/directory.rs
@@ -13,6 +13,8 @@
 const NEW_WEIGHT: f64 = 0.2;
 /// Time in which an impression loses half of its weight.
 const FADE_HALF_LIFE: time::Duration = time::Duration::from_secs(4);
+/// Time that an answer is taken to need before any has come.
+const UNKNOWN_TIME: time::Duration = time::Duration::from_millis(100);
 /// Time that a failed call costs in a choice, beside its own.
 const FAILURE_COST: time::Duration = time::Duration::from_millis(600);
 /// How long an endpoint that refuses connections is passed over.
@@ -336,7 +338,7 @@
         let now = query.now;
         let known = candidates.iter().filter_map(|one| one.took.filter(|_| one.fade(now) > 0.1));
         let usual = known.fold(f64::INFINITY, f64::min);
-        let usual = if usual.is_finite() { usual } else { 0.0 };
+        let usual = if usual.is_finite() { usual } else { UNKNOWN_TIME.as_secs_f64() };
         let cost = |one: &DirectoryEndpoint| one.expected(usual, now) + self.way(one, query);
         if let Some(prefix) = query.prefix {
             return self.affine(candidates, prefix, &cost, query);
