Doubt missing entries only after an outage that others saw too

Ruled out: a feed that heard nothing (the rows came at 15.07 s from another node). Change: nodes say in a reply whether the store answers them; if it does, missing entries are gone.

--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -12,7 +12,8 @@
 //!   request, [`batch_queue`] of a stage service over [`batch_group`]
 //!   and [`batch_worker`], [`event_buffer`], [`repeat_budget`],
 //!   [`wait_table`], [`table_mirror`],
-//!   [`peer_sight`].
+//!   [`peer_sight`],
+//!   [`outage_doubt`].
 //! - The owner: [`schedule`] over [`queue`], [`replica`], [`lifecycle`], [`limit`], [`breaker`],
 //!   [`outlier`], [`choice`], [`latency`].
 //! - Members and ownership: [`membership`], [`contact`], [`rendezvous`], [`ownership`],
@@ -50,6 +51,7 @@
 pub mod link;
 pub mod member;
 pub mod membership;
+pub mod outage_doubt;
 pub mod outlier;
 pub mod ownership;
 pub mod ownership_action;
--- a/crates/comfreyspread/src/gateway/endpoint_follow.rs
+++ b/crates/comfreyspread/src/gateway/endpoint_follow.rs
@@ -1,23 +1,29 @@
 //! Following what endpoints register of themselves.
 
 use super::{state, table_follow};
+use crate::runtime::rank;
 use comfreyspread_platform::{entry, store};
-use comfreyspread_policy::directory;
+use comfreyspread_policy::{directory, outage_doubt};
 use comfreyspread_schema::{ids, types};
-use std::{
-    sync,
-    sync::{atomic, atomic::Ordering},
-    time,
-};
-
-/// Time after an outage in which entries may be missing of endpoints that live.
-const RETURN_TIME: time::Duration = time::Duration::from_millis(2200);
+use std::{sync, sync::atomic::Ordering, time};
 
 /// Follows the endpoints' table.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EndpointFollower {
-    /// Milliseconds from the node's start to the last moment without an answer of the store.
-    outage: atomic::AtomicU64,
+    doubt: rank::RankedLock<rank::DoubtRank, outage_doubt::OutageDoubt>,
+}
+
+impl EndpointFollower {
+    /// Creates a follower that knows of no outage.
+    pub fn new() -> Self {
+        Self { doubt: rank::RankedLock::new(outage_doubt::OutageDoubt::default()) }
+    }
+}
+
+impl Default for EndpointFollower {
+    fn default() -> Self {
+        Self::new()
+    }
 }
 
 impl table_follow::TableFollower for EndpointFollower {
@@ -30,11 +36,12 @@
         if first {
             log::info!(count = rows.len(); "endpoints: read");
         }
+        let doubtful = self.doubt.lock().is_doubtful(now);
         let mut doubted = Vec::new();
         for row in rows {
             match decode(&row) {
                 Some(entry) => insert(state, entry, first, now),
-                None if self.is_doubtful(state, now) => doubted.push(row),
+                None if doubtful => doubted.push(row),
                 None => remove(state, &row.key),
             }
         }
@@ -44,24 +51,11 @@
         }
     }
 
-    fn note_outage(&self, state: &state::GatewayState) {
-        self.outage.store(elapsed_ms(state).max(1), Ordering::Relaxed);
+    fn note_outage(&self, others: Option<bool>) {
+        self.doubt.lock().note_outage(others, time::Instant::now());
     }
 }
 
-impl EndpointFollower {
-    /// Whether an entry may be missing though its endpoint lives: the store was away just now.
-    fn is_doubtful(&self, state: &state::GatewayState, now: time::Instant) -> bool {
-        let outage = self.outage.load(Ordering::Relaxed);
-        let ended = state.started + time::Duration::from_millis(outage);
-        outage > 0 && now.saturating_duration_since(ended) < RETURN_TIME
-    }
-}
-
-fn elapsed_ms(state: &state::GatewayState) -> u64 {
-    u64::try_from(state.started.elapsed().as_millis()).unwrap_or(u64::MAX)
-}
-
 fn insert(
     state: &state::GatewayState,
     entry: types::EndpointEntry,
@@ -81,7 +75,7 @@
 
 /// Removes endpoints whose entries have not come back after an outage of the store.
 async fn remove_later(state: sync::Arc<state::GatewayState>, rows: Vec<types::StoreRow>) {
-    async_io::Timer::after(RETURN_TIME).await;
+    async_io::Timer::after(outage_doubt::RETURN_TIME).await;
     for row in rows {
         let back = {
             let mirrors = state.mirrors.lock();
--- a/crates/comfreyspread/src/gateway/route_follow.rs
+++ b/crates/comfreyspread/src/gateway/route_follow.rs
@@ -28,7 +28,7 @@
         }
     }
 
-    fn note_outage(&self, _state: &state::GatewayState) {}
+    fn note_outage(&self, _others: Option<bool>) {}
 }
 
 /// Brings a document into force if it is newer than the one that is.
--- a/crates/comfreyspread/src/gateway/state.rs
+++ b/crates/comfreyspread/src/gateway/state.rs
@@ -25,8 +25,8 @@
     pub context: sync::Arc<context::NodeContext>,
     /// What the platform said of the VM and the deployment.
     pub machine: types::MachineSettings,
-    /// Moment at which the node started.
-    pub started: time::Instant,
+    /// Whether the store answered this node the last time.
+    pub store_answers: atomic::AtomicBool,
     /// Copies of the store's tables.
     pub mirrors: rank::RankedLock<rank::MirrorRank, table_follow::TableMirrors>,
     /// Routes in force.
@@ -68,7 +68,7 @@
         let zones = machine.zones.iter();
         let zones = zones.map(|(zone, region)| (zone.as_str().into(), region.clone())).collect();
         Self {
-            started: time::Instant::now(),
+            store_answers: atomic::AtomicBool::new(false),
             mirrors: rank::RankedLock::new(table_follow::TableMirrors::default()),
             sight: rank::RankedLock::new(peer_sight::PeerSight::default()),
             routes: rank::RankedLock::new(sync::Arc::default()),
--- a/crates/comfreyspread/src/gateway/table_follow.rs
+++ b/crates/comfreyspread/src/gateway/table_follow.rs
@@ -9,7 +9,7 @@
 use comfreyspread_policy::table_mirror;
 use comfreyspread_schema::types;
 use rand::{Rng as _, seq::IteratorRandom as _};
-use std::{net, sync, time};
+use std::{net, sync, sync::atomic::Ordering, time};
 
 /// Path of a question for rows, answered by a [`types::TableReply`].
 pub const TABLE_PATH: &str = "/peer/tables";
@@ -32,8 +32,9 @@
     /// Takes in rows that have changed, or all of them at first.
     fn change(&self, state: &sync::Arc<state::GatewayState>, rows: Vec<types::StoreRow>);
 
-    /// Takes note that the store did not answer.
-    fn note_outage(&self, state: &state::GatewayState);
+    /// Takes note that the store did not answer; `others` is whether it answers another node, if one
+    /// could be asked.
+    fn note_outage(&self, others: Option<bool>);
 }
 
 /// Copies of the tables that are followed.
@@ -69,6 +70,7 @@
                     log::info!("store: answers again. table={name}");
                 }
                 answering = true;
+                state.store_answers.store(true, Ordering::Relaxed);
                 if changed {
                     async_io::Timer::after(CHANGE_PAUSE).await;
                 }
@@ -78,9 +80,9 @@
                     log::warn!("store: table not read. table={name} error={failure}");
                 }
                 answering = false;
-                follower.note_outage(&state);
                 state.context.metrics.stages.count_store_failure();
-                ask_peer(&state, &follower).await;
+                state.store_answers.store(false, Ordering::Relaxed);
+                follower.note_outage(ask_peer(&state, &follower).await);
                 let (least, most) = FAILURE_PAUSES;
                 let pause = rand::rng().random_range(least..most);
                 async_io::Timer::after(pause).await;
@@ -137,12 +139,16 @@
     }
 }
 
-/// Asks another node, drawn by chance, for rows that this one does not know.
-async fn ask_peer<Follower>(state: &sync::Arc<state::GatewayState>, follower: &Follower)
+/// Asks another node, drawn by chance, for rows that this one does not know; returns whether the
+/// store answers that node.
+async fn ask_peer<Follower>(
+    state: &sync::Arc<state::GatewayState>,
+    follower: &Follower,
+) -> Option<bool>
 where
     Follower: TableFollower,
 {
-    let Some(address) = any_peer(state) else { return };
+    let address = any_peer(state)?;
     let after = state.mirrors.lock().table(Follower::TABLE).version();
     let header = state.context.peer_header();
     let message = types::TableRequest { after, header, table: Follower::TABLE };
@@ -151,18 +157,20 @@
     let context = &state.context;
     let reply: Result<types::TableReply, _> =
         peer::exchange(context, address, TABLE_PATH, &message, connection, deadline).await;
-    match reply {
-        Ok(reply) if reply.known => {
-            let count = reply.rows.len();
-            if count > 0 {
-                log::info!(node = reply.header.node.as_ref(), rows = count;
-                    "store: rows taken from another node. table={}", Follower::NAME);
-            }
-            take_in(state, follower, reply.rows);
+    let reply = reply
+        .inspect_err(|failure| log::debug!("store: no rows from another node. error={failure}"))
+        .ok()?;
+    // What it knows of entries is taken in after its word on the store: that decides on removals.
+    follower.note_outage(Some(reply.answered));
+    if reply.known {
+        if !reply.rows.is_empty() {
+            log::info!(node = reply.header.node.as_ref(), rows = reply.rows.len(),
+                answered = reply.answered;
+                "store: rows taken from another node. table={}", Follower::NAME);
         }
-        Ok(_) => {}
-        Err(failure) => log::debug!("store: no rows from another node. error={failure}"),
+        take_in(state, follower, reply.rows);
     }
+    Some(reply.answered)
 }
 
 fn any_peer(state: &state::GatewayState) -> Option<net::SocketAddr> {
@@ -187,5 +195,6 @@
     let mirror = mirrors.table(message.table);
     let (rows, known) = (mirror.newer(message.after), mirror.is_read());
     drop(mirrors);
-    peer::encode_reply(&types::TableReply { header, known, rows })
+    let answered = state.store_answers.load(Ordering::Relaxed);
+    peer::encode_reply(&types::TableReply { answered, header, known, rows })
 }
