Let the system pick the stand-ins' ports

A probed port stays open in a child between fork and exec, and the stand-in binds it in the same process. Ruled out: the range of outgoing ports (32768 up) and two blocks taken at once (each stays bound). Change: the stand-ins bind port 0.

--- a/crates/comfreyspread-lab/src/fleet.rs
+++ b/crates/comfreyspread-lab/src/fleet.rs
@@ -21,6 +21,9 @@
 pub const HOST: &str = "fleet.example";
 /// Key of the only workspace.
 pub const KEY: &str = "fleet-key";
+/// The system picks the port, so that none has to be tried and let go before.
+const ANY_PORT: net::SocketAddr =
+    net::SocketAddr::new(net::IpAddr::V4(net::Ipv4Addr::LOCALHOST), 0);
 const CALL_TIME: time::Duration = time::Duration::from_millis(60);
 const EVENT_TIME: time::Duration = time::Duration::from_millis(10);
 const EVENTS: u64 = 6;
@@ -90,8 +93,7 @@
         endpoints: &[(&str, &str, FleetKind)],
     ) -> miette::Result<Self> {
         let store = sync::Arc::new(StoreHandler::default());
-        let store_address = process::free_address()?;
-        serving::start(store_address, store.clone(), spawner).await?;
+        let store_address = serving::start(ANY_PORT, store.clone(), spawner).await?;
         let mut fleet = Self {
             store,
             store_address,
@@ -111,16 +113,16 @@
     ///
     /// Fails if no port is free.
     pub async fn add(&mut self, name: &str, service: &str, kind: FleetKind) -> miette::Result<()> {
-        let address = process::free_address()?;
         let handler = sync::Arc::new(EndpointHandler {
             name: name.into(),
             kind,
-            address,
+            address: sync::OnceLock::new(),
             faults: FleetFaults::default(),
             busy: atomic::AtomicBool::new(false),
             records: self.records.clone(),
         });
-        serving::start(address, handler.clone(), &self.spawner).await?;
+        let address = serving::start(ANY_PORT, handler.clone(), &self.spawner).await?;
+        handler.address.get_or_init(|| address);
         self.endpoints.insert(name.into(), handler);
         let entry = serde_json::json!({
             "service": service, "address": address, "zone": "a", "slots": 4, "state": "ready",
@@ -351,7 +353,7 @@
 struct EndpointHandler {
     name: ids::EndpointId,
     kind: FleetKind,
-    address: net::SocketAddr,
+    address: sync::OnceLock<net::SocketAddr>,
     faults: FleetFaults,
     busy: atomic::AtomicBool,
     records: sync::Arc<FleetRecords>,
@@ -428,10 +430,11 @@
         self.busy.store(false, atomic::Ordering::Relaxed);
         let body: serde_json::Value = serde_json::from_slice(request.body()).unwrap_or_default();
         let items = body["items"].as_array().cloned().unwrap_or_default();
+        let address = self.address.get().map(ToString::to_string).unwrap_or_default();
         let made = items.iter().map(|item| {
             let (id, stage, piece) = (&item["id"], &item["stage"], &item["piece"]);
             let id = id.as_str().unwrap_or_default();
-            serde_json::json!({"handle": format!("{}/{id}-{stage}-{piece}", self.address)})
+            serde_json::json!({"handle": format!("{address}/{id}-{stage}-{piece}")})
         });
         serving::json(&serde_json::json!({"items": made.collect::<Vec<_>>()}))
     }
--- a/crates/comfreyspread-lab/src/serving.rs
+++ b/crates/comfreyspread-lab/src/serving.rs
@@ -14,7 +14,8 @@
 const CONNECTION_LIMIT: usize = 20_000;
 const PATIENCE: time::Duration = time::Duration::from_secs(600);
 
-/// Starts a server for `handler` on `address`.
+/// Starts a server for `handler` on `address`, or on any port if that has none; returns the address
+/// bound.
 ///
 /// # Errors
 ///
@@ -23,7 +24,7 @@
     address: net::SocketAddr,
     handler: sync::Arc<Handler>,
     spawner: &worker::TaskSpawner,
-) -> miette::Result<()>
+) -> miette::Result<net::SocketAddr>
 where
     Handler: http_server::RequestHandler,
 {
@@ -38,8 +39,9 @@
         .await
         .into_diagnostic()
         .wrap_err_with(|| format!("cannot serve on {address}"))?;
+    let bound = server.address().into_diagnostic()?;
     spawner.detach(server.serve());
-    Ok(())
+    Ok(bound)
 }
 
 /// Waits until the process is told to stop.
