Make one piece of what the platform's front end had written twice

Read of the whole change; behaviour stays. Cause and change, each: - plain and streamed requests kept the same log of attempts and read bodies alike: attempt_log and attempt_send::read_body serve both; - frames and chunks were two sources of the same kind: transport::produced_items serves both; - /metrics was answered twice: front::metrics; - an outage was noted twice a failure; the time left of pieces stood in each order and was derived again: it stands once in the message; - reactor timers on the path of each request, where the project has DeadlineTimer; two timers around one exchange of the client, now one; - regions were gathered anew for each stream, all groups were sorted to find the first, the calls of all cold endpoints were pruned at each choice, and the choice had three filters of one shape; - pieces made by a call were counted by two closures: BatchEnding::made.

--- a/crates/comfreyspread-lab/src/fleet.rs
+++ b/crates/comfreyspread-lab/src/fleet.rs
@@ -409,9 +409,10 @@
         response.set_body(produced_chunks::ProducedChunks::body(|sender| async move {
             for id in first..=EVENTS {
                 async_io::Timer::after(EVENT_TIME).await;
-                sender.send(format!("id: {id}\ndata: e{id}\n\n").into()).await.ok();
+                let event = format!("id: {id}\ndata: e{id}\n\n");
+                sender.send(Ok(event.into())).await.ok();
                 if id == cut_after {
-                    sender.send(format!("id: {}\nda", id + 1).into()).await.ok();
+                    sender.send(Ok(format!("id: {}\nda", id + 1).into())).await.ok();
                     async_io::Timer::after(EVENT_TIME).await;
                     return Err(io::ErrorKind::ConnectionAborted.into());
                 }
--- a/crates/comfreyspread-policy/src/batch_queue.rs
+++ b/crates/comfreyspread-policy/src/batch_queue.rs
@@ -36,6 +36,9 @@
 /// Speed that counts where no endpoint is there, in endpoints.
 const LEAST_SPEED: f64 = 0.1;
 
+/// Place of a group: late, not begun, rank, made elsewhere, moment.
+type GroupPlace = (bool, bool, u32, bool, time::Instant);
+
 #[derive(Debug)]
 struct RunningCall {
     endpoint: ids::EndpointId,
@@ -73,6 +76,25 @@
     Failed,
 }
 
+impl BatchEnding {
+    /// Returns how many pieces were made; none if the call failed as a whole.
+    pub fn made(&self) -> Option<usize> {
+        let Self::Answered(outcomes) = self else { return None };
+        let made = |outcome: &&types::PieceOutcome| matches!(outcome, types::PieceOutcome::Made(_));
+        Some(outcomes.iter().filter(made).count())
+    }
+
+    /// Returns how the call ended in a word, for logs.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::Full => "full",
+            Self::Gone => "gone",
+            Self::Failed => "failed",
+        }
+    }
+}
+
 /// Results that stand at their makers.
 #[derive(Debug)]
 struct KeptResult {
@@ -247,9 +269,10 @@
     }
 
     fn plan_one(&mut self, now: time::Instant) -> Option<PlannedCall> {
-        let order = self.order(None, now);
-        let first = &self.groups.get(order.first()?)?.group;
-        let endpoint = self.free_worker(first, now)?;
+        let first = self
+            .waiting_groups()
+            .min_by_key(|(number, queued)| (self.place(queued, None, now), **number));
+        let endpoint = self.free_worker(&first?.1.group, now)?;
         let zone = self.workers.get(&endpoint).map(|worker| worker.zone.clone());
         let room = self.room_left(&endpoint);
         let pieces = self.fill(&self.order(zone.as_ref(), now), room);
@@ -259,6 +282,12 @@
         Some(self.start(endpoint, pieces, now))
     }
 
+    fn waiting_groups(
+        &self,
+    ) -> impl Iterator<Item = (&batch_group::GroupNumber, &batch_group::QueuedGroup)> {
+        self.groups.iter().filter(|(_, queued)| queued.is_waiting())
+    }
+
     /// Returns the groups with pieces that wait, in the order in which they are served by an
     /// endpoint of `zone`, or of any.
     fn order(
@@ -266,25 +295,31 @@
         zone: Option<&ids::ZoneId>,
         now: time::Instant,
     ) -> Vec<batch_group::GroupNumber> {
-        let soonest = self.call_time(usize::try_from(self.capacity.batch).unwrap_or(1));
-        let waiting = self.groups.iter().filter(|(_, queued)| queued.is_waiting());
-        let mut order: Vec<_> = waiting
-            .map(|(number, queued)| {
-                let group = &queued.group;
-                let late = now + soonest > group.target;
-                let rank = if late { u32::MAX } else { group.priority };
-                let last =
-                    group.inputs_until.map_or(group.deadline, |until| until.min(group.deadline));
-                let moment = if late { last } else { group.target };
-                let elsewhere =
-                    zone.is_some() && group.zone.is_some() && group.zone.as_ref() != zone;
-                ((late, !queued.is_begun(), rank, elsewhere, moment), *number)
-            })
-            .collect();
+        let place = |(number, queued): (&batch_group::GroupNumber, _)| {
+            (self.place(queued, zone, now), *number)
+        };
+        let mut order: Vec<_> = self.waiting_groups().map(place).collect();
         order.sort_unstable();
         order.into_iter().map(|(_, number)| number).collect()
     }
 
+    /// Returns the place of a group; the least is served first by an endpoint of `zone`.
+    fn place(
+        &self,
+        queued: &batch_group::QueuedGroup,
+        zone: Option<&ids::ZoneId>,
+        now: time::Instant,
+    ) -> GroupPlace {
+        let group = &queued.group;
+        let soonest = self.call_time(usize::try_from(self.capacity.batch).unwrap_or(1));
+        let late = now + soonest > group.target;
+        let rank = if late { u32::MAX } else { group.priority };
+        let last = group.inputs_until.map_or(group.deadline, |until| until.min(group.deadline));
+        let moment = if late { last } else { group.target };
+        let elsewhere = zone.is_some() && group.zone.is_some() && group.zone.as_ref() != zone;
+        (late, !queued.is_begun(), rank, elsewhere, moment)
+    }
+
     /// Returns an endpoint for a call whose first pieces are of `first`.
     fn free_worker(
         &self,
--- a/crates/comfreyspread-policy/src/directory.rs
+++ b/crates/comfreyspread-policy/src/directory.rs
@@ -96,6 +96,17 @@
         self.cold_until.is_some_and(|until| until > now)
     }
 
+    /// Returns the calls of this node in the last second, while the endpoint was cold.
+    fn cold_calls(&self, now: time::Instant) -> u32 {
+        let recent = |call: &&time::Instant| now.saturating_duration_since(**call) < COLD_WINDOW;
+        u32::try_from(self.cold_calls.iter().filter(recent).count()).unwrap_or(u32::MAX)
+    }
+
+    fn note_cold_call(&mut self, now: time::Instant) {
+        self.cold_calls.retain(|call| now.saturating_duration_since(*call) < COLD_WINDOW);
+        self.cold_calls.push(now);
+    }
+
     fn fade(&self, now: time::Instant) -> f64 {
         let age = now.saturating_duration_since(self.noted).as_secs_f64();
         0.5_f64.powf(age / FADE_HALF_LIFE.as_secs_f64())
@@ -257,7 +268,7 @@
         let endpoint = self.endpoints.get_mut(&chosen)?;
         endpoint.running += 1;
         if endpoint.is_cold(query.now) {
-            endpoint.cold_calls.push(query.now);
+            endpoint.note_cold_call(query.now);
         }
         Some(ChosenEndpoint { endpoint: chosen, address: endpoint.entry.address, region })
     }
@@ -301,33 +312,28 @@
         }
     }
 
-    fn choose(&mut self, query: &EndpointQuery<'_>) -> Option<ids::EndpointId> {
+    fn choose(&self, query: &EndpointQuery<'_>) -> Option<ids::EndpointId> {
         let now = query.now;
-        for endpoint in self.endpoints.values_mut() {
-            endpoint.cold_calls.retain(|call| now.saturating_duration_since(*call) < COLD_WINDOW);
-        }
         let allowed = |endpoint: &&DirectoryEndpoint| {
             let region = self.region(&endpoint.entry.zone);
             query.regions.is_none_or(|regions| regions.contains(&region))
                 && !query.tried.contains(&endpoint.entry.endpoint)
         };
         let usable: Vec<_> = self.usable(query.service, None).filter(allowed).collect();
-        let warm = |endpoint: &&&DirectoryEndpoint| !endpoint.is_cold(now);
-        let awake = |endpoint: &&&DirectoryEndpoint| !endpoint.is_resting(now);
-        let bears = |endpoint: &&&DirectoryEndpoint| {
-            endpoint.cold_calls.len() < usize::try_from(query.cold_rate).unwrap_or(usize::MAX)
+        let is_awake = |endpoint: &DirectoryEndpoint| !endpoint.is_resting(now);
+        let is_open = |endpoint: &DirectoryEndpoint| {
+            !endpoint.is_cold(now) || endpoint.cold_calls(now) < query.cold_rate
         };
-        let first: Vec<_> = usable.iter().filter(warm).filter(awake).copied().collect();
-        if !first.is_empty() {
-            return name_of(self.best(&first, query));
-        }
-        let second: Vec<_> =
-            usable.iter().filter(|one| warm(one) || bears(one)).filter(awake).copied().collect();
-        if !second.is_empty() {
-            return name_of(self.best(&second, query));
-        }
-        let third: Vec<_> = usable.iter().filter(|one| warm(one) || bears(one)).copied().collect();
-        name_of(self.best(&third, query))
+        let tiers: [&dyn Fn(&DirectoryEndpoint) -> bool; 3] = [
+            &|endpoint| !endpoint.is_cold(now) && is_awake(endpoint),
+            &|endpoint| is_open(endpoint) && is_awake(endpoint),
+            &is_open,
+        ];
+        let tiers = tiers.into_iter().map(|belongs| {
+            usable.iter().copied().filter(|endpoint| belongs(endpoint)).collect::<Vec<_>>()
+        });
+        let candidates = tiers.into_iter().find(|tier| !tier.is_empty())?;
+        self.best(&candidates, query).map(|endpoint| endpoint.entry.endpoint.clone())
     }
 
     fn best<'directory>(
@@ -380,7 +386,3 @@
         cost.as_secs_f64()
     }
 }
-
-fn name_of(endpoint: Option<&DirectoryEndpoint>) -> Option<ids::EndpointId> {
-    endpoint.map(|endpoint| endpoint.entry.endpoint.clone())
-}
--- a/crates/comfreyspread/src/gateway/attempt_send.rs
+++ b/crates/comfreyspread/src/gateway/attempt_send.rs
@@ -191,6 +191,26 @@
     Ok(AttemptAnswer { open, response, signs })
 }
 
+/// Reads the whole body of an answer.
+///
+/// # Errors
+///
+/// Fails if the body is cut or too long, or is not whole at the request's deadline; the request may
+/// have run then.
+pub async fn read_body(
+    plan: &call_plan::CallPlan,
+    response: &mut http_message::Response,
+) -> Result<bytes::Bytes, failure::CallFailure> {
+    let mut body = response.take_body();
+    let read = http_client::read_whole(&mut body, state::ANSWER_LIMIT_BYTES);
+    let read = http_client::before(plan.deadline, read).await;
+    read.unwrap_or_else(|| {
+        let failure =
+            failure::CallFailure::new(types::ProblemKind::Timeout, "no whole answer in time");
+        Err(failure.with_verdict(types::CallVerdict::MayHaveRun))
+    })
+}
+
 /// Returns the answer that the caller gets: the endpoint's status and headers, and `body`.
 pub fn passed_on(response: &http_message::Response, body: bytes::Bytes) -> http_message::Response {
     let (mut head, ()) = http::Response::new(()).into_parts();
--- a/crates/comfreyspread/src/gateway/batcher.rs
+++ b/crates/comfreyspread/src/gateway/batcher.rs
@@ -4,7 +4,7 @@
 //! it. The decisions are [`batch_queue`]'s.
 
 use super::state;
-use crate::transport::{http_client, http_message};
+use crate::transport::{deadline, http_client, http_message};
 use comfreyspread_platform::{answer, piece};
 use comfreyspread_policy::{batch_group, batch_queue, batch_worker, directory};
 use comfreyspread_schema::{ids, types};
@@ -82,13 +82,11 @@
 ) -> GroupOutcomes {
     let unmade = types::PieceOutcome::Failed(types::PieceFault::Unreachable);
     let unmade = vec![unmade; group.orders.len()];
-    let Some((waiting, outcomes)) = enter(state, service, group) else {
+    let Some((_waiting, outcomes)) = enter(state, service, group) else {
         log::warn!(service = service.as_ref(); "batcher: the service makes no pieces");
         return unmade;
     };
-    let outcomes = outcomes.recv().await.unwrap_or(unmade);
-    drop(waiting);
-    outcomes
+    outcomes.recv().await.unwrap_or(unmade)
 }
 
 /// Returns the waits that new pieces of a service have to expect, by rank of their request.
@@ -176,7 +174,7 @@
             Some(moment) => {
                 let latest = time::Instant::now() + MOST_SLEEP;
                 let timer = async {
-                    async_io::Timer::at(moment.min(latest)).await;
+                    deadline::DeadlineTimer::new(moment.min(latest)).await;
                 };
                 news.or(timer).await;
             }
@@ -228,10 +226,10 @@
     let ending = send(state, &call).await;
     let now = time::Instant::now();
     let took = now.saturating_duration_since(started);
-    state.context.metrics.stages.count_call(&ending, call.orders.len(), took);
-    let (made, ended) = summary(&ending);
+    let made = ending.made();
+    state.context.metrics.stages.count_call(call.orders.len(), made, took);
     log::info!(service = service.as_ref(), endpoint = call.endpoint.as_ref(),
-        pieces = call.orders.len(), made = made, ended = ended,
+        pieces = call.orders.len(), made = made.unwrap_or(0), ended = ending.word(),
         took_ms = took.as_millis() as u64; "batcher: call ended");
     let mut unwanted = Vec::new();
     let mut batches = state.batches.lock();
@@ -243,20 +241,6 @@
     release(state, service, &unwanted);
 }
 
-/// Returns the pieces that a call made, and how it ended in a word.
-fn summary(ending: &batch_queue::BatchEnding) -> (usize, &'static str) {
-    match ending {
-        batch_queue::BatchEnding::Answered(outcomes) => {
-            let made =
-                |outcome: &&types::PieceOutcome| matches!(outcome, types::PieceOutcome::Made(_));
-            (outcomes.iter().filter(made).count(), "answered")
-        }
-        batch_queue::BatchEnding::Full => (0, "full"),
-        batch_queue::BatchEnding::Gone => (0, "gone"),
-        batch_queue::BatchEnding::Failed => (0, "failed"),
-    }
-}
-
 async fn send(
     state: &state::GatewayState,
     call: &batch_queue::PlannedCall,
--- a/crates/comfreyspread/src/gateway/endpoint_follow.rs
+++ b/crates/comfreyspread/src/gateway/endpoint_follow.rs
@@ -51,8 +51,8 @@
         }
     }
 
-    fn note_outage(&self, others: Option<bool>) {
-        self.doubt.lock().note_outage(others, time::Instant::now());
+    fn note_outage(&self, answers_other: bool) {
+        self.doubt.lock().note_outage(Some(answers_other), time::Instant::now());
     }
 }
 
--- a/crates/comfreyspread/src/gateway/entry.rs
+++ b/crates/comfreyspread/src/gateway/entry.rs
@@ -1,7 +1,7 @@
 //! Callers' requests: reading them, and answering each one way or the other.
 
 use super::{call_plan, plain_run, state, stream_run};
-use crate::transport::{failure, http_message, http_server};
+use crate::transport::{deadline, failure, http_message, http_server};
 use comfreyspread_platform::call;
 use comfreyspread_schema::{ids, types};
 use futures_lite::FutureExt as _;
@@ -59,7 +59,7 @@
             None
         };
         let late = async {
-            async_io::Timer::at(moment).await;
+            deadline::DeadlineTimer::new(moment).await;
             let detail = "no answer in time";
             let failure = failure::CallFailure::new(types::ProblemKind::Timeout, detail);
             Some(Err(failure.with_verdict(types::CallVerdict::MayHaveRun)))
--- a/crates/comfreyspread/src/gateway/piece_send.rs
+++ b/crates/comfreyspread/src/gateway/piece_send.rs
@@ -3,7 +3,7 @@
 use super::{batcher, state, table_follow};
 use crate::{
     membership::peer,
-    transport::{failure, http_client, http_message, http_server},
+    transport::{deadline as deadlines, failure, http_client, http_message, http_server},
 };
 use comfreyspread_policy::{batch_group, peer_sight};
 use comfreyspread_schema::{ids, types};
@@ -88,7 +88,7 @@
     address: net::SocketAddr,
 ) {
     loop {
-        async_io::Timer::after(peer_sight::SILENCE).await;
+        deadlines::DeadlineTimer::after(peer_sight::SILENCE).await;
         if !state.sight.lock().is_silent(node, time::Instant::now()) {
             continue;
         }
@@ -155,14 +155,14 @@
     let now = time::Instant::now();
     let group = &orders.group;
     let left = group.deadline.saturating_duration_since(now);
-    let with_left = |order: &types::PieceOrder| types::PieceOrder { left, ..order.clone() };
     types::PieceRequest {
         bytes: group.bytes,
         header: state.context.peer_header(),
         inputs_left: group
             .inputs_until
             .map_or(time::Duration::ZERO, |until| until.saturating_duration_since(now)),
-        orders: group.orders.iter().map(with_left).collect(),
+        left,
+        orders: group.orders.clone(),
         priority: group.priority,
         region: orders.region.clone(),
         service: orders.service.clone(),
@@ -188,13 +188,12 @@
     ) -> Result<http_message::Response, failure::CallFailure> {
         let message: types::PieceRequest = peer::decode_message(&self.state.context, request)?;
         let now = time::Instant::now();
-        let left = message.orders.iter().map(|order| order.left).max().unwrap_or_default();
         let group = batch_group::PieceGroup {
             orders: message.orders,
             priority: message.priority,
             bytes: message.bytes,
             target: now + message.target,
-            deadline: now + left,
+            deadline: now + message.left,
             zone: message.zone,
             inputs_until: (!message.inputs_left.is_zero()).then(|| now + message.inputs_left),
         };
--- a/crates/comfreyspread/src/gateway/produced_chunks.rs
+++ b/crates/comfreyspread/src/gateway/produced_chunks.rs
@@ -2,23 +2,18 @@
 //!
 //! Dropping the body, as when the caller goes away, cancels the work that produces it.
 
-use crate::transport::http_body;
+use crate::transport::{http_body, produced_items};
 use futures_lite::io;
 use std::{pin, task};
 
-type ProducerFuture =
-    sync_wrapper::SyncFuture<pin::Pin<Box<dyn Future<Output = io::Result<()>> + Send>>>;
-
 const CHANNEL_CHUNKS: usize = 16;
 
-/// Sending side of the chunks.
-pub type ChunkSender = async_channel::Sender<bytes::Bytes>;
+/// Sending side of the chunks; an error cuts the body.
+pub type ChunkSender = async_channel::Sender<io::Result<bytes::Bytes>>;
 
 /// Chunks and the work that produces them.
 pub struct ProducedChunks {
-    producer: Option<ProducerFuture>,
-    chunks: pin::Pin<Box<async_channel::Receiver<bytes::Bytes>>>,
-    failure: Option<io::Error>,
+    chunks: Box<produced_items::ProducedItems<io::Result<bytes::Bytes>>>,
 }
 
 impl ProducedChunks {
@@ -28,12 +23,16 @@
         Produce: FnOnce(ChunkSender) -> Producer,
         Producer: Future<Output = io::Result<()>> + Send + 'static,
     {
-        let (sender, chunks) = async_channel::bounded(CHANNEL_CHUNKS);
-        let producer: pin::Pin<Box<dyn Future<Output = io::Result<()>> + Send>> =
-            Box::pin(produce(sender));
-        let producer = Some(sync_wrapper::SyncFuture::new(producer));
-        let chunks = Box::pin(chunks);
-        http_body::MessageBody::from_source(Self { producer, chunks, failure: None }, None)
+        let chunks = produced_items::ProducedItems::new(CHANNEL_CHUNKS, |sender: ChunkSender| {
+            let producer = produce(sender.clone());
+            async move {
+                if let Err(error) = producer.await {
+                    // Nobody reads the body any more if this is not taken.
+                    sender.send(Err(error)).await.ok();
+                }
+            }
+        });
+        http_body::MessageBody::from_source(Self { chunks: Box::new(chunks) }, None)
     }
 }
 
@@ -42,22 +41,6 @@
         self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
     ) -> task::Poll<Option<io::Result<bytes::Bytes>>> {
-        let source = self.get_mut();
-        if let Ok(chunk) = source.chunks.try_recv() {
-            return task::Poll::Ready(Some(Ok(chunk)));
-        }
-        if let Some(producer) = &mut source.producer
-            && let task::Poll::Ready(ended) = pin::Pin::new(producer).poll(cx)
-        {
-            source.producer = None;
-            source.failure = ended.err();
-        }
-        if let Ok(chunk) = source.chunks.try_recv() {
-            return task::Poll::Ready(Some(Ok(chunk)));
-        }
-        if source.producer.is_some() {
-            return task::Poll::Pending;
-        }
-        task::Poll::Ready(source.failure.take().map(Err))
+        self.get_mut().chunks.poll_next(cx)
     }
 }
--- a/crates/comfreyspread/src/gateway/ready.rs
+++ b/crates/comfreyspread/src/gateway/ready.rs
@@ -13,7 +13,6 @@
 
 const DUMP_PATH: &str = "/dump";
 const METRICS_PATH: &str = "/metrics";
-const METRICS_MEDIA_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
 /// Answers the platform's balancer and whoever reads metrics.
 pub struct ReadyHandler {
@@ -64,10 +63,7 @@
             let known = self.state.directory.lock().len();
             let version = self.state.routes().version();
             self.state.context.metrics.stages.observe_known(known, version);
-            let mut response = http_message::Response::new(StatusCode::OK);
-            response.set_body(self.state.context.metrics.text().into_string());
-            response.insert_header("content-type", METRICS_MEDIA_TYPE);
-            return response;
+            return front::metrics(&self.state.context);
         }
         if request.path() == DUMP_PATH {
             return front::json(StatusCode::OK, &self.dump());
--- a/crates/comfreyspread/src/gateway/region_choice.rs
+++ b/crates/comfreyspread/src/gateway/region_choice.rs
@@ -46,17 +46,14 @@
     plan: &call_plan::CallPlan,
     services: &[ids::EndpointService],
 ) -> Vec<ids::RegionId> {
-    let mut regions: Vec<_> = state.machine.zones.values().cloned().collect();
-    regions.sort_unstable();
-    regions.dedup();
     let directory = state.directory.lock();
-    regions.retain(|region| {
+    let is_able = |region: &&ids::RegionId| {
         let has = |service: &str| directory.usable(service, Some(region)).next().is_some();
         plan.regions.as_ref().is_none_or(|allowed| allowed.contains(region))
             && services.iter().all(|service| has(service))
             && has(&plan.service.name)
-    });
-    regions
+    };
+    state.regions.iter().filter(is_able).cloned().collect()
 }
 
 /// Returns the waits of the request's stages in a region, one after the other; asks for those that
--- a/crates/comfreyspread/src/gateway/state.rs
+++ b/crates/comfreyspread/src/gateway/state.rs
@@ -13,7 +13,7 @@
 use super::{batcher, store_client, table_follow};
 
 /// Largest answer that is read whole, in bytes.
-const ANSWER_LIMIT_BYTES: usize = 16 * 1024 * 1024;
+pub const ANSWER_LIMIT_BYTES: usize = 16 * 1024 * 1024;
 /// Longest time that a connection to an endpoint is idle.
 const ENDPOINT_IDLE_LIMIT: time::Duration = time::Duration::from_millis(2500);
 /// Nodes counted beside the known ones when a limit over all nodes is shared out.
@@ -25,6 +25,8 @@
     pub context: sync::Arc<context::NodeContext>,
     /// What the platform said of the VM and the deployment.
     pub machine: types::MachineSettings,
+    /// Regions of the deployment, in order.
+    pub regions: Vec<ids::RegionId>,
     /// Whether the store answered this node the last time.
     pub store_answers: atomic::AtomicBool,
     /// Copies of the store's tables.
@@ -65,9 +67,13 @@
             slack: machine.retry_slack,
             window: machine.retry_window,
         };
+        let mut regions: Vec<_> = machine.zones.values().cloned().collect();
+        regions.sort_unstable();
+        regions.dedup();
         let zones = machine.zones.iter();
         let zones = zones.map(|(zone, region)| (zone.as_str().into(), region.clone())).collect();
         Self {
+            regions,
             store_answers: atomic::AtomicBool::new(false),
             mirrors: rank::RankedLock::new(table_follow::TableMirrors::default()),
             sight: rank::RankedLock::new(peer_sight::PeerSight::default()),
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -3,19 +3,17 @@
 //! Only whole events are passed on. Where the route allows it, a stream that breaks off goes on at
 //! another endpoint behind the last event passed on, within the answer that has begun.
 
-use super::{attempt_send, call_plan, produced_chunks, region_choice, stage_run, state};
+use super::{
+    attempt_log, attempt_send, call_plan, produced_chunks, region_choice, stage_run, state,
+};
 use crate::transport::{failure, http_client, http_message};
-use comfreyspread_policy::{attempt, directory, event_buffer, verdict};
-use comfreyspread_schema::{ids, types};
+use comfreyspread_policy::{attempt, directory, event_buffer};
+use comfreyspread_schema::types;
 use futures_lite::io;
 use std::{sync, time};
 
-/// Largest answer that is not a stream, in bytes.
-const ANSWER_LIMIT_BYTES: usize = 16 * 1024 * 1024;
 /// Longest event in bytes.
 const EVENT_LIMIT_BYTES: usize = 4 * 1024 * 1024;
-/// Endpoints that may refuse a request before it is refused as a whole.
-const MOST_REFUSALS: u32 = 3;
 /// Pauses on time that a stream may take before it is taken to another endpoint.
 const STALL_PAUSES: u32 = 3;
 /// Shortest silence after which a stream is taken to another endpoint.
@@ -39,11 +37,8 @@
     let mut run = StreamRun {
         state: state.clone(),
         stages,
-        tried: Vec::new(),
-        runs: 0,
-        refusals: 0,
+        log: attempt_log::AttemptLog::new(),
         passed: resumed,
-        verdict: verdict::VerdictTracker::new(),
         plan,
     };
     let answer = run.begin().await?;
@@ -60,15 +55,9 @@
     plan: &call_plan::CallPlan,
     mut answer: attempt_send::AttemptAnswer,
 ) -> Result<http_message::Response, failure::CallFailure> {
-    let mut body = answer.response.take_body();
-    let read = http_client::read_whole(&mut body, ANSWER_LIMIT_BYTES);
-    let read = http_client::before(plan.deadline, read).await;
+    let read = attempt_send::read_body(plan, &mut answer.response).await;
     answer.open.end(directory::CallEnding::Failed);
-    let body = read.ok_or_else(|| {
-        failure::CallFailure::new(types::ProblemKind::Timeout, "no whole answer in time")
-            .with_verdict(types::CallVerdict::MayHaveRun)
-    })??;
-    Ok(attempt_send::passed_on(&answer.response, body))
+    Ok(attempt_send::passed_on(&answer.response, read?))
 }
 
 /// A streamed request and its attempts.
@@ -76,11 +65,8 @@
     state: sync::Arc<state::GatewayState>,
     plan: call_plan::CallPlan,
     stages: stage_run::StageResults,
-    tried: Vec<ids::EndpointId>,
-    runs: u32,
-    refusals: u32,
+    log: attempt_log::AttemptLog,
     passed: Option<u64>,
-    verdict: verdict::VerdictTracker,
 }
 
 impl StreamRun {
@@ -90,14 +76,13 @@
             self.stages.make(&self.plan).await?;
             let failed = match self.attempt().await {
                 Ok(answer) => {
-                    self.tried.push(answer.open.chosen.endpoint.clone());
-                    self.runs += 1;
+                    self.log.note_begun(&answer.open.chosen.endpoint);
                     return Ok(answer);
                 }
                 Err(failed) => failed,
             };
             if !self.goes_on(&failed)? {
-                let verdict = self.verdict.verdict();
+                let verdict = self.log.verdict();
                 return Err(failed.failure.with_verdict(verdict));
             }
         }
@@ -106,10 +91,10 @@
     async fn attempt(
         &mut self,
     ) -> Result<attempt_send::AttemptAnswer, attempt_send::FailedAttempt> {
-        let number = u64::try_from(self.tried.len()).unwrap_or(u64::MAX);
+        let number = self.log.next_number();
         let inputs = self.stages.outputs();
         let input = attempt_send::AttemptInput {
-            tried: &self.tried,
+            tried: self.log.tried(),
             home: self.stages.region(),
             regions: self.plan.regions.as_deref(),
             inputs: &inputs,
@@ -125,29 +110,12 @@
         &mut self,
         failed: &attempt_send::FailedAttempt,
     ) -> Result<bool, failure::CallFailure> {
-        self.verdict = self.verdict.with_outcome(failed.failure.verdict());
+        self.log.note_verdict(failed);
         if failed.inputs_gone {
             self.stages.lose_outputs()?;
             return Ok(self.plan.takes_repeat(&self.state));
         }
-        let Some(endpoint) = &failed.endpoint else { return Ok(false) };
-        if failed.failure.crashed()
-            && let Some(address) = failed.address
-        {
-            self.plan.note_break(&self.state, address);
-        }
-        self.tried.push(endpoint.clone());
-        if failed.failure.verdict() == types::CallVerdict::NotRun {
-            self.refusals += 1;
-            return Ok(self.refusals < MOST_REFUSALS && self.plan.takes_repeat(&self.state));
-        }
-        self.runs += 1;
-        Ok(self.may_resume())
-    }
-
-    fn may_resume(&self) -> bool {
-        let allowed = self.plan.is_repeatable() && self.runs < self.plan.route.attempts;
-        allowed && self.plan.takes_repeat(&self.state)
+        Ok(self.log.goes_on(&self.state, &self.plan, failed))
     }
 
     /// Passes the events of an answer on, and those of further attempts where that is allowed.
@@ -163,7 +131,7 @@
                 self.plan.note_served(&self.state);
                 log::info!(request = self.plan.call.request.as_ref(),
                     route = self.plan.route.name.as_ref(),
-                    endpoint = answer.open.chosen.endpoint.as_ref(), runs = self.runs,
+                    endpoint = answer.open.chosen.endpoint.as_ref(), runs = self.log.runs(),
                     took_ms = self.plan.arrived.elapsed().as_millis() as u64;
                     "stream: served");
                 return Ok(());
@@ -172,9 +140,9 @@
             self.plan.note_break(&self.state, answer.open.chosen.address);
             log::info!(request = self.plan.call.request.as_ref(),
                 endpoint = answer.open.chosen.endpoint.as_ref(), passed = self.passed,
-                runs = self.runs; "stream: broke off. error={cut}");
+                runs = self.log.runs(); "stream: broke off. error={cut}");
             drop(answer);
-            if !self.may_resume() {
+            if !self.log.may_repeat(&self.state, &self.plan) {
                 return Err(cut);
             }
             answer = self.begin().await.map_err(io::Error::other)?;
@@ -207,7 +175,7 @@
                 self.stages.free();
             }
             let passed = self.passed_bytes(events);
-            if !passed.is_empty() && sender.send(passed.into()).await.is_err() {
+            if !passed.is_empty() && sender.send(Ok(passed.into())).await.is_err() {
                 return Err(io::ErrorKind::BrokenPipe.into());
             }
         }
@@ -236,7 +204,7 @@
     /// Returns the moment until which silence is borne; a stream that cannot go on elsewhere has
     /// until its deadline.
     fn stall_moment(&self) -> time::Instant {
-        if !self.plan.is_repeatable() || self.runs >= self.plan.route.attempts {
+        if !self.plan.is_repeatable() || self.log.runs() >= self.plan.route.attempts {
             return self.plan.deadline;
         }
         let pause = (self.plan.route.gap * STALL_PAUSES).max(LEAST_STALL);
--- a/crates/comfreyspread/src/gateway/table_follow.rs
+++ b/crates/comfreyspread/src/gateway/table_follow.rs
@@ -32,9 +32,8 @@
     /// Takes in rows that have changed, or all of them at first.
     fn change(&self, state: &sync::Arc<state::GatewayState>, rows: Vec<types::StoreRow>);
 
-    /// Takes note that the store did not answer; `others` is whether it answers another node, if one
-    /// could be asked.
-    fn note_outage(&self, others: Option<bool>);
+    /// Takes note that the store did not answer this node, and whether it answers another one.
+    fn note_outage(&self, answers_other: bool);
 }
 
 /// Copies of the tables that are followed.
@@ -82,7 +81,7 @@
                 answering = false;
                 state.context.metrics.stages.count_store_failure();
                 state.store_answers.store(false, Ordering::Relaxed);
-                follower.note_outage(ask_peer(&state, &follower).await);
+                ask_peer(&state, &follower).await;
                 let (least, most) = FAILURE_PAUSES;
                 let pause = rand::rng().random_range(least..most);
                 async_io::Timer::after(pause).await;
@@ -139,16 +138,12 @@
     }
 }
 
-/// Asks another node, drawn by chance, for rows that this one does not know; returns whether the
-/// store answers that node.
-async fn ask_peer<Follower>(
-    state: &sync::Arc<state::GatewayState>,
-    follower: &Follower,
-) -> Option<bool>
+/// Asks another node, drawn by chance, for rows that this one does not know.
+async fn ask_peer<Follower>(state: &sync::Arc<state::GatewayState>, follower: &Follower)
 where
     Follower: TableFollower,
 {
-    let address = any_peer(state)?;
+    let Some(address) = any_peer(state) else { return };
     let after = state.mirrors.lock().table(Follower::TABLE).version();
     let header = state.context.peer_header();
     let message = types::TableRequest { after, header, table: Follower::TABLE };
@@ -157,11 +152,15 @@
     let context = &state.context;
     let reply: Result<types::TableReply, _> =
         peer::exchange(context, address, TABLE_PATH, &message, connection, deadline).await;
-    let reply = reply
-        .inspect_err(|failure| log::debug!("store: no rows from another node. error={failure}"))
-        .ok()?;
+    let reply = match reply {
+        Ok(reply) => reply,
+        Err(failure) => {
+            log::debug!("store: no rows from another node. error={failure}");
+            return;
+        }
+    };
     // What it knows of entries is taken in after its word on the store: that decides on removals.
-    follower.note_outage(Some(reply.answered));
+    follower.note_outage(reply.answered);
     if reply.known {
         if !reply.rows.is_empty() {
             log::info!(node = reply.header.node.as_ref(), rows = reply.rows.len(),
@@ -170,7 +169,6 @@
         }
         take_in(state, follower, reply.rows);
     }
-    Some(reply.answered)
 }
 
 fn any_peer(state: &state::GatewayState) -> Option<net::SocketAddr> {
--- a/crates/comfreyspread/src/ingress/front.rs
+++ b/crates/comfreyspread/src/ingress/front.rs
@@ -42,12 +42,7 @@
         match (request.method(), path) {
             (&Method::GET, "/healthz") => text(StatusCode::OK, "ok\n"),
             (&Method::GET, "/readyz") => self.readiness(),
-            (&Method::GET, "/metrics") => {
-                self.context.metrics.pools.observe_pools(&self.context.tables.pools.lock());
-                let mut response = text(StatusCode::OK, &self.context.metrics.text());
-                response.insert_header("content-type", METRICS_MEDIA_TYPE);
-                response
-            }
+            (&Method::GET, "/metrics") => metrics(&self.context),
             (&Method::GET, operator::CLAIM_PATH) => self.list_claims().await,
             _ if path.starts_with(operator::PATH_PREFIX) => {
                 operator::serve(&self.context, request).await
@@ -361,6 +356,14 @@
     response
 }
 
+/// Returns all metrics of a node.
+pub fn metrics(context: &context::NodeContext) -> http_message::Response {
+    context.metrics.pools.observe_pools(&context.tables.pools.lock());
+    let mut response = text(StatusCode::OK, &context.metrics.text());
+    response.insert_header("content-type", METRICS_MEDIA_TYPE);
+    response
+}
+
 /// Returns a JSON response.
 pub fn json<Message>(status: StatusCode, message: &Message) -> http_message::Response
 where
--- a/crates/comfreyspread/src/runtime/stage_metrics.rs
+++ b/crates/comfreyspread/src/runtime/stage_metrics.rs
@@ -1,7 +1,5 @@
 //! Metrics of stages, and of what a node knows of the platform.
 
-use comfreyspread_policy::batch_queue;
-use comfreyspread_schema::types;
 use prometheus_client::{metrics, registry};
 use std::time;
 
@@ -60,23 +58,15 @@
         registry.register("routes_version", help, self.routes_version.clone());
     }
 
-    /// Counts a call for pieces that ended.
-    pub fn count_call(
-        &self,
-        ending: &batch_queue::BatchEnding,
-        pieces: usize,
-        took: time::Duration,
-    ) {
+    /// Counts a call for `pieces` that ended; `made` of them were made, none if the call failed.
+    pub fn count_call(&self, pieces: usize, made: Option<usize>, took: time::Duration) {
         self.call_seconds.observe(took.as_secs_f64());
         self.call_pieces.observe(pieces as f64);
-        let batch_queue::BatchEnding::Answered(outcomes) = ending else {
+        let Some(made) = made else {
             self.failed_calls.inc();
             return;
         };
-        let failed =
-            |outcome: &&types::PieceOutcome| matches!(outcome, types::PieceOutcome::Failed(_));
-        let failed = outcomes.iter().filter(failed).count();
-        self.failed_pieces.inc_by(u64::try_from(failed).unwrap_or(u64::MAX));
+        self.failed_pieces.inc_by(u64::try_from(pieces - made).unwrap_or(u64::MAX));
     }
 
     /// Takes in the time that a stage of a request took.
--- a/crates/comfreyspread/src/transport/http_client.rs
+++ b/crates/comfreyspread/src/transport/http_client.rs
@@ -106,8 +106,9 @@
         connection: ConnectionUse,
         deadline: time::Instant,
     ) -> Result<ClientAnswer, failure::CallFailure> {
+        let connection = self.connect(address, connection, deadline).await?;
         let exchange = async {
-            let mut response = self.begin(address, request, connection, deadline).await?;
+            let mut response = self.exchange(connection, request).await?;
             check_framing(&response)?;
             let body = read_whole(&mut response.take_body(), self.body_limit).await?;
             Ok(ClientAnswer { head: response.head().clone(), body })
@@ -145,18 +146,25 @@
         connection: ConnectionUse,
         deadline: time::Instant,
     ) -> Result<http_message::Response, failure::CallFailure> {
-        let mut connection = self.connect(address, connection, deadline).await?;
-        check_time(deadline)?;
-        let exchange = async {
-            let sent = connection.exchange(self.signed(address, request)).await;
-            sent.map_err(|fault| match fault {
-                client_connection::ExchangeFault::Unsent => unsent(address, "it was closed"),
-                client_connection::ExchangeFault::Lost(error) => {
-                    lost(format!("the exchange failed: {error}")).with_crashed(true)
-                }
-            })
-        };
-        let (head, incoming) = exchange.or(timeout(deadline)).await?.into_parts();
+        let connection = self.connect(address, connection, deadline).await?;
+        self.exchange(connection, request).or(timeout(deadline)).await
+    }
+
+    /// Sends a request and waits, without end, for the head of its answer.
+    async fn exchange(
+        &self,
+        mut connection: client_connection::ClientConnection,
+        request: http_message::Request,
+    ) -> Result<http_message::Response, failure::CallFailure> {
+        let address = connection.address();
+        let sent = connection.exchange(self.signed(address, request)).await;
+        let answer = sent.map_err(|fault| match fault {
+            client_connection::ExchangeFault::Unsent => unsent(address, "it was closed"),
+            client_connection::ExchangeFault::Lost(error) => {
+                lost(format!("the exchange failed: {error}")).with_crashed(true)
+            }
+        });
+        let (head, incoming) = answer?.into_parts();
         let length = hyper::body::Body::size_hint(&incoming).exact();
         let home = self.idle.clone();
         let source = AnswerSource { incoming, connection: Some(connection), home };
@@ -178,6 +186,7 @@
         request
     }
 
+    /// Returns a connection on which a request can be sent before `deadline`.
     async fn connect(
         &self,
         address: net::SocketAddr,
@@ -187,7 +196,7 @@
         if connection == ConnectionUse::Shared {
             while let Some(mut connection) = self.idle.take(address) {
                 if connection.is_usable().await {
-                    return Ok(connection);
+                    return check_time(deadline).map(|()| connection);
                 }
             }
         }
@@ -196,7 +205,8 @@
             deadlines::DeadlineTimer::new(deadline).await;
             Err(io::ErrorKind::TimedOut.into())
         };
-        opened.or(late).await.map_err(|error| unsent(address, &error.to_string()))
+        let opened = opened.or(late).await.map_err(|error| unsent(address, &error.to_string()))?;
+        check_time(deadline).map(|()| opened)
     }
 }
 
--- a/crates/comfreyspread/src/transport/mod.rs
+++ b/crates/comfreyspread/src/transport/mod.rs
@@ -11,5 +11,6 @@
 pub mod http_server;
 pub mod problem;
 pub mod produced_body;
+pub mod produced_items;
 pub mod server_stream;
 pub mod tally;
--- /dev/null
+++ b/crates/comfreyspread/src/transport/produced_items.rs
@@ -0,0 +1,53 @@
+//! Items and the work that produces them, in one task.
+//!
+//! The task that wants the next item runs the producer until there is one. So an item costs no
+//! change of tasks, and dropping the source cancels the work.
+
+use std::{fmt, pin, task};
+
+type ProducerFuture = sync_wrapper::SyncFuture<pin::Pin<Box<dyn Future<Output = ()> + Send>>>;
+
+/// Items that are produced while they are read.
+pub struct ProducedItems<Item> {
+    producer: Option<ProducerFuture>,
+    items: async_channel::Receiver<Item>,
+}
+
+impl<Item> ProducedItems<Item> {
+    /// Creates a source of the items that `produce` sends, of which up to `capacity` wait.
+    pub fn new<Produce, Producer>(capacity: usize, produce: Produce) -> Self
+    where
+        Produce: FnOnce(async_channel::Sender<Item>) -> Producer,
+        Producer: Future<Output = ()> + Send + 'static,
+    {
+        let (sender, items) = async_channel::bounded(capacity);
+        Self { producer: Some(sync_wrapper::SyncFuture::new(Box::pin(produce(sender)))), items }
+    }
+
+    /// Returns the next item if it is there already.
+    pub fn try_next(&mut self) -> Option<Item> {
+        self.items.try_recv().ok()
+    }
+
+    /// Returns the next item, running the producer if there is none; none after the last.
+    pub fn poll_next(&mut self, cx: &mut task::Context<'_>) -> task::Poll<Option<Item>> {
+        if let Some(item) = self.try_next() {
+            return task::Poll::Ready(Some(item));
+        }
+        if let Some(producer) = &mut self.producer
+            && pin::Pin::new(producer).poll(cx).is_ready()
+        {
+            self.producer = None;
+        }
+        match self.try_next() {
+            None if self.producer.is_some() => task::Poll::Pending,
+            next => task::Poll::Ready(next),
+        }
+    }
+}
+
+impl<Item> fmt::Debug for ProducedItems<Item> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("ProducedItems").field("waiting", &self.items.len()).finish()
+    }
+}
