Keep codecs out of the decision crate's tree, and name each faulty setting once

Cause: the whole answer of a pipeline holds a body of any kind, so the schema crate, and with it the decisions, depended on a JSON codec. The generator took its schema from where it was built, and said 'No such file' without a path. A faulty peer address was reported for the advertised one as well, and an empty name passed the check.

The advertised address takes the peer address as read; names have one letter at least.

settings::reported_once and settings::empty_names failed before, and pass now.

--- a/crates/comfreyspread-codegen/src/definitions.rs
+++ b/crates/comfreyspread-codegen/src/definitions.rs
@@ -4,15 +4,17 @@
 //! of time are `std::time::Duration` in the types and whole milliseconds on the wire: a field
 //! `budget_ms` of the schema is the field `budget` in Rust.
 
+use crate::source;
 use miette::IntoDiagnostic as _;
 use quote::{format_ident, quote};
-use std::{fs, iter, path};
+use std::{iter, path};
 use syn::{parse_quote, visit_mut, visit_mut::VisitMut as _};
 
 const SCHEMA_FILES: [&str; 5] =
     ["ids.json", "declarations.json", "messages.json", "platform.json", "routing.json"];
 const WIRE_FILES: [&str; 1] = ["wire.json"];
 const LAB_FILES: [&str; 1] = ["lab.json"];
+const ANSWER_FILES: [&str; 1] = ["answers.json"];
 const ALIAS_KEY: &str = "x-alias";
 const MILLISECOND_SUFFIX: &str = "_ms";
 
@@ -63,6 +65,19 @@
 ///
 /// Fails if a schema file cannot be read or describes a type that cannot be generated.
 pub fn generate_lab_types(schema: &path::Path) -> miette::Result<syn::File> {
+    generate_beside(schema, &LAB_FILES)
+}
+
+/// Generates the answers of the node, which use the types of the schema crate.
+///
+/// # Errors
+///
+/// Fails if a schema file cannot be read or describes a type that cannot be generated.
+pub fn generate_answers(schema: &path::Path) -> miette::Result<syn::File> {
+    generate_beside(schema, &ANSWER_FILES)
+}
+
+fn generate_beside(schema: &path::Path, files: &[&str]) -> miette::Result<syn::File> {
     let mut settings = new_settings();
     let mut definitions = read_definitions(schema, &SCHEMA_FILES)?;
     for (name, definition) in &definitions {
@@ -70,7 +85,7 @@
         let path = format!("comfreyspread_schema::{module}::{name}");
         settings.with_replacement(name, path, iter::empty());
     }
-    definitions.append(&mut read_definitions(schema, &LAB_FILES)?);
+    definitions.append(&mut read_definitions(schema, files)?);
     generate(&settings, &definitions, &parse_quote!(comfreyspread_schema))
 }
 
@@ -124,8 +139,7 @@
 fn read_definitions(schema: &path::Path, files: &[&str]) -> miette::Result<JsonObject> {
     let mut all = JsonObject::new();
     for name in files {
-        let text = fs::read_to_string(schema.join(name)).into_diagnostic()?;
-        let mut file: serde_json::Value = serde_json::from_str(&text).into_diagnostic()?;
+        let mut file = source::read(schema, name)?;
         let Some(definitions) = file["definitions"].as_object_mut() else {
             miette::bail!("{name} has no definitions");
         };
--- a/crates/comfreyspread-codegen/src/main.rs
+++ b/crates/comfreyspread-codegen/src/main.rs
@@ -14,6 +14,7 @@
 mod definitions;
 mod output;
 mod settings;
+mod source;
 
 use std::path;
 
@@ -23,11 +24,15 @@
     /// only compare the committed sources and fail if they differ
     #[argh(switch)]
     check: bool,
+
+    /// folder that holds `schema` and `crates` (default: the present folder)
+    #[argh(option, default = "path::PathBuf::from(\".\")")]
+    root: path::PathBuf,
 }
 
 fn main() -> miette::Result<()> {
     let arguments: GeneratorArguments = argh::from_env();
-    let root = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let root = arguments.root;
     let schema = root.join("schema");
     let target = root.join("crates/comfreyspread-schema/src/generated");
     let files = [
@@ -41,6 +46,9 @@
     let lab = root.join("crates/comfreyspread-lab/src/generated");
     let types = definitions::generate_lab_types(&schema)?;
     output::GeneratedFile::new("types.rs", types).settle(&lab, arguments.check)?;
+    let node = root.join("crates/comfreyspread/src/generated");
+    let answers = definitions::generate_answers(&schema)?;
+    output::GeneratedFile::new("answers.rs", answers).settle(&node, arguments.check)?;
     let platform = root.join("platform/src/generated");
     let bodies = definitions::generate_wire_types(&schema)?;
     output::GeneratedFile::new("bodies.rs", bodies).settle(&platform, arguments.check)?;
--- a/crates/comfreyspread-codegen/src/settings.rs
+++ b/crates/comfreyspread-codegen/src/settings.rs
@@ -1,8 +1,8 @@
 //! The settings struct: flag, environment variable, default, range and help from one place.
 
-use miette::IntoDiagnostic as _;
+use crate::source;
 use quote::{format_ident, quote};
-use std::{fs, path};
+use std::path;
 use syn::parse_quote;
 
 /// Generates the settings struct, its flags and the table of its fields.
@@ -11,8 +11,7 @@
 ///
 /// Fails if the schema file cannot be read or has a field of an unsupported type.
 pub fn generate(schema: &path::Path) -> miette::Result<syn::File> {
-    let text = fs::read_to_string(schema.join("settings.json")).into_diagnostic()?;
-    let root: serde_json::Value = serde_json::from_str(&text).into_diagnostic()?;
+    let root = source::read(schema, "settings.json")?;
     let prefix = root["x-environment-prefix"].as_str().unwrap_or_default();
     let Some(properties) = root["properties"].as_object() else {
         miette::bail!("settings.json has no properties");
--- a/crates/comfreyspread/src/ingress/front.rs
+++ b/crates/comfreyspread/src/ingress/front.rs
@@ -1,6 +1,7 @@
 //! HTTP towards callers and operators.
 
 use crate::{
+    answers,
     claiming::{claim_table, claims},
     ingress::{caller_stream, pipeline, plan},
     operations::operator,
@@ -339,7 +340,7 @@
         failure::CallFailure::new(types::ProblemKind::EndpointFailed, error.to_string())
             .with_verdict(types::CallVerdict::Ran)
     };
-    let whole = types::PipelineAnswer {
+    let whole = answers::PipelineAnswer {
         answer: serde_json::from_slice(&answer.body).map_err(failed)?,
         attempts: u32::try_from(ledger.attempts()).unwrap_or(u32::MAX),
         cost: ledger.cost(),
--- a/crates/comfreyspread/src/lib.rs
+++ b/crates/comfreyspread/src/lib.rs
@@ -20,6 +20,10 @@
 //! - Underneath: [`runtime`] is the process, its threads and its tables behind the locks of
 //!   [`runtime::rank`]; [`transport`] is its connections and timers.
 
+#[allow(clippy::all, clippy::unwrap_used, missing_docs)]
+#[rustfmt::skip]
+#[path = "generated/answers.rs"]
+pub mod answers;
 pub mod claiming;
 pub mod declaring;
 pub mod gateway;
--- a/crates/comfreyspread/src/runtime/settings.rs
+++ b/crates/comfreyspread/src/runtime/settings.rs
@@ -157,14 +157,15 @@
     }
 
     fn read(&mut self) -> NodeSettings {
+        let peer_address = self.address("peer_address");
         NodeSettings {
             node: self.name("node"),
             vm: self.name("vm"),
             zone: self.name("zone"),
             region: self.name("region"),
             caller_address: self.address("caller_address"),
-            peer_address: self.address("peer_address"),
-            advertise_address: self.advertise_address(),
+            peer_address,
+            advertise_address: self.advertise_address(peer_address),
             platform_address: self.address("platform_address"),
             seeds: self.seeds(),
             workers: self.size("workers"),
@@ -205,10 +206,12 @@
     }
 
     fn name(&mut self, name: &'static str) -> sync::Arc<str> {
+        let faults = self.faults.len();
         let value = self.text(name);
         let plain = |letter: char| letter.is_ascii_alphanumeric() || "-_.".contains(letter);
-        if !value.chars().all(plain) {
-            let allowed = "letters, digits, dash, underscore and dot".into();
+        let valid = !value.is_empty() && value.chars().all(plain);
+        if !valid && self.faults.len() == faults {
+            let allowed = "one or more letters, digits, dashes, underscores and dots".into();
             self.faults.push(SettingFault::Invalid { name, value: value.clone(), allowed });
         }
         value
@@ -234,9 +237,9 @@
         self.parsed(name, fallback, "an IP address and port, such as 10.0.0.1:8080")
     }
 
-    fn advertise_address(&mut self) -> net::SocketAddr {
+    fn advertise_address(&mut self, peer_address: net::SocketAddr) -> net::SocketAddr {
         if self.text("advertise_address").is_empty() {
-            return self.address("peer_address");
+            return peer_address;
         }
         self.address("advertise_address")
     }
--- a/crates/comfreyspread/tests/settings.rs
+++ b/crates/comfreyspread/tests/settings.rs
@@ -82,3 +82,21 @@
         assert_eq!(row.variable, variable);
     }
 }
+
+#[test]
+fn reported_once() {
+    let mut variables = required();
+    variables.insert("COMFREYSPREAD_PEER_ADDRESS".into(), "here".into());
+    let found = faults(&[], &variables);
+    assert_eq!(found.len(), 1, "{found:?}");
+}
+
+#[test]
+fn empty_names() {
+    for name in ["NODE", "VM", "ZONE", "REGION"] {
+        let mut variables = required();
+        variables.insert(format!("COMFREYSPREAD_{name}").into(), "".into());
+        let found = faults(&[], &variables);
+        assert_eq!(found.len(), 1, "{name}: {found:?}");
+    }
+}
