Hand pieces to the next batching node when one is lost, instead of batching alone

Cause: a node whose batching node was killed or went silent made the group by itself.

Ruled out: two views of who batches (the calls came from nodes that had just passed the killed one over, in the same second, and ended when the groups in flight had).

Change: the group goes to the next node in the rendezvous order, at most three; only then the node batches by itself.

--- /dev/null
+++ b/crates/comfreyspread-lab/tests/batching_node.rs
@@ -0,0 +1,61 @@
+//! The node that batches a stage service is lost with pieces of other nodes in its hands.
+
+mod common;
+
+use comfreyspread_lab::fleet;
+use common::gateway;
+use futures_util::future;
+use std::time;
+
+/// Time for the nodes to find each other.
+const SETTLING: time::Duration = time::Duration::from_secs(2);
+/// Time into the requests at which the node is lost.
+const INTO_REQUESTS: time::Duration = time::Duration::from_millis(30);
+
+/// Returns how many calls for pieces a node has made.
+async fn calls(node: &fleet::FleetNode) -> u64 {
+    let (_, text) = gateway::ask(node.ready, "/metrics").await;
+    let mut lines = text.lines();
+    let count = lines.find_map(|line| line.strip_prefix("comfreyspread_stage_call_seconds_count "));
+    count.expect("the metric").parse().expect("a number")
+}
+
+async fn report(node: &fleet::FleetNode, id: &str) -> u16 {
+    let mut request = gateway::request(node.front, "/report/", id);
+    request.insert_header("pieces", "2,1");
+    request.insert_header("piece-key", "k");
+    gateway::send(node.front, request).await.0
+}
+
+/// Its pieces are made by one other node, together, and not by each node by itself.
+#[test]
+fn killed() {
+    let pool = comfreyspread::runtime::worker::WorkerPool::new(2).expect("threads");
+    common::run(async {
+        let fleet = gateway::new_fleet(&pool).await;
+        let program = gateway::program();
+        let mut nodes = vec![fleet.start_node(&program, "node-1", &[]).await.expect("a node")];
+        let seed = nodes[0].control;
+        for name in ["node-2", "node-3", "node-4", "node-5"] {
+            nodes.push(fleet.start_node(&program, name, &[seed]).await.expect("a node"));
+        }
+        async_io::Timer::after(SETTLING).await;
+        assert_eq!(report(&nodes[0], "first").await, 200);
+        let counts = future::join_all(nodes.iter().map(calls)).await;
+        let batching = counts.iter().position(|count| *count > 0).expect("a batching node");
+        let mut lost = nodes.remove(batching);
+        let names: Vec<_> = (0..12).map(|number| format!("r-{number}")).collect();
+        let sent = names.iter().enumerate();
+        let sent = sent.map(|(number, name)| report(&nodes[number % nodes.len()], name));
+        let kill = async {
+            async_io::Timer::after(INTO_REQUESTS).await;
+            lost.process.kill();
+        };
+        let (answers, ()) = future::join(future::join_all(sent), kill).await;
+        assert_eq!(answers, [200; 12]);
+        let counts = future::join_all(nodes.iter().map(calls)).await;
+        let batching = counts.iter().filter(|count| **count > 0).count();
+        assert_eq!(batching, 1, "calls by node: {counts:?}");
+    });
+    pool.stop();
+}
--- a/crates/comfreyspread-lab/tests/common/mod.rs
+++ b/crates/comfreyspread-lab/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Small deployments for tests that run separate processes.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod gateway;
+
 use comfreyspread::transport::{failure, header, http_client};
 use comfreyspread_lab::{caller, deployment, fault, types};
 use comfreyspread_schema::{ids, types as wire};
--- a/crates/comfreyspread-lab/tests/platform_path.rs
+++ b/crates/comfreyspread-lab/tests/platform_path.rs
@@ -2,121 +2,18 @@
 
 mod common;
 
-use comfreyspread::transport::{http_client, http_message};
-use comfreyspread_lab::{fleet, fleet::FleetKind};
+use comfreyspread::transport::http_client;
 use comfreyspread_schema::types as wire;
-use std::{net, path, sync::atomic::Ordering, time};
-
-const PATIENCE: time::Duration = time::Duration::from_secs(10);
-
-fn program() -> path::PathBuf {
-    env!("CARGO_BIN_EXE_comfreyspread-lab").into()
-}
-
-fn document(version: u64) -> serde_json::Value {
-    let route = |name: &str, kind: &str, service: &str| {
-        serde_json::json!({
-            "name": name, "host": fleet::HOST, "prefix": format!("/{name}/"), "kind": kind,
-            "service": service, "timeout_ms": 4000, "target_latency_ms": 1000, "priority": 1,
-            "max_attempts": 2, "gap_aim_ms": 400,
-        })
-    };
-    let mut chat = route("chat", "streaming", "engine");
-    chat["resumable"] = true.into();
-    let mut report = route("report", "streaming", "engine");
-    report["stages"] = serde_json::json!([
-        {"service": "prepare", "after": [], "bytes": 1000},
-        {"service": "prepare", "after": [0], "bytes": 1000},
-    ]);
-    serde_json::json!({
-        "version": version,
-        "routes": [
-            route("read", "idempotent", "ledger"),
-            route("write", "non_idempotent", "ledger"),
-            chat,
-            report,
-        ],
-        "services": [
-            {"name": "ledger", "max_conns": 100},
-            {"name": "engine", "max_conns": 100, "engine": {"slots": 8}},
-            {"name": "prepare", "max_conns": 100, "pieces": {
-                "slots": 1, "queue": 2, "batch": 8, "call_ms": 60, "item_ms": 1,
-                "headroom_mb": 1, "handle_s": 4}},
-        ],
-        "tenants": [{"name": "one", "api_keys": [fleet::KEY]}],
-        "limits": {"max_body_bytes": 100_000},
-    })
-}
-
-async fn new_fleet(pool: &comfreyspread::runtime::worker::WorkerPool) -> fleet::FleetStandIn {
-    let endpoints = [
-        ("ledger-1", "ledger", FleetKind::Plain),
-        ("ledger-2", "ledger", FleetKind::Plain),
-        ("engine-1", "engine", FleetKind::Engine),
-        ("engine-2", "engine", FleetKind::Engine),
-        ("worker-1", "prepare", FleetKind::Worker),
-        ("worker-2", "prepare", FleetKind::Worker),
-    ];
-    let fleet = fleet::FleetStandIn::new(&pool.spawner(), &endpoints).await;
-    let fleet = fleet.expect("the stand-ins start");
-    fleet.set_document(&document(1));
-    fleet
-}
-
-fn request(node: net::SocketAddr, path: &str, id: &str) -> http_message::Request {
-    let url = format!("http://{node}{path}");
-    let mut request = http_message::Request::new(http::Method::POST, &url);
-    request.insert_header("host", fleet::HOST);
-    request.insert_header("request-id", id);
-    request.insert_header("deadline-ms", "3000");
-    request.insert_header("x-api-key", fleet::KEY);
-    request.set_body("body");
-    request
-}
-
-async fn send(node: net::SocketAddr, request: http_message::Request) -> (u16, String) {
-    let answer = answer(node, request).await;
-    (answer.status(), String::from_utf8_lossy(answer.body()).into_owned())
-}
-
-async fn answer(
-    node: net::SocketAddr,
-    request: http_message::Request,
-) -> http_client::ClientAnswer {
-    let client = http_client::HttpClient::new(1 << 20);
-    let connection = http_client::ConnectionUse::Fresh;
-    let sent = client.call(node, request, connection, time::Instant::now() + PATIENCE).await;
-    sent.expect("a whole answer")
-}
-
-/// Runs a test against stand-ins and one node.
-fn with_node<Test, Work>(test: Test)
-where
-    Test: FnOnce(fleet::FleetStandIn, fleet::FleetNode) -> Work,
-    Work: Future<Output = ()>,
-{
-    let pool = comfreyspread::runtime::worker::WorkerPool::new(2).expect("threads");
-    common::run(async {
-        let fleet = new_fleet(&pool).await;
-        let node = fleet.start_node(&program(), "node-1", &[]).await.expect("a node");
-        test(fleet, node).await;
-    });
-    pool.stop();
-}
-
-fn runs(fleet: &fleet::FleetStandIn, id: &str) -> Vec<fleet::FleetRecord> {
-    let of_request = |record: &fleet::FleetRecord| {
-        record.ran && record.head.get("request-id").is_some_and(|value| value == id)
-    };
-    fleet.records().into_iter().filter(of_request).collect()
-}
+use common::gateway;
+use std::{sync::atomic::Ordering, time};
 
 #[test]
 fn plain_request() {
-    with_node(async |fleet, node| {
-        let (status, body) = send(node.front, request(node.front, "/read/a//b?c", "r-1")).await;
+    gateway::with_node(async |fleet, node| {
+        let (status, body) =
+            gateway::send(node.front, gateway::request(node.front, "/read/a//b?c", "r-1")).await;
         assert_eq!(status, 200, "{body}");
-        let runs = runs(&fleet, "r-1");
+        let runs = gateway::runs(&fleet, "r-1");
         assert_eq!(runs.len(), 1);
         assert_eq!(&*runs[0].path, "/read/a//b");
         assert_eq!(runs[0].body, b"body");
@@ -131,17 +28,18 @@
 
 #[test]
 fn refused_requests() {
-    with_node(async |fleet, node| {
-        let (status, _) = send(node.front, request(node.front, "/none/", "r-1")).await;
+    gateway::with_node(async |fleet, node| {
+        let (status, _) =
+            gateway::send(node.front, gateway::request(node.front, "/none/", "r-1")).await;
         assert_eq!(status, 404);
-        let mut unknown = request(node.front, "/read/", "r-2");
+        let mut unknown = gateway::request(node.front, "/read/", "r-2");
         unknown.insert_header("x-api-key", "other");
-        assert_eq!(send(node.front, unknown).await.0, 401);
-        let mut long = request(node.front, "/read/", "r-3");
+        assert_eq!(gateway::send(node.front, unknown).await.0, 401);
+        let mut long = gateway::request(node.front, "/read/", "r-3");
         long.set_body(vec![0; 200_000]);
-        assert_eq!(send(node.front, long).await.0, 413);
+        assert_eq!(gateway::send(node.front, long).await.0, 413);
         for id in ["r-1", "r-2", "r-3"] {
-            assert!(runs(&fleet, id).is_empty(), "{id}");
+            assert!(gateway::runs(&fleet, id).is_empty(), "{id}");
         }
     });
 }
@@ -149,16 +47,17 @@
 /// A request that no endpoint takes is refused at once, has not run, and says when to come back.
 #[test]
 fn full_endpoints() {
-    with_node(async |fleet, node| {
+    gateway::with_node(async |fleet, node| {
         for endpoint in ["ledger-1", "ledger-2"] {
             fleet.faults(endpoint).full.store(true, Ordering::Relaxed);
         }
         let begun = time::Instant::now();
-        let refused = answer(node.front, request(node.front, "/write/", "r-1")).await;
+        let refused =
+            gateway::answer(node.front, gateway::request(node.front, "/write/", "r-1")).await;
         assert_eq!(refused.status(), 503);
         assert!(refused.header("retry-after").is_some());
         assert!(begun.elapsed() < time::Duration::from_secs(1));
-        assert!(runs(&fleet, "r-1").is_empty());
+        assert!(gateway::runs(&fleet, "r-1").is_empty());
     });
 }
 
@@ -166,16 +65,18 @@
 /// told that it has not run.
 #[test]
 fn lost_answer() {
-    with_node(async |fleet, node| {
+    gateway::with_node(async |fleet, node| {
         for endpoint in ["ledger-1", "ledger-2"] {
             fleet.faults(endpoint).lose_answers.store(true, Ordering::Relaxed);
         }
-        let (status, _) = send(node.front, request(node.front, "/write/", "r-1")).await;
+        let (status, _) =
+            gateway::send(node.front, gateway::request(node.front, "/write/", "r-1")).await;
         assert_eq!(status, 502);
-        assert_eq!(runs(&fleet, "r-1").len(), 1);
-        let (status, _) = send(node.front, request(node.front, "/read/", "r-2")).await;
+        assert_eq!(gateway::runs(&fleet, "r-1").len(), 1);
+        let (status, _) =
+            gateway::send(node.front, gateway::request(node.front, "/read/", "r-2")).await;
         assert_eq!(status, 502);
-        assert_eq!(runs(&fleet, "r-2").len(), 2, "a read is tried at the other endpoint");
+        assert_eq!(gateway::runs(&fleet, "r-2").len(), 2, "a read is tried at the other endpoint");
     });
 }
 
@@ -187,8 +88,9 @@
 
 #[test]
 fn whole_stream() {
-    with_node(async |_fleet, node| {
-        let (status, body) = send(node.front, request(node.front, "/chat/", "r-1")).await;
+    gateway::with_node(async |_fleet, node| {
+        let (status, body) =
+            gateway::send(node.front, gateway::request(node.front, "/chat/", "r-1")).await;
         assert_eq!((status, event_numbers(&body)), (200, ALL_EVENTS.to_vec()));
     });
 }
@@ -196,14 +98,14 @@
 /// A stream that breaks off within an event goes on at the other engine, in the same answer.
 #[test]
 fn stream_resumed() {
-    with_node(async |fleet, node| {
+    gateway::with_node(async |fleet, node| {
         for endpoint in ["engine-1", "engine-2"] {
             fleet.faults(endpoint).cut_after.store(3, Ordering::Relaxed);
         }
-        let resumed = request(node.front, "/chat/", "r-1");
-        let (status, body) = send(node.front, resumed).await;
+        let resumed = gateway::request(node.front, "/chat/", "r-1");
+        let (status, body) = gateway::send(node.front, resumed).await;
         assert_eq!((status, event_numbers(&body)), (200, ALL_EVENTS.to_vec()));
-        let runs = runs(&fleet, "r-1");
+        let runs = gateway::runs(&fleet, "r-1");
         assert_eq!(runs.len(), 2);
         assert_ne!(runs[0].endpoint, runs[1].endpoint);
         let last = runs[1].head.get("last-event-id").and_then(|value| value.to_str().ok());
@@ -214,25 +116,29 @@
 /// A stream that may not be resumed is cut for the caller too: it never looks whole.
 #[test]
 fn stream_cut() {
-    with_node(async |fleet, node| {
+    gateway::with_node(async |fleet, node| {
         for endpoint in ["engine-1", "engine-2"] {
             fleet.faults(endpoint).cut_after.store(3, Ordering::Relaxed);
         }
         let client = http_client::HttpClient::new(1 << 20);
         let connection = http_client::ConnectionUse::Fresh;
-        let request = request(node.front, "/report/", "r-1");
-        let until = time::Instant::now() + PATIENCE;
+        let request = gateway::request(node.front, "/report/", "r-1");
+        let until = time::Instant::now() + gateway::PATIENCE;
         assert!(client.call(node.front, request, connection, until).await.is_err());
-        assert_eq!(runs(&fleet, "r-1").len(), 1);
+        assert_eq!(gateway::runs(&fleet, "r-1").len(), 1);
     });
 }
 
 /// Requests whose prompts share nothing spread over the engines.
 #[test]
 fn engines_spread() {
-    with_node(async |fleet, node| {
-        let call =
-            |number: usize| send(node.front, request(node.front, "/chat/", &format!("r-{number}")));
+    gateway::with_node(async |fleet, node| {
+        let call = |number: usize| {
+            gateway::send(
+                node.front,
+                gateway::request(node.front, "/chat/", &format!("r-{number}")),
+            )
+        };
         futures_util::future::join_all((0..8).map(call)).await;
         let records = fleet.records();
         for engine in ["engine-1", "engine-2"] {
@@ -247,17 +153,17 @@
 fn pieces_shared() {
     let pool = comfreyspread::runtime::worker::WorkerPool::new(2).expect("threads");
     common::run(async {
-        let fleet = new_fleet(&pool).await;
-        let first = fleet.start_node(&program(), "node-1", &[]).await.expect("a node");
-        let second = fleet.start_node(&program(), "node-2", &[first.control]).await;
+        let fleet = gateway::new_fleet(&pool).await;
+        let first = fleet.start_node(&gateway::program(), "node-1", &[]).await.expect("a node");
+        let second = fleet.start_node(&gateway::program(), "node-2", &[first.control]).await;
         let second = second.expect("a node");
         async_io::Timer::after(time::Duration::from_secs(2)).await;
         let call = |number: usize| {
             let node = if number.is_multiple_of(2) { first.front } else { second.front };
-            let mut request = request(node, "/report/", &format!("r-{number}"));
+            let mut request = gateway::request(node, "/report/", &format!("r-{number}"));
             request.insert_header("pieces", "2,1");
             request.insert_header("piece-key", "k");
-            send(node, request)
+            gateway::send(node, request)
         };
         let answers = futures_util::future::join_all((0..12).map(call)).await;
         for (status, body) in &answers {
@@ -267,7 +173,7 @@
         let calls = records.iter().filter(|record| record.ran && &*record.path == "/v1/stage-run");
         let calls = calls.count();
         assert!(calls < 18, "36 pieces took {calls} calls");
-        let inputs = runs(&fleet, "r-1")[0].head.get("inputs").cloned().expect("inputs");
+        let inputs = gateway::runs(&fleet, "r-1")[0].head.get("inputs").cloned().expect("inputs");
         assert!(inputs.to_str().is_ok_and(|inputs| inputs.ends_with("/r-1-1-0")), "{inputs:?}");
         async_io::Timer::after(time::Duration::from_secs(1)).await;
         let freed: usize = fleet
@@ -287,12 +193,13 @@
 fn store_away() {
     let pool = comfreyspread::runtime::worker::WorkerPool::new(2).expect("threads");
     common::run(async {
-        let fleet = new_fleet(&pool).await;
-        let first = fleet.start_node(&program(), "node-1", &[]).await.expect("a node");
+        let fleet = gateway::new_fleet(&pool).await;
+        let first = fleet.start_node(&gateway::program(), "node-1", &[]).await.expect("a node");
         fleet.set_store_down(true);
-        let second = fleet.start_node(&program(), "node-2", &[first.control]).await;
+        let second = fleet.start_node(&gateway::program(), "node-2", &[first.control]).await;
         let second = second.expect("a node that is ready without the store");
-        let (status, _) = send(second.front, request(second.front, "/read/", "r-1")).await;
+        let (status, _) =
+            gateway::send(second.front, gateway::request(second.front, "/read/", "r-1")).await;
         assert_eq!(status, 200);
     });
     pool.stop();
@@ -301,29 +208,34 @@
 /// Routes, zones and foreign entries change under traffic; what cannot be read changes nothing.
 #[test]
 fn document_changes() {
-    with_node(async |fleet, node| {
+    gateway::with_node(async |fleet, node| {
         fleet.set_row("op", "config", Some("{\"version\":\"odd\"}"));
         fleet.set_row("servers", "foreign", Some("{\"service\":7}"));
         async_io::Timer::after(time::Duration::from_millis(900)).await;
-        let (status, _) = send(node.front, request(node.front, "/read/", "r-1")).await;
+        let (status, _) =
+            gateway::send(node.front, gateway::request(node.front, "/read/", "r-1")).await;
         assert_eq!(status, 200);
-        let mut changed = document(2);
+        let mut changed = gateway::document(2);
         changed["routes"].as_array_mut().expect("routes").remove(0);
         fleet.set_document(&changed);
         async_io::Timer::after(time::Duration::from_millis(900)).await;
-        let (status, _) = send(node.front, request(node.front, "/read/", "r-2")).await;
+        let (status, _) =
+            gateway::send(node.front, gateway::request(node.front, "/read/", "r-2")).await;
         assert_eq!(status, 404);
-        fleet.set_document(&document(1));
+        fleet.set_document(&gateway::document(1));
         async_io::Timer::after(time::Duration::from_millis(900)).await;
-        let (status, _) = send(node.front, request(node.front, "/read/", "r-3")).await;
+        let (status, _) =
+            gateway::send(node.front, gateway::request(node.front, "/read/", "r-3")).await;
         assert_eq!(status, 404, "an older document is not taken");
         fleet.set_row("op", "evacuate/a", Some("{}"));
         async_io::Timer::after(time::Duration::from_millis(900)).await;
-        let (status, _) = send(node.front, request(node.front, "/write/", "r-4")).await;
+        let (status, _) =
+            gateway::send(node.front, gateway::request(node.front, "/write/", "r-4")).await;
         assert_eq!(status, 503);
         fleet.set_row("op", "evacuate/a", None);
         async_io::Timer::after(time::Duration::from_millis(900)).await;
-        let (status, _) = send(node.front, request(node.front, "/write/", "r-5")).await;
+        let (status, _) =
+            gateway::send(node.front, gateway::request(node.front, "/write/", "r-5")).await;
         assert_eq!(status, 200);
     });
 }
@@ -332,8 +244,8 @@
 /// it has read, and ends by itself.
 #[test]
 fn graceful_end() {
-    with_node(async |_fleet, mut node| {
-        let stream = send(node.front, request(node.front, "/chat/", "r-1"));
+    gateway::with_node(async |_fleet, mut node| {
+        let stream = gateway::send(node.front, gateway::request(node.front, "/chat/", "r-1"));
         let stop = async {
             async_io::Timer::after(time::Duration::from_millis(30)).await;
             for signal in [
@@ -348,29 +260,22 @@
         };
         let ((status, body), ()) = futures_lite::future::zip(stream, stop).await;
         assert_eq!((status, event_numbers(&body)), (200, ALL_EVENTS.to_vec()));
-        let url = format!("http://{}/v1/ready", node.ready);
-        let question = http_message::Request::new(http::Method::GET, &url);
-        assert_eq!(answer(node.ready, question).await.status(), 503);
-        assert_eq!(node.process.wait(PATIENCE).await, Some(0));
+        assert_eq!(gateway::ask(node.ready, "/v1/ready").await.0, 503);
+        assert_eq!(node.process.wait(gateway::PATIENCE).await, Some(0));
     });
 }
 
 /// The state of a node can be asked for, by hand and with the operators' commands.
 #[test]
 fn state_shown() {
-    with_node(async |_fleet, node| {
-        let question = |path: &str| {
-            let url = format!("http://{}{path}", node.ready);
-            http_message::Request::new(http::Method::GET, &url)
-        };
-        let dump = answer(node.ready, question("/dump")).await;
-        let dump: wire::GatewayDump = serde_json::from_slice(dump.body()).expect("a dump");
+    gateway::with_node(async |_fleet, node| {
+        let (_, dump) = gateway::ask(node.ready, "/dump").await;
+        let dump: wire::GatewayDump = serde_json::from_str(&dump).expect("a dump");
         assert_eq!((dump.routes_version, dump.endpoints.len()), (1, 6));
-        let metrics = answer(node.ready, question("/metrics")).await;
-        let text = String::from_utf8_lossy(metrics.body()).into_owned();
+        let (_, text) = gateway::ask(node.ready, "/metrics").await;
         assert!(text.contains("comfreyspread_endpoints_known 6"), "{text}");
         let node_address = node.ready.to_string();
-        let status = std::process::Command::new(program())
+        let status = std::process::Command::new(gateway::program())
             .args(["product", "status", "--node", &node_address])
             .output()
             .expect("the command runs");
--- a/crates/comfreyspread/src/gateway/piece_send.rs
+++ b/crates/comfreyspread/src/gateway/piece_send.rs
@@ -17,6 +17,8 @@
 /// Path of a release of results, answered by a [`types::ResultReleased`].
 pub const RELEASE_PATH: &str = "/peer/results/release";
 
+/// Nodes that are asked one after the other to batch a group, before this one makes it by itself.
+const MOST_BATCHING_NODES: usize = 3;
 /// Longest wait for the receipt of a release.
 const RELEASE_LIMIT: time::Duration = time::Duration::from_millis(800);
 /// Longest wait for an answer about waits.
@@ -40,43 +42,54 @@
     state: &sync::Arc<state::GatewayState>,
     orders: &PieceOrders,
 ) -> batcher::GroupOutcomes {
-    if orders.group.deadline <= time::Instant::now() {
-        let late = types::PieceOutcome::Failed(types::PieceFault::Late);
-        return vec![late; orders.group.orders.len()];
+    for _ in 0..MOST_BATCHING_NODES {
+        if orders.group.deadline <= time::Instant::now() {
+            let late = types::PieceOutcome::Failed(types::PieceFault::Late);
+            return vec![late; orders.group.orders.len()];
+        }
+        let (node, address) = state.batching_node(&orders.service, &orders.region);
+        let Some(address) = address else { break };
+        match hand_over(state, orders, &node, address).await {
+            Ok(outcomes) => return outcomes,
+            Err(failure) => {
+                log::warn!(node = node.as_ref(), service = orders.service.as_ref();
+                    "pieces: batching node passed over. error={failure}");
+                state.sight.lock().shun(&node, time::Instant::now());
+                state.context.metrics.stages.count_passed_over();
+            }
+        }
     }
-    let (node, address) = state.batching_node(&orders.service, &orders.region);
-    let Some(address) = address else {
-        return batcher::make(state, &orders.service, orders.group.clone()).await;
-    };
+    batcher::make(state, &orders.service, orders.group.clone()).await
+}
+
+/// Has pieces made by the node that batches their service.
+///
+/// # Errors
+///
+/// Fails if the node cannot be reached, goes silent or answers for other pieces.
+async fn hand_over(
+    state: &sync::Arc<state::GatewayState>,
+    orders: &PieceOrders,
+    node: &ids::NodeId,
+    address: net::SocketAddr,
+) -> Result<batcher::GroupOutcomes, failure::CallFailure> {
     let message = request(state, orders);
     let deadline = orders.group.deadline + REPLY_MARGIN;
     let connection = http_client::ConnectionUse::Shared;
     let path = PIECE_PATH;
     let exchange = peer::exchange(&state.context, address, path, &message, connection, deadline);
     let silent = async {
-        silence(state, &orders.service, &node, address).await;
+        silence(state, &orders.service, node, address).await;
         let detail = "the batching node went silent";
         Err(failure::CallFailure::new(types::ProblemKind::Unavailable, detail))
     };
-    let reply: Result<types::PieceReply, _> = exchange.or(silent).await;
-    match reply {
-        Ok(reply) if reply.outcomes.len() == orders.group.orders.len() => {
-            state.sight.lock().note_heard(&node, time::Instant::now());
-            reply.outcomes
-        }
-        Ok(reply) => {
-            log::error!(node = node.as_ref(), got = reply.outcomes.len();
-                "pieces: reply has other pieces");
-            vec![types::PieceOutcome::Failed(types::PieceFault::Failed); orders.group.orders.len()]
-        }
-        Err(failure) => {
-            log::warn!(node = node.as_ref(), service = orders.service.as_ref();
-                "pieces: batching node passed over. error={failure}");
-            state.sight.lock().shun(&node, time::Instant::now());
-            state.context.metrics.stages.count_passed_over();
-            batcher::make(state, &orders.service, orders.group.clone()).await
-        }
+    let reply: types::PieceReply = exchange.or(silent).await?;
+    if reply.outcomes.len() != orders.group.orders.len() {
+        let detail = format!("the reply has {} other pieces", reply.outcomes.len());
+        return Err(failure::CallFailure::new(types::ProblemKind::Internal, detail));
     }
+    state.sight.lock().note_heard(node, time::Instant::now());
+    Ok(reply.outcomes)
 }
 
 /// Waits until a batching node does not answer the question for its waits; never returns while
