Read the store once a zone and pass its news on

Cause: each node followed both tables by itself.

Weighed: a role of its own for reading (a VM set aside for control); versions on heartbeats (a probe goes to one member each half second, so news would take several of them); one reader by rendezvous over the serving members of the zone, asked by the others as they ask the store. The last one was taken.

Change: policy table_news decides whom to ask; knowledge is fresh for 1.6 s after the store's answer, there or here; a node whose knowledge is not fresh, or whose reader is silent, reads the store itself for 3 s. A copy says up to which version it is complete, which is not its newest row where a table changes while it is read in pages. The doubt after an outage is passed on too.

--- a/crates/comfreyspread-lab/src/fleet.rs
+++ b/crates/comfreyspread-lab/src/fleet.rs
@@ -147,6 +147,11 @@
         self.store.down.store(down, atomic::Ordering::Relaxed);
     }
 
+    /// Returns the calls that the store has received.
+    pub fn store_calls(&self) -> u64 {
+        self.store.calls.load(atomic::Ordering::Relaxed)
+    }
+
     /// Returns the faults of an endpoint.
     pub fn faults(&self, endpoint: &str) -> &FleetFaults {
         &self.endpoints[endpoint].faults
@@ -255,6 +260,7 @@
     rows: rank::RankedLock<rank::PoolRank, StoreRows>,
     changed: event_listener::Event,
     down: atomic::AtomicBool,
+    calls: atomic::AtomicU64,
 }
 
 #[derive(Debug, Default)]
@@ -269,6 +275,7 @@
             rows: rank::RankedLock::new(StoreRows::default()),
             changed: event_listener::Event::new(),
             down: atomic::AtomicBool::new(false),
+            calls: atomic::AtomicU64::new(0),
         }
     }
 }
@@ -320,6 +327,7 @@
 
 impl http_server::RequestHandler for StoreHandler {
     async fn handle(&self, request: http_server::ServerRequest) -> http_message::Response {
+        self.calls.fetch_add(1, atomic::Ordering::Relaxed);
         if self.down.load(atomic::Ordering::Relaxed) {
             return http_message::Response::new(StatusCode::SERVICE_UNAVAILABLE);
         }
--- /dev/null
+++ b/crates/comfreyspread-lab/tests/tables_passed.rs
@@ -0,0 +1,108 @@
+//! In a zone of many nodes one reads the store for the others.
+
+mod common;
+
+use comfreyspread_lab::fleet;
+use comfreyspread_policy::table_news;
+use comfreyspread_schema::types;
+use common::gateway;
+use futures_util::future;
+use std::{net, time};
+
+const NODES: u64 = 8;
+/// Time for the nodes to find each other.
+const SETTLING: time::Duration = time::Duration::from_secs(4);
+/// Stated time within which a change is in force on nodes that work.
+const APPLY_LIMIT: time::Duration = time::Duration::from_millis(2500);
+/// Changes made one after the other, and the pause between them.
+const CHANGES: u64 = 8;
+const CHANGE_PAUSE: time::Duration = time::Duration::from_millis(500);
+
+async fn start(fleet: &fleet::FleetStandIn) -> Vec<(String, fleet::FleetNode)> {
+    let program = gateway::program();
+    let mut nodes = Vec::<(String, fleet::FleetNode)>::new();
+    for number in 0..NODES {
+        let name = format!("node-{number}");
+        let seeds: Vec<_> = nodes.first().map(|(_, node)| node.control).into_iter().collect();
+        let node = fleet.start_node(&program, &name, &seeds).await.expect("a node");
+        nodes.push((name, node));
+    }
+    async_io::Timer::after(SETTLING).await;
+    nodes
+}
+
+/// Returns the place of the node that reads the store.
+async fn reader(nodes: &[(String, fleet::FleetNode)]) -> usize {
+    let (_, dump) = gateway::ask(nodes[0].1.ready, "/dump").await;
+    let dump: types::GatewayDump = serde_json::from_str(&dump).expect("a dump");
+    let record = table_news::reader(dump.members.iter()).expect("a reader");
+    nodes.iter().position(|(name, _)| **name == *record.node).expect("one of the nodes")
+}
+
+/// Waits until all nodes have a version of the routes in force.
+async fn in_force(nodes: &[(String, fleet::FleetNode)], version: u64) -> time::Duration {
+    let begun = time::Instant::now();
+    let version_at = async |address: net::SocketAddr| {
+        let (_, dump) = gateway::ask(address, "/dump").await;
+        serde_json::from_str::<types::GatewayDump>(&dump).expect("a dump").routes_version
+    };
+    loop {
+        let versions = nodes.iter().map(|(_, node)| version_at(node.ready));
+        let versions = future::join_all(versions).await;
+        if versions.iter().all(|known| *known >= version) || begun.elapsed() > gateway::PATIENCE {
+            return begun.elapsed();
+        }
+        async_io::Timer::after(time::Duration::from_millis(50)).await;
+    }
+}
+
+fn with_nodes<Test, Work>(test: Test)
+where
+    Test: FnOnce(fleet::FleetStandIn, Vec<(String, fleet::FleetNode)>) -> Work,
+    Work: Future<Output = ()>,
+{
+    let pool = comfreyspread::runtime::worker::WorkerPool::new(2).expect("threads");
+    common::run(async {
+        let fleet = gateway::new_fleet(&pool).await;
+        let nodes = start(&fleet).await;
+        test(fleet, nodes).await;
+    });
+    pool.stop();
+}
+
+/// Changes cost the store less than half of the calls of nodes that all read it.
+#[test]
+fn few_calls() {
+    with_nodes(async |fleet, nodes| {
+        let before = fleet.store_calls();
+        for version in 2..2 + CHANGES {
+            fleet.set_document(&gateway::document(version));
+            async_io::Timer::after(CHANGE_PAUSE).await;
+        }
+        let took = in_force(&nodes, 1 + CHANGES).await;
+        assert!(took < APPLY_LIMIT, "in force after {took:?}");
+        let calls = fleet.store_calls() - before;
+        assert!(calls < NODES * CHANGES / 2, "{calls} calls");
+    });
+}
+
+/// A change comes to all nodes in time though the node that reads the store is killed, or stands
+/// still, right before it.
+#[test]
+fn reader_lost() {
+    with_nodes(async |fleet, mut nodes| {
+        let (name, frozen) = nodes.remove(reader(&nodes).await);
+        frozen.process.signal(rustix::process::Signal::STOP);
+        fleet.set_document(&gateway::document(2));
+        let took = in_force(&nodes, 2).await;
+        frozen.process.signal(rustix::process::Signal::CONT);
+        assert!(took < APPLY_LIMIT, "reader frozen: in force after {took:?}");
+        nodes.push((name, frozen));
+        async_io::Timer::after(SETTLING).await;
+        let (_, mut killed) = nodes.remove(reader(&nodes).await);
+        killed.process.kill();
+        fleet.set_document(&gateway::document(3));
+        let took = in_force(&nodes, 3).await;
+        assert!(took < APPLY_LIMIT, "reader killed: in force after {took:?}");
+    });
+}
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -9,11 +9,9 @@
 //!   [`suspect`], [`link`].
 //! - Requests that may run at most once: [`claim`], [`settlement`], [`write_group`].
 //! - On the users' platform: [`route_table`], [`directory`] of endpoints, [`stage_graph`] of a
-//!   request, [`batch_queue`] of a stage service over [`batch_group`]
-//!   and [`batch_worker`], [`event_buffer`], [`repeat_budget`],
-//!   [`wait_table`], [`table_mirror`],
-//!   [`peer_sight`],
-//!   [`outage_doubt`].
+//!   request, [`batch_queue`] of a stage service over [`batch_group`] and [`batch_worker`],
+//!   [`event_buffer`], [`repeat_budget`], [`wait_table`], [`peer_sight`]; tables of the store by
+//!   [`table_mirror`], [`table_news`] and [`outage_doubt`].
 //! - The owner: [`schedule`] over [`queue`], [`replica`], [`lifecycle`], [`limit`], [`breaker`],
 //!   [`outlier`], [`choice`], [`latency`].
 //! - Members and ownership: [`membership`], [`contact`], [`rendezvous`], [`ownership`],
@@ -71,6 +69,7 @@
 pub mod stream;
 pub mod suspect;
 pub mod table_mirror;
+pub mod table_news;
 pub mod timing;
 pub mod validation;
 pub mod verdict;
--- a/crates/comfreyspread-policy/src/table_mirror.rs
+++ b/crates/comfreyspread-policy/src/table_mirror.rs
@@ -2,7 +2,8 @@
 //!
 //! A row is only ever replaced by a newer version of it, so it does not matter in which order news
 //! arrive or where they come from. Removed rows are remembered, so that an older copy from another
-//! node does not bring them back.
+//! node does not bring them back. Beside the rows it knows up to which version no change is missing,
+//! which is not the newest version of a row where a table is read in pages.
 
 use comfreyspread_schema::{ids, types};
 use indexmap::IndexMap;
@@ -15,11 +16,13 @@
 pub struct TableMirror {
     rows: IndexMap<ids::Text, types::StoreRow>,
     read: bool,
+    complete: u64,
 }
 
 impl TableMirror {
-    /// Takes in rows; returns those that were news.
-    pub fn merge(&mut self, rows: Vec<types::StoreRow>) -> Vec<types::StoreRow> {
+    /// Takes in rows of whoever knows all changes up to `version`, all of them that this copy does
+    /// not have; returns those that were news.
+    pub fn merge(&mut self, rows: Vec<types::StoreRow>, version: u64) -> Vec<types::StoreRow> {
         let mut news = Vec::new();
         for row in rows {
             let known = self.rows.get(&row.key).map_or(0, |known| known.version);
@@ -29,6 +32,7 @@
             }
         }
         self.read = true;
+        self.complete = self.complete.max(version);
         self.forget_removed();
         news
     }
@@ -47,7 +51,7 @@
             version: version.max(known.version + 1),
         });
         let gone: Vec<_> = gone.collect();
-        self.merge(rows.into_iter().chain(gone).collect())
+        self.merge(rows.into_iter().chain(gone).collect(), version)
     }
 
     /// Returns the rows that are newer than `version`.
@@ -55,9 +59,9 @@
         self.rows.values().filter(|row| row.version > version).cloned().collect()
     }
 
-    /// Returns the newest version of a row that is known.
-    pub fn version(&self) -> u64 {
-        self.rows.values().map(|row| row.version).max().unwrap_or(0)
+    /// Returns the version up to which no change is missing.
+    pub fn complete(&self) -> u64 {
+        self.complete
     }
 
     /// Whether the table has been read, from wherever.
--- /dev/null
+++ b/crates/comfreyspread-policy/src/table_news.rs
@@ -0,0 +1,120 @@
+//! Where a node hears of changes of a table: from the platform's store, or from the node that reads
+//! it for its availability zone.
+//!
+//! In a zone of many nodes one reads the store and the others wait for its answers, so that calls to
+//! the store grow with the zones and not with the nodes. What a node knows counts as fresh for a
+//! bounded time after the store has answered, here or at the node that passed it on. A node whose
+//! knowledge is not fresh reads the store itself, so it depends on nobody for longer than that.
+//!
+//! ```
+//! use comfreyspread_policy::table_news;
+//! use std::time;
+//!
+//! let now = time::Instant::now();
+//! let mut news = table_news::TableNews::default();
+//! assert!(news.peer_wait(now).is_none(), "nothing is known yet");
+//! news.note_store(now);
+//! assert!(news.peer_wait(now).is_some());
+//! assert!(news.peer_wait(now + table_news::FRESH_TIME).is_none());
+//! ```
+
+use crate::{outage_doubt, rendezvous};
+use comfreyspread_schema::types;
+use std::time;
+
+/// Nodes of a zone from which on one reads for all.
+pub const LEAST_NODES: usize = 6;
+/// How long knowledge counts as fresh after the store has answered.
+pub const FRESH_TIME: time::Duration = time::Duration::from_millis(1600);
+/// Longest time for which a node that others wait for keeps a question at the store.
+pub const READER_WAIT: time::Duration = time::Duration::from_millis(1000);
+/// How long a node reads the store itself after another one was of no use.
+const DIRECT_TIME: time::Duration = time::Duration::from_secs(3);
+/// Name that the choice of the reading node is made for.
+const READER_ROLE: &str = "table-reader";
+
+/// What is known of how news of one table come.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TableNews {
+    fresh_until: Option<time::Instant>,
+    answered: Option<bool>,
+    direct_until: Option<time::Instant>,
+    doubt: outage_doubt::OutageDoubt,
+}
+
+impl TableNews {
+    /// Takes note of an answer of the store.
+    pub fn note_store(&mut self, now: time::Instant) {
+        self.answered = Some(true);
+        self.fresh_until = Some(now + FRESH_TIME);
+    }
+
+    /// Takes note that the store did not answer.
+    pub fn note_failure(&mut self) {
+        self.answered = Some(false);
+    }
+
+    /// Takes note of the answer of a node that was followed; its knowledge is fresh for `fresh`.
+    /// Returns whether that is of use.
+    pub fn note_peer(&mut self, fresh: time::Duration, now: time::Instant) -> bool {
+        if fresh.is_zero() {
+            self.note_peer_failure(now);
+            return false;
+        }
+        self.answered = None;
+        self.fresh_until = self.fresh_until.max(Some(now + fresh.min(FRESH_TIME)));
+        true
+    }
+
+    /// Takes note that a node that was followed did not answer.
+    pub fn note_peer_failure(&mut self, now: time::Instant) {
+        self.direct_until = Some(now + DIRECT_TIME);
+    }
+
+    /// Takes note of what another node says of an outage of the store that this one has seen.
+    pub fn note_outage(&mut self, answers_other: Option<bool>, now: time::Instant) {
+        self.doubt.note_outage(answers_other, now);
+    }
+
+    /// Whether entries may be missing because the store was away for all nodes.
+    pub fn is_doubtful(&self, now: time::Instant) -> bool {
+        self.doubt.is_doubtful(now)
+    }
+
+    /// Whether the store answers this node; none if it does not ask the store itself.
+    pub fn answered(&self) -> Option<bool> {
+        self.answered
+    }
+
+    /// Returns for how long what is known still counts as fresh.
+    pub fn fresh(&self, now: time::Instant) -> time::Duration {
+        self.fresh_until.map_or(time::Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
+    /// Returns how long another node may wait for news before it answers; none if the store itself
+    /// has to be read.
+    pub fn peer_wait(&self, now: time::Instant) -> Option<time::Duration> {
+        if self.direct_until.is_some_and(|until| until > now) {
+            return None;
+        }
+        let fresh = self.fresh(now);
+        (!fresh.is_zero()).then_some(fresh.min(READER_WAIT))
+    }
+}
+
+/// Returns the node that reads the store for a zone whose serving nodes are `members`; none if they
+/// are few, so that each reads for itself.
+pub fn reader<'members, Members>(members: Members) -> Option<&'members types::MemberRecord>
+where
+    Members: Iterator<Item = &'members types::MemberRecord>,
+{
+    let members: Vec<_> = members.collect();
+    if members.len() < LEAST_NODES {
+        return None;
+    }
+    let role = READER_ROLE.into();
+    let score = |record: &types::MemberRecord| {
+        rendezvous::OwnerCandidate::new(record.node.clone()).score(&role)
+    };
+    members.into_iter().max_by(|one, other| score(one).total_cmp(&score(other)))
+}
--- a/crates/comfreyspread/src/gateway/endpoint_follow.rs
+++ b/crates/comfreyspread/src/gateway/endpoint_follow.rs
@@ -1,7 +1,6 @@
 //! Following what endpoints register of themselves.
 
 use super::{state, table_follow};
-use crate::runtime::rank;
 use comfreyspread_platform::{entry, store};
 use comfreyspread_policy::{directory, outage_doubt};
 use comfreyspread_schema::{ids, types};
@@ -9,22 +8,7 @@
 
 /// Follows the endpoints' table.
 #[derive(Debug)]
-pub struct EndpointFollower {
-    doubt: rank::RankedLock<rank::DoubtRank, outage_doubt::OutageDoubt>,
-}
-
-impl EndpointFollower {
-    /// Creates a follower that knows of no outage.
-    pub fn new() -> Self {
-        Self { doubt: rank::RankedLock::new(outage_doubt::OutageDoubt::default()) }
-    }
-}
-
-impl Default for EndpointFollower {
-    fn default() -> Self {
-        Self::new()
-    }
-}
+pub struct EndpointFollower;
 
 impl table_follow::TableFollower for EndpointFollower {
     const NAME: &'static str = store::ENDPOINT_TABLE;
@@ -36,7 +20,7 @@
         if first {
             log::info!(count = rows.len(); "endpoints: read");
         }
-        let doubtful = self.doubt.lock().is_doubtful(now);
+        let doubtful = state.tables.lock().endpoints.news.is_doubtful(now);
         let mut doubted = Vec::new();
         for row in rows {
             match decode(&row) {
@@ -50,10 +34,6 @@
             state.context.spawner.detach(remove_later(state.clone(), doubted));
         }
     }
-
-    fn note_outage(&self, answers_other: bool) {
-        self.doubt.lock().note_outage(Some(answers_other), time::Instant::now());
-    }
 }
 
 fn insert(
@@ -78,8 +58,8 @@
     async_io::Timer::after(outage_doubt::RETURN_TIME).await;
     for row in rows {
         let back = {
-            let mirrors = state.mirrors.lock();
-            mirrors.endpoints.newer(row.version).iter().any(|newer| newer.key == row.key)
+            let tables = state.tables.lock();
+            tables.endpoints.mirror.newer(row.version).iter().any(|newer| newer.key == row.key)
         };
         if !back {
             remove(&state, &row.key);
--- a/crates/comfreyspread/src/gateway/mod.rs
+++ b/crates/comfreyspread/src/gateway/mod.rs
@@ -1,11 +1,12 @@
 //! The front end of the users' platform.
 //!
 //! - A request: [`entry`] reads it and answers, [`plain_run`] and [`stream_run`] make the attempts,
-//!   [`attempt_send`] makes one, [`attempt_log`] says whether another follows, [`region_choice`] says where its stages are made, [`stage_run`] has them made.
+//!   [`attempt_send`] makes one, [`attempt_log`] says whether another follows, [`region_choice`]
+//!   says where its stages are made, [`stage_run`] has them made.
 //! - Stages: [`piece_send`] hands pieces to the node that batches their service, [`batcher`] makes
 //!   the calls there.
 //! - What is known: [`route_follow`] the routes, [`endpoint_follow`] the endpoints, both by
-//!   [`table_follow`] over [`store_client`]; all of it stands in [`state`].
+//!   [`table_follow`] over [`store_client`] and [`table_peer`]; all of it stands in [`state`].
 //! - [`process`] starts, serves and stops.
 
 pub mod attempt_log;
@@ -26,3 +27,4 @@
 pub mod store_client;
 pub mod stream_run;
 pub mod table_follow;
+pub mod table_peer;
--- a/crates/comfreyspread/src/gateway/piece_send.rs
+++ b/crates/comfreyspread/src/gateway/piece_send.rs
@@ -1,6 +1,6 @@
 //! Pieces on their way to the node that batches their service, and the messages for it.
 
-use super::{batcher, state, table_follow};
+use super::{batcher, state, table_peer};
 use crate::{
     membership::peer,
     transport::{deadline as deadlines, failure, http_client, http_message, http_server},
@@ -252,8 +252,8 @@
         match path {
             PIECE_PATH => Some(Box::pin(self.make(request))),
             RELEASE_PATH => Some(Box::pin(async move { self.release(request) })),
-            table_follow::TABLE_PATH => {
-                Some(Box::pin(async move { table_follow::answer(&self.state, request) }))
+            table_peer::TABLE_PATH => {
+                Some(Box::pin(async move { table_peer::answer(&self.state, request).await }))
             }
             WAIT_PATH => Some(Box::pin(async move { self.wait(request) })),
             _ => None,
--- a/crates/comfreyspread/src/gateway/process.rs
+++ b/crates/comfreyspread/src/gateway/process.rs
@@ -128,8 +128,7 @@
     context.spawner.detach(heartbeat::run(context.clone()));
     let routes = table_follow::follow(state.clone(), route_follow::RouteFollower);
     context.spawner.detach(routes);
-    let endpoints =
-        table_follow::follow(state.clone(), endpoint_follow::EndpointFollower::default());
+    let endpoints = table_follow::follow(state.clone(), endpoint_follow::EndpointFollower);
     context.spawner.detach(endpoints);
     log::info!(node = context.settings.node.as_ref(), zone = context.settings.zone.as_ref();
         "gateway: started");
--- a/crates/comfreyspread/src/gateway/route_follow.rs
+++ b/crates/comfreyspread/src/gateway/route_follow.rs
@@ -27,8 +27,6 @@
             }
         }
     }
-
-    fn note_outage(&self, _answers_other: bool) {}
 }
 
 /// Brings a document into force if it is newer than the one that is.
--- a/crates/comfreyspread/src/gateway/state.rs
+++ b/crates/comfreyspread/src/gateway/state.rs
@@ -27,10 +27,8 @@
     pub machine: types::MachineSettings,
     /// Regions of the deployment, in order.
     pub regions: Vec<ids::RegionId>,
-    /// Whether the store answered this node the last time.
-    pub store_answers: atomic::AtomicBool,
-    /// Copies of the store's tables.
-    pub mirrors: rank::RankedLock<rank::MirrorRank, table_follow::TableMirrors>,
+    /// The store's tables as this node knows them.
+    pub tables: rank::RankedLock<rank::MirrorRank, table_follow::FollowedTables>,
     /// Routes in force.
     pub routes: rank::RankedLock<rank::RouteRank, sync::Arc<route_table::RouteTable>>,
     /// Endpoints that have registered.
@@ -74,8 +72,7 @@
         let zones = zones.map(|(zone, region)| (zone.as_str().into(), region.clone())).collect();
         Self {
             regions,
-            store_answers: atomic::AtomicBool::new(false),
-            mirrors: rank::RankedLock::new(table_follow::TableMirrors::default()),
+            tables: rank::RankedLock::new(table_follow::FollowedTables::default()),
             sight: rank::RankedLock::new(peer_sight::PeerSight::default()),
             routes: rank::RankedLock::new(sync::Arc::default()),
             directory: rank::RankedLock::new(directory::EndpointDirectory::new(zones)),
--- a/crates/comfreyspread/src/gateway/store_client.rs
+++ b/crates/comfreyspread/src/gateway/store_client.rs
@@ -9,8 +9,6 @@
 const OK_STATUS: u16 = 200;
 /// Longest wait for an answer that does not wait for changes.
 const ANSWER_LIMIT: time::Duration = time::Duration::from_millis(1500);
-/// How long the store keeps a question for changes waiting.
-const FEED_WAIT: time::Duration = time::Duration::from_secs(8);
 const CONNECTION_LIFE: time::Duration = time::Duration::from_secs(5);
 
 /// Changes of a table, or word that the history asked for is gone.
@@ -54,14 +52,19 @@
         Ok(whole)
     }
 
-    /// Waits for changes of a table after `version`; returns none after a while without any.
+    /// Waits for changes of a table after `version`; returns none if there are none for `wait`.
     ///
     /// # Errors
     ///
     /// Fails if the store does not answer, or refuses.
-    pub async fn feed(&self, table: &str, version: u64) -> Result<StoreFeed, failure::CallFailure> {
-        let path = store::feed_path(table, version, FEED_WAIT);
-        let answer = self.send(&path, FEED_WAIT + ANSWER_LIMIT).await?;
+    pub async fn feed(
+        &self,
+        table: &str,
+        version: u64,
+        wait: time::Duration,
+    ) -> Result<StoreFeed, failure::CallFailure> {
+        let path = store::feed_path(table, version, wait);
+        let answer = self.send(&path, wait + ANSWER_LIMIT).await?;
         if answer.status() == store::HISTORY_GONE_STATUS {
             return Ok(StoreFeed::HistoryGone);
         }
--- a/crates/comfreyspread/src/runtime/rank.rs
+++ b/crates/comfreyspread/src/runtime/rank.rs
@@ -41,8 +41,6 @@
     MemberRank = 30;
     /// Rank of the ownership table.
     OwnershipRank = 40;
-    /// Rank of what is known of outages of the store.
-    DoubtRank = 39;
     /// Rank of the mirrored tables of the platform's store.
     MirrorRank = 41;
     /// Rank of the routes in force on the users' platform.
