Ask the store anew after a second, so that a lost question blinds no node

The store was silent from 20.7 s to about 26 s. A question for changes that was asked in that time was never answered; its sender waited 9.5 s for it and used version 2 until 31 s, though version 5 was confirmed at 26.6 s. The logs show it: 'store: table not read. table=op error=timeout' at 20.7 s, the next word on that table at 31.2 s, while the other table answered at 28.0 s.

Ruled out: rows refused or out of order (version 5 came into force at once when it was read); members cut from each other (all nodes that were late had the same pattern).

Change: a question waits for one second at most, at the store and at other nodes. So that this costs no more calls, every zone has a reader, not only those of six nodes.

tables_passed::question_lost failed before (in force after 8.8 s, allowed 4 s).

--- a/crates/comfreyspread-lab/src/fleet.rs
+++ b/crates/comfreyspread-lab/src/fleet.rs
@@ -15,7 +15,7 @@
 use http::{Method, StatusCode};
 use indexmap::IndexMap;
 use miette::IntoDiagnostic as _;
-use std::{env, fs, io, net, path, sync, sync::atomic, time};
+use std::{env, fs, future, io, net, path, sync, sync::atomic, time};
 
 /// Host of all routes.
 pub const HOST: &str = "fleet.example";
@@ -147,6 +147,12 @@
         self.store.down.store(down, atomic::Ordering::Relaxed);
     }
 
+    /// Sets whether the store answers nothing; what it was asked before is never answered.
+    pub fn set_store_silent(&self, silent: bool) {
+        self.store.silences.fetch_add(1, atomic::Ordering::Relaxed);
+        self.store.silent.store(silent, atomic::Ordering::Relaxed);
+    }
+
     /// Returns the calls that the store has received.
     pub fn store_calls(&self) -> u64 {
         self.store.calls.load(atomic::Ordering::Relaxed)
@@ -260,6 +266,8 @@
     rows: rank::RankedLock<rank::PoolRank, StoreRows>,
     changed: event_listener::Event,
     down: atomic::AtomicBool,
+    silences: atomic::AtomicU64,
+    silent: atomic::AtomicBool,
     calls: atomic::AtomicU64,
 }
 
@@ -275,6 +283,8 @@
             rows: rank::RankedLock::new(StoreRows::default()),
             changed: event_listener::Event::new(),
             down: atomic::AtomicBool::new(false),
+            silences: atomic::AtomicU64::new(0),
+            silent: atomic::AtomicBool::new(false),
             calls: atomic::AtomicU64::new(0),
         }
     }
@@ -310,8 +320,12 @@
 
     async fn feed(&self, table: &str, after: u64, wait: time::Duration) -> serde_json::Value {
         let until = time::Instant::now() + wait;
+        let silences = self.silences.load(atomic::Ordering::Relaxed);
         loop {
             let listener = self.changed.listen();
+            if self.silences.load(atomic::Ordering::Relaxed) > silences {
+                future::pending::<()>().await;
+            }
             let (rows, version) = self.read(table, after, true);
             let late = time::Instant::now() >= until;
             if !rows.is_empty() || late || self.down.load(atomic::Ordering::Relaxed) {
@@ -328,6 +342,9 @@
 impl http_server::RequestHandler for StoreHandler {
     async fn handle(&self, request: http_server::ServerRequest) -> http_message::Response {
         self.calls.fetch_add(1, atomic::Ordering::Relaxed);
+        if self.silent.load(atomic::Ordering::Relaxed) {
+            future::pending::<()>().await;
+        }
         if self.down.load(atomic::Ordering::Relaxed) {
             return http_message::Response::new(StatusCode::SERVICE_UNAVAILABLE);
         }
--- a/crates/comfreyspread-lab/tests/tables_passed.rs
+++ b/crates/comfreyspread-lab/tests/tables_passed.rs
@@ -1,4 +1,4 @@
-//! In a zone of many nodes one reads the store for the others.
+//! Following the store: one node of a zone reads it for the others, whatever is lost.
 
 mod common;
 
@@ -14,6 +14,8 @@
 const SETTLING: time::Duration = time::Duration::from_secs(4);
 /// Stated time within which a change is in force on nodes that work.
 const APPLY_LIMIT: time::Duration = time::Duration::from_millis(2500);
+/// Stated time after an outage from which on a node has to know what has changed.
+const CONTACT_TIME: time::Duration = time::Duration::from_secs(4);
 /// Changes made one after the other, and the pause between them.
 const CHANGES: u64 = 8;
 const CHANGE_PAUSE: time::Duration = time::Duration::from_millis(500);
@@ -106,3 +108,17 @@
         assert!(took < APPLY_LIMIT, "reader killed: in force after {took:?}");
     });
 }
+
+/// A question that the store never answers does not keep a node from later changes.
+#[test]
+fn question_lost() {
+    gateway::with_node(async |fleet, node| {
+        async_io::Timer::after(CHANGE_PAUSE).await;
+        fleet.set_store_silent(true);
+        async_io::Timer::after(CHANGE_PAUSE).await;
+        fleet.set_store_silent(false);
+        fleet.set_document(&gateway::document(2));
+        let took = in_force(&[("node-1".to_owned(), node)], 2).await;
+        assert!(took < CONTACT_TIME, "in force after {took:?}");
+    });
+}
--- a/crates/comfreyspread-policy/src/table_news.rs
+++ b/crates/comfreyspread-policy/src/table_news.rs
@@ -1,8 +1,8 @@
 //! Where a node hears of changes of a table: from the platform's store, or from the node that reads
 //! it for its availability zone.
 //!
-//! In a zone of many nodes one reads the store and the others wait for its answers, so that calls to
-//! the store grow with the zones and not with the nodes. What a node knows counts as fresh for a
+//! In each zone one node reads the store and the others wait for its answers, so that calls to the
+//! store grow with the zones and not with the nodes. What a node knows counts as fresh for a
 //! bounded time after the store has answered, here or at the node that passed it on. A node whose
 //! knowledge is not fresh reads the store itself, so it depends on nobody for longer than that.
 //!
@@ -22,12 +22,11 @@
 use comfreyspread_schema::types;
 use std::time;
 
-/// Nodes of a zone from which on one reads for all.
-pub const LEAST_NODES: usize = 6;
 /// How long knowledge counts as fresh after the store has answered.
 pub const FRESH_TIME: time::Duration = time::Duration::from_millis(1600);
-/// Longest time for which a node that others wait for keeps a question at the store.
-pub const READER_WAIT: time::Duration = time::Duration::from_millis(1000);
+/// Longest time for which a question for news waits for some. A question may get lost without a
+/// sign, and its sender knows of no change until it asks again.
+pub const NEWS_WAIT: time::Duration = time::Duration::from_millis(1000);
 /// How long a node reads the store itself after another one was of no use.
 const DIRECT_TIME: time::Duration = time::Duration::from_secs(3);
 /// Name that the choice of the reading node is made for.
@@ -98,23 +97,18 @@
             return None;
         }
         let fresh = self.fresh(now);
-        (!fresh.is_zero()).then_some(fresh.min(READER_WAIT))
+        (!fresh.is_zero()).then_some(fresh.min(NEWS_WAIT))
     }
 }
 
-/// Returns the node that reads the store for a zone whose serving nodes are `members`; none if they
-/// are few, so that each reads for itself.
+/// Returns the node that reads the store for a zone whose serving nodes are `members`.
 pub fn reader<'members, Members>(members: Members) -> Option<&'members types::MemberRecord>
 where
     Members: Iterator<Item = &'members types::MemberRecord>,
 {
-    let members: Vec<_> = members.collect();
-    if members.len() < LEAST_NODES {
-        return None;
-    }
     let role = READER_ROLE.into();
     let score = |record: &types::MemberRecord| {
         rendezvous::OwnerCandidate::new(record.node.clone()).score(&role)
     };
-    members.into_iter().max_by(|one, other| score(one).total_cmp(&score(other)))
+    members.max_by(|one, other| score(one).total_cmp(&score(other)))
 }
--- a/crates/comfreyspread/src/gateway/table_follow.rs
+++ b/crates/comfreyspread/src/gateway/table_follow.rs
@@ -115,8 +115,7 @@
         return Ok(false);
     }
     let known = state.tables.lock().table(Follower::TABLE).mirror.complete();
-    let wait = table_peer::store_wait(state);
-    let answer = state.store.feed(Follower::NAME, known, wait).await?;
+    let answer = state.store.feed(Follower::NAME, known, table_news::NEWS_WAIT).await?;
     state.tables.lock().table(Follower::TABLE).news.note_store(time::Instant::now());
     match answer {
         store_client::StoreFeed::HistoryGone => {
--- a/crates/comfreyspread/src/gateway/table_peer.rs
+++ b/crates/comfreyspread/src/gateway/table_peer.rs
@@ -16,8 +16,6 @@
 
 /// Longest wait for the rows of another node, beyond the time for which it may hold the answer.
 const PEER_LIMIT: time::Duration = time::Duration::from_millis(400);
-/// How long the store keeps a question for changes waiting of a node that no other one follows.
-const LONE_WAIT: time::Duration = time::Duration::from_secs(8);
 /// Most bytes of rows that are passed on to a node that follows this one; it reads more itself.
 const ROWS_LIMIT_BYTES: usize = 32 * 1024;
 
@@ -39,14 +37,6 @@
     Some(TableQuestion { node, address, wait })
 }
 
-/// Returns how long the store may keep a question of this node for changes waiting.
-pub fn store_wait(state: &state::GatewayState) -> time::Duration {
-    match reader(state) {
-        Some((node, _)) if node == state.context.settings.node => table_news::READER_WAIT,
-        _ => LONE_WAIT,
-    }
-}
-
 /// Returns the node that reads the store for this node's availability zone.
 fn reader(state: &state::GatewayState) -> Option<(ids::NodeId, net::SocketAddr)> {
     let members = state.context.tables.members.lock();
