Let no stage endpoint idle because another seems faster, or for one slow call

An endpoint counted as slow at 1.8 times the best one's time, and the best seemed to need 0.53 of the usual time, since calls whose pieces lack room or inputs end early. One slow call, as when a node stands still, took six probes of three seconds to be forgotten.

Ruled out: room for results (0.3 to 1.1 endpoints lacked it, at the height of the burst only).

Change: slow is measured against the usual time or the best, whichever is longer; only pieces that were worked on count; a change beyond chance is believed in both directions. An endpoint that is slow takes the pieces that the others would come to later. The endpoints and their room stand in worker_set and result_room, how a call ends in batch_ending.

--- a/crates/comfreyspread-policy/src/batch_queue.rs
+++ b/crates/comfreyspread-policy/src/batch_queue.rs
@@ -5,7 +5,7 @@
 //! sake of a fuller call. Pieces that can still make their target go first, by rank; those that can
 //! only be late follow, by deadline; those that nobody can use any more are dropped at once.
 
-use crate::{batch_group, batch_worker};
+use crate::{batch_ending, batch_group, batch_worker, worker_set};
 use comfreyspread_schema::{ids, types};
 use indexmap::IndexMap;
 use std::{net, time};
@@ -13,26 +13,10 @@
 /// Number of a call within its queue.
 pub type CallNumber = u64;
 
-/// Weight of the newest call in an endpoint's average.
-const NEW_WEIGHT: f64 = 0.3;
-/// Multiple of the best endpoint's time above which an endpoint counts as slow.
-const SLOW_FACTOR: f64 = 1.8;
-/// Multiple of its time at which an endpoint of another availability zone counts.
-const ELSEWHERE_FACTOR: f64 = 1.5;
-/// Interval at which a slow endpoint is given a call, to see whether it still is.
-const SLOW_PROBE_INTERVAL: time::Duration = time::Duration::from_secs(3);
-/// How long an endpoint is passed over that refused a call because it was full.
-const REST_AFTER_FULL: time::Duration = time::Duration::from_millis(60);
-/// How long an endpoint is passed over that could not be reached or failed a call.
-const REST_AFTER_FAILURE: time::Duration = time::Duration::from_millis(500);
-/// How long room counts as taken by results that this queue does not know.
-const UNKNOWN_RESULTS_LIFE: time::Duration = time::Duration::from_millis(700);
 /// Multiple of the expected time after which a call is given up.
 const PATIENCE_FACTOR: f64 = 3.0;
 /// Time beyond that multiple.
 const PATIENCE_SLACK: time::Duration = time::Duration::from_millis(400);
-/// Fastest that an endpoint counts as, in parts of the usual time.
-const MOST_SPEED_FACTOR: f64 = 0.5;
 /// Speed that counts where no endpoint is there, in endpoints.
 const LEAST_SPEED: f64 = 0.1;
 
@@ -48,6 +32,13 @@
     bytes: u64,
 }
 
+impl RunningCall {
+    /// Returns the mean size of its results in bytes.
+    fn piece_bytes(&self) -> u64 {
+        self.bytes / u64::try_from(self.pieces.len()).unwrap_or(1).max(1)
+    }
+}
+
 /// A call to be made now.
 #[derive(Clone, Debug)]
 pub struct PlannedCall {
@@ -63,54 +54,13 @@
     pub patience: time::Duration,
 }
 
-/// How a call ended.
-#[derive(Clone, Debug)]
-pub enum BatchEnding {
-    /// It was answered, piece by piece.
-    Answered(Vec<types::PieceOutcome>),
-    /// The endpoint was full and made nothing.
-    Full,
-    /// Another endpoint has the address, or this one leaves.
-    Gone,
-    /// It failed, or took too long.
-    Failed,
-}
-
-impl BatchEnding {
-    /// Returns how many pieces were made; none if the call failed as a whole.
-    pub fn made(&self) -> Option<usize> {
-        let Self::Answered(outcomes) = self else { return None };
-        let made = |outcome: &&types::PieceOutcome| matches!(outcome, types::PieceOutcome::Made(_));
-        Some(outcomes.iter().filter(made).count())
-    }
-
-    /// Returns how the call ended in a word, for logs.
-    pub fn word(&self) -> &'static str {
-        match self {
-            Self::Answered(_) => "answered",
-            Self::Full => "full",
-            Self::Gone => "gone",
-            Self::Failed => "failed",
-        }
-    }
-}
-
-/// Results that stand at their makers.
-#[derive(Debug)]
-struct KeptResult {
-    maker: net::SocketAddr,
-    bytes: u64,
-    until: time::Instant,
-}
-
 /// Queue of one stage service in one region.
 #[derive(Debug)]
 pub struct BatchQueue {
     capacity: types::StageCapacity,
-    workers: IndexMap<ids::EndpointId, batch_worker::BatchWorker>,
+    workers: worker_set::WorkerSet,
     groups: IndexMap<batch_group::GroupNumber, batch_group::QueuedGroup>,
     calls: IndexMap<CallNumber, RunningCall>,
-    kept: IndexMap<ids::ResultHandle, KeptResult>,
     next: u64,
 }
 
@@ -118,17 +68,17 @@
     /// Creates the queue of a service whose endpoints have `capacity`.
     pub fn new(capacity: types::StageCapacity) -> Self {
         Self {
+            workers: worker_set::WorkerSet::new(capacity.room_bytes),
             capacity,
-            workers: IndexMap::new(),
             groups: IndexMap::new(),
             calls: IndexMap::new(),
-            kept: IndexMap::new(),
             next: 0,
         }
     }
 
     /// Sets what one endpoint can do.
     pub fn set_capacity(&mut self, capacity: types::StageCapacity) {
+        self.workers.set_room(capacity.room_bytes);
         self.capacity = capacity;
     }
 
@@ -137,14 +87,7 @@
     where
         Workers: Iterator<Item = batch_worker::WorkerPlace>,
     {
-        let workers: IndexMap<_, _> =
-            workers.map(|place| (place.endpoint.clone(), place)).collect();
-        self.workers.retain(|endpoint, _| workers.contains_key(endpoint));
-        for (endpoint, place) in workers {
-            self.workers
-                .entry(endpoint)
-                .or_insert_with(|| batch_worker::BatchWorker::new(place, now));
-        }
+        self.workers.set(workers, now);
     }
 
     /// Takes in a group of pieces.
@@ -161,10 +104,7 @@
 
     /// Returns the calls to be made now.
     pub fn plan(&mut self, now: time::Instant) -> Vec<PlannedCall> {
-        self.kept.retain(|_, kept| kept.until > now);
-        for worker in self.workers.values_mut() {
-            worker.unknown = worker.unknown.filter(|unknown| unknown.until > now);
-        }
+        self.workers.advance(now);
         std::iter::from_fn(|| self.plan_one(now)).collect()
     }
 
@@ -173,22 +113,24 @@
     pub fn finish(
         &mut self,
         number: CallNumber,
-        ending: &BatchEnding,
+        ending: &batch_ending::BatchEnding,
         now: time::Instant,
     ) -> Vec<ids::ResultHandle> {
         let Some(call) = self.calls.shift_remove(&number) else { return Vec::new() };
         let mut unwanted = Vec::new();
-        self.note_worker(&call, ending, now);
+        self.workers.note_call(&self.ended(&call, ending), ending, now);
         for (place, (group, piece)) in call.pieces.iter().enumerate() {
             let outcome = match ending {
-                BatchEnding::Answered(outcomes) => outcomes
+                batch_ending::BatchEnding::Answered(outcomes) => outcomes
                     .get(place)
                     .cloned()
                     .unwrap_or(types::PieceOutcome::Failed(types::PieceFault::Failed)),
-                BatchEnding::Full | BatchEnding::Gone => {
+                batch_ending::BatchEnding::Full | batch_ending::BatchEnding::Gone => {
                     types::PieceOutcome::Failed(types::PieceFault::Refused)
                 }
-                BatchEnding::Failed => types::PieceOutcome::Failed(types::PieceFault::Unreachable),
+                batch_ending::BatchEnding::Failed => {
+                    types::PieceOutcome::Failed(types::PieceFault::Unreachable)
+                }
             };
             if let types::PieceOutcome::Made(handle) = &outcome
                 && !self.groups.contains_key(group)
@@ -217,9 +159,7 @@
 
     /// Takes note that results have been freed at their makers.
     pub fn forget_results(&mut self, handles: &[ids::ResultHandle]) {
-        for handle in handles {
-            self.kept.swap_remove(handle);
-        }
+        self.workers.forget_results(handles);
     }
 
     /// Returns the moment at which something is to be done though no call ends: the next deadline,
@@ -230,19 +170,16 @@
         }
         let waiting = self.groups.values().filter(|queued| queued.is_waiting());
         let deadlines = waiting.map(|queued| queued.group.deadline);
-        let rests = self.workers.values().filter_map(|worker| worker.resting_until);
-        let rooms = self.workers.values().filter_map(|worker| Some(worker.unknown?.until));
-        deadlines.chain(rests.chain(rooms).filter(|moment| *moment > now)).min()
+        deadlines.chain(self.workers.moments().filter(|moment| *moment > now)).min()
     }
 
     /// Returns the time until new pieces of a request with this rank are made, their own call
     /// included.
     pub fn expected_wait(&self, priority: u32, now: time::Instant) -> time::Duration {
-        let awake = self.workers.values().filter(|worker| !worker.is_resting(now));
-        let speed: f64 = awake.map(|worker| 1.0 / worker.factor.max(MOST_SPEED_FACTOR)).sum();
+        let speed = self.workers.speed(now);
         let before = self.groups.values().filter(|queued| queued.group.priority <= priority);
         let waiting: usize = before.map(batch_group::QueuedGroup::waiting).sum();
-        let batch = usize::try_from(self.capacity.batch).unwrap_or(1).max(1);
+        let batch = self.batch();
         let full = self.call_time(batch);
         let running = self
             .calls
@@ -272,16 +209,58 @@
         let first = self
             .waiting_groups()
             .min_by_key(|(number, queued)| (self.place(queued, None, now), **number));
-        let endpoint = self.free_worker(&first?.1.group, now)?;
-        let zone = self.workers.get(&endpoint).map(|worker| worker.zone.clone());
-        let room = self.room_left(&endpoint);
-        let pieces = self.fill(&self.order(zone.as_ref(), now), room);
+        let first = &first?.1.group;
+        let usual = self.call_time(self.batch());
+        let (endpoint, passed) = match self.workers.choose(first, usual, now) {
+            Some(endpoint) => (endpoint, 0),
+            None => {
+                let helper = self.workers.helper(now)?;
+                (helper.endpoint, helper.calls_before * self.batch())
+            }
+        };
+        let order = self.order(self.workers.zone(&endpoint), now);
+        let room = self.workers.room_left(&endpoint);
+        let pieces = self.fill(self.behind(&order, passed), room);
         if pieces.is_empty() {
             return None;
         }
         Some(self.start(endpoint, pieces, now))
     }
 
+    /// Returns what the endpoints are told of a call that has ended.
+    fn ended(
+        &self,
+        call: &RunningCall,
+        ending: &batch_ending::BatchEnding,
+    ) -> worker_set::EndedCall {
+        worker_set::EndedCall {
+            endpoint: call.endpoint.clone(),
+            started: call.started,
+            usual: call_time(&self.capacity, ending.worked()),
+            piece_bytes: call.piece_bytes(),
+        }
+    }
+
+    /// Returns the groups of an order behind the first `left` pieces.
+    fn behind<'order>(
+        &self,
+        order: &'order [batch_group::GroupNumber],
+        left: usize,
+    ) -> &'order [batch_group::GroupNumber] {
+        let mut before = 0;
+        let first = order.iter().position(|number| {
+            let has_place = before >= left;
+            before += self.groups.get(number).map_or(0, batch_group::QueuedGroup::waiting);
+            has_place
+        });
+        first.map_or(&[], |first| &order[first..])
+    }
+
+    /// Returns the most pieces of a call.
+    fn batch(&self) -> usize {
+        usize::try_from(self.capacity.batch).unwrap_or(1).max(1)
+    }
+
     fn waiting_groups(
         &self,
     ) -> impl Iterator<Item = (&batch_group::GroupNumber, &batch_group::QueuedGroup)> {
@@ -311,7 +290,7 @@
         now: time::Instant,
     ) -> GroupPlace {
         let group = &queued.group;
-        let soonest = self.call_time(usize::try_from(self.capacity.batch).unwrap_or(1));
+        let soonest = self.call_time(self.batch());
         let late = now + soonest > group.target;
         let rank = if late { u32::MAX } else { group.priority };
         let last = group.inputs_until.map_or(group.deadline, |until| until.min(group.deadline));
@@ -320,48 +299,6 @@
         (late, !queued.is_begun(), rank, elsewhere, moment)
     }
 
-    /// Returns an endpoint for a call whose first pieces are of `first`.
-    fn free_worker(
-        &self,
-        first: &batch_group::PieceGroup,
-        now: time::Instant,
-    ) -> Option<ids::EndpointId> {
-        let awake = self.workers.iter().filter(|(_, worker)| !worker.is_resting(now));
-        let best = awake.clone().map(|(_, worker)| worker.factor).fold(f64::INFINITY, f64::min);
-        let usual = self.call_time(usize::try_from(self.capacity.batch).unwrap_or(1));
-        let useful = |worker: &batch_worker::BatchWorker| {
-            worker.factor <= best * SLOW_FACTOR
-                || now + usual.mul_f64(worker.factor) <= first.target
-                || now.saturating_duration_since(worker.used) > SLOW_PROBE_INTERVAL
-        };
-        let free = awake.filter(|(endpoint, worker)| {
-            worker.call.is_none() && useful(worker) && self.room_left(endpoint) >= first.bytes
-        });
-        let distance = |worker: &batch_worker::BatchWorker| {
-            let near = first.zone.is_none() || first.zone.as_ref() == Some(&worker.zone);
-            if near { worker.factor } else { worker.factor * ELSEWHERE_FACTOR }
-        };
-        let nearest = free.min_by(|(_, one), (_, other)| {
-            distance(one).total_cmp(&distance(other)).then(one.used.cmp(&other.used))
-        });
-        nearest.map(|(endpoint, _)| endpoint.clone())
-    }
-
-    fn room_left(&self, endpoint: &ids::EndpointId) -> u64 {
-        let Some(worker) = self.workers.get(endpoint) else { return 0 };
-        if self.capacity.room_bytes == 0 {
-            return u64::MAX;
-        }
-        let unknown = worker.unknown.map_or(0, |unknown| unknown.bytes);
-        self.capacity.room_bytes.saturating_sub(self.known_bytes(worker.address) + unknown)
-    }
-
-    /// Returns the bytes of the results that this queue knows at an endpoint.
-    fn known_bytes(&self, maker: net::SocketAddr) -> u64 {
-        let kept = self.kept.values().filter(|kept| kept.maker == maker);
-        kept.map(|kept| kept.bytes).sum()
-    }
-
     /// Returns the pieces of the next call, as many as fit it and the room of its endpoint.
     ///
     /// Results of a group that is made in parts take room until its last piece is made. So where
@@ -371,7 +308,7 @@
         order: &[batch_group::GroupNumber],
         mut room: u64,
     ) -> Vec<(batch_group::GroupNumber, usize)> {
-        let batch = usize::try_from(self.capacity.batch).unwrap_or(1);
+        let batch = self.batch();
         let mut pieces = Vec::with_capacity(batch);
         for number in order {
             let Some(queued) = self.groups.get(number) else { continue };
@@ -415,54 +352,13 @@
             bytes += queued.group.bytes;
             orders.push(order);
         }
-        let mut address = net::SocketAddr::from(([0, 0, 0, 0], 0));
-        let mut factor = 1.0;
-        if let Some(worker) = self.workers.get_mut(&endpoint) {
-            worker.call = Some(number);
-            worker.used = now;
-            address = worker.address;
-            factor = worker.factor;
-        }
+        let (address, factor) = self.workers.start(&endpoint, number, now);
         let patience = usual.mul_f64(factor * PATIENCE_FACTOR) + PATIENCE_SLACK;
         let call = RunningCall { endpoint: endpoint.clone(), started: now, usual, pieces, bytes };
         self.calls.insert(number, call);
         PlannedCall { number, endpoint, address, orders, patience }
     }
 
-    fn note_worker(&mut self, call: &RunningCall, ending: &BatchEnding, now: time::Instant) {
-        if matches!(ending, BatchEnding::Gone) {
-            self.workers.shift_remove(&call.endpoint);
-            return;
-        }
-        let maker = self.workers.get(&call.endpoint).map(|worker| worker.address);
-        let known = maker.map_or(0, |maker| self.known_bytes(maker));
-        let Some(worker) = self.workers.get_mut(&call.endpoint) else { return };
-        worker.call = None;
-        let took = now.saturating_duration_since(call.started);
-        let ratio = took.as_secs_f64() / call.usual.as_secs_f64().max(f64::EPSILON);
-        let weighed = worker.factor * (1.0 - NEW_WEIGHT) + ratio * NEW_WEIGHT;
-        match ending {
-            BatchEnding::Answered(outcomes) => {
-                worker.factor = if ratio > worker.factor * SLOW_FACTOR { ratio } else { weighed };
-                let full = |outcome: &types::PieceOutcome| {
-                    *outcome == types::PieceOutcome::Failed(types::PieceFault::NoRoom)
-                };
-                if outcomes.iter().any(full) {
-                    let made = outcomes.iter().filter(|outcome| !full(outcome)).count();
-                    let each = call.bytes / u64::try_from(call.pieces.len()).unwrap_or(1).max(1);
-                    let made = each * u64::try_from(made).unwrap_or(0);
-                    let bytes = self.capacity.room_bytes.saturating_sub(known + made);
-                    let until = now + UNKNOWN_RESULTS_LIFE;
-                    worker.unknown = Some(batch_worker::UnknownResults { bytes, until });
-                }
-            }
-            BatchEnding::Full => worker.resting_until = Some(now + REST_AFTER_FULL),
-            BatchEnding::Failed | BatchEnding::Gone => {
-                worker.resting_until = Some(now + REST_AFTER_FAILURE);
-            }
-        }
-    }
-
     fn settle(
         &mut self,
         number: batch_group::GroupNumber,
@@ -471,13 +367,11 @@
         call: &RunningCall,
         now: time::Instant,
     ) {
-        let maker = self.workers.get(&call.endpoint).map(|worker| worker.address);
         let wanted = self.groups.get_mut(&number);
-        if let (types::PieceOutcome::Made(handle), Some(maker)) = (&outcome, maker) {
-            let count = u64::try_from(call.pieces.len()).unwrap_or(1).max(1);
-            let bytes = wanted.as_ref().map_or(call.bytes / count, |queued| queued.group.bytes);
+        if let types::PieceOutcome::Made(handle) = &outcome {
+            let bytes = wanted.as_ref().map_or(call.piece_bytes(), |queued| queued.group.bytes);
             let until = now + self.capacity.result_life;
-            self.kept.insert(handle.clone(), KeptResult { maker, bytes, until });
+            self.workers.keep_result(&call.endpoint, handle.clone(), bytes, until);
         }
         if let Some(queued) = wanted {
             queued.settle(piece, outcome);
--- a/crates/comfreyspread-policy/src/batch_worker.rs
+++ b/crates/comfreyspread-policy/src/batch_worker.rs
@@ -3,6 +3,11 @@
 use comfreyspread_schema::ids;
 use std::{net, time};
 
+/// Weight of the newest call in an endpoint's average.
+const NEW_WEIGHT: f64 = 0.3;
+/// Multiple of what is expected of an endpoint above which it counts as slow.
+pub const SLOW_FACTOR: f64 = 1.8;
+
 /// An endpoint that may be called.
 #[derive(Clone, Debug)]
 pub struct WorkerPlace {
@@ -56,6 +61,20 @@
         }
     }
 
+    /// Takes note that work which usually takes `usual` took `took`. A change beyond chance is
+    /// believed at once, in either direction.
+    pub fn note_call(&mut self, usual: time::Duration, took: time::Duration) {
+        let ratio = took.as_secs_f64() / usual.as_secs_f64().max(f64::EPSILON);
+        let changed = ratio > self.factor * SLOW_FACTOR || ratio * SLOW_FACTOR < self.factor;
+        let weighed = self.factor * (1.0 - NEW_WEIGHT) + ratio * NEW_WEIGHT;
+        self.factor = if changed { ratio } else { weighed };
+    }
+
+    /// Whether it is much slower than the best endpoint, whose factor is `best`, and than usual.
+    pub fn is_slow(&self, best: f64) -> bool {
+        self.factor > best.max(1.0) * SLOW_FACTOR
+    }
+
     /// Whether it is passed over now.
     pub fn is_resting(&self, now: time::Instant) -> bool {
         self.resting_until.is_some_and(|until| until > now)
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -9,7 +9,7 @@
 //!   [`suspect`], [`link`].
 //! - Requests that may run at most once: [`claim`], [`settlement`], [`write_group`].
 //! - On the users' platform: [`route_table`], [`directory`] of endpoints, [`stage_graph`] of a
-//!   request, [`batch_queue`] of a stage service over [`batch_group`] and [`batch_worker`],
+//!   request, [`batch_queue`] of a stage service over [`batch_group`] and [`worker_set`],
 //!   [`event_buffer`], [`repeat_budget`], [`wait_table`], [`peer_sight`]; tables of the store by
 //!   [`table_mirror`], [`table_news`] and [`outage_doubt`].
 //! - The owner: [`schedule`] over [`queue`], [`replica`], [`lifecycle`], [`limit`], [`breaker`],
@@ -28,6 +28,7 @@
 
 pub mod acceptance;
 pub mod attempt;
+pub mod batch_ending;
 pub mod batch_group;
 pub mod batch_queue;
 pub mod batch_worker;
@@ -60,6 +61,7 @@
 pub mod rendezvous;
 pub mod repeat_budget;
 pub mod replica;
+pub mod result_room;
 pub mod retry;
 pub mod route_table;
 pub mod routing;
@@ -75,4 +77,5 @@
 pub mod verdict;
 pub mod vm_list;
 pub mod wait_table;
+pub mod worker_set;
 pub mod write_group;
--- a/crates/comfreyspread-policy/tests/batch_queue.rs
+++ b/crates/comfreyspread-policy/tests/batch_queue.rs
@@ -2,8 +2,8 @@
 #![allow(clippy::disallowed_methods, reason = "a base moment for injected time")]
 
 use bolero::check;
-use comfreyspread_policy::{batch_group, batch_queue, batch_worker};
-use comfreyspread_schema::types;
+use comfreyspread_policy::{batch_ending, batch_group, batch_queue, batch_worker};
+use comfreyspread_schema::{ids, types};
 use indexmap::IndexMap;
 use std::time;
 
@@ -61,12 +61,22 @@
 }
 
 /// Returns the outcomes of a call whose pieces are all made.
-fn made(call: &batch_queue::PlannedCall) -> batch_queue::BatchEnding {
+fn made(call: &batch_queue::PlannedCall) -> batch_ending::BatchEnding {
     let handle = |order: &types::PieceOrder| {
         let handle = format!("{}/{}-{}", call.address, order.request, order.piece);
         types::PieceOutcome::Made(handle.into())
     };
-    batch_queue::BatchEnding::Answered(call.orders.iter().map(handle).collect())
+    batch_ending::BatchEnding::Answered(call.orders.iter().map(handle).collect())
+}
+
+/// Returns the results of a call.
+fn handles(ending: &batch_ending::BatchEnding) -> Vec<ids::ResultHandle> {
+    let batch_ending::BatchEnding::Answered(outcomes) = ending else { panic!("an answer") };
+    let handle = |outcome: &types::PieceOutcome| match outcome {
+        types::PieceOutcome::Made(handle) => Some(handle.clone()),
+        types::PieceOutcome::Failed(_) => None,
+    };
+    outcomes.iter().filter_map(handle).collect()
 }
 
 fn requests(call: &batch_queue::PlannedCall) -> Vec<&str> {
@@ -143,12 +153,7 @@
     assert_eq!(second.orders.len(), 4, "twelve results fit, eight are kept");
     queue.finish(second.number, &made(&second), now + ms(520));
     assert!(queue.plan(now + ms(520)).is_empty(), "no room is left");
-    let batch_queue::BatchEnding::Answered(outcomes) = ending else { panic!("an answer") };
-    let handles = outcomes.into_iter().filter_map(|outcome| match outcome {
-        types::PieceOutcome::Made(handle) => Some(handle),
-        types::PieceOutcome::Failed(_) => None,
-    });
-    queue.forget_results(&handles.collect::<Vec<_>>());
+    queue.forget_results(&handles(&ending));
     assert_eq!(queue.plan(now + ms(520)).remove(0).orders.len(), 4);
 }
 
@@ -160,7 +165,7 @@
     queue.push(group("a", 2, 0, now));
     let call = queue.plan(now).remove(0);
     let full = types::PieceOutcome::Failed(types::PieceFault::NoRoom);
-    let ending = batch_queue::BatchEnding::Answered(vec![full; 2]);
+    let ending = batch_ending::BatchEnding::Answered(vec![full; 2]);
     queue.finish(call.number, &ending, now + ms(10));
     assert!(queue.plan(now + ms(11)).is_empty(), "it is not asked again at once");
     assert!(queue.next_moment(now + ms(11)).is_some());
@@ -186,13 +191,116 @@
     assert_eq!(&*queue.plan(moment).remove(0).endpoint, "w1");
 }
 
+/// An endpoint that is faster than the others, or seems so, does not make them slow.
+#[test]
+fn fast_one() {
+    let now = time::Instant::now();
+    let mut queue = queue(2, now);
+    for round in 0..4 {
+        let moment = now + ms(round * 2000);
+        queue.push(group("x", 8, 0, moment));
+        queue.push(group("y", 8, 0, moment));
+        for call in queue.plan(moment) {
+            let took = if &*call.endpoint == "w0" { 100 } else { 290 };
+            let ending = made(&call);
+            queue.finish(call.number, &ending, moment + ms(took));
+            queue.take_settled(moment + ms(took));
+            queue.forget_results(&handles(&ending));
+        }
+    }
+    let moment = now + ms(9000);
+    let late = |request| {
+        let target = moment + ms(50);
+        batch_group::PieceGroup { target, ..group(request, 8, 0, moment) }
+    };
+    queue.push(late("a"));
+    queue.push(late("b"));
+    assert_eq!(queue.plan(moment).len(), 2, "both endpoints work");
+}
+
+/// Pieces that are not worked on make a call short, and an endpoint no faster.
+#[test]
+fn short_calls() {
+    let now = time::Instant::now();
+    let wait = |queue: &mut batch_queue::BatchQueue, moment| {
+        queue.push(group("b", 8, 0, moment));
+        queue.expected_wait(0, moment)
+    };
+    let usual = wait(&mut queue(1, now), now);
+    let mut queue = queue(1, now);
+    queue.push(group("a", 8, 0, now));
+    let call = queue.plan(now).remove(0);
+    let gone = types::PieceOutcome::Failed(types::PieceFault::InputGone);
+    queue.finish(call.number, &batch_ending::BatchEnding::Answered(vec![gone; 8]), now + ms(200));
+    queue.take_settled(now + ms(200));
+    assert_eq!(wait(&mut queue, now + ms(200)), usual);
+}
+
+/// One slow call is forgotten after the next usual one.
+#[test]
+fn slow_recovers() {
+    let now = time::Instant::now();
+    let mut queue = queue(2, now);
+    for (start, slow) in [(0, 2500), (4000, 280)] {
+        let moment = now + ms(start);
+        queue.push(group("x", 8, 0, moment));
+        queue.push(group("y", 8, 0, moment));
+        for call in queue.plan(moment) {
+            let took = if &*call.endpoint == "w0" { slow } else { 280 };
+            let ending = made(&call);
+            queue.finish(call.number, &ending, moment + ms(took));
+            queue.take_settled(moment + ms(took));
+            queue.forget_results(&handles(&ending));
+        }
+    }
+    let moment = now + ms(4500);
+    let late = batch_group::PieceGroup { target: moment, ..group("a", 8, 0, moment) };
+    queue.push(late.clone());
+    queue.push(late);
+    assert_eq!(queue.plan(moment).len(), 2, "both endpoints work");
+}
+
+/// A slow endpoint takes what the others would come to later, and leaves them what is urgent.
+#[test]
+fn slow_helps() {
+    let now = time::Instant::now();
+    let mut queue = queue(2, now);
+    queue.push(group("x", 1, 0, now));
+    let slow = queue.plan(now).remove(0);
+    queue.finish(slow.number, &made(&slow), now + ms(1000));
+    queue.take_settled(now + ms(1000));
+    let moment = now + ms(1010);
+    let names: Vec<_> = (0..12).map(|number| format!("r{number}")).collect();
+    for name in &names {
+        queue.push(batch_group::PieceGroup { target: moment, ..group(name, 8, 0, moment) });
+    }
+    let calls = queue.plan(moment);
+    let of = |endpoint: &str| {
+        let call = calls.iter().find(|call| &*call.endpoint == endpoint).expect("a call");
+        requests(call)[0].to_owned()
+    };
+    assert_eq!(of("w1"), "r0");
+    let number: usize = of("w0")[1..].parse().expect("a number");
+    assert!((3..12).contains(&number), "w0 takes r{number}");
+    let mut few = batch_queue::BatchQueue::new(capacity());
+    few.set_workers([place("w0", 0, "a"), place("w1", 1, "a")].into_iter(), now);
+    few.push(group("x", 1, 0, now));
+    let slow = few.plan(now).remove(0);
+    few.finish(slow.number, &made(&slow), now + ms(1000));
+    few.take_settled(now + ms(1000));
+    for name in &names[..2] {
+        few.push(batch_group::PieceGroup { target: moment, ..group(name, 8, 0, moment) });
+    }
+    assert_eq!(few.plan(moment).len(), 1, "the other one will have made both sooner");
+}
+
 #[test]
 fn failed_elsewhere() {
     let now = time::Instant::now();
     let mut queue = queue(2, now);
     queue.push(group("a", 1, 0, now));
     let first = queue.plan(now).remove(0);
-    queue.finish(first.number, &batch_queue::BatchEnding::Failed, now + ms(5));
+    queue.finish(first.number, &batch_ending::BatchEnding::Failed, now + ms(5));
     assert!(queue.take_settled(now + ms(5)).is_empty());
     let second = queue.plan(now + ms(5)).remove(0);
     assert_ne!(second.endpoint, first.endpoint);
@@ -287,8 +395,8 @@
     let Some(call) = calls.pop() else { return };
     let ending = match kind {
         4 | 5 => made(&call),
-        6 => batch_queue::BatchEnding::Full,
-        _ => batch_queue::BatchEnding::Failed,
+        6 => batch_ending::BatchEnding::Full,
+        _ => batch_ending::BatchEnding::Failed,
     };
     queue.finish(call.number, &ending, now);
 }
--- a/crates/comfreyspread/src/gateway/batcher.rs
+++ b/crates/comfreyspread/src/gateway/batcher.rs
@@ -6,7 +6,7 @@
 use super::state;
 use crate::transport::{deadline, http_client, http_message};
 use comfreyspread_platform::{answer, piece};
-use comfreyspread_policy::{batch_group, batch_queue, batch_worker, directory};
+use comfreyspread_policy::{batch_ending, batch_group, batch_queue, batch_worker, directory};
 use comfreyspread_schema::{ids, types};
 use futures_lite::FutureExt as _;
 use indexmap::IndexMap;
@@ -244,9 +244,9 @@
 async fn send(
     state: &state::GatewayState,
     call: &batch_queue::PlannedCall,
-) -> batch_queue::BatchEnding {
+) -> batch_ending::BatchEnding {
     let Ok((head, body)) = piece::encode_run(&call.endpoint, &call.orders) else {
-        return batch_queue::BatchEnding::Failed;
+        return batch_ending::BatchEnding::Failed;
     };
     let request = http_message::Request::from_parts(head, body.into());
     let connection = http_client::ConnectionUse::Shared;
@@ -256,33 +256,33 @@
         Ok(answered) => answered,
         Err(failure) => {
             log::info!(endpoint = call.endpoint.as_ref(); "batcher: call failed. error={failure}");
-            return batch_queue::BatchEnding::Failed;
+            return batch_ending::BatchEnding::Failed;
         }
     };
     let signs = answer::signs(answered.head());
     if signs.misdirected {
-        return batch_queue::BatchEnding::Gone;
+        return batch_ending::BatchEnding::Gone;
     }
     if signs.not_run {
-        return batch_queue::BatchEnding::Full;
+        return batch_ending::BatchEnding::Full;
     }
     if answered.status() != OK_STATUS || answered.body().len() > ANSWER_LIMIT_BYTES {
         log::warn!(endpoint = call.endpoint.as_ref(), status = answered.status();
             "batcher: call failed at the endpoint");
-        return batch_queue::BatchEnding::Failed;
+        return batch_ending::BatchEnding::Failed;
     }
     match piece::decode_run(answered.body()) {
         Ok(outcomes) if outcomes.len() == call.orders.len() => {
-            batch_queue::BatchEnding::Answered(outcomes)
+            batch_ending::BatchEnding::Answered(outcomes)
         }
         Ok(outcomes) => {
             log::warn!(endpoint = call.endpoint.as_ref(), sent = call.orders.len(),
                 got = outcomes.len(); "batcher: answer has other pieces");
-            batch_queue::BatchEnding::Failed
+            batch_ending::BatchEnding::Failed
         }
         Err(fault) => {
             log::warn!(endpoint = call.endpoint.as_ref(); "batcher: answer not valid. error={fault}");
-            batch_queue::BatchEnding::Failed
+            batch_ending::BatchEnding::Failed
         }
     }
 }
