--- a/crates/comfreyspread-policy/src/batch_queue.rs
+++ b/crates/comfreyspread-policy/src/batch_queue.rs
@@ -218,11 +218,7 @@
                 (helper.endpoint, helper.calls_before * self.batch())
             }
         };
-        let mut order = self.order(self.workers.zone(&endpoint), now);
-        order.retain(|number| {
-            let group = self.groups.get(number).map(|queued| &queued.group);
-            group.is_some_and(|group| !self.workers.has_nearer(group, &endpoint, now))
-        });
+        let order = self.order(self.workers.zone(&endpoint), now);
         let room = self.workers.room_left(&endpoint);
         let pieces = self.fill(self.behind(&order, passed), room);
         if pieces.is_empty() {
--- a/crates/comfreyspread-policy/src/worker_set.rs
+++ b/crates/comfreyspread-policy/src/worker_set.rs
@@ -152,25 +152,6 @@
         Some(HelperChoice { endpoint: endpoint.clone(), calls_before })
     }
 
-    /// Whether a group that is not near an endpoint is near another one that is free as well.
-    pub fn has_nearer(
-        &self,
-        group: &batch_group::PieceGroup,
-        endpoint: &ids::EndpointId,
-        now: time::Instant,
-    ) -> bool {
-        let is_near = |zone: Option<&ids::ZoneId>| zone.is_some() && group.zone.as_ref() == zone;
-        if is_near(self.zone(endpoint)) {
-            return false;
-        }
-        let best = self.best_factor(now);
-        self.free(now).any(|(other, worker)| {
-            is_near(Some(&worker.zone))
-                && !worker.is_slow(best)
-                && self.room_left(other) >= group.bytes
-        })
-    }
-
     /// Takes note that a call has begun; returns the address of the endpoint and its factor.
     pub fn start(
         &mut self,
