Show the users' platform in the quickstart too

Cause: the quickstart showed the native front end only, and a newcomer had to run tests to see the other one.

Change: fleet_tour starts stand-ins of the platform and two gateway nodes, sends a purchase and twelve streams with stages, and drops a route. The sample document stands once, in samples/fleet.json, and the tests use it too; the stand-in of the store has a file of its own. A log file of a child process takes its standard output as well, where gateway nodes log.

--- a/crates/comfreyspread-lab/src/fleet.rs
+++ b/crates/comfreyspread-lab/src/fleet.rs
@@ -3,24 +3,35 @@
 //!
 //! The endpoints record what they really received. Proofs read those records, never a node's word.
 
-use crate::{process, serving};
-use base64::{Engine as _, engine::general_purpose};
+use crate::{fleet_store, process, serving};
 use comfreyspread::{
     gateway::produced_chunks,
     runtime::{rank, worker},
     transport::{http_message, http_server},
 };
 use comfreyspread_schema::ids;
-use futures_lite::FutureExt as _;
 use http::{Method, StatusCode};
 use indexmap::IndexMap;
 use miette::IntoDiagnostic as _;
-use std::{env, fs, future, io, net, path, sync, sync::atomic, time};
-
+use std::{env, fs, io, net, path, sync, sync::atomic, time};
+
+/// Sample of an operator's document.
+const SAMPLE: &str = include_str!("../samples/fleet.json");
+/// Endpoints for the services of the sample.
+const SAMPLE_ENDPOINTS: [(&str, &str, FleetKind); 6] = [
+    ("ledger-1", "ledger", FleetKind::Plain),
+    ("ledger-2", "ledger", FleetKind::Plain),
+    ("engine-1", "engine", FleetKind::Engine),
+    ("engine-2", "engine", FleetKind::Engine),
+    ("worker-1", "prepare", FleetKind::Worker),
+    ("worker-2", "prepare", FleetKind::Worker),
+];
 /// Host of all routes.
 pub const HOST: &str = "fleet.example";
 /// Key of the only workspace.
 pub const KEY: &str = "fleet-key";
+/// Path of a call for pieces at an endpoint.
+pub const PIECES_PATH: &str = "/v1/stage-run";
 /// The system picks the port, so that none has to be tried and let go before.
 const ANY_PORT: net::SocketAddr =
     net::SocketAddr::new(net::IpAddr::V4(net::Ipv4Addr::LOCALHOST), 0);
@@ -69,11 +80,12 @@
 /// Everything that stands around the nodes.
 #[derive(Debug)]
 pub struct FleetStandIn {
-    store: sync::Arc<StoreHandler>,
+    store: sync::Arc<fleet_store::StoreHandler>,
     store_address: net::SocketAddr,
     records: sync::Arc<FleetRecords>,
     endpoints: IndexMap<ids::EndpointId, sync::Arc<EndpointHandler>>,
     spawner: worker::TaskSpawner,
+    log_folder: Option<path::PathBuf>,
 }
 
 /// What all endpoints received, in order.
@@ -82,7 +94,29 @@
     records: rank::RankedLock<rank::ConnectionRank, Vec<FleetRecord>>,
 }
 
+/// Returns the sample of an operator's document, as a given version of it.
+///
+/// # Errors
+///
+/// Fails if the sample is not JSON.
+pub fn sample_document(version: u64) -> miette::Result<serde_json::Value> {
+    let mut document: serde_json::Value = serde_json::from_str(SAMPLE).into_diagnostic()?;
+    document["version"] = version.into();
+    Ok(document)
+}
+
 impl FleetStandIn {
+    /// Starts a store with the sample of a document, and two endpoints of each of its services.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port is free.
+    pub async fn with_sample(spawner: &worker::TaskSpawner) -> miette::Result<Self> {
+        let fleet = Self::new(spawner, &SAMPLE_ENDPOINTS).await?;
+        fleet.set_document(&sample_document(1)?);
+        Ok(fleet)
+    }
+
     /// Starts a store and one endpoint for each of `endpoints`: its name, service and kind.
     ///
     /// # Errors
@@ -92,7 +126,7 @@
         spawner: &worker::TaskSpawner,
         endpoints: &[(&str, &str, FleetKind)],
     ) -> miette::Result<Self> {
-        let store = sync::Arc::new(StoreHandler::default());
+        let store = sync::Arc::new(fleet_store::StoreHandler::default());
         let store_address = serving::start(ANY_PORT, store.clone(), spawner).await?;
         let mut fleet = Self {
             store,
@@ -100,6 +134,7 @@
             records: sync::Arc::default(),
             endpoints: IndexMap::new(),
             spawner: spawner.clone(),
+            log_folder: None,
         };
         for (name, service, kind) in endpoints {
             fleet.add(name, service, *kind).await?;
@@ -132,6 +167,11 @@
         Ok(())
     }
 
+    /// Has the log lines of nodes that are started added to files in `folder`.
+    pub fn set_log_folder(&mut self, folder: path::PathBuf) {
+        self.log_folder = Some(folder);
+    }
+
     /// Sets the operator's document.
     pub fn set_document(&self, document: &serde_json::Value) {
         self.store.put("op", "config", Some(document.to_string().into()));
@@ -144,18 +184,17 @@
 
     /// Sets whether the store refuses all calls.
     pub fn set_store_down(&self, down: bool) {
-        self.store.down.store(down, atomic::Ordering::Relaxed);
+        self.store.set_down(down);
     }
 
     /// Sets whether the store answers nothing; what it was asked before is never answered.
     pub fn set_store_silent(&self, silent: bool) {
-        self.store.silences.fetch_add(1, atomic::Ordering::Relaxed);
-        self.store.silent.store(silent, atomic::Ordering::Relaxed);
+        self.store.set_silent(silent);
     }
 
     /// Returns the calls that the store has received.
     pub fn store_calls(&self) -> u64 {
-        self.store.calls.load(atomic::Ordering::Relaxed)
+        self.store.calls()
     }
 
     /// Returns the faults of an endpoint.
@@ -227,7 +266,13 @@
         );
         fs::write(&file, text).into_diagnostic()?;
         let arguments = ["product", "gateway", "--settings", &file.to_string_lossy()];
-        let process = process::ChildProcess::new(program, &arguments)?;
+        let process = match &fleet.log_folder {
+            Some(folder) => {
+                let log = folder.join(format!("{name}.log"));
+                process::ChildProcess::with_log(program, &arguments, &log)?
+            }
+            None => process::ChildProcess::new(program, &arguments)?,
+        };
         Ok(Self { front, ready, control, process, file })
     }
 
@@ -260,119 +305,6 @@
     }
 }
 
-/// The platform's store.
-#[derive(Debug)]
-struct StoreHandler {
-    rows: rank::RankedLock<rank::PoolRank, StoreRows>,
-    changed: event_listener::Event,
-    down: atomic::AtomicBool,
-    silences: atomic::AtomicU64,
-    silent: atomic::AtomicBool,
-    calls: atomic::AtomicU64,
-}
-
-#[derive(Debug, Default)]
-struct StoreRows {
-    version: u64,
-    rows: IndexMap<(ids::Text, ids::Text), (Option<ids::Text>, u64)>,
-}
-
-impl Default for StoreHandler {
-    fn default() -> Self {
-        Self {
-            rows: rank::RankedLock::new(StoreRows::default()),
-            changed: event_listener::Event::new(),
-            down: atomic::AtomicBool::new(false),
-            silences: atomic::AtomicU64::new(0),
-            silent: atomic::AtomicBool::new(false),
-            calls: atomic::AtomicU64::new(0),
-        }
-    }
-}
-
-impl StoreHandler {
-    fn put(&self, table: &str, key: &str, value: Option<ids::Text>) {
-        let mut rows = self.rows.lock();
-        rows.version += 1;
-        let version = rows.version;
-        rows.rows.insert((table.into(), key.into()), (value, version));
-        drop(rows);
-        self.changed.notify(usize::MAX);
-    }
-
-    /// Returns the rows of a table that are newer than `after`; removed ones only with `removed`.
-    fn read(&self, table: &str, after: u64, removed: bool) -> (Vec<serde_json::Value>, u64) {
-        let rows = self.rows.lock();
-        let newer = rows.rows.iter().filter(|((of, _), (value, version))| {
-            **of == *table && *version > after && (removed || value.is_some())
-        });
-        let row =
-            |((_, key), (value, version)): (&(ids::Text, ids::Text), &(Option<ids::Text>, u64))| {
-                let encoded =
-                    value.as_ref().map(|value| general_purpose::STANDARD.encode(&**value));
-                serde_json::json!({
-                    "table": table, "part": "", "key": key, "value": encoded, "ver": version,
-                    "removed": value.is_none(),
-                })
-            };
-        (newer.map(row).collect(), rows.version)
-    }
-
-    async fn feed(&self, table: &str, after: u64, wait: time::Duration) -> serde_json::Value {
-        let until = time::Instant::now() + wait;
-        let silences = self.silences.load(atomic::Ordering::Relaxed);
-        loop {
-            let listener = self.changed.listen();
-            if self.silences.load(atomic::Ordering::Relaxed) > silences {
-                future::pending::<()>().await;
-            }
-            let (rows, version) = self.read(table, after, true);
-            let late = time::Instant::now() >= until;
-            if !rows.is_empty() || late || self.down.load(atomic::Ordering::Relaxed) {
-                return serde_json::json!({"rows": rows, "ver": version, "now_ms": 0});
-            }
-            let timer = async {
-                async_io::Timer::at(until).await;
-            };
-            listener.or(timer).await;
-        }
-    }
-}
-
-impl http_server::RequestHandler for StoreHandler {
-    async fn handle(&self, request: http_server::ServerRequest) -> http_message::Response {
-        self.calls.fetch_add(1, atomic::Ordering::Relaxed);
-        if self.silent.load(atomic::Ordering::Relaxed) {
-            future::pending::<()>().await;
-        }
-        if self.down.load(atomic::Ordering::Relaxed) {
-            return http_message::Response::new(StatusCode::SERVICE_UNAVAILABLE);
-        }
-        let query = request.query().unwrap_or_default();
-        let field = |name: &str| {
-            query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
-        };
-        let number = |name: &str| field(name).and_then(|value| value.parse().ok()).unwrap_or(0);
-        let table = field("table").unwrap_or_default();
-        match request.path() {
-            "/v1/rows-get" => {
-                let (rows, version) = self.read(table, 0, false);
-                let page = serde_json::json!({"rows": rows, "ver": version, "has_more": false});
-                serving::json(&page)
-            }
-            "/v1/rows-feed" => {
-                let wait = time::Duration::from_millis(number("wait_ms"));
-                serving::json(&self.feed(table, number("after"), wait).await)
-            }
-            _ => http_message::Response::new(StatusCode::NOT_FOUND),
-        }
-    }
-
-    fn refuse(&self, _fault: http_server::RequestFault) -> http_message::Response {
-        serving::refuse()
-    }
-}
-
 /// One endpoint.
 #[derive(Debug)]
 struct EndpointHandler {
--- a/crates/comfreyspread-lab/src/lib.rs
+++ b/crates/comfreyspread-lab/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod endpoints;
 pub mod fault;
 pub mod fleet;
+pub mod fleet_store;
+pub mod fleet_tour;
 pub mod network;
 pub mod platform;
 pub mod plot;
--- a/crates/comfreyspread-lab/src/main.rs
+++ b/crates/comfreyspread-lab/src/main.rs
@@ -55,7 +55,7 @@
             LabRole::Platform(arguments) => {
                 arguments.run(&spawner).await.map(|()| process::ExitCode::SUCCESS)
             }
-            LabRole::Quickstart(arguments) => arguments.run().await,
+            LabRole::Quickstart(arguments) => arguments.run(&spawner).await,
             LabRole::Replay(arguments) => arguments.run(&spawner).await,
             LabRole::Slopes(arguments) => arguments.run(&spawner).await,
             LabRole::Relay(arguments) => {
--- a/crates/comfreyspread-lab/src/process.rs
+++ b/crates/comfreyspread-lab/src/process.rs
@@ -28,7 +28,7 @@
         Self::start(process::Command::new(program).args(arguments))
     }
 
-    /// Starts a program whose log lines are added to a file.
+    /// Starts a program whose output and log lines are added to a file.
     ///
     /// # Errors
     ///
@@ -39,7 +39,8 @@
         log: &std::path::Path,
     ) -> miette::Result<Self> {
         let file = fs::OpenOptions::new().append(true).create(true).open(log).into_diagnostic()?;
-        Self::start(process::Command::new(program).args(arguments).stderr(file))
+        let output = file.try_clone().into_diagnostic()?;
+        Self::start(process::Command::new(program).args(arguments).stdout(output).stderr(file))
     }
 
     fn start(command: &mut process::Command) -> miette::Result<Self> {
--- a/crates/comfreyspread-lab/src/quickstart.rs
+++ b/crates/comfreyspread-lab/src/quickstart.rs
@@ -1,7 +1,7 @@
 //! A first look: starts a small deployment, serves requests and reports what happened.
 
-use crate::{caller, deployment, driver, endpoints, process, types};
-use comfreyspread::transport::header;
+use crate::{caller, deployment, driver, endpoints, fleet_tour, process, types};
+use comfreyspread::{runtime::worker, transport::header};
 use comfreyspread_schema::{ids, types as wire};
 use miette::IntoDiagnostic as _;
 use std::{env, fs, path, time};
@@ -26,8 +26,13 @@
     /// # Errors
     ///
     /// Fails if a process cannot be started or a request is not served.
-    pub async fn run(&self) -> miette::Result<std::process::ExitCode> {
-        let deployment = start().await?;
+    pub async fn run(
+        &self,
+        spawner: &worker::TaskSpawner,
+    ) -> miette::Result<std::process::ExitCode> {
+        let folder = log_folder()?;
+        println!("logs      {}", folder.display());
+        let deployment = start(&folder).await?;
         println!(
             "started   1 platform, {} endpoints, {} nodes, each node a process of its own",
             deployment.declarations.endpoints.len(),
@@ -39,17 +44,16 @@
         change_zone(&deployment).await?;
         deployment.stop().await?;
         println!("stopped   all nodes ended gracefully");
+        fleet_tour::run(spawner, &folder).await?;
         Ok(std::process::ExitCode::SUCCESS)
     }
 }
 
-async fn start() -> miette::Result<deployment::TestDeployment> {
+async fn start(folder: &path::Path) -> miette::Result<deployment::TestDeployment> {
     let declarations: wire::Declarations = serde_json::from_str(SAMPLE).into_diagnostic()?;
     let places = places(&declarations);
-    let folder = log_folder()?;
-    println!("logs      {}", folder.display());
     let options = deployment::DeploymentOptions {
-        log_folder: Some(folder),
+        log_folder: Some(folder.to_owned()),
         ..deployment::DeploymentOptions::default()
     };
     let program = process::own_program()?;
--- a/crates/comfreyspread-lab/tests/common/gateway.rs
+++ b/crates/comfreyspread-lab/tests/common/gateway.rs
@@ -1,7 +1,7 @@
 //! Stand-ins of the users' platform and nodes that run on it.
 
 use comfreyspread::transport::{http_client, http_message};
-use comfreyspread_lab::{fleet, fleet::FleetKind};
+use comfreyspread_lab::fleet;
 use std::{net, path, time};
 
 /// Longest wait of a test for an answer.
@@ -14,54 +14,12 @@
 
 /// Returns the operator's document of the tests.
 pub fn document(version: u64) -> serde_json::Value {
-    let route = |name: &str, kind: &str, service: &str| {
-        serde_json::json!({
-            "name": name, "host": fleet::HOST, "prefix": format!("/{name}/"), "kind": kind,
-            "service": service, "timeout_ms": 4000, "target_latency_ms": 1000, "priority": 1,
-            "max_attempts": 2, "gap_aim_ms": 400,
-        })
-    };
-    let mut chat = route("chat", "streaming", "engine");
-    chat["resumable"] = true.into();
-    let mut report = route("report", "streaming", "engine");
-    report["stages"] = serde_json::json!([
-        {"service": "prepare", "after": [], "bytes": 1000},
-        {"service": "prepare", "after": [0], "bytes": 1000},
-    ]);
-    serde_json::json!({
-        "version": version,
-        "routes": [
-            route("read", "idempotent", "ledger"),
-            route("write", "non_idempotent", "ledger"),
-            chat,
-            report,
-        ],
-        "services": [
-            {"name": "ledger", "max_conns": 100},
-            {"name": "engine", "max_conns": 100, "engine": {"slots": 8}},
-            {"name": "prepare", "max_conns": 100, "pieces": {
-                "slots": 1, "queue": 2, "batch": 8, "call_ms": 60, "item_ms": 1,
-                "headroom_mb": 1, "handle_s": 4}},
-        ],
-        "tenants": [{"name": "one", "api_keys": [fleet::KEY]}],
-        "limits": {"max_body_bytes": 100_000},
-    })
+    fleet::sample_document(version).expect("a sample")
 }
 
 /// Starts stand-ins: a plain service, engines and stage workers.
 pub async fn new_fleet(pool: &comfreyspread::runtime::worker::WorkerPool) -> fleet::FleetStandIn {
-    let endpoints = [
-        ("ledger-1", "ledger", FleetKind::Plain),
-        ("ledger-2", "ledger", FleetKind::Plain),
-        ("engine-1", "engine", FleetKind::Engine),
-        ("engine-2", "engine", FleetKind::Engine),
-        ("worker-1", "prepare", FleetKind::Worker),
-        ("worker-2", "prepare", FleetKind::Worker),
-    ];
-    let fleet = fleet::FleetStandIn::new(&pool.spawner(), &endpoints).await;
-    let fleet = fleet.expect("the stand-ins start");
-    fleet.set_document(&document(1));
-    fleet
+    fleet::FleetStandIn::with_sample(&pool.spawner()).await.expect("the stand-ins start")
 }
 
 /// Returns a request with all heads that the platform asks for.
