End a wait for news when its asker is gone

Change: the wait ends with an error when the other node goes away.

tables_passed::follower_lost failed before (a node answered after 978 ms, allowed 250).

--- a/crates/comfreyspread-lab/src/fleet.rs
+++ b/crates/comfreyspread-lab/src/fleet.rs
@@ -75,6 +75,8 @@
     pub cut_after: atomic::AtomicU64,
     /// Whether plain answers are cut after they have run.
     pub lose_answers: atomic::AtomicBool,
+    /// Milliseconds that each event, or a plain answer, takes longer than usual.
+    pub delay_ms: atomic::AtomicU64,
 }
 
 /// Everything that stands around the nodes.
@@ -92,6 +94,23 @@
 #[derive(Debug, Default)]
 struct FleetRecords {
     records: rank::RankedLock<rank::ConnectionRank, Vec<FleetRecord>>,
+    running: atomic::AtomicUsize,
+}
+
+/// A request that an endpoint works on; it counts until this is dropped.
+struct RunningRequest(sync::Arc<FleetRecords>);
+
+impl RunningRequest {
+    fn new(records: &sync::Arc<FleetRecords>) -> Self {
+        records.running.fetch_add(1, atomic::Ordering::Relaxed);
+        Self(records.clone())
+    }
+}
+
+impl Drop for RunningRequest {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
 }
 
 /// Returns the sample of an operator's document, as a given version of it.
@@ -202,6 +221,11 @@
         &self.endpoints[endpoint].faults
     }
 
+    /// Returns the number of requests that engines and plain services work on.
+    pub fn running(&self) -> usize {
+        self.records.running.load(atomic::Ordering::Relaxed)
+    }
+
     /// Returns what the endpoints received.
     pub fn records(&self) -> Vec<FleetRecord> {
         self.records.records.lock().clone()
@@ -347,8 +371,15 @@
         response
     }
 
+    /// Returns the time that an event or a plain answer takes.
+    fn event_time(&self) -> time::Duration {
+        EVENT_TIME
+            + time::Duration::from_millis(self.faults.delay_ms.load(atomic::Ordering::Relaxed))
+    }
+
     async fn plain(&self, request: &http_server::ServerRequest) -> http_message::Response {
-        async_io::Timer::after(EVENT_TIME).await;
+        let _running = RunningRequest::new(&self.records);
+        async_io::Timer::after(self.event_time()).await;
         if self.faults.lose_answers.load(atomic::Ordering::Relaxed) {
             return serving::cut();
         }
@@ -361,11 +392,14 @@
         let resumed = request.header("last-event-id").and_then(|value| value.parse().ok());
         let first: u64 = resumed.unwrap_or(0) + 1;
         let cut_after = self.faults.cut_after.swap(0, atomic::Ordering::Relaxed);
+        let event_time = self.event_time();
+        let running = RunningRequest::new(&self.records);
         let mut response = self.stamped(request);
         response.insert_header("content-type", "text/event-stream");
         response.set_body(produced_chunks::ProducedChunks::body(|sender| async move {
+            let _running = running;
             for id in first..=EVENTS {
-                async_io::Timer::after(EVENT_TIME).await;
+                async_io::Timer::after(event_time).await;
                 let event = format!("id: {id}\ndata: e{id}\n\n");
                 sender.send(Ok(event.into())).await.ok();
                 if id == cut_after {
--- a/crates/comfreyspread-lab/tests/batching_node.rs
+++ b/crates/comfreyspread-lab/tests/batching_node.rs
@@ -27,9 +27,9 @@
     gateway::send(node.front, request).await.0
 }
 
-/// Its pieces are made by one other node, together, and not by each node by itself.
-#[test]
-fn killed() {
+/// Loses the batching node while requests of all others are in its hands; they are all served, and
+/// one other node makes all of their pieces.
+fn lose(loss: impl AsyncFnOnce(&mut fleet::FleetNode)) {
     let pool = comfreyspread::runtime::worker::WorkerPool::new(2).expect("threads");
     common::run(async {
         let fleet = gateway::new_fleet(&pool).await;
@@ -47,11 +47,11 @@
         let names: Vec<_> = (0..12).map(|number| format!("r-{number}")).collect();
         let sent = names.iter().enumerate();
         let sent = sent.map(|(number, name)| report(&nodes[number % nodes.len()], name));
-        let kill = async {
+        let loss = async {
             async_io::Timer::after(INTO_REQUESTS).await;
-            lost.process.kill();
+            loss(&mut lost).await;
         };
-        let (answers, ()) = future::join(future::join_all(sent), kill).await;
+        let (answers, ()) = future::join(future::join_all(sent), loss).await;
         assert_eq!(answers, [200; 12]);
         let counts = future::join_all(nodes.iter().map(calls)).await;
         let batching = counts.iter().filter(|count| **count > 0).count();
@@ -59,3 +59,14 @@
     });
     pool.stop();
 }
+
+#[test]
+fn killed() {
+    lose(async |node| node.process.kill());
+}
+
+/// It takes connections and answers nothing.
+#[test]
+fn frozen() {
+    lose(async |node| node.process.signal(rustix::process::Signal::STOP));
+}
--- a/crates/comfreyspread-lab/tests/tables_passed.rs
+++ b/crates/comfreyspread-lab/tests/tables_passed.rs
@@ -16,6 +16,9 @@
 const APPLY_LIMIT: time::Duration = time::Duration::from_millis(2500);
 /// Stated time after an outage from which on a node has to know what has changed.
 const CONTACT_TIME: time::Duration = time::Duration::from_secs(4);
+/// Time after which a node that does not answer is passed over by the others.
+const ANSWER_LIMIT: time::Duration = time::Duration::from_millis(250);
+const ASK_PAUSE: time::Duration = time::Duration::from_millis(20);
 /// Changes made one after the other, and the pause between them.
 const CHANGES: u64 = 8;
 const CHANGE_PAUSE: time::Duration = time::Duration::from_millis(500);
@@ -122,3 +125,19 @@
         assert!(took < CONTACT_TIME, "in force after {took:?}");
     });
 }
+
+/// A node goes on answering at once when a node that waits for its news is gone.
+#[test]
+fn follower_lost() {
+    with_nodes(async |_fleet, mut nodes| {
+        let (_, reading) = nodes.remove(reader(&nodes).await);
+        nodes.iter_mut().for_each(|(_, node)| node.process.kill());
+        let begun = time::Instant::now();
+        while begun.elapsed() < table_news::NEWS_WAIT {
+            let asked = time::Instant::now();
+            gateway::ask(reading.ready, "/dump").await;
+            assert!(asked.elapsed() < ANSWER_LIMIT, "answered after {:?}", asked.elapsed());
+            async_io::Timer::after(ASK_PAUSE).await;
+        }
+    });
+}
--- a/crates/comfreyspread/src/gateway/table_peer.rs
+++ b/crates/comfreyspread/src/gateway/table_peer.rs
@@ -136,7 +136,7 @@
 ///
 /// # Errors
 ///
-/// Fails if the question cannot be decoded.
+/// Fails if the question cannot be decoded or its sender goes away.
 pub async fn answer(
     state: &state::GatewayState,
     request: &http_server::ServerRequest,
@@ -153,7 +153,18 @@
             return peer::encode_reply(&reply);
         }
         let late = deadline::DeadlineTimer::new(until.min(fresh_until));
-        news.or(late).or(request.connection().closed()).await;
+        let waiting = async {
+            news.or(late).await;
+            true
+        };
+        let gone = async {
+            request.connection().closed().await;
+            false
+        };
+        if !waiting.or(gone).await {
+            let detail = "the other node went away";
+            return Err(failure::CallFailure::new(types::ProblemKind::Unavailable, detail));
+        }
     }
 }
 
