Serve waits for another side, and the choice of one node, by one piece of code each

The choice of one member by rendezvous stood in the node, for batching, and in table_news, for reading. 'tables' meant the native tables in one place and the store's in another.

Change: ConnectionWatch::during does work for as long as the other side stays, and is the only use of closed, now private; peer::sender_gone is the failure of both front ends' messages between nodes. rendezvous::best_member serves batching and reading. The gateway's field is store_tables. A comment that a replacement of names had spoilt reads as meant.

--- a/crates/comfreyspread-policy/src/rendezvous.rs
+++ b/crates/comfreyspread-policy/src/rendezvous.rs
@@ -85,6 +85,20 @@
     }
 }
 
+/// Returns the member that takes on a duty for all of `members`, the same at each node that knows
+/// them.
+pub fn best_member<'members, Members>(
+    members: Members,
+    duty: &ids::Text,
+) -> Option<&'members types::MemberRecord>
+where
+    Members: Iterator<Item = &'members types::MemberRecord>,
+{
+    let scored =
+        members.map(|record| (OwnerCandidate::new(record.node.clone()).score(duty), record));
+    scored.max_by(|one, other| one.0.total_cmp(&other.0)).map(|(_, record)| record)
+}
+
 /// Returns the score of an endpoint for a prompt prefix; the highest of a pool caches it.
 pub fn prefix_score(prefix: ids::PrefixHash, endpoint: &ids::EndpointId) -> u64 {
     xxh3::xxh3_64_with_seed(endpoint.as_bytes(), prefix)
--- a/crates/comfreyspread-policy/src/table_news.rs
+++ b/crates/comfreyspread-policy/src/table_news.rs
@@ -106,9 +106,5 @@
 where
     Members: Iterator<Item = &'members types::MemberRecord>,
 {
-    let role = READER_ROLE.into();
-    let score = |record: &types::MemberRecord| {
-        rendezvous::OwnerCandidate::new(record.node.clone()).score(&role)
-    };
-    members.max_by(|one, other| score(one).total_cmp(&score(other)))
+    rendezvous::best_member(members, &READER_ROLE.into())
 }
--- a/crates/comfreyspread/src/gateway/endpoint_follow.rs
+++ b/crates/comfreyspread/src/gateway/endpoint_follow.rs
@@ -20,7 +20,7 @@
         if first {
             log::info!(count = rows.len(); "endpoints: read");
         }
-        let doubtful = state.tables.lock().endpoints.news.is_doubtful(now);
+        let doubtful = state.store_tables.lock().endpoints.news.is_doubtful(now);
         let mut doubted = Vec::new();
         for row in rows {
             match decode(&row) {
@@ -58,7 +58,7 @@
     async_io::Timer::after(outage_doubt::RETURN_TIME).await;
     for row in rows {
         let back = {
-            let tables = state.tables.lock();
+            let tables = state.store_tables.lock();
             tables.endpoints.mirror.newer(row.version).iter().any(|newer| newer.key == row.key)
         };
         if !back {
--- a/crates/comfreyspread/src/gateway/entry.rs
+++ b/crates/comfreyspread/src/gateway/entry.rs
@@ -47,24 +47,19 @@
         self.state.repeats.lock().count_request(&plan.service.name, arrived);
         let streamed = route.kind == types::RouteKind::Stream;
         let run = async {
-            let answered = if streamed {
+            if streamed {
                 stream_run::run(&self.state, plan).await
             } else {
                 plain_run::run(&self.state, &plan).await
-            };
-            Some(answered)
-        };
-        let gone = async {
-            request.connection().closed().await;
-            None
+            }
         };
         let late = async {
             deadline::DeadlineTimer::new(moment).await;
             let detail = "no answer in time";
             let failure = failure::CallFailure::new(types::ProblemKind::Timeout, detail);
-            Some(Err(failure.with_verdict(types::CallVerdict::MayHaveRun)))
+            Err(failure.with_verdict(types::CallVerdict::MayHaveRun))
         };
-        let answered = Box::pin(run).or(late).or(gone).await;
+        let answered = request.connection().during(Box::pin(run).or(late)).await;
         let took = arrived.elapsed();
         match answered {
             Some(Ok(response)) => {
--- a/crates/comfreyspread/src/gateway/piece_send.rs
+++ b/crates/comfreyspread/src/gateway/piece_send.rs
@@ -210,15 +210,8 @@
             zone: message.zone,
             inputs_until: (!message.inputs_left.is_zero()).then(|| now + message.inputs_left),
         };
-        let made = async { Some(batcher::make(&self.state, &message.service, group).await) };
-        let gone = async {
-            request.connection().closed().await;
-            None
-        };
-        let Some(outcomes) = made.or(gone).await else {
-            let detail = "the other node went away";
-            return Err(failure::CallFailure::new(types::ProblemKind::Unavailable, detail));
-        };
+        let made = batcher::make(&self.state, &message.service, group);
+        let outcomes = request.connection().during(made).await.ok_or_else(peer::sender_gone)?;
         let header = self.state.context.peer_header();
         peer::encode_reply(&types::PieceReply { header, outcomes })
     }
--- a/crates/comfreyspread/src/gateway/state.rs
+++ b/crates/comfreyspread/src/gateway/state.rs
@@ -28,7 +28,7 @@
     /// Regions of the deployment, in order.
     pub regions: Vec<ids::RegionId>,
     /// The store's tables as this node knows them.
-    pub tables: rank::RankedLock<rank::MirrorRank, table_follow::FollowedTables>,
+    pub store_tables: rank::RankedLock<rank::MirrorRank, table_follow::FollowedTables>,
     /// Routes in force.
     pub routes: rank::RankedLock<rank::RouteRank, sync::Arc<route_table::RouteTable>>,
     /// Endpoints that have registered.
@@ -72,7 +72,7 @@
         let zones = zones.map(|(zone, region)| (zone.as_str().into(), region.clone())).collect();
         Self {
             regions,
-            tables: rank::RankedLock::new(table_follow::FollowedTables::default()),
+            store_tables: rank::RankedLock::new(table_follow::FollowedTables::default()),
             sight: rank::RankedLock::new(peer_sight::PeerSight::default()),
             routes: rank::RankedLock::new(sync::Arc::default()),
             directory: rank::RankedLock::new(directory::EndpointDirectory::new(zones)),
@@ -132,12 +132,9 @@
                 && record.node_phase == types::NodePhase::Serving
                 && !sight.is_shunned(&record.node, now)
         };
-        let candidates = members.live().filter(serving).map(|record| {
-            (rendezvous::OwnerCandidate::new(record.node.clone()).score(service), record)
-        });
-        let best = candidates.max_by(|one, other| one.0.total_cmp(&other.0));
+        let best = rendezvous::best_member(members.live().filter(serving), service);
         match best {
-            Some((_, record)) if record.node != *own => (record.node.clone(), Some(record.address)),
+            Some(record) if record.node != *own => (record.node.clone(), Some(record.address)),
             _ => (own.clone(), None),
         }
     }
--- a/crates/comfreyspread/src/gateway/table_follow.rs
+++ b/crates/comfreyspread/src/gateway/table_follow.rs
@@ -83,7 +83,7 @@
                 }
                 answering = false;
                 state.context.metrics.stages.count_store_failure();
-                state.tables.lock().table(Follower::TABLE).news.note_failure();
+                state.store_tables.lock().table(Follower::TABLE).news.note_failure();
                 table_peer::ask_any(&state, &follower).await;
                 let (least, most) = FAILURE_PAUSES;
                 let pause = rand::rng().random_range(least..most);
@@ -105,7 +105,7 @@
     if *whole {
         let page = state.store.read_table(Follower::NAME).await?;
         *whole = false;
-        let mut tables = state.tables.lock();
+        let mut tables = state.store_tables.lock();
         let table = tables.table(Follower::TABLE);
         table.news.note_store(time::Instant::now());
         let news = table.mirror.replace(page.rows, page.version);
@@ -114,9 +114,9 @@
         state.news.notify(usize::MAX);
         return Ok(false);
     }
-    let known = state.tables.lock().table(Follower::TABLE).mirror.complete();
+    let known = state.store_tables.lock().table(Follower::TABLE).mirror.complete();
     let answer = state.store.feed(Follower::NAME, known, table_news::NEWS_WAIT).await?;
-    state.tables.lock().table(Follower::TABLE).news.note_store(time::Instant::now());
+    state.store_tables.lock().table(Follower::TABLE).news.note_store(time::Instant::now());
     match answer {
         store_client::StoreFeed::HistoryGone => {
             log::info!("store: history gone, reading anew. table={}", Follower::NAME);
@@ -140,7 +140,7 @@
 ) where
     Follower: TableFollower,
 {
-    let news = state.tables.lock().table(Follower::TABLE).mirror.merge(rows, version);
+    let news = state.store_tables.lock().table(Follower::TABLE).mirror.merge(rows, version);
     if !news.is_empty() {
         follower.change(state, news);
         state.news.notify(usize::MAX);
--- a/crates/comfreyspread/src/gateway/table_peer.rs
+++ b/crates/comfreyspread/src/gateway/table_peer.rs
@@ -33,7 +33,7 @@
     if node == state.context.settings.node {
         return None;
     }
-    let wait = state.tables.lock().table(table).news.peer_wait(time::Instant::now())?;
+    let wait = state.store_tables.lock().table(table).news.peer_wait(time::Instant::now())?;
     Some(TableQuestion { node, address, wait })
 }
 
@@ -56,7 +56,7 @@
 {
     let asked = ask::<Follower>(state, question.address, question.wait).await;
     let now = time::Instant::now();
-    let mut tables = state.tables.lock();
+    let mut tables = state.store_tables.lock();
     let news = &mut tables.table(Follower::TABLE).news;
     let table = Follower::NAME;
     let node = &*question.node;
@@ -98,7 +98,7 @@
     };
     // What it knows of entries is taken in after its word on the store: that decides on removals.
     let now = time::Instant::now();
-    state.tables.lock().table(Follower::TABLE).news.note_outage(reply.answered, now);
+    state.store_tables.lock().table(Follower::TABLE).news.note_outage(reply.answered, now);
     if reply.known {
         if !reply.rows.is_empty() {
             log::info!(node = reply.header.node.as_ref(), rows = reply.rows.len(),
@@ -117,7 +117,7 @@
 where
     Follower: table_follow::TableFollower,
 {
-    let after = state.tables.lock().table(Follower::TABLE).mirror.complete();
+    let after = state.store_tables.lock().table(Follower::TABLE).mirror.complete();
     let header = state.context.peer_header();
     let message = types::TableRequest { after, header, table: Follower::TABLE, wait };
     let deadline = time::Instant::now() + wait + PEER_LIMIT;
@@ -153,25 +153,14 @@
             return peer::encode_reply(&reply);
         }
         let late = deadline::DeadlineTimer::new(until.min(fresh_until));
-        let waiting = async {
-            news.or(late).await;
-            true
-        };
-        let gone = async {
-            request.connection().closed().await;
-            false
-        };
-        if !waiting.or(gone).await {
-            let detail = "the other node went away";
-            return Err(failure::CallFailure::new(types::ProblemKind::Unavailable, detail));
-        }
+        request.connection().during(news.or(late)).await.ok_or_else(peer::sender_gone)?;
     }
 }
 
 fn reply(state: &state::GatewayState, message: &types::TableRequest) -> types::TableReply {
     let now = time::Instant::now();
     let header = state.context.peer_header();
-    let mut tables = state.tables.lock();
+    let mut tables = state.store_tables.lock();
     let table = tables.table(message.table);
     let mut reply = types::TableReply {
         answered: table.news.answered(),
--- a/crates/comfreyspread/src/ingress/front.rs
+++ b/crates/comfreyspread/src/ingress/front.rs
@@ -9,7 +9,6 @@
     transport::{failure, header, http_message, http_server, problem, tally},
 };
 use comfreyspread_schema::{ids, types};
-use futures_lite::FutureExt as _;
 use http::{Method, StatusCode};
 use sha2::Digest as _;
 use std::{sync, time};
@@ -169,13 +168,12 @@
             let answer = run_whole(self.context.clone(), target, plan, body).await?;
             Ok(FrontAnswer::new(&claim_table::ClaimAnswer::new(answer)))
         };
-        let gone = async {
-            request.connection().closed().await;
+        let answered = request.connection().during(Box::pin(answered)).await;
+        answered.unwrap_or_else(|| {
             let detail = "the caller went away";
             Err(failure::CallFailure::new(types::ProblemKind::Unavailable, detail)
                 .with_verdict(types::CallVerdict::MayHaveRun))
-        };
-        Box::pin(answered).or(gone).await
+        })
     }
 
     async fn run_stream(
@@ -203,7 +201,7 @@
     }
 }
 
-/// http_message::Response to a call and whether the call may have run.
+/// Response to a call and whether the call may have run.
 struct FrontAnswer {
     response: http_message::Response,
     verdict: types::CallVerdict,
--- a/crates/comfreyspread/src/membership/peer.rs
+++ b/crates/comfreyspread/src/membership/peer.rs
@@ -14,9 +14,8 @@
     transport::{failure, header, http_client, http_message, http_server, problem},
 };
 use comfreyspread_schema::types;
-use futures_lite::FutureExt as _;
 use http::{Method, StatusCode};
-use std::{future, net, pin, sync, time};
+use std::{net, pin, sync, time};
 
 /// Media type of messages between nodes.
 pub const PEER_MEDIA_TYPE: &str = "application/vnd.msgpack";
@@ -226,22 +225,14 @@
     ) -> Result<http_message::Response, failure::CallFailure> {
         let call: types::StageCall = self.decode(request)?;
         let deadline = self.context.deadline(call.budget);
-        let connection = request.connection().clone();
         let idempotent = call.idempotent;
-        let served = async { Some(owner::serve_call(&self.context, call, deadline).await) };
-        let gone = async {
-            connection.closed().await;
-            if !idempotent {
-                future::pending::<()>().await;
-            }
-            None
-        };
-        let Some(reply) = served.or(gone).await else {
-            let detail = "the other node went away";
-            return Err(failure::CallFailure::new(types::ProblemKind::Unavailable, detail)
-                .with_verdict(types::CallVerdict::MayHaveRun));
-        };
-        encode_reply(&reply)
+        let served = Box::pin(owner::serve_call(&self.context, call, deadline));
+        if !idempotent {
+            return encode_reply(&served.await);
+        }
+        let reply = request.connection().during(served).await;
+        let gone = || sender_gone().with_verdict(types::CallVerdict::MayHaveRun);
+        encode_reply(&reply.ok_or_else(gone)?)
     }
 
     fn serve_stream(
@@ -309,6 +300,11 @@
     }
 }
 
+/// Returns the failure of a message whose sender went away before it was answered.
+pub fn sender_gone() -> failure::CallFailure {
+    failure::CallFailure::new(types::ProblemKind::Unavailable, "the other node went away")
+}
+
 /// Returns the answer that carries a reply.
 ///
 /// # Errors
--- a/crates/comfreyspread/src/transport/http_server.rs
+++ b/crates/comfreyspread/src/transport/http_server.rs
@@ -76,13 +76,27 @@
 
 impl ConnectionWatch {
     /// Waits until the other side has closed the connection.
-    pub async fn closed(&self) {
+    async fn closed(&self) {
         let mut byte = [0];
         match self.stream.peek(&mut byte).await {
             Ok(0) | Err(_) => {}
             Ok(_) => future::pending().await,
         }
     }
+
+    /// Does work that only the other side wants; returns none, and drops the work, if it closes the
+    /// connection before.
+    pub async fn during<Work>(&self, work: Work) -> Option<Work::Output>
+    where
+        Work: Future,
+    {
+        let done = async { Some(work.await) };
+        let gone = async {
+            self.closed().await;
+            None
+        };
+        done.or(gone).await
+    }
 }
 
 /// Answers requests.
