Let the lab build requests, end reports and start fleets in one place each

Cause: the head of a platform request was written out in the tests, the quickstart and the benchmark; both benchmarks ended their report in the same lines; five test files started stand-ins and nodes by hand, and batch_queue played the same calls three times.

Change: fleet_request builds requests, bench_report::finish prints a report and says whether a bound is missed, ProcessUsage gives MiB; tests use gateway::with_fleet, start_nodes and staged_request, and play_calls.

No assertion or bound has changed. The tests of these files and the quickstart pass; the program is not touched.

--- a/crates/comfreyspread-lab/src/bench.rs
+++ b/crates/comfreyspread-lab/src/bench.rs
@@ -29,7 +29,6 @@
 const LEAST_TOKENS_PER_CORE: f64 = 50_000.0;
 const MOST_IDLE_CORE: f64 = 0.01;
 const MOST_IDLE_MEBIBYTES: f64 = 64.0;
-const KIBIBYTES_PER_MEBIBYTE: f64 = 1024.0;
 
 /// Measures what a node adds to a call and what it can carry per core.
 #[derive(Debug, argh::FromArgs)]
@@ -66,14 +65,9 @@
         let load = BenchLoad { length, concurrency: self.concurrency };
         measures.extend(bench.throughputs(load, spawner).await?);
         let report = types::BenchReport { measures };
-        if self.json {
-            println!("{}", serde_json::to_string_pretty(&report).into_diagnostic()?);
-        } else {
-            bench_report::print(&report);
-        }
+        let code = bench_report::finish(&report, self.json)?;
         bench.deployment.stop().await?;
-        let missed = report.measures.iter().any(bench_report::is_missed);
-        Ok(if missed { system::ExitCode::FAILURE } else { system::ExitCode::SUCCESS })
+        Ok(code)
     }
 
     async fn start(&self) -> miette::Result<BenchDeployment> {
@@ -148,7 +142,7 @@
         let (Some(earlier), Some(later)) = (earlier, usage::ProcessUsage::new(process)) else {
             return Vec::new();
         };
-        let memory = later.memory_kb as f64 / KIBIBYTES_PER_MEBIBYTE;
+        let memory = later.memory_mebibytes();
         vec![
             bench_report::measure("idle node, share of a core", later.core_since(&earlier), "core")
                 .with_most(MOST_IDLE_CORE),
--- a/crates/comfreyspread-lab/src/bench_report.rs
+++ b/crates/comfreyspread-lab/src/bench_report.rs
@@ -1,6 +1,8 @@
 //! Figures of the benchmarks and their bounds.
 
 use crate::types;
+use miette::IntoDiagnostic as _;
+use std::process;
 
 /// A figure that is being described.
 #[derive(Debug)]
@@ -35,14 +37,28 @@
     }
 }
 
+/// Prints a report, as JSON or as a table; returns success if no bound is missed.
+///
+/// # Errors
+///
+/// Fails if the report cannot be written as JSON.
+pub fn finish(report: &types::BenchReport, json: bool) -> miette::Result<process::ExitCode> {
+    if json {
+        println!("{}", serde_json::to_string_pretty(report).into_diagnostic()?);
+    } else {
+        print(report);
+    }
+    let missed = report.measures.iter().any(is_missed);
+    Ok(if missed { process::ExitCode::FAILURE } else { process::ExitCode::SUCCESS })
+}
+
 /// Whether a figure is beyond its bounds.
-pub fn is_missed(measure: &types::BenchMeasure) -> bool {
+fn is_missed(measure: &types::BenchMeasure) -> bool {
     measure.least.is_some_and(|least| measure.value < least)
         || measure.most.is_some_and(|most| measure.value > most)
 }
 
-/// Prints the figures as a table.
-pub fn print(report: &types::BenchReport) {
+fn print(report: &types::BenchReport) {
     for measure in &report.measures {
         let bound = match (measure.least, measure.most) {
             (Some(least), _) => format!("at least {least}"),
--- a/crates/comfreyspread-lab/src/fleet_bench.rs
+++ b/crates/comfreyspread-lab/src/fleet_bench.rs
@@ -3,13 +3,12 @@
 //! Requests to an endpoint directly and through the node take turns in one run. Processor time is the
 //! node's own, as the system counts it.
 
-use crate::{bench_report, fleet, process, types, usage};
+use crate::{bench_report, fleet, fleet_request, process, types, usage};
 use comfreyspread::{
     runtime::worker,
     transport::{http_client, http_message},
 };
 use futures_util::{StreamExt as _, stream};
-use http::Method;
 use miette::IntoDiagnostic as _;
 use std::{net, process as system, sync::atomic::Ordering, time};
 
@@ -28,7 +27,6 @@
 const MOST_REQUEST_MS: f64 = 0.3;
 const MOST_EVENT_MS: f64 = 0.05;
 const MOST_MEBIBYTES: f64 = 64.0;
-const KIBIBYTES_PER_MEBIBYTE: f64 = 1024.0;
 const MILLIS_PER_SECOND: f64 = 1000.0;
 
 /// Measures what a node on the users' platform adds to a request.
@@ -63,13 +61,7 @@
         measures.push(bench.events(self.events).await?);
         measures.push(bench.memory().await?);
         let report = types::BenchReport { measures };
-        if self.json {
-            println!("{}", serde_json::to_string_pretty(&report).into_diagnostic()?);
-        } else {
-            bench_report::print(&report);
-        }
-        let missed = report.measures.iter().any(bench_report::is_missed);
-        Ok(if missed { system::ExitCode::FAILURE } else { system::ExitCode::SUCCESS })
+        bench_report::finish(&report, self.json)
     }
 }
 
@@ -128,7 +120,7 @@
         let usage = usage.ok_or_else(|| miette::miette!("the node has ended"))?;
         let running = self.fleet.running();
         miette::ensure!(running == opened.len(), "{running} of {OPEN_STREAMS} streams are open");
-        let memory = usage.memory_kb as f64 / KIBIBYTES_PER_MEBIBYTE;
+        let memory = usage.memory_mebibytes();
         let figure = bench_report::measure("memory at 300 open streams", memory, "MiB");
         Ok(figure.with_most(MOST_MEBIBYTES).measure)
     }
@@ -182,14 +174,9 @@
 }
 
 fn request(address: net::SocketAddr, path: &str, number: usize) -> http_message::Request {
-    let url = format!("http://{address}{path}");
-    let mut request = http_message::Request::new(Method::POST, &url);
-    request.insert_header("host", fleet::HOST);
-    request.insert_header("request-id", format!("bench-{number}"));
-    request.insert_header("deadline-ms", PATIENCE.as_millis().to_string());
-    request.insert_header("x-api-key", fleet::KEY);
-    request.set_body("body");
-    request
+    fleet_request::FleetRequest::new(address, path, &format!("bench-{number}"))
+        .with_deadline_ms(PATIENCE.as_millis())
+        .into_message()
 }
 
 fn median(values: &mut [f64]) -> f64 {
--- a/crates/comfreyspread-lab/src/fleet_tour.rs
+++ b/crates/comfreyspread-lab/src/fleet_tour.rs
@@ -1,12 +1,8 @@
 //! The second part of the quickstart: the front end of the users' platform.
 
-use crate::{fleet, process};
-use comfreyspread::{
-    runtime::worker,
-    transport::{http_client, http_message},
-};
+use crate::{fleet, fleet_request, process};
+use comfreyspread::{runtime::worker, transport::http_client};
 use futures_util::future;
-use http::Method;
 use std::{path, time};
 
 /// Longest wait for an answer.
@@ -48,21 +44,14 @@
     id: &str,
     pieces: Option<&str>,
 ) -> miette::Result<u16> {
-    let url = format!("http://{}{path}", node.front);
-    let mut request = http_message::Request::new(Method::POST, &url);
-    request.insert_header("host", fleet::HOST);
-    request.insert_header("request-id", id);
-    request.insert_header("deadline-ms", "6000");
-    request.insert_header("x-api-key", fleet::KEY);
+    let mut request = fleet_request::FleetRequest::new(node.front, path, id);
     if let Some(pieces) = pieces {
-        request.insert_header("pieces", pieces);
-        request.insert_header("piece-key", "chain-12");
+        request = request.with_pieces(pieces);
     }
-    request.set_body("twelve grams");
     let client = http_client::HttpClient::new(ANSWER_LIMIT_BYTES);
     let until = time::Instant::now() + PATIENCE;
     let connection = http_client::ConnectionUse::Fresh;
-    Ok(client.call(node.front, request, connection, until).await?.status())
+    Ok(client.call(node.front, request.into_message(), connection, until).await?.status())
 }
 
 async fn serve_purchase(
--- a/crates/comfreyspread-lab/src/lib.rs
+++ b/crates/comfreyspread-lab/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod fault;
 pub mod fleet;
 pub mod fleet_bench;
+pub mod fleet_request;
 pub mod fleet_store;
 pub mod fleet_tour;
 pub mod network;
--- a/crates/comfreyspread-lab/src/usage.rs
+++ b/crates/comfreyspread-lab/src/usage.rs
@@ -2,6 +2,7 @@
 
 use std::{fs, time};
 
+const KIBIBYTES_PER_MEBIBYTE: f64 = 1024.0;
 const TICKS_PER_SECOND: u64 = 100;
 const USER_TICKS_FIELD: usize = 11;
 const SYSTEM_TICKS_FIELD: usize = 12;
@@ -30,6 +31,11 @@
         Some(Self { processor, memory_kb, taken: time::Instant::now() })
     }
 
+    /// Returns the resident memory in MiB.
+    pub fn memory_mebibytes(&self) -> f64 {
+        self.memory_kb as f64 / KIBIBYTES_PER_MEBIBYTE
+    }
+
     /// Returns the share of one core used since `earlier`.
     pub fn core_since(&self, earlier: &Self) -> f64 {
         let spent = self.processor.saturating_sub(earlier.processor);
--- a/crates/comfreyspread-lab/tests/batching_node.rs
+++ b/crates/comfreyspread-lab/tests/batching_node.rs
@@ -21,24 +21,14 @@
 }
 
 async fn report(node: &fleet::FleetNode, id: &str) -> u16 {
-    let mut request = gateway::request(node.front, "/report/", id);
-    request.insert_header("pieces", "2,1");
-    request.insert_header("piece-key", "k");
-    gateway::send(node.front, request).await.0
+    gateway::send(node.front, gateway::staged_request(node.front, id, "2,1")).await.0
 }
 
 /// Loses the batching node while requests of all others are in its hands; they are all served, and
 /// one other node makes all of their pieces.
 fn lose(loss: impl AsyncFnOnce(&mut fleet::FleetNode)) {
-    let pool = comfreyspread::runtime::worker::WorkerPool::new(2).expect("threads");
-    common::run(async {
-        let fleet = gateway::new_fleet(&pool).await;
-        let program = gateway::program();
-        let mut nodes = vec![fleet.start_node(&program, "node-1", &[]).await.expect("a node")];
-        let seed = nodes[0].control;
-        for name in ["node-2", "node-3", "node-4", "node-5"] {
-            nodes.push(fleet.start_node(&program, name, &[seed]).await.expect("a node"));
-        }
+    gateway::with_fleet(async |fleet| {
+        let mut nodes = gateway::start_nodes(&fleet, 5).await;
         async_io::Timer::after(SETTLING).await;
         assert_eq!(report(&nodes[0], "first").await, 200);
         let counts = future::join_all(nodes.iter().map(calls)).await;
@@ -57,7 +47,6 @@
         let batching = counts.iter().filter(|count| **count > 0).count();
         assert_eq!(batching, 1, "calls by node: {counts:?}");
     });
-    pool.stop();
 }
 
 #[test]
--- a/crates/comfreyspread-lab/tests/caller_gone.rs
+++ b/crates/comfreyspread-lab/tests/caller_gone.rs
@@ -52,9 +52,7 @@
 #[test]
 fn stages_left() {
     gateway::with_node(async |fleet, node| {
-        let mut request = gateway::request(node.front, "/report/", "r-1");
-        request.insert_header("pieces", "400,4");
-        request.insert_header("piece-key", "k");
+        let request = gateway::staged_request(node.front, "r-1", "400,4");
         let answered = async {
             gateway::send(node.front, request).await;
         };
--- a/crates/comfreyspread-lab/tests/common/gateway.rs
+++ b/crates/comfreyspread-lab/tests/common/gateway.rs
@@ -1,7 +1,10 @@
 //! Stand-ins of the users' platform and nodes that run on it.
 
-use comfreyspread::transport::{http_client, http_message};
-use comfreyspread_lab::fleet;
+use comfreyspread::{
+    runtime::worker,
+    transport::{http_client, http_message},
+};
+use comfreyspread_lab::{fleet, fleet_request};
 use std::{net, path, time};
 
 /// Longest wait of a test for an answer.
@@ -17,21 +20,14 @@
     fleet::sample_document(version).expect("a sample")
 }
 
-/// Starts stand-ins: a plain service, engines and stage workers.
-pub async fn new_fleet(pool: &comfreyspread::runtime::worker::WorkerPool) -> fleet::FleetStandIn {
-    fleet::FleetStandIn::with_sample(&pool.spawner()).await.expect("the stand-ins start")
-}
-
 /// Returns a request with all heads that the platform asks for.
 pub fn request(node: net::SocketAddr, path: &str, id: &str) -> http_message::Request {
-    let url = format!("http://{node}{path}");
-    let mut request = http_message::Request::new(http::Method::POST, &url);
-    request.insert_header("host", fleet::HOST);
-    request.insert_header("request-id", id);
-    request.insert_header("deadline-ms", "3000");
-    request.insert_header("x-api-key", fleet::KEY);
-    request.set_body("body");
-    request
+    fleet_request::FleetRequest::new(node, path, id).into_message()
+}
+
+/// Returns a request whose stages have `pieces`.
+pub fn staged_request(node: net::SocketAddr, id: &str, pieces: &str) -> http_message::Request {
+    fleet_request::FleetRequest::new(node, "/report/", id).with_pieces(pieces).into_message()
 }
 
 /// Sends a request and returns its status and body.
@@ -51,19 +47,41 @@
     sent.expect("a whole answer")
 }
 
+/// Runs a test against stand-ins.
+pub fn with_fleet<Test, Work>(test: Test)
+where
+    Test: FnOnce(fleet::FleetStandIn) -> Work,
+    Work: Future<Output = ()>,
+{
+    let pool = worker::WorkerPool::new(2).expect("threads");
+    super::run(async {
+        let fleet = fleet::FleetStandIn::with_sample(&pool.spawner()).await;
+        test(fleet.expect("the stand-ins start")).await;
+    });
+    pool.stop();
+}
+
 /// Runs a test against stand-ins and one node.
 pub fn with_node<Test, Work>(test: Test)
 where
     Test: FnOnce(fleet::FleetStandIn, fleet::FleetNode) -> Work,
     Work: Future<Output = ()>,
 {
-    let pool = comfreyspread::runtime::worker::WorkerPool::new(2).expect("threads");
-    super::run(async {
-        let fleet = new_fleet(&pool).await;
-        let node = fleet.start_node(&program(), "node-1", &[]).await.expect("a node");
+    with_fleet(async |fleet| {
+        let node = start_nodes(&fleet, 1).await.remove(0);
         test(fleet, node).await;
     });
-    pool.stop();
+}
+
+/// Starts nodes named `node-1` and so on, each with the first one as its seed.
+pub async fn start_nodes(fleet: &fleet::FleetStandIn, count: u64) -> Vec<fleet::FleetNode> {
+    let mut nodes = Vec::<fleet::FleetNode>::new();
+    for number in 1..=count {
+        let seeds: Vec<_> = nodes.first().map(|node| node.control).into_iter().collect();
+        let node = fleet.start_node(&program(), &format!("node-{number}"), &seeds).await;
+        nodes.push(node.expect("a node"));
+    }
+    nodes
 }
 
 /// Returns what ran of a request.
--- a/crates/comfreyspread-lab/tests/platform_path.rs
+++ b/crates/comfreyspread-lab/tests/platform_path.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use comfreyspread::transport::http_client;
+use comfreyspread_lab::fleet;
 use comfreyspread_schema::types as wire;
 use common::gateway;
 use std::{sync::atomic::Ordering, time};
@@ -151,26 +152,20 @@
 /// Pieces of requests from two nodes share calls, inputs are handed on, and results are freed.
 #[test]
 fn pieces_shared() {
-    let pool = comfreyspread::runtime::worker::WorkerPool::new(2).expect("threads");
-    common::run(async {
-        let fleet = gateway::new_fleet(&pool).await;
-        let first = fleet.start_node(&gateway::program(), "node-1", &[]).await.expect("a node");
-        let second = fleet.start_node(&gateway::program(), "node-2", &[first.control]).await;
-        let second = second.expect("a node");
+    gateway::with_fleet(async |fleet| {
+        let nodes = gateway::start_nodes(&fleet, 2).await;
         async_io::Timer::after(time::Duration::from_secs(2)).await;
         let call = |number: usize| {
-            let node = if number.is_multiple_of(2) { first.front } else { second.front };
-            let mut request = gateway::request(node, "/report/", &format!("r-{number}"));
-            request.insert_header("pieces", "2,1");
-            request.insert_header("piece-key", "k");
-            gateway::send(node, request)
+            let node = nodes[number % nodes.len()].front;
+            gateway::send(node, gateway::staged_request(node, &format!("r-{number}"), "2,1"))
         };
         let answers = futures_util::future::join_all((0..12).map(call)).await;
         for (status, body) in &answers {
             assert_eq!((*status, event_numbers(body)), (200, ALL_EVENTS.to_vec()));
         }
         let records = fleet.records();
-        let calls = records.iter().filter(|record| record.ran && &*record.path == "/v1/stage-run");
+        let calls =
+            records.iter().filter(|record| record.ran && &*record.path == fleet::PIECES_PATH);
         let calls = calls.count();
         assert!(calls < 18, "36 pieces took {calls} calls");
         let inputs = gateway::runs(&fleet, "r-1")[0].head.get("inputs").cloned().expect("inputs");
@@ -185,16 +180,13 @@
             .sum();
         assert_eq!(freed, 36);
     });
-    pool.stop();
 }
 
 /// A node that the store does not answer takes routes from a node that it does, also at its start.
 #[test]
 fn store_away() {
-    let pool = comfreyspread::runtime::worker::WorkerPool::new(2).expect("threads");
-    common::run(async {
-        let fleet = gateway::new_fleet(&pool).await;
-        let first = fleet.start_node(&gateway::program(), "node-1", &[]).await.expect("a node");
+    gateway::with_fleet(async |fleet| {
+        let first = gateway::start_nodes(&fleet, 1).await.remove(0);
         fleet.set_store_down(true);
         let second = fleet.start_node(&gateway::program(), "node-2", &[first.control]).await;
         let second = second.expect("a node that is ready without the store");
@@ -202,7 +194,6 @@
             gateway::send(second.front, gateway::request(second.front, "/read/", "r-1")).await;
         assert_eq!(status, 200);
     });
-    pool.stop();
 }
 
 /// Routes, zones and foreign entries change under traffic; what cannot be read changes nothing.
--- a/crates/comfreyspread-lab/tests/tables_passed.rs
+++ b/crates/comfreyspread-lab/tests/tables_passed.rs
@@ -23,36 +23,23 @@
 const CHANGES: u64 = 8;
 const CHANGE_PAUSE: time::Duration = time::Duration::from_millis(500);
 
-async fn start(fleet: &fleet::FleetStandIn) -> Vec<(String, fleet::FleetNode)> {
-    let program = gateway::program();
-    let mut nodes = Vec::<(String, fleet::FleetNode)>::new();
-    for number in 0..NODES {
-        let name = format!("node-{number}");
-        let seeds: Vec<_> = nodes.first().map(|(_, node)| node.control).into_iter().collect();
-        let node = fleet.start_node(&program, &name, &seeds).await.expect("a node");
-        nodes.push((name, node));
-    }
-    async_io::Timer::after(SETTLING).await;
-    nodes
-}
-
 /// Returns the place of the node that reads the store.
-async fn reader(nodes: &[(String, fleet::FleetNode)]) -> usize {
-    let (_, dump) = gateway::ask(nodes[0].1.ready, "/dump").await;
+async fn reader(nodes: &[fleet::FleetNode]) -> usize {
+    let (_, dump) = gateway::ask(nodes[0].ready, "/dump").await;
     let dump: types::GatewayDump = serde_json::from_str(&dump).expect("a dump");
     let record = table_news::reader(dump.members.iter()).expect("a reader");
-    nodes.iter().position(|(name, _)| **name == *record.node).expect("one of the nodes")
+    nodes.iter().position(|node| node.control == record.address).expect("one of the nodes")
 }
 
 /// Waits until all nodes have a version of the routes in force.
-async fn in_force(nodes: &[(String, fleet::FleetNode)], version: u64) -> time::Duration {
+async fn in_force(nodes: &[fleet::FleetNode], version: u64) -> time::Duration {
     let begun = time::Instant::now();
     let version_at = async |address: net::SocketAddr| {
         let (_, dump) = gateway::ask(address, "/dump").await;
         serde_json::from_str::<types::GatewayDump>(&dump).expect("a dump").routes_version
     };
     loop {
-        let versions = nodes.iter().map(|(_, node)| version_at(node.ready));
+        let versions = nodes.iter().map(|node| version_at(node.ready));
         let versions = future::join_all(versions).await;
         if versions.iter().all(|known| *known >= version) || begun.elapsed() > gateway::PATIENCE {
             return begun.elapsed();
@@ -63,16 +50,14 @@
 
 fn with_nodes<Test, Work>(test: Test)
 where
-    Test: FnOnce(fleet::FleetStandIn, Vec<(String, fleet::FleetNode)>) -> Work,
+    Test: FnOnce(fleet::FleetStandIn, Vec<fleet::FleetNode>) -> Work,
     Work: Future<Output = ()>,
 {
-    let pool = comfreyspread::runtime::worker::WorkerPool::new(2).expect("threads");
-    common::run(async {
-        let fleet = gateway::new_fleet(&pool).await;
-        let nodes = start(&fleet).await;
+    gateway::with_fleet(async |fleet| {
+        let nodes = gateway::start_nodes(&fleet, NODES).await;
+        async_io::Timer::after(SETTLING).await;
         test(fleet, nodes).await;
     });
-    pool.stop();
 }
 
 /// Changes cost the store less than half of the calls of nodes that all read it.
@@ -96,15 +81,15 @@
 #[test]
 fn reader_lost() {
     with_nodes(async |fleet, mut nodes| {
-        let (name, frozen) = nodes.remove(reader(&nodes).await);
+        let frozen = nodes.remove(reader(&nodes).await);
         frozen.process.signal(rustix::process::Signal::STOP);
         fleet.set_document(&gateway::document(2));
         let took = in_force(&nodes, 2).await;
         frozen.process.signal(rustix::process::Signal::CONT);
         assert!(took < APPLY_LIMIT, "reader frozen: in force after {took:?}");
-        nodes.push((name, frozen));
+        nodes.push(frozen);
         async_io::Timer::after(SETTLING).await;
-        let (_, mut killed) = nodes.remove(reader(&nodes).await);
+        let mut killed = nodes.remove(reader(&nodes).await);
         killed.process.kill();
         fleet.set_document(&gateway::document(3));
         let took = in_force(&nodes, 3).await;
@@ -121,7 +106,7 @@
         async_io::Timer::after(CHANGE_PAUSE).await;
         fleet.set_store_silent(false);
         fleet.set_document(&gateway::document(2));
-        let took = in_force(&[("node-1".to_owned(), node)], 2).await;
+        let took = in_force(&[node], 2).await;
         assert!(took < CONTACT_TIME, "in force after {took:?}");
     });
 }
@@ -130,8 +115,8 @@
 #[test]
 fn follower_lost() {
     with_nodes(async |_fleet, mut nodes| {
-        let (_, reading) = nodes.remove(reader(&nodes).await);
-        nodes.iter_mut().for_each(|(_, node)| node.process.kill());
+        let reading = nodes.remove(reader(&nodes).await);
+        nodes.iter_mut().for_each(|node| node.process.kill());
         let begun = time::Instant::now();
         while begun.elapsed() < table_news::NEWS_WAIT {
             let asked = time::Instant::now();
--- a/crates/comfreyspread-policy/tests/batch_queue.rs
+++ b/crates/comfreyspread-policy/tests/batch_queue.rs
@@ -83,6 +83,19 @@
     call.orders.iter().map(|order| &*order.request).collect()
 }
 
+/// Plays two full calls, of which that of `w0` and those of others take these milliseconds.
+fn play_calls(queue: &mut batch_queue::BatchQueue, moment: time::Instant, first: u64, other: u64) {
+    queue.push(group("x", 8, 0, moment));
+    queue.push(group("y", 8, 0, moment));
+    for call in queue.plan(moment) {
+        let took = if &*call.endpoint == "w0" { first } else { other };
+        let ending = made(&call);
+        queue.finish(call.number, &ending, moment + ms(took));
+        queue.take_settled(moment + ms(took));
+        queue.forget_results(&handles(&ending));
+    }
+}
+
 #[test]
 fn calls_shared() {
     let now = time::Instant::now();
@@ -198,15 +211,7 @@
     let mut queue = queue(2, now);
     for round in 0..4 {
         let moment = now + ms(round * 2000);
-        queue.push(group("x", 8, 0, moment));
-        queue.push(group("y", 8, 0, moment));
-        for call in queue.plan(moment) {
-            let took = if &*call.endpoint == "w0" { 100 } else { 290 };
-            let ending = made(&call);
-            queue.finish(call.number, &ending, moment + ms(took));
-            queue.take_settled(moment + ms(took));
-            queue.forget_results(&handles(&ending));
-        }
+        play_calls(&mut queue, moment, 100, 290);
     }
     let moment = now + ms(9000);
     let late = |request| {
@@ -243,15 +248,7 @@
     let mut queue = queue(2, now);
     for (start, slow) in [(0, 2500), (4000, 280)] {
         let moment = now + ms(start);
-        queue.push(group("x", 8, 0, moment));
-        queue.push(group("y", 8, 0, moment));
-        for call in queue.plan(moment) {
-            let took = if &*call.endpoint == "w0" { slow } else { 280 };
-            let ending = made(&call);
-            queue.finish(call.number, &ending, moment + ms(took));
-            queue.take_settled(moment + ms(took));
-            queue.forget_results(&handles(&ending));
-        }
+        play_calls(&mut queue, moment, slow, 280);
     }
     let moment = now + ms(4500);
     let late = batch_group::PieceGroup { target: moment, ..group("a", 8, 0, moment) };
@@ -264,17 +261,20 @@
 #[test]
 fn slow_helps() {
     let now = time::Instant::now();
-    let mut queue = queue(2, now);
-    queue.push(group("x", 1, 0, now));
-    let slow = queue.plan(now).remove(0);
-    queue.finish(slow.number, &made(&slow), now + ms(1000));
-    queue.take_settled(now + ms(1000));
     let moment = now + ms(1010);
     let names: Vec<_> = (0..12).map(|number| format!("r{number}")).collect();
-    for name in &names {
-        queue.push(batch_group::PieceGroup { target: moment, ..group(name, 8, 0, moment) });
-    }
-    let calls = queue.plan(moment);
+    let plan = |names: &[String]| {
+        let mut queue = queue(2, now);
+        queue.push(group("x", 1, 0, now));
+        let slow = queue.plan(now).remove(0);
+        queue.finish(slow.number, &made(&slow), now + ms(1000));
+        queue.take_settled(now + ms(1000));
+        for name in names {
+            queue.push(batch_group::PieceGroup { target: moment, ..group(name, 8, 0, moment) });
+        }
+        queue.plan(moment)
+    };
+    let calls = plan(&names);
     let of = |endpoint: &str| {
         let call = calls.iter().find(|call| &*call.endpoint == endpoint).expect("a call");
         requests(call)[0].to_owned()
@@ -282,16 +282,7 @@
     assert_eq!(of("w1"), "r0");
     let number: usize = of("w0")[1..].parse().expect("a number");
     assert!((3..12).contains(&number), "w0 takes r{number}");
-    let mut few = batch_queue::BatchQueue::new(capacity());
-    few.set_workers([place("w0", 0, "a"), place("w1", 1, "a")].into_iter(), now);
-    few.push(group("x", 1, 0, now));
-    let slow = few.plan(now).remove(0);
-    few.finish(slow.number, &made(&slow), now + ms(1000));
-    few.take_settled(now + ms(1000));
-    for name in &names[..2] {
-        few.push(batch_group::PieceGroup { target: moment, ..group(name, 8, 0, moment) });
-    }
-    assert_eq!(few.plan(moment).len(), 1, "the other one will have made both sooner");
+    assert_eq!(plan(&names[..2]).len(), 1, "the other one will have made both sooner");
 }
 
 #[test]
