--- a/crates/comfreyspread-lab/src/bench.rs
+++ b/crates/comfreyspread-lab/src/bench.rs
@@ -3,7 +3,7 @@
 //! The endpoints answer at once, so the times are those of the path. Calls to an endpoint directly
 //! and through nodes take turns in one run, so that a busy machine burdens both alike.
 
-use crate::{caller, deployment, process, tally, types, usage};
+use crate::{bench_report, caller, deployment, process, tally, types, usage};
 use comfreyspread::{
     runtime::worker,
     transport::{failure, header, http_client, http_message},
@@ -69,10 +69,10 @@
         if self.json {
             println!("{}", serde_json::to_string_pretty(&report).into_diagnostic()?);
         } else {
-            print(&report);
+            bench_report::print(&report);
         }
         bench.deployment.stop().await?;
-        let missed = report.measures.iter().any(is_missed);
+        let missed = report.measures.iter().any(bench_report::is_missed);
         Ok(if missed { system::ExitCode::FAILURE } else { system::ExitCode::SUCCESS })
     }
 
@@ -150,9 +150,10 @@
         };
         let memory = later.memory_kb as f64 / KIBIBYTES_PER_MEBIBYTE;
         vec![
-            measure("idle node, share of a core", later.core_since(&earlier), "core")
+            bench_report::measure("idle node, share of a core", later.core_since(&earlier), "core")
                 .with_most(MOST_IDLE_CORE),
-            measure("idle node, resident memory", memory, "MiB").with_most(MOST_IDLE_MEBIBYTES),
+            bench_report::measure("idle node, resident memory", memory, "MiB")
+                .with_most(MOST_IDLE_MEBIBYTES),
         ]
         .into_iter()
         .map(|figure| figure.measure)
@@ -185,14 +186,33 @@
         let added = |value: f64, base: f64| value - base;
         let [owner, other] = reports;
         Ok(vec![
-            measure("direct call p50", direct.p50, "ms").measure,
-            measure("direct call p99", direct.p99, "ms").measure,
-            measure("added through the owner p50", added(owner.p50, direct.p50), "ms").measure,
-            measure("added through the owner p99", added(owner.p99, direct.p99), "ms").measure,
-            measure("added through the other node p50", added(other.p50, direct.p50), "ms")
-                .with_most(MOST_ADDED_MILLISECONDS)
-                .measure,
-            measure("added through the other node p99", added(other.p99, direct.p99), "ms").measure,
+            bench_report::measure("direct call p50", direct.p50, "ms").measure,
+            bench_report::measure("direct call p99", direct.p99, "ms").measure,
+            bench_report::measure(
+                "added through the owner p50",
+                added(owner.p50, direct.p50),
+                "ms",
+            )
+            .measure,
+            bench_report::measure(
+                "added through the owner p99",
+                added(owner.p99, direct.p99),
+                "ms",
+            )
+            .measure,
+            bench_report::measure(
+                "added through the other node p50",
+                added(other.p50, direct.p50),
+                "ms",
+            )
+            .with_most(MOST_ADDED_MILLISECONDS)
+            .measure,
+            bench_report::measure(
+                "added through the other node p99",
+                added(other.p99, direct.p99),
+                "ms",
+            )
+            .measure,
         ])
     }
 
@@ -209,11 +229,15 @@
         let pipelines = self.calls_per_core(&both, &pipeline, load, spawner).await?;
         let tokens = self.tokens_per_core(&both, load, spawner).await?;
         Ok(vec![
-            measure("service calls per core of a node", services, "calls/s").measure,
-            measure("stage calls per core of a node", pipelines * STAGES_PER_PIPELINE, "calls/s")
-                .with_least(LEAST_CALLS_PER_CORE)
-                .measure,
-            measure("streamed tokens per core of a node", tokens, "tokens/s")
+            bench_report::measure("service calls per core of a node", services, "calls/s").measure,
+            bench_report::measure(
+                "stage calls per core of a node",
+                pipelines * STAGES_PER_PIPELINE,
+                "calls/s",
+            )
+            .with_least(LEAST_CALLS_PER_CORE)
+            .measure,
+            bench_report::measure("streamed tokens per core of a node", tokens, "tokens/s")
                 .with_least(LEAST_TOKENS_PER_CORE)
                 .measure,
         ])
@@ -386,51 +410,3 @@
     request.insert_header(header::REQUEST, "bench");
     request
 }
-
-/// A figure that is being described.
-struct BenchFigure {
-    measure: types::BenchMeasure,
-}
-
-fn measure(name: &str, value: f64, unit: &str) -> BenchFigure {
-    let measure = types::BenchMeasure {
-        least: None,
-        most: None,
-        name: name.into(),
-        unit: unit.into(),
-        value,
-    };
-    BenchFigure { measure }
-}
-
-impl BenchFigure {
-    fn with_least(mut self, least: f64) -> Self {
-        self.measure.least = Some(least);
-        self
-    }
-
-    fn with_most(mut self, most: f64) -> Self {
-        self.measure.most = Some(most);
-        self
-    }
-}
-
-fn is_missed(measure: &types::BenchMeasure) -> bool {
-    measure.least.is_some_and(|least| measure.value < least)
-        || measure.most.is_some_and(|most| measure.value > most)
-}
-
-fn print(report: &types::BenchReport) {
-    for measure in &report.measures {
-        let bound = match (measure.least, measure.most) {
-            (Some(least), _) => format!("at least {least}"),
-            (_, Some(most)) => format!("at most {most}"),
-            _ => String::new(),
-        };
-        let missed = if is_missed(measure) { "MISSED" } else { "" };
-        println!(
-            "{:<36} {:>10.3} {:<9} {bound:<16} {missed}",
-            measure.name, measure.value, measure.unit
-        );
-    }
-}
--- /dev/null
+++ b/crates/comfreyspread-lab/src/bench_report.rs
@@ -0,0 +1,58 @@
+//! Figures of the benchmarks and their bounds.
+
+use crate::types;
+
+/// A figure that is being described.
+#[derive(Debug)]
+pub struct BenchFigure {
+    /// The figure.
+    pub measure: types::BenchMeasure,
+}
+
+/// Describes a figure without bounds.
+pub fn measure(name: &str, value: f64, unit: &str) -> BenchFigure {
+    let measure = types::BenchMeasure {
+        least: None,
+        most: None,
+        name: name.into(),
+        unit: unit.into(),
+        value,
+    };
+    BenchFigure { measure }
+}
+
+impl BenchFigure {
+    /// Sets the least value that is good enough.
+    pub fn with_least(mut self, least: f64) -> Self {
+        self.measure.least = Some(least);
+        self
+    }
+
+    /// Sets the greatest value that is good enough.
+    pub fn with_most(mut self, most: f64) -> Self {
+        self.measure.most = Some(most);
+        self
+    }
+}
+
+/// Whether a figure is beyond its bounds.
+pub fn is_missed(measure: &types::BenchMeasure) -> bool {
+    measure.least.is_some_and(|least| measure.value < least)
+        || measure.most.is_some_and(|most| measure.value > most)
+}
+
+/// Prints the figures as a table.
+pub fn print(report: &types::BenchReport) {
+    for measure in &report.measures {
+        let bound = match (measure.least, measure.most) {
+            (Some(least), _) => format!("at least {least}"),
+            (_, Some(most)) => format!("at most {most}"),
+            _ => String::new(),
+        };
+        let missed = if is_missed(measure) { "MISSED" } else { "" };
+        println!(
+            "{:<36} {:>10.3} {:<9} {bound:<16} {missed}",
+            measure.name, measure.value, measure.unit
+        );
+    }
+}
--- a/crates/comfreyspread-lab/src/fleet.rs
+++ b/crates/comfreyspread-lab/src/fleet.rs
@@ -75,6 +75,8 @@
     pub cut_after: atomic::AtomicU64,
     /// Whether plain answers are cut after they have run.
     pub lose_answers: atomic::AtomicBool,
+    /// Events of a stream; zero for the usual number.
+    pub events: atomic::AtomicU64,
     /// Milliseconds that each event, or a plain answer, takes longer than usual.
     pub delay_ms: atomic::AtomicU64,
 }
@@ -216,6 +218,16 @@
         self.store.calls()
     }
 
+    /// Returns the address of an endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is none of that name.
+    pub fn address(&self, endpoint: &str) -> miette::Result<net::SocketAddr> {
+        let address = self.endpoints.get(endpoint).and_then(|one| one.address.get().copied());
+        address.ok_or_else(|| miette::miette!("there is no endpoint {endpoint}"))
+    }
+
     /// Returns the faults of an endpoint.
     pub fn faults(&self, endpoint: &str) -> &FleetFaults {
         &self.endpoints[endpoint].faults
@@ -392,13 +404,17 @@
         let resumed = request.header("last-event-id").and_then(|value| value.parse().ok());
         let first: u64 = resumed.unwrap_or(0) + 1;
         let cut_after = self.faults.cut_after.swap(0, atomic::Ordering::Relaxed);
+        let events = match self.faults.events.load(atomic::Ordering::Relaxed) {
+            0 => EVENTS,
+            events => events,
+        };
         let event_time = self.event_time();
         let running = RunningRequest::new(&self.records);
         let mut response = self.stamped(request);
         response.insert_header("content-type", "text/event-stream");
         response.set_body(produced_chunks::ProducedChunks::body(|sender| async move {
             let _running = running;
-            for id in first..=EVENTS {
+            for id in first..=events {
                 async_io::Timer::after(event_time).await;
                 let event = format!("id: {id}\ndata: e{id}\n\n");
                 sender.send(Ok(event.into())).await.ok();
--- a/crates/comfreyspread-lab/src/lib.rs
+++ b/crates/comfreyspread-lab/src/lib.rs
@@ -4,6 +4,7 @@
 //! those records, never a node's own word.
 
 pub mod bench;
+pub mod bench_report;
 pub mod call_log;
 pub mod caller;
 pub mod claim_bench;
@@ -13,6 +14,7 @@
 pub mod endpoints;
 pub mod fault;
 pub mod fleet;
+pub mod fleet_bench;
 pub mod fleet_store;
 pub mod fleet_tour;
 pub mod network;
--- a/crates/comfreyspread-lab/src/main.rs
+++ b/crates/comfreyspread-lab/src/main.rs
@@ -5,8 +5,8 @@
 
 use comfreyspread::{operations::command, runtime::worker};
 use comfreyspread_lab::{
-    bench, claim_bench, configuration_report, endpoints, platform, quickstart, relay, replay,
-    slopes,
+    bench, claim_bench, configuration_report, endpoints, fleet_bench, platform, quickstart, relay,
+    replay, slopes,
 };
 use miette::IntoDiagnostic as _;
 use std::{env, process};
@@ -29,6 +29,7 @@
     Configuration(configuration_report::ConfigurationArguments),
     Endpoints(endpoints::EndpointsArguments),
     Platform(platform::PlatformArguments),
+    FleetBench(fleet_bench::FleetBenchArguments),
     Quickstart(quickstart::QuickstartArguments),
     Relay(relay::RelayArguments),
     Replay(replay::ReplayArguments),
@@ -55,6 +56,7 @@
             LabRole::Platform(arguments) => {
                 arguments.run(&spawner).await.map(|()| process::ExitCode::SUCCESS)
             }
+            LabRole::FleetBench(arguments) => arguments.run(&spawner).await,
             LabRole::Quickstart(arguments) => arguments.run(&spawner).await,
             LabRole::Replay(arguments) => arguments.run(&spawner).await,
             LabRole::Slopes(arguments) => arguments.run(&spawner).await,
