Have hundreds of nodes agree on who runs

Each node had all others' records to spread, 27 times each at 16 records a second, so a refutation stood behind some 300 records that everyone had; a member seen as failed was never probed again; the three seeds sent their whole table to all nodes at once, and probes timed out behind it.

Ruled out: processor time (0.013 cores at most) and disturbed VMs (none).

Change: each message holds the sender's own record; probes carry a digest of the live members in 64 buckets, and the reply brings the records of those that differ; what came so is not spread further; least sent first, then newest; two nodes of which one suspects the other exchange one more message at once; a seed sends at most 32 records; the failure timeout grows with the logarithm of the members; a node whose probes are answered by nobody doubts itself before it suspects others.

--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -14,7 +14,8 @@
 //!   [`table_mirror`], [`table_freshness`] and [`outage_recovery`].
 //! - The owner: [`pool_scheduler`] over [`call_queue`], [`pool_endpoint`], [`endpoint_lifecycle`],
 //!   [`concurrency_limit`], [`circuit_breaker`], [`outlier`], [`endpoint_selector`], [`latency`].
-//! - Members and ownership: [`membership`], [`connectivity`], [`rendezvous`], [`ownership`],
+//! - Members and ownership: [`membership`] with [`member_digest`], [`probe_ring`] and
+//!   [`prober_health`], [`connectivity`], [`rendezvous`], [`ownership`],
 //!   [`ownership_status`], [`leaving_vms`], [`node_lifecycle`].
 //! - Configuration: [`validation`], [`catalog`], [`change`], [`acceptance`], [`delta`], [`poller`].
 //!
@@ -49,6 +50,7 @@
 pub mod leaving_vms;
 pub mod link_budget;
 pub mod member;
+pub mod member_digest;
 pub mod membership;
 pub mod node_lifecycle;
 pub mod outage_recovery;
@@ -61,6 +63,8 @@
 pub mod poller;
 pub mod pool_endpoint;
 pub mod pool_scheduler;
+pub mod probe_ring;
+pub mod prober_health;
 pub mod rendezvous;
 pub mod result_usage;
 pub mod retry;
--- a/crates/comfreyspread-policy/src/membership.rs
+++ b/crates/comfreyspread-policy/src/membership.rs
@@ -10,37 +10,70 @@
 //! and each node declares the failure itself after the failure timeout, in which the member could
 //! have refuted the suspicion. So a node with a wrong view cannot spread it in one step.
 //!
+//! Every message holds the sender's own record, so whoever exchanges a message with a member that it
+//! wrongly suspects learns so at once. Other changes spread in a bounded number of records a message:
+//! least sent first, then newest, so a refutation does not wait behind what most nodes know. What
+//! gossip misses, and the tables of nodes that start or were cut off, are found by comparing digests
+//! ([`member_digest`]); such records are not spread further, as the nodes around have them.
+//!
+//! A refutation takes longer to reach all members of a large fleet, so the time that a suspect has
+//! grows with the logarithm of their number.
+//!
 //! The work per heartbeat does not depend on the number of nodes, except for scans of the local
 //! table.
 
-use crate::member;
+use crate::{member, member_digest, probe_ring, prober_health};
 use comfreyspread_schema::{ids, types};
 use indexmap::IndexMap;
-use rand::seq::SliceRandom as _;
-use std::{net, time};
+use rand::seq::{IteratorRandom as _, SliceRandom as _};
+use std::{cmp, net, time};
 
 /// Transmissions of a changed record, for each doubling of the number of members.
 const SENDS_PER_DOUBLING: u32 = 3;
+/// Transmissions of a record that is not to be spread further.
+const ALL_SENT: u32 = u32::MAX;
+/// Most records of a member table that a joining node is sent; digests find the others.
+const MAX_SNAPSHOT_RECORDS: usize = 32;
+/// Most records sent for buckets that differ.
+const MAX_REPAIR_RECORDS: usize = 64;
+/// Share of the retention time, as a divisor, in which a failure is told to peers. It ends before
+/// any node removes the member, since a node that has removed it would take it for a new one.
+const FAILURE_NEWS_DIVISOR: u32 = 3;
+/// Members probed in one heartbeat period while tables differ.
+const PROBES_WHILE_DIFFERING: usize = 4;
+/// Records repaired by one message from which on tables count as differing.
+const DIFFERING_RECORDS: usize = 4;
+/// Time since such a message during which tables count as differing.
+const REPAIR_WINDOW: time::Duration = time::Duration::from_secs(1);
 
 /// Timeouts that govern the phases of members.
 #[derive(Clone, Copy, Debug)]
 pub struct MemberTimeouts {
-    /// Time from a suspicion until the member is declared failed.
+    /// Time from a suspicion until the member is declared failed, in a fleet of up to ten nodes. It
+    /// grows with the decimal logarithm of the number of nodes.
     pub failure: time::Duration,
     /// Time after which a member that failed or left is removed.
     pub retention: time::Duration,
 }
 
+/// Records of a member table for a joining node.
+#[derive(Clone, Debug)]
+pub struct MemberSnapshot {
+    /// The records.
+    pub records: Vec<types::MemberRecord>,
+    /// Whether the table has more.
+    pub partial: bool,
+}
+
 /// Members known to one node.
 #[derive(Debug)]
 pub struct MemberTable {
     local: types::MemberRecord,
-    local_sends: u32,
     timeouts: MemberTimeouts,
     entries: IndexMap<ids::NodeId, member::MemberEntry>,
-    zone_ring: Vec<ids::NodeId>,
-    remote_ring: Vec<ids::NodeId>,
-    zone_next: bool,
+    ring: probe_ring::ProbeRing,
+    health: prober_health::ProberHealth,
+    repaired_at: Option<time::Instant>,
     predecessor_seen: Option<time::Instant>,
     version: u64,
 }
@@ -50,12 +83,11 @@
     pub fn new(local: types::MemberRecord, timeouts: MemberTimeouts) -> Self {
         Self {
             local,
-            local_sends: 0,
             timeouts,
             entries: IndexMap::new(),
-            zone_ring: Vec::new(),
-            remote_ring: Vec::new(),
-            zone_next: true,
+            ring: probe_ring::ProbeRing::default(),
+            health: prober_health::ProberHealth::default(),
+            repaired_at: None,
             predecessor_seen: None,
             version: 1,
         }
@@ -136,7 +168,7 @@
     pub fn set_node_phase(&mut self, phase: types::NodePhase) {
         if self.local.node_phase != phase {
             self.local.node_phase = phase;
-            self.mark_local_changed();
+            self.version += 1;
         }
     }
 
@@ -148,7 +180,7 @@
     /// Marks this node as having left.
     pub fn leave(&mut self) {
         self.local.phase = types::MemberPhase::Left;
-        self.mark_local_changed();
+        self.version += 1;
     }
 
     /// Merges a record received from another node; returns whether anything changed.
@@ -174,6 +206,15 @@
         self.merge_monotonic(&record)
     }
 
+    /// Merges the records in which a peer's table and this one differed. They are not spread
+    /// further, as the nodes around have them, unless they refute a suspicion.
+    pub fn merge_repairs(&mut self, records: Vec<types::MemberRecord>, now: time::Instant) {
+        let repaired = records.into_iter().filter(|record| self.merge_repair(record, now)).count();
+        if repaired >= DIFFERING_RECORDS {
+            self.repaired_at = Some(now);
+        }
+    }
+
     /// Records a message received directly from a member.
     pub fn record_message(&mut self, header: &types::PeerHeader, now: time::Instant) {
         let Some(entry) = self.entries.get_mut(&header.node) else { return };
@@ -193,9 +234,17 @@
         }
     }
 
-    /// Suspects a member that neither direct nor indirect probes reached; returns whether it was
-    /// alive before.
-    pub fn suspect(&mut self, instance: &member::MemberInstance, now: time::Instant) -> bool {
+    /// Records how a probe of a member ended, and suspects the member if there is evidence that it
+    /// failed; returns whether it was alive before.
+    pub fn record_probe(
+        &mut self,
+        instance: &member::MemberInstance,
+        outcome: prober_health::ProbeOutcome,
+        now: time::Instant,
+    ) -> bool {
+        if !self.health.record(outcome) {
+            return false;
+        }
         let Some(entry) = self.entries.get_mut(&instance.node) else { return false };
         let alive = entry.record.phase == types::MemberPhase::Alive;
         if !alive || entry.record.start_id != instance.start_id {
@@ -205,13 +254,19 @@
         true
     }
 
+    /// Returns the factor on the timeouts of probes, which grows with this node's doubt in itself.
+    pub fn probe_timeout_factor(&self) -> u32 {
+        self.health.timeout_factor()
+    }
+
     /// Declares suspects failed and removes members after their timeouts; returns the nodes that
     /// failed.
     pub fn advance(&mut self, now: time::Instant) -> Vec<ids::NodeId> {
         let timeouts = self.timeouts;
+        let failure_timeout = self.failure_timeout();
         let mut failed = Vec::new();
         for entry in self.entries.values_mut() {
-            let expired = now.saturating_duration_since(entry.phase_since) >= timeouts.failure;
+            let expired = now.saturating_duration_since(entry.phase_since) >= failure_timeout;
             if entry.record.phase == types::MemberPhase::Suspect && expired {
                 entry.set_phase(types::MemberPhase::Failed, now);
                 failed.push(entry.record.node.clone());
@@ -251,14 +306,35 @@
         (record.phase != types::MemberPhase::Alive).then(|| record.clone())
     }
 
+    /// Returns how many members to probe in this heartbeat period; more while tables differ.
+    pub fn probe_count(&self, now: time::Instant) -> usize {
+        let repaired = |at| now.saturating_duration_since(at) < REPAIR_WINDOW;
+        if self.repaired_at.is_some_and(repaired) { PROBES_WHILE_DIFFERING } else { 1 }
+    }
+
+    /// Whether this node considers a member suspect or failed that has answered it, so that the
+    /// member has to be told.
+    pub fn is_disputed(&self, node: &ids::NodeId) -> bool {
+        let phase = self.entries.get(node).map(|entry| entry.record.phase);
+        matches!(phase, Some(types::MemberPhase::Suspect | types::MemberPhase::Failed))
+    }
+
     /// Returns the member to be probed next, alternating between this zone and the others.
     pub fn next_probe<Random>(&mut self, random: &mut Random) -> Option<member::ProbeTarget>
     where
         Random: rand::Rng,
     {
-        let same_zone = self.zone_next;
-        self.zone_next = !same_zone;
-        self.next_in_ring(same_zone, random).or_else(|| self.next_in_ring(!same_zone, random))
+        let entries = &self.entries;
+        let zone = &self.local.zone;
+        let members = |same_zone| {
+            let live = entries.values().filter(|entry| entry.is_live());
+            let chosen = live.filter(|entry| (entry.record.zone == *zone) == same_zone);
+            chosen.map(|entry| entry.record.node.clone()).collect()
+        };
+        let is_live =
+            |node: &ids::NodeId| entries.get(node).is_some_and(member::MemberEntry::is_live);
+        let node = self.ring.next(members, is_live, random)?;
+        self.entries.get(&node).map(|entry| member::ProbeTarget::new(&entry.record))
     }
 
     /// Returns up to `count` members drawn at random from those alive, without `target`.
@@ -279,35 +355,70 @@
         chosen.to_vec()
     }
 
-    /// Returns up to `limit` recently changed records and one random record for a message.
-    pub fn gossip_records<Random>(
-        &mut self,
-        limit: usize,
-        random: &mut Random,
-    ) -> Vec<types::MemberRecord>
-    where
-        Random: rand::Rng,
-    {
+    /// Returns the record of this node and recently changed ones, up to `limit` in all, for a
+    /// message.
+    pub fn gossip_records(&mut self, limit: usize) -> Vec<types::MemberRecord> {
         let sends = self.sends_per_record();
-        let mut records = Vec::with_capacity(limit + 1);
-        if self.local_sends < sends {
-            self.local_sends += 1;
-            records.push(self.local.clone());
-        }
+        let mut records = vec![self.local.clone()];
         let mut recent: Vec<_> =
             self.entries.values_mut().filter(|entry| entry.sends < sends).collect();
-        recent.sort_by_key(|entry| entry.sends);
+        recent.sort_by_key(|entry| (entry.sends, cmp::Reverse(entry.phase_since)));
         for entry in recent.into_iter().take(limit.saturating_sub(records.len())) {
             entry.sends += 1;
             records.push(entry.record.clone());
         }
-        records.extend(self.random_record(random));
         records
     }
 
-    /// Returns the records of all nodes that may be running, for a joining node.
-    pub fn snapshot(&self) -> Vec<types::MemberRecord> {
-        self.live().cloned().collect()
+    /// Returns the digest of the nodes that are not suspected.
+    pub fn digest(&self) -> member_digest::MemberDigest {
+        let alive = |record: &&types::MemberRecord| record.phase == types::MemberPhase::Alive;
+        member_digest::MemberDigest::new(self.live().filter(alive))
+    }
+
+    /// Returns a bounded number of the records in which this table and that of a peer with the
+    /// digest `peer` may differ: half of them those changed last, half drawn at random. Members that
+    /// failed lately are among them, so that a peer which missed the suspicion learns of it.
+    pub fn repair_records<Random>(
+        &self,
+        peer: &[u32],
+        now: time::Instant,
+        random: &mut Random,
+    ) -> Vec<types::MemberRecord>
+    where
+        Random: rand::Rng,
+    {
+        let buckets = self.digest().differing_buckets(peer);
+        if buckets.is_empty() {
+            return Vec::new();
+        }
+        let differs = |entry: &&member::MemberEntry| {
+            let latest = self.timeouts.retention / FAILURE_NEWS_DIVISOR;
+            let lately = now.saturating_duration_since(entry.phase_since) < latest;
+            let failed = entry.record.phase == types::MemberPhase::Failed;
+            let told = entry.is_live() || (failed && lately);
+            told && buckets.contains(&member_digest::bucket_of(&entry.record.node))
+        };
+        let mut entries: Vec<_> = self.entries.values().filter(differs).collect();
+        entries.sort_by_key(|entry| cmp::Reverse(entry.phase_since));
+        let latest = MAX_REPAIR_RECORDS / 2;
+        let older = entries.iter().skip(latest).choose_multiple(random, latest);
+        let chosen = entries.iter().take(latest).chain(older);
+        chosen.map(|entry| entry.record.clone()).collect()
+    }
+
+    /// Returns the records of nodes that may be running, for a joining node: all of a small fleet,
+    /// a sample of a large one.
+    pub fn snapshot<Random>(&self, random: &mut Random) -> MemberSnapshot
+    where
+        Random: rand::Rng,
+    {
+        let mut records = self.live().cloned().choose_multiple(random, MAX_SNAPSHOT_RECORDS);
+        let partial = self.live().count() > records.len();
+        if !records.contains(&self.local) && member::is_live(self.local.phase) {
+            records.push(self.local.clone());
+        }
+        MemberSnapshot { records, partial }
     }
 
     /// Whether records from a peer show that it does not consider this instance alive.
@@ -336,7 +447,19 @@
             return false;
         }
         self.local.incarnation = record.incarnation + 1;
-        self.mark_local_changed();
+        self.version += 1;
+        true
+    }
+
+    fn merge_repair(&mut self, record: &types::MemberRecord, now: time::Instant) -> bool {
+        let known = self.entries.get(&record.node);
+        let suspected = known.is_some_and(|entry| entry.record.phase != types::MemberPhase::Alive);
+        if !self.merge(record.clone(), now) {
+            return false;
+        }
+        if let Some(entry) = self.entries.get_mut(&record.node).filter(|_| !suspected) {
+            entry.sends = ALL_SENT;
+        }
         true
     }
 
@@ -356,57 +479,9 @@
         true
     }
 
-    fn mark_local_changed(&mut self) {
-        self.local_sends = 0;
-        self.version += 1;
-    }
-
-    fn next_in_ring<Random>(
-        &mut self,
-        same_zone: bool,
-        random: &mut Random,
-    ) -> Option<member::ProbeTarget>
-    where
-        Random: rand::Rng,
-    {
-        let mut ring =
-            std::mem::take(if same_zone { &mut self.zone_ring } else { &mut self.remote_ring });
-        let mut target = self.pop_live(&mut ring);
-        if target.is_none() {
-            ring = self.shuffled_ring(same_zone, random);
-            target = self.pop_live(&mut ring);
-        }
-        *(if same_zone { &mut self.zone_ring } else { &mut self.remote_ring }) = ring;
-        target
-    }
-
-    fn shuffled_ring<Random>(&self, same_zone: bool, random: &mut Random) -> Vec<ids::NodeId>
-    where
-        Random: rand::Rng,
-    {
-        let live = self.entries.values().filter(|entry| entry.is_live());
-        let candidates = live.filter(|entry| (entry.record.zone == self.local.zone) == same_zone);
-        let mut ring: Vec<_> = candidates.map(|entry| entry.record.node.clone()).collect();
-        ring.shuffle(random);
-        ring
-    }
-
-    fn pop_live(&self, ring: &mut Vec<ids::NodeId>) -> Option<member::ProbeTarget> {
-        while let Some(node) = ring.pop() {
-            if let Some(entry) = self.entries.get(&node).filter(|entry| entry.is_live()) {
-                return Some(member::ProbeTarget::new(&entry.record));
-            }
-        }
-        None
-    }
-
-    fn random_record<Random>(&self, random: &mut Random) -> Option<types::MemberRecord>
-    where
-        Random: rand::Rng,
-    {
-        let index = random.random_range(0..=self.entries.len());
-        let record = self.entries.get_index(index).map_or(&self.local, |(_, entry)| &entry.record);
-        member::is_live(record.phase).then(|| record.clone())
+    fn failure_timeout(&self) -> time::Duration {
+        let members = self.entries.len() + 1;
+        self.timeouts.failure.mul_f64((members as f64).log10().max(1.0))
     }
 
     fn sends_per_record(&self) -> u32 {
--- a/crates/comfreyspread-policy/tests/model/exchange.rs
+++ b/crates/comfreyspread-policy/tests/model/exchange.rs
@@ -1,9 +1,10 @@
 //! Actions of a simulated node at each heartbeat and for each message.
 
 use super::{
-    ANSWER_TIMEOUT, Event, HEARTBEAT, INDIRECT_PROBES, Message, Model, RECORDS_PER_MESSAGE, name,
+    ANSWER_TIMEOUT, Contact, Event, HEARTBEAT, INDIRECT_PROBES, Message, Model,
+    RECORDS_PER_MESSAGE, name,
 };
-use comfreyspread_policy::{connectivity, member, ownership_action};
+use comfreyspread_policy::{connectivity, member, ownership_action, prober_health};
 use comfreyspread_schema::{ids, types};
 use rand::Rng as _;
 use std::time;
@@ -21,13 +22,13 @@
                 break;
             };
             let to = usize::from(target.address.port()) - 1;
-            self.send_heartbeat(index, to, false, false);
+            self.send_heartbeat(index, to, Contact::Probe);
             let event = Event::ProbeEnd { target, sent: self.now };
             self.push_at(self.now + ANSWER_TIMEOUT, index, event);
         }
         let unsettled = !self.nodes[index].ownership.is_startup_over(self.now);
         for seed in (0..self.nodes.len()).filter(|_| unsettled) {
-            self.send_heartbeat(index, seed, true, true);
+            self.send_heartbeat(index, seed, Contact::FullSync);
         }
         let refuses = |other: &usize| {
             !self.nodes[*other].up && !self.cut[index][*other] && !self.cut[*other][index]
@@ -39,26 +40,18 @@
         }
         if self.nodes[index].members.live().count() == 1 || self.random.random_ratio(1, 20) {
             let seed = self.random.random_range(0..self.nodes.len());
-            let full_sync = self.nodes[index].members.entry(&name(seed)).is_none();
-            self.send_heartbeat(index, seed, full_sync, true);
+            self.send_heartbeat(index, seed, Contact::FullSync);
         }
         self.push_at(self.now + HEARTBEAT, index, Event::Tick);
     }
 
-    pub(super) fn send_heartbeat(
-        &mut self,
-        from: usize,
-        to: usize,
-        full_sync: bool,
-        with_local: bool,
-    ) {
+    pub(super) fn send_heartbeat(&mut self, from: usize, to: usize, kind: Contact) {
         let members = &mut self.nodes[from].members;
-        let mut records = members.gossip_records(RECORDS_PER_MESSAGE, &mut self.random);
-        if with_local {
-            records.push(members.local().clone());
-        }
+        let mut records = members.gossip_records(RECORDS_PER_MESSAGE);
         records.extend(members.suspicion_of(&name(to)));
-        self.send(from, to, Message::Heartbeat { members: records, full_sync }, self.now);
+        let digest = members.digest().into_buckets();
+        let message = Message::Heartbeat { members: records, digest, kind };
+        self.send(from, to, message, self.now);
     }
 
     pub(super) fn reconcile(&mut self, index: usize) -> Vec<ownership_action::OwnershipAction> {
@@ -151,37 +144,46 @@
         sent: time::Instant,
     ) {
         match message {
-            Message::Heartbeat { members, full_sync } => {
+            Message::Heartbeat { members, digest, kind } => {
                 self.merge(index, header, members);
                 let members_table = &mut self.nodes[index].members;
                 let suspicion = members_table.suspicion_of_sender(header);
-                let mut members = if full_sync {
-                    members_table.snapshot()
+                let mut members = if kind == Contact::FullSync {
+                    members_table.snapshot(&mut self.random).records
                 } else {
-                    members_table.gossip_records(RECORDS_PER_MESSAGE, &mut self.random)
+                    members_table.gossip_records(RECORDS_PER_MESSAGE)
                 };
                 members.extend(suspicion);
-                self.send(index, from, Message::HeartbeatReply { members, full_sync }, sent);
+                let table = &self.nodes[index].members;
+                let repairs = table.repair_records(&digest, self.now, &mut self.random);
+                let reply = Message::HeartbeatReply { members, repairs, kind };
+                self.send(index, from, reply, sent);
             }
-            Message::HeartbeatReply { members, full_sync } => {
+            Message::HeartbeatReply { members, repairs, kind } => {
                 if self.now - sent > ANSWER_TIMEOUT {
                     return;
                 }
                 let node = &mut self.nodes[index];
-                if node.members.is_suspected_by(&members) {
+                let suspected = node.members.is_suspected_by(&members);
+                if suspected {
                     node.ownership.record_suspicion(self.now);
                 } else {
                     node.ownership.renew_lease(sent, self.now);
                 }
+                self.nodes[index].members.merge_repairs(repairs, self.now);
                 self.merge(index, header, members);
                 let others = self.nodes.len() - 1;
                 let node = &mut self.nodes[index];
-                if full_sync {
+                if kind == Contact::FullSync {
                     node.answered.insert(from);
                 }
                 if node.answered.len() == others {
                     node.ownership.set_seed_status(connectivity::SeedStatus::Answered);
                 }
+                let disputed = suspected || node.members.is_disputed(&header.node);
+                if disputed && kind != Contact::Dispute {
+                    self.send_heartbeat(index, from, Contact::Dispute);
+                }
             }
             Message::ReleaseRequest { member, endpoints } => {
                 self.merge(index, header, vec![member]);
@@ -245,7 +247,8 @@
         }
         if !reached {
             let now = self.now;
-            self.nodes[index].members.suspect(&target.instance, now);
+            let outcome = prober_health::ProbeOutcome::Unreachable;
+            self.nodes[index].members.record_probe(&target.instance, outcome, now);
         }
     }
 }
--- a/crates/comfreyspread-policy/tests/model/mod.rs
+++ b/crates/comfreyspread-policy/tests/model/mod.rs
@@ -19,13 +19,38 @@
 const RECORDS_PER_MESSAGE: usize = 4;
 const INDIRECT_PROBES: usize = 3;
 
+/// Why a node sends a heartbeat.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Contact {
+    /// It probes a member.
+    Probe,
+    /// It asks a seed for its members.
+    FullSync,
+    /// One of the two suspected the other.
+    Dispute,
+}
+
 /// Message in transit between two nodes.
 #[derive(Clone, Debug)]
 enum Message {
-    Heartbeat { members: Vec<types::MemberRecord>, full_sync: bool },
-    HeartbeatReply { members: Vec<types::MemberRecord>, full_sync: bool },
-    ReleaseRequest { member: types::MemberRecord, endpoints: Vec<ids::EndpointId> },
-    ReleaseNotice { members: Vec<types::MemberRecord>, releases: Vec<types::ReleaseRecord> },
+    Heartbeat {
+        members: Vec<types::MemberRecord>,
+        digest: Vec<u32>,
+        kind: Contact,
+    },
+    HeartbeatReply {
+        members: Vec<types::MemberRecord>,
+        repairs: Vec<types::MemberRecord>,
+        kind: Contact,
+    },
+    ReleaseRequest {
+        member: types::MemberRecord,
+        endpoints: Vec<ids::EndpointId>,
+    },
+    ReleaseNotice {
+        members: Vec<types::MemberRecord>,
+        releases: Vec<types::ReleaseRecord>,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -224,7 +249,7 @@
         self.nodes[index].members.leave();
         let actions = self.reconcile(index);
         for other in 0..self.nodes.len() {
-            self.send_heartbeat(index, other, false, true);
+            self.send_heartbeat(index, other, Contact::Probe);
         }
         self.carry_out(index, actions);
     }
--- a/crates/comfreyspread/src/membership/handover.rs
+++ b/crates/comfreyspread/src/membership/handover.rs
@@ -6,7 +6,7 @@
 //! until that number is zero.
 
 use crate::{
-    membership::{heartbeat, peer},
+    membership::{heartbeat, heartbeat_message, peer},
     ownership::scheduler_sync,
     runtime::{context, settings},
     transport::{failure, http_client, http_message},
@@ -92,7 +92,7 @@
     message: types::ReleaseNotice,
 ) -> types::HeartbeatReply {
     accept_releases(context, message);
-    heartbeat::empty_reply(context)
+    heartbeat_message::empty_reply(context)
 }
 
 /// Records the releases of another node.
--- a/crates/comfreyspread/src/membership/peer.rs
+++ b/crates/comfreyspread/src/membership/peer.rs
@@ -7,7 +7,7 @@
 use crate::{
     configuration::distribution,
     ingress::frames,
-    membership::{handover, heartbeat},
+    membership::{handover, heartbeat, probe},
     operations::dump,
     ownership::owner,
     runtime::context,
@@ -184,7 +184,7 @@
         match (request.method(), request.path()) {
             (&Method::POST, CALL_PATH) => self.serve_call(request).await,
             (&Method::POST, STREAM_PATH) => self.serve_stream(request),
-            (&Method::POST, heartbeat::HEARTBEAT_PATH) => {
+            (&Method::POST, probe::HEARTBEAT_PATH) => {
                 let message = self.decode(request)?;
                 encode_reply(&heartbeat::serve(&self.context, message).await)
             }
--- a/crates/comfreyspread/tests/heartbeat_size.rs
+++ b/crates/comfreyspread/tests/heartbeat_size.rs
@@ -6,8 +6,9 @@
 
 const RECORDS_PER_MESSAGE: usize = 4;
 const MESSAGES: usize = 200;
-/// Messages that a node sends per second: two probes, and the replies to two.
-const MESSAGES_PER_SECOND: f64 = 4.0;
+/// Probes that a node sends per second, and replies to those of others, which have no digest.
+const PROBES_PER_SECOND: f64 = 2.0;
+const REPLIES_PER_SECOND: f64 = 2.0;
 /// Bytes of HTTP overhead per message.
 const HTTP_BYTES: f64 = 200.0;
 
@@ -26,8 +27,8 @@
     }
 }
 
-/// Returns the mean size of a message when each carries member changes.
-fn mean_bytes(members: usize) -> f64 {
+/// Returns the mean size of a message with or without a digest, when each carries member changes.
+fn mean_bytes(members: usize, with_digest: bool) -> f64 {
     let now = time::Instant::now();
     let failure = time::Duration::from_secs(3);
     let times = membership::MemberTimeouts { failure, retention: failure * 20 };
@@ -45,8 +46,9 @@
                 start_id: u64::MAX - 1,
             },
             hints: Vec::new(),
-            members: table.gossip_records(RECORDS_PER_MESSAGE, &mut rand::rng()),
+            members: table.gossip_records(RECORDS_PER_MESSAGE),
             crash_suspects: Vec::new(),
+            digest: if with_digest { table.digest().into_buckets() } else { Vec::new() },
             indirect_probe_target: None,
             full_sync: false,
         };
@@ -58,9 +60,10 @@
 #[test]
 fn constant_rate() {
     for members in [8, 64, 256, 670] {
-        let bytes = mean_bytes(members);
-        let rate = (bytes + HTTP_BYTES) * MESSAGES_PER_SECOND;
-        println!("{members} members: {bytes:.0} bytes per message, {rate:.0} bytes per second");
+        let probe = mean_bytes(members, true) + HTTP_BYTES;
+        let reply = mean_bytes(members, false) + HTTP_BYTES;
+        let rate = probe * PROBES_PER_SECOND + reply * REPLIES_PER_SECOND;
+        println!("{members} members: {probe:.0} and {reply:.0} bytes, {rate:.0} a second");
         assert!(rate < 5000.0, "{rate} bytes per second at {members} members");
     }
 }
