Bound answers that never end, by bytes, time and memory

Cause, shown by a new test with a raw stand-in (endless_answers): a stream that sent a byte now and then within an event never counted as stalled, as each byte restarted its timer, and the caller's stream was cut at the deadline though another engine was sound. Sixteen answers without end took 97 to 123 MB of a node at once: each body was bounded by 16 MiB, their sum was not.

Change: the pause of a stream counts between complete events. The client reads bodies through the reader of the server, which charges a budget: two of the largest size at once, 64 KiB of each body free of it, so that sound answers of ordinary size are read beside. The client's own copy of that reader is gone.

Ruled out: heads are bounded by hyper (about 400 KiB) and by the deadline, a body of unknown end by the same limit; both held before.

--- a/crates/comfreyspread-lab/src/load_generator.rs
+++ b/crates/comfreyspread-lab/src/load_generator.rs
@@ -227,9 +227,7 @@
             let status = response.status().into();
             let verdict = header_text(header::VERDICT);
             let id = header_text(header::REQUEST);
-            let body = http_client::read_to_end(&mut response.take_body(), ANSWER_LIMIT_BYTES)
-                .await
-                .unwrap_or_default();
+            let body = self.client.read_body(&mut response).await.unwrap_or_default();
             let answer = NodeAnswer { status, verdict, request: id, body };
             return Ok(classify_answer(answer, &request.marker));
         }
--- a/crates/comfreyspread-lab/src/process_usage.rs
+++ b/crates/comfreyspread-lab/src/process_usage.rs
@@ -16,6 +16,8 @@
     pub cpu_time: time::Duration,
     /// Resident memory in KiB.
     pub memory_kb: u64,
+    /// Highest resident memory since the process started, in KiB.
+    pub peak_memory_kb: u64,
     sampled_at: time::Instant,
 }
 
@@ -28,9 +30,14 @@
         let total_ticks = ticks(USER_TICKS_FIELD)? + ticks(SYSTEM_TICKS_FIELD)?;
         let cpu_time = time::Duration::from_millis(total_ticks * 1000 / TICKS_PER_SECOND);
         let status = fs::read_to_string(format!("/proc/{process}/status")).ok()?;
-        let resident_line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
-        let memory_kb = resident_line.split_whitespace().nth(1)?.parse().ok()?;
-        Some(Self { cpu_time, memory_kb, sampled_at: time::Instant::now() })
+        let memory = |name| {
+            let line = status.lines().find(|line| line.starts_with(name))?;
+            line.split_whitespace().nth(1)?.parse().ok()
+        };
+        let memory_kb = memory("VmRSS:")?;
+        let peak_memory_kb = memory("VmHWM:")?;
+        let sampled_at = time::Instant::now();
+        Some(Self { cpu_time, memory_kb, peak_memory_kb, sampled_at })
     }
 
     /// Returns the resident memory in MiB.
--- a/crates/comfreyspread-lab/tests/common/mod.rs
+++ b/crates/comfreyspread-lab/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub mod gateway;
+pub mod raw_endpoint;
 
 use comfreyspread::transport::{failure, header, http_client};
 use comfreyspread_lab::{caller, deployment, fault, types};
--- a/crates/comfreyspread/src/gateway/attempt_send.rs
+++ b/crates/comfreyspread/src/gateway/attempt_send.rs
@@ -202,11 +202,11 @@
 /// Fails if the body is truncated or too long, or is incomplete at the request's deadline; the
 /// request may have run then.
 pub async fn read_body(
+    state: &state::GatewayState,
     plan: &call_plan::CallPlan,
     response: &mut http_message::Response,
 ) -> Result<bytes::Bytes, failure::CallFailure> {
-    let mut body = response.take_body();
-    let read = http_client::read_to_end(&mut body, state::MAX_RESPONSE_BYTES);
+    let read = state.client.read_body(response);
     let read = http_client::with_deadline(plan.deadline, read).await;
     read.unwrap_or_else(|| {
         let failure =
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -45,7 +45,7 @@
     };
     let started = run.start().await?;
     if !started.response.status().is_success() {
-        return read_error_response(&run.plan, started).await;
+        return read_error_response(state, &run.plan, started).await;
     }
     let mut response = attempt_send::forwarded_response(&started.response, bytes::Bytes::new());
     response.set_body(produced_chunks::ProducedChunks::body(|sender| run.forward(started, sender)));
@@ -54,10 +54,11 @@
 
 /// Reads an error response, which is not a stream.
 async fn read_error_response(
+    state: &state::GatewayState,
     plan: &call_plan::CallPlan,
     mut started: attempt_send::StartedAttempt,
 ) -> Result<http_message::Response, failure::CallFailure> {
-    let read = attempt_send::read_body(plan, &mut started.response).await;
+    let read = attempt_send::read_body(state, plan, &mut started.response).await;
     started.active.finish(endpoint_directory::AttemptOutcome::Failed);
     Ok(attempt_send::forwarded_response(&started.response, read?))
 }
@@ -162,8 +163,10 @@
     ) -> io::Result<()> {
         let mut body = started.response.take_body();
         let mut buffer = event_buffer::EventBuffer::default();
+        // Only complete events count: an endpoint in trouble may send a byte now and then for ever.
+        let mut progressed_at = time::Instant::now();
         loop {
-            let wait_until = self.stall_deadline().min(self.plan.deadline);
+            let wait_until = self.stall_deadline(progressed_at).min(self.plan.deadline);
             let Some(chunk) = http_client::with_deadline(wait_until, body.next_chunk()).await
             else {
                 return Err(io::Error::new(io::ErrorKind::TimedOut, "no event for too long"));
@@ -175,6 +178,7 @@
             }
             let events = buffer.take_events();
             if !events.is_empty() {
+                progressed_at = time::Instant::now();
                 self.stages.release_all();
             }
             let bytes = self.new_event_bytes(events);
@@ -204,13 +208,13 @@
         bytes
     }
 
-    /// Returns the time by which the next chunk must arrive; the request's deadline if the stream
-    /// cannot be resumed elsewhere.
-    fn stall_deadline(&self) -> time::Instant {
+    /// Returns the time by which the next event must be complete, the last having been complete at
+    /// `progressed_at`; the request's deadline if the stream cannot be resumed elsewhere.
+    fn stall_deadline(&self, progressed_at: time::Instant) -> time::Instant {
         if !self.plan.is_repeatable() || self.history.runs() >= self.plan.route.max_attempts {
             return self.plan.deadline;
         }
         let timeout = (self.plan.route.target_event_gap * STALL_GAPS).max(MIN_STALL_TIMEOUT);
-        time::Instant::now() + timeout
+        progressed_at + timeout
     }
 }
--- a/crates/comfreyspread/src/gateway/unary_run.rs
+++ b/crates/comfreyspread/src/gateway/unary_run.rs
@@ -61,7 +61,7 @@
         let planned = attempt::CallAttempt::new(number);
         let mut started = attempt_send::send(state, self.plan, planned, &input).await?;
         self.history.record_response(&started.active.chosen.endpoint);
-        let body = match attempt_send::read_body(self.plan, &mut started.response).await {
+        let body = match attempt_send::read_body(state, self.plan, &mut started.response).await {
             Ok(body) => body,
             Err(failure) => {
                 if failure.problem() != types::ProblemKind::Timeout {
--- a/crates/comfreyspread/src/transport/body.rs
+++ b/crates/comfreyspread/src/transport/body.rs
@@ -1,6 +1,6 @@
-//! Reads request bodies into memory, within limits per body and for all bodies of a server.
+//! Reads bodies into memory, within limits per body and for all bodies of a server or client.
 //!
-//! Memory is charged to the budget as a body grows, not by its announced length, so a caller that
+//! Memory is charged to the budget as a body grows, not by its announced length, so a sender that
 //! announces a large body and sends little uses little of the budget.
 
 use crate::transport::http_body;
@@ -17,7 +17,7 @@
     TooLarge,
 }
 
-/// Memory budget in bytes, shared by all bodies of one server.
+/// Memory budget in bytes, shared by all bodies of one server or client.
 #[derive(Debug)]
 pub struct BodyBudget {
     limit: usize,
@@ -29,6 +29,7 @@
 pub struct BodyReservation {
     budget: sync::Arc<BodyBudget>,
     bytes: usize,
+    exempt: usize,
 }
 
 impl BodyBudget {
@@ -46,7 +47,14 @@
 impl BodyReservation {
     /// Creates an empty reservation.
     pub fn new(budget: sync::Arc<BodyBudget>) -> Self {
-        Self { budget, bytes: 0 }
+        Self { budget, bytes: 0, exempt: 0 }
+    }
+
+    /// Sets how many bytes need no budget, so that bodies of ordinary size are read also while large
+    /// ones have used it up.
+    pub fn with_exempt(mut self, bytes: usize) -> Self {
+        self.exempt = bytes;
+        self
     }
 
     /// Reserves more bytes.
@@ -56,10 +64,13 @@
     /// Fails if the budget has too few left.
     pub fn grow(&mut self, bytes: usize) -> Result<(), BodyError> {
         let budget = &self.budget;
+        let exempt = bytes.min(self.exempt);
+        let bytes = bytes - exempt;
         let add = |used: usize| used.checked_add(bytes).filter(|sum| *sum <= budget.limit);
         let relaxed = atomic::Ordering::Relaxed;
         budget.used.fetch_update(relaxed, relaxed, add).map_err(|_| BodyError::Busy)?;
         self.bytes += bytes;
+        self.exempt -= exempt;
         Ok(())
     }
 }
--- a/crates/comfreyspread/src/transport/http_client.rs
+++ b/crates/comfreyspread/src/transport/http_client.rs
@@ -7,7 +7,7 @@
 use crate::{
     runtime::lock_rank,
     transport::{
-        client_connection, deadline as deadlines, failure, header, http_body, http_message,
+        body, client_connection, deadline as deadlines, failure, header, http_body, http_message,
     },
 };
 use comfreyspread_schema::{ids, types};
@@ -18,6 +18,10 @@
 const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 const IDLE_CONNECTIONS_PER_ADDRESS: usize = 64;
 const NO_CONTENT_STATUS: u16 = 204;
+/// Bodies of the largest size that are read at once.
+const LARGE_BODIES_AT_ONCE: usize = 2;
+/// Bytes of each body that need no part of the memory for large ones.
+const ORDINARY_BODY_BYTES: usize = 64 * 1024;
 
 /// Which connection a call may use.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -62,6 +66,7 @@
 pub struct HttpClient {
     idle: sync::Arc<IdleConnections>,
     body_limit: usize,
+    budget: sync::Arc<body::BodyBudget>,
     user_agent: Option<ids::Text>,
 }
 
@@ -80,7 +85,8 @@
     pub fn new(body_limit: usize) -> Self {
         let connections = lock_rank::RankedLock::new(IndexMap::new());
         let idle = sync::Arc::new(IdleConnections { timeout: IDLE_TIMEOUT, connections });
-        Self { idle, body_limit, user_agent: None }
+        let budget = sync::Arc::new(body::BodyBudget::new(body_limit * LARGE_BODIES_AT_ONCE));
+        Self { idle, body_limit, budget, user_agent: None }
     }
 
     /// Sets the node named in the `user-agent` header of each request.
@@ -111,12 +117,29 @@
         let exchange = async {
             let mut response = self.exchange(connection, request).await?;
             check_framing(&response)?;
-            let body = read_to_end(&mut response.take_body(), self.body_limit).await?;
+            let body = self.read_body(&mut response).await?;
             Ok(ClientResponse { head: response.head().clone(), body })
         };
         exchange.or(fail_at(deadline)).await
     }
 
+    /// Reads the whole body of a response.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is cut short, larger than this client accepts, or large while others have
+    /// used up the memory for large bodies; the call has run then.
+    pub async fn read_body(
+        &self,
+        response: &mut http_message::Response,
+    ) -> Result<bytes::Bytes, failure::CallFailure> {
+        let reservation = body::BodyReservation::new(self.budget.clone());
+        let mut reservation = reservation.with_exempt(ORDINARY_BODY_BYTES);
+        let read =
+            body::read_to_end(&mut response.take_body(), self.body_limit, &mut reservation).await;
+        read.map_err(|error| body_failure(error, self.body_limit))
+    }
+
     /// Makes a call and returns once the head of its response has arrived; the caller reads the
     /// body. Dropping the response before its end closes the connection.
     ///
@@ -283,26 +306,19 @@
     Err(response_failed("the answer has neither a length nor chunks".to_owned()))
 }
 
-/// Reads the body of a response.
-///
-/// # Errors
-///
-/// Fails if the body is cut short or longer than `limit` bytes; the call has run then.
-pub async fn read_to_end(
-    body: &mut http_body::MessageBody,
-    limit: usize,
-) -> Result<bytes::Bytes, failure::CallFailure> {
-    let mut buffer = bytes::BytesMut::new();
-    while let Some(chunk) = body.next_chunk().await {
-        let chunk = chunk.map_err(|error| {
-            response_failed(format!("the answer was cut short: {error}")).with_crashed(true)
-        })?;
-        if buffer.len() + chunk.len() > limit {
-            return Err(response_failed(format!("the answer is larger than {limit} bytes")));
+/// Maps the reason why the body of a response could not be read; the call has run then.
+fn body_failure(error: body::BodyError, limit: usize) -> failure::CallFailure {
+    match error {
+        body::BodyError::CutShort => {
+            response_failed("the answer was cut short".to_owned()).with_crashed(true)
+        }
+        body::BodyError::TooLarge => {
+            response_failed(format!("the answer is larger than {limit} bytes"))
+        }
+        body::BodyError::Busy => {
+            response_failed("large answers have used up the memory for them".to_owned())
         }
-        buffer.extend_from_slice(&chunk);
     }
-    Ok(buffer.freeze())
 }
 
 /// Waits until `deadline`, then fails.
--- a/crates/comfreyspread/tests/frames.rs
+++ b/crates/comfreyspread/tests/frames.rs
@@ -3,10 +3,11 @@
 use bolero::check;
 use comfreyspread::{
     ingress::{frame_source, frames},
-    transport::http_client,
+    transport::body,
 };
 use comfreyspread_schema::types;
 use futures_lite::{future, io};
+use std::sync;
 
 fn token(offset: u64) -> types::StageFrame {
     let chunk = types::TokenChunk { count: 1, offset, text: format!("t{offset}").into() };
@@ -19,8 +20,11 @@
             sender.send(token(offset)).await.expect("an open channel");
         }
     });
-    let mut body = frames::peer_response(source).take_body();
-    let whole = future::block_on(http_client::read_to_end(&mut body, usize::MAX));
+    let mut stream_body = frames::peer_response(source).take_body();
+    let budget = sync::Arc::new(body::BodyBudget::new(usize::MAX));
+    let mut reservation = body::BodyReservation::new(budget);
+    let read = body::read_to_end(&mut stream_body, usize::MAX, &mut reservation);
+    let whole = future::block_on(read);
     whole.expect("a whole body").to_vec()
 }
 
