Read the store by two nodes a zone, at the start and in outages too

Change: table_source decides where rows come from. Two nodes of a zone may read the store, the second only while the first is silent or stale. A node that starts waits up to 0.4 s to learn of its zone and takes the tables from it. The others read the store only while both fail, after a failure not again for 2.5 s, and ask other nodes meanwhile. A stale copy is confirmed by a call without wait. Calls are counted by purpose: store_pages_read, store_change_polls.

--- a/crates/comfreyspread-lab/tests/table_exchange.rs
+++ b/crates/comfreyspread-lab/tests/table_exchange.rs
@@ -28,7 +28,7 @@
 async fn reader_index(nodes: &[fleet::FleetNode]) -> usize {
     let (_, dump) = gateway::get(nodes[0].admin_address, "/dump").await;
     let dump: types::GatewayDump = serde_json::from_str(&dump).expect("a dump");
-    let record = table_freshness::zone_reader(dump.members.iter()).expect("a reader");
+    let record = table_freshness::zone_readers(dump.members.iter()).remove(0);
     nodes.iter().position(|node| node.peer_address == record.address).expect("one of the nodes")
 }
 
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -11,11 +11,11 @@
 //! - On the users' platform: [`route_table`], [`endpoint_directory`], [`stage_graph`] of a request,
 //!   [`batch_queue`] of a stage service over [`piece_group`] and [`worker_set`], [`event_buffer`],
 //!   [`service_retry_budget`], [`wait_table`], [`peer_health`]; tables of the store by
-//!   [`table_mirror`], [`table_freshness`] and [`outage_recovery`].
+//!   [`table_mirror`], [`table_source`], [`table_freshness`] and [`outage_recovery`].
 //! - The owner: [`pool_scheduler`] over [`call_queue`], [`pool_endpoint`], [`endpoint_lifecycle`],
 //!   [`concurrency_limit`], [`circuit_breaker`], [`outlier`], [`endpoint_selector`], [`latency`].
-//! - Members and ownership: [`membership`] with [`member_digest`], [`probe_ring`] and
-//!   [`prober_health`], [`connectivity`], [`rendezvous`], [`ownership`],
+//! - Members and ownership: [`membership`] with [`member_dissemination`],
+//!   [`member_digest`], [`probe_ring`] and [`prober_health`], [`connectivity`], [`rendezvous`], [`ownership`],
 //!   [`ownership_status`], [`leaving_vms`], [`node_lifecycle`].
 //! - Configuration: [`validation`], [`catalog`], [`change`], [`acceptance`], [`delta`], [`poller`].
 //!
@@ -51,6 +51,7 @@
 pub mod link_budget;
 pub mod member;
 pub mod member_digest;
+pub mod member_dissemination;
 pub mod membership;
 pub mod node_lifecycle;
 pub mod outage_recovery;
@@ -77,6 +78,7 @@
 pub mod suspect;
 pub mod table_freshness;
 pub mod table_mirror;
+pub mod table_source;
 pub mod timing;
 pub mod validation;
 pub mod verdict;
--- a/crates/comfreyspread-policy/src/rendezvous.rs
+++ b/crates/comfreyspread-policy/src/rendezvous.rs
@@ -94,9 +94,22 @@
 where
     Members: Iterator<Item = &'members types::MemberRecord>,
 {
-    let scored =
-        members.map(|record| (OwnerCandidate::new(record.node.clone()).score(role), record));
-    scored.max_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, record)| record)
+    best_members(members, role, 1).into_iter().next()
+}
+
+/// Returns up to `count` members with the highest scores for a role, the best first.
+pub fn best_members<'members, Members>(
+    members: Members,
+    role: &ids::Text,
+    count: usize,
+) -> Vec<&'members types::MemberRecord>
+where
+    Members: Iterator<Item = &'members types::MemberRecord>,
+{
+    let score = |record: &types::MemberRecord| OwnerCandidate::new(record.node.clone()).score(role);
+    let mut scored: Vec<_> = members.map(|record| (score(record), record)).collect();
+    scored.sort_by(|a, b| b.0.total_cmp(&a.0));
+    scored.into_iter().take(count).map(|(_, record)| record).collect()
 }
 
 /// Returns the score of an endpoint for a prompt prefix; requests with the prefix prefer the
--- a/crates/comfreyspread-policy/src/table_freshness.rs
+++ b/crates/comfreyspread-policy/src/table_freshness.rs
@@ -1,10 +1,7 @@
-//! Freshness of a node's copy of a table, and whether to update it from the platform's store or
-//! from the node that reads the store for its availability zone.
+//! Freshness of a node's copy of a table.
 //!
-//! In each zone one node reads the store and the others long-poll that node, so the number of calls
-//! to the store grows with the zones, not with the nodes. A copy is fresh for a bounded time after
-//! the store has replied to this node or to the node that forwarded the reply. A node whose copy is
-//! no longer fresh reads the store itself, which bounds how long it depends on another node.
+//! A copy is fresh for a bounded time after the store has replied to this node or to the node that
+//! forwarded the reply, which bounds how long a node depends on another one.
 //!
 //! ```
 //! use comfreyspread_policy::table_freshness;
@@ -12,13 +9,12 @@
 //!
 //! let now = time::Instant::now();
 //! let mut freshness = table_freshness::TableFreshness::default();
-//! assert!(freshness.peer_poll_wait(now).is_none(), "the store has not replied yet");
+//! assert_eq!(freshness.poll_wait(now), table_freshness::STALE_POLL_WAIT);
 //! freshness.record_store_reply(now);
-//! assert!(freshness.peer_poll_wait(now).is_some());
-//! assert!(freshness.peer_poll_wait(now + table_freshness::FRESHNESS_LIFETIME).is_none());
+//! assert_eq!(freshness.poll_wait(now), table_freshness::LONG_POLL_WAIT);
 //! ```
 
-use crate::{outage_recovery, rendezvous};
+use crate::{outage_recovery, rendezvous, table_source};
 use comfreyspread_schema::types;
 use std::time;
 
@@ -27,9 +23,9 @@
 /// Maximum time for which a long poll waits for changes. A request may get lost without an error,
 /// and its sender then learns of no change until it polls again.
 pub const LONG_POLL_WAIT: time::Duration = time::Duration::from_millis(1000);
-/// How long a node reads the store directly after a peer failed or had no fresh copy.
-const DIRECT_READ_TIME: time::Duration = time::Duration::from_secs(3);
-/// Rendezvous key for the choice of the node that reads the store.
+/// Time for which a node with a stale copy waits for a peer's copy to become fresh.
+pub const STALE_POLL_WAIT: time::Duration = time::Duration::from_millis(300);
+/// Rendezvous key for the choice of the nodes that read the store.
 const READER_ROLE: &str = "table-reader";
 
 /// Freshness of the copy of one table, and the state of its sources.
@@ -37,7 +33,6 @@
 pub struct TableFreshness {
     fresh_until: Option<time::Instant>,
     store_reachable: Option<bool>,
-    direct_until: Option<time::Instant>,
     recovery: outage_recovery::OutageRecovery,
 }
 
@@ -57,7 +52,6 @@
     /// the peer's copy is fresh.
     pub fn record_peer_reply(&mut self, fresh: time::Duration, now: time::Instant) -> bool {
         if fresh.is_zero() {
-            self.record_peer_failure(now);
             return false;
         }
         self.store_reachable = None;
@@ -65,11 +59,6 @@
         true
     }
 
-    /// Records that a polled peer did not reply.
-    pub fn record_peer_failure(&mut self, now: time::Instant) {
-        self.direct_until = Some(now + DIRECT_READ_TIME);
-    }
-
     /// Records whether the store replies to another node after it failed to reply to this one;
     /// `None` if no other node replied.
     pub fn record_outage(&mut self, reachable_by_other: Option<bool>, now: time::Instant) {
@@ -91,21 +80,29 @@
         self.fresh_until.map_or(time::Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
-    /// Returns the wait of the next long poll at a peer; `None` if this node must read the store
-    /// itself.
-    pub fn peer_poll_wait(&self, now: time::Instant) -> Option<time::Duration> {
-        if self.direct_until.is_some_and(|until| until > now) {
-            return None;
-        }
+    /// Whether the copy is fresh.
+    pub fn is_fresh(&self, now: time::Instant) -> bool {
+        !self.remaining_freshness(now).is_zero()
+    }
+
+    /// Returns the wait of the next long poll at a peer.
+    pub fn poll_wait(&self, now: time::Instant) -> time::Duration {
         let fresh = self.remaining_freshness(now);
-        (!fresh.is_zero()).then_some(fresh.min(LONG_POLL_WAIT))
+        if fresh.is_zero() { STALE_POLL_WAIT } else { fresh.min(LONG_POLL_WAIT) }
+    }
+
+    /// Returns for how long to wait for changes at the store; a node with a stale copy wants a reply
+    /// at once.
+    pub fn store_wait(&self, now: time::Instant) -> time::Duration {
+        if self.is_fresh(now) { LONG_POLL_WAIT } else { time::Duration::ZERO }
     }
 }
 
-/// Returns the node that reads the store for a zone; `members` are the serving nodes of the zone.
-pub fn zone_reader<'members, Members>(members: Members) -> Option<&'members types::MemberRecord>
+/// Returns the nodes that may read the store for a zone, the first first; `members` are the nodes
+/// of the zone.
+pub fn zone_readers<'members, Members>(members: Members) -> Vec<&'members types::MemberRecord>
 where
     Members: Iterator<Item = &'members types::MemberRecord>,
 {
-    rendezvous::best_member(members, &READER_ROLE.into())
+    rendezvous::best_members(members, &READER_ROLE.into(), table_source::READERS_PER_ZONE)
 }
--- a/crates/comfreyspread/src/gateway/state.rs
+++ b/crates/comfreyspread/src/gateway/state.rs
@@ -5,7 +5,8 @@
     transport::http_client,
 };
 use comfreyspread_policy::{
-    endpoint_directory, peer_health, rendezvous, route_table, service_retry_budget, wait_table,
+    endpoint_directory, peer_health, rendezvous, route_table, service_retry_budget,
+    wait_table,
 };
 use comfreyspread_schema::{ids, types};
 use std::{fmt, net, sync, sync::atomic, time};
@@ -90,7 +91,10 @@
             ),
             client: http_client::HttpClient::new(MAX_RESPONSE_BYTES)
                 .with_idle_timeout(ENDPOINT_IDLE_TIMEOUT),
-            store: store_client::StoreClient::new(settings.store_address),
+            store: store_client::StoreClient::new(
+                settings.store_address,
+                context.metrics.stages.clone(),
+            ),
             tables_changed: event_listener::Event::new(),
             endpoints_loaded: atomic::AtomicBool::new(false),
             context,
--- a/crates/comfreyspread/src/gateway/store_client.rs
+++ b/crates/comfreyspread/src/gateway/store_client.rs
@@ -1,6 +1,9 @@
 //! Client of the platform's metadata store.
 
-use crate::transport::{failure, http_client, http_message};
+use crate::{
+    runtime::stage_metrics,
+    transport::{failure, http_client, http_message},
+};
 use comfreyspread_platform::store;
 use comfreyspread_schema::types;
 use std::{net, time};
@@ -25,13 +28,14 @@
 pub struct StoreClient {
     address: net::SocketAddr,
     client: http_client::HttpClient,
+    metrics: stage_metrics::StageMetrics,
 }
 
 impl StoreClient {
-    /// Creates a client of the store at `address`.
-    pub fn new(address: net::SocketAddr) -> Self {
+    /// Creates a client of the store at `address` that counts its calls by purpose.
+    pub fn new(address: net::SocketAddr, metrics: stage_metrics::StageMetrics) -> Self {
         let client = http_client::HttpClient::new(MAX_RESPONSE_BYTES);
-        Self { address, client: client.with_idle_timeout(IDLE_TIMEOUT) }
+        Self { address, client: client.with_idle_timeout(IDLE_TIMEOUT), metrics }
     }
 
     /// Reads all rows of a table.
@@ -64,6 +68,7 @@
         version: u64,
         wait: time::Duration,
     ) -> Result<StoreFeed, failure::CallFailure> {
+        self.metrics.count_store_poll();
         let path = store::feed_path(table, version, wait);
         let response = self.send(&path, wait + RESPONSE_TIMEOUT).await?;
         if response.status() == store::HISTORY_GONE_STATUS {
@@ -77,6 +82,7 @@
         table: &str,
         first: Option<&str>,
     ) -> Result<types::StorePage, failure::CallFailure> {
+        self.metrics.count_store_page();
         let path = store::page_path(table, first);
         decode(&self.send(&path, RESPONSE_TIMEOUT).await?)
     }
--- a/crates/comfreyspread/src/gateway/table_exchange.rs
+++ b/crates/comfreyspread/src/gateway/table_exchange.rs
@@ -5,7 +5,7 @@
     membership::peer,
     transport::{deadline, failure, http_client, http_message, http_server},
 };
-use comfreyspread_policy::table_freshness;
+use comfreyspread_policy::{table_freshness, table_source};
 use comfreyspread_schema::{ids, types};
 use futures_lite::FutureExt as _;
 use rand::seq::IteratorRandom as _;
@@ -16,73 +16,100 @@
 
 /// Timeout of a request for rows, in addition to the time for which it waits for changes.
 const PEER_TIMEOUT: time::Duration = time::Duration::from_millis(400);
-/// Maximum size of the rows in a reply to a long poll, in bytes; beyond it, the polling node reads
-/// the store itself.
+/// Maximum size of the changed rows in a reply to a long poll, in bytes; beyond it, the polling node
+/// reads the store itself.
 const MAX_REPLY_BYTES: usize = 32 * 1024;
+/// Time for which a node that starts waits to learn of another node of its zone.
+const JOIN_TIMEOUT: time::Duration = time::Duration::from_millis(400);
+/// Interval at which it looks.
+const JOIN_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(40);
+/// Time for which a node without a copy waits for a peer to have one.
+const START_WAIT: time::Duration = time::Duration::from_millis(800);
 
-/// A long poll of the node that reads the store for this node.
-#[derive(Clone, Debug)]
-pub struct PeerPoll {
-    node: ids::NodeId,
-    address: net::SocketAddr,
-    wait: time::Duration,
+/// Waits until another node of this zone is known, for a bounded time. A node that starts takes the
+/// tables from its zone then, rather than from the store.
+pub async fn wait_for_zone_peer(state: &state::GatewayState) {
+    let deadline = time::Instant::now() + JOIN_TIMEOUT;
+    let seeds = &state.context.settings.seeds;
+    let has_seeds = seeds.iter().any(|seed| *seed != state.context.settings.peer_address);
+    while has_seeds && time::Instant::now() < deadline {
+        if knows_zone_peer(state) {
+            return;
+        }
+        async_io::Timer::after(JOIN_CHECK_INTERVAL).await;
+    }
 }
 
-/// Returns the next long poll; `None` if this node has to read the store itself.
-pub fn next_poll(state: &state::GatewayState, table: types::StoreTable) -> Option<PeerPoll> {
-    let (node, address) = zone_reader(state)?;
-    if node == state.context.settings.node {
-        return None;
-    }
-    let wait =
-        state.store_tables.lock().table(table).freshness.peer_poll_wait(time::Instant::now())?;
-    Some(PeerPoll { node, address, wait })
+fn knows_zone_peer(state: &state::GatewayState) -> bool {
+    let members = state.context.tables.members.lock();
+    let in_zone = |record: &&types::MemberRecord| record.zone == state.settings.zone;
+    members.live().filter(in_zone).count() > 1
 }
 
-/// Returns the node that reads the store for this node's availability zone.
-fn zone_reader(state: &state::GatewayState) -> Option<(ids::NodeId, net::SocketAddr)> {
+/// Returns the source to take a table's rows from next.
+pub fn next_source(
+    state: &state::GatewayState,
+    table: types::StoreTable,
+) -> table_source::TableSource {
+    let own = &state.context.settings.node;
+    let now = time::Instant::now();
     let members = state.context.tables.members.lock();
-    let candidates = members.live().filter(|record| {
-        record.zone == state.settings.zone && record.node_phase == types::NodePhase::Serving
-    });
-    table_freshness::zone_reader(candidates).map(|record| (record.node.clone(), record.address))
+    let mut tables = state.store_tables.lock();
+    let watched = tables.table(table);
+    // While this node has no copy, others that have none yet may read the store for it, too.
+    let may_read = |record: &&types::MemberRecord| {
+        record.zone == state.settings.zone
+            && (record.node_phase == types::NodePhase::Serving
+                || (!watched.mirror.is_loaded() && record.node_phase == types::NodePhase::Starting))
+    };
+    let readers = table_freshness::zone_readers(members.live().filter(may_read));
+    watched.sources.next_source(&readers, own, now)
 }
 
-/// Waits for changes at the node that reads the store, and applies them.
-pub async fn poll_zone_reader<Watcher>(
+/// Waits for changes at a node that reads the store for the zone, and applies them. Returns whether
+/// this node has a copy of the whole table from it.
+pub async fn poll_reader<Watcher>(
     state: &sync::Arc<state::GatewayState>,
     watcher: &Watcher,
-    poll: &PeerPoll,
-) where
+    node: &ids::NodeId,
+    address: net::SocketAddr,
+) -> bool
+where
     Watcher: table_watcher::TableWatcher,
 {
-    let result = fetch_rows::<Watcher>(state, poll.address, poll.wait).await;
+    let wait = {
+        let mut tables = state.store_tables.lock();
+        let table = tables.table(Watcher::TABLE);
+        let stale_wait = if table.mirror.is_loaded() { time::Duration::ZERO } else { START_WAIT };
+        table.freshness.poll_wait(time::Instant::now()).max(stale_wait)
+    };
+    let result = fetch_rows::<Watcher>(state, address, wait).await;
     let now = time::Instant::now();
     let mut tables = state.store_tables.lock();
-    let freshness = &mut tables.table(Watcher::TABLE).freshness;
+    let watched = tables.table(Watcher::TABLE);
     let table = Watcher::NAME;
-    let node = &*poll.node;
     let reply = match result {
         Ok(reply) => reply,
         Err(failure) => {
-            freshness.record_peer_failure(now);
-            log::info!(node = node;
-                "store: read directly, the node that reads it did not reply. table={table} \
-                 error={failure}");
-            return;
+            watched.sources.record_silent_reader(node, now);
+            log::info!(node = node.as_ref();
+                "store: the node that reads it did not reply. table={table} error={failure}");
+            return false;
         }
     };
     if reply.recovering {
-        freshness.record_outage(Some(false), now);
+        watched.freshness.record_outage(Some(false), now);
     }
-    if !freshness.record_peer_reply(reply.remaining_freshness, now) {
-        log::info!(node = node;
-            "store: read directly, the node that reads it has no fresh copy. table={table}");
+    if !watched.freshness.record_peer_reply(reply.remaining_freshness, now) {
+        watched.sources.record_stale_reader(node, now);
+        log::info!(node = node.as_ref();
+            "store: the node that reads it has no fresh copy. table={table}");
     }
     drop(tables);
     if reply.loaded {
         table_watcher::merge_rows(state, watcher, reply.rows, reply.version);
     }
+    reply.loaded
 }
 
 /// Fetches rows that this node lacks from a randomly chosen node.
@@ -141,7 +168,7 @@
 }
 
 /// Serves a request of another node for rows; replies once there are changes, the wait is over or
-/// this node's copy is no longer fresh.
+/// this node's copy is no longer fresh. A copy that is stale at first may become fresh meanwhile.
 ///
 /// # Errors
 ///
@@ -152,16 +179,20 @@
 ) -> Result<http_message::Response, failure::CallFailure> {
     let message: types::TableRequest = peer::decode_message(&state.context, request)?;
     let wait_until = time::Instant::now() + message.wait;
+    let mut asked_while_fresh = false;
     loop {
         let changed = state.tables_changed.listen();
         let reply = build_reply(state, &message);
         let now = time::Instant::now();
         let fresh_until = now + reply.remaining_freshness;
         let has_changes = !reply.rows.is_empty() && reply.version > message.after_version;
-        if has_changes || wait_until <= now || fresh_until <= now {
+        let was_fresh = fresh_until > now;
+        if has_changes || wait_until <= now || (asked_while_fresh && !was_fresh) {
             return peer::encode_reply(&reply);
         }
-        let timeout = deadline::DeadlineTimer::new(wait_until.min(fresh_until));
+        asked_while_fresh |= was_fresh;
+        let reply_by = if was_fresh { wait_until.min(fresh_until) } else { wait_until };
+        let timeout = deadline::DeadlineTimer::new(reply_by);
         request
             .connection_monitor()
             .run_while_connected(changed.or(timeout))
@@ -186,7 +217,8 @@
     };
     let size = |row: &types::StoreRow| row.value.as_ref().map_or(0, |value| value.len());
     let bytes: usize = reply.rows.iter().map(size).sum();
-    if !message.wait.is_zero() && bytes > MAX_REPLY_BYTES {
+    let has_copy = message.after_version > 0;
+    if has_copy && !message.wait.is_zero() && bytes > MAX_REPLY_BYTES {
         reply.rows.clear();
         reply.loaded = false;
         reply.remaining_freshness = time::Duration::ZERO;
--- a/crates/comfreyspread/src/gateway/table_watcher.rs
+++ b/crates/comfreyspread/src/gateway/table_watcher.rs
@@ -4,7 +4,7 @@
 
 use super::{state, store_client, table_exchange};
 use crate::transport::failure;
-use comfreyspread_policy::{table_freshness, table_mirror};
+use comfreyspread_policy::{table_freshness, table_mirror, table_source};
 use comfreyspread_schema::types;
 use rand::Rng as _;
 use std::{sync, time};
@@ -33,6 +33,8 @@
     pub mirror: table_mirror::TableMirror,
     /// Freshness of the copy.
     pub freshness: table_freshness::TableFreshness,
+    /// State of its sources.
+    pub sources: table_source::SourceChoice,
 }
 
 /// The watched tables.
@@ -59,40 +61,92 @@
 where
     Watcher: TableWatcher,
 {
-    let name = Watcher::NAME;
-    let mut full_read = true;
-    let mut reachable = true;
+    let mut reading = StoreReading { full_read: true, reachable: true };
+    table_exchange::wait_for_zone_peer(&state).await;
     loop {
-        if let Some(poll) = table_exchange::next_poll(&state, Watcher::TABLE) {
-            table_exchange::poll_zone_reader(&state, &watcher, &poll).await;
-            continue;
+        match table_exchange::next_source(&state, Watcher::TABLE) {
+            table_source::TableSource::Reader { node, address } => {
+                if table_exchange::poll_reader(&state, &watcher, &node, address).await {
+                    reading.full_read = false;
+                }
+            }
+            table_source::TableSource::Store => reading.read(&state, &watcher).await,
+            table_source::TableSource::AnyPeer => {
+                table_exchange::fetch_from_any(&state, &watcher).await;
+                delay_retry().await;
+            }
         }
-        match read_store(&state, &watcher, &mut full_read).await {
+    }
+}
+
+/// Reads of one table from the store.
+#[derive(Clone, Copy, Debug)]
+struct StoreReading {
+    /// Whether the next read is one of the full table.
+    full_read: bool,
+    /// Whether the store replied to the latest read.
+    reachable: bool,
+}
+
+impl StoreReading {
+    /// Reads the full table or its changes once; asks another node if the store does not reply.
+    async fn read<Watcher>(&mut self, state: &sync::Arc<state::GatewayState>, watcher: &Watcher)
+    where
+        Watcher: TableWatcher,
+    {
+        let name = Watcher::NAME;
+        let result = read_store(state, watcher, &mut self.full_read).await;
+        let replied = result.is_ok();
+        record_store_read::<Watcher>(state, replied);
+        match result {
             Ok(changed) => {
-                if !reachable {
+                if !self.reachable {
                     log::info!("store: responds again. table={name}");
                 }
-                reachable = true;
                 if changed {
                     async_io::Timer::after(COALESCE_DELAY).await;
                 }
             }
             Err(failure) => {
-                if reachable {
+                if self.reachable {
                     log::warn!("store: table not read. table={name} error={failure}");
                 }
-                reachable = false;
                 state.context.metrics.stages.count_store_failure();
-                state.store_tables.lock().table(Watcher::TABLE).freshness.record_store_failure();
-                table_exchange::fetch_from_any(&state, &watcher).await;
-                let (min, max) = RETRY_DELAY_RANGE;
-                let delay = rand::rng().random_range(min..max);
-                async_io::Timer::after(delay).await;
+                table_exchange::fetch_from_any(state, watcher).await;
+                delay_retry().await;
             }
         }
+        self.reachable = replied;
+    }
+}
+
+/// Records whether the store replied, and wakes the nodes that wait for a fresh copy.
+fn record_store_read<Watcher>(state: &state::GatewayState, replied: bool)
+where
+    Watcher: TableWatcher,
+{
+    let now = time::Instant::now();
+    let mut tables = state.store_tables.lock();
+    let table = tables.table(Watcher::TABLE);
+    table.sources.record_store_read(replied, now);
+    if !replied {
+        table.freshness.record_store_failure();
+        return;
+    }
+    let was_fresh = table.freshness.is_fresh(now);
+    table.freshness.record_store_reply(now);
+    drop(tables);
+    if !was_fresh {
+        state.tables_changed.notify(usize::MAX);
     }
 }
 
+async fn delay_retry() {
+    let (min, max) = RETRY_DELAY_RANGE;
+    let delay = rand::rng().random_range(min..max);
+    async_io::Timer::after(delay).await;
+}
+
 /// Reads the full table or its changes from the store once. Returns whether changes arrived; a full
 /// read returns false.
 async fn read_store<Watcher>(
@@ -106,25 +160,20 @@
     if *full_read {
         let page = state.store.read_table(Watcher::NAME).await?;
         *full_read = false;
-        let mut tables = state.store_tables.lock();
-        let table = tables.table(Watcher::TABLE);
-        table.freshness.record_store_reply(time::Instant::now());
-        let changed_rows = table.mirror.replace(page.rows, page.version);
-        drop(tables);
+        let changed_rows = {
+            let mut tables = state.store_tables.lock();
+            tables.table(Watcher::TABLE).mirror.replace(page.rows, page.version)
+        };
         watcher.apply_rows(state, changed_rows);
         state.tables_changed.notify(usize::MAX);
         return Ok(false);
     }
-    let version = state.store_tables.lock().table(Watcher::TABLE).mirror.complete_version();
-    let feed =
-        state.store.poll_changes(Watcher::NAME, version, table_freshness::LONG_POLL_WAIT).await?;
-    state
-        .store_tables
-        .lock()
-        .table(Watcher::TABLE)
-        .freshness
-        .record_store_reply(time::Instant::now());
-    match feed {
+    let (version, wait) = {
+        let mut tables = state.store_tables.lock();
+        let table = tables.table(Watcher::TABLE);
+        (table.mirror.complete_version(), table.freshness.store_wait(time::Instant::now()))
+    };
+    match state.store.poll_changes(Watcher::NAME, version, wait).await? {
         store_client::StoreFeed::HistoryGone => {
             log::info!("store: history gone, reading the full table. table={}", Watcher::NAME);
             *full_read = true;
--- a/crates/comfreyspread/src/runtime/stage_metrics.rs
+++ b/crates/comfreyspread/src/runtime/stage_metrics.rs
@@ -18,6 +18,8 @@
     stage_seconds: metrics::histogram::Histogram,
     skipped_nodes: metrics::counter::Counter,
     failed_store_reads: metrics::counter::Counter,
+    store_pages: metrics::counter::Counter,
+    store_polls: metrics::counter::Counter,
     endpoints: metrics::gauge::Gauge,
     routes_version: metrics::gauge::Gauge,
 }
@@ -33,6 +35,8 @@
             stage_seconds: metrics::histogram::Histogram::new(DURATION_BUCKETS),
             skipped_nodes: metrics::counter::Counter::default(),
             failed_store_reads: metrics::counter::Counter::default(),
+            store_pages: metrics::counter::Counter::default(),
+            store_polls: metrics::counter::Counter::default(),
             endpoints: metrics::gauge::Gauge::default(),
             routes_version: metrics::gauge::Gauge::default(),
         };
@@ -53,6 +57,10 @@
         registry.register("batching_nodes_passed_over", help, self.skipped_nodes.clone());
         let help = "Reads of the platform's store that failed";
         registry.register("store_reads_failed", help, self.failed_store_reads.clone());
+        let help = "Pages of whole tables read from the platform's store";
+        registry.register("store_pages_read", help, self.store_pages.clone());
+        let help = "Requests for the changes of a table to the platform's store";
+        registry.register("store_change_polls", help, self.store_polls.clone());
         registry.register("endpoints_known", "Endpoints registered", self.endpoints.clone());
         let help = "Version of the routes in force";
         registry.register("routes_version", help, self.routes_version.clone());
@@ -75,6 +83,16 @@
         self.stage_seconds.observe(duration.as_secs_f64());
     }
 
+    /// Counts a read of one page of a whole table from the store.
+    pub fn count_store_page(&self) {
+        self.store_pages.inc();
+    }
+
+    /// Counts a request for the changes of a table to the store.
+    pub fn count_store_poll(&self) {
+        self.store_polls.inc();
+    }
+
     /// Counts a batching node that was skipped because it did not answer.
     pub fn count_skipped_node(&self) {
         self.skipped_nodes.inc();
