Reject at once what a stage queue expects to miss its deadline

Change: the queue walks its order and expects when each group is served; those already late by the share of calls that late ones get at present. A group that would miss its deadline, and for whose request nothing has been made, is rejected at once. Its Retry-After is the wait reported for the service, 0.3 to 1.5 s, spread by up to half, so that a burst does not come back as one. The time to the first event is learnt for each route (first_event), at most half of the target is left for it.

--- a/crates/comfreyspread-policy/src/batch_queue.rs
+++ b/crates/comfreyspread-policy/src/batch_queue.rs
@@ -17,6 +17,10 @@
 const TIMEOUT_FACTOR: f64 = 3.0;
 /// Time added to that multiple.
 const TIMEOUT_MARGIN: time::Duration = time::Duration::from_millis(400);
+/// Weight of the newest call in the share of calls that goes to late groups.
+const LATE_SHARE_WEIGHT: f64 = 0.05;
+/// Lowest share of calls that late groups are expected to get.
+const MIN_LATE_SHARE: f64 = 0.05;
 /// Lowest total speed used in estimates, in endpoints; avoids a division by zero without endpoints.
 const MIN_SPEED: f64 = 0.1;
 
@@ -61,6 +65,7 @@
     workers: worker_set::WorkerSet,
     groups: IndexMap<piece_group::GroupNumber, piece_group::QueuedGroup>,
     calls: IndexMap<CallNumber, RunningCall>,
+    late_share: f64,
     last_number: u64,
 }
 
@@ -72,6 +77,7 @@
             capacity,
             groups: IndexMap::new(),
             calls: IndexMap::new(),
+            late_share: 1.0,
             last_number: 0,
         }
     }
@@ -142,11 +148,11 @@
         unclaimed
     }
 
-    /// Fails the queued pieces of groups past their deadline, and removes and returns the groups
-    /// that are completed.
+    /// Fails the queued pieces of groups that are past their deadline or cannot meet it, and removes
+    /// and returns the groups that are completed.
     pub fn take_completed(&mut self, now: time::Instant) -> Vec<piece_group::CompletedGroup> {
-        for queued in self.groups.values_mut() {
-            if queued.group.deadline <= now {
+        for number in self.hopeless_groups(now) {
+            if let Some(queued) = self.groups.get_mut(&number) {
                 queued.drop_waiting(types::PieceError::Late);
             }
         }
@@ -201,6 +207,38 @@
         (self.groups.values().map(piece_group::QueuedGroup::waiting).sum(), self.calls.len())
     }
 
+    /// Returns the groups that are past their deadline, and those expected to miss it for whose request
+    /// no piece has been made. Their callers learn at once, rather than at their deadline, that they
+    /// are not served.
+    fn hopeless_groups(&self, now: time::Instant) -> Vec<piece_group::GroupNumber> {
+        let speed = self.workers.speed(now);
+        let full_call = self.call_time(self.max_batch());
+        let mut pieces_ahead = 0.0;
+        let mut hopeless = Vec::new();
+        for number in self.serving_order(None, now) {
+            let Some(queued) = self.groups.get(&number) else { continue };
+            let pieces = queued.waiting();
+            let calls_ahead = (pieces_ahead / self.max_batch() as f64 / speed.max(1.0)).floor();
+            let wait =
+                if speed < 1.0 { time::Duration::ZERO } else { full_call.mul_f64(calls_ahead) };
+            let call_time = self.call_time(pieces.min(self.max_batch()));
+            let misses = now + wait + call_time > queued.group.deadline;
+            let invested = queued.is_started() || queued.group.inputs_expire_at.is_some();
+            if queued.group.deadline <= now || (misses && !invested) {
+                hopeless.push(number);
+                continue;
+            }
+            let share = if self.is_late(queued, now) { self.late_share } else { 1.0 };
+            pieces_ahead += pieces as f64 / share.max(MIN_LATE_SHARE);
+        }
+        hopeless
+    }
+
+    /// Whether a group can no longer meet its target.
+    fn is_late(&self, queued: &piece_group::QueuedGroup, now: time::Instant) -> bool {
+        now + self.call_time(self.max_batch()) > queued.group.target
+    }
+
     fn next_number(&mut self) -> u64 {
         self.last_number += 1;
         self.last_number
@@ -291,8 +329,7 @@
         now: time::Instant,
     ) -> GroupSortKey {
         let group = &queued.group;
-        let call_time = self.call_time(self.max_batch());
-        let late = now + call_time > group.target;
+        let late = self.is_late(queued, now);
         let priority = if late { u32::MAX } else { group.priority };
         let latest =
             group.inputs_expire_at.map_or(group.deadline, |until| until.min(group.deadline));
@@ -339,12 +376,27 @@
         pieces
     }
 
+    /// Records which share of a call goes to groups that are late. A burst leaves them little: those
+    /// that can meet their target go first.
+    fn record_late_share(
+        &mut self,
+        pieces: &[(piece_group::GroupNumber, usize)],
+        now: time::Instant,
+    ) {
+        let is_late =
+            |group| self.groups.get(group).is_some_and(|queued| self.is_late(queued, now));
+        let late = pieces.iter().filter(|(group, _)| is_late(group)).count();
+        let share = late as f64 / pieces.len().max(1) as f64;
+        self.late_share += (share - self.late_share) * LATE_SHARE_WEIGHT;
+    }
+
     fn start_call(
         &mut self,
         endpoint: ids::EndpointId,
         pieces: Vec<(piece_group::GroupNumber, usize)>,
         now: time::Instant,
     ) -> PlannedCall {
+        self.record_late_share(&pieces, now);
         let number = self.next_number();
         let expected = self.call_time(pieces.len());
         let mut tasks = Vec::with_capacity(pieces.len());
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -10,7 +10,7 @@
 //! - Requests that may run at most once: [`claim`], [`row_finalizer`], [`write_group`].
 //! - On the users' platform: [`route_table`], [`endpoint_directory`], [`stage_graph`] of a request,
 //!   [`batch_queue`] of a stage service over [`piece_group`] and [`worker_set`], [`event_buffer`],
-//!   [`service_retry_budget`], [`wait_table`], [`peer_health`]; tables of the store by
+//!   [`first_event`], [`service_retry_budget`], [`wait_table`], [`peer_health`]; tables of the store by
 //!   [`table_mirror`], [`table_source`], [`table_freshness`] and [`outage_recovery`].
 //! - The owner: [`pool_scheduler`] over [`call_queue`], [`pool_endpoint`], [`endpoint_lifecycle`],
 //!   [`concurrency_limit`], [`circuit_breaker`], [`outlier`], [`endpoint_selector`], [`latency`].
@@ -46,6 +46,7 @@
 pub mod endpoint_lifecycle;
 pub mod endpoint_selector;
 pub mod event_buffer;
+pub mod first_event;
 pub mod latency;
 pub mod leaving_vms;
 pub mod link_budget;
--- a/crates/comfreyspread/src/gateway/attempt_send.rs
+++ b/crates/comfreyspread/src/gateway/attempt_send.rs
@@ -64,6 +64,11 @@
 }
 
 impl ActiveAttempt {
+    /// Returns the time since the attempt started.
+    pub fn elapsed(&self) -> time::Duration {
+        self.started.elapsed()
+    }
+
     /// Records the outcome of the attempt at its endpoint; later calls have no effect.
     pub fn finish(&mut self, outcome: endpoint_directory::AttemptOutcome) {
         if self.finished {
--- a/crates/comfreyspread/src/gateway/stage_execution.rs
+++ b/crates/comfreyspread/src/gateway/stage_execution.rs
@@ -3,17 +3,18 @@
 use super::{call_plan, piece_dispatch, state};
 use crate::transport::failure;
 use comfreyspread_platform::piece_call;
-use comfreyspread_policy::{batch_queue, piece_group, stage_graph};
+use comfreyspread_policy::{batch_queue, first_event, piece_group, stage_graph};
 use comfreyspread_schema::{ids, types};
 use futures_lite::StreamExt as _;
 use futures_util::stream::FuturesUnordered;
 use indexmap::IndexMap;
+use rand::Rng as _;
 use std::{sync, time};
 
 /// Maximum number of times that lost results of a request are recomputed.
 const MAX_LOSSES: u32 = 3;
-/// Expected time from the end of the stages to the first event of the response.
-const FIRST_EVENT_TIME: time::Duration = time::Duration::from_millis(250);
+/// Share of a route's target, as a divisor, that the time to the first event may take up.
+const FIRST_EVENT_DIVISOR: u32 = 2;
 
 /// The stages of a request and their results, which are released on drop.
 pub struct StageExecution {
@@ -25,6 +26,12 @@
     completed_at: Vec<Option<time::Instant>>,
 }
 
+/// Bounds of the time after which a rejected caller may come back.
+const MIN_RETRY_AFTER: time::Duration = time::Duration::from_millis(300);
+const MAX_RETRY_AFTER: time::Duration = time::Duration::from_millis(1500);
+/// Upper bound of the factor that spreads callers out.
+const RETRY_AFTER_SPREAD: f64 = 1.5;
+
 type StageOutcome = (usize, Vec<types::PieceOutcome>);
 
 impl StageExecution {
@@ -76,7 +83,7 @@
                 let detail = "the stages cannot be ordered";
                 return Err(call_plan::CallPlan::not_run(types::ProblemKind::Internal, detail));
             };
-            self.record_outcomes(stage, &outcomes)?;
+            self.record_outcomes(plan, stage, &outcomes)?;
         }
         Ok(())
     }
@@ -102,8 +109,19 @@
         }
     }
 
+    /// Returns when a caller whose request was rejected for the wait at a stage may come back: once
+    /// what waits there now is done. Callers of one burst return spread out.
+    fn retry_after(&self, plan: &call_plan::CallPlan, stage: usize) -> time::Duration {
+        let service = &self.rules[stage].service;
+        let now = time::Instant::now();
+        let wait = self.state.waits.lock().wait(service, &self.region, plan.priority(), now);
+        let wait = wait.unwrap_or(MIN_RETRY_AFTER).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+        wait.mul_f64(rand::rng().random_range(1.0..RETRY_AFTER_SPREAD))
+    }
+
     fn record_outcomes(
         &mut self,
+        plan: &call_plan::CallPlan,
         stage: usize,
         outcomes: &[types::PieceOutcome],
     ) -> Result<(), failure::CallFailure> {
@@ -130,7 +148,8 @@
             return Ok(());
         }
         let detail = format!("stage {stage} failed: {error}");
-        Err(call_plan::CallPlan::not_run(types::ProblemKind::Overloaded, &detail))
+        let failure = call_plan::CallPlan::not_run(types::ProblemKind::Overloaded, &detail);
+        Err(failure.with_retry_after(self.retry_after(plan, stage)))
     }
 
     fn discard(&mut self, stage: usize) -> Result<(), failure::CallFailure> {
@@ -180,6 +199,13 @@
         expiries.min()
     }
 
+    /// Returns the time to be left for the first event, at most a share of the route's target.
+    fn first_event_time(&self, plan: &call_plan::CallPlan) -> time::Duration {
+        let expected = self.state.first_events.lock().expected(&plan.route.name);
+        let most = plan.target.saturating_duration_since(plan.arrived) / FIRST_EVENT_DIVISOR;
+        expected.min(most.max(first_event::DEFAULT_TIME))
+    }
+
     fn stage_group(&self, plan: &call_plan::CallPlan, stage: usize) -> piece_dispatch::StageGroup {
         let inputs = self.graph.inputs(stage);
         let key = self.graph.dependencies(stage).is_empty().then(|| plan.call.piece_key.clone());
@@ -192,8 +218,11 @@
             request: plan.call.request.clone(),
             stage: number,
         };
-        let remaining = self.graph.remaining_after(stage) + FIRST_EVENT_TIME;
-        let finish_by = |time: time::Instant| time.checked_sub(remaining).unwrap_or(plan.arrived);
+        let remaining = self.graph.remaining_after(stage);
+        let first_event = self.first_event_time(plan);
+        let finish_by = |time: time::Instant, first_event| {
+            time.checked_sub(remaining + first_event).unwrap_or(plan.arrived)
+        };
         piece_dispatch::StageGroup {
             service: self.rules[stage].service.clone(),
             region: self.region.clone(),
@@ -201,8 +230,8 @@
                 tasks: (0..self.graph.piece_count(stage)).map(task).collect(),
                 priority: plan.priority(),
                 result_bytes: self.rules[stage].result_bytes,
-                target: finish_by(plan.target),
-                deadline: finish_by(plan.deadline),
+                target: finish_by(plan.target, first_event),
+                deadline: finish_by(plan.deadline, first_event::DEFAULT_TIME),
                 inputs_expire_at: self.inputs_expire_at(stage),
                 zone: self.zone_for(plan, stage),
             },
--- a/crates/comfreyspread/src/gateway/state.rs
+++ b/crates/comfreyspread/src/gateway/state.rs
@@ -5,7 +5,7 @@
     transport::http_client,
 };
 use comfreyspread_policy::{
-    endpoint_directory, peer_health, rendezvous, route_table, service_retry_budget,
+    endpoint_directory, first_event, peer_health, rendezvous, route_table, service_retry_budget,
     wait_table,
 };
 use comfreyspread_schema::{ids, types};
@@ -36,6 +36,9 @@
     /// Registered endpoints.
     pub directory:
         lock_rank::RankedLock<lock_rank::DirectoryRank, endpoint_directory::EndpointDirectory>,
+    /// Times from the start of an attempt to its first event.
+    pub first_events:
+        lock_rank::RankedLock<lock_rank::FirstEventRank, first_event::FirstEventTimes>,
     /// Batchers of the stage services that this node batches.
     pub batchers: lock_rank::RankedLock<lock_rank::BatchRank, batcher::BatcherTable>,
     /// Expected waits at stage services, as reported by batching nodes.
@@ -84,6 +87,7 @@
             directory: lock_rank::RankedLock::new(endpoint_directory::EndpointDirectory::new(
                 zones,
             )),
+            first_events: lock_rank::RankedLock::new(first_event::FirstEventTimes::default()),
             batchers: lock_rank::RankedLock::new(batcher::BatcherTable::default()),
             waits: lock_rank::RankedLock::new(wait_table::WaitTable::default()),
             retry_budget: lock_rank::RankedLock::new(
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -165,6 +165,7 @@
         let mut buffer = event_buffer::EventBuffer::default();
         // Only complete events count: an endpoint in trouble may send a byte now and then for ever.
         let mut progressed_at = time::Instant::now();
+        let mut started_events = false;
         loop {
             let wait_until = self.stall_deadline(progressed_at).min(self.plan.deadline);
             let Some(chunk) = http_client::with_deadline(wait_until, body.next_chunk()).await
@@ -178,6 +179,10 @@
             }
             let events = buffer.take_events();
             if !events.is_empty() {
+                if !started_events {
+                    started_events = true;
+                    self.record_first_event(started);
+                }
                 progressed_at = time::Instant::now();
                 self.stages.release_all();
             }
@@ -192,6 +197,11 @@
         Err(io::Error::new(io::ErrorKind::UnexpectedEof, "the stream ends within an event"))
     }
 
+    fn record_first_event(&self, started: &attempt_send::StartedAttempt) {
+        let took = started.active.elapsed();
+        self.state.first_events.lock().record(&self.plan.route.name, took);
+    }
+
     /// Returns the bytes of the events that have not been forwarded yet.
     fn new_event_bytes(&mut self, events: Vec<event_buffer::CompleteEvent>) -> Vec<u8> {
         let mut bytes = Vec::new();
--- a/crates/comfreyspread/src/runtime/lock_rank.rs
+++ b/crates/comfreyspread/src/runtime/lock_rank.rs
@@ -47,6 +47,8 @@
     RouteRank = 42;
     /// Rank of the directory of registered endpoints.
     DirectoryRank = 44;
+    /// Rank of the times to the first event.
+    FirstEventRank = 45;
     /// Rank of the batch queues of stage services.
     BatchRank = 46;
     /// Rank of the expected waits at stage services.
