Leave pieces to an endpoint of their own zone that is about to be free

Change: home_zones. A group with time to spare is left to its zone while an endpoint there is idle or ends its call within 100 ms, as far as their next calls have room. All others go to any zone, as before.

Test of the load: home_zones::steady_load, 21 endpoints in three zones at half load: 4,240 pieces made at home and 238 away, all in target; burst_load: no endpoint idles in a burst; lost_zone: pieces of a zone without endpoints go elsewhere.

--- a/crates/comfreyspread-policy/src/batch_queue.rs
+++ b/crates/comfreyspread-policy/src/batch_queue.rs
@@ -5,9 +5,9 @@
 //! Pieces that can still meet their target go first, by priority; those that can only be late
 //! follow, by deadline; those past their deadline are dropped.
 
-use crate::{batch_outcome, batch_worker, piece_group, worker_set};
+use crate::{batch_outcome, batch_worker, home_zones, piece_group, worker_set};
 use comfreyspread_schema::{ids, types};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use std::{net, time};
 
 /// Number of a call within its queue.
@@ -177,7 +177,8 @@
         }
         let waiting = self.groups.values().filter(|queued| queued.is_waiting());
         let deadlines = waiting.map(|queued| queued.group.deadline);
-        deadlines.chain(self.workers.wakeups().filter(|wakeup| *wakeup > now)).min()
+        let idle = self.workers.has_idle(now).then(|| now + home_zones::HOME_WAIT);
+        deadlines.chain(idle).chain(self.workers.wakeups().filter(|wakeup| *wakeup > now)).min()
     }
 
     /// Returns the expected time until new pieces of a request with this priority are done, the
@@ -245,19 +246,11 @@
     }
 
     fn plan_call(&mut self, now: time::Instant) -> Option<PlannedCall> {
-        let first = self
-            .waiting_groups()
-            .min_by_key(|(number, queued)| (self.sort_key(queued, None, now), **number));
-        let first = &first?.1.group;
-        let expected = self.call_time(self.max_batch());
-        let (endpoint, skipped) = match self.workers.choose(first, expected, now) {
-            Some(endpoint) => (endpoint, 0),
-            None => {
-                let backfill = self.workers.choose_backfill(now)?;
-                (backfill.endpoint, backfill.calls_before * self.max_batch())
-            }
-        };
-        let order = self.serving_order(self.workers.zone(&endpoint), now);
+        let homes = self.home_groups(now);
+        let (endpoint, skipped) = self.choose_endpoint(&homes, now)?;
+        let zone = self.workers.zone(&endpoint);
+        let mut order = self.serving_order(zone, now);
+        order.retain(|number| homes.get(number).is_none_or(|home| Some(home) == zone));
         let free_bytes = self.workers.free_bytes(&endpoint);
         let pieces = self.fill_batch(self.skip_pieces(&order, skipped), free_bytes);
         if pieces.is_empty() {
@@ -266,6 +259,55 @@
         Some(self.start_call(endpoint, pieces, now))
     }
 
+    /// Returns the endpoint for the next call, and how many pieces are left to other endpoints.
+    fn choose_endpoint(
+        &self,
+        homes: &IndexMap<piece_group::GroupNumber, ids::ZoneId>,
+        now: time::Instant,
+    ) -> Option<(ids::EndpointId, usize)> {
+        let expected = self.call_time(self.max_batch());
+        let mut busy_zones = IndexSet::new();
+        for number in self.serving_order(None, now) {
+            let Some(queued) = self.groups.get(&number) else { continue };
+            let home = homes.get(&number);
+            if home.is_some_and(|home| busy_zones.contains(home)) {
+                continue;
+            }
+            if let Some(endpoint) = self.workers.choose(&queued.group, home, expected, now) {
+                return Some((endpoint, 0));
+            }
+            let Some(home) = home else {
+                let backfill = self.workers.choose_backfill(now)?;
+                return Some((backfill.endpoint, backfill.calls_before * self.max_batch()));
+            };
+            busy_zones.insert(home);
+        }
+        None
+    }
+
+    /// Returns the groups that only endpoints of their own zone serve for now, with that zone: those
+    /// with time to spare for which one is about to be free.
+    fn home_groups(&self, now: time::Instant) -> IndexMap<piece_group::GroupNumber, ids::ZoneId> {
+        let end_of = |number, ratio| {
+            let call = self.calls.get(&number)?;
+            Some(call.started + call.expected.mul_f64(ratio))
+        };
+        let overdue = now.checked_sub(home_zones::HOME_WAIT).unwrap_or(now);
+        let window = (overdue, now + home_zones::HOME_WAIT);
+        let free_soon = self.workers.zones_free_soon(window, now, end_of);
+        let mut zones = home_zones::HomeZones::new(free_soon.into_iter(), self.max_batch());
+        let mut homes = IndexMap::new();
+        for number in self.serving_order(None, now) {
+            let Some(queued) = self.groups.get(&number) else { continue };
+            let Some(zone) = &queued.group.zone else { continue };
+            let has_time = !self.is_late(queued, now + home_zones::HOME_WAIT);
+            if has_time && zones.claim(zone, queued.waiting()) {
+                homes.insert(number, zone.clone());
+            }
+        }
+        homes
+    }
+
     /// Returns the summary of a call for [`worker_set::WorkerSet::record_call`].
     fn ended_call(
         &self,
--- a/crates/comfreyspread-policy/src/worker_set.rs
+++ b/crates/comfreyspread-policy/src/worker_set.rs
@@ -119,10 +119,12 @@
 
     /// Returns an idle endpoint for a call that begins with pieces of `first` and has the expected
     /// time `expected`. It prefers fast endpoints in the zone of `first`, and takes a slow one only
-    /// if it meets the target or was not called within `SLOW_PROBE_INTERVAL`.
+    /// if it meets the target or was not called within `SLOW_PROBE_INTERVAL`. With `only_zone`, only
+    /// endpoints of that zone count.
     pub fn choose(
         &self,
         first: &piece_group::PieceGroup,
+        only_zone: Option<&ids::ZoneId>,
         expected: time::Duration,
         now: time::Instant,
     ) -> Option<ids::EndpointId> {
@@ -134,7 +136,8 @@
         };
         let candidates = self
             .idle(now)
-            .filter(|(name, worker)| useful(worker) && self.free_bytes(name) >= first.result_bytes);
+            .filter(|(name, worker)| useful(worker) && self.free_bytes(name) >= first.result_bytes)
+            .filter(|(_, worker)| only_zone.is_none_or(|zone| *zone == worker.zone));
         let cost = |worker: &batch_worker::BatchWorker| {
             let same_zone = first.zone.is_none() || first.zone.as_ref() == Some(&worker.zone);
             if same_zone { worker.time_ratio } else { worker.time_ratio * OTHER_ZONE_FACTOR }
@@ -145,6 +148,35 @@
         best.map(|(endpoint, _)| endpoint.clone())
     }
 
+    /// Returns the zone of each endpoint of usual speed that is idle, or whose call ends between
+    /// `earliest` and `latest`; `end_of` returns the expected end of a call at the given time ratio.
+    pub fn zones_free_soon<EndOf>(
+        &self,
+        (earliest, latest): (time::Instant, time::Instant),
+        now: time::Instant,
+        end_of: EndOf,
+    ) -> Vec<&ids::ZoneId>
+    where
+        EndOf: Fn(u64, f64) -> Option<time::Instant>,
+    {
+        let best = self.best_time_ratio(now);
+        let free_soon = |worker: &batch_worker::BatchWorker| {
+            let end = worker.call.and_then(|call| end_of(call, worker.time_ratio));
+            end.is_none_or(|end| (earliest..=latest).contains(&end))
+        };
+        let usual = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| !worker.is_backing_off(now) && !worker.is_slow(best))
+            .filter(|(name, _)| self.free_bytes(name) > 0);
+        usual.filter(|(_, worker)| free_soon(worker)).map(|(_, worker)| &worker.zone).collect()
+    }
+
+    /// Whether an endpoint is idle.
+    pub fn has_idle(&self, now: time::Instant) -> bool {
+        self.idle(now).next().is_some()
+    }
+
     /// Returns the fastest idle endpoint with free storage, for use when [`WorkerSet::choose`]
     /// finds none.
     pub fn choose_backfill(&self, now: time::Instant) -> Option<BackfillChoice> {
