Keep requests with time to spare in their region

Change: another region is looked at only while the waits of the own one take over a quarter of the target (at least 150 ms, as before for hurried requests).

Test: wait_table::local_wait_limit.

--- a/crates/comfreyspread-policy/src/wait_table.rs
+++ b/crates/comfreyspread-policy/src/wait_table.rs
@@ -8,8 +8,10 @@
 pub const REFRESH_INTERVAL: time::Duration = time::Duration::from_millis(200);
 /// Time after which a reported wait is no longer used.
 const ENTRY_TTL: time::Duration = time::Duration::from_millis(1500);
-/// Wait in the local region up to which no other region is considered.
-pub const LOCAL_WAIT_THRESHOLD: time::Duration = time::Duration::from_millis(150);
+/// Wait in the local region up to which no other region is considered, whatever the target.
+const MIN_LOCAL_WAIT: time::Duration = time::Duration::from_millis(150);
+/// Share of the target, as a divisor, that waits in the local region may take up.
+const LOCAL_WAIT_DIVISOR: u32 = 4;
 /// Minimum reduction of the wait for which another region is chosen; covers the round trip.
 const MIN_WAIT_GAIN: time::Duration = time::Duration::from_millis(150);
 
@@ -80,6 +82,12 @@
     }
 }
 
+/// Returns the wait in the local region up to which no other region is considered. The links between
+/// regions are slow and shared, so a request crosses them only if that saves its target.
+pub fn local_wait_limit(target: time::Duration) -> time::Duration {
+    (target / LOCAL_WAIT_DIVISOR).max(MIN_LOCAL_WAIT)
+}
+
 /// Whether to send a request to another region, given the waits in both. The choice is random, so
 /// that nodes with the same waits do not all move their load there at once.
 pub fn prefers_remote<Source>(
--- a/crates/comfreyspread-policy/tests/wait_table.rs
+++ b/crates/comfreyspread-policy/tests/wait_table.rs
@@ -45,3 +45,11 @@
     assert!((400..600).contains(&some), "{some}");
     assert_eq!(moved(300, 900), 0);
 }
+
+/// Requests with time to spare stay in their region; hurried ones move for a shorter wait.
+#[test]
+fn local_wait_limit() {
+    assert_eq!(wait_table::local_wait_limit(ms(300)), ms(150));
+    assert_eq!(wait_table::local_wait_limit(ms(1400)), ms(350));
+    assert_eq!(wait_table::local_wait_limit(ms(3200)), ms(800));
+}
--- a/crates/comfreyspread/src/gateway/region_selector.rs
+++ b/crates/comfreyspread/src/gateway/region_selector.rs
@@ -18,7 +18,8 @@
         return regions.into_iter().next();
     }
     let local_wait = total_wait(state, plan, &services, local_region);
-    if local_wait <= wait_table::LOCAL_WAIT_THRESHOLD {
+    let target = plan.target.saturating_duration_since(plan.arrived);
+    if local_wait <= wait_table::local_wait_limit(target) {
         return Some(local_region.clone());
     }
     let others = regions.iter().filter(|region| *region != local_region);
