--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -16,7 +16,7 @@
 //!   [`concurrency_limit`], [`circuit_breaker`], [`outlier`], [`endpoint_selector`], [`latency`].
 //! - Members and ownership: [`membership`] with [`member_dissemination`],
 //!   [`member_digest`], [`probe_ring`] and [`prober_health`], [`connectivity`], [`rendezvous`], [`ownership`],
-//!   [`ownership_status`], [`leaving_vms`], [`node_lifecycle`].
+//!   [`ownership_release`], [`ownership_status`], [`leaving_vms`], [`node_lifecycle`].
 //! - Configuration: [`validation`], [`catalog`], [`change`], [`acceptance`], [`delta`], [`poller`].
 //!
 //! ```
@@ -60,6 +60,7 @@
 pub mod outlier;
 pub mod ownership;
 pub mod ownership_action;
+pub mod ownership_release;
 pub mod ownership_status;
 pub mod peer_health;
 pub mod piece_group;
--- a/crates/comfreyspread-policy/tests/member_convergence.rs
+++ b/crates/comfreyspread-policy/tests/member_convergence.rs
@@ -1,5 +1,6 @@
 //! All members learn of joins, failures and restarts.
 
+mod event_queue;
 mod model;
 
 use comfreyspread_schema::types;
--- a/crates/comfreyspread-policy/tests/owner_windows.rs
+++ b/crates/comfreyspread-policy/tests/owner_windows.rs
@@ -1,6 +1,7 @@
 //! Time in which two nodes may send calls to one endpoint: compared between rules of ownership on
 //! the same schedules, and bounded after a network partition.
 
+mod event_queue;
 mod model;
 
 use rand::{Rng as _, SeedableRng as _, rngs};
--- a/crates/comfreyspread-policy/tests/single_owner.rs
+++ b/crates/comfreyspread-policy/tests/single_owner.rs
@@ -1,5 +1,6 @@
 //! At most one node may send calls to an endpoint, whichever faults hit single nodes.
 
+mod event_queue;
 mod model;
 
 use bolero::{TypeGenerator, check};
