--- a/crates/comfreyspread-policy/src/batch_queue.rs
+++ b/crates/comfreyspread-policy/src/batch_queue.rs
@@ -17,6 +17,8 @@
 const TIMEOUT_FACTOR: f64 = 3.0;
 /// Time added to that multiple.
 const TIMEOUT_MARGIN: time::Duration = time::Duration::from_millis(400);
+/// Interval at which the queue looks for groups that will miss their deadline.
+const ADMISSION_INTERVAL: time::Duration = time::Duration::from_millis(100);
 /// Weight of the newest call in the share of calls that goes to late groups.
 const LATE_SHARE_WEIGHT: f64 = 0.05;
 /// Lowest share of calls that late groups are expected to get.
@@ -66,6 +68,7 @@
     groups: IndexMap<piece_group::GroupNumber, piece_group::QueuedGroup>,
     calls: IndexMap<CallNumber, RunningCall>,
     late_share: f64,
+    admission_due: Option<time::Instant>,
     last_number: u64,
 }
 
@@ -78,6 +81,7 @@
             groups: IndexMap::new(),
             calls: IndexMap::new(),
             late_share: 1.0,
+            admission_due: None,
             last_number: 0,
         }
     }
@@ -151,7 +155,7 @@
     /// Fails the queued pieces of groups that are past their deadline or cannot meet it, and removes
     /// and returns the groups that are completed.
     pub fn take_completed(&mut self, now: time::Instant) -> Vec<piece_group::CompletedGroup> {
-        for number in self.hopeless_groups(now) {
+        for number in self.due_rejections(now) {
             if let Some(queued) = self.groups.get_mut(&number) {
                 queued.drop_waiting(types::PieceError::Late);
             }
@@ -208,8 +212,19 @@
         (self.groups.values().map(piece_group::QueuedGroup::waiting).sum(), self.calls.len())
     }
 
+    /// Returns the groups past their deadline, and now and then those expected to miss it: the walk
+    /// over a long queue would cost a small VM too much at each event.
+    fn due_rejections(&mut self, now: time::Instant) -> Vec<piece_group::GroupNumber> {
+        if self.admission_due.is_none_or(|due| due <= now) {
+            self.admission_due = Some(now + ADMISSION_INTERVAL);
+            return self.hopeless_groups(now);
+        }
+        let late = self.groups.iter().filter(|(_, queued)| queued.group.deadline <= now);
+        late.map(|(number, _)| *number).collect()
+    }
+
     /// Returns the groups that are past their deadline, and those expected to miss it for whose request
-    /// no piece has been made. Their callers learn at once, rather than at their deadline, that they
+    /// no piece has been made. Their callers learn soon, rather than at their deadline, that they
     /// are not served.
     fn hopeless_groups(&self, now: time::Instant) -> Vec<piece_group::GroupNumber> {
         let speed = self.workers.speed(now);
@@ -246,8 +261,12 @@
     }
 
     fn plan_call(&mut self, now: time::Instant) -> Option<PlannedCall> {
-        let homes = self.home_groups(now);
-        let (endpoint, skipped) = self.choose_endpoint(&homes, now)?;
+        if !self.workers.has_idle(now) {
+            return None;
+        }
+        let order = self.serving_order(None, now);
+        let homes = self.home_groups(&order, now);
+        let (endpoint, skipped) = self.choose_endpoint(&order, &homes, now)?;
         let zone = self.workers.zone(&endpoint);
         let mut order = self.serving_order(zone, now);
         order.retain(|number| homes.get(number).is_none_or(|home| Some(home) == zone));
@@ -262,14 +281,15 @@
     /// Returns the endpoint for the next call, and how many pieces are left to other endpoints.
     fn choose_endpoint(
         &self,
+        order: &[piece_group::GroupNumber],
         homes: &IndexMap<piece_group::GroupNumber, ids::ZoneId>,
         now: time::Instant,
     ) -> Option<(ids::EndpointId, usize)> {
         let expected = self.call_time(self.max_batch());
         let mut busy_zones = IndexSet::new();
-        for number in self.serving_order(None, now) {
-            let Some(queued) = self.groups.get(&number) else { continue };
-            let home = homes.get(&number);
+        for number in order {
+            let Some(queued) = self.groups.get(number) else { continue };
+            let home = homes.get(number);
             if home.is_some_and(|home| busy_zones.contains(home)) {
                 continue;
             }
@@ -287,7 +307,11 @@
 
     /// Returns the groups that only endpoints of their own zone serve for now, with that zone: those
     /// with time to spare for which one is about to be free.
-    fn home_groups(&self, now: time::Instant) -> IndexMap<piece_group::GroupNumber, ids::ZoneId> {
+    fn home_groups(
+        &self,
+        order: &[piece_group::GroupNumber],
+        now: time::Instant,
+    ) -> IndexMap<piece_group::GroupNumber, ids::ZoneId> {
         let end_of = |number, ratio| {
             let call = self.calls.get(&number)?;
             Some(call.started + call.expected.mul_f64(ratio))
@@ -297,12 +321,12 @@
         let free_soon = self.workers.zones_free_soon(window, now, end_of);
         let mut zones = home_zones::HomeZones::new(free_soon.into_iter(), self.max_batch());
         let mut homes = IndexMap::new();
-        for number in self.serving_order(None, now) {
-            let Some(queued) = self.groups.get(&number) else { continue };
+        for number in order {
+            let Some(queued) = self.groups.get(number) else { continue };
             let Some(zone) = &queued.group.zone else { continue };
             let has_time = !self.is_late(queued, now + home_zones::HOME_WAIT);
             if has_time && zones.claim(zone, queued.waiting()) {
-                homes.insert(number, zone.clone());
+                homes.insert(*number, zone.clone());
             }
         }
         homes
