Reply at once where changes are too large for a long poll

Cause: since the readers of a zone may become fresh while a node waits, a reply whose rows were left out for their size (over 32 KB) waited for the whole poll, up to a second at each reader, before the node read the store itself.

Change: such a reply is sent at once, as it was before.

--- a/crates/comfreyspread/src/gateway/table_exchange.rs
+++ b/crates/comfreyspread/src/gateway/table_exchange.rs
@@ -187,7 +187,8 @@
         let fresh_until = now + reply.remaining_freshness;
         let has_changes = !reply.rows.is_empty() && reply.version > message.after_version;
         let was_fresh = fresh_until > now;
-        if has_changes || wait_until <= now || (asked_while_fresh && !was_fresh) {
+        let withheld = is_withheld(state, &message, &reply);
+        if withheld || has_changes || wait_until <= now || (asked_while_fresh && !was_fresh) {
             return peer::encode_reply(&reply);
         }
         asked_while_fresh |= was_fresh;
@@ -201,6 +202,15 @@
     }
 }
 
+/// Whether changes were left out of a reply for their size, so that the polling node reads the store.
+fn is_withheld(
+    state: &state::GatewayState,
+    message: &types::TableRequest,
+    reply: &types::TableReply,
+) -> bool {
+    !reply.loaded && state.store_tables.lock().table(message.table).mirror.is_loaded()
+}
+
 fn build_reply(state: &state::GatewayState, message: &types::TableRequest) -> types::TableReply {
     let now = time::Instant::now();
     let header = state.context.peer_header();
