Take early rejection out of the batch queue, and drop work done twice

A reply for rows was built and the store's table then locked again to learn whether rows were left out; the builder says so. A queue with an idle endpoint and nothing waiting woke ten times a second for pieces of other zones; it asks only while something waits. The reason why a body was cut short is logged again at debug level, as it was lost when the client's reader was joined with the server's.

--- a/crates/comfreyspread-policy/src/batch_queue.rs
+++ b/crates/comfreyspread-policy/src/batch_queue.rs
@@ -5,7 +5,7 @@
 //! Pieces that can still meet their target go first, by priority; those that can only be late
 //! follow, by deadline; those past their deadline are dropped.
 
-use crate::{batch_outcome, batch_worker, home_zones, piece_group, worker_set};
+use crate::{batch_admission, batch_outcome, batch_worker, home_zones, piece_group, worker_set};
 use comfreyspread_schema::{ids, types};
 use indexmap::{IndexMap, IndexSet};
 use std::{net, time};
@@ -17,12 +17,6 @@
 const TIMEOUT_FACTOR: f64 = 3.0;
 /// Time added to that multiple.
 const TIMEOUT_MARGIN: time::Duration = time::Duration::from_millis(400);
-/// Interval at which the queue looks for groups that will miss their deadline.
-const ADMISSION_INTERVAL: time::Duration = time::Duration::from_millis(100);
-/// Weight of the newest call in the share of calls that goes to late groups.
-const LATE_SHARE_WEIGHT: f64 = 0.05;
-/// Lowest share of calls that late groups are expected to get.
-const MIN_LATE_SHARE: f64 = 0.05;
 /// Lowest total speed used in estimates, in endpoints; avoids a division by zero without endpoints.
 const MIN_SPEED: f64 = 0.1;
 
@@ -67,8 +61,7 @@
     workers: worker_set::WorkerSet,
     groups: IndexMap<piece_group::GroupNumber, piece_group::QueuedGroup>,
     calls: IndexMap<CallNumber, RunningCall>,
-    late_share: f64,
-    admission_due: Option<time::Instant>,
+    admission: batch_admission::BatchAdmission,
     last_number: u64,
 }
 
@@ -80,8 +73,7 @@
             capacity,
             groups: IndexMap::new(),
             calls: IndexMap::new(),
-            late_share: 1.0,
-            admission_due: None,
+            admission: batch_admission::BatchAdmission::default(),
             last_number: 0,
         }
     }
@@ -173,16 +165,21 @@
         self.workers.remove_results(handles);
     }
 
-    /// Returns when to plan again if no call ends before: at the next deadline, or when an endpoint
-    /// may be called or filled again.
+    /// Returns when to plan again if no call ends before: at the next deadline, when an endpoint may
+    /// be called or filled again, or when groups that wait for their own zone may go elsewhere.
     pub fn next_wakeup(&self, now: time::Instant) -> Option<time::Instant> {
         if self.groups.is_empty() {
             return None;
         }
         let waiting = self.groups.values().filter(|queued| queued.is_waiting());
-        let deadlines = waiting.map(|queued| queued.group.deadline);
-        let idle = self.workers.has_idle(now).then(|| now + home_zones::HOME_WAIT);
-        deadlines.chain(idle).chain(self.workers.wakeups().filter(|wakeup| *wakeup > now)).min()
+        let deadline = waiting.map(|queued| queued.group.deadline).min();
+        let home_wait = deadline.filter(|_| self.workers.has_idle(now));
+        let home_wait = home_wait.map(|_| now + home_zones::HOME_WAIT);
+        deadline
+            .into_iter()
+            .chain(home_wait)
+            .chain(self.workers.wakeups().filter(|wakeup| *wakeup > now))
+            .min()
     }
 
     /// Returns the expected time until new pieces of a request with this priority are done, the
@@ -212,11 +209,9 @@
         (self.groups.values().map(piece_group::QueuedGroup::waiting).sum(), self.calls.len())
     }
 
-    /// Returns the groups past their deadline, and now and then those expected to miss it: the walk
-    /// over a long queue would cost a small VM too much at each event.
+    /// Returns the groups past their deadline, and now and then those expected to miss it.
     fn due_rejections(&mut self, now: time::Instant) -> Vec<piece_group::GroupNumber> {
-        if self.admission_due.is_none_or(|due| due <= now) {
-            self.admission_due = Some(now + ADMISSION_INTERVAL);
+        if self.admission.start_check(now) {
             return self.hopeless_groups(now);
         }
         let late = self.groups.iter().filter(|(_, queued)| queued.group.deadline <= now);
@@ -244,8 +239,7 @@
                 hopeless.push(number);
                 continue;
             }
-            let share = if self.is_late(queued, now) { self.late_share } else { 1.0 };
-            pieces_ahead += pieces as f64 / share.max(MIN_LATE_SHARE);
+            pieces_ahead += self.admission.weight(self.is_late(queued, now), pieces);
         }
         hopeless
     }
@@ -442,27 +436,16 @@
         pieces
     }
 
-    /// Records which share of a call goes to groups that are late. A burst leaves them little: those
-    /// that can meet their target go first.
-    fn record_late_share(
-        &mut self,
-        pieces: &[(piece_group::GroupNumber, usize)],
-        now: time::Instant,
-    ) {
-        let is_late =
-            |group| self.groups.get(group).is_some_and(|queued| self.is_late(queued, now));
-        let late = pieces.iter().filter(|(group, _)| is_late(group)).count();
-        let share = late as f64 / pieces.len().max(1) as f64;
-        self.late_share += (share - self.late_share) * LATE_SHARE_WEIGHT;
-    }
-
     fn start_call(
         &mut self,
         endpoint: ids::EndpointId,
         pieces: Vec<(piece_group::GroupNumber, usize)>,
         now: time::Instant,
     ) -> PlannedCall {
-        self.record_late_share(&pieces, now);
+        let is_late =
+            |group| self.groups.get(group).is_some_and(|queued| self.is_late(queued, now));
+        let late = pieces.iter().filter(|(group, _)| is_late(group)).count();
+        self.admission.record_call(late, pieces.len());
         let number = self.next_number();
         let expected = self.call_time(pieces.len());
         let mut tasks = Vec::with_capacity(pieces.len());
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -9,7 +9,7 @@
 //!   [`suspect`], [`link_budget`].
 //! - Requests that may run at most once: [`claim`], [`row_finalizer`], [`write_group`].
 //! - On the users' platform: [`route_table`], [`endpoint_directory`], [`stage_graph`] of a request,
-//!   [`batch_queue`] of a stage service over [`piece_group`], [`worker_set`] and [`home_zones`], [`event_buffer`],
+//!   [`batch_queue`] of a stage service over [`batch_admission`], [`piece_group`], [`worker_set`] and [`home_zones`], [`event_buffer`],
 //!   [`first_event`], [`service_retry_budget`], [`wait_table`], [`peer_health`]; tables of the store by
 //!   [`table_mirror`], [`table_source`], [`table_freshness`] and [`outage_recovery`].
 //! - The owner: [`pool_scheduler`] over [`call_queue`], [`pool_endpoint`], [`endpoint_lifecycle`],
@@ -29,6 +29,7 @@
 
 pub mod acceptance;
 pub mod attempt;
+pub mod batch_admission;
 pub mod batch_outcome;
 pub mod batch_queue;
 pub mod batch_worker;
--- a/crates/comfreyspread/src/gateway/table_exchange.rs
+++ b/crates/comfreyspread/src/gateway/table_exchange.rs
@@ -182,12 +182,11 @@
     let mut asked_while_fresh = false;
     loop {
         let changed = state.tables_changed.listen();
-        let reply = build_reply(state, &message);
+        let (reply, withheld) = build_reply(state, &message);
         let now = time::Instant::now();
         let fresh_until = now + reply.remaining_freshness;
         let has_changes = !reply.rows.is_empty() && reply.version > message.after_version;
         let was_fresh = fresh_until > now;
-        let withheld = is_withheld(state, &message, &reply);
         if withheld || has_changes || wait_until <= now || (asked_while_fresh && !was_fresh) {
             return peer::encode_reply(&reply);
         }
@@ -202,16 +201,12 @@
     }
 }
 
-/// Whether changes were left out of a reply for their size, so that the polling node reads the store.
-fn is_withheld(
+/// Returns the reply to a request for rows, and whether its rows were left out for their size, so that
+/// the polling node reads the store.
+fn build_reply(
     state: &state::GatewayState,
     message: &types::TableRequest,
-    reply: &types::TableReply,
-) -> bool {
-    !reply.loaded && state.store_tables.lock().table(message.table).mirror.is_loaded()
-}
-
-fn build_reply(state: &state::GatewayState, message: &types::TableRequest) -> types::TableReply {
+) -> (types::TableReply, bool) {
     let now = time::Instant::now();
     let header = state.context.peer_header();
     let mut tables = state.store_tables.lock();
@@ -228,10 +223,11 @@
     let size = |row: &types::StoreRow| row.value.as_ref().map_or(0, |value| value.len());
     let bytes: usize = reply.rows.iter().map(size).sum();
     let has_copy = message.after_version > 0;
-    if has_copy && !message.wait.is_zero() && bytes > MAX_REPLY_BYTES {
+    let withheld = has_copy && !message.wait.is_zero() && bytes > MAX_REPLY_BYTES;
+    if withheld {
         reply.rows.clear();
         reply.loaded = false;
         reply.remaining_freshness = time::Duration::ZERO;
     }
-    reply
+    (reply, withheld)
 }
--- a/crates/comfreyspread/src/transport/body.rs
+++ b/crates/comfreyspread/src/transport/body.rs
@@ -99,7 +99,10 @@
     let max_length = announced.unwrap_or(limit);
     let mut bytes = Vec::new();
     while let Some(chunk) = body.next_chunk().await {
-        let chunk = chunk.map_err(|_| BodyError::CutShort)?;
+        let chunk = chunk.map_err(|error| {
+            log::debug!("body: cut short. error={error}");
+            BodyError::CutShort
+        })?;
         if bytes.len() + chunk.len() > max_length {
             return Err(BodyError::TooLarge);
         }
