--- a/crates/comfreyspread/src/gateway/attempt_send.rs
+++ b/crates/comfreyspread/src/gateway/attempt_send.rs
@@ -117,8 +117,9 @@
     };
     let mut active = ActiveAttempt { state: state.clone(), chosen, started: now, finished: false };
     log::info!(request = plan.call.request.as_ref(), attempt = input.number,
-        endpoint = active.chosen.endpoint.as_ref(),
-        left_ms = plan.time_left(now).as_millis() as u64; "attempt: sent");
+        endpoint = active.chosen.endpoint.as_ref(), region = active.chosen.region.as_ref(),
+        allowed_regions = input.regions.map_or("all".into(), |regions| regions.join(",")).as_str(),
+        version = plan.version, left_ms = plan.time_left(now).as_millis() as u64; "attempt: sent");
     let request = build_request(plan, &active.chosen, input, now);
     let connection = if plan.is_repeatable() {
         http_client::ConnectionUse::Pooled
--- a/crates/comfreyspread/src/gateway/route_watcher.rs
+++ b/crates/comfreyspread/src/gateway/route_watcher.rs
@@ -42,7 +42,16 @@
     if decoded.version <= routes.version() {
         return;
     }
-    let count = decoded.routes.len();
-    log::info!(version = decoded.version, routes = count; "routes: applied");
+    log_routes(&decoded);
     *routes = sync::Arc::new(route_table::RouteTable::new(decoded));
 }
+
+/// Logs a route document that becomes active, with how many of its rules are limited to regions.
+fn log_routes(document: &types::RouteDocument) {
+    let limited = document.routes.iter().filter(|route| !route.allowed_regions.is_empty()).count();
+    let workspaces = document.workspaces.iter();
+    let limited_workspaces =
+        workspaces.filter(|workspace| !workspace.allowed_regions.is_empty()).count();
+    log::info!(version = document.version, routes = document.routes.len(),
+        limited_routes = limited, limited_workspaces = limited_workspaces; "routes: applied");
+}
--- a/crates/comfreyspread/src/runtime/log_writer.rs
+++ b/crates/comfreyspread/src/runtime/log_writer.rs
@@ -1,7 +1,9 @@
 //! Non-blocking log writer.
 //!
 //! A dedicated thread writes the lines. Lines beyond [`MAX_LINES_PER_S`] are dropped, and so are
-//! lines that find the queue full because the output is slow. The number dropped is logged.
+//! lines that find the queue full because the output is slow. The number dropped is logged. Lines
+//! of single requests and those of the node's own state are limited apart, so that a busy node
+//! still says which routes it uses.
 
 use crate::runtime::lock_rank;
 use std::{io, sync, sync::atomic, sync::mpsc, thread, time};
@@ -16,6 +18,7 @@
 pub struct LogWriter {
     lines: mpsc::SyncSender<LogMessage>,
     limiter: sync::Arc<LineRateLimiter>,
+    dropped: sync::Arc<atomic::AtomicU64>,
 }
 
 /// Message to the writer thread.
@@ -27,11 +30,10 @@
     Drain(mpsc::Sender<()>),
 }
 
-/// Rate limit of log lines, and the count of lines dropped.
+/// Rate limit of log lines.
 #[derive(Debug)]
 struct LineRateLimiter {
     window: lock_rank::RankedLock<lock_rank::LogRank, RateWindow>,
-    dropped: atomic::AtomicU64,
 }
 
 #[derive(Debug)]
@@ -51,16 +53,17 @@
         Output: io::Write + Send + 'static,
     {
         let (lines, queue) = mpsc::sync_channel(MAX_QUEUED_LINES);
-        let window = RateWindow { started: time::Instant::now(), count: 0 };
-        let limiter = sync::Arc::new(LineRateLimiter {
-            window: lock_rank::RankedLock::new(window),
-            dropped: atomic::AtomicU64::new(0),
-        });
-        let thread_limiter = limiter.clone();
+        let dropped = sync::Arc::new(atomic::AtomicU64::new(0));
+        let thread_dropped = dropped.clone();
         thread::Builder::new()
             .name("log".into())
-            .spawn(move || write_lines(output, &queue, &thread_limiter))?;
-        Ok(Self { lines, limiter })
+            .spawn(move || write_lines(output, &queue, &thread_dropped))?;
+        Ok(Self { lines, limiter: sync::Arc::new(LineRateLimiter::new()), dropped })
+    }
+
+    /// Returns a handle to the same output with a rate limit of its own.
+    pub fn with_own_limit(&self) -> Self {
+        Self { limiter: sync::Arc::new(LineRateLimiter::new()), ..self.clone() }
     }
 
     /// Waits up to `timeout` until the queued lines are written; called before the process exits.
@@ -73,6 +76,11 @@
 }
 
 impl LineRateLimiter {
+    fn new() -> Self {
+        let window = RateWindow { started: time::Instant::now(), count: 0 };
+        Self { window: lock_rank::RankedLock::new(window) }
+    }
+
     /// Counts one line; false if the limit of the current window is reached.
     fn try_acquire(&self) -> bool {
         let now = time::Instant::now();
@@ -90,7 +98,7 @@
         if !self.limiter.try_acquire()
             || self.lines.try_send(LogMessage::Line(line.into())).is_err()
         {
-            self.limiter.dropped.fetch_add(1, atomic::Ordering::Relaxed);
+            self.dropped.fetch_add(1, atomic::Ordering::Relaxed);
         }
         Ok(line.len())
     }
@@ -103,7 +111,7 @@
 fn write_lines<Output>(
     mut output: Output,
     queue: &mpsc::Receiver<LogMessage>,
-    limiter: &LineRateLimiter,
+    dropped: &atomic::AtomicU64,
 ) where
     Output: io::Write,
 {
@@ -115,7 +123,7 @@
                 continue;
             }
         };
-        let dropped = limiter.dropped.swap(0, atomic::Ordering::Relaxed);
+        let dropped = dropped.swap(0, atomic::Ordering::Relaxed);
         let drop_report = (dropped > 0).then(|| format!("log: lines dropped. count={dropped}\n"));
         let written = output.write_all(drop_report.unwrap_or_default().as_bytes());
         // A failure to write the log cannot be logged; the thread ends and later lines are dropped.
--- a/crates/comfreyspread/src/runtime/logging.rs
+++ b/crates/comfreyspread/src/runtime/logging.rs
@@ -8,13 +8,25 @@
 use miette::IntoDiagnostic as _;
 use std::fmt;
 
+/// Modules that log for each request, whose lines have a rate limit apart.
+const REQUEST_MODULES: [&str; 8] = [
+    "comfreyspread::gateway::attempt_send",
+    "comfreyspread::gateway::batcher",
+    "comfreyspread::gateway::call_plan",
+    "comfreyspread::gateway::caller_handler",
+    "comfreyspread::gateway::piece_dispatch",
+    "comfreyspread::gateway::region_selector",
+    "comfreyspread::gateway::stage_execution",
+    "comfreyspread::gateway::stream_run",
+];
+
 /// Starts logging to standard error.
 ///
 /// # Errors
 ///
 /// Fails if logging was started before.
 pub fn init(level: log::LevelFilter, json: bool) -> Result<(), log::SetLoggerError> {
-    init_with_output(std::io::stderr().into(), level, json)
+    init_with_output(std::io::stderr(), level, json)
 }
 
 /// Starts logging to standard output through a writer that drops lines instead of blocking.
@@ -28,16 +40,35 @@
     json: bool,
 ) -> miette::Result<log_writer::LogWriter> {
     let writer = log_writer::LogWriter::new(std::io::stdout()).into_diagnostic()?;
-    let output: Box<dyn std::io::Write + Send> = Box::new(writer.clone());
-    init_with_output(output.into(), level, json).into_diagnostic()?;
+    let request_output = boxed(writer.clone());
+    let state_output = boxed(writer.with_own_limit());
+    let output = fern::Dispatch::new()
+        .chain(
+            fern::Dispatch::new()
+                .filter(|line| REQUEST_MODULES.contains(&line.target()))
+                .chain(request_output),
+        )
+        .chain(
+            fern::Dispatch::new()
+                .filter(|line| !REQUEST_MODULES.contains(&line.target()))
+                .chain(state_output),
+        );
+    init_with_output(output, level, json).into_diagnostic()?;
     Ok(writer)
 }
 
-fn init_with_output(
-    output: fern::Output,
+fn boxed(writer: log_writer::LogWriter) -> Box<dyn std::io::Write + Send> {
+    Box::new(writer)
+}
+
+fn init_with_output<Output>(
+    output: Output,
     level: log::LevelFilter,
     json: bool,
-) -> Result<(), log::SetLoggerError> {
+) -> Result<(), log::SetLoggerError>
+where
+    Output: Into<fern::Output>,
+{
     let format = if json { write_json } else { write_text };
     fern::Dispatch::new()
         .level(log::LevelFilter::Warn)
--- a/crates/comfreyspread/tests/log_writer.rs
+++ b/crates/comfreyspread/tests/log_writer.rs
@@ -63,3 +63,25 @@
         "each line is either written or counted as dropped"
     );
 }
+
+/// Guards against state lines lost behind the lines of requests: a handle with its own limit still
+/// writes when the other handle's limit is reached.
+#[test]
+fn own_limit() {
+    let (permit, permits) = mpsc::channel();
+    let (written, lines) = mpsc::channel();
+    let mut requests =
+        log_writer::LogWriter::new(SlowOutput { permits, written }).expect("a thread");
+    let mut state = requests.with_own_limit();
+    let limit = u64::from(log_writer::MAX_LINES_PER_S);
+    for _ in 0..limit * 2 {
+        requests.write_all(b"request\n").expect("the line is accepted");
+    }
+    state.write_all(b"state\n").expect("the line is accepted");
+    for _ in 0..limit * 2 {
+        permit.send(()).ok();
+    }
+    let is_state = |line: &Vec<u8>| line == b"state\n";
+    let mut received = std::iter::from_fn(|| lines.recv_timeout(TIMEOUT).ok());
+    assert!(received.any(|line| is_state(&line)), "the state line is written");
+}
