Hand large documents on within the zone, compressed

What callers saw: requests handled by routes up to 24 s old, 404 for routes that were there, homes that had moved.

Cause: a change of rows over 32 KB was not handed on between nodes, since it outlasted the timeout at a reader with a slow link; each node read it from the store instead. A document of 1,450 routes is some 400 KB, and the nodes of the other region share one link to the store: 30 copies for each change filled it, and stage traffic, heartbeats and later changes waited behind them. The timeline of the logs: all nodes late are those of the region without the store.

Change: large values are compressed where they are read from the store, kept and exchanged so, and decompressed where they are applied. The readers of a zone hand on up to 512 KB as sent, and a node waits for a transfer as long as one of its own copy's size may take. A node that does not say that it accepts compressed values gets plain ones.

--- a/crates/comfreyspread-lab/src/fleet.rs
+++ b/crates/comfreyspread-lab/src/fleet.rs
@@ -228,6 +228,11 @@
         self.store.request_count()
     }
 
+    /// Returns the size of all row values that the store sent, in encoded bytes.
+    pub fn store_sent_bytes(&self) -> u64 {
+        self.store.sent_bytes()
+    }
+
     /// Returns the address of an endpoint.
     ///
     /// # Errors
--- a/crates/comfreyspread-lab/src/fleet_store.rs
+++ b/crates/comfreyspread-lab/src/fleet_store.rs
@@ -21,6 +21,7 @@
     unresponsive_changes: atomic::AtomicU64,
     unresponsive: atomic::AtomicBool,
     request_count: atomic::AtomicU64,
+    sent_bytes: atomic::AtomicU64,
 }
 
 #[derive(Debug, Default)]
@@ -38,6 +39,7 @@
             unresponsive_changes: atomic::AtomicU64::new(0),
             unresponsive: atomic::AtomicBool::new(false),
             request_count: atomic::AtomicU64::new(0),
+            sent_bytes: atomic::AtomicU64::new(0),
         }
     }
 }
@@ -59,6 +61,17 @@
         self.request_count.load(atomic::Ordering::Relaxed)
     }
 
+    /// Returns the size of all row values sent so far, in encoded bytes.
+    pub fn sent_bytes(&self) -> u64 {
+        self.sent_bytes.load(atomic::Ordering::Relaxed)
+    }
+
+    fn count_sent(&self, rows: &[serde_json::Value]) {
+        let size = |row: &serde_json::Value| row["value"].as_str().map_or(0, str::len);
+        let bytes: usize = rows.iter().map(size).sum();
+        self.sent_bytes.fetch_add(u64::try_from(bytes).unwrap_or(0), atomic::Ordering::Relaxed);
+    }
+
     /// Sets a row, or removes it if `value` is none.
     pub fn put(&self, table: &str, key: &str, value: Option<ids::Text>) {
         let mut rows = self.rows.lock();
@@ -110,6 +123,7 @@
             let (rows, version) = self.read_rows(table, after, true);
             let timed_out = time::Instant::now() >= deadline;
             if !rows.is_empty() || timed_out || self.down.load(atomic::Ordering::Relaxed) {
+                self.count_sent(&rows);
                 return serde_json::json!({"rows": rows, "ver": version, "now_ms": 0});
             }
             let timer = async {
@@ -139,6 +153,7 @@
         match request.path() {
             "/v1/rows-get" => {
                 let (rows, version) = self.read_rows(table, 0, false);
+                self.count_sent(&rows);
                 let page = serde_json::json!({"rows": rows, "ver": version, "has_more": false});
                 stand_in_server::json_response(&page)
             }
--- a/crates/comfreyspread-lab/tests/table_exchange.rs
+++ b/crates/comfreyspread-lab/tests/table_exchange.rs
@@ -24,6 +24,25 @@
 /// Time between changes.
 const CHANGE_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
+/// Routes of a large document, beside those of the sample.
+const MANY_ROUTES: u64 = 1400;
+/// Nodes of a zone that may read one change from the store: its readers, and one to spare.
+const READS_PER_CHANGE: u64 = 3;
+
+/// Returns a document of several hundred kilobytes with this version.
+fn large_document(version: u64) -> serde_json::Value {
+    let mut document = gateway::route_document(version);
+    let sample = document["routes"][0].clone();
+    let routes = document["routes"].as_array_mut().expect("routes");
+    routes.extend((0..MANY_ROUTES).map(|number| {
+        let mut route = sample.clone();
+        route["name"] = format!("more-{number}").into();
+        route["prefix"] = format!("/more/{number}/").into();
+        route
+    }));
+    document
+}
+
 /// Returns the index of the node that reads the store.
 async fn reader_index(nodes: &[fleet::FleetNode]) -> usize {
     let (_, dump) = gateway::get(nodes[0].admin_address, "/dump").await;
@@ -79,6 +98,26 @@
     });
 }
 
+/// Guards against changes of a large document that every node reads from the store: these choked the
+/// links between regions, and nodes served by old routes for many seconds.
+#[test]
+fn large_change() {
+    with_nodes(async |fleet, nodes| {
+        fleet.set_route_document(&large_document(2));
+        wait_for_version(&nodes, 2).await;
+        let bytes_before = fleet.store_sent_bytes();
+        let encoded_bytes = large_document(3).to_string().len() as u64 * 4 / 3;
+        for version in 3..3 + CHANGES {
+            fleet.set_route_document(&large_document(version));
+            async_io::Timer::after(CHANGE_INTERVAL).await;
+        }
+        let elapsed = wait_for_version(&nodes, 2 + CHANGES).await;
+        assert!(elapsed < APPLY_LIMIT, "in force after {elapsed:?}");
+        let reads = (fleet.store_sent_bytes() - bytes_before) / encoded_bytes;
+        assert!(reads <= READS_PER_CHANGE * CHANGES, "{reads} reads of {CHANGES} changes");
+    });
+}
+
 /// A change reaches all nodes in time although the node that reads the store stalls or is killed
 /// immediately before.
 #[test]
--- a/crates/comfreyspread-policy/src/table_mirror.rs
+++ b/crates/comfreyspread-policy/src/table_mirror.rs
@@ -46,6 +46,7 @@
                 && !rows.iter().any(|row| row.key == known.key)
         });
         let removed = removed.map(|known| types::StoreRow {
+            compressed: false,
             key: known.key.clone(),
             value: None,
             version: version.max(known.version + 1),
@@ -64,6 +65,11 @@
         self.complete_version
     }
 
+    /// Returns the size of all values, in bytes as kept.
+    pub fn value_bytes(&self) -> usize {
+        self.rows.values().filter_map(|row| row.value.as_ref()).map(|value| value.len()).sum()
+    }
+
     /// Whether the table has been read from any source.
     pub fn is_loaded(&self) -> bool {
         self.loaded
--- a/crates/comfreyspread-policy/tests/table_mirror.rs
+++ b/crates/comfreyspread-policy/tests/table_mirror.rs
@@ -5,7 +5,8 @@
 use comfreyspread_schema::types;
 
 fn row(key: &str, version: u64, value: Option<&'static str>) -> types::StoreRow {
-    types::StoreRow { key: key.into(), value: value.map(|value| value.as_bytes().into()), version }
+    let value = value.map(|value| value.as_bytes().into());
+    types::StoreRow { compressed: false, key: key.into(), value, version }
 }
 
 #[test]
--- a/crates/comfreyspread/src/gateway/mod.rs
+++ b/crates/comfreyspread/src/gateway/mod.rs
@@ -7,7 +7,8 @@
 //!   [`piece_dispatch`] sends their pieces to the node that batches the service, and [`batcher`]
 //!   calls the endpoints there.
 //! - Tables: [`route_watcher`] and [`endpoint_watcher`] apply changes that [`table_watcher`] reads
-//!   through [`store_client`] or, from other nodes, [`table_exchange`]. [`state`] holds the result.
+//!   through [`store_client`] or, from other nodes, [`table_exchange`], where [`row_compression`]
+//!   keeps large rows small. [`state`] holds the result.
 //! - Process: [`process`] starts, serves and stops; [`admin_handler`] serves readiness, metrics and
 //!   dumps.
 
@@ -23,6 +24,7 @@
 pub mod produced_chunks;
 pub mod region_selector;
 pub mod route_watcher;
+pub mod row_compression;
 pub mod stage_execution;
 pub mod state;
 pub mod store_client;
--- a/crates/comfreyspread/src/gateway/table_exchange.rs
+++ b/crates/comfreyspread/src/gateway/table_exchange.rs
@@ -1,6 +1,6 @@
 //! Exchange of the rows of the store's tables with other nodes.
 
-use super::{state, table_watcher};
+use super::{row_compression, state, table_watcher};
 use crate::{
     membership::peer,
     transport::{deadline, failure, http_client, http_message, http_server},
@@ -14,11 +14,15 @@
 /// Path of a request for rows, answered by a [`types::TableReply`].
 pub const TABLE_PATH: &str = "/peer/tables";
 
-/// Timeout of a request for rows, in addition to the time for which it waits for changes.
-const PEER_TIMEOUT: time::Duration = time::Duration::from_millis(400);
-/// Maximum size of the changed rows in a reply to a long poll, in bytes; beyond it, the polling node
-/// reads the store itself.
-const MAX_REPLY_BYTES: usize = 32 * 1024;
+/// Timeout of a request for rows, in addition to the time for which it waits for changes and to that
+/// of a transfer as large as this node's copy.
+const PEER_TIMEOUT: time::Duration = time::Duration::from_millis(600);
+/// Rate in bytes a second at which a transfer from a node with a slow link to many others at once
+/// still arrives in time.
+const MIN_TRANSFER_RATE: f64 = 128.0 * 1024.0;
+/// Maximum size of the changed rows in a reply to a long poll, in bytes as sent; beyond it, the
+/// polling node reads the store itself.
+const MAX_REPLY_BYTES: usize = 512 * 1024;
 /// Time for which a node that starts waits to learn of another node of its zone.
 const JOIN_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 /// Interval at which it looks.
@@ -152,10 +156,20 @@
 where
     Watcher: table_watcher::TableWatcher,
 {
-    let after_version = state.store_tables.lock().table(Watcher::TABLE).mirror.complete_version();
-    let header = state.context.peer_header();
-    let message = types::TableRequest { after_version, header, table: Watcher::TABLE, wait };
-    let deadline = time::Instant::now() + wait + PEER_TIMEOUT;
+    let (after_version, bytes) = {
+        let mut tables = state.store_tables.lock();
+        let mirror = &tables.table(Watcher::TABLE).mirror;
+        (mirror.complete_version(), mirror.value_bytes())
+    };
+    let message = types::TableRequest {
+        accepts_compressed: true,
+        after_version,
+        header: state.context.peer_header(),
+        table: Watcher::TABLE,
+        wait,
+    };
+    let transfer_time = time::Duration::from_secs_f64(bytes as f64 / MIN_TRANSFER_RATE);
+    let deadline = time::Instant::now() + wait + PEER_TIMEOUT + transfer_time;
     let connection = http_client::ConnectionUse::Pooled;
     peer::exchange(&state.context, address, TABLE_PATH, &message, connection, deadline).await
 }
@@ -220,6 +234,7 @@
         rows: table.mirror.rows_after(message.after_version),
         version: table.mirror.complete_version(),
     };
+    drop(tables);
     let size = |row: &types::StoreRow| row.value.as_ref().map_or(0, |value| value.len());
     let bytes: usize = reply.rows.iter().map(size).sum();
     let has_copy = message.after_version > 0;
@@ -229,5 +244,8 @@
         reply.loaded = false;
         reply.remaining_freshness = time::Duration::ZERO;
     }
+    if !message.accepts_compressed {
+        reply.rows = row_compression::decompress_rows(reply.rows);
+    }
     (reply, withheld)
 }
--- a/crates/comfreyspread/src/gateway/table_watcher.rs
+++ b/crates/comfreyspread/src/gateway/table_watcher.rs
@@ -2,7 +2,7 @@
 //! store or at the node that reads the store for this node's availability zone. While the store
 //! does not respond to this node, rows are fetched from other nodes.
 
-use super::{state, store_client, table_exchange};
+use super::{row_compression, state, store_client, table_exchange};
 use crate::transport::failure;
 use comfreyspread_policy::{table_freshness, table_mirror, table_source};
 use comfreyspread_schema::types;
@@ -160,11 +160,10 @@
     if *full_read {
         let page = state.store.read_table(Watcher::NAME).await?;
         *full_read = false;
-        let changed_rows = {
-            let mut tables = state.store_tables.lock();
-            tables.table(Watcher::TABLE).mirror.replace(page.rows, page.version)
-        };
-        watcher.apply_rows(state, changed_rows);
+        let rows = row_compression::compress_rows(page.rows);
+        let changed_rows =
+            state.store_tables.lock().table(Watcher::TABLE).mirror.replace(rows, page.version);
+        watcher.apply_rows(state, row_compression::decompress_rows(changed_rows));
         state.tables_changed.notify(usize::MAX);
         return Ok(false);
     }
@@ -181,7 +180,8 @@
         }
         store_client::StoreFeed::Changes(page) => {
             let changed = !page.rows.is_empty();
-            merge_rows(state, watcher, page.rows, page.version);
+            let rows = row_compression::compress_rows(page.rows);
+            merge_rows(state, watcher, rows, page.version);
             Ok(changed)
         }
     }
@@ -198,7 +198,7 @@
 {
     let changed_rows = state.store_tables.lock().table(Watcher::TABLE).mirror.merge(rows, version);
     if !changed_rows.is_empty() {
-        watcher.apply_rows(state, changed_rows);
+        watcher.apply_rows(state, row_compression::decompress_rows(changed_rows));
         state.tables_changed.notify(usize::MAX);
     }
 }
