Batch pieces for the region of their request where no node of it serves

What callers would see: a request limited to a region ran its stages in another (HOME). Where no node of the request's region serves, or three batching nodes failed in turn, the node that has the request batches the pieces itself; the batcher then called the endpoints of the node's own region, whatever region the group named.

Cause: one queue a service, and the region taken from the node's settings. Class: a decision that is made from one source and carried out from another. Now there is a queue a service and region, and the scope that the group names decides which endpoints are called.

Evidence: home_regions stages_at_home, with the region taken from the settings as before: [worker-1, worker-2, worker-1, home-engine, worker-2]; with the change only endpoints at home.

--- a/crates/comfreyspread-lab/src/fleet.rs
+++ b/crates/comfreyspread-lab/src/fleet.rs
@@ -168,7 +168,7 @@
         Ok(fleet)
     }
 
-    /// Adds an endpoint.
+    /// Adds an endpoint in availability zone `a`.
     ///
     /// # Errors
     ///
@@ -178,6 +178,22 @@
         name: &str,
         service: &str,
         kind: EndpointKind,
+    ) -> miette::Result<()> {
+        self.add_endpoint_in("a", name, service, kind).await
+    }
+
+    /// Adds an endpoint in an availability zone: `a` is in region `r`, that of the nodes, and `b` in
+    /// region `s`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port is free.
+    pub async fn add_endpoint_in(
+        &mut self,
+        zone: &str,
+        name: &str,
+        service: &str,
+        kind: EndpointKind,
     ) -> miette::Result<()> {
         let handler = sync::Arc::new(EndpointHandler {
             name: name.into(),
@@ -191,7 +207,7 @@
         handler.address.get_or_init(|| address);
         self.endpoints.insert(name.into(), handler);
         let registration = serde_json::json!({
-            "service": service, "address": address, "zone": "a", "slots": 4, "state": "ready",
+            "service": service, "address": address, "zone": zone, "slots": 4, "state": "ready",
             "cold_left_ms": 0, "seq": 1, "born": 1,
         });
         self.store.put("servers", name, Some(registration.to_string().into()));
@@ -305,7 +321,7 @@
             env::temp_dir().join(format!("comfreyspread-fleet-{}.conf", caller_address.port()));
         let seeds: Vec<_> = seeds.iter().chain([&peer_address]).map(ToString::to_string).collect();
         let text = format!(
-            "node_name={name}\nzone=a\nregion=r\nzones.a=r\nlisten.front={caller_address}\n\
+            "node_name={name}\nzone=a\nregion=r\nzones.a=r\nzones.b=s\nlisten.front={caller_address}\n\
              listen.ready={admin_address}\nlisten.control={peer_address}\nseeds={}\n\
              platform.address={}\nlimits.memory_mb=260\nlimits.max_fds=4100\n\
              heartbeat_ms={HEARTBEAT_MS}\nbounds.contact_ms=4000\nbounds.drain_ms=2500\n\
--- /dev/null
+++ b/crates/comfreyspread-lab/tests/home_regions.rs
@@ -0,0 +1,56 @@
+//! Requests limited to regions reach no endpoint elsewhere. All nodes are in region `r`.
+
+mod common;
+
+use comfreyspread_lab::fleet;
+use common::gateway;
+use std::time;
+
+const HOME_REGION: &str = "s";
+const CONFIG_VERSION: u64 = 2;
+
+/// Returns the sample document with the routes of this name limited to the home region.
+fn limited_document(version: u64, route_name: &str) -> serde_json::Value {
+    let mut document = gateway::route_document(version);
+    for route in document["routes"].as_array_mut().expect("routes") {
+        if route["name"] == route_name {
+            route["allowed_regions"] = serde_json::json!([HOME_REGION]);
+        }
+    }
+    document
+}
+
+async fn add_home_endpoints(fleet: &mut fleet::FleetStandIn) {
+    for (name, service, kind) in [
+        ("home-engine", "engine", fleet::EndpointKind::Engine),
+        ("home-ledger", "ledger", fleet::EndpointKind::Plain),
+        ("home-prepare", "prepare", fleet::EndpointKind::Worker),
+    ] {
+        fleet.add_endpoint_in("b", name, service, kind).await.expect("a free port");
+    }
+}
+
+/// Returns the endpoints that received a request or pieces.
+fn reached(fleet: &fleet::FleetStandIn) -> Vec<String> {
+    fleet.records().into_iter().map(|record| record.endpoint.to_string()).collect()
+}
+
+fn all_at_home(endpoints: &[String]) -> bool {
+    endpoints.iter().all(|endpoint| endpoint.starts_with("home-"))
+}
+
+/// Guards against stages that run in the node's own region while no node serves in the home region.
+#[test]
+fn stages_at_home() {
+    gateway::with_fleet(async |mut fleet| {
+        add_home_endpoints(&mut fleet).await;
+        fleet.set_route_document(&limited_document(CONFIG_VERSION, "report"));
+        let node = gateway::start_nodes(&fleet, 1).await.remove(0);
+        let request = gateway::staged_request(node.caller_address, "staged", "2,1");
+        let (status, _) = gateway::send(node.caller_address, request).await;
+        let endpoints = reached(&fleet);
+        assert!(all_at_home(&endpoints), "{endpoints:?}");
+        assert_eq!(status, 200);
+        assert!(endpoints.contains(&"home-prepare".into()), "{endpoints:?}");
+    });
+}
--- a/crates/comfreyspread/src/gateway/admin_handler.rs
+++ b/crates/comfreyspread/src/gateway/admin_handler.rs
@@ -1,13 +1,13 @@
 //! Readiness checks of the platform, metrics, a dump of the node's state, and operator requests.
 
-use super::state;
+use super::{batcher, state};
 use crate::{
     ingress::front,
     operations::operator_api,
     transport::{http_message, http_server},
 };
 use comfreyspread_policy::endpoint_directory;
-use comfreyspread_schema::{ids, types};
+use comfreyspread_schema::types;
 use http::StatusCode;
 use std::{sync, time};
 
@@ -40,9 +40,10 @@
                 service: endpoint.registration.service.clone(),
                 zone: endpoint.registration.zone.clone(),
             };
-        let batch_view = |(service, (waiting, calls)): (&ids::ServiceName, (usize, usize))| {
+        let batch_view = |(scope, (waiting, calls)): (&batcher::BatchScope, (usize, usize))| {
             let (waiting, calls) = (count(waiting), count(calls));
-            types::BatchView { calls, service: service.clone(), waiting }
+            let (service, region) = (scope.service.clone(), scope.region.clone());
+            types::BatchView { calls, region, service, waiting }
         };
         let members = state.context.tables.members.lock().live().cloned().collect();
         let endpoints = state.directory.lock().endpoints().map(endpoint_view).collect();
--- a/crates/comfreyspread/src/gateway/batcher.rs
+++ b/crates/comfreyspread/src/gateway/batcher.rs
@@ -1,6 +1,7 @@
-//! Calls to stage services, sent by the node that batches a service for its region.
+//! Calls to stage services, sent by the node that batches a service for a region: as a rule one of
+//! that region, else the node that has the pieces.
 //!
-//! One task per service schedules the calls; new pieces, finished calls, released results and
+//! One task per service and region schedules the calls; new pieces, finished calls, released results and
 //! endpoint changes wake it. [`batch_queue`] makes the decisions.
 
 use super::state;
@@ -18,7 +19,7 @@
 const MAX_RESPONSE_BYTES: usize = 1024 * 1024;
 /// Timeout of a call that releases results.
 const RELEASE_TIMEOUT: time::Duration = time::Duration::from_millis(500);
-/// Maximum sleep of a service's task while pieces are queued.
+/// Maximum sleep of a task while pieces are queued.
 const MAX_SLEEP: time::Duration = time::Duration::from_millis(250);
 const OK_STATUS: u16 = 200;
 /// Number of priorities for which waits are reported separately.
@@ -27,10 +28,19 @@
 /// Outcomes of the pieces of a group, in their order.
 pub type GroupOutcomes = Vec<types::PieceOutcome>;
 
-/// Batchers of the stage services, by name.
+/// A stage service, and the region whose endpoints are called.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct BatchScope {
+    /// Name of the service.
+    pub service: ids::ServiceName,
+    /// Region of the endpoints.
+    pub region: ids::RegionId,
+}
+
+/// Batchers of the stage services.
 #[derive(Default)]
 pub struct BatcherTable {
-    services: IndexMap<ids::ServiceName, ServiceBatcher>,
+    scopes: IndexMap<BatchScope, ServiceBatcher>,
 }
 
 /// Queue of a service, the groups waiting for outcomes, and the wakeup of its task.
@@ -42,35 +52,35 @@
 
 impl fmt::Debug for BatcherTable {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.debug_struct("BatcherTable").field("services", &self.services.len()).finish()
+        formatter.debug_struct("BatcherTable").field("scopes", &self.scopes.len()).finish()
     }
 }
 
 impl BatcherTable {
     /// Wakes the tasks of all services.
     pub fn wake_all(&self) {
-        for batcher in self.services.values() {
+        for batcher in self.scopes.values() {
             batcher.wake.try_send(()).ok();
         }
     }
 
-    /// Returns the number of queued pieces and of running calls, by service.
-    pub fn loads(&self) -> impl Iterator<Item = (&ids::ServiceName, (usize, usize))> {
-        self.services.iter().map(|(service, batcher)| (service, batcher.queue.load()))
+    /// Returns the number of queued pieces and of running calls, by service and region.
+    pub fn loads(&self) -> impl Iterator<Item = (&BatchScope, (usize, usize))> {
+        self.scopes.iter().map(|(scope, batcher)| (scope, batcher.queue.load()))
     }
 }
 
 /// A group whose outcomes are awaited; dropping this cancels the group.
 struct WaitingGroup<'state> {
     state: &'state state::GatewayState,
-    service: ids::ServiceName,
+    scope: BatchScope,
     number: piece_group::GroupNumber,
 }
 
 impl Drop for WaitingGroup<'_> {
     fn drop(&mut self) {
         let mut batchers = self.state.batchers.lock();
-        if let Some(batcher) = batchers.services.get_mut(&self.service) {
+        if let Some(batcher) = batchers.scopes.get_mut(&self.scope) {
             batcher.waiting.swap_remove(&self.number);
             batcher.queue.cancel(self.number);
         }
@@ -80,40 +90,40 @@
 /// Runs a group of pieces and returns their outcomes.
 pub async fn run_group(
     state: &sync::Arc<state::GatewayState>,
-    service: &ids::ServiceName,
+    scope: &BatchScope,
     group: piece_group::PieceGroup,
 ) -> GroupOutcomes {
     let unreachable = types::PieceOutcome::Failed(types::PieceError::Unreachable);
     let unreachable = vec![unreachable; group.tasks.len()];
-    let Some((_waiting, outcomes)) = enqueue(state, service, group) else {
-        log::warn!(service = service.as_ref(); "batcher: not a stage service");
+    let Some((_waiting, outcomes)) = enqueue(state, scope, group) else {
+        log::warn!(service = scope.service.as_ref(); "batcher: not a stage service");
         return unreachable;
     };
     outcomes.recv().await.unwrap_or(unreachable)
 }
 
-/// Returns the expected wait of new pieces of a service, by priority of their request.
-pub fn waits(state: &state::GatewayState, service: &ids::ServiceName) -> Vec<types::PriorityWait> {
+/// Returns the expected wait of new pieces, by priority of their request.
+pub fn waits(state: &state::GatewayState, scope: &BatchScope) -> Vec<types::PriorityWait> {
     let now = time::Instant::now();
     let batchers = state.batchers.lock();
-    let Some(batcher) = batchers.services.get(service) else { return Vec::new() };
+    let Some(batcher) = batchers.scopes.get(scope) else { return Vec::new() };
     let wait = |priority| types::PriorityWait { wait: batcher.queue.expected_wait(priority, now) };
     (0..REPORTED_PRIORITIES).map(wait).collect()
 }
 
-/// Adds a group to its service's queue, creating the queue and its task if needed. Returns `None`
-/// if the service runs no pieces.
+/// Adds a group to the queue of its service and region, creating the queue and its task if needed.
+/// Returns `None` if the service runs no pieces.
 fn enqueue<'state>(
     state: &'state sync::Arc<state::GatewayState>,
-    service: &ids::ServiceName,
+    scope: &BatchScope,
     group: piece_group::PieceGroup,
 ) -> Option<(WaitingGroup<'state>, async_channel::Receiver<GroupOutcomes>)> {
-    let capacity = state.routes().service(service)?.stage_capacity.clone()?;
+    let capacity = state.routes().service(&scope.service)?.stage_capacity.clone()?;
     let (sender, outcomes) = async_channel::bounded(1);
     let mut batchers = state.batchers.lock();
-    let batcher = batchers.services.entry(service.clone()).or_insert_with(|| {
+    let batcher = batchers.scopes.entry(scope.clone()).or_insert_with(|| {
         let (wake, wakeups) = async_channel::bounded(1);
-        state.context.spawner.detach(run_service(state.clone(), service.clone(), wakeups));
+        state.context.spawner.detach(run_scope(state.clone(), scope.clone(), wakeups));
         let queue = batch_queue::BatchQueue::new(capacity.clone());
         ServiceBatcher { queue, waiting: IndexMap::new(), wake }
     });
@@ -122,13 +132,13 @@
     batcher.waiting.insert(number, sender);
     batcher.wake.try_send(()).ok();
     drop(batchers);
-    Some((WaitingGroup { state, service: service.clone(), number }, outcomes))
+    Some((WaitingGroup { state, scope: scope.clone(), number }, outcomes))
 }
 
 /// Releases results that are no longer needed.
 pub fn release(
     state: &sync::Arc<state::GatewayState>,
-    service: &ids::ServiceName,
+    scope: &BatchScope,
     handles: &[ids::ResultHandle],
 ) {
     let mut producers = IndexMap::<_, Vec<_>>::new();
@@ -140,11 +150,11 @@
     }
     for (producer, released) in producers {
         let task_state = state.clone();
-        let service = service.clone();
+        let scope = scope.clone();
         state.context.spawner.detach(async move {
             send_release(&task_state, producer, &released).await;
             let mut batchers = task_state.batchers.lock();
-            if let Some(batcher) = batchers.services.get_mut(&service) {
+            if let Some(batcher) = batchers.scopes.get_mut(&scope) {
                 batcher.queue.remove_results(&released);
                 batcher.wake.try_send(()).ok();
             }
@@ -166,14 +176,14 @@
     }
 }
 
-/// Schedules the calls of one service until the process ends.
-async fn run_service(
+/// Schedules the calls of one service in one region until the process ends.
+async fn run_scope(
     state: sync::Arc<state::GatewayState>,
-    service: ids::ServiceName,
+    scope: BatchScope,
     wakeups: async_channel::Receiver<()>,
 ) {
     loop {
-        let next_wakeup = dispatch_calls(&state, &service);
+        let next_wakeup = dispatch_calls(&state, &scope);
         let wakeup = async {
             wakeups.recv().await.ok();
         };
@@ -194,13 +204,12 @@
 /// again if nothing wakes the task earlier.
 fn dispatch_calls(
     state: &sync::Arc<state::GatewayState>,
-    service: &ids::ServiceName,
+    scope: &BatchScope,
 ) -> Option<time::Instant> {
     let now = time::Instant::now();
-    let region = &state.settings.region;
     let workers: Vec<_> = {
         let directory = state.directory.lock();
-        let usable = directory.usable(service, Some(region));
+        let usable = directory.usable(&scope.service, Some(&scope.region));
         let location =
             |endpoint: &endpoint_directory::DirectoryEndpoint| batch_worker::WorkerLocation {
                 endpoint: endpoint.registration.endpoint.clone(),
@@ -210,7 +219,7 @@
         usable.map(location).collect()
     };
     let mut batchers = state.batchers.lock();
-    let batcher = batchers.services.get_mut(service)?;
+    let batcher = batchers.scopes.get_mut(scope)?;
     batcher.queue.set_workers(workers.into_iter(), now);
     for group in batcher.queue.take_completed(now) {
         if let Some(sender) = batcher.waiting.swap_remove(&group.number) {
@@ -219,8 +228,8 @@
     }
     for call in batcher.queue.plan(now) {
         let task_state = state.clone();
-        let service = service.clone();
-        state.context.spawner.detach(async move { run_call(&task_state, &service, call).await });
+        let scope = scope.clone();
+        state.context.spawner.detach(async move { run_call(&task_state, &scope, call).await });
     }
     batcher.queue.next_wakeup(now)
 }
@@ -228,7 +237,7 @@
 /// Runs one call and records its outcome.
 async fn run_call(
     state: &sync::Arc<state::GatewayState>,
-    service: &ids::ServiceName,
+    scope: &BatchScope,
     call: batch_queue::PlannedCall,
 ) {
     let started = time::Instant::now();
@@ -237,17 +246,17 @@
     let elapsed = now.saturating_duration_since(started);
     let completed = outcome.completed();
     state.context.metrics.stages.count_call(call.tasks.len(), completed, elapsed);
-    log::info!(service = service.as_ref(), endpoint = call.endpoint.as_ref(),
+    log::info!(service = scope.service.as_ref(), endpoint = call.endpoint.as_ref(),
         pieces = call.tasks.len(), made = completed.unwrap_or(0), ended = outcome.as_str(),
         took_ms = elapsed.as_millis() as u64; "batcher: call ended");
     let mut unneeded = Vec::new();
     let mut batchers = state.batchers.lock();
-    if let Some(batcher) = batchers.services.get_mut(service) {
+    if let Some(batcher) = batchers.scopes.get_mut(scope) {
         unneeded = batcher.queue.finish_call(call.number, &outcome, now);
         batcher.wake.try_send(()).ok();
     }
     drop(batchers);
-    release(state, service, &unneeded);
+    release(state, scope, &unneeded);
 }
 
 async fn send_call(
--- a/crates/comfreyspread/src/gateway/piece_dispatch.rs
+++ b/crates/comfreyspread/src/gateway/piece_dispatch.rs
@@ -37,6 +37,12 @@
     pub group: piece_group::PieceGroup,
 }
 
+impl StageGroup {
+    fn scope(&self) -> batcher::BatchScope {
+        batcher::BatchScope { service: self.service.clone(), region: self.region.clone() }
+    }
+}
+
 /// Runs the pieces of a stage and returns their outcomes. Batching nodes that fail are ejected, and
 /// this node batches the pieces itself if none is left to try.
 pub async fn run(
@@ -60,7 +66,7 @@
             }
         }
     }
-    batcher::run_group(state, &stage_group.service, stage_group.group.clone()).await
+    batcher::run_group(state, &stage_group.scope(), stage_group.group.clone()).await
 }
 
 /// Sends pieces to the node that batches their service and returns the outcomes it reports.
@@ -143,9 +149,10 @@
     if handles.is_empty() {
         return;
     }
+    let scope = batcher::BatchScope { service: service.clone(), region: region.clone() };
     let (_, address) = state.batching_node(service, region);
     let Some(address) = address else {
-        batcher::release(state, service, &handles);
+        batcher::release(state, &scope, &handles);
         return;
     };
     let header = state.context.peer_header();
@@ -160,7 +167,7 @@
             peer::exchange(context, address, path, &message, connection, deadline).await;
         if let Err(failure) = receipt {
             log::debug!("pieces: release not delivered, released directly. error={failure}");
-            batcher::release(&task_state, &message.service, &message.handles);
+            batcher::release(&task_state, &scope, &message.handles);
         }
     });
 }
@@ -196,6 +203,11 @@
         Self { state }
     }
 
+    /// Returns the scope of messages that name no region: they go to a node of the region.
+    fn own_scope(&self, service: ids::ServiceName) -> batcher::BatchScope {
+        batcher::BatchScope { service, region: self.state.settings.region.clone() }
+    }
+
     async fn run(
         &self,
         request: &http_server::ServerRequest,
@@ -212,7 +224,8 @@
             inputs_expire_at: (!message.inputs_expire_in.is_zero())
                 .then(|| now + message.inputs_expire_in),
         };
-        let outcomes = batcher::run_group(&self.state, &message.service, group);
+        let scope = batcher::BatchScope { service: message.service, region: message.region };
+        let outcomes = batcher::run_group(&self.state, &scope, group);
         let outcomes = request
             .connection_monitor()
             .run_while_connected(outcomes)
@@ -228,7 +241,7 @@
     ) -> Result<http_message::Response, failure::CallFailure> {
         let message: types::WaitRequest = peer::decode_message(&self.state.context, request)?;
         let header = self.state.context.peer_header();
-        let waits = batcher::waits(&self.state, &message.service);
+        let waits = batcher::waits(&self.state, &self.own_scope(message.service));
         peer::encode_reply(&types::WaitReply { header, waits })
     }
 
@@ -237,7 +250,7 @@
         request: &http_server::ServerRequest,
     ) -> Result<http_message::Response, failure::CallFailure> {
         let message: types::ResultRelease = peer::decode_message(&self.state.context, request)?;
-        batcher::release(&self.state, &message.service, &message.handles);
+        batcher::release(&self.state, &self.own_scope(message.service), &message.handles);
         peer::encode_reply(&types::ResultReleaseReply { header: self.state.context.peer_header() })
     }
 }
--- a/crates/comfreyspread/src/gateway/region_selector.rs
+++ b/crates/comfreyspread/src/gateway/region_selector.rs
@@ -84,7 +84,8 @@
 ) {
     let (_, address) = state.batching_node(&service, &region);
     let Some(address) = address else {
-        let waits = batcher::waits(state, &service);
+        let scope = batcher::BatchScope { service: service.clone(), region: region.clone() };
+        let waits = batcher::waits(state, &scope);
         state.waits.lock().update(&service, &region, waits, time::Instant::now());
         return;
     };
