Choose regions by the routes in force when a request is sent

What callers would see: a request ran outside its home region (HOME) although the change that moved its homes was in force. The allowed regions were those of the route table at arrival; a request that waits at stages, is retried or resumed was sent by them up to its deadline of 6 s (20 s for chats), longer than a change may take to be in force. The trace shows sends up to 3 s after the same node had applied the next version.

Class: decided early, carried out late. The allowed regions are now looked up at each attempt, resume and choice of region, and stages stop once their region is no longer allowed; the caller is told that the request has not run. A removed route keeps its regions for requests in flight.

Evidence: home_regions homes_moved with the lookup off: retry at ledger-2 in the old region; with it: home-ledger.

--- a/crates/comfreyspread-lab/tests/home_regions.rs
+++ b/crates/comfreyspread-lab/tests/home_regions.rs
@@ -4,10 +4,15 @@
 
 use comfreyspread_lab::fleet;
 use common::gateway;
-use std::time;
+use futures_util::future;
+use std::{sync::atomic, time};
 
 const HOME_REGION: &str = "s";
 const CONFIG_VERSION: u64 = 2;
+/// Time until a change is in force on the node.
+const APPLY_TIME: time::Duration = time::Duration::from_millis(900);
+/// Delay of an answer that gets lost, longer than [`APPLY_TIME`].
+const ANSWER_DELAY_MS: u64 = 1500;
 
 /// Returns the sample document with the routes of this name limited to the home region.
 fn limited_document(version: u64, route_name: &str) -> serde_json::Value {
@@ -54,3 +59,29 @@
         assert!(endpoints.contains(&"home-prepare".into()), "{endpoints:?}");
     });
 }
+
+/// Guards against retries in a region that was allowed when the request arrived and no longer is.
+#[test]
+fn homes_moved() {
+    gateway::with_fleet(async |mut fleet| {
+        add_home_endpoints(&mut fleet).await;
+        let node = gateway::start_nodes(&fleet, 1).await.remove(0);
+        for endpoint in ["ledger-1", "ledger-2", "home-ledger"] {
+            let faults = fleet.faults(endpoint);
+            faults.delay_ms.store(ANSWER_DELAY_MS, atomic::Ordering::Relaxed);
+            faults.lose_answers.store(true, atomic::Ordering::Relaxed);
+        }
+        let request = gateway::request(node.caller_address, "/read/x", "moved");
+        let change = async {
+            async_io::Timer::after(APPLY_TIME / 3).await;
+            let before = reached(&fleet).len();
+            fleet.set_route_document(&limited_document(CONFIG_VERSION, "read"));
+            async_io::Timer::after(APPLY_TIME).await;
+            before
+        };
+        let (_, before) = future::join(gateway::send(node.caller_address, request), change).await;
+        let later = reached(&fleet).split_off(before);
+        assert_eq!(before, 1, "the first attempt is sent before the change");
+        assert_eq!(later, ["home-ledger"], "the retry goes to the region allowed now");
+    });
+}
--- a/crates/comfreyspread-policy/src/route_table.rs
+++ b/crates/comfreyspread-policy/src/route_table.rs
@@ -68,6 +68,19 @@
         self.keys.get(key)
     }
 
+    /// Returns the regions that may serve a request to a host and path with this key; `None` allows
+    /// all. No value if no route matches.
+    pub fn regions_for(
+        &self,
+        host: &str,
+        path: &str,
+        key: Option<&str>,
+    ) -> Option<Option<Vec<ids::RegionId>>> {
+        let route = self.find(host, path)?;
+        let workspace = key.and_then(|key| self.workspace(key));
+        Some(allowed_regions(route, workspace.map(AsRef::as_ref)))
+    }
+
     /// Whether requests need a key, except on public routes.
     pub fn needs_key(&self) -> bool {
         !self.keys.is_empty()
--- a/crates/comfreyspread/src/gateway/call_plan.rs
+++ b/crates/comfreyspread/src/gateway/call_plan.rs
@@ -22,8 +22,8 @@
     pub service: sync::Arc<types::ServiceRule>,
     /// Workspace of the caller.
     pub workspace: Option<sync::Arc<types::WorkspaceRule>>,
-    /// Regions allowed to run the request; `None` for all.
-    pub regions: Option<Vec<ids::RegionId>>,
+    /// Regions allowed to run the request at its arrival; `None` for all.
+    regions: Option<Vec<ids::RegionId>>,
     /// Arrival time.
     pub arrived: time::Instant,
     /// Time by which a response meets the latency target.
@@ -138,6 +138,24 @@
         status == suspect::SuspectStatus::Convicted
     }
 
+    /// Returns the regions now allowed to run the request; `None` for all. A request may wait at
+    /// stages or be retried for longer than a change takes to be in force. While it is in flight, a
+    /// removed route keeps its regions.
+    pub fn allowed_regions(&self, state: &state::GatewayState) -> Option<Vec<ids::RegionId>> {
+        let routes = state.routes();
+        if routes.version() == self.version {
+            return self.regions.clone();
+        }
+        let current =
+            routes.regions_for(&self.call.host, &self.call.path, self.call.api_key.as_deref());
+        current.unwrap_or_else(|| self.regions.clone())
+    }
+
+    /// Whether a region is now allowed to run the request.
+    pub fn allows_region(&self, state: &state::GatewayState, region: &ids::RegionId) -> bool {
+        self.allowed_regions(state).is_none_or(|allowed| allowed.contains(region))
+    }
+
     /// Returns the priority of the request; zero is the highest.
     pub fn priority(&self) -> u32 {
         let own = self.workspace.as_ref().and_then(|workspace| workspace.priority);
--- a/crates/comfreyspread/src/gateway/region_selector.rs
+++ b/crates/comfreyspread/src/gateway/region_selector.rs
@@ -47,10 +47,11 @@
     plan: &call_plan::CallPlan,
     services: &[ids::ServiceName],
 ) -> Vec<ids::RegionId> {
+    let allowed = plan.allowed_regions(state);
     let directory = state.directory.lock();
     let is_candidate = |region: &&ids::RegionId| {
         let has_endpoint = |service: &str| directory.usable(service, Some(region)).next().is_some();
-        plan.regions.as_ref().is_none_or(|allowed| allowed.contains(region))
+        allowed.as_ref().is_none_or(|allowed| allowed.contains(region))
             && services.iter().all(|service| has_endpoint(service))
             && has_endpoint(&plan.service.name)
     };
--- a/crates/comfreyspread/src/gateway/stage_execution.rs
+++ b/crates/comfreyspread/src/gateway/stage_execution.rs
@@ -76,6 +76,7 @@
     ) -> Result<(), failure::CallFailure> {
         let mut running = FuturesUnordered::new();
         while !self.graph.is_complete() {
+            self.check_region(plan)?;
             for stage in self.graph.start_ready() {
                 running.push(run_stage(self.state.clone(), stage, self.stage_group(plan, stage)));
             }
@@ -88,6 +89,18 @@
         Ok(())
     }
 
+    /// Rejects a request whose stages run in a region that is no longer allowed; planned anew, it
+    /// runs elsewhere.
+    fn check_region(&self, plan: &call_plan::CallPlan) -> Result<(), failure::CallFailure> {
+        if plan.allows_region(&self.state, &self.region) {
+            return Ok(());
+        }
+        log::info!(request = plan.call.request.as_ref(), region = self.region.as_ref(),
+            version = plan.version; "stages: region no longer allowed");
+        let detail = format!("region {} is no longer allowed", self.region);
+        Err(call_plan::CallPlan::not_run(types::ProblemKind::Unavailable, &detail))
+    }
+
     /// Discards the output results after the request found them lost, so that they are recomputed.
     ///
     /// # Errors
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -96,10 +96,11 @@
     ) -> Result<attempt_send::StartedAttempt, attempt_send::FailedAttempt> {
         let number = self.history.next_number();
         let inputs = self.stages.outputs();
+        let regions = self.plan.allowed_regions(&self.state);
         let input = attempt_send::AttemptInput {
             tried: self.history.tried(),
             preferred_region: self.stages.region(),
-            regions: self.plan.regions.as_deref(),
+            regions: regions.as_deref(),
             inputs: &inputs,
             resume_after: self.last_event,
             number,
--- a/crates/comfreyspread/src/gateway/unary_run.rs
+++ b/crates/comfreyspread/src/gateway/unary_run.rs
@@ -50,10 +50,11 @@
         state: &sync::Arc<state::GatewayState>,
     ) -> Result<http_message::Response, attempt_send::FailedAttempt> {
         let number = self.history.next_number();
+        let regions = self.plan.allowed_regions(state);
         let input = attempt_send::AttemptInput {
             tried: self.history.tried(),
             preferred_region: &state.settings.region,
-            regions: self.plan.regions.as_deref(),
+            regions: regions.as_deref(),
             inputs: &[],
             resume_after: None,
             number,
--- a/crates/comfreyspread/tests/row_compression.rs
+++ b/crates/comfreyspread/tests/row_compression.rs
@@ -15,7 +15,8 @@
 /// Guards against large documents that are handed on in full: similar routes take a fraction.
 #[test]
 fn large_values() {
-    let text: String = (0..1400).map(|number| format!("{{\"name\":\"route-{number}\"}},")).collect();
+    let text: String =
+        (0..1400).map(|number| format!("{{\"name\":\"route-{number}\"}},")).collect();
     let plain = vec![row(text.clone().into_bytes())];
     let compressed = row_compression::compress_rows(plain.clone());
     let size = compressed[0].value.as_ref().expect("a value").len();
