Log endpoint, prompt parts and progress when an endpoint crashes

The line named the request and the digest of its body only. It could not be told whether two lines meant one crash, which requests of the endpoint had begun to answer, and what those that had not have in common.

--- a/crates/comfreyspread/src/gateway/attempt_history.rs
+++ b/crates/comfreyspread/src/gateway/attempt_history.rs
@@ -67,7 +67,7 @@
         if failed.failure.crashed()
             && let Some(address) = failed.address
         {
-            plan.detect_crash(state, address);
+            plan.detect_crash(state, endpoint, address, false);
         }
         let was_tried = self.tried.contains(endpoint);
         if !was_tried {
--- a/crates/comfreyspread/src/gateway/attempt_send.rs
+++ b/crates/comfreyspread/src/gateway/attempt_send.rs
@@ -35,6 +35,8 @@
     state: sync::Arc<state::GatewayState>,
     /// The selected endpoint.
     pub chosen: endpoint_directory::ChosenEndpoint,
+    /// Whether a complete event of the response has arrived.
+    pub has_events: bool,
     started: time::Instant,
     finished: bool,
 }
@@ -115,7 +117,13 @@
         let failure = call_plan::CallPlan::not_run(types::ProblemKind::Unavailable, &detail);
         return Err(FailedAttempt { endpoint: None, address: None, failure, inputs_gone: false });
     };
-    let mut active = ActiveAttempt { state: state.clone(), chosen, started: now, finished: false };
+    let mut active = ActiveAttempt {
+        state: state.clone(),
+        chosen,
+        has_events: false,
+        started: now,
+        finished: false,
+    };
     log::info!(request = plan.call.request.as_ref(), attempt = input.number,
         endpoint = active.chosen.endpoint.as_ref(),
         left_ms = plan.time_left(now).as_millis() as u64; "attempt: sent");
--- a/crates/comfreyspread/src/gateway/call_plan.rs
+++ b/crates/comfreyspread/src/gateway/call_plan.rs
@@ -108,16 +108,25 @@
     /// Checks whether an endpoint that broke the connection has crashed, and records the crash for
     /// the request.
     ///
-    /// A lost response alone is no crash: the endpoint must refuse a new connection.
-    pub fn detect_crash(&self, state: &sync::Arc<state::GatewayState>, address: net::SocketAddr) {
+    /// A lost response alone is no crash: the endpoint must refuse a new connection. `began` tells
+    /// whether the endpoint had begun to answer.
+    pub fn detect_crash(
+        &self,
+        state: &sync::Arc<state::GatewayState>,
+        endpoint: &ids::EndpointId,
+        address: net::SocketAddr,
+        began: bool,
+    ) {
         let task_state = state.clone();
+        let (endpoint, parts) = (endpoint.clone(), self.shared_parts().join(","));
         let (digest, request) = (self.digest.clone(), self.call.request.clone());
         state.context.spawner.detach(async move {
             let opened = client_connection::ClientConnection::new(address).await;
             let refused =
                 opened.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused);
             if refused {
-                log::warn!(request = request.as_ref(), digest = digest.as_ref();
+                log::warn!(request = request.as_ref(), digest = digest.as_ref(),
+                    endpoint = endpoint.as_ref(), began = began, parts = parts.as_str();
                     "entry: endpoint crashed while running the request");
                 let now = time::Instant::now();
                 task_state.context.tables.suspects.lock().record_crash(&digest, false, now);
@@ -176,6 +185,13 @@
         shared.or_else(|| parts.last()).map(|part| xxh3::xxh3_64(part.part.as_bytes()))
     }
 
+    /// Returns the prompt parts that other requests may share: all but the last.
+    fn shared_parts(&self) -> Vec<&str> {
+        let parts = &self.call.prompt_parts;
+        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        shared.iter().map(|part| part.part.as_ref()).collect()
+    }
+
     /// Returns the failure of a request that has not run, with a retry delay.
     pub fn not_run(problem: types::ProblemKind, detail: &str) -> failure::CallFailure {
         failure::CallFailure::new(problem, detail)
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -140,7 +140,9 @@
                 return Ok(());
             };
             started.active.finish(endpoint_directory::AttemptOutcome::Failed);
-            self.plan.detect_crash(&self.state, started.active.chosen.address);
+            let chosen = &started.active.chosen;
+            let began = started.active.has_events;
+            self.plan.detect_crash(&self.state, &chosen.endpoint, chosen.address, began);
             log::info!(request = self.plan.call.request.as_ref(),
                 endpoint = started.active.chosen.endpoint.as_ref(), passed = self.last_event,
                 runs = self.history.runs(); "stream: broken. error={error}");
@@ -165,7 +167,6 @@
         let mut buffer = event_buffer::EventBuffer::default();
         // Only complete events count: an endpoint in trouble may send a byte now and then for ever.
         let mut progressed_at = time::Instant::now();
-        let mut started_events = false;
         loop {
             let wait_until = self.stall_deadline(progressed_at).min(self.plan.deadline);
             let Some(chunk) = http_client::with_deadline(wait_until, body.next_chunk()).await
@@ -179,8 +180,8 @@
             }
             let events = buffer.take_events();
             if !events.is_empty() {
-                if !started_events {
-                    started_events = true;
+                if !started.active.has_events {
+                    started.active.has_events = true;
                     self.record_first_event(started);
                 }
                 progressed_at = time::Instant::now();
