Keep evidence of crashes by prompt part, so that unlike requests add up

Cause: suspects were kept by the digest of the whole body. Requests that share one part and nothing else never added up. Requests that had events before the crash became suspects like those that had none.

Now a crash speaks against the shared parts of each request that waited for its first event there. The first event of a request clears its parts, so parts of sound requests are cleared all the time. Crashes within 0.3 s of each other count once, so many endpoints that stop at once blame nobody. Merging is a union with the earliest time of each crash. News goes to three members at once, then with heartbeats of four records at most. A convicted request is not retried.

--- /dev/null
+++ b/crates/comfreyspread-policy/src/crash_evidence.rs
@@ -0,0 +1,116 @@
+//! Crashes that speak against one prompt part.
+//!
+//! A crash counts once, however many requests and nodes saw it. Of crashes in quick succession only
+//! one counts: what stops many endpoints at once is no request. Merging is a union that keeps the
+//! earliest time of each crash, so neither order nor repetition nor the delay of messages matters.
+
+use comfreyspread_schema::{ids, types};
+use std::time;
+
+/// Crashes closer together than this may have one common cause.
+const COMMON_CAUSE_SPAN: time::Duration = time::Duration::from_millis(300);
+/// Crashes kept of one part.
+const MAX_CRASHES: usize = 64;
+
+/// A crash while a request with the part waited for the first event of its answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SeenCrash {
+    /// The crash.
+    pub crash: ids::CrashHash,
+    /// The request that waited; of several, the one with the lowest hash.
+    pub request: ids::RequestHash,
+    /// Time of the crash.
+    pub crashed_at: time::Instant,
+}
+
+/// The crashes that speak against one part, in order of time.
+#[derive(Clone, Debug, Default)]
+pub struct CrashEvidence {
+    crashes: Vec<SeenCrash>,
+}
+
+impl CrashEvidence {
+    /// Adds a crash; returns whether it was not known.
+    pub fn add(&mut self, seen: SeenCrash) -> bool {
+        let known = self.crashes.iter_mut().find(|known| known.crash == seen.crash);
+        let is_new = known.is_none();
+        match known {
+            Some(known) => {
+                known.request = known.request.min(seen.request);
+                known.crashed_at = known.crashed_at.min(seen.crashed_at);
+            }
+            None => self.crashes.push(seen),
+        }
+        self.crashes.sort_by_key(|known| (known.crashed_at, known.crash));
+        if self.crashes.len() > MAX_CRASHES {
+            self.crashes.remove(0);
+        }
+        is_new
+    }
+
+    /// Drops the crashes up to `proven_at`, when an endpoint began to answer with the part.
+    pub fn clear_until(&mut self, proven_at: time::Instant) {
+        self.crashes.retain(|seen| seen.crashed_at > proven_at);
+    }
+
+    /// Returns the time of the last crash.
+    pub fn last_crash(&self) -> Option<time::Instant> {
+        self.crashes.last().map(|seen| seen.crashed_at)
+    }
+
+    /// Returns the crashes that `is_explained` does not attribute to another part.
+    pub fn unexplained<IsExplained>(&self, is_explained: IsExplained) -> Self
+    where
+        IsExplained: Fn(ids::CrashHash) -> bool,
+    {
+        let crashes = self.crashes.iter().filter(|seen| !is_explained(seen.crash));
+        Self { crashes: crashes.copied().collect() }
+    }
+
+    /// Returns the crashes.
+    pub fn crashes(&self) -> impl Iterator<Item = &SeenCrash> {
+        self.crashes.iter()
+    }
+
+    /// Returns the number of crashes that have no common cause in time.
+    pub fn independent_count(&self) -> usize {
+        self.independent().count()
+    }
+
+    /// Returns the number of different requests that waited.
+    pub fn request_count(&self) -> usize {
+        let mut requests: Vec<_> = self.crashes.iter().map(|seen| seen.request).collect();
+        requests.sort_unstable();
+        requests.dedup();
+        requests.len()
+    }
+
+    /// Returns up to `limit` crashes for another node, the latest independent ones first.
+    pub fn records(&self, limit: usize, now: time::Instant) -> Vec<types::PartCrash> {
+        let mut chosen: Vec<SeenCrash> = self.independent().take(limit).copied().collect();
+        for seen in self.crashes.iter().rev() {
+            if chosen.len() < limit && !chosen.contains(seen) {
+                chosen.push(*seen);
+            }
+        }
+        let record = |seen: SeenCrash| types::PartCrash {
+            age: now.saturating_duration_since(seen.crashed_at),
+            crash: seen.crash,
+            request: seen.request,
+        };
+        chosen.into_iter().map(record).collect()
+    }
+
+    /// Returns the latest crash and those before it that are far enough apart.
+    fn independent(&self) -> impl Iterator<Item = &SeenCrash> {
+        let mut next: Option<time::Instant> = None;
+        self.crashes.iter().rev().filter(move |seen| {
+            let apart =
+                next.is_none_or(|next| next.duration_since(seen.crashed_at) >= COMMON_CAUSE_SPAN);
+            if apart {
+                next = Some(seen.crashed_at);
+            }
+            apart
+        })
+    }
+}
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -6,7 +6,7 @@
 //! decisions, and tests run them on injected time.
 //!
 //! - The ingress node: [`verdict`], [`attempt`], [`routing`], [`retry`], [`timing`], [`stream`],
-//!   [`suspect`], [`link_budget`].
+//!   [`suspect`], [`part_suspect`] over [`crash_evidence`], [`link_budget`].
 //! - Requests that may run at most once: [`claim`], [`row_finalizer`], [`write_group`].
 //! - On the users' platform: [`route_table`], [`endpoint_directory`], [`stage_graph`] of a request,
 //!   [`batch_queue`] of a stage service over [`batch_admission`], [`piece_group`], [`worker_set`] and [`home_zones`], [`event_buffer`],
@@ -41,6 +41,7 @@
 pub mod comparison;
 pub mod concurrency_limit;
 pub mod connectivity;
+pub mod crash_evidence;
 pub mod declared_item;
 pub mod delta;
 pub mod endpoint_directory;
@@ -63,6 +64,7 @@
 pub mod ownership_action;
 pub mod ownership_release;
 pub mod ownership_status;
+pub mod part_suspect;
 pub mod peer_health;
 pub mod piece_group;
 pub mod poller;
--- a/crates/comfreyspread-policy/tests/gossip_model/heartbeats.rs
+++ b/crates/comfreyspread-policy/tests/gossip_model/heartbeats.rs
@@ -63,6 +63,7 @@
             hints: Vec::new(),
             members: members.gossip_records(RECORDS_PER_MESSAGE),
             crash_suspects: Vec::new(),
+            part_suspects: Vec::new(),
             digest: Vec::new(),
             indirect_probe_target: None,
             full_sync: false,
@@ -233,6 +234,7 @@
             repairs,
             indirect_probe_reached: reached,
             crash_suspects: Vec::new(),
+            part_suspects: Vec::new(),
         };
         self.send(index, to, Message::Reply { reply, probe });
     }
--- a/crates/comfreyspread/src/gateway/attempt_history.rs
+++ b/crates/comfreyspread/src/gateway/attempt_history.rs
@@ -88,7 +88,10 @@
         state: &state::GatewayState,
         plan: &call_plan::CallPlan,
     ) -> bool {
-        plan.is_repeatable() && self.runs < plan.route.max_attempts && plan.try_acquire_retry(state)
+        plan.is_repeatable()
+            && self.runs < plan.route.max_attempts
+            && !plan.is_convicted(state)
+            && plan.try_acquire_retry(state)
     }
 }
 
--- a/crates/comfreyspread/src/gateway/call_plan.rs
+++ b/crates/comfreyspread/src/gateway/call_plan.rs
@@ -2,7 +2,7 @@
 
 use super::state;
 use crate::transport::{client_connection, failure};
-use comfreyspread_policy::{route_table, suspect};
+use comfreyspread_policy::{crash_evidence, route_table, suspect};
 use comfreyspread_schema::{ids, types};
 use std::{io, net, sync, time};
 use xxhash_rust::xxh3;
@@ -118,32 +118,53 @@
         began: bool,
     ) {
         let task_state = state.clone();
-        let (endpoint, parts) = (endpoint.clone(), self.shared_parts().join(","));
+        let (endpoint, names) = (endpoint.clone(), self.shared_parts().join(","));
         let (digest, request) = (self.digest.clone(), self.call.request.clone());
+        let (parts, broke_at) = (self.part_hashes(), time::Instant::now());
         state.context.spawner.detach(async move {
             let opened = client_connection::ClientConnection::new(address).await;
             let refused =
                 opened.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused);
             if refused {
                 log::warn!(request = request.as_ref(), digest = digest.as_ref(),
-                    endpoint = endpoint.as_ref(), began = began, parts = parts.as_str();
+                    endpoint = endpoint.as_ref(), began = began, parts = names.as_str();
                     "entry: endpoint crashed while running the request");
-                let now = time::Instant::now();
-                task_state.context.tables.suspects.lock().record_crash(&digest, false, now);
+                if !began {
+                    record_crash(&task_state, &digest, &parts, &endpoint, broke_at);
+                }
             }
         });
     }
 
+    /// Records the first event of a response, which proves the prompt parts sound.
+    pub fn record_first_event(&self, state: &state::GatewayState) {
+        let now = time::Instant::now();
+        state.context.tables.part_suspects.lock().record_first_event(&self.part_hashes(), now);
+    }
+
     /// Records that the request was served, which clears it of earlier crashes.
     pub fn record_served(&self, state: &state::GatewayState) {
         let now = time::Instant::now();
         state.context.tables.suspects.lock().record_served(&self.digest, now);
     }
 
-    /// Returns whether the request has crashed several endpoints.
+    /// Returns whether the request may run: neither it nor one of its prompt parts has crashed
+    /// several endpoints.
+    pub fn try_admit(&self, state: &state::GatewayState) -> bool {
+        let now = time::Instant::now();
+        !self.is_convicted_alone(state, now)
+            && state.context.tables.part_suspects.lock().try_admit(&self.part_hashes(), now)
+    }
+
+    /// Returns whether the request or one of its prompt parts has crashed several endpoints.
     pub fn is_convicted(&self, state: &state::GatewayState) -> bool {
-        let suspects = state.context.tables.suspects.lock();
-        let status = suspects.status(&self.digest, time::Instant::now());
+        let now = time::Instant::now();
+        self.is_convicted_alone(state, now)
+            || state.context.tables.part_suspects.lock().is_convicted(&self.part_hashes(), now)
+    }
+
+    fn is_convicted_alone(&self, state: &state::GatewayState, now: time::Instant) -> bool {
+        let status = state.context.tables.suspects.lock().status(&self.digest, now);
         status == suspect::SuspectStatus::Convicted
     }
 
@@ -192,6 +213,18 @@
         shared.iter().map(|part| part.part.as_ref()).collect()
     }
 
+    /// Returns the hashes of these parts and the service, which may bear what others do not.
+    fn part_hashes(&self) -> Vec<ids::PartHash> {
+        let hash = |part: &str| {
+            let mut hasher = xxh3::Xxh3::new();
+            hasher.update(self.service.name.as_bytes());
+            hasher.update(&[0]);
+            hasher.update(part.as_bytes());
+            hasher.digest()
+        };
+        self.shared_parts().into_iter().map(hash).collect()
+    }
+
     /// Returns the failure of a request that has not run, with a retry delay.
     pub fn not_run(problem: types::ProblemKind, detail: &str) -> failure::CallFailure {
         failure::CallFailure::new(problem, detail)
@@ -207,3 +240,24 @@
     hasher.update(body);
     format!("{:032x}", hasher.digest128()).into()
 }
+
+/// Records a crash at `broke_at` for a request that waited for its first event, and for its parts.
+fn record_crash(
+    state: &state::GatewayState,
+    digest: &ids::BodyDigest,
+    parts: &[ids::PartHash],
+    endpoint: &ids::EndpointId,
+    broke_at: time::Instant,
+) {
+    let tables = &state.context.tables;
+    let now = time::Instant::now();
+    tables.suspects.lock().record_crash(digest, false, now);
+    let seen = crash_evidence::SeenCrash {
+        crash: xxh3::xxh3_64(endpoint.as_bytes()),
+        request: xxh3::xxh3_64(digest.as_bytes()),
+        crashed_at: broke_at,
+    };
+    if tables.part_suspects.lock().record_crash(parts, seen, now) {
+        tables.crash_known.notify(usize::MAX);
+    }
+}
--- a/crates/comfreyspread/src/gateway/caller_handler.rs
+++ b/crates/comfreyspread/src/gateway/caller_handler.rs
@@ -32,7 +32,7 @@
             Err(error) => return plan_error_response(&error),
         };
         let id = plan.call.request.clone();
-        if plan.is_convicted(&self.state) {
+        if !plan.try_admit(&self.state) {
             log::warn!(request = id.as_ref(), digest = plan.digest.as_ref();
                 "entry: rejected, the request crashes endpoints");
             let detail = "the request crashes endpoints";
--- a/crates/comfreyspread/src/gateway/process.rs
+++ b/crates/comfreyspread/src/gateway/process.rs
@@ -5,7 +5,7 @@
     table_watcher,
 };
 use crate::{
-    membership::{heartbeat, peer},
+    membership::{crash_notice, heartbeat, peer},
     runtime::{context, logging, node, settings, worker},
     transport::http_server,
 };
@@ -130,6 +130,7 @@
     let handler = peer::PeerHandler::new(context.clone()).with_extension(extension);
     let peers = node::start_peer_server(context, handler).await?;
     context.spawner.detach(heartbeat::run(context.clone()));
+    context.spawner.detach(crash_notice::run(context.clone()));
     let routes = table_watcher::watch(state.clone(), route_watcher::RouteWatcher);
     context.spawner.detach(routes);
     let endpoints = table_watcher::watch(state.clone(), endpoint_watcher::EndpointWatcher);
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -199,6 +199,7 @@
     }
 
     fn record_first_event(&self, started: &attempt_send::StartedAttempt) {
+        self.plan.record_first_event(&self.state);
         let took = started.active.elapsed();
         self.state.first_events.lock().record(&self.plan.route.name, took);
     }
--- a/crates/comfreyspread/src/gateway/unary_run.rs
+++ b/crates/comfreyspread/src/gateway/unary_run.rs
@@ -72,6 +72,7 @@
         };
         let failed = started.response.status().is_server_error();
         if !failed {
+            self.plan.record_first_event(state);
             self.plan.record_served(state);
         }
         let outcome = if failed {
--- /dev/null
+++ b/crates/comfreyspread/src/membership/crash_notice.rs
@@ -0,0 +1,33 @@
+//! Tells other nodes of crashes at once, ahead of the heartbeats.
+//!
+//! A node that learns of a crash that speaks against a prompt part sends a heartbeat to a few random
+//! members, which do the same. All nodes know of it after a few messages in a row. The time between
+//! notices bounds what they send however many endpoints crash.
+
+use crate::{membership::probe, runtime::context};
+use futures_util::future;
+use std::{sync, time};
+
+/// Members told at once.
+const NOTIFIED_PEERS: usize = 3;
+/// Minimum time between two notices.
+const NOTICE_INTERVAL: time::Duration = time::Duration::from_millis(300);
+
+/// Sends notices until the process ends.
+pub async fn run(context: sync::Arc<context::NodeContext>) {
+    let mut known = context.tables.crash_known.listen();
+    loop {
+        known.await;
+        known = context.tables.crash_known.listen();
+        notify_peers(&context).await;
+        async_io::Timer::after(NOTICE_INTERVAL).await;
+    }
+}
+
+async fn notify_peers(context: &context::NodeContext) {
+    let peers = {
+        let members = context.tables.members.lock();
+        members.random_peers(&context.settings.node, NOTIFIED_PEERS, &mut rand::rng())
+    };
+    future::join_all(peers.iter().map(|peer| probe::announce(context, peer.address))).await;
+}
--- a/crates/comfreyspread/src/membership/heartbeat.rs
+++ b/crates/comfreyspread/src/membership/heartbeat.rs
@@ -65,6 +65,7 @@
         &message.hints,
         &message.crash_suspects,
     );
+    heartbeat_message::merge_parts(context, &message.part_suspects);
     merge_records(context, &message.header, message.members.clone());
     let indirect_probe_reached = match &message.indirect_probe_target {
         Some(node) => probe::probe_for_peer(context, node).await,
--- a/crates/comfreyspread/src/membership/heartbeat_message.rs
+++ b/crates/comfreyspread/src/membership/heartbeat_message.rs
@@ -11,6 +11,8 @@
 const HINTS_PER_MESSAGE: usize = 4;
 /// Crash suspects in one message.
 const SUSPECTS_PER_MESSAGE: usize = 4;
+/// Suspected prompt parts in one message.
+const PARTS_PER_MESSAGE: usize = 4;
 
 /// Returns a heartbeat without a digest.
 pub fn heartbeat(
@@ -25,6 +27,7 @@
         hints,
         members: context.tables.members.lock().gossip_records(RECORDS_PER_MESSAGE),
         crash_suspects,
+        part_suspects: part_suspects(context),
         digest: Vec::new(),
         indirect_probe_target,
         full_sync: false,
@@ -58,6 +61,7 @@
         repairs,
         indirect_probe_reached,
         crash_suspects,
+        part_suspects: part_suspects(context),
         ..empty_reply(context)
     }
 }
@@ -72,6 +76,7 @@
         repairs: Vec::new(),
         indirect_probe_reached: false,
         crash_suspects: Vec::new(),
+        part_suspects: Vec::new(),
     }
 }
 
@@ -90,6 +95,7 @@
         context.tables.ownership.lock().renew_lease(sent, now);
     }
     record_piggyback(context, &reply.header, &reply.hints, &reply.crash_suspects);
+    merge_parts(context, &reply.part_suspects);
     heartbeat::merge_repairs(context, reply.repairs);
     heartbeat::merge_records(context, &reply.header, reply.members);
     suspected || context.tables.members.lock().is_disputed(&reply.header.node)
@@ -121,6 +127,25 @@
     }
 }
 
+/// Merges the prompt parts that another node suspects.
+pub fn merge_parts(context: &context::NodeContext, records: &[types::PartSuspect]) {
+    let now = time::Instant::now();
+    let mut table = context.tables.part_suspects.lock();
+    let mut news = false;
+    for record in records {
+        news |= table.merge(record, now);
+    }
+    drop(table);
+    if news {
+        context.tables.crash_known.notify(usize::MAX);
+    }
+}
+
+fn part_suspects(context: &context::NodeContext) -> Vec<types::PartSuspect> {
+    let (now, mut random) = (time::Instant::now(), rand::rng());
+    context.tables.part_suspects.lock().records(PARTS_PER_MESSAGE, now, &mut random)
+}
+
 /// Returns the load of a random sample of this node's pools.
 fn sample_hints(context: &context::NodeContext) -> Vec<types::PoolHint> {
     let mut hints = context.tables.pools.lock().hints();
--- a/crates/comfreyspread/src/membership/mod.rs
+++ b/crates/comfreyspread/src/membership/mod.rs
@@ -1,5 +1,6 @@
 //! Cluster membership and messages between nodes.
 
+pub mod crash_notice;
 pub mod handover;
 pub mod heartbeat;
 pub mod heartbeat_message;
--- a/crates/comfreyspread/src/runtime/lock_rank.rs
+++ b/crates/comfreyspread/src/runtime/lock_rank.rs
@@ -67,6 +67,8 @@
     ClaimWriteRank = 72;
     /// Rank of the requests suspected of crashing endpoints.
     SuspectRank = 80;
+    /// Rank of the prompt parts suspected of crashing endpoints.
+    PartSuspectRank = 82;
     /// Rank of the measured stage times.
     TimingRank = 90;
     /// Rank of the budgets for retries, hedges and link bytes.
--- a/crates/comfreyspread/src/runtime/tables.rs
+++ b/crates/comfreyspread/src/runtime/tables.rs
@@ -9,11 +9,17 @@
     runtime::{lock_rank, settings},
 };
 use comfreyspread_policy::{
-    catalog, leaving_vms, link_budget, membership, ownership, retry, routing, suspect, timing,
+    catalog, leaving_vms, link_budget, membership, ownership, part_suspect, retry, routing,
+    suspect, timing,
 };
 use comfreyspread_schema::{ids, types};
 use std::{sync, time};
 
+/// Number of moments over which nodes spread the end of a conviction.
+const TRIAL_SLOTS: u64 = 300;
+/// Time between two of these moments.
+const TRIAL_SLOT: time::Duration = time::Duration::from_secs(1);
+
 /// The shared tables of one node.
 #[derive(Debug)]
 pub struct SharedTables {
@@ -40,12 +46,16 @@
     pub claim_writes: claim_write_queue::WriteQueue,
     /// Requests suspected of crashing endpoints.
     pub suspects: lock_rank::RankedLock<lock_rank::SuspectRank, suspect::SuspectTable>,
+    /// Prompt parts suspected of crashing endpoints.
+    pub part_suspects: lock_rank::RankedLock<lock_rank::PartSuspectRank, part_suspect::PartTable>,
     /// Measured times of stages.
     pub stage_timings: lock_rank::RankedLock<lock_rank::TimingRank, timing::StageTimings>,
     /// Budgets of additional attempts and of bytes to other regions.
     pub attempt_budgets: lock_rank::RankedLock<lock_rank::AttemptBudgetRank, AttemptBudgets>,
     /// Notified when the configuration or the ownership of endpoints has changed.
     pub changed: event_listener::Event,
+    /// Notified when a crash that speaks against a prompt part has become known.
+    pub crash_known: event_listener::Event,
 }
 
 impl SharedTables {
@@ -73,12 +83,16 @@
             claims: lock_rank::RankedLock::new(claim_table::ClaimTable::new()),
             claim_writes: lock_rank::RankedLock::new(claim_write_queue::PendingWrites::new()),
             suspects: lock_rank::RankedLock::new(suspect::SuspectTable::new()),
+            part_suspects: lock_rank::RankedLock::new(
+                part_suspect::PartTable::new().with_trial_delay(trial_delay(process_start)),
+            ),
             stage_timings: lock_rank::RankedLock::new(timing::StageTimings::new()),
             attempt_budgets: lock_rank::RankedLock::new(AttemptBudgets::new(
                 settings.link_bytes_per_s,
                 now,
             )),
             changed: event_listener::Event::new(),
+            crash_known: event_listener::Event::new(),
         }
     }
 
@@ -124,3 +138,9 @@
         }
     }
 }
+
+/// Returns the time by which this process lets a convicted part be tried later than others may.
+fn trial_delay(process_start: ids::ProcessStartId) -> time::Duration {
+    let slot = u32::try_from(process_start % TRIAL_SLOTS).unwrap_or(0);
+    TRIAL_SLOT * slot
+}
--- a/crates/comfreyspread/tests/heartbeat_size.rs
+++ b/crates/comfreyspread/tests/heartbeat_size.rs
@@ -48,6 +48,7 @@
             hints: Vec::new(),
             members: table.gossip_records(RECORDS_PER_MESSAGE),
             crash_suspects: Vec::new(),
+            part_suspects: Vec::new(),
             digest: if with_digest { table.digest().into_buckets() } else { Vec::new() },
             indirect_probe_target: None,
             full_sync: false,
