Forget crashes of a prompt part after their retention

A part whose last crash lay longer back than the retention stayed convicted until the table was full: each node let one of its requests pass each 15 s, for ever if none came to an answer. Each message and crash also walked all known parts, up to 10,000, under the lock.

The table now lists apart the parts that a crash speaks against or that were cleared lately, and drops those that are past their retention. The test evidence_expires failed before ("assertion failed: table.try_admit(&[GUILTY], later + seconds(1.0))") and passes now, with the nine others of its file.

--- a/crates/comfreyspread-policy/src/part_suspect.rs
+++ b/crates/comfreyspread-policy/src/part_suspect.rs
@@ -53,6 +53,8 @@
 #[derive(Debug, Default)]
 pub struct PartTable {
     entries: IndexMap<ids::PartHash, PartEntry>,
+    /// Parts that a crash speaks against, and those cleared lately.
+    suspects: IndexSet<ids::PartHash>,
     trial_delay: time::Duration,
 }
 
@@ -145,7 +147,8 @@
     where
         Random: rand::Rng,
     {
-        let mut ranked: Vec<_> = self.entries.iter().filter_map(|entry| rank(entry, now)).collect();
+        let suspects = self.suspects.iter().filter_map(|part| self.entries.get_key_value(part));
+        let mut ranked: Vec<_> = suspects.filter_map(|entry| rank(entry, now)).collect();
         ranked.sort_unstable();
         let first = ranked.len().min(limit.div_ceil(2));
         let (urgent, others) = ranked.split_at(first);
@@ -164,8 +167,12 @@
             return false;
         }
         let entry = self.entry(part, now);
-        entry.proven_at.is_none_or(|proven_at| proven_at < seen.crashed_at)
-            && entry.evidence.add(seen)
+        if entry.proven_at.is_some_and(|proven_at| proven_at >= seen.crashed_at) {
+            return false;
+        }
+        let is_new = entry.evidence.add(seen);
+        self.suspects.insert(part);
+        is_new
     }
 
     fn adopt_proof(
@@ -196,9 +203,15 @@
     /// Convicts parts, those with most crashes first; what a convicted part explains does not count
     /// against the others.
     fn reassess(&mut self, now: time::Instant) {
-        let mut order: Vec<_> = self.entries.iter().filter_map(candidate).collect();
+        self.drop_expired(now);
+        let suspects = self.suspects.iter().filter_map(|part| self.entries.get_key_value(part));
+        let mut order: Vec<_> = suspects.filter_map(candidate).collect();
         order.sort_unstable();
-        self.entries.values_mut().for_each(|entry| entry.convicted = false);
+        for part in &self.suspects {
+            if let Some(entry) = self.entries.get_mut(part) {
+                entry.convicted = false;
+            }
+        }
         let mut explained = IndexSet::new();
         for (_, _, part) in order {
             let Some(entry) = self.entries.get_mut(&part) else { continue };
@@ -210,6 +223,19 @@
         }
     }
 
+    /// Drops the parts that neither a crash speaks against nor other nodes have to hear of.
+    fn drop_expired(&mut self, now: time::Instant) {
+        let entries = &mut self.entries;
+        self.suspects.retain(|part| {
+            let is_current =
+                entries.get_key_value(part).is_some_and(|entry| rank(entry, now).is_some());
+            if !is_current && let Some(entry) = entries.get_mut(part) {
+                *entry = PartEntry { proven_at: entry.proven_at, ..PartEntry::default() };
+            }
+            is_current
+        });
+    }
+
     fn holds(&self, entry: &PartEntry, now: time::Instant) -> bool {
         let Some(last_crash) = entry.evidence.last_crash() else { return false };
         let lapses_at = last_crash + CONVICTION_TIME + self.trial_delay;
--- a/crates/comfreyspread-policy/tests/crashing_parts.rs
+++ b/crates/comfreyspread-policy/tests/crashing_parts.rs
@@ -252,3 +252,20 @@
         assert!(fleet.tables.iter().all(|table| !table.is_convicted(&[SHARED], end)));
     }
 }
+
+/// Evidence is forgotten when no crash has been added for long.
+#[test]
+fn evidence_expires() {
+    let now = time::Instant::now();
+    let mut table = part_suspect::PartTable::new();
+    (0..3).for_each(|number| crash(&mut table, number, &[GUILTY], now + seconds(number as f64)));
+    table.record_first_event(&[SHARED], now + seconds(2.1));
+    assert!(table.is_convicted(&[GUILTY], now + seconds(3.0)));
+    let later = now + seconds(910.0);
+    let mut random = rngs::SmallRng::seed_from_u64(3);
+    assert!(table.records(RECORDS_PER_MESSAGE, later, &mut random).is_empty());
+    crash(&mut table, 9, &[RARE], later);
+    for _ in 0..3 {
+        assert!(table.try_admit(&[GUILTY], later + seconds(1.0)));
+    }
+}
