--- a/crates/comfreyspread/src/gateway/attempt_history.rs
+++ b/crates/comfreyspread/src/gateway/attempt_history.rs
@@ -67,7 +67,7 @@
         if failed.failure.crashed()
             && let Some(address) = failed.address
         {
-            plan.detect_crash(state, address);
+            plan.detect_crash(state, endpoint, address, false);
         }
         let was_tried = self.tried.contains(endpoint);
         if !was_tried {
@@ -88,7 +88,10 @@
         state: &state::GatewayState,
         plan: &call_plan::CallPlan,
     ) -> bool {
-        plan.is_repeatable() && self.runs < plan.route.max_attempts && plan.try_acquire_retry(state)
+        plan.is_repeatable()
+            && self.runs < plan.route.max_attempts
+            && !plan.is_convicted(state)
+            && plan.try_acquire_retry(state)
     }
 }
 
