--- a/crates/comfreyspread-lab/src/fleet.rs
+++ b/crates/comfreyspread-lab/src/fleet.rs
@@ -4,10 +4,10 @@
 //! The endpoints record the requests they receive. Checks rely on those records, never on what a
 //! node reports.
 
-use crate::{fleet_store, process, stand_in_server};
+use crate::{fleet_faults, fleet_log, fleet_store, process, stand_in_server};
 use comfreyspread::{
     gateway::produced_chunks,
-    runtime::{lock_rank, worker},
+    runtime::worker,
     transport::{http_message, http_server},
 };
 use comfreyspread_schema::ids;
@@ -71,55 +71,17 @@
     pub ran: bool,
 }
 
-/// Faults of one endpoint.
-#[derive(Debug, Default)]
-pub struct FleetFaults {
-    /// Whether it rejects all requests as overloaded.
-    pub full: atomic::AtomicBool,
-    /// Id of the event after which the next stream is cut off; zero for none.
-    pub cut_after: atomic::AtomicU64,
-    /// Whether the answers of plain requests are cut off after the requests ran.
-    pub lose_answers: atomic::AtomicBool,
-    /// Events of a stream; zero for the default number.
-    pub events: atomic::AtomicU64,
-    /// Additional delay of each event or plain answer, in milliseconds.
-    pub delay_ms: atomic::AtomicU64,
-}
-
 /// Store and endpoints that the nodes run against.
 #[derive(Debug)]
 pub struct FleetStandIn {
     store: sync::Arc<fleet_store::StoreHandler>,
     store_address: net::SocketAddr,
-    records: sync::Arc<RequestLog>,
+    records: sync::Arc<fleet_log::RequestLog>,
     endpoints: IndexMap<ids::EndpointId, sync::Arc<EndpointHandler>>,
     spawner: worker::TaskSpawner,
     log_folder: Option<path::PathBuf>,
 }
 
-/// Requests that all endpoints received, in order.
-#[derive(Debug, Default)]
-struct RequestLog {
-    records: lock_rank::RankedLock<lock_rank::ConnectionRank, Vec<RequestRecord>>,
-    running: atomic::AtomicUsize,
-}
-
-/// Counts a request as running until dropped.
-struct RunningRequest(sync::Arc<RequestLog>);
-
-impl RunningRequest {
-    fn new(records: &sync::Arc<RequestLog>) -> Self {
-        records.running.fetch_add(1, atomic::Ordering::Relaxed);
-        Self(records.clone())
-    }
-}
-
-impl Drop for RunningRequest {
-    fn drop(&mut self) {
-        self.0.running.fetch_sub(1, atomic::Ordering::Relaxed);
-    }
-}
-
 /// Returns the sample route document with the given version.
 ///
 /// # Errors
@@ -183,7 +145,7 @@
             name: name.into(),
             kind,
             address: sync::OnceLock::new(),
-            faults: FleetFaults::default(),
+            faults: fleet_faults::FleetFaults::default(),
             busy: atomic::AtomicBool::new(false),
             records: self.records.clone(),
         });
@@ -240,7 +202,7 @@
     }
 
     /// Returns the faults of an endpoint.
-    pub fn faults(&self, endpoint: &str) -> &FleetFaults {
+    pub fn faults(&self, endpoint: &str) -> &fleet_faults::FleetFaults {
         &self.endpoints[endpoint].faults
     }
 
@@ -362,9 +324,9 @@
     name: ids::EndpointId,
     kind: EndpointKind,
     address: sync::OnceLock<net::SocketAddr>,
-    faults: FleetFaults,
+    faults: fleet_faults::FleetFaults,
     busy: atomic::AtomicBool,
-    records: sync::Arc<RequestLog>,
+    records: sync::Arc<fleet_log::RequestLog>,
 }
 
 impl EndpointHandler {
@@ -389,6 +351,21 @@
         response
     }
 
+    /// Answers as the endpoint itself does, with a status other than 200.
+    fn fail(
+        &self,
+        request: &http_server::ServerRequest,
+        status: StatusCode,
+    ) -> http_message::Response {
+        if matches!(status, StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE) {
+            return self.reject(request, status);
+        }
+        self.record(request, true);
+        let mut response = self.stamped_response(request);
+        response.set_status(status);
+        response
+    }
+
     fn stamped_response(&self, request: &http_server::ServerRequest) -> http_message::Response {
         let mut response = http_message::Response::new(StatusCode::OK);
         response.insert_header("Response-Stamp", format!("stamp-{}", self.name));
@@ -405,7 +382,7 @@
     }
 
     async fn run_plain(&self, request: &http_server::ServerRequest) -> http_message::Response {
-        let _running = RunningRequest::new(&self.records);
+        let _running = fleet_log::RunningRequest::new(&self.records);
         async_io::Timer::after(self.event_delay()).await;
         if self.faults.lose_answers.load(atomic::Ordering::Relaxed) {
             return stand_in_server::truncated_response();
@@ -424,7 +401,7 @@
             events => events,
         };
         let event_delay = self.event_delay();
-        let running = RunningRequest::new(&self.records);
+        let running = fleet_log::RunningRequest::new(&self.records);
         let mut response = self.stamped_response(request);
         response.insert_header("content-type", "text/event-stream");
         response.set_body(produced_chunks::ProducedChunks::body(|sender| async move {
@@ -465,31 +442,42 @@
 
 impl http_server::RequestHandler for EndpointHandler {
     async fn handle(&self, request: http_server::ServerRequest) -> http_message::Response {
+        let mut response = self.respond(&request).await;
+        self.faults.set_headers(&mut response);
+        response
+    }
+
+    fn refuse(&self, _fault: http_server::RequestError) -> http_message::Response {
+        stand_in_server::bad_request()
+    }
+}
+
+impl EndpointHandler {
+    async fn respond(&self, request: &http_server::ServerRequest) -> http_message::Response {
         let expected = request.header("expect-instance");
         if expected.is_some_and(|expected| expected != &*self.name) {
-            return self.reject(&request, StatusCode::MISDIRECTED_REQUEST);
+            return self.reject(request, StatusCode::MISDIRECTED_REQUEST);
         }
         if request.path() == "/v1/stage-free" {
-            self.record(&request, true);
+            self.record(request, true);
             return http_message::Response::new(StatusCode::OK);
         }
         if self.faults.full.load(atomic::Ordering::Relaxed) {
-            return self.reject(&request, StatusCode::SERVICE_UNAVAILABLE);
+            return self.reject(request, StatusCode::SERVICE_UNAVAILABLE);
+        }
+        if let Some(status) = self.faults.status() {
+            return self.fail(request, status);
         }
         match self.kind {
-            EndpointKind::Worker => self.run_pieces(&request).await,
+            EndpointKind::Worker => self.run_pieces(request).await,
             EndpointKind::Plain => {
-                self.record(&request, true);
-                self.run_plain(&request).await
+                self.record(request, true);
+                self.run_plain(request).await
             }
             EndpointKind::Engine => {
-                self.record(&request, true);
-                self.stream_events(&request)
+                self.record(request, true);
+                self.stream_events(request)
             }
         }
     }
-
-    fn refuse(&self, _fault: http_server::RequestError) -> http_message::Response {
-        stand_in_server::bad_request()
-    }
 }
--- a/crates/comfreyspread-lab/src/lib.rs
+++ b/crates/comfreyspread-lab/src/lib.rs
@@ -16,6 +16,8 @@
 pub mod fault;
 pub mod fleet;
 pub mod fleet_bench;
+pub mod fleet_faults;
+pub mod fleet_log;
 pub mod fleet_quickstart;
 pub mod fleet_request;
 pub mod fleet_store;
--- a/crates/comfreyspread-policy/src/batch_queue.rs
+++ b/crates/comfreyspread-policy/src/batch_queue.rs
@@ -185,7 +185,8 @@
     /// Returns the expected time until new pieces of a request with this priority are done, the
     /// call that holds them included.
     pub fn expected_wait(&self, priority: u32, now: time::Instant) -> time::Duration {
-        let speed = self.workers.speed(now);
+        let resumes_at = self.workers.resumes_at(now).unwrap_or(now);
+        let speed = self.workers.speed(resumes_at);
         let ahead = self.groups.values().filter(|queued| queued.group.priority <= priority);
         let waiting: usize = ahead.map(piece_group::QueuedGroup::waiting).sum();
         let max_batch = self.max_batch();
@@ -196,7 +197,8 @@
             .map(|call| (call.started + call.expected).saturating_duration_since(now));
         let running: time::Duration = running.sum();
         let work = running + full_call.mul_f64(waiting as f64 / max_batch as f64);
-        work.mul_f64(1.0 / speed.max(MIN_SPEED)) + full_call
+        let pause = resumes_at.saturating_duration_since(now);
+        pause + work.mul_f64(1.0 / speed.max(MIN_SPEED)) + full_call
     }
 
     /// Returns the expected time of a call with `pieces` pieces.
@@ -214,7 +216,8 @@
         if self.admission.start_check(now) {
             return self.hopeless_groups(now);
         }
-        let late = self.groups.iter().filter(|(_, queued)| queued.group.deadline <= now);
+        let latest = self.workers.resumes_at(now).map_or(now, |at| at + self.call_time(1));
+        let late = self.groups.iter().filter(|(_, queued)| queued.group.deadline <= latest);
         late.map(|(number, _)| *number).collect()
     }
 
@@ -222,7 +225,8 @@
     /// no piece has been made. Their callers learn soon, rather than at their deadline, that they
     /// are not served.
     fn hopeless_groups(&self, now: time::Instant) -> Vec<piece_group::GroupNumber> {
-        let speed = self.workers.speed(now);
+        let from = self.workers.resumes_at(now).unwrap_or(now);
+        let speed = self.workers.speed(from);
         let full_call = self.call_time(self.max_batch());
         let mut pieces_ahead = 0.0;
         let mut hopeless = Vec::new();
@@ -233,9 +237,9 @@
             let wait =
                 if speed < 1.0 { time::Duration::ZERO } else { full_call.mul_f64(calls_ahead) };
             let call_time = self.call_time(pieces.min(self.max_batch()));
-            let misses = now + wait + call_time > queued.group.deadline;
+            let misses = from + wait + call_time > queued.group.deadline;
             let invested = queued.is_started() || queued.group.inputs_expire_at.is_some();
-            if queued.group.deadline <= now || (misses && !invested) {
+            if queued.group.deadline <= from || (misses && !invested) {
                 hopeless.push(number);
                 continue;
             }
--- a/crates/comfreyspread-policy/src/batch_worker.rs
+++ b/crates/comfreyspread-policy/src/batch_worker.rs
@@ -18,6 +18,8 @@
     pub address: net::SocketAddr,
     /// Availability zone of the endpoint.
     pub zone: ids::ZoneId,
+    /// End of the pause that it asked for, if it is paused.
+    pub paused_until: Option<time::Instant>,
 }
 
 /// An endpoint of the service and its measured speed.
@@ -35,6 +37,8 @@
     pub last_called: time::Instant,
     /// Time until which it is not called.
     pub backoff_until: Option<time::Instant>,
+    /// End of the pause that it asked for.
+    pub paused_until: Option<time::Instant>,
     /// Results stored there that the queue does not track.
     pub untracked: Option<UntrackedResults>,
 }
@@ -59,6 +63,7 @@
             time_ratio: 1.0,
             last_called: now,
             backoff_until: None,
+            paused_until: location.paused_until,
             untracked: None,
         }
     }
@@ -79,8 +84,10 @@
         self.time_ratio > best.max(1.0) * SLOW_FACTOR
     }
 
-    /// Whether it is not to be called yet after a failure or a refusal.
-    pub fn is_backing_off(&self, now: time::Instant) -> bool {
-        self.backoff_until.is_some_and(|until| until > now)
+    /// Whether it may be called: it has not asked for a pause, and its last failure or refusal is
+    /// long enough ago.
+    pub fn is_available(&self, now: time::Instant) -> bool {
+        let over = |until: Option<time::Instant>| until.is_none_or(|until| until <= now);
+        over(self.paused_until) && over(self.backoff_until)
     }
 }
--- a/crates/comfreyspread-policy/src/endpoint_directory.rs
+++ b/crates/comfreyspread-policy/src/endpoint_directory.rs
@@ -4,34 +4,13 @@
 //! times and failures. An endpoint without measurements counts as average. Measurements decay, so
 //! that an endpoint that was slow for a while is tried again.
 
-use crate::rendezvous;
+use crate::{directory_endpoint, endpoint_intake, endpoint_selection, rendezvous};
 use comfreyspread_schema::{ids, types};
 use indexmap::{IndexMap, IndexSet};
 use std::{net, time};
 
-/// Weight of the newest response in the moving averages of an endpoint.
-const SAMPLE_WEIGHT: f64 = 0.2;
-/// Half-life of measurements.
-const DECAY_HALF_LIFE: time::Duration = time::Duration::from_secs(4);
-/// Response time assumed before any was measured.
-const DEFAULT_RESPONSE_TIME: time::Duration = time::Duration::from_millis(100);
-/// Time added to the cost of an endpoint at a failure rate of 1.
-const FAILURE_COST: time::Duration = time::Duration::from_millis(600);
-/// How long an endpoint that refuses connections is avoided.
-const UNREACHABLE_BACKOFF: time::Duration = time::Duration::from_millis(800);
-/// How long an endpoint that is full is avoided.
-const FULL_BACKOFF: time::Duration = time::Duration::from_millis(150);
-/// Cost of an endpoint in another zone of the preferred region.
-const ZONE_COST: time::Duration = time::Duration::from_millis(4);
-/// Cost of an endpoint in another region.
-const REGION_COST: time::Duration = time::Duration::from_millis(60);
-/// Requests above the scaled average load that an endpoint may run for its cached prefixes.
-const AFFINITY_ALLOWANCE: f64 = 6.0;
-/// Multiple of the average load up to which an endpoint may run requests for its cached prefixes.
-const AFFINITY_LOAD_FACTOR: f64 = 1.5;
-/// Window for the rate limit of a cold endpoint: one second plus a margin.
-const COLD_WINDOW: time::Duration = time::Duration::from_millis(1100);
-const MICROS_PER_SECOND: f64 = 1e6;
+/// Removed endpoints whose own word is kept, in case their registration comes back.
+const MAX_DEPARTED: usize = 4096;
 
 /// Outcome of one attempt at an endpoint.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -50,81 +29,6 @@
     Cancelled,
 }
 
-/// A registered endpoint and its measurements.
-#[derive(Debug)]
-pub struct DirectoryEndpoint {
-    /// Registration of the endpoint.
-    pub registration: types::EndpointRegistration,
-    /// Calls of this node in flight there.
-    pub running: u32,
-    cold_until: Option<time::Instant>,
-    backoff_until: Option<time::Instant>,
-    leaving: bool,
-    response_s: Option<f64>,
-    failure_rate: f64,
-    measured_at: time::Instant,
-    cold_calls: Vec<time::Instant>,
-}
-
-impl DirectoryEndpoint {
-    fn new(registration: types::EndpointRegistration, now: time::Instant) -> Self {
-        let cold_until =
-            (!registration.cold_time_left.is_zero()).then(|| now + registration.cold_time_left);
-        Self {
-            registration,
-            running: 0,
-            cold_until,
-            backoff_until: None,
-            leaving: false,
-            response_s: None,
-            failure_rate: 0.0,
-            measured_at: now,
-            cold_calls: Vec::new(),
-        }
-    }
-
-    /// Whether it accepts requests, that is, is not shutting down.
-    pub fn accepts_requests(&self) -> bool {
-        !self.registration.leaving && !self.leaving
-    }
-
-    fn is_backing_off(&self, now: time::Instant) -> bool {
-        self.backoff_until.is_some_and(|until| until > now)
-    }
-
-    /// Whether it is starting cold and takes requests only at a limited rate.
-    pub fn is_cold(&self, now: time::Instant) -> bool {
-        self.cold_until.is_some_and(|until| until > now)
-    }
-
-    /// Returns the calls of this node within [`COLD_WINDOW`] that were made while the endpoint was
-    /// cold.
-    fn cold_calls(&self, now: time::Instant) -> u32 {
-        let recent = |call: &&time::Instant| now.saturating_duration_since(**call) < COLD_WINDOW;
-        u32::try_from(self.cold_calls.iter().filter(recent).count()).unwrap_or(u32::MAX)
-    }
-
-    fn record_cold_call(&mut self, now: time::Instant) {
-        self.cold_calls.retain(|call| now.saturating_duration_since(*call) < COLD_WINDOW);
-        self.cold_calls.push(now);
-    }
-
-    /// Returns the weight of the measurements at their present age, from 1 down to 0.
-    fn decay(&self, now: time::Instant) -> f64 {
-        let age = now.saturating_duration_since(self.measured_at).as_secs_f64();
-        0.5_f64.powf(age / DECAY_HALF_LIFE.as_secs_f64())
-    }
-
-    /// Returns the expected response time in seconds, with the cost of failures; `typical` is the
-    /// response time assumed where measurements are missing or old.
-    fn expected(&self, typical: f64, now: time::Instant) -> f64 {
-        let decay = self.decay(now);
-        let response = self.response_s.unwrap_or(typical) * decay + typical * (1.0 - decay);
-        let utilization = f64::from(self.running) / f64::from(self.registration.slots.max(1));
-        response * (1.0 + utilization) + self.failure_rate * decay * FAILURE_COST.as_secs_f64()
-    }
-}
-
 /// Cold start assumed for an endpoint that was not registered before.
 #[derive(Clone, Copy, Debug)]
 pub struct ColdStart {
@@ -162,12 +66,37 @@
     pub address: net::SocketAddr,
     /// Region of the endpoint.
     pub region: ids::RegionId,
+    /// Start of its process, which tells it from a later one of the same name.
+    pub started_at_ms: u64,
+}
+
+/// Number of endpoints in each condition.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct EndpointCounts {
+    /// All endpoints.
+    pub known: usize,
+    /// Those that leave.
+    pub leaving: usize,
+    /// Those that asked for a pause.
+    pub paused: usize,
+    /// Those that are avoided after a failure or while they are full.
+    pub backing_off: usize,
+    /// Those that are cold.
+    pub cold: usize,
+}
+
+/// What a removed endpoint had said of its intake.
+#[derive(Debug)]
+struct DepartedEndpoint {
+    started_at_ms: u64,
+    intake: endpoint_intake::EndpointIntake,
 }
 
 /// Endpoints of all services.
 #[derive(Debug, Default)]
 pub struct EndpointDirectory {
-    endpoints: IndexMap<ids::EndpointId, DirectoryEndpoint>,
+    endpoints: IndexMap<ids::EndpointId, directory_endpoint::DirectoryEndpoint>,
+    departed: IndexMap<ids::EndpointId, DepartedEndpoint>,
     zones: IndexMap<ids::ZoneId, ids::RegionId>,
     zones_out: IndexSet<ids::ZoneId>,
 }
@@ -179,7 +108,8 @@
     }
 
     /// Adds or updates a registered endpoint. `cold_start` applies if the endpoint is new or has
-    /// restarted.
+    /// restarted. What the same process has said of its intake stays in force, also after
+    /// [`EndpointDirectory::remove`]: an outage of the store may remove a registration for a while.
     pub fn insert(
         &mut self,
         registration: types::EndpointRegistration,
@@ -189,22 +119,86 @@
         match self.endpoints.get_mut(&registration.endpoint) {
             Some(known) if known.registration.started_at_ms == registration.started_at_ms => {
                 if !registration.cold_time_left.is_zero() {
-                    known.cold_until = Some(now + registration.cold_time_left);
+                    known.set_cold(registration.cold_time_left, now);
                 }
                 known.registration = registration;
             }
             _ => {
                 let cold_time_left = registration.cold_time_left.max(cold_start.cold);
                 let registration = types::EndpointRegistration { cold_time_left, ..registration };
-                let endpoint = registration.endpoint.clone();
-                self.endpoints.insert(endpoint, DirectoryEndpoint::new(registration, now));
+                let name = registration.endpoint.clone();
+                let departed = self.departed.shift_remove(&name);
+                let started_at_ms = registration.started_at_ms;
+                let mut added = directory_endpoint::DirectoryEndpoint::new(registration, now);
+                if let Some(departed) = departed.filter(|old| old.started_at_ms == started_at_ms) {
+                    added.intake = departed.intake;
+                }
+                self.endpoints.insert(name, added);
             }
         }
     }
 
     /// Removes an endpoint.
-    pub fn remove(&mut self, endpoint: &ids::EndpointId) {
-        self.endpoints.shift_remove(endpoint);
+    pub fn remove(&mut self, endpoint: &ids::EndpointId, now: time::Instant) {
+        let Some(removed) = self.endpoints.shift_remove(endpoint) else { return };
+        if removed.intake.is_open(now) {
+            return;
+        }
+        let started_at_ms = removed.registration.started_at_ms;
+        self.keep_departed(endpoint, DepartedEndpoint { started_at_ms, intake: removed.intake });
+    }
+
+    fn keep_departed(&mut self, endpoint: &ids::EndpointId, departed: DepartedEndpoint) {
+        if self.departed.len() >= MAX_DEPARTED {
+            self.departed.shift_remove_index(0);
+        }
+        self.departed.insert(endpoint.clone(), departed);
+    }
+
+    /// Applies what an answer of an endpoint, whose process started at `started_at_ms`, says about
+    /// further requests; returns the change, if it made one. A later process under the same name is
+    /// not meant.
+    pub fn record_notice(
+        &mut self,
+        endpoint: &ids::EndpointId,
+        started_at_ms: u64,
+        notice: endpoint_intake::IntakeNotice,
+        now: time::Instant,
+    ) -> Option<endpoint_intake::IntakeChange> {
+        if let Some(known) = self.endpoints.get_mut(endpoint) {
+            let same = known.registration.started_at_ms == started_at_ms;
+            return same.then(|| known.intake.apply(notice, now)).flatten();
+        }
+        let known = self.departed.shift_remove(endpoint);
+        let same = known.filter(|departed| departed.started_at_ms == started_at_ms);
+        let mut intake = same.map(|departed| departed.intake).unwrap_or_default();
+        let change = intake.apply(notice, now);
+        if !intake.is_open(now) {
+            self.keep_departed(endpoint, DepartedEndpoint { started_at_ms, intake });
+        }
+        change
+    }
+
+    /// Sets how long an endpoint remains cold, as stated in one of its answers.
+    pub fn set_cold(
+        &mut self,
+        endpoint: &ids::EndpointId,
+        cold: time::Duration,
+        now: time::Instant,
+    ) {
+        if let Some(known) = self.endpoints.get_mut(endpoint) {
+            known.set_cold(cold, now);
+        }
+    }
+
+    /// Returns the start of the process of an endpoint; zero if it is not registered.
+    pub fn started_at_ms(&self, endpoint: &ids::EndpointId) -> u64 {
+        self.endpoints.get(endpoint).map_or(0, |known| known.registration.started_at_ms)
+    }
+
+    /// Returns the endpoint at an address.
+    pub fn at(&self, address: net::SocketAddr) -> Option<&directory_endpoint::DirectoryEndpoint> {
+        self.endpoints.values().find(|endpoint| endpoint.registration.address == address)
     }
 
     /// Sets whether an availability zone is out of service.
@@ -217,15 +211,13 @@
     }
 
     /// Returns all endpoints.
-    pub fn endpoints(&self) -> impl Iterator<Item = &DirectoryEndpoint> {
+    pub fn endpoints(&self) -> impl Iterator<Item = &directory_endpoint::DirectoryEndpoint> {
         self.endpoints.values()
     }
 
     /// Returns the availability zone of the endpoint at an address.
     pub fn zone_at(&self, address: net::SocketAddr) -> Option<&ids::ZoneId> {
-        let found =
-            self.endpoints.values().find(|endpoint| endpoint.registration.address == address);
-        found.map(|endpoint| &endpoint.registration.zone)
+        self.at(address).map(|endpoint| &endpoint.registration.zone)
     }
 
     /// Returns the availability zone of the endpoint in a region that most likely has a prompt
@@ -235,13 +227,29 @@
         service: &ids::ServiceName,
         region: &ids::RegionId,
         prefix: ids::PrefixHash,
+        now: time::Instant,
     ) -> Option<ids::ZoneId> {
-        let usable = self.usable(service, Some(region));
-        let score =
-            |one: &&DirectoryEndpoint| rendezvous::prefix_score(prefix, &one.registration.endpoint);
+        let usable = self.usable(service, Some(region), now);
+        let score = |one: &&directory_endpoint::DirectoryEndpoint| {
+            rendezvous::prefix_score(prefix, &one.registration.endpoint)
+        };
         usable.max_by_key(score).map(|one| one.registration.zone.clone())
     }
 
+    /// Returns how many endpoints there are, and how many are passed over for what reason.
+    pub fn counts(&self, now: time::Instant) -> EndpointCounts {
+        let count = |belongs: &dyn Fn(&directory_endpoint::DirectoryEndpoint) -> bool| {
+            self.endpoints.values().filter(|endpoint| belongs(endpoint)).count()
+        };
+        EndpointCounts {
+            known: self.endpoints.len(),
+            leaving: count(&|endpoint| endpoint.is_leaving()),
+            paused: count(&|endpoint| endpoint.paused_until(now).is_some()),
+            backing_off: count(&|endpoint| endpoint.is_backing_off(now)),
+            cold: count(&|endpoint| endpoint.is_cold(now)),
+        }
+    }
+
     /// Returns the number of endpoints.
     pub fn len(&self) -> usize {
         self.endpoints.len()
@@ -257,31 +265,71 @@
         self.zones.get(zone).cloned().unwrap_or_default()
     }
 
-    /// Returns the usable endpoints of a service, in one region or in all.
+    /// Returns why an endpoint takes no request at all at present, whatever the request.
+    pub fn closed(
+        &self,
+        endpoint: &directory_endpoint::DirectoryEndpoint,
+        now: time::Instant,
+    ) -> Option<endpoint_selection::SkipReason> {
+        use endpoint_selection::SkipReason;
+        if self.zones_out.contains(&endpoint.registration.zone) {
+            return Some(SkipReason::ZoneOut);
+        }
+        if endpoint.is_leaving() {
+            return Some(SkipReason::Leaving);
+        }
+        endpoint.paused_until(now).map(SkipReason::Paused)
+    }
+
+    /// Returns the endpoints of a service that take requests now or after a pause, in one region
+    /// or in all.
     pub fn usable<'directory>(
         &'directory self,
         service: &'directory str,
         region: Option<&'directory ids::RegionId>,
-    ) -> impl Iterator<Item = &'directory DirectoryEndpoint> {
+        now: time::Instant,
+    ) -> impl Iterator<Item = &'directory directory_endpoint::DirectoryEndpoint> {
+        use endpoint_selection::SkipReason;
         self.endpoints.values().filter(move |endpoint| {
             *endpoint.registration.service == *service
-                && endpoint.accepts_requests()
-                && !self.zones_out.contains(&endpoint.registration.zone)
+                && matches!(self.closed(endpoint, now), None | Some(SkipReason::Paused(_)))
                 && region.is_none_or(|region| self.region(&endpoint.registration.zone) == *region)
         })
     }
 
+    /// Returns when a service whose endpoints in a region have all asked for a pause takes requests
+    /// again; `None` if it takes some now, or has no endpoint there.
+    pub fn resumes_at(
+        &self,
+        service: &str,
+        region: Option<&ids::RegionId>,
+        now: time::Instant,
+    ) -> Option<time::Instant> {
+        let ends = self.usable(service, region, now).map(|endpoint| endpoint.paused_until(now));
+        ends.collect::<Option<Vec<_>>>()?.into_iter().min()
+    }
+
     /// Chooses an endpoint and counts a call in flight to it.
     pub fn start_call(&mut self, query: &EndpointQuery<'_>) -> Option<ChosenEndpoint> {
-        let chosen = self.choose(query)?;
-        let zone = self.endpoints.get(&chosen)?.registration.zone.clone();
-        let region = self.region(&zone);
-        let endpoint = self.endpoints.get_mut(&chosen)?;
+        let chosen = endpoint_selection::EndpointSelection::new(self, query).choose()?;
+        let name = chosen.registration.endpoint.clone();
+        let region = self.region(&chosen.registration.zone);
+        let endpoint = self.endpoints.get_mut(&name)?;
         endpoint.running += 1;
         if endpoint.is_cold(query.now) {
             endpoint.record_cold_call(query.now);
         }
-        Some(ChosenEndpoint { endpoint: chosen, address: endpoint.registration.address, region })
+        Some(ChosenEndpoint {
+            endpoint: name,
+            address: endpoint.registration.address,
+            region,
+            started_at_ms: endpoint.registration.started_at_ms,
+        })
+    }
+
+    /// Returns why the endpoints of a request's service are passed over.
+    pub fn skipped(&self, query: &EndpointQuery<'_>) -> endpoint_selection::SkipSummary {
+        endpoint_selection::EndpointSelection::new(self, query).skipped()
     }
 
     /// Ends a call that [`EndpointDirectory::start_call`] counted, and records its measurements.
@@ -294,115 +342,6 @@
     ) {
         let Some(known) = self.endpoints.get_mut(endpoint) else { return };
         known.running = known.running.saturating_sub(1);
-        let decay = known.decay(now);
-        match outcome {
-            AttemptOutcome::Served | AttemptOutcome::Failed => {
-                let failed = f64::from(u8::from(outcome == AttemptOutcome::Failed));
-                known.failure_rate =
-                    known.failure_rate * decay * (1.0 - SAMPLE_WEIGHT) + failed * SAMPLE_WEIGHT;
-                let took = took.as_micros() as f64 / MICROS_PER_SECOND;
-                let average = known.response_s.unwrap_or(took);
-                known.response_s = Some(average * (1.0 - SAMPLE_WEIGHT) + took * SAMPLE_WEIGHT);
-                known.measured_at = now;
-            }
-            AttemptOutcome::Full => known.backoff_until = Some(now + FULL_BACKOFF),
-            AttemptOutcome::Unreachable => known.backoff_until = Some(now + UNREACHABLE_BACKOFF),
-            AttemptOutcome::Gone => known.leaving = true,
-            AttemptOutcome::Cancelled => {}
-        }
-    }
-
-    /// Sets how long an endpoint remains cold, as stated in one of its answers.
-    pub fn set_cold(
-        &mut self,
-        endpoint: &ids::EndpointId,
-        cold: time::Duration,
-        now: time::Instant,
-    ) {
-        if let Some(known) = self.endpoints.get_mut(endpoint) {
-            known.cold_until = Some(now + cold);
-        }
-    }
-
-    fn choose(&self, query: &EndpointQuery<'_>) -> Option<ids::EndpointId> {
-        let now = query.now;
-        let allowed = |endpoint: &&DirectoryEndpoint| {
-            let region = self.region(&endpoint.registration.zone);
-            query.regions.is_none_or(|regions| regions.contains(&region))
-                && !query.tried.contains(&endpoint.registration.endpoint)
-        };
-        let usable: Vec<_> = self.usable(query.service, None).filter(allowed).collect();
-        let is_ready = |endpoint: &DirectoryEndpoint| !endpoint.is_backing_off(now);
-        let within_rate = |endpoint: &DirectoryEndpoint| {
-            !endpoint.is_cold(now) || endpoint.cold_calls(now) < query.cold_rate
-        };
-        let tiers: [&dyn Fn(&DirectoryEndpoint) -> bool; 3] = [
-            &|endpoint| !endpoint.is_cold(now) && is_ready(endpoint),
-            &|endpoint| within_rate(endpoint) && is_ready(endpoint),
-            &within_rate,
-        ];
-        let tiers = tiers.into_iter().map(|belongs| {
-            usable.iter().copied().filter(|endpoint| belongs(endpoint)).collect::<Vec<_>>()
-        });
-        let candidates = tiers.into_iter().find(|tier| !tier.is_empty())?;
-        self.best(&candidates, query).map(|endpoint| endpoint.registration.endpoint.clone())
-    }
-
-    fn best<'directory>(
-        &'directory self,
-        candidates: &[&'directory DirectoryEndpoint],
-        query: &EndpointQuery<'_>,
-    ) -> Option<&'directory DirectoryEndpoint> {
-        let now = query.now;
-        let recent =
-            candidates.iter().filter_map(|one| one.response_s.filter(|_| one.decay(now) > 0.1));
-        let typical = recent.fold(f64::INFINITY, f64::min);
-        let typical =
-            if typical.is_finite() { typical } else { DEFAULT_RESPONSE_TIME.as_secs_f64() };
-        let cost = |one: &DirectoryEndpoint| one.expected(typical, now) + self.distance(one, query);
-        if let Some(prefix) = query.prefix {
-            return self.best_cached(candidates, prefix, &cost, query);
-        }
-        candidates.iter().min_by(|a, b| cost(a).total_cmp(&cost(b))).copied()
-    }
-
-    /// Returns the endpoint that most likely has the prompt prefix cached, among those that are not
-    /// much busier or slower than the others.
-    fn best_cached<'directory>(
-        &'directory self,
-        candidates: &[&'directory DirectoryEndpoint],
-        prefix: ids::PrefixHash,
-        cost: &dyn Fn(&DirectoryEndpoint) -> f64,
-        query: &EndpointQuery<'_>,
-    ) -> Option<&'directory DirectoryEndpoint> {
-        let in_region = |one: &&&DirectoryEndpoint| {
-            self.region(&one.registration.zone) == *query.preferred_region
-        };
-        let preferred: Vec<_> = candidates.iter().filter(in_region).copied().collect();
-        let pool = if preferred.is_empty() { candidates.to_vec() } else { preferred };
-        let count = f64::from(u32::try_from(pool.len()).unwrap_or(1).max(1));
-        let average_load: f64 = pool.iter().map(|one| f64::from(one.running)).sum::<f64>() / count;
-        let lowest = pool.iter().map(|one| cost(one)).fold(f64::INFINITY, f64::min);
-        let load_limit = average_load * AFFINITY_LOAD_FACTOR + AFFINITY_ALLOWANCE;
-        let eligible = |one: &&&DirectoryEndpoint| {
-            f64::from(one.running) <= load_limit
-                && cost(one) <= lowest * 2.0 + FAILURE_COST.as_secs_f64()
-        };
-        let score = |one: &&&DirectoryEndpoint| {
-            rendezvous::prefix_score(prefix, &one.registration.endpoint)
-        };
-        let best = pool.iter().filter(eligible).max_by_key(score);
-        best.or_else(|| pool.iter().max_by_key(score)).copied()
-    }
-
-    /// Returns the cost of the distance to an endpoint, in seconds.
-    fn distance(&self, endpoint: &DirectoryEndpoint, query: &EndpointQuery<'_>) -> f64 {
-        let zone = &endpoint.registration.zone;
-        if zone == query.zone && self.region(zone) == *query.preferred_region {
-            return 0.0;
-        }
-        let cost =
-            if self.region(zone) == *query.preferred_region { ZONE_COST } else { REGION_COST };
-        cost.as_secs_f64()
+        known.record_call(outcome, took, now);
     }
 }
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -8,7 +8,8 @@
 //! - The ingress node: [`verdict`], [`attempt`], [`routing`], [`retry`], [`timing`], [`stream`],
 //!   [`suspect`], [`link_budget`].
 //! - Requests that may run at most once: [`claim`], [`row_finalizer`], [`write_group`].
-//! - On the users' platform: [`route_table`], [`endpoint_directory`], [`stage_graph`] of a request,
+//! - On the users' platform: [`route_table`], [`endpoint_directory`] of [`directory_endpoint`]s
+//!   with their [`endpoint_intake`], [`endpoint_selection`], [`stage_graph`] of a request,
 //!   [`batch_queue`] of a stage service over [`batch_admission`], [`piece_group`], [`worker_set`] and [`home_zones`], [`event_buffer`],
 //!   [`first_event`], [`service_retry_budget`], [`wait_table`], [`peer_health`]; tables of the store by
 //!   [`table_mirror`], [`table_source`], [`table_freshness`] and [`outage_recovery`].
@@ -43,8 +44,11 @@
 pub mod connectivity;
 pub mod declared_item;
 pub mod delta;
+pub mod directory_endpoint;
 pub mod endpoint_directory;
+pub mod endpoint_intake;
 pub mod endpoint_lifecycle;
+pub mod endpoint_selection;
 pub mod endpoint_selector;
 pub mod event_buffer;
 pub mod first_event;
--- a/crates/comfreyspread-policy/src/worker_set.rs
+++ b/crates/comfreyspread-policy/src/worker_set.rs
@@ -73,9 +73,10 @@
             workers.map(|location| (location.endpoint.clone(), location)).collect();
         self.workers.retain(|endpoint, _| workers.contains_key(endpoint));
         for (endpoint, location) in workers {
-            self.workers
-                .entry(endpoint)
-                .or_insert_with(|| batch_worker::BatchWorker::new(location, now));
+            let paused_until = location.paused_until;
+            let worker = self.workers.entry(endpoint);
+            let worker = worker.or_insert_with(|| batch_worker::BatchWorker::new(location, now));
+            worker.paused_until = paused_until;
         }
     }
 
@@ -93,12 +94,20 @@
         let backoffs = self.workers.values().filter_map(|worker| worker.backoff_until);
         let untracked =
             self.workers.values().filter_map(|worker| Some(worker.untracked?.expires_at));
-        backoffs.chain(untracked)
+        let pauses = self.workers.values().filter_map(|worker| worker.paused_until);
+        backoffs.chain(untracked).chain(pauses)
+    }
+
+    /// Returns the first end of a pause if all endpoints have asked for one.
+    pub fn resumes_at(&self, now: time::Instant) -> Option<time::Instant> {
+        let pause =
+            |worker: &batch_worker::BatchWorker| worker.paused_until.filter(|until| *until > now);
+        self.workers.values().map(pause).collect::<Option<Vec<_>>>()?.into_iter().min()
     }
 
     /// Returns the total speed of all endpoints, in calls per expected time of a call.
     pub fn speed(&self, now: time::Instant) -> f64 {
-        let available = self.workers.values().filter(|worker| !worker.is_backing_off(now));
+        let available = self.workers.values().filter(|worker| worker.is_available(now));
         available.map(speed).sum()
     }
 
@@ -167,7 +176,7 @@
         let usual = self
             .workers
             .iter()
-            .filter(|(_, worker)| !worker.is_backing_off(now) && !worker.is_slow(best))
+            .filter(|(_, worker)| worker.is_available(now) && !worker.is_slow(best))
             .filter(|(name, _)| self.free_bytes(name) > 0);
         usual.filter(|(_, worker)| free_soon(worker)).map(|(_, worker)| &worker.zone).collect()
     }
@@ -258,19 +267,19 @@
         self.results.remove(handles);
     }
 
-    /// Returns the endpoints that run no call and are not backing off.
+    /// Returns the endpoints that run no call and may be called.
     fn idle(
         &self,
         now: time::Instant,
     ) -> impl Iterator<Item = (&ids::EndpointId, &batch_worker::BatchWorker)> {
         self.workers
             .iter()
-            .filter(move |(_, worker)| worker.call.is_none() && !worker.is_backing_off(now))
+            .filter(move |(_, worker)| worker.call.is_none() && worker.is_available(now))
     }
 
-    /// Returns the time ratio of the fastest endpoint that is not backing off.
+    /// Returns the time ratio of the fastest endpoint that may be called.
     fn best_time_ratio(&self, now: time::Instant) -> f64 {
-        let available = self.workers.values().filter(|worker| !worker.is_backing_off(now));
+        let available = self.workers.values().filter(|worker| worker.is_available(now));
         available.map(|worker| worker.time_ratio).fold(f64::INFINITY, f64::min)
     }
 }
--- a/crates/comfreyspread-policy/tests/batch_queue.rs
+++ b/crates/comfreyspread-policy/tests/batch_queue.rs
@@ -30,6 +30,7 @@
         endpoint: name.into(),
         address: ([10, 0, 0, 1], port).into(),
         zone: zone.into(),
+        paused_until: None,
     }
 }
 
@@ -398,3 +399,27 @@
     };
     queue.finish_call(call.number, &outcome, now);
 }
+
+/// All endpoints of a stage had asked for a pause beyond the deadline, and pieces were held until
+/// then.
+#[test]
+fn paused_endpoints() {
+    let now = time::Instant::now();
+    let paused =
+        |until| batch_worker::WorkerLocation { paused_until: until, ..location("w0", 0, "a") };
+    let mut queue = queue(0, now);
+    queue.set_workers([paused(Some(now + ms(60_000)))].into_iter(), now);
+    queue.push(group("long", 2, 1, now));
+    let rejected = queue.take_completed(now + ms(1));
+    assert_eq!(rejected.len(), 1, "the pause ends after the deadline");
+    queue.push(group("next", 2, 1, now));
+    assert_eq!(queue.take_completed(now + ms(2)).len(), 1, "at once, not at the next check");
+    assert!(queue.expected_wait(1, now) >= ms(60_000));
+    queue.set_workers([paused(Some(now + ms(1000)))].into_iter(), now);
+    queue.push(group("short", 2, 1, now));
+    assert!(queue.take_completed(now + ms(3)).is_empty(), "the pause ends in time");
+    assert!(queue.plan(now + ms(2)).is_empty());
+    assert_eq!(queue.next_wakeup(now + ms(2)), Some(now + ms(1000)));
+    queue.set_workers([paused(None)].into_iter(), now + ms(1000));
+    assert_eq!(queue.plan(now + ms(1000)).len(), 1);
+}
--- a/crates/comfreyspread-policy/tests/queue_load/mod.rs
+++ b/crates/comfreyspread-policy/tests/queue_load/mod.rs
@@ -94,6 +94,7 @@
             endpoint: format!("endpoint-{index}").into(),
             address: net::SocketAddr::from(([127, 0, 0, 1], port)),
             zone: self.zone(index).into(),
+            paused_until: None,
         }
     }
 
--- a/crates/comfreyspread/src/gateway/admin_handler.rs
+++ b/crates/comfreyspread/src/gateway/admin_handler.rs
@@ -6,7 +6,7 @@
     operations::operator_api,
     transport::{http_message, http_server},
 };
-use comfreyspread_policy::endpoint_directory;
+use comfreyspread_policy::directory_endpoint;
 use comfreyspread_schema::{ids, types};
 use http::StatusCode;
 use std::{sync, time};
@@ -31,11 +31,15 @@
         let now = time::Instant::now();
         let count = |number: usize| u64::try_from(number).unwrap_or(u64::MAX);
         let endpoint_view =
-            |endpoint: &endpoint_directory::DirectoryEndpoint| types::EndpointView {
+            |endpoint: &directory_endpoint::DirectoryEndpoint| types::EndpointView {
                 address: endpoint.registration.address,
                 cold: endpoint.is_cold(now),
                 endpoint: endpoint.registration.endpoint.clone(),
-                leaving: !endpoint.accepts_requests(),
+                leaving: endpoint.is_leaving(),
+                backing_off: endpoint.is_backing_off(now),
+                pause_left: endpoint
+                    .paused_until(now)
+                    .map_or(time::Duration::ZERO, |until| until.saturating_duration_since(now)),
                 running: endpoint.running.into(),
                 service: endpoint.registration.service.clone(),
                 zone: endpoint.registration.zone.clone(),
@@ -61,9 +65,9 @@
 impl http_server::RequestHandler for AdminHandler {
     async fn handle(&self, request: http_server::ServerRequest) -> http_message::Response {
         if request.path() == METRICS_PATH {
-            let endpoints = self.state.directory.lock().len();
             let version = self.state.routes().version();
-            self.state.context.metrics.stages.update_gauges(endpoints, version);
+            let counts = self.state.directory.lock().counts(time::Instant::now());
+            self.state.context.metrics.stages.update_gauges(&counts, version);
             return front::metrics(&self.state.context);
         }
         if request.path() == DUMP_PATH {
--- a/crates/comfreyspread/src/gateway/attempt_send.rs
+++ b/crates/comfreyspread/src/gateway/attempt_send.rs
@@ -1,6 +1,6 @@
 //! One attempt at a request: selects an endpoint, sends the request and checks the response head.
 
-use super::{call_plan, state};
+use super::{call_plan, caller_handler, endpoint_notices, state};
 use crate::transport::{failure, http_client, http_message};
 use comfreyspread_platform::{request_head, response_head};
 use comfreyspread_policy::{attempt, endpoint_directory};
@@ -111,8 +111,7 @@
         now,
     };
     let Some(chosen) = state.directory.lock().start_call(&query) else {
-        let detail = format!("service {} has no endpoint to use", plan.service.name);
-        let failure = call_plan::CallPlan::not_run(types::ProblemKind::Unavailable, &detail);
+        let failure = no_endpoint(state, &query);
         return Err(FailedAttempt { endpoint: None, address: None, failure, inputs_gone: false });
     };
     let mut active = ActiveAttempt { state: state.clone(), chosen, started: now, finished: false };
@@ -147,6 +146,20 @@
     }
 }
 
+/// Returns the failure of a request for which no endpoint is available. If a pause is all that keeps
+/// it from the service, its caller is told to retry after that.
+fn no_endpoint(
+    state: &state::GatewayState,
+    query: &endpoint_directory::EndpointQuery<'_>,
+) -> failure::CallFailure {
+    let skipped = state.directory.lock().skipped(query);
+    let detail = format!("service {} has no endpoint to use: {skipped}", query.service);
+    let failure = call_plan::CallPlan::not_run(types::ProblemKind::Unavailable, &detail);
+    let Some(resumes_at) = skipped.resumes_at else { return failure };
+    let pause = resumes_at.saturating_duration_since(query.now);
+    failure.with_retry_after(pause.max(caller_handler::RETRY_AFTER))
+}
+
 fn build_request(
     plan: &call_plan::CallPlan,
     chosen: &endpoint_directory::ChosenEndpoint,
@@ -173,11 +186,8 @@
     response: http_message::Response,
 ) -> Result<StartedAttempt, FailedAttempt> {
     let signals = response_head::decode(response.head());
-    let now = time::Instant::now();
     let endpoint = active.chosen.endpoint.clone();
-    if !signals.cold_time_left.is_zero() {
-        active.state.directory.lock().set_cold(&endpoint, signals.cold_time_left, now);
-    }
+    endpoint_notices::record(&active.state, &endpoint, active.chosen.started_at_ms, &signals);
     if signals.not_run {
         let gone = signals.misdirected;
         active.finish(if gone {
--- a/crates/comfreyspread/src/gateway/batcher.rs
+++ b/crates/comfreyspread/src/gateway/batcher.rs
@@ -3,11 +3,11 @@
 //! One task per service schedules the calls; new pieces, finished calls, released results and
 //! endpoint changes wake it. [`batch_queue`] makes the decisions.
 
-use super::state;
+use super::{endpoint_notices, state};
 use crate::transport::{deadline, http_client, http_message};
 use comfreyspread_platform::{piece_call, response_head};
 use comfreyspread_policy::{
-    batch_outcome, batch_queue, batch_worker, endpoint_directory, piece_group,
+    batch_outcome, batch_queue, batch_worker, directory_endpoint, piece_group,
 };
 use comfreyspread_schema::{ids, types};
 use futures_lite::FutureExt as _;
@@ -139,6 +139,10 @@
         }
     }
     for (producer, released) in producers {
+        if !accepts_release(state, producer) {
+            log::debug!(count = released.len(); "batcher: results left to expire. endpoint={producer}");
+            continue;
+        }
         let task_state = state.clone();
         let service = service.clone();
         state.context.spawner.detach(async move {
@@ -152,6 +156,15 @@
     }
 }
 
+/// Returns whether results may be released at an endpoint: one that leaves or asked for a pause gets
+/// no request, so its results take up storage until they expire.
+fn accepts_release(state: &state::GatewayState, producer: net::SocketAddr) -> bool {
+    let now = time::Instant::now();
+    let directory = state.directory.lock();
+    let known = directory.at(producer);
+    known.is_none_or(|one| !one.is_leaving() && one.paused_until(now).is_none())
+}
+
 async fn send_release(
     state: &state::GatewayState,
     producer: net::SocketAddr,
@@ -200,12 +213,13 @@
     let region = &state.settings.region;
     let workers: Vec<_> = {
         let directory = state.directory.lock();
-        let usable = directory.usable(service, Some(region));
+        let usable = directory.usable(service, Some(region), now);
         let location =
-            |endpoint: &endpoint_directory::DirectoryEndpoint| batch_worker::WorkerLocation {
+            |endpoint: &directory_endpoint::DirectoryEndpoint| batch_worker::WorkerLocation {
                 endpoint: endpoint.registration.endpoint.clone(),
                 address: endpoint.registration.address,
                 zone: endpoint.registration.zone.clone(),
+                paused_until: endpoint.paused_until(now),
             };
         usable.map(location).collect()
     };
@@ -260,6 +274,7 @@
     let request = http_message::Request::from_parts(head, body.into());
     let connection = http_client::ConnectionUse::Pooled;
     let deadline = time::Instant::now() + call.timeout;
+    let started_at_ms = state.directory.lock().started_at_ms(&call.endpoint);
     let response = state.client.call(call.address, request, connection, deadline).await;
     let response = match response {
         Ok(response) => response,
@@ -269,6 +284,7 @@
         }
     };
     let signals = response_head::decode(response.head());
+    endpoint_notices::record(state, &call.endpoint, started_at_ms, &signals);
     if signals.misdirected {
         return batch_outcome::BatchOutcome::Gone;
     }
--- a/crates/comfreyspread/src/gateway/endpoint_watcher.rs
+++ b/crates/comfreyspread/src/gateway/endpoint_watcher.rs
@@ -50,7 +50,7 @@
 
 fn remove(state: &state::GatewayState, endpoint: &ids::EndpointId) {
     log::info!(endpoint = endpoint.as_ref(); "endpoints: removed");
-    state.directory.lock().remove(endpoint);
+    state.directory.lock().remove(endpoint, time::Instant::now());
 }
 
 /// Removes endpoints that have not registered again once the recovery time after a store outage is
--- a/crates/comfreyspread/src/gateway/mod.rs
+++ b/crates/comfreyspread/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! - Stages: [`region_selector`] selects the region, [`stage_execution`] runs the stages,
 //!   [`piece_dispatch`] sends their pieces to the node that batches the service, and [`batcher`]
 //!   calls the endpoints there.
+//! - Endpoints: [`endpoint_notices`] records what their answers say of themselves.
 //! - Tables: [`route_watcher`] and [`endpoint_watcher`] apply changes that [`table_watcher`] reads
 //!   through [`store_client`] or, from other nodes, [`table_exchange`]. [`state`] holds the result.
 //! - Process: [`process`] starts, serves and stops; [`admin_handler`] serves readiness, metrics and
@@ -17,6 +18,7 @@
 pub mod batcher;
 pub mod call_plan;
 pub mod caller_handler;
+pub mod endpoint_notices;
 pub mod endpoint_watcher;
 pub mod piece_dispatch;
 pub mod process;
--- a/crates/comfreyspread/src/gateway/region_selector.rs
+++ b/crates/comfreyspread/src/gateway/region_selector.rs
@@ -2,7 +2,7 @@
 //! much shorter wait. Results never cross regions, so the request itself runs in the same region.
 
 use super::{batcher, call_plan, piece_dispatch, state};
-use comfreyspread_policy::wait_table;
+use comfreyspread_policy::{directory_endpoint, wait_table};
 use comfreyspread_schema::ids;
 use std::{sync, time};
 
@@ -34,6 +34,21 @@
     Some(local_region.clone())
 }
 
+/// Returns how long to wait until all services of a request take requests again in one region that
+/// may run it; zero if a pause is not what keeps it from them.
+pub fn pause_left(state: &state::GatewayState, plan: &call_plan::CallPlan) -> time::Duration {
+    let now = time::Instant::now();
+    let services = stage_services(plan);
+    let directory = state.directory.lock();
+    let allowed =
+        |region: &&ids::RegionId| plan.regions.as_ref().is_none_or(|all| all.contains(region));
+    let ends = state.regions.iter().filter(allowed).filter_map(|region| {
+        let all = services.iter().chain([&plan.service.name]);
+        all.filter_map(|service| directory.resumes_at(service, Some(region), now)).max()
+    });
+    ends.min().map_or(time::Duration::ZERO, |end| end.saturating_duration_since(now))
+}
+
 /// Returns the services that run pieces of the request.
 fn stage_services(plan: &call_plan::CallPlan) -> Vec<ids::ServiceName> {
     let pieces = plan.call.piece_counts.iter().copied().chain(std::iter::repeat(0));
@@ -47,9 +62,13 @@
     plan: &call_plan::CallPlan,
     services: &[ids::ServiceName],
 ) -> Vec<ids::RegionId> {
+    let now = time::Instant::now();
     let directory = state.directory.lock();
     let is_candidate = |region: &&ids::RegionId| {
-        let has_endpoint = |service: &str| directory.usable(service, Some(region)).next().is_some();
+        let takes_requests =
+            |one: &directory_endpoint::DirectoryEndpoint| one.paused_until(now).is_none();
+        let has_endpoint =
+            |service: &str| directory.usable(service, Some(region), now).any(takes_requests);
         plan.regions.as_ref().is_none_or(|allowed| allowed.contains(region))
             && services.iter().all(|service| has_endpoint(service))
             && has_endpoint(&plan.service.name)
--- a/crates/comfreyspread/src/gateway/stage_execution.rs
+++ b/crates/comfreyspread/src/gateway/stage_execution.rs
@@ -116,7 +116,9 @@
         let now = time::Instant::now();
         let wait = self.state.waits.lock().wait(service, &self.region, plan.priority(), now);
         let wait = wait.unwrap_or(MIN_RETRY_AFTER).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
-        wait.mul_f64(rand::rng().random_range(1.0..RETRY_AFTER_SPREAD))
+        let resumes_at = self.state.directory.lock().resumes_at(service, Some(&self.region), now);
+        let pause = resumes_at.map(|end| end.saturating_duration_since(now)).unwrap_or_default();
+        wait.max(pause).mul_f64(rand::rng().random_range(1.0..RETRY_AFTER_SPREAD))
     }
 
     fn record_outcomes(
@@ -176,10 +178,11 @@
     /// Returns the preferred availability zone for a stage: that of most of its inputs, or without
     /// inputs that of the endpoint most likely to run the request.
     fn zone_for(&self, plan: &call_plan::CallPlan, stage: usize) -> Option<ids::ZoneId> {
+        let now = time::Instant::now();
         let directory = self.state.directory.lock();
         let inputs = self.graph.inputs(stage);
         if inputs.is_empty() {
-            return directory.affinity_zone(&plan.service.name, &self.region, plan.prefix()?);
+            return directory.affinity_zone(&plan.service.name, &self.region, plan.prefix()?, now);
         }
         let mut zones = IndexMap::<ids::ZoneId, usize>::new();
         let producers = inputs.iter().filter_map(piece_call::producer_address);
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -4,8 +4,8 @@
 //! another endpoint after the last forwarded event, within the same response.
 
 use super::{
-    attempt_history, attempt_send, call_plan, produced_chunks, region_selector, stage_execution,
-    state,
+    attempt_history, attempt_send, call_plan, caller_handler, produced_chunks, region_selector,
+    stage_execution, state,
 };
 use crate::transport::{failure, http_client, http_message};
 use comfreyspread_policy::{attempt, endpoint_directory, event_buffer};
@@ -32,7 +32,9 @@
 ) -> Result<http_message::Response, failure::CallFailure> {
     let region = region_selector::select_region(state, &plan).ok_or_else(|| {
         let detail = "no region has endpoints for all parts of the request";
+        let pause = region_selector::pause_left(state, &plan).max(caller_handler::RETRY_AFTER);
         call_plan::CallPlan::not_run(types::ProblemKind::Unavailable, detail)
+            .with_retry_after(pause)
     })?;
     let stages = stage_execution::StageExecution::new(state, &plan, region);
     let resume_after = plan.call.resume_after;
--- a/crates/comfreyspread/src/runtime/stage_metrics.rs
+++ b/crates/comfreyspread/src/runtime/stage_metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of stages, the platform's store and the routes.
 
+use comfreyspread_policy::endpoint_directory;
 use prometheus_client::{metrics, registry};
 use std::time;
 
@@ -21,6 +22,11 @@
     store_pages: metrics::counter::Counter,
     store_polls: metrics::counter::Counter,
     endpoints: metrics::gauge::Gauge,
+    leaving: metrics::gauge::Gauge,
+    paused: metrics::gauge::Gauge,
+    backing_off: metrics::gauge::Gauge,
+    cold: metrics::gauge::Gauge,
+    pauses: metrics::counter::Counter,
     routes_version: metrics::gauge::Gauge,
 }
 
@@ -38,6 +44,11 @@
             store_pages: metrics::counter::Counter::default(),
             store_polls: metrics::counter::Counter::default(),
             endpoints: metrics::gauge::Gauge::default(),
+            leaving: metrics::gauge::Gauge::default(),
+            paused: metrics::gauge::Gauge::default(),
+            backing_off: metrics::gauge::Gauge::default(),
+            cold: metrics::gauge::Gauge::default(),
+            pauses: metrics::counter::Counter::default(),
             routes_version: metrics::gauge::Gauge::default(),
         };
         metrics.register(registry);
@@ -62,6 +73,14 @@
         let help = "Requests for the changes of a table to the platform's store";
         registry.register("store_change_polls", help, self.store_polls.clone());
         registry.register("endpoints_known", "Endpoints registered", self.endpoints.clone());
+        registry.register("endpoints_leaving", "Endpoints that leave", self.leaving.clone());
+        let help = "Endpoints that asked for no requests for a time";
+        registry.register("endpoints_paused", help, self.paused.clone());
+        let help = "Endpoints avoided after a failure or while full";
+        registry.register("endpoints_backing_off", help, self.backing_off.clone());
+        registry.register("endpoints_cold", "Endpoints that are cold", self.cold.clone());
+        let help = "Pauses that endpoints asked for";
+        registry.register("endpoint_pauses", help, self.pauses.clone());
         let help = "Version of the routes in force";
         registry.register("routes_version", help, self.routes_version.clone());
     }
@@ -103,9 +122,21 @@
         self.failed_store_reads.inc();
     }
 
-    /// Sets the gauges of registered endpoints and of the version of the routes in force.
-    pub fn update_gauges(&self, endpoints: usize, version: u64) {
-        self.endpoints.set(i64::try_from(endpoints).unwrap_or(i64::MAX));
+    /// Counts a pause that an endpoint asked for.
+    pub fn count_pause(&self) {
+        self.pauses.inc();
+    }
+
+    /// Sets the gauges of endpoints and of the version of the routes in force.
+    pub fn update_gauges(&self, counts: &endpoint_directory::EndpointCounts, version: u64) {
+        let set = |gauge: &metrics::gauge::Gauge, count: usize| {
+            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+        };
+        set(&self.endpoints, counts.known);
+        set(&self.leaving, counts.leaving);
+        set(&self.paused, counts.paused);
+        set(&self.backing_off, counts.backing_off);
+        set(&self.cold, counts.cold);
         self.routes_version.set(i64::try_from(version).unwrap_or(i64::MAX));
     }
 }
