Bound the bytes of informational heads before an answer

A request to an endpoint that sends informational (1xx) heads without end got no answer, not even at its deadline: hyper skips such heads within one poll for as long as they arrive, so the thread that polls the exchange never came back to the timer beside it, nor to its other work.

--- a/crates/comfreyspread-lab/tests/common/raw_endpoint.rs
+++ b/crates/comfreyspread-lab/tests/common/raw_endpoint.rs
@@ -21,6 +21,14 @@
     Head,
     /// Header bytes, one now and then.
     DrippingHead,
+    /// Heads of informational responses, none of them final.
+    InformationalHeads,
+    /// A chunk whose extension has no end.
+    ChunkExtension,
+    /// Trailers of a chunked body without a blank line.
+    Trailers,
+    /// More bytes than the length that the head states.
+    LongBody,
     /// A body longer than any response may be, of a known length.
     Body,
     /// A chunked body without its last chunk.
@@ -80,6 +88,10 @@
         let head = format!("HTTP/1.1 200 OK\r\nResponse-Stamp: raw-1\r\nRequest-Id: {id}\r\n");
         let first = match endless {
             Endless::Head | Endless::DrippingHead => head,
+            Endless::InformationalHeads => String::new(),
+            Endless::ChunkExtension => format!("{head}Transfer-Encoding: chunked\r\n\r\n4;"),
+            Endless::Trailers => format!("{head}Transfer-Encoding: chunked\r\n\r\n0\r\n"),
+            Endless::LongBody => format!("{head}Content-Length: 4\r\n\r\nbody"),
             Endless::Body => format!("{head}Content-Length: 9000000000\r\n\r\n"),
             Endless::ChunkedBody => format!("{head}Transfer-Encoding: chunked\r\n\r\n"),
             Endless::Event | Endless::DrippingEvent => format!(
@@ -101,9 +113,10 @@
 
 fn next_bytes(endless: Endless) -> Vec<u8> {
     match endless {
-        Endless::Head => b"X-Filler: 0123456789\r\n".repeat(CHUNK_BYTES / 22),
+        Endless::Head | Endless::Trailers => b"X-Filler: 0123456789\r\n".repeat(CHUNK_BYTES / 22),
+        Endless::InformationalHeads => b"HTTP/1.1 102 Processing\r\n\r\n".repeat(CHUNK_BYTES / 27),
         Endless::DrippingHead => b"X".to_vec(),
-        Endless::Body => vec![b'x'; CHUNK_BYTES],
+        Endless::Body | Endless::ChunkExtension | Endless::LongBody => vec![b'x'; CHUNK_BYTES],
         Endless::ChunkedBody | Endless::Event => {
             let mut chunk = format!("{CHUNK_BYTES:x}\r\n").into_bytes();
             chunk.extend(vec![b'x'; CHUNK_BYTES]);
--- a/crates/comfreyspread-lab/tests/endless_answers.rs
+++ b/crates/comfreyspread-lab/tests/endless_answers.rs
@@ -93,6 +93,41 @@
     check_unary(raw_endpoint::Endless::ChunkedBody);
 }
 
+/// Informational heads without end are bounded by their bytes, and keep no thread from its timers.
+#[test]
+fn informational_heads() {
+    check_unary(raw_endpoint::Endless::InformationalHeads);
+}
+
+#[test]
+fn chunk_extension() {
+    check_unary(raw_endpoint::Endless::ChunkExtension);
+}
+
+#[test]
+fn endless_trailers() {
+    check_unary(raw_endpoint::Endless::Trailers);
+}
+
+/// The answer of the length that its head states is whole; what follows it is nobody's, and the
+/// connection is closed.
+#[test]
+fn long_body() {
+    let endless = raw_endpoint::Endless::LongBody;
+    with_endless(endless, "ledger", &["ledger-1", "ledger-2"], async |_fleet, node, raw| {
+        for number in 0..8 {
+            let id = format!("r-{number}");
+            let request = gateway::request(node.caller_address, "/read/", &id);
+            let answer = gateway::send(node.caller_address, request).await;
+            assert_eq!(answer, (200, "body".into()));
+        }
+        wait_until_closed(&raw).await;
+        let written = raw.written.load(Ordering::Relaxed);
+        assert!(written < 8 * MAX_RESPONSE_BYTES, "{written} bytes taken");
+        assert!(memory_kib(&node) < MAX_MEMORY_KIB, "{} KiB", memory_kib(&node));
+    });
+}
+
 /// Several endless bodies at once stay within the memory of a small VM.
 #[test]
 fn many_bodies() {
--- a/crates/comfreyspread/src/transport/client_connection.rs
+++ b/crates/comfreyspread/src/transport/client_connection.rs
@@ -3,14 +3,14 @@
 //! The task that waits for an exchange also polls `hyper`'s connection, so an idle connection needs
 //! no task, and dropping an exchange closes its connection.
 
-use crate::transport::{http_body, http_message};
+use crate::transport::{head_limit, http_body, http_message};
 use async_net::TcpStream;
 use hyper::client::conn::http1;
 use rustix::net::sockopt;
 use std::{fmt, future, io, net, pin, task, time};
 
-type HyperConnection =
-    http1::Connection<smol_hyper::rt::FuturesIo<TcpStream>, http_body::MessageBody>;
+type HyperStream = smol_hyper::rt::FuturesIo<head_limit::LimitedStream<TcpStream>>;
+type HyperConnection = http1::Connection<HyperStream, http_body::MessageBody>;
 
 /// Time for which sent bytes may stay unacknowledged before the connection is closed.
 const UNACKNOWLEDGED_TIMEOUT_MS: u32 = 2000;
@@ -26,6 +26,7 @@
     address: net::SocketAddr,
     sender: http1::SendRequest<http_body::MessageBody>,
     driver: sync_wrapper::SyncWrapper<Option<HyperConnection>>,
+    head_limit: head_limit::HeadLimit,
     idle_since: time::Instant,
 }
 
@@ -48,13 +49,15 @@
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         detect_dead_peer(&stream)?;
+        let head_limit = head_limit::HeadLimit::new();
+        let stream = head_limit::LimitedStream::new(stream, head_limit.clone());
         let (sender, driver) = http1::Builder::new()
             .preserve_header_case(true)
             .handshake(smol_hyper::rt::FuturesIo::new(stream))
             .await
             .map_err(io::Error::other)?;
         let driver = sync_wrapper::SyncWrapper::new(Some(driver));
-        Ok(Self { address, sender, driver, idle_since: time::Instant::now() })
+        Ok(Self { address, sender, driver, head_limit, idle_since: time::Instant::now() })
     }
 
     /// Returns the address of the peer.
@@ -88,7 +91,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection ends first; the error says whether anything was written.
+    /// Fails if the connection ends or sends too much first; the error says whether anything was written.
     pub async fn exchange(
         &mut self,
         request: http_message::Request,
@@ -96,8 +99,10 @@
         if self.drive(|sender, cx| sender.poll_ready(cx)).await.is_err() {
             return Err(ExchangeError::Unsent);
         }
+        self.head_limit.start();
         let mut response = Box::pin(self.sender.try_send_request(request.into_http()));
         let response = self.drive(|_, cx| response.as_mut().poll(cx)).await;
+        self.head_limit.stop();
         response.map_err(|mut error| match error.take_message() {
             Some(_) => ExchangeError::Unsent,
             None => ExchangeError::Lost(error.into_error()),
--- a/crates/comfreyspread/src/transport/mod.rs
+++ b/crates/comfreyspread/src/transport/mod.rs
@@ -5,6 +5,7 @@
 pub mod client_connection;
 pub mod deadline;
 pub mod failure;
+pub mod head_limit;
 pub mod header;
 pub mod http_body;
 pub mod http_client;
