Close the connection of an endpoint that answered another call

On the native front end, an endpoint that wrote an answer once more on a kept connection failed every later call on it: each got the answer to the call before, was dropped for its echo, and left the connection among the idle ones, because a response that was read to its end returned it before the echo was looked at.

HttpClient::call_held keeps the connection with the response; the endpoint client releases it only once the echo names this call. A refusal is still looked at after the echo only.

--- a/crates/comfreyspread/src/ownership/endpoint_client.rs
+++ b/crates/comfreyspread/src/ownership/endpoint_client.rs
@@ -1,7 +1,8 @@
 //! Client of endpoints: model engines, encoders, retrievers, rerankers and plain services.
 //!
 //! An endpoint echoes the request id and the attempt of each call. A response that echoes other
-//! values is dropped, so that no request can receive the response to another one.
+//! values is dropped and its connection closed, so that no request can receive the response to
+//! another one.
 
 use crate::{
     runtime::context,
@@ -65,16 +66,21 @@
             http_client::ConnectionUse::Fresh
         };
         let sent = planned.send();
-        let response =
-            context.client.call(self.address, self.request(), connection, self.deadline).await;
-        let response = response.inspect_err(|failure| {
+        let framing = http_client::BodyFraming::Explicit;
+        let client = &context.client;
+        let held =
+            client.call_held(self.address, self.request(), connection, framing, self.deadline);
+        let held = held.await.inspect_err(|failure| {
             context.metrics.count_attempt(failure.verdict());
         })?;
+        let response = held.response();
         let echo = EchoHeaders {
             request: response.header(header::REQUEST),
             attempt: response.header(header::ATTEMPT),
         };
-        self.check_response(&echo, response.status(), response.header(header::VERDICT))?;
+        self.check_echo(&echo)?;
+        let response = held.release();
+        check_status(response.status(), response.header(header::VERDICT))?;
         context.metrics.count_attempt(sent.complete().verdict());
         let report = self_report(|name| response.header(name));
         Ok(EndpointResponse { status: response.status(), body: response.body().clone(), report })
@@ -95,7 +101,8 @@
             context.client.call_streaming(self.address, self.request(), self.deadline).await?;
         let value = |name: &str| response.header(name);
         let echo = EchoHeaders { request: value(header::REQUEST), attempt: value(header::ATTEMPT) };
-        self.check_response(&echo, response.status().into(), value(header::VERDICT))?;
+        self.check_echo(&echo)?;
+        check_status(response.status().into(), value(header::VERDICT))?;
         let report = self_report(value);
         Ok(EndpointStream { response, report })
     }
@@ -127,30 +134,30 @@
         request
     }
 
-    fn check_response(
-        &self,
-        echo: &EchoHeaders<'_>,
-        status: u16,
-        verdict: Option<&str>,
-    ) -> Result<(), failure::CallFailure> {
+    /// Checks that a response answers this call; any other, a refusal too, says nothing about it.
+    fn check_echo(&self, echo: &EchoHeaders<'_>) -> Result<(), failure::CallFailure> {
         let attempt = echo.attempt.and_then(|value| value.parse().ok());
         if echo.request != Some(&*self.call.request) || attempt != Some(self.call.attempt) {
             return Err(failure_after_send("the endpoint answered another call"));
         }
-        if status < FIRST_SERVER_ERROR_STATUS && status != STALE_FENCE_STATUS {
-            return Ok(());
-        }
-        let not_run = verdict == Some("not-run");
-        if status == STALE_FENCE_STATUS {
-            let detail = "the endpoint has seen a newer fencing number";
-            return Err(failure::CallFailure::new(types::ProblemKind::StaleFence, detail));
-        }
-        if not_run {
-            let detail = "the endpoint refused the call";
-            return Err(failure::CallFailure::new(types::ProblemKind::Overloaded, detail));
-        }
-        Err(failure_after_send(&format!("the endpoint answered with status {status}")))
+        Ok(())
+    }
+}
+
+/// Checks the status of the response to a call.
+fn check_status(status: u16, verdict: Option<&str>) -> Result<(), failure::CallFailure> {
+    if status < FIRST_SERVER_ERROR_STATUS && status != STALE_FENCE_STATUS {
+        return Ok(());
+    }
+    if status == STALE_FENCE_STATUS {
+        let detail = "the endpoint has seen a newer fencing number";
+        return Err(failure::CallFailure::new(types::ProblemKind::StaleFence, detail));
+    }
+    if verdict == Some("not-run") {
+        let detail = "the endpoint refused the call";
+        return Err(failure::CallFailure::new(types::ProblemKind::Overloaded, detail));
     }
+    Err(failure_after_send(&format!("the endpoint answered with status {status}")))
 }
 
 struct EchoHeaders<'response> {
--- a/crates/comfreyspread/src/transport/http_client.rs
+++ b/crates/comfreyspread/src/transport/http_client.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 client whose failures state whether the call may have run.
 //!
-//! A connection is reused only after its response was read to the end. A call that must not be
+//! A connection is reused only after its response was read to the end, and a [`HeldResponse`] was
+//! found to answer its call. A call that must not be
 //! retried uses a new connection: if a reused one turned out to be closed, it would be unknown
 //! whether the call ran.
 
@@ -61,6 +62,42 @@
     }
 }
 
+/// How the end of a response's body may be marked.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BodyFraming {
+    /// By a length or by chunks.
+    Explicit,
+    /// Also by the end of the connection.
+    Any,
+}
+
+/// A response whose body has been read, with its connection, which is closed on drop.
+///
+/// A faulty endpoint may write an earlier response once more. Whoever can tell it from the response
+/// to this call releases the connection only after that check: the next call on it would otherwise
+/// get the response to this one.
+#[derive(Debug)]
+pub struct HeldResponse {
+    response: ClientResponse,
+    connection: Option<client_connection::ClientConnection>,
+    idle: sync::Arc<IdleConnections>,
+}
+
+impl HeldResponse {
+    /// Returns the response.
+    pub fn response(&self) -> &ClientResponse {
+        &self.response
+    }
+
+    /// Makes the connection available to other calls and returns the response.
+    pub fn release(self) -> ClientResponse {
+        if let Some(connection) = self.connection {
+            self.idle.release(connection);
+        }
+        self.response
+    }
+}
+
 /// Client that keeps idle connections per address.
 #[derive(Debug)]
 pub struct HttpClient {
@@ -113,12 +150,38 @@
         connection: ConnectionUse,
         deadline: time::Instant,
     ) -> Result<ClientResponse, failure::CallFailure> {
+        let framing = BodyFraming::Explicit;
+        let held = self.call_held(address, request, connection, framing, deadline).await?;
+        Ok(held.release())
+    }
+
+    /// Makes a call like [`HttpClient::call`] and holds its connection until the response has been
+    /// checked.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`HttpClient::call`].
+    pub async fn call_held(
+        &self,
+        address: net::SocketAddr,
+        request: http_message::Request,
+        connection: ConnectionUse,
+        framing: BodyFraming,
+        deadline: time::Instant,
+    ) -> Result<HeldResponse, failure::CallFailure> {
         let connection = self.connect(address, connection, deadline).await?;
         let exchange = async {
-            let mut response = self.exchange(connection, request).await?;
-            check_framing(&response)?;
+            let (holder, held) = async_channel::bounded(1);
+            let finished = FinishedConnection::Held(holder);
+            let mut response = self.exchange(connection, request, finished).await?;
+            if framing == BodyFraming::Explicit {
+                check_framing(&response)?;
+            }
             let body = self.read_body(&mut response).await?;
-            Ok(ClientResponse { head: response.head().clone(), body })
+            let response = ClientResponse { head: response.head().clone(), body };
+            // Empty if the connection cannot be reused.
+            let connection = held.try_recv().ok();
+            Ok(HeldResponse { response, connection, idle: self.idle.clone() })
         };
         exchange.or(fail_at(deadline)).await
     }
@@ -171,7 +234,8 @@
         deadline: time::Instant,
     ) -> Result<http_message::Response, failure::CallFailure> {
         let connection = self.connect(address, connection, deadline).await?;
-        self.exchange(connection, request).or(fail_at(deadline)).await
+        let finished = FinishedConnection::Idle(self.idle.clone());
+        self.exchange(connection, request, finished).or(fail_at(deadline)).await
     }
 
     /// Sends a request and waits without a deadline for the head of its response.
@@ -179,6 +243,7 @@
         &self,
         mut connection: client_connection::ClientConnection,
         request: http_message::Request,
+        finished: FinishedConnection,
     ) -> Result<http_message::Response, failure::CallFailure> {
         let address = connection.address();
         let response = connection.exchange(self.with_standard_headers(address, request)).await;
@@ -190,8 +255,7 @@
         });
         let (head, incoming) = response?.into_parts();
         let length = hyper::body::Body::size_hint(&incoming).exact();
-        let idle = self.idle.clone();
-        let source = ResponseSource { incoming, connection: Some(connection), idle };
+        let source = ResponseSource { incoming, connection: Some(connection), finished };
         let body = http_body::MessageBody::from_source(source, length);
         Ok(http_message::Response::from_parts(head, body))
     }
@@ -260,20 +324,33 @@
     }
 }
 
+/// Where a connection goes once its response was read to the end.
+enum FinishedConnection {
+    /// To the idle ones.
+    Idle(sync::Arc<IdleConnections>),
+    /// To the caller, who checks the response.
+    Held(async_channel::Sender<client_connection::ClientConnection>),
+}
+
 /// Body of a response, with its connection.
 struct ResponseSource {
     incoming: hyper::body::Incoming,
     connection: Option<client_connection::ClientConnection>,
-    idle: sync::Arc<IdleConnections>,
+    finished: FinishedConnection,
 }
 
 impl ResponseSource {
-    /// Returns the connection to the idle ones if it can be reused.
+    /// Hands on the connection if it can be reused.
     fn finish(&mut self, cx: &mut task::Context<'_>) {
         let Some(mut connection) = self.connection.take() else { return };
         connection.poll_driver(cx);
-        if connection.is_ready() {
-            self.idle.release(connection);
+        if !connection.is_ready() {
+            return;
+        }
+        match &self.finished {
+            FinishedConnection::Idle(idle) => idle.release(connection),
+            // Sending fails only if the caller has given up; the connection is closed then.
+            FinishedConnection::Held(holder) => drop(holder.try_send(connection)),
         }
     }
 }
