Tell a stage call's answer from that of an earlier call

A request was run with another piece's results as its inputs: answers to stage calls bear no id, so an endpoint that wrote an answer once more on a kept connection put each later call on it one answer behind.

Each result has its own handle. RecentResults (in the policy crate) remembers those of the last few thousand, with their pieces: an answer that names the result of another piece is of an earlier call and fails this one. A connection is kept only after an answer with a new result; after a refusal, an answer without results or one of another form it is closed, and so after a release that is answered with pieces. A piece that is made again may get the handle that it had.

A late answer now costs at most the one request.

--- a/crates/comfreyspread-lab/tests/faulty_answers.rs
+++ b/crates/comfreyspread-lab/tests/faulty_answers.rs
@@ -271,3 +271,55 @@
         assert_eq!(send(&node, "/report/", "r-1").await, (200, events(1..=EVENTS)));
     });
 }
+
+const PREPARE: (&str, &[&str]) = ("prepare", &["worker-1", "worker-2"]);
+
+/// Stage calls of the second request.
+const LATE_CALLS: std::ops::RangeInclusive<usize> = 2..=3;
+
+/// Sends a request whose first stage has `pieces` pieces.
+async fn send_staged(node: &fleet::FleetNode, id: &str, pieces: &str) -> (u16, String) {
+    let address = node.caller_address;
+    gateway::send(address, gateway::staged_request(address, id, pieces)).await
+}
+
+/// Returns the body of a response to a stage call, with handles named after its pieces.
+fn made_results(request: &ScriptedRequest) -> String {
+    let body: serde_json::Value = serde_json::from_slice(&request.body).unwrap_or_default();
+    let items = body["items"].as_array().cloned().unwrap_or_default();
+    let results = items.iter().map(|item| {
+        let id = item["id"].as_str().unwrap_or_default();
+        serde_json::json!({"handle": format!("127.0.0.1:9/{id}-{}-{}", item["stage"], item["piece"])})
+    });
+    serde_json::json!({"items": results.collect::<Vec<_>>()}).to_string()
+}
+
+/// A stage call's answer, written once more on a kept connection, gives no other request its results
+/// as inputs, nor do the answers that are then one call late.
+#[test]
+fn repeated_results() {
+    let answers = std::sync::Mutex::new(Vec::<String>::new());
+    let script = move |request: &ScriptedRequest| {
+        if request.path != fleet::PIECES_PATH {
+            return ScriptedAnswer::new(answer("", ""));
+        }
+        let mut answers = answers.lock().expect("a lock");
+        answers.push(made_results(request));
+        // The calls of the second request each get the answer of the call before.
+        let late = usize::from(LATE_CALLS.contains(&(answers.len() - 1)));
+        ScriptedAnswer::new(answer("", &answers[answers.len() - 1 - late]))
+    };
+    with_script(PREPARE, 1, script, async |fleet, node, _endpoint| {
+        let mut served = 0;
+        for number in 0..4 {
+            let id = format!("r-{number}");
+            let (status, _) = send_staged(&node, &id, "1,1").await;
+            served += usize::from(status == 200);
+            for run in gateway::runs(&fleet, &id) {
+                let inputs = run.headers["inputs"].to_str().expect("handles");
+                assert_eq!(inputs, format!("127.0.0.1:9/{id}-1-0"), "results of another piece");
+            }
+        }
+        assert!(served >= 3, "{served} served: the late answer harms one request at most");
+    });
+}
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -70,6 +70,7 @@
 pub mod pool_scheduler;
 pub mod probe_ring;
 pub mod prober_health;
+pub mod recent_results;
 pub mod rendezvous;
 pub mod result_usage;
 pub mod retry;
--- a/crates/comfreyspread/src/gateway/batcher.rs
+++ b/crates/comfreyspread/src/gateway/batcher.rs
@@ -7,7 +7,7 @@
 use crate::transport::{deadline, http_client, http_message};
 use comfreyspread_platform::{piece_call, response_head};
 use comfreyspread_policy::{
-    batch_outcome, batch_queue, batch_worker, endpoint_directory, piece_group,
+    batch_outcome, batch_queue, batch_worker, endpoint_directory, piece_group, recent_results,
 };
 use comfreyspread_schema::{ids, types};
 use futures_lite::FutureExt as _;
@@ -33,9 +33,11 @@
     services: IndexMap<ids::ServiceName, ServiceBatcher>,
 }
 
-/// Queue of a service, the groups waiting for outcomes, and the wakeup of its task.
+/// Queue of a service, its recent results, the groups waiting for outcomes, and the wakeup of its
+/// task.
 struct ServiceBatcher {
     queue: batch_queue::BatchQueue,
+    results: recent_results::RecentResults,
     waiting: IndexMap<piece_group::GroupNumber, async_channel::Sender<GroupOutcomes>>,
     wake: async_channel::Sender<()>,
 }
@@ -115,7 +117,8 @@
         let (wake, wakeups) = async_channel::bounded(1);
         state.context.spawner.detach(run_service(state.clone(), service.clone(), wakeups));
         let queue = batch_queue::BatchQueue::new(capacity.clone());
-        ServiceBatcher { queue, waiting: IndexMap::new(), wake }
+        let results = recent_results::RecentResults::default();
+        ServiceBatcher { queue, results, waiting: IndexMap::new(), wake }
     });
     batcher.queue.set_capacity(capacity);
     let number = batcher.queue.push(group);
@@ -161,8 +164,15 @@
     let request = http_message::Request::from_parts(head, body.into());
     let connection = http_client::ConnectionUse::Pooled;
     let deadline = time::Instant::now() + RELEASE_TIMEOUT;
-    if let Err(failure) = state.client.call(producer, request, connection, deadline).await {
-        log::debug!("batcher: results not released. error={failure}");
+    let framing = http_client::BodyFraming::Explicit;
+    let held = state.client.call_held(producer, request, connection, framing, deadline).await;
+    match held {
+        // The outcomes of pieces are an earlier response: dropping it closes the connection.
+        Ok(held) if piece_call::decode_run_response(held.response().body()).is_ok() => {
+            log::warn!("batcher: response to a release belongs to an earlier call");
+        }
+        Ok(held) => drop(held.release()),
+        Err(failure) => log::debug!("batcher: results not released. error={failure}"),
     }
 }
 
@@ -232,7 +242,7 @@
     call: batch_queue::PlannedCall,
 ) {
     let started = time::Instant::now();
-    let outcome = send_call(state, &call).await;
+    let outcome = send_call(state, service, &call).await;
     let now = time::Instant::now();
     let elapsed = now.saturating_duration_since(started);
     let completed = outcome.completed();
@@ -250,8 +260,10 @@
     release(state, service, &unneeded);
 }
 
+/// Sends a call. Its connection is used again only if the response is known to belong to it.
 async fn send_call(
     state: &state::GatewayState,
+    service: &ids::ServiceName,
     call: &batch_queue::PlannedCall,
 ) -> batch_outcome::BatchOutcome {
     let Ok((head, body)) = piece_call::encode_run_request(&call.endpoint, &call.tasks) else {
@@ -259,15 +271,50 @@
     };
     let request = http_message::Request::from_parts(head, body.into());
     let connection = http_client::ConnectionUse::Pooled;
+    let framing = http_client::BodyFraming::Explicit;
     let deadline = time::Instant::now() + call.timeout;
-    let response = state.client.call(call.address, request, connection, deadline).await;
-    let response = match response {
-        Ok(response) => response,
+    let held = state.client.call_held(call.address, request, connection, framing, deadline).await;
+    let held = match held {
+        Ok(held) => held,
         Err(failure) => {
             log::info!(endpoint = call.endpoint.as_ref(); "batcher: call failed. error={failure}");
             return batch_outcome::BatchOutcome::Failed;
         }
     };
+    let outcome = call_outcome(call, held.response());
+    let batch_outcome::BatchOutcome::Answered(outcomes) = &outcome else { return outcome };
+    match response_origin(state, service, call, outcomes) {
+        recent_results::ResponseOrigin::ThisCall => {
+            held.release();
+        }
+        recent_results::ResponseOrigin::Unknown => {}
+        recent_results::ResponseOrigin::EarlierCall => {
+            log::warn!(endpoint = call.endpoint.as_ref();
+                "batcher: response belongs to an earlier call");
+            return batch_outcome::BatchOutcome::Failed;
+        }
+    }
+    outcome
+}
+
+fn response_origin(
+    state: &state::GatewayState,
+    service: &ids::ServiceName,
+    call: &batch_queue::PlannedCall,
+    outcomes: &[types::PieceOutcome],
+) -> recent_results::ResponseOrigin {
+    let mut batchers = state.batchers.lock();
+    let Some(batcher) = batchers.services.get_mut(service) else {
+        return recent_results::ResponseOrigin::Unknown;
+    };
+    batcher.results.record(&call.tasks, outcomes)
+}
+
+/// Returns the outcome that a response reports.
+fn call_outcome(
+    call: &batch_queue::PlannedCall,
+    response: &http_client::ClientResponse,
+) -> batch_outcome::BatchOutcome {
     let signals = response_head::decode(response.head());
     if signals.misdirected {
         return batch_outcome::BatchOutcome::Gone;
