Accept a stage call's answer that ends with its connection

Requests with stages got 503 from an endpoint of a stage whose answers have neither a length nor chunks and end with their connection: the call failed although its results were made. Answers to requests themselves were taken so before.

Such an answer is now read to the clean end of its connection, within the same limits; a reset fails the call, and a body that stops early is no valid message.

The test closed_results failed before with 503. cut_results, an answer that stops within its head, passed before too.

--- a/crates/comfreyspread-lab/tests/faulty_answers.rs
+++ b/crates/comfreyspread-lab/tests/faulty_answers.rs
@@ -323,3 +323,27 @@
         assert!(served >= 3, "{served} served: the late answer harms one request at most");
     });
 }
+
+/// An answer to a stage call may end with its connection.
+#[test]
+fn closed_results() {
+    let script = |request: &ScriptedRequest| {
+        if request.path != fleet::PIECES_PATH {
+            return ScriptedAnswer::new(answer("", ""));
+        }
+        let bytes = head("200 OK", "", "") + &made_results(request);
+        ScriptedAnswer::new(bytes).with_end(AnswerEnd::Close)
+    };
+    with_script(PREPARE, 1, script, async |_fleet, node, _endpoint| {
+        assert_eq!(send_staged(&node, "r-1", "2,0").await, (200, events(1..=EVENTS)));
+    });
+}
+
+/// A stage call's answer that stops within its head yields no results.
+#[test]
+fn cut_results() {
+    with_script(PREPARE, 1, cut_head, async |fleet, node, _endpoint| {
+        assert_eq!(send_staged(&node, "r-1", "2,0").await.0, 503);
+        assert!(gateway::runs(&fleet, "r-1").is_empty());
+    });
+}
--- a/crates/comfreyspread/src/gateway/batcher.rs
+++ b/crates/comfreyspread/src/gateway/batcher.rs
@@ -164,7 +164,7 @@
     let request = http_message::Request::from_parts(head, body.into());
     let connection = http_client::ConnectionUse::Pooled;
     let deadline = time::Instant::now() + RELEASE_TIMEOUT;
-    let framing = http_client::BodyFraming::Explicit;
+    let framing = http_client::BodyFraming::Any;
     let held = state.client.call_held(producer, request, connection, framing, deadline).await;
     match held {
         // The outcomes of pieces are an earlier response: dropping it closes the connection.
@@ -271,7 +271,7 @@
     };
     let request = http_message::Request::from_parts(head, body.into());
     let connection = http_client::ConnectionUse::Pooled;
-    let framing = http_client::BodyFraming::Explicit;
+    let framing = http_client::BodyFraming::Any;
     let deadline = time::Instant::now() + call.timeout;
     let held = state.client.call_held(call.address, request, connection, framing, deadline).await;
     let held = match held {
