Keep the verdict of a lost attempt when a stage fails after it

A resumable stream with stages was answered 503, as not run, although an endpoint may have run it: the first answer was lost, the next endpoint found the inputs gone, and the failure to make them again came back with its own verdict, which speaks of the stages alone.

StreamRun::start now gives every failure the combined verdict of the attempts. It comes to callers of resumable routes only: any other request is not sent again once it may have run.

The test lost_then_refused failed before with 503 where 502 is asked for.

--- a/crates/comfreyspread-lab/tests/faulty_answers.rs
+++ b/crates/comfreyspread-lab/tests/faulty_answers.rs
@@ -347,3 +347,25 @@
         assert!(gateway::runs(&fleet, "r-1").is_empty());
     });
 }
+
+/// A stream whose first answer was lost may have run, also if its inputs are then lost too often at
+/// other endpoints to be made again.
+#[test]
+fn lost_then_refused() {
+    let script = |request: &ScriptedRequest| match request.number {
+        0 => ScriptedAnswer::new("").with_end(AnswerEnd::Close),
+        _ => {
+            let fields = "Not-Executed: 1\r\nContent-Length: 0\r\n";
+            ScriptedAnswer::new(head("409 Conflict", &request.id, fields))
+        }
+    };
+    with_script(ENGINE, 2, script, async |fleet, node, endpoint| {
+        let mut routes = gateway::route_document(2);
+        routes["routes"][3]["resumable"] = true.into();
+        routes["routes"][3]["timeout_ms"] = 8000.into();
+        fleet.set_route_document(&routes);
+        async_io::Timer::after(time::Duration::from_secs(2)).await;
+        assert_eq!(send_staged(&node, "r-1", "1,1").await.0, 502);
+        assert!(endpoint.requests() > 1, "the request was not sent again");
+    });
+}
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -74,7 +74,19 @@
 
 impl StreamRun {
     /// Makes attempts until an endpoint starts a response.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the combined verdict of all attempts, also if the last failure is one of the
+    /// stages, which itself says that the request has not run.
     async fn start(&mut self) -> Result<attempt_send::StartedAttempt, failure::CallFailure> {
+        let started = self.attempt_until_started().await;
+        started.map_err(|failure| failure.with_verdict(self.history.verdict()))
+    }
+
+    async fn attempt_until_started(
+        &mut self,
+    ) -> Result<attempt_send::StartedAttempt, failure::CallFailure> {
         loop {
             self.stages.run_pending(&self.plan).await?;
             let failed = match self.send_attempt().await {
@@ -85,8 +97,7 @@
                 Err(failed) => failed,
             };
             if !self.record_failure(&failed)? {
-                let verdict = self.history.verdict();
-                return Err(failed.failure.with_verdict(verdict));
+                return Err(failed.failure);
             }
         }
     }
