Reject a request for more pieces than a node can hold

One request with `pieces: 4294967295,1` took a whole node down: the node makes one task a piece before anything is sent, and asked for memory for all of them at once. All requests on that node were cut.

Evidence: malformed_values::billions_pieces failed before; the node wrote "memory allocation of bytes failed" and was gone, the caller got no answer. squared_pieces got 503 instead of 400, and its node went on.

The pieces of all stages of a request are now bounded together, since each piece of a stage names all results that the stage needs. Such a request gets 400 and nothing is made for it.

--- a/crates/comfreyspread-policy/src/stage_graph.rs
+++ b/crates/comfreyspread-policy/src/stage_graph.rs
@@ -6,6 +6,22 @@
 
 /// How long the results of a final stage may wait for those of the other stages.
 const EARLY_MARGIN: time::Duration = time::Duration::from_millis(250);
+/// Maximum number of pieces of all stages of a request. Each piece of a stage names all results
+/// that the stage needs, so that memory grows with the square of this number.
+pub const MAX_PIECES: u64 = 1024;
+
+/// Whether the stages of a request have no more pieces than a node accepts. `pieces` holds the
+/// number of pieces of each stage; those beyond the `rules` are ignored.
+///
+/// ```
+/// use comfreyspread_policy::stage_graph;
+///
+/// assert!(stage_graph::accepts_pieces(&[], &[u32::MAX]));
+/// ```
+pub fn accepts_pieces(rules: &[types::StageRule], pieces: &[u32]) -> bool {
+    let counts = pieces.iter().take(rules.len());
+    counts.map(|count| u64::from(*count)).sum::<u64>() <= MAX_PIECES
+}
 
 #[derive(Clone, Debug)]
 struct GraphStage {
--- a/crates/comfreyspread/src/gateway/call_plan.rs
+++ b/crates/comfreyspread/src/gateway/call_plan.rs
@@ -2,7 +2,7 @@
 
 use super::state;
 use crate::transport::{client_connection, failure};
-use comfreyspread_policy::{route_table, suspect};
+use comfreyspread_policy::{route_table, stage_graph, suspect};
 use comfreyspread_schema::{ids, types};
 use std::{io, net, sync, time};
 use xxhash_rust::xxh3;
@@ -72,6 +72,9 @@
         let call = comfreyspread_platform::request_head::decode(&head)
             .map_err(|error| PlanError::Malformed(error.to_string().into()))?;
         let route = routes.find(&call.host, &call.path).ok_or(PlanError::NoRoute)?.clone();
+        if !stage_graph::accepts_pieces(&route.stages, &call.piece_counts) {
+            return Err(PlanError::Malformed("too many pieces".into()));
+        }
         let workspace = call.api_key.as_ref().and_then(|key| routes.workspace(key)).cloned();
         if workspace.is_none() && routes.needs_key() && !route.public {
             return Err(PlanError::NoKey);
