Try a third endpoint where the second refuses to go on with a stream

A stream had broken off, the next endpoint answered with an error status, and the caller's stream was cut, though the route allowed another attempt and a sound endpoint was there. The attempt counted as cancelled, not as failed.

Cause: StreamRun::forward gave up at the first answer that was not a success.

Attempts to resume now go on while the route's number of attempts and the retry budget last; none of an error's bytes are forwarded.

--- a/crates/comfreyspread-lab/tests/common/mod.rs
+++ b/crates/comfreyspread-lab/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod gateway;
 pub mod raw_endpoint;
+pub mod scripted_endpoint;
 
 use comfreyspread::transport::{failure, header, http_client};
 use comfreyspread_lab::{caller, deployment, fault, types};
--- a/crates/comfreyspread-lab/tests/common/raw_endpoint.rs
+++ b/crates/comfreyspread-lab/tests/common/raw_endpoint.rs
@@ -115,7 +115,7 @@
 }
 
 /// Reads a request up to the end of its head and returns its id.
-async fn read_request_id(stream: &mut TcpStream) -> Option<String> {
+pub async fn read_request_id(stream: &mut TcpStream) -> Option<String> {
     let mut head = Vec::new();
     let mut buffer = [0; 1024];
     while !head.windows(4).any(|window| window == b"\r\n\r\n") {
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -145,14 +145,32 @@
                 endpoint = started.active.chosen.endpoint.as_ref(), passed = self.last_event,
                 runs = self.history.runs(); "stream: broken. error={error}");
             drop(started);
-            if !self.history.try_acquire_rerun(&self.state, &self.plan) {
-                return Err(error);
-            }
-            started = self.start().await.map_err(io::Error::other)?;
-            if !started.response.status().is_success() {
-                return Err(error);
+            let Some(resumed) = self.resume().await else { return Err(error) };
+            started = resumed;
+        }
+    }
+
+    /// Makes attempts until an endpoint continues the broken stream; none if no other attempt may
+    /// be made.
+    async fn resume(&mut self) -> Option<attempt_send::StartedAttempt> {
+        while self.history.try_acquire_rerun(&self.state, &self.plan) {
+            let mut started = match self.start().await {
+                Ok(started) => started,
+                Err(failure) => {
+                    log::info!(request = self.plan.call.request.as_ref();
+                        "stream: not resumed. error={failure}");
+                    return None;
+                }
+            };
+            if started.response.status().is_success() {
+                return Some(started);
             }
+            log::info!(request = self.plan.call.request.as_ref(),
+                endpoint = started.active.chosen.endpoint.as_ref(),
+                status = started.response.status().as_u16(); "stream: not resumed");
+            started.active.finish(endpoint_directory::AttemptOutcome::Failed);
         }
+        None
     }
 
     /// Forwards the events of one attempt.
