Keep answers that are no stream out of a resumed stream

A stream had broken off, and the next endpoint answered 200 with a page: callers found the page's text in the middle of their stream, which then ended as if it were complete. An empty 200 had the same effect.

Cause: the answer to a resuming attempt was checked for its status only; whatever stood between blank lines was passed on as events.

A success that states another media type than a stream's is no stream. While a stream is resumed it counts as a failed attempt: another endpoint is tried, or the caller's answer is cut. An answer without a media type counts as a stream as before.

--- a/crates/comfreyspread-lab/tests/stream_resume.rs
+++ b/crates/comfreyspread-lab/tests/stream_resume.rs
@@ -77,6 +77,23 @@
     check_whole(&run_stream(vec![broken_stream(), error, rest_of_stream()]), 3);
 }
 
+/// A page with status 200 was passed on in the middle of a stream.
+#[test]
+fn page_retried() {
+    let page = whole_answer("200 OK", "text/html", "<p>oops</p>\n\n<p>oops</p>\n\n");
+    check_whole(&run_stream(vec![broken_stream(), page, rest_of_stream()]), 3);
+}
+
+/// A page, or an empty answer that is no stream, made a broken stream look complete.
+#[test]
+fn page_cut() {
+    let page = whole_answer("200 OK", "text/html", "<p>oops</p>\n\n");
+    let empty = whole_answer("200 OK", "text/plain", "");
+    let (body, attempts) = run_stream(vec![broken_stream(), page, empty]);
+    assert!(body.is_err(), "a broken stream looks complete: {body:?}");
+    assert_eq!(attempts, 3);
+}
+
 #[test]
 fn error_cut() {
     let error = || whole_answer("503 Service Unavailable", "text/plain", "data: oops\n\n");
@@ -113,3 +130,11 @@
     ];
     check_whole(&run_stream(vec![inside, rest_of_stream()]), 2);
 }
+
+/// A first answer that is complete but no stream is passed on as it is.
+#[test]
+fn first_page() {
+    let page = whole_answer("200 OK", "text/plain", "one\n\ntwo");
+    let (body, attempts) = run_stream(vec![page]);
+    assert_eq!((body.as_deref().ok(), attempts), (Some("one\n\ntwo"), 1));
+}
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -7,7 +7,7 @@
     attempt_history, attempt_send, call_plan, produced_chunks, region_selector, stage_execution,
     state,
 };
-use crate::transport::{failure, http_client, http_message};
+use crate::transport::{failure, header, http_client, http_message};
 use comfreyspread_policy::{attempt, endpoint_directory, event_buffer};
 use comfreyspread_schema::types;
 use futures_lite::io;
@@ -44,16 +44,24 @@
         plan,
     };
     let started = run.start().await?;
-    if !started.response.status().is_success() {
-        return read_error_response(state, &run.plan, started).await;
+    if !is_stream(&started.response) {
+        return read_whole_response(state, &run.plan, started).await;
     }
     let mut response = attempt_send::forwarded_response(&started.response, bytes::Bytes::new());
     response.set_body(produced_chunks::ProducedChunks::body(|sender| run.forward(started, sender)));
     Ok(response)
 }
 
-/// Reads an error response, which is not a stream.
-async fn read_error_response(
+/// Whether a response is a stream of events: a success that states no other media type.
+fn is_stream(response: &http_message::Response) -> bool {
+    let media_type = response.header("content-type").and_then(|value| value.split(';').next());
+    let is_other =
+        media_type.is_some_and(|value| !value.trim().eq_ignore_ascii_case(header::EVENT_STREAM));
+    response.status().is_success() && !is_other
+}
+
+/// Reads a response that is not a stream.
+async fn read_whole_response(
     state: &state::GatewayState,
     plan: &call_plan::CallPlan,
     mut started: attempt_send::StartedAttempt,
@@ -162,7 +170,7 @@
                     return None;
                 }
             };
-            if started.response.status().is_success() {
+            if is_stream(&started.response) {
                 return Some(started);
             }
             log::info!(request = self.plan.call.request.as_ref(),
