Let an endpoint read a long prompt before a stream counts as stalled

A stream that may be resumed was cut and begun anew elsewhere while its endpoint was still reading the prompt: three times the gap between events (at least a second) after the head of the response, although the route's target for the first event was not much shorter. All that was read was lost, and the next endpoint met the same end.

Cause: the stall timer took the wait for the first event for a gap between events.

Until its first event an attempt now has twice the route's target, or three gaps if that is longer.

--- a/crates/comfreyspread-lab/tests/common/scripted_endpoint.rs
+++ b/crates/comfreyspread-lab/tests/common/scripted_endpoint.rs
@@ -1,8 +1,11 @@
 //! Endpoints that answer each attempt at a request with bytes that the test wrote down.
 
-use super::raw_endpoint;
+use super::{gateway, raw_endpoint};
 use async_net::{TcpListener, TcpStream};
-use comfreyspread::runtime::worker;
+use comfreyspread::{
+    runtime::worker,
+    transport::{failure, http_client},
+};
 use comfreyspread_lab::fleet;
 use futures_lite::AsyncWriteExt as _;
 use indexmap::IndexMap;
@@ -13,6 +16,9 @@
     Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 /// Last chunk of a complete stream.
 pub const STREAM_END: &str = "0\r\n\r\n";
+const ALL_EVENTS: [&str; 6] = ["e1", "e2", "e3", "e4", "e5", "e6"];
+/// Endpoints, as many as a request may be sent to in these tests.
+const ENDPOINTS: u64 = 3;
 
 /// One step of an answer.
 #[derive(Clone, Debug)]
@@ -118,3 +124,40 @@
         }
     }
 }
+
+/// The body of a stream, or how it broke off, and the number of attempts.
+pub type StreamResult = (Result<String, failure::CallFailure>, usize);
+
+/// Sends one request for a stream whose attempts are answered with these scripts.
+pub fn run_stream(scripts: Vec<AnswerScript>) -> StreamResult {
+    let (sender, results) = std::sync::mpsc::channel();
+    let pool = worker::WorkerPool::new(1).expect("threads");
+    let spawner = pool.spawner();
+    gateway::with_fleet(async |fleet| {
+        let mut document = gateway::route_document(2);
+        document["routes"][2]["max_attempts"] = ENDPOINTS.into();
+        fleet.set_route_document(&document);
+        let scripts = [("r-1", scripts)].into_iter().collect();
+        let endpoints = ScriptedEndpoints::start;
+        let endpoints = endpoints(&fleet, &spawner, ENDPOINTS, scripts).await;
+        let node = gateway::start_nodes(&fleet, 1).await.remove(0);
+        let request = gateway::request(node.caller_address, "/chat/", "r-1");
+        let client = http_client::HttpClient::new(1 << 20);
+        let fresh = http_client::ConnectionUse::Fresh;
+        let deadline = time::Instant::now() + gateway::RESPONSE_TIMEOUT;
+        let response = client.call(node.caller_address, request, fresh, deadline).await;
+        let body = response.map(|one| String::from_utf8_lossy(one.body()).into_owned());
+        sender.send((body, endpoints.attempts("r-1"))).expect("a receiver");
+    });
+    pool.stop();
+    results.recv().expect("a result")
+}
+
+/// Checks that a stream came whole, each event once, after so many attempts.
+pub fn check_whole(result: &StreamResult, attempts: usize) {
+    let body = result.0.as_ref().expect("a complete stream");
+    let data: Vec<_> = body.lines().filter_map(|line| line.strip_prefix("data: ")).collect();
+    assert_eq!(data, ALL_EVENTS);
+    assert!(!body.contains("oops"), "{body}");
+    assert_eq!(result.1, attempts);
+}
--- a/crates/comfreyspread-lab/tests/stream_resume.rs
+++ b/crates/comfreyspread-lab/tests/stream_resume.rs
@@ -3,47 +3,9 @@
 
 mod common;
 
-use comfreyspread::{
-    runtime::worker,
-    transport::{failure, http_client},
+use common::scripted_endpoint::{
+    AnswerScript, STREAM_END, STREAM_HEAD, check_whole, chunk, events, pause, run_stream, text,
 };
-use common::{
-    gateway,
-    scripted_endpoint::{self, AnswerScript, STREAM_END, STREAM_HEAD, chunk, events, pause, text},
-};
-use std::time;
-
-const ALL_EVENTS: [&str; 6] = ["e1", "e2", "e3", "e4", "e5", "e6"];
-/// Endpoints, as many as a request may be sent to in these tests.
-const ENDPOINTS: u64 = 3;
-
-/// The body of a stream, or how it broke off, and the number of attempts.
-type StreamResult = (Result<String, failure::CallFailure>, usize);
-
-/// Sends one request for a stream whose attempts are answered with these scripts.
-fn run_stream(scripts: Vec<AnswerScript>) -> StreamResult {
-    let (sender, results) = std::sync::mpsc::channel();
-    let pool = worker::WorkerPool::new(1).expect("threads");
-    let spawner = pool.spawner();
-    gateway::with_fleet(async |fleet| {
-        let mut document = gateway::route_document(2);
-        document["routes"][2]["max_attempts"] = ENDPOINTS.into();
-        fleet.set_route_document(&document);
-        let scripts = [("r-1", scripts)].into_iter().collect();
-        let endpoints = scripted_endpoint::ScriptedEndpoints::start;
-        let endpoints = endpoints(&fleet, &spawner, ENDPOINTS, scripts).await;
-        let node = gateway::start_nodes(&fleet, 1).await.remove(0);
-        let request = gateway::request(node.caller_address, "/chat/", "r-1");
-        let client = http_client::HttpClient::new(1 << 20);
-        let fresh = http_client::ConnectionUse::Fresh;
-        let deadline = time::Instant::now() + gateway::RESPONSE_TIMEOUT;
-        let response = client.call(node.caller_address, request, fresh, deadline).await;
-        let body = response.map(|one| String::from_utf8_lossy(one.body()).into_owned());
-        sender.send((body, endpoints.attempts("r-1"))).expect("a receiver");
-    });
-    pool.stop();
-    results.recv().expect("a result")
-}
 
 /// Returns the answer of an attempt that sends three events and breaks off within the next.
 fn broken_stream() -> AnswerScript {
@@ -62,14 +24,6 @@
     vec![text(&format!("{head}Content-Length: {length}\r\n\r\n{body}"))]
 }
 
-fn check_whole(result: &StreamResult, attempts: usize) {
-    let body = result.0.as_ref().expect("a complete stream");
-    let data: Vec<_> = body.lines().filter_map(|line| line.strip_prefix("data: ")).collect();
-    assert_eq!(data, ALL_EVENTS);
-    assert!(!body.contains("oops"), "{body}");
-    assert_eq!(result.1, attempts);
-}
-
 /// An endpoint that failed when it was asked to go on ended a stream that a third could finish.
 #[test]
 fn error_retried() {
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -19,6 +19,9 @@
 const STALL_GAPS: u32 = 3;
 /// Minimum time without an event after which a stream moves to another endpoint.
 const MIN_STALL_TIMEOUT: time::Duration = time::Duration::from_millis(1000);
+/// Multiple of the route's target latency without a first event after which a stream moves to
+/// another endpoint: until then an endpoint may be reading a long prompt.
+const START_TARGETS: u32 = 2;
 
 /// Runs a request until its response has started; the response body then forwards the events.
 ///
@@ -193,7 +196,8 @@
         let mut progressed_at = time::Instant::now();
         let mut started_events = false;
         loop {
-            let wait_until = self.stall_deadline(progressed_at).min(self.plan.deadline);
+            let wait_until = self.stall_deadline(progressed_at, started_events);
+            let wait_until = wait_until.min(self.plan.deadline);
             let Some(chunk) = http_client::with_deadline(wait_until, body.next_chunk()).await
             else {
                 return Err(io::Error::new(io::ErrorKind::TimedOut, "no event for too long"));
@@ -244,13 +248,18 @@
         bytes
     }
 
-    /// Returns the time by which the next event must be complete, the last having been complete at
-    /// `progressed_at`; the request's deadline if the stream cannot be resumed elsewhere.
-    fn stall_deadline(&self, progressed_at: time::Instant) -> time::Instant {
-        if !self.plan.is_repeatable() || self.history.runs() >= self.plan.route.max_attempts {
+    /// Returns the time by which the next event must be complete, the last, or the head of the
+    /// response, having been complete at `progressed_at`; the request's deadline if the stream
+    /// cannot be resumed elsewhere.
+    fn stall_deadline(&self, progressed_at: time::Instant, has_events: bool) -> time::Instant {
+        let route = &self.plan.route;
+        if !self.plan.is_repeatable() || self.history.runs() >= route.max_attempts {
             return self.plan.deadline;
         }
-        let timeout = (self.plan.route.target_event_gap * STALL_GAPS).max(MIN_STALL_TIMEOUT);
-        progressed_at + timeout
+        let timeout = (route.target_event_gap * STALL_GAPS).max(MIN_STALL_TIMEOUT);
+        if has_events {
+            return progressed_at + timeout;
+        }
+        progressed_at + timeout.max(route.target_latency * START_TARGETS)
     }
 }
