Move a stalled stream although comments or old events still arrive

A stream had stalled, but its endpoint sent a comment, or the same event again, now and then: the stream stayed there until the deadline and was cut then, though another endpoint could have gone on. A comment before the first event also counted as the first event: the stages' results were released while the endpoint might still need them.

Cause: each complete event, whatever it held, restarted the stall timer.

EventProgress says whether events advance a stream: by a higher number, or while none is numbered, by data. Comments are forwarded as before.

--- a/crates/comfreyspread-lab/tests/stream_stalls.rs
+++ b/crates/comfreyspread-lab/tests/stream_stalls.rs
@@ -3,9 +3,23 @@
 mod common;
 
 use common::scripted_endpoint::{
-    STREAM_END, STREAM_HEAD, check_whole, chunk, events, pause, run_stream, text,
+    AnswerScript, STREAM_END, STREAM_HEAD, check_whole, chunk, events, pause, run_stream, text,
 };
 
+/// Pause between the signs of life of a stalled stream, in milliseconds.
+const SIGN_PAUSE_MS: u64 = 200;
+const SIGNS: usize = 20;
+
+/// Returns the answer of an attempt that sends two events, and then only signs of life.
+fn stalled_stream(sign: &str) -> AnswerScript {
+    let signs = std::iter::repeat_n([pause(SIGN_PAUSE_MS), chunk(sign)], SIGNS);
+    [text(STREAM_HEAD), events(1..=2)].into_iter().chain(signs.flatten()).collect()
+}
+
+fn rest_of_stream() -> AnswerScript {
+    vec![text(STREAM_HEAD), events(3..=6), text(STREAM_END)]
+}
+
 /// A stream whose first event took longer than a gap was cut while its prompt was read.
 #[test]
 fn late_start() {
@@ -13,6 +27,19 @@
     check_whole(&run_stream(vec![late]), 1);
 }
 
+/// A stalled stream whose endpoint sent comments never moved.
+#[test]
+fn comments_only() {
+    check_whole(&run_stream(vec![stalled_stream(": wait\n\n"), rest_of_stream()]), 2);
+}
+
+/// A stalled stream whose endpoint sent the same event again never moved.
+#[test]
+fn event_repeated() {
+    let repeated = stalled_stream("id: 2\ndata: e2\n\n");
+    check_whole(&run_stream(vec![repeated, rest_of_stream()]), 2);
+}
+
 /// A stream that begins to stall before its first event moves too.
 #[test]
 fn never_started() {
@@ -31,3 +58,12 @@
     check_whole(&result, 1);
     assert!(result.0.is_ok_and(|body| body.contains(": wait")));
 }
+
+/// Comments before the first event of a stalled stream do not keep it either.
+#[test]
+fn comments_first() {
+    let comments = std::iter::repeat_n([pause(SIGN_PAUSE_MS), chunk(": wait\n\n")], SIGNS);
+    let stalled = [text(STREAM_HEAD)].into_iter().chain(comments.flatten()).collect();
+    let whole = vec![text(STREAM_HEAD), events(1..=6), text(STREAM_END)];
+    check_whole(&run_stream(vec![stalled, whole]), 2);
+}
--- a/crates/comfreyspread-policy/src/event_buffer.rs
+++ b/crates/comfreyspread-policy/src/event_buffer.rs
@@ -15,6 +15,7 @@
 
 const EVENT_ENDS: [&[u8]; 2] = [b"\n\n", b"\r\n\r\n"];
 const ID_FIELD: &[u8] = b"id:";
+const DATA_FIELD: &[u8] = b"data";
 
 /// One complete event.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -25,6 +26,40 @@
     pub bytes: Box<[u8]>,
 }
 
+impl CompleteEvent {
+    /// Whether the event carries data; one without, such as a comment, is only a sign of life.
+    pub fn has_data(&self) -> bool {
+        self.bytes.split(|byte| *byte == b'\n').any(|line| line.starts_with(DATA_FIELD))
+    }
+}
+
+/// How far one attempt at a stream has come.
+///
+/// ```
+/// use comfreyspread_policy::event_buffer;
+///
+/// let mut buffer = event_buffer::EventBuffer::default();
+/// let mut progress = event_buffer::EventProgress::default();
+/// buffer.push(b"id: 1\ndata: a\n\n");
+/// assert!(progress.record(&buffer.take_events()));
+/// buffer.push(b": comment\n\nid: 1\ndata: a\n\n");
+/// assert!(!progress.record(&buffer.take_events()));
+/// ```
+#[derive(Debug, Default)]
+pub struct EventProgress {
+    last: Option<u64>,
+}
+
+impl EventProgress {
+    /// Records events and returns whether the stream has advanced: by an event with a higher
+    /// number, or while none is numbered, by one with data.
+    pub fn record(&mut self, events: &[CompleteEvent]) -> bool {
+        let before = self.last;
+        self.last = events.iter().filter_map(|event| event.id).max().max(before);
+        self.last > before || (self.last.is_none() && events.iter().any(CompleteEvent::has_data))
+    }
+}
+
 /// Bytes of a stream from which complete events are taken.
 #[derive(Debug, Default)]
 pub struct EventBuffer {
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -192,7 +192,9 @@
     ) -> io::Result<()> {
         let mut body = started.response.take_body();
         let mut buffer = event_buffer::EventBuffer::default();
-        // Only complete events count: an endpoint in trouble may send a byte now and then for ever.
+        // Only new, complete events count: an endpoint in trouble may send a byte, a comment or the
+        // same event now and then for ever.
+        let mut progress = event_buffer::EventProgress::default();
         let mut progressed_at = time::Instant::now();
         let mut started_events = false;
         loop {
@@ -208,7 +210,7 @@
                 return Err(io::Error::other("an event is too long"));
             }
             let events = buffer.take_events();
-            if !events.is_empty() {
+            if progress.record(&events) {
                 if !started_events {
                     started_events = true;
                     self.record_first_event(started);
