Leave a slow stream where it is while nothing else can go on with it

A stream that may be resumed paused for three of its gaps. The node gave up its connection first and then found that no other endpoint was left, or that the retry budget was used up: the caller's stream was cut, and the endpoint's work was lost, although it was sound and only slow. That hits most where all endpoints are slow.

Cause: forward_attempt ended the attempt before it was known whether another could be made.

Evidence: stream_stalls::only_endpoint (one endpoint, a pause of 1.6 s at a gap of 0.4 s) failed before: "the answer was cut short". It passes now. The case of a used up budget takes the same branch and has no process test of its own.

A stalled stream now moves once another endpoint is there and a retry was taken from the budget; until then it is looked at again after each further stall, at most until the deadline.

--- a/crates/comfreyspread-lab/tests/common/scripted_endpoint.rs
+++ b/crates/comfreyspread-lab/tests/common/scripted_endpoint.rs
@@ -130,6 +130,11 @@
 
 /// Sends one request for a stream whose attempts are answered with these scripts.
 pub fn run_stream(scripts: Vec<AnswerScript>) -> StreamResult {
+    run_stream_at(ENDPOINTS, scripts)
+}
+
+/// Sends one request for a stream to a service with so many endpoints.
+pub fn run_stream_at(count: u64, scripts: Vec<AnswerScript>) -> StreamResult {
     let (sender, results) = std::sync::mpsc::channel();
     let pool = worker::WorkerPool::new(1).expect("threads");
     let spawner = pool.spawner();
@@ -139,7 +144,7 @@
         fleet.set_route_document(&document);
         let scripts = [("r-1", scripts)].into_iter().collect();
         let endpoints = ScriptedEndpoints::start;
-        let endpoints = endpoints(&fleet, &spawner, ENDPOINTS, scripts).await;
+        let endpoints = endpoints(&fleet, &spawner, count, scripts).await;
         let node = gateway::start_nodes(&fleet, 1).await.remove(0);
         let request = gateway::request(node.caller_address, "/chat/", "r-1");
         let client = http_client::HttpClient::new(1 << 20);
--- a/crates/comfreyspread-lab/tests/stream_stalls.rs
+++ b/crates/comfreyspread-lab/tests/stream_stalls.rs
@@ -3,7 +3,8 @@
 mod common;
 
 use common::scripted_endpoint::{
-    AnswerScript, STREAM_END, STREAM_HEAD, check_whole, chunk, events, pause, run_stream, text,
+    AnswerScript, STREAM_END, STREAM_HEAD, check_whole, chunk, events, pause, run_stream,
+    run_stream_at, text,
 };
 
 /// Pause between the signs of life of a stalled stream, in milliseconds.
@@ -67,3 +68,10 @@
     let whole = vec![text(STREAM_HEAD), events(1..=6), text(STREAM_END)];
     check_whole(&run_stream(vec![stalled, whole]), 2);
 }
+
+/// A slow stream was cut although no other endpoint could go on with it.
+#[test]
+fn only_endpoint() {
+    let slow = vec![text(STREAM_HEAD), events(1..=3), pause(1600), events(4..=6), text(STREAM_END)];
+    check_whole(&run_stream_at(1, vec![slow]), 1);
+}
--- a/crates/comfreyspread-policy/src/endpoint_directory.rs
+++ b/crates/comfreyspread-policy/src/endpoint_directory.rs
@@ -271,6 +271,11 @@
         })
     }
 
+    /// Whether there is an endpoint to choose.
+    pub fn has_endpoint(&self, query: &EndpointQuery<'_>) -> bool {
+        self.choose(query).is_some()
+    }
+
     /// Chooses an endpoint and counts a call in flight to it.
     pub fn start_call(&mut self, query: &EndpointQuery<'_>) -> Option<ChosenEndpoint> {
         let chosen = self.choose(query)?;
--- a/crates/comfreyspread/src/gateway/attempt_send.rs
+++ b/crates/comfreyspread/src/gateway/attempt_send.rs
@@ -87,6 +87,34 @@
     }
 }
 
+/// Returns whether there is an endpoint for an attempt.
+pub fn has_endpoint(
+    state: &state::GatewayState,
+    plan: &call_plan::CallPlan,
+    input: &AttemptInput<'_>,
+) -> bool {
+    let query = endpoint_query(state, plan, input, time::Instant::now());
+    state.directory.lock().has_endpoint(&query)
+}
+
+fn endpoint_query<'query>(
+    state: &'query state::GatewayState,
+    plan: &'query call_plan::CallPlan,
+    input: &AttemptInput<'query>,
+    now: time::Instant,
+) -> endpoint_directory::EndpointQuery<'query> {
+    endpoint_directory::EndpointQuery {
+        service: &plan.service.name,
+        regions: input.regions,
+        preferred_region: input.preferred_region,
+        zone: &state.settings.zone,
+        tried: input.tried,
+        prefix: plan.prefix(),
+        cold_rate: state.cold_rate(&plan.service),
+        now,
+    }
+}
+
 /// Makes one attempt, up to the response head.
 ///
 /// # Errors
@@ -100,16 +128,7 @@
     input: &AttemptInput<'_>,
 ) -> Result<StartedAttempt, FailedAttempt> {
     let now = time::Instant::now();
-    let query = endpoint_directory::EndpointQuery {
-        service: &plan.service.name,
-        regions: input.regions,
-        preferred_region: input.preferred_region,
-        zone: &state.settings.zone,
-        tried: input.tried,
-        prefix: plan.prefix(),
-        cold_rate: state.cold_rate(&plan.service),
-        now,
-    };
+    let query = endpoint_query(state, plan, input, now);
     let Some(chosen) = state.directory.lock().start_call(&query) else {
         let detail = format!("service {} has no endpoint to use", plan.service.name);
         let failure = call_plan::CallPlan::not_run(types::ProblemKind::Unavailable, &detail);
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -9,9 +9,9 @@
 };
 use crate::transport::{failure, header, http_client, http_message};
 use comfreyspread_policy::{attempt, endpoint_directory, event_buffer};
-use comfreyspread_schema::types;
+use comfreyspread_schema::{ids, types};
 use futures_lite::io;
-use std::{sync, time};
+use std::{mem, sync, time};
 
 /// Maximum size of an event, in bytes.
 const MAX_EVENT_BYTES: usize = 4 * 1024 * 1024;
@@ -44,6 +44,7 @@
         stages,
         history: attempt_history::AttemptHistory::new(),
         last_event: resume_after,
+        has_rerun: false,
         plan,
     };
     let started = run.start().await?;
@@ -81,6 +82,8 @@
     stages: stage_execution::StageExecution,
     history: attempt_history::AttemptHistory,
     last_event: Option<u64>,
+    /// Whether another attempt was taken from the budget and has not been made.
+    has_rerun: bool,
 }
 
 impl StreamRun {
@@ -105,18 +108,34 @@
     async fn send_attempt(
         &mut self,
     ) -> Result<attempt_send::StartedAttempt, attempt_send::FailedAttempt> {
-        let number = self.history.next_number();
         let inputs = self.stages.outputs();
-        let input = attempt_send::AttemptInput {
+        let input = self.attempt_input(&inputs);
+        let planned = attempt::CallAttempt::new(input.number);
+        attempt_send::send(&self.state, &self.plan, planned, &input).await
+    }
+
+    /// Returns the input of the next attempt.
+    fn attempt_input<'input>(
+        &'input self,
+        inputs: &'input [ids::ResultHandle],
+    ) -> attempt_send::AttemptInput<'input> {
+        attempt_send::AttemptInput {
             tried: self.history.tried(),
             preferred_region: self.stages.region(),
             regions: self.plan.regions.as_deref(),
-            inputs: &inputs,
+            inputs,
             resume_after: self.last_event,
-            number,
-        };
-        let planned = attempt::CallAttempt::new(number);
-        attempt_send::send(&self.state, &self.plan, planned, &input).await
+            number: self.history.next_number(),
+        }
+    }
+
+    /// Returns whether another endpoint may go on with a stalled stream; if so, a retry is taken
+    /// from the budget.
+    fn try_acquire_move(&mut self) -> bool {
+        self.has_rerun =
+            attempt_send::has_endpoint(&self.state, &self.plan, &self.attempt_input(&[]))
+                && self.history.try_acquire_rerun(&self.state, &self.plan);
+        self.has_rerun
     }
 
     /// Records a failed attempt and returns whether to make another.
@@ -164,7 +183,9 @@
     /// Makes attempts until an endpoint continues the broken stream; none if no other attempt may
     /// be made.
     async fn resume(&mut self) -> Option<attempt_send::StartedAttempt> {
-        while self.history.try_acquire_rerun(&self.state, &self.plan) {
+        while mem::take(&mut self.has_rerun)
+            || self.history.try_acquire_rerun(&self.state, &self.plan)
+        {
             let mut started = match self.start().await {
                 Ok(started) => started,
                 Err(failure) => {
@@ -202,7 +223,11 @@
             let wait_until = wait_until.min(self.plan.deadline);
             let Some(chunk) = http_client::with_deadline(wait_until, body.next_chunk()).await
             else {
-                return Err(io::Error::new(io::ErrorKind::TimedOut, "no event for too long"));
+                if time::Instant::now() >= self.plan.deadline || self.try_acquire_move() {
+                    return Err(io::Error::new(io::ErrorKind::TimedOut, "no event for too long"));
+                }
+                progressed_at = time::Instant::now();
+                continue;
             };
             let Some(chunk) = chunk else { break };
             buffer.push(&chunk?);
