Finish the requests of a node that is stopped while it starts

A node got SIGTERM before it had any routes. Callers whose requests it had accepted, as it does with 503 while it starts, lost their connections without an answer.

Cause: a node that never served went from starting to stopped, and exited at once.

Evidence: stop_edges::stopped_early (half of a request sent before SIGTERM, half after) failed before with an empty answer; it gets its 503 now and the node exits with 0. half_read, unused_connection and pipelined_requests passed before too: a request that is half read at SIGTERM is answered with connection: close, a connection without a request does not hold up the stop, and a request sent behind another is not taken while the first is answered whole.

A starting node that is abandoned now drains like one that served, in both front ends; the native one has no process test of this.

--- a/crates/comfreyspread-policy/src/node_lifecycle.rs
+++ b/crates/comfreyspread-policy/src/node_lifecycle.rs
@@ -38,9 +38,9 @@
         NodeLifecycle { state: ServingState }
     }
 
-    /// Stops before ever serving.
-    pub fn abandon(self) -> NodeLifecycle<StoppedState> {
-        NodeLifecycle { state: StoppedState }
+    /// Lets the requests that are being rejected finish, without ever serving.
+    pub fn abandon(self) -> NodeLifecycle<DrainingState> {
+        NodeLifecycle { state: DrainingState }
     }
 }
 
--- a/crates/comfreyspread/src/gateway/process.rs
+++ b/crates/comfreyspread/src/gateway/process.rs
@@ -145,14 +145,14 @@
         wait_for_stop(&mut signals, path).await;
         false
     };
-    if !loaded.or(stopped).await {
-        node::set_phase(context, starting.abandon().phase());
-        return Ok(process::ExitCode::SUCCESS);
-    }
-    let serving = starting.serve();
-    node::set_phase(context, serving.phase());
-    wait_for_stop(&mut signals, path).await;
-    let draining = serving.drain();
+    let draining = if loaded.or(stopped).await {
+        let serving = starting.serve();
+        node::set_phase(context, serving.phase());
+        wait_for_stop(&mut signals, path).await;
+        serving.drain()
+    } else {
+        starting.abandon()
+    };
     node::set_phase(context, draining.phase());
     heartbeat::leave(context).await;
     let drained = node::drain(context, &closer, ignore_signals(&mut signals)).await;
--- a/crates/comfreyspread/src/runtime/node.rs
+++ b/crates/comfreyspread/src/runtime/node.rs
@@ -51,16 +51,16 @@
         signals.next().await;
         false
     };
-    if !configured.or(stopped).await {
-        set_phase(&context, starting.abandon().phase());
-        return Ok(process::ExitCode::SUCCESS);
-    }
-    context.spawner.detach(distribution::poll(context.clone()));
-    context.spawner.detach(distribution::run_fetcher(context.clone()));
-    let serving = starting.serve();
-    set_phase(&context, serving.phase());
-    signals.next().await;
-    let draining = serving.drain();
+    let draining = if configured.or(stopped).await {
+        context.spawner.detach(distribution::poll(context.clone()));
+        context.spawner.detach(distribution::run_fetcher(context.clone()));
+        let serving = starting.serve();
+        set_phase(&context, serving.phase());
+        signals.next().await;
+        serving.drain()
+    } else {
+        starting.abandon()
+    };
     set_phase(&context, draining.phase());
     heartbeat::leave(&context).await;
     let forced = async {
