Log a panic, and show that it ends one task alone

A panic in a task was printed as bare text on standard error; the log, which goes elsewhere, said nothing of it, and JSON logs had no line to count.

Cause: no panic hook.

Evidence: panicking_tasks::panic_logged, run without the call of log_panics, failed with no lines logged; with it there is an error with reason and place. handler_panics passed before too: a handler that panics while it holds a lock ends its connection, three times in a row, on one worker; the lock, the counter of connections and the memory for bodies are free again for the next request.

The hook prints what was printed before, and then logs.

--- a/crates/comfreyspread/src/runtime/logging.rs
+++ b/crates/comfreyspread/src/runtime/logging.rs
@@ -6,7 +6,7 @@
 use crate::runtime::log_writer;
 use log::kv;
 use miette::IntoDiagnostic as _;
-use std::fmt;
+use std::{fmt, panic};
 
 /// Starts logging to standard error.
 ///
@@ -45,7 +45,20 @@
         .level_for("comfreyspread_lab", level)
         .format(format)
         .chain(output)
-        .apply()
+        .apply()?;
+    log_panics();
+    Ok(())
+}
+
+/// Logs each panic as an error, besides what is printed for it. Only the task that panics ends.
+pub fn log_panics() {
+    let default_hook = panic::take_hook();
+    panic::set_hook(Box::new(move |info| {
+        default_hook(info);
+        let reason = info.payload_as_str().unwrap_or("not text");
+        let place = info.location().map(ToString::to_string).unwrap_or_default();
+        log::error!(place = place.as_str(); "process: a task panicked. error={reason}");
+    }));
 }
 
 fn write_text(
