Ignore member records that their member could not refute

A heartbeat with a record of the greatest incarnation, as a malformed message may hold, made the node that it named panic while it merged the record (a build without overflow checks went back to incarnation 0). At every other node the record stood for good: no later one of that start could supersede it.

Evidence: member_limits::own_incarnation failed before ("attempt to add with overflow" in membership.rs), other_incarnation failed (the record was taken).

Incarnations grow by one for each suspicion refuted, so one beyond 32 bits is malformed, and its record is not merged. The table decides only and has no log; the message's other records are merged as before.

--- a/crates/comfreyspread-policy/src/membership.rs
+++ b/crates/comfreyspread-policy/src/membership.rs
@@ -33,6 +33,9 @@
 /// Time since a message repaired several records during which tables count as differing.
 const REPAIR_WINDOW: time::Duration = time::Duration::from_secs(1);
 
+/// Greatest incarnation of a record; one beyond it is malformed, and its member could not refute it.
+const MAX_INCARNATION: u64 = u32::MAX as u64;
+
 /// Timeouts that govern the phases of members.
 #[derive(Clone, Copy, Debug)]
 pub struct MemberTimeouts {
@@ -161,8 +164,12 @@
         self.version += 1;
     }
 
-    /// Merges a record received from another node; returns whether anything changed.
+    /// Merges a record received from another node, unless it is malformed; returns whether anything
+    /// changed.
     pub fn merge(&mut self, record: types::MemberRecord, now: time::Instant) -> bool {
+        if record.incarnation > MAX_INCARNATION {
+            return false;
+        }
         if record.node == self.local.node {
             return self.merge_local(&record, now);
         }
@@ -349,7 +356,7 @@
         if leaving || !disputed || record.incarnation < self.local.incarnation {
             return false;
         }
-        self.local.incarnation = record.incarnation + 1;
+        self.local.incarnation = record.incarnation.saturating_add(1);
         self.version += 1;
         true
     }
