--- a/crates/comfreyspread-lab/tests/common/mod.rs
+++ b/crates/comfreyspread-lab/tests/common/mod.rs
@@ -4,6 +4,7 @@
 pub mod gateway;
 pub mod raw_endpoint;
 pub mod scripted_endpoint;
+pub mod scripted_stream;
 
 use comfreyspread::transport::{failure, header, http_client};
 use comfreyspread_lab::{caller, deployment, fault, types};
--- /dev/null
+++ b/crates/comfreyspread-lab/tests/common/scripted_stream.rs
@@ -0,0 +1,168 @@
+//! Endpoints that answer each attempt at a request with bytes that the test wrote down.
+
+use super::{gateway, raw_endpoint};
+use async_net::{TcpListener, TcpStream};
+use comfreyspread::{
+    runtime::worker,
+    transport::{failure, http_client},
+};
+use comfreyspread_lab::fleet;
+use futures_lite::AsyncWriteExt as _;
+use indexmap::IndexMap;
+use std::{sync, time};
+
+/// Head of a stream, up to its first chunk.
+pub const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\n\
+    Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+/// Last chunk of a complete stream.
+pub const STREAM_END: &str = "0\r\n\r\n";
+const ALL_EVENTS: [&str; 6] = ["e1", "e2", "e3", "e4", "e5", "e6"];
+/// Endpoints, as many as a request may be sent to in these tests.
+const ENDPOINTS: u64 = 3;
+
+/// One step of an answer.
+#[derive(Clone, Debug)]
+pub enum AnswerStep {
+    /// Sends bytes.
+    Send(String),
+    /// Waits.
+    Pause(time::Duration),
+}
+
+/// The steps of an answer; the connection is closed after the last.
+pub type AnswerScript = Vec<AnswerStep>;
+
+/// Answers to the attempts at each request, by request id; an attempt without one is cut.
+pub type RequestScripts = IndexMap<&'static str, Vec<AnswerScript>>;
+
+/// Returns a step that sends this text.
+pub fn text(text: &str) -> AnswerStep {
+    AnswerStep::Send(text.to_owned())
+}
+
+/// Returns a step that waits.
+pub fn pause(milliseconds: u64) -> AnswerStep {
+    AnswerStep::Pause(time::Duration::from_millis(milliseconds))
+}
+
+/// Returns a step that sends a chunk.
+pub fn chunk(text: &str) -> AnswerStep {
+    AnswerStep::Send(format!("{:x}\r\n{text}\r\n", text.len()))
+}
+
+/// Returns a step that sends events with these numbers.
+pub fn events(numbers: std::ops::RangeInclusive<u64>) -> AnswerStep {
+    let events = numbers.map(|number| format!("id: {number}\ndata: e{number}\n\n"));
+    chunk(&events.collect::<String>())
+}
+
+/// Endpoints of the sample's engine service, in place of its own, and the attempts that they got.
+#[derive(Clone, Debug)]
+pub struct ScriptedEndpoints {
+    scripts: RequestScripts,
+    attempts: sync::Arc<sync::Mutex<IndexMap<String, usize>>>,
+}
+
+impl ScriptedEndpoints {
+    /// Starts `count` endpoints that share the scripts.
+    pub async fn start(
+        fleet: &fleet::FleetStandIn,
+        spawner: &worker::TaskSpawner,
+        count: u64,
+        scripts: RequestScripts,
+    ) -> Self {
+        for name in ["engine-1", "engine-2"] {
+            fleet.set_row("servers", name, None);
+        }
+        let endpoints = Self { scripts, attempts: sync::Arc::default() };
+        for number in 1..=count {
+            endpoints.listen(fleet, spawner, &format!("scripted-{number}")).await;
+        }
+        endpoints
+    }
+
+    /// Returns the number of attempts at a request.
+    pub fn attempts(&self, id: &str) -> usize {
+        self.attempts.lock().expect("no panic").get(id).copied().unwrap_or(0)
+    }
+
+    async fn listen(&self, fleet: &fleet::FleetStandIn, spawner: &worker::TaskSpawner, name: &str) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let registration = serde_json::json!({
+            "service": "engine", "address": listener.local_addr().expect("an address"),
+            "zone": "a", "slots": 400, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1,
+        });
+        fleet.set_row("servers", name, Some(&registration.to_string()));
+        let (endpoints, task_spawner) = (self.clone(), spawner.clone());
+        spawner.detach(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let endpoints = endpoints.clone();
+                task_spawner.detach(async move { endpoints.serve(stream).await });
+            }
+        });
+    }
+
+    async fn serve(&self, mut stream: TcpStream) {
+        let Some(id) = raw_endpoint::read_request_id(&mut stream).await else { return };
+        let attempt = {
+            let mut attempts = self.attempts.lock().expect("no panic");
+            let attempts = attempts.entry(id.clone()).or_default();
+            *attempts += 1;
+            *attempts - 1
+        };
+        let script = self.scripts.get(&*id).and_then(|scripts| scripts.get(attempt));
+        for step in script.into_iter().flatten() {
+            match step {
+                AnswerStep::Send(text) if stream.write_all(text.as_bytes()).await.is_err() => {
+                    return;
+                }
+                AnswerStep::Send(_) => {}
+                AnswerStep::Pause(length) => {
+                    async_io::Timer::after(*length).await;
+                }
+            }
+        }
+    }
+}
+
+/// The body of a stream, or how it broke off, and the number of attempts.
+pub type StreamResult = (Result<String, failure::CallFailure>, usize);
+
+/// Sends one request for a stream whose attempts are answered with these scripts.
+pub fn run_stream(scripts: Vec<AnswerScript>) -> StreamResult {
+    run_stream_at(ENDPOINTS, scripts)
+}
+
+/// Sends one request for a stream to a service with so many endpoints.
+pub fn run_stream_at(count: u64, scripts: Vec<AnswerScript>) -> StreamResult {
+    let (sender, results) = std::sync::mpsc::channel();
+    let pool = worker::WorkerPool::new(1).expect("threads");
+    let spawner = pool.spawner();
+    gateway::with_fleet(async |fleet| {
+        let mut document = gateway::route_document(2);
+        document["routes"][2]["max_attempts"] = ENDPOINTS.into();
+        fleet.set_route_document(&document);
+        let scripts = [("r-1", scripts)].into_iter().collect();
+        let endpoints = ScriptedEndpoints::start;
+        let endpoints = endpoints(&fleet, &spawner, count, scripts).await;
+        let node = gateway::start_nodes(&fleet, 1).await.remove(0);
+        let request = gateway::request(node.caller_address, "/chat/", "r-1");
+        let client = http_client::HttpClient::new(1 << 20);
+        let fresh = http_client::ConnectionUse::Fresh;
+        let deadline = time::Instant::now() + gateway::RESPONSE_TIMEOUT;
+        let response = client.call(node.caller_address, request, fresh, deadline).await;
+        let body = response.map(|one| String::from_utf8_lossy(one.body()).into_owned());
+        sender.send((body, endpoints.attempts("r-1"))).expect("a receiver");
+    });
+    pool.stop();
+    results.recv().expect("a result")
+}
+
+/// Checks that a stream came whole, each event once, after so many attempts.
+pub fn check_whole(result: &StreamResult, attempts: usize) {
+    let body = result.0.as_ref().expect("a complete stream");
+    let data: Vec<_> = body.lines().filter_map(|line| line.strip_prefix("data: ")).collect();
+    assert_eq!(data, ALL_EVENTS);
+    assert!(!body.contains("oops"), "{body}");
+    assert_eq!(result.1, attempts);
+}
--- a/crates/comfreyspread-policy/src/endpoint_directory.rs
+++ b/crates/comfreyspread-policy/src/endpoint_directory.rs
@@ -309,6 +309,11 @@
         ends.collect::<Option<Vec<_>>>()?.into_iter().min()
     }
 
+    /// Whether there is an endpoint to choose.
+    pub fn has_endpoint(&self, query: &EndpointQuery<'_>) -> bool {
+        endpoint_selection::EndpointSelection::new(self, query).choose().is_some()
+    }
+
     /// Chooses an endpoint and counts a call in flight to it.
     pub fn start_call(&mut self, query: &EndpointQuery<'_>) -> Option<ChosenEndpoint> {
         let chosen = endpoint_selection::EndpointSelection::new(self, query).choose()?;
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -7,11 +7,11 @@
     attempt_history, attempt_send, call_plan, caller_handler, produced_chunks, region_selector,
     stage_execution, state,
 };
-use crate::transport::{failure, http_client, http_message};
+use crate::transport::{failure, header, http_client, http_message};
 use comfreyspread_policy::{attempt, endpoint_directory, event_buffer};
-use comfreyspread_schema::types;
+use comfreyspread_schema::{ids, types};
 use futures_lite::io;
-use std::{sync, time};
+use std::{mem, sync, time};
 
 /// Maximum size of an event, in bytes.
 const MAX_EVENT_BYTES: usize = 4 * 1024 * 1024;
@@ -19,6 +19,9 @@
 const STALL_GAPS: u32 = 3;
 /// Minimum time without an event after which a stream moves to another endpoint.
 const MIN_STALL_TIMEOUT: time::Duration = time::Duration::from_millis(1000);
+/// Multiple of the route's target latency without a first event after which a stream moves to
+/// another endpoint: until then an endpoint may be reading a long prompt.
+const START_TARGETS: u32 = 2;
 
 /// Runs a request until its response has started; the response body then forwards the events.
 ///
@@ -43,19 +46,28 @@
         stages,
         history: attempt_history::AttemptHistory::new(),
         last_event: resume_after,
+        has_rerun: false,
         plan,
     };
     let started = run.start().await?;
-    if !started.response.status().is_success() {
-        return read_error_response(state, &run.plan, started).await;
+    if !is_stream(&started.response) {
+        return read_whole_response(state, &run.plan, started).await;
     }
     let mut response = attempt_send::forwarded_response(&started.response, bytes::Bytes::new());
     response.set_body(produced_chunks::ProducedChunks::body(|sender| run.forward(started, sender)));
     Ok(response)
 }
 
-/// Reads an error response, which is not a stream.
-async fn read_error_response(
+/// Whether a response is a stream of events: a success that states no other media type.
+fn is_stream(response: &http_message::Response) -> bool {
+    let media_type = response.header("content-type").and_then(|value| value.split(';').next());
+    let is_other =
+        media_type.is_some_and(|value| !value.trim().eq_ignore_ascii_case(header::EVENT_STREAM));
+    response.status().is_success() && !is_other
+}
+
+/// Reads a response that is not a stream.
+async fn read_whole_response(
     state: &state::GatewayState,
     plan: &call_plan::CallPlan,
     mut started: attempt_send::StartedAttempt,
@@ -72,6 +84,8 @@
     stages: stage_execution::StageExecution,
     history: attempt_history::AttemptHistory,
     last_event: Option<u64>,
+    /// Whether another attempt was taken from the budget and has not been made.
+    has_rerun: bool,
 }
 
 impl StreamRun {
@@ -107,19 +121,37 @@
     async fn send_attempt(
         &mut self,
     ) -> Result<attempt_send::StartedAttempt, attempt_send::FailedAttempt> {
-        let number = self.history.next_number();
         let inputs = self.stages.outputs();
         let regions = self.plan.allowed_regions(&self.state);
-        let input = attempt_send::AttemptInput {
+        let input = self.attempt_input(&inputs, regions.as_deref());
+        let planned = attempt::CallAttempt::new(input.number);
+        attempt_send::send(&self.state, &self.plan, planned, &input).await
+    }
+
+    /// Returns the input of the next attempt.
+    fn attempt_input<'input>(
+        &'input self,
+        inputs: &'input [ids::ResultHandle],
+        regions: Option<&'input [ids::RegionId]>,
+    ) -> attempt_send::AttemptInput<'input> {
+        attempt_send::AttemptInput {
             tried: self.history.tried(),
             preferred_region: self.stages.region(),
-            regions: regions.as_deref(),
-            inputs: &inputs,
+            regions,
+            inputs,
             resume_after: self.last_event,
-            number,
-        };
-        let planned = attempt::CallAttempt::new(number);
-        attempt_send::send(&self.state, &self.plan, planned, &input).await
+            number: self.history.next_number(),
+        }
+    }
+
+    /// Returns whether another endpoint may go on with a stalled stream; if so, a retry is taken
+    /// from the budget.
+    fn try_acquire_move(&mut self) -> bool {
+        let regions = self.plan.allowed_regions(&self.state);
+        let input = self.attempt_input(&[], regions.as_deref());
+        self.has_rerun = attempt_send::has_endpoint(&self.state, &self.plan, &input)
+            && self.history.try_acquire_rerun(&self.state, &self.plan);
+        self.has_rerun
     }
 
     /// Records a failed attempt and returns whether to make another.
@@ -161,14 +193,34 @@
                 endpoint = started.active.chosen.endpoint.as_ref(), passed = self.last_event,
                 runs = self.history.runs(); "stream: broken. error={error}");
             drop(started);
-            if !self.history.try_acquire_rerun(&self.state, &self.plan) {
-                return Err(error);
-            }
-            started = self.start().await.map_err(io::Error::other)?;
-            if !started.response.status().is_success() {
-                return Err(error);
+            let Some(resumed) = self.resume().await else { return Err(error) };
+            started = resumed;
+        }
+    }
+
+    /// Makes attempts until an endpoint continues the broken stream; none if no other attempt may
+    /// be made.
+    async fn resume(&mut self) -> Option<attempt_send::StartedAttempt> {
+        while mem::take(&mut self.has_rerun)
+            || self.history.try_acquire_rerun(&self.state, &self.plan)
+        {
+            let mut started = match self.start().await {
+                Ok(started) => started,
+                Err(failure) => {
+                    log::info!(request = self.plan.call.request.as_ref();
+                        "stream: not resumed. error={failure}");
+                    return None;
+                }
+            };
+            if is_stream(&started.response) {
+                return Some(started);
             }
+            log::info!(request = self.plan.call.request.as_ref(),
+                endpoint = started.active.chosen.endpoint.as_ref(),
+                status = started.response.status().as_u16(); "stream: not resumed");
+            started.active.finish(endpoint_directory::AttemptOutcome::Failed);
         }
+        None
     }
 
     /// Forwards the events of one attempt.
@@ -179,13 +231,20 @@
     ) -> io::Result<()> {
         let mut body = started.response.take_body();
         let mut buffer = event_buffer::EventBuffer::default();
-        // Only complete events count: an endpoint in trouble may send a byte now and then for ever.
+        // Only new, complete events count: an endpoint in trouble may send a byte, a comment or the
+        // same event now and then for ever.
+        let mut progress = event_buffer::EventProgress::default();
         let mut progressed_at = time::Instant::now();
         loop {
-            let wait_until = self.stall_deadline(progressed_at).min(self.plan.deadline);
+            let wait_until = self.stall_deadline(progressed_at, started.active.has_events);
+            let wait_until = wait_until.min(self.plan.deadline);
             let Some(chunk) = http_client::with_deadline(wait_until, body.next_chunk()).await
             else {
-                return Err(io::Error::new(io::ErrorKind::TimedOut, "no event for too long"));
+                if time::Instant::now() >= self.plan.deadline || self.try_acquire_move() {
+                    return Err(io::Error::new(io::ErrorKind::TimedOut, "no event for too long"));
+                }
+                progressed_at = time::Instant::now();
+                continue;
             };
             let Some(chunk) = chunk else { break };
             buffer.push(&chunk?);
@@ -193,7 +252,7 @@
                 return Err(io::Error::other("an event is too long"));
             }
             let events = buffer.take_events();
-            if !events.is_empty() {
+            if progress.record(&events) {
                 if !started.active.has_events {
                     started.active.has_events = true;
                     self.record_first_event(started);
@@ -234,13 +293,18 @@
         bytes
     }
 
-    /// Returns the time by which the next event must be complete, the last having been complete at
-    /// `progressed_at`; the request's deadline if the stream cannot be resumed elsewhere.
-    fn stall_deadline(&self, progressed_at: time::Instant) -> time::Instant {
-        if !self.plan.is_repeatable() || self.history.runs() >= self.plan.route.max_attempts {
+    /// Returns the time by which the next event must be complete, the last, or the head of the
+    /// response, having been complete at `progressed_at`; the request's deadline if the stream
+    /// cannot be resumed elsewhere.
+    fn stall_deadline(&self, progressed_at: time::Instant, has_events: bool) -> time::Instant {
+        let route = &self.plan.route;
+        if !self.plan.is_repeatable() || self.history.runs() >= route.max_attempts {
             return self.plan.deadline;
         }
-        let timeout = (self.plan.route.target_event_gap * STALL_GAPS).max(MIN_STALL_TIMEOUT);
-        progressed_at + timeout
+        let timeout = (route.target_event_gap * STALL_GAPS).max(MIN_STALL_TIMEOUT);
+        if has_events {
+            return progressed_at + timeout;
+        }
+        progressed_at + timeout.max(route.target_latency * START_TARGETS)
     }
 }
