Echo the request id in the scripted streams of the tests

A gateway takes an answer on a kept connection only if it echoes the id of its request, as endpoints do; the scripted streams had been written before that check, and answered without an id. Each attempt was rejected as an answer of another request, which is right. The scripts name the id now, and the endpoint fills it in. No check or bound of the tests differs.

--- a/crates/comfreyspread-lab/tests/common/scripted_stream.rs
+++ b/crates/comfreyspread-lab/tests/common/scripted_stream.rs
@@ -11,8 +11,10 @@
 use indexmap::IndexMap;
 use std::{sync, time};
 
+/// Stands for the id of the request in a script: endpoints echo it in each answer.
+pub const REQUEST_ID: &str = "<request id>";
 /// Head of a stream, up to its first chunk.
-pub const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\n\
+pub const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nRequest-Id: <request id>\r\nResponse-Stamp: s\r\n\
     Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 /// Last chunk of a complete stream.
 pub const STREAM_END: &str = "0\r\n\r\n";
@@ -113,10 +115,12 @@
         let script = self.scripts.get(&*id).and_then(|scripts| scripts.get(attempt));
         for step in script.into_iter().flatten() {
             match step {
-                AnswerStep::Send(text) if stream.write_all(text.as_bytes()).await.is_err() => {
-                    return;
+                AnswerStep::Send(text) => {
+                    let text = text.replace(REQUEST_ID, &id);
+                    if stream.write_all(text.as_bytes()).await.is_err() {
+                        return;
+                    }
                 }
-                AnswerStep::Send(_) => {}
                 AnswerStep::Pause(length) => {
                     async_io::Timer::after(*length).await;
                 }
--- a/crates/comfreyspread-lab/tests/stream_resume.rs
+++ b/crates/comfreyspread-lab/tests/stream_resume.rs
@@ -4,7 +4,8 @@
 mod common;
 
 use common::scripted_stream::{
-    AnswerScript, STREAM_END, STREAM_HEAD, check_whole, chunk, events, pause, run_stream, text,
+    AnswerScript, REQUEST_ID, STREAM_END, STREAM_HEAD, check_whole, chunk, events, pause,
+    run_stream, text,
 };
 
 /// Returns the answer of an attempt that sends three events and breaks off within the next.
@@ -20,7 +21,10 @@
 /// Returns an answer that is complete in itself, with this status and type.
 fn whole_answer(status: &str, media_type: &str, body: &str) -> AnswerScript {
     let length = body.len();
-    let head = format!("HTTP/1.1 {status}\r\nResponse-Stamp: s\r\nContent-Type: {media_type}\r\n");
+    let head = format!(
+        "HTTP/1.1 {status}\r\nRequest-Id: {REQUEST_ID}\r\nResponse-Stamp: s\r\n\
+         Content-Type: {media_type}\r\n"
+    );
     vec![text(&format!("{head}Content-Length: {length}\r\n\r\n{body}"))]
 }
 
@@ -60,7 +64,8 @@
 fn refusal_retried() {
     let refusal = |status| {
         vec![text(&format!(
-            "HTTP/1.1 {status}\r\nNot-Executed: 1\r\nContent-Length: 12\r\n\r\ndata: oops\n\n"
+            "HTTP/1.1 {status}\r\nRequest-Id: {REQUEST_ID}\r\nNot-Executed: 1\r\n\
+             Content-Length: 12\r\n\r\ndata: oops\n\n"
         ))]
     };
     let scripts = vec![broken_stream(), refusal("503 Service Unavailable"), rest_of_stream()];
