Keep the regions of a revoked key for requests in flight

What callers would see: a request of a workspace limited to its home region is retried in another region (HOME), because the workspace's key was revoked while it ran. With the key gone, the lookup at each send found no workspace, so only the route's regions were left. In the same way a removed route could take over the regions of a shorter prefix, and a removed route also kept the workspace's regions of the arrival when these had moved.

Class: a rule that can't be found counts as one that allows everything. Now the route of the same host and prefix and the workspace of the key are looked up each by itself, and one that has been removed still limits the request.

--- a/crates/comfreyspread-policy/src/route_table.rs
+++ b/crates/comfreyspread-policy/src/route_table.rs
@@ -68,17 +68,23 @@
         self.keys.get(key)
     }
 
-    /// Returns the regions that may serve a request to a host and path with this key; `None` allows
-    /// all. No value if no route matches.
-    pub fn regions_for(
+    /// Returns the regions that may now serve a request that arrived under a route and a workspace;
+    /// `None` allows all. A rule that has been removed since then still limits it.
+    pub fn current_regions(
         &self,
-        host: &str,
-        path: &str,
+        route: &types::RouteRule,
+        workspace: Option<&types::WorkspaceRule>,
         key: Option<&str>,
-    ) -> Option<Option<Vec<ids::RegionId>>> {
-        let route = self.find(host, path)?;
-        let workspace = key.and_then(|key| self.workspace(key));
-        Some(allowed_regions(route, workspace.map(AsRef::as_ref)))
+    ) -> Option<Vec<ids::RegionId>> {
+        let current_route = self.route_at(&route.host, &route.prefix).unwrap_or(route);
+        let current_workspace = key.and_then(|key| self.workspace(key)).map(AsRef::as_ref);
+        allowed_regions(current_route, current_workspace.or(workspace))
+    }
+
+    /// Returns the route of a host with exactly this prefix.
+    fn route_at(&self, host: &str, prefix: &str) -> Option<&types::RouteRule> {
+        let routes = self.hosts.get(host)?;
+        routes.iter().map(AsRef::as_ref).find(|route| *route.prefix == *prefix)
     }
 
     /// Whether requests need a key, except on public routes.
--- a/crates/comfreyspread-policy/tests/route_table.rs
+++ b/crates/comfreyspread-policy/tests/route_table.rs
@@ -85,3 +85,23 @@
     route.allowed_regions = vec!["q".into()];
     assert_eq!(route_table::allowed_regions(&route, workspace), Some(Vec::new()));
 }
+
+/// Guards against requests in flight that lose the limits of a rule that has been removed meanwhile:
+/// a key is revoked, or a route goes and a shorter prefix with other regions is left.
+#[test]
+fn removed_rules() {
+    let limited = |prefix, region: &str| types::RouteRule {
+        allowed_regions: vec![region.into()],
+        ..route("r", "h", prefix)
+    };
+    let (long, workspace) = (limited("/a/b/", "q"), table(Vec::new()));
+    let workspace = workspace.workspace("k1").map(|workspace| &**workspace);
+    let current = |routes, route, key| table(routes).current_regions(route, workspace, key);
+    let any = route("r", "h", "/a/");
+    assert_eq!(current(vec![any.clone()], &any, Some("revoked")), Some(vec!["r".into()]));
+    assert_eq!(current(vec![any.clone()], &any, Some("k2")), Some(vec!["r".into()]));
+    let left = || vec![limited("/a/", "s")];
+    assert_eq!(table(left()).current_regions(&long, None, None), Some(vec!["q".into()]));
+    let moved = vec![limited("/a/", "s"), limited("/a/b/", "t")];
+    assert_eq!(table(moved).current_regions(&long, None, None), Some(vec!["t".into()]));
+}
--- a/crates/comfreyspread/src/gateway/call_plan.rs
+++ b/crates/comfreyspread/src/gateway/call_plan.rs
@@ -22,8 +22,6 @@
     pub service: sync::Arc<types::ServiceRule>,
     /// Workspace of the caller.
     pub workspace: Option<sync::Arc<types::WorkspaceRule>>,
-    /// Regions allowed to run the request at its arrival; `None` for all.
-    regions: Option<Vec<ids::RegionId>>,
     /// Arrival time.
     pub arrived: time::Instant,
     /// Time by which a response meets the latency target.
@@ -86,7 +84,6 @@
         let name = route_table::choose_service(&route, &mut rand::rng());
         let service = name.and_then(|name| routes.service(name)).cloned();
         let service = service.ok_or(PlanError::NoService)?;
-        let regions = route_table::allowed_regions(&route, workspace.as_deref());
         let timeout =
             if call.timeout.is_zero() { route.timeout } else { call.timeout.min(route.timeout) };
         let (target, deadline) = (arrived + route.target_latency, arrived + timeout);
@@ -99,7 +96,6 @@
             route,
             service,
             workspace,
-            regions,
             arrived,
             target,
             deadline,
@@ -172,16 +168,10 @@
     }
 
     /// Returns the regions now allowed to run the request; `None` for all. A request may wait at
-    /// stages or be retried for longer than a change takes to be in force. While it is in flight, a
-    /// removed route keeps its regions.
+    /// stages or be retried for longer than a change takes to be in force.
     pub fn allowed_regions(&self, state: &state::GatewayState) -> Option<Vec<ids::RegionId>> {
-        let routes = state.routes();
-        if routes.version() == self.version {
-            return self.regions.clone();
-        }
-        let current =
-            routes.regions_for(&self.call.host, &self.call.path, self.call.api_key.as_deref());
-        current.unwrap_or_else(|| self.regions.clone())
+        let key = self.call.api_key.as_deref();
+        state.routes().current_regions(&self.route, self.workspace.as_deref(), key)
     }
 
     /// Whether a region is now allowed to run the request.
