Look again at what is in force once a connection has opened

What callers would see: a request ran outside its home region (HOME), or at an endpoint whose zone was out or which was leaving (EVAC, DRAIN), seconds after the change was in force. The endpoint is chosen, then a connection to it is opened, for up to the request's deadline of 6 s (20 s for chats). Over a link that loses packets, or to an endpoint that is cut off, the kernel tries again after 1, 3 and 7 s; when one of these gets through the request was sent, by the choice made at the start.

Class: decided early, sent late; looked at the regions before each attempt, not within one. Now connecting and sending are two steps, and between them the region, zone, registration and intake of the chosen endpoint are looked at again. An endpoint that is no longer to be used gets nothing, and the request, which has not run, goes to another as after a refusal. Single requests open a connection each, so these are the most exposed.

Evidence: late_sends homes_moved and endpoint_leaving failed before, one request having arrived after the change each, and pass; policy endpoint_directory chosen_withdrawn is new. Stage calls are not changed: these have a timeout of their own call, about a second.

--- a/crates/comfreyspread-lab/tests/common/raw_endpoint.rs
+++ b/crates/comfreyspread-lab/tests/common/raw_endpoint.rs
@@ -129,13 +129,22 @@
 
 /// Reads a request up to the end of its head and returns its id.
 pub async fn read_request_id(stream: &mut TcpStream) -> Option<String> {
+    header_value(&read_head(stream).await?, "request-id")
+}
+
+/// Returns the value of a header of a head in lower case.
+pub fn header_value(head: &str, name: &str) -> Option<String> {
+    let value = |line: &str| Some(line.strip_prefix(name)?.strip_prefix(':')?.trim().to_owned());
+    head.lines().find_map(value)
+}
+
+/// Reads a request up to the end of its head and returns that in lower case.
+pub async fn read_head(stream: &mut TcpStream) -> Option<String> {
     let mut head = Vec::new();
     let mut buffer = [0; 1024];
     while !head.windows(4).any(|window| window == b"\r\n\r\n") {
         let length = stream.read(&mut buffer).await.ok().filter(|length| *length > 0)?;
         head.extend_from_slice(&buffer[..length]);
     }
-    let text = String::from_utf8_lossy(&head).to_lowercase();
-    let id = text.lines().find_map(|line| line.strip_prefix("request-id:"))?;
-    Some(id.trim().to_owned())
+    Some(String::from_utf8_lossy(&head).to_lowercase())
 }
--- /dev/null
+++ b/crates/comfreyspread-lab/tests/late_sends.rs
@@ -0,0 +1,76 @@
+//! Requests whose connection opens late: what has changed since the choice of their endpoint is
+//! looked at again before they are sent. The node is in zone `a` of region `r`.
+
+mod common;
+
+use comfreyspread::runtime::worker;
+use comfreyspread_lab::{fleet, fleet_request};
+use comfreyspread_schema::types;
+use common::{full_listener, gateway};
+use futures_util::future;
+use std::time;
+
+const CONFIG_VERSION: u64 = 2;
+/// Longer than a connection attempt of the kernel and its next two.
+const DEADLINE_MS: u128 = 3900;
+/// Time for the request to choose its endpoint.
+const CHOICE_TIME: time::Duration = time::Duration::from_millis(200);
+const POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
+
+/// Applies a change while a request waits for its connection to the endpoint in zone `a`; returns
+/// the status of its response. It has to be answered in zone `b`.
+fn change_while_connecting<Change, InForce>(change: Change, is_in_force: InForce)
+where
+    Change: FnOnce(&fleet::FleetStandIn),
+    InForce: Fn(&types::GatewayDump) -> bool,
+{
+    let pool = worker::WorkerPool::new(1).expect("threads");
+    let spawner = pool.spawner();
+    gateway::with_fleet(async |mut fleet| {
+        let kind = fleet::EndpointKind::Plain;
+        fleet.add_endpoint_in("b", "other-ledger", "ledger", kind).await.expect("a free port");
+        let replaced = ["ledger-1", "ledger-2"];
+        let listener = full_listener::FullListener::new(&fleet, "ledger", &replaced).await;
+        let node = gateway::start_nodes(&fleet, 1).await.remove(0);
+        let request = fleet_request::FleetRequest::new(node.caller_address, "/read/x", "late");
+        let request = request.with_deadline_ms(DEADLINE_MS).into_message();
+        let changed = async {
+            async_io::Timer::after(CHOICE_TIME).await;
+            change(&fleet);
+            loop {
+                let (_, dump) = gateway::get(node.admin_address, "/dump").await;
+                if is_in_force(&serde_json::from_str(&dump).expect("a dump")) {
+                    return listener.accept(&spawner);
+                }
+                async_io::Timer::after(POLL_INTERVAL).await;
+            }
+        };
+        let sent = gateway::send(node.caller_address, request);
+        let ((status, _), late_requests) = future::join(sent, changed).await;
+        assert!(late_requests.is_empty(), "sent after the change");
+        assert_eq!(status, 200);
+        assert_eq!(gateway::runs(&fleet, "late").len(), 1, "answered in zone b");
+    });
+    pool.stop();
+}
+
+/// Guards against requests sent to a region that was allowed when the connection was begun and no
+/// longer is.
+#[test]
+fn homes_moved() {
+    let change = |fleet: &fleet::FleetStandIn| {
+        let mut document = gateway::route_document(CONFIG_VERSION);
+        document["routes"][0]["allowed_regions"] = serde_json::json!(["s"]);
+        fleet.set_route_document(&document);
+    };
+    change_while_connecting(change, |dump| dump.routes_version == CONFIG_VERSION);
+}
+
+/// Guards against requests sent to an endpoint that began to leave while the connection was opened.
+#[test]
+fn endpoint_leaving() {
+    let change = |fleet: &fleet::FleetStandIn| fleet.set_row("servers", "late-1", None);
+    change_while_connecting(change, |dump| {
+        dump.endpoints.iter().all(|endpoint| *endpoint.endpoint != *"late-1")
+    });
+}
--- a/crates/comfreyspread-policy/src/endpoint_directory.rs
+++ b/crates/comfreyspread-policy/src/endpoint_directory.rs
@@ -332,6 +332,23 @@
         })
     }
 
+    /// Returns why the endpoint that was chosen for a call must not get it any more: changes may have
+    /// come while its connection was opened. `regions` are those allowed now; `None` allows all.
+    pub fn withdrawn(
+        &self,
+        chosen: &ChosenEndpoint,
+        regions: Option<&[ids::RegionId]>,
+        now: time::Instant,
+    ) -> Option<endpoint_selection::SkipReason> {
+        use endpoint_selection::SkipReason;
+        if regions.is_some_and(|regions| !regions.contains(&chosen.region)) {
+            return Some(SkipReason::OtherRegion);
+        }
+        let known = self.endpoints.get(&chosen.endpoint);
+        let known = known.filter(|one| one.registration.started_at_ms == chosen.started_at_ms);
+        known.map_or(Some(SkipReason::Removed), |endpoint| self.closed(endpoint, now))
+    }
+
     /// Returns why the endpoints of a request's service are passed over.
     pub fn skipped(&self, query: &EndpointQuery<'_>) -> endpoint_selection::SkipSummary {
         endpoint_selection::EndpointSelection::new(self, query).skipped()
--- a/crates/comfreyspread-policy/src/endpoint_selection.rs
+++ b/crates/comfreyspread-policy/src/endpoint_selection.rs
@@ -34,6 +34,8 @@
     Tried,
     /// It is cold and has had this node's share of requests.
     ColdLimit,
+    /// Its registration has been removed, or another process has taken its name.
+    Removed,
 }
 
 /// How good a choice an endpoint is; the first comes first.
@@ -114,7 +116,9 @@
                     summary.other += 1;
                     open_later = true;
                 }
-                SkipReason::OtherRegion | SkipReason::ZoneOut => summary.other += 1,
+                SkipReason::OtherRegion | SkipReason::Removed | SkipReason::ZoneOut => {
+                    summary.other += 1;
+                }
             }
         }
         summary.resumes_at = summary.resumes_at.filter(|_| !open_later);
--- a/crates/comfreyspread-policy/tests/endpoint_directory.rs
+++ b/crates/comfreyspread-policy/tests/endpoint_directory.rs
@@ -1,7 +1,7 @@
 //! Choice among the registered endpoints.
 #![allow(clippy::disallowed_methods, reason = "start of the injected time")]
 
-use comfreyspread_policy::endpoint_directory;
+use comfreyspread_policy::{endpoint_directory, endpoint_selection};
 use comfreyspread_schema::{ids, types};
 use std::time;
 
@@ -215,3 +215,33 @@
     names.dedup();
     assert_eq!(names.len(), 2, "both endpoints of the region are used");
 }
+
+/// Guards against requests sent to an endpoint that was closed to them after it had been chosen,
+/// while the connection was opened.
+#[test]
+fn chosen_withdrawn() {
+    use endpoint_selection::SkipReason;
+    let now = time::Instant::now();
+    let needs = RequestNeeds::new();
+    let choose = || {
+        let mut directory = new_directory(now);
+        let chosen = directory.start_call(&needs.query(now)).expect("an endpoint");
+        (directory, chosen)
+    };
+    let (mut directory, chosen) = choose();
+    let (home, other) = ([ids::RegionId::from("r")], [ids::RegionId::from("q")]);
+    assert_eq!(directory.withdrawn(&chosen, None, now), None);
+    assert_eq!(directory.withdrawn(&chosen, Some(&home), now), None);
+    assert_eq!(directory.withdrawn(&chosen, Some(&other), now), Some(SkipReason::OtherRegion));
+    directory.set_zone_out("a".into(), true);
+    assert_eq!(directory.withdrawn(&chosen, None, now), Some(SkipReason::ZoneOut));
+    let (mut directory, chosen) = choose();
+    let leaving = types::EndpointRegistration { leaving: true, ..registration("one", "a", 1) };
+    directory.insert(leaving, WARM, now);
+    assert_eq!(directory.withdrawn(&chosen, None, now), Some(SkipReason::Leaving));
+    directory.remove(&chosen.endpoint, now);
+    assert_eq!(directory.withdrawn(&chosen, None, now), Some(SkipReason::Removed));
+    let restarted = types::EndpointRegistration { started_at_ms: 2, ..registration("one", "a", 1) };
+    directory.insert(restarted, WARM, now);
+    assert_eq!(directory.withdrawn(&chosen, None, now), Some(SkipReason::Removed));
+}
--- a/crates/comfreyspread/src/gateway/attempt_send.rs
+++ b/crates/comfreyspread/src/gateway/attempt_send.rs
@@ -147,22 +147,32 @@
         allowed_regions = input.regions.map_or("all".into(), |regions| regions.join(",")).as_str(),
         version = plan.version, left_ms = plan.time_left(now).as_millis() as u64; "attempt: sent");
     let request = build_request(plan, &active.chosen, input, now);
-    let connection = if plan.is_repeatable() {
+    let connection_use = if plan.is_repeatable() {
         http_client::ConnectionUse::Pooled
     } else {
         http_client::ConnectionUse::Fresh
     };
-    let _sent = planned.send();
     let address = active.chosen.address;
-    let result = state.client.send(address, request, connection, plan.deadline).await;
-    let response = match result {
+    let connection = match state.client.connect(address, connection_use, plan.deadline).await {
+        Ok(connection) => connection,
+        Err(failure) => {
+            active.finish(endpoint_directory::AttemptOutcome::Unreachable);
+            return Err(active.failed(failure, false));
+        }
+    };
+    if let Some(failure) = withdrawn(state, plan, &active.chosen) {
+        active.finish(endpoint_directory::AttemptOutcome::Cancelled);
+        return Err(active.failed(failure, false));
+    }
+    let _sent = planned.send();
+    let response = match state.client.send(connection, request, plan.deadline).await {
         Ok(response) => response,
         Err(failure) => {
             active.finish(endpoint_directory::AttemptOutcome::Unreachable);
             return Err(active.failed(failure, false));
         }
     };
-    check_response(plan, active, response, connection)
+    check_response(plan, active, response, connection_use)
 }
 
 impl ActiveAttempt {
@@ -174,6 +184,22 @@
     }
 }
 
+/// Returns the failure of an attempt whose endpoint must not get the request any more, for a change
+/// that came while the connection was opened.
+fn withdrawn(
+    state: &state::GatewayState,
+    plan: &call_plan::CallPlan,
+    chosen: &endpoint_directory::ChosenEndpoint,
+) -> Option<failure::CallFailure> {
+    let regions = plan.allowed_regions(state);
+    let now = time::Instant::now();
+    let reason = state.directory.lock().withdrawn(chosen, regions.as_deref(), now)?;
+    log::info!(request = plan.call.request.as_ref(), endpoint = chosen.endpoint.as_ref();
+        "attempt: not sent, the endpoint is no longer to be used. reason={reason:?}");
+    let detail = format!("{} is no longer to be used: {reason:?}", chosen.endpoint);
+    Some(call_plan::CallPlan::not_run(types::ProblemKind::Unavailable, &detail))
+}
+
 /// Returns the failure of a request for which no endpoint is available. If a pause is all that keeps
 /// it from the service, its caller is told to retry after that.
 fn no_endpoint(
--- a/crates/comfreyspread/src/transport/http_client.rs
+++ b/crates/comfreyspread/src/transport/http_client.rs
@@ -215,25 +215,24 @@
         request: http_message::Request,
         deadline: time::Instant,
     ) -> Result<http_message::Response, failure::CallFailure> {
-        let response = self.send(address, request, ConnectionUse::Fresh, deadline).await?;
+        let connection = self.connect(address, ConnectionUse::Fresh, deadline).await?;
+        let response = self.send(connection, request, deadline).await?;
         check_framing(&response)?;
         Ok(response)
     }
 
-    /// Makes a call like [`HttpClient::call_streaming`] over the given kind of connection, and
-    /// accepts a response that is delimited by the end of its connection.
+    /// Sends a request on a connection and returns once the head of its response has arrived, which
+    /// may also be one that is delimited by the end of its connection.
     ///
     /// # Errors
     ///
-    /// Fails like [`HttpClient::call`].
+    /// Fails with `may-have-run` if the request was sent and no response began before `deadline`.
     pub async fn send(
         &self,
-        address: net::SocketAddr,
+        connection: client_connection::ClientConnection,
         request: http_message::Request,
-        connection: ConnectionUse,
         deadline: time::Instant,
     ) -> Result<http_message::Response, failure::CallFailure> {
-        let connection = self.connect(address, connection, deadline).await?;
         let finished = FinishedConnection::Idle(self.idle.clone());
         self.exchange(connection, request, finished).or(fail_at(deadline)).await
     }
@@ -274,8 +273,13 @@
         request
     }
 
-    /// Returns a connection on which a request can be sent before `deadline`.
-    async fn connect(
+    /// Returns a connection on which a request can be sent before `deadline`. Over a link that loses
+    /// packets it may open seconds later.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `not-run` if no connection could be opened.
+    pub async fn connect(
         &self,
         address: net::SocketAddr,
         connection: ConnectionUse,
