Withdraw queued pieces when their region is no longer allowed

What callers would see: stages of a request ran outside its home region (HOME) after the homes had moved. A group of pieces waits for free endpoints up to the request's deadline of 6 s; the region was looked at between stages only, so pieces queued before a change were sent after it.

Class: decided early, sent late. A request that waits for pieces now also waits for changes of the routes. Once its region is no longer allowed the group is cancelled, here or at the batching node by the end of the exchange, and the caller is told that the request has not run; planned anew it runs at home.

--- a/crates/comfreyspread-lab/tests/home_regions.rs
+++ b/crates/comfreyspread-lab/tests/home_regions.rs
@@ -116,3 +116,33 @@
         assert!(all_at_home(&endpoints), "{endpoints:?}");
     });
 }
+
+/// Guards against pieces that wait for an endpoint while the homes of their request move, and run in
+/// the region that was allowed before.
+#[test]
+fn queued_pieces() {
+    gateway::with_fleet(async |mut fleet| {
+        add_home_endpoints(&mut fleet).await;
+        let node = gateway::start_nodes(&fleet, 1).await.remove(0);
+        let set_full = |full| {
+            for worker in ["worker-1", "worker-2"] {
+                fleet.faults(worker).full.store(full, atomic::Ordering::Relaxed);
+            }
+        };
+        set_full(true);
+        let request = gateway::staged_request(node.caller_address, "queued", "2,1");
+        let change = async {
+            async_io::Timer::after(APPLY_TIME / 3).await;
+            fleet.set_route_document(&limited_document(CONFIG_VERSION, "report"));
+            async_io::Timer::after(APPLY_TIME).await;
+            set_full(false);
+        };
+        let sent = gateway::send(node.caller_address, request);
+        let ((status, _), ()) = future::join(sent, change).await;
+        let runs = gateway::runs(&fleet, "queued");
+        let pieces = fleet.records().into_iter().filter(|record| record.ran);
+        let pieces: Vec<_> = pieces.map(|record| record.endpoint.to_string()).collect();
+        assert!(all_at_home(&pieces), "{pieces:?}");
+        assert_eq!((status, runs.len()), (503, 0), "planned anew, it runs at home");
+    });
+}
--- a/crates/comfreyspread/src/gateway/route_watcher.rs
+++ b/crates/comfreyspread/src/gateway/route_watcher.rs
@@ -44,6 +44,8 @@
     }
     log_routes(&decoded);
     *routes = sync::Arc::new(route_table::RouteTable::new(decoded));
+    drop(routes);
+    state.routes_changed.notify(usize::MAX);
 }
 
 /// Logs a route document that becomes active, with how many of its rules are limited to regions.
--- a/crates/comfreyspread/src/gateway/stage_execution.rs
+++ b/crates/comfreyspread/src/gateway/stage_execution.rs
@@ -5,7 +5,7 @@
 use comfreyspread_platform::piece_call;
 use comfreyspread_policy::{batch_queue, first_event, piece_group, stage_graph};
 use comfreyspread_schema::{ids, types};
-use futures_lite::StreamExt as _;
+use futures_lite::{FutureExt as _, StreamExt as _};
 use futures_util::stream::FuturesUnordered;
 use indexmap::IndexMap;
 use rand::Rng as _;
@@ -80,7 +80,9 @@
             for stage in self.graph.start_ready() {
                 running.push(run_stage(self.state.clone(), stage, self.stage_group(plan, stage)));
             }
-            let Some((stage, outcomes)) = running.next().await else {
+            let finished = async { Ok(running.next().await) };
+            let withdrawn = async { Err(self.region_withdrawn(plan).await) };
+            let Some((stage, outcomes)) = finished.or(withdrawn).await? else {
                 let detail = "the stages cannot be ordered";
                 return Err(call_plan::CallPlan::not_run(types::ProblemKind::Internal, detail));
             };
@@ -101,6 +103,17 @@
         Err(call_plan::CallPlan::not_run(types::ProblemKind::Unavailable, &detail))
     }
 
+    /// Waits until the region is no longer allowed; pieces that wait there must not run then.
+    async fn region_withdrawn(&self, plan: &call_plan::CallPlan) -> failure::CallFailure {
+        loop {
+            let changed = self.state.routes_changed.listen();
+            if let Err(failure) = self.check_region(plan) {
+                return failure;
+            }
+            changed.await;
+        }
+    }
+
     /// Discards the output results after the request found them lost, so that they are recomputed.
     ///
     /// # Errors
--- a/crates/comfreyspread/src/gateway/state.rs
+++ b/crates/comfreyspread/src/gateway/state.rs
@@ -54,6 +54,8 @@
     pub client: http_client::HttpClient,
     /// Client for the platform's store.
     pub store: store_client::StoreClient,
+    /// Notified when other routes become active.
+    pub routes_changed: event_listener::Event,
     /// Notified when rows of a table have changed.
     pub tables_changed: event_listener::Event,
     /// Whether the endpoints have been loaded.
@@ -99,6 +101,7 @@
                 settings.store_address,
                 context.metrics.stages.clone(),
             ),
+            routes_changed: event_listener::Event::new(),
             tables_changed: event_listener::Event::new(),
             endpoints_loaded: atomic::AtomicBool::new(false),
             context,
