State the time that is left when a request is sent

What callers would see: an endpoint was left more time than the caller had, by the time that its connection took to open: a second or more over a link that loses packets. The head of a request was built before the connection was opened.

--- a/crates/comfreyspread-lab/tests/late_sends.rs
+++ b/crates/comfreyspread-lab/tests/late_sends.rs
@@ -6,13 +6,15 @@
 use comfreyspread::runtime::worker;
 use comfreyspread_lab::{fleet, fleet_request};
 use comfreyspread_schema::types;
-use common::{full_listener, gateway};
+use common::{full_listener, gateway, raw_endpoint};
 use futures_util::future;
 use std::time;
 
 const CONFIG_VERSION: u64 = 2;
 /// Longer than a connection attempt of the kernel and its next two.
 const DEADLINE_MS: u128 = 3900;
+/// Time between the endpoint's receipt of a request and the test's clock, in milliseconds.
+const CLOCK_TOLERANCE_MS: u128 = 300;
 /// Time for the request to choose its endpoint.
 const CHOICE_TIME: time::Duration = time::Duration::from_millis(200);
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
@@ -74,3 +76,31 @@
         dump.endpoints.iter().all(|endpoint| *endpoint.endpoint != *"late-1")
     });
 }
+
+/// Guards against requests that leave the endpoint more time than is left, by the time that their
+/// connection took to open.
+#[test]
+fn time_left() {
+    let pool = worker::WorkerPool::new(1).expect("threads");
+    let spawner = pool.spawner();
+    gateway::with_fleet(async |fleet| {
+        let replaced = ["ledger-1", "ledger-2"];
+        let listener = full_listener::FullListener::new(&fleet, "ledger", &replaced).await;
+        let node = gateway::start_nodes(&fleet, 1).await.remove(0);
+        let request = fleet_request::FleetRequest::new(node.caller_address, "/read/x", "late");
+        let request = request.with_deadline_ms(DEADLINE_MS).into_message();
+        let sent_at = time::Instant::now();
+        let received = async {
+            async_io::Timer::after(CHOICE_TIME).await;
+            let head = listener.accept(&spawner).recv().await.expect("a request");
+            (head, sent_at.elapsed())
+        };
+        let sent = gateway::send(node.caller_address, request);
+        let (_, (head, took)) = future::join(sent, received).await;
+        let stated = raw_endpoint::header_value(&head, "deadline-ms");
+        let stated: u128 = stated.and_then(|value| value.parse().ok()).expect("a deadline");
+        let most = (DEADLINE_MS + CLOCK_TOLERANCE_MS).saturating_sub(took.as_millis());
+        assert!(stated <= most, "{stated} ms stated after {took:?}");
+    });
+    pool.stop();
+}
--- a/crates/comfreyspread/src/gateway/attempt_send.rs
+++ b/crates/comfreyspread/src/gateway/attempt_send.rs
@@ -146,7 +146,6 @@
         endpoint = active.chosen.endpoint.as_ref(), region = active.chosen.region.as_ref(),
         allowed_regions = input.regions.map_or("all".into(), |regions| regions.join(",")).as_str(),
         version = plan.version, left_ms = plan.time_left(now).as_millis() as u64; "attempt: sent");
-    let request = build_request(plan, &active.chosen, input, now);
     let connection_use = if plan.is_repeatable() {
         http_client::ConnectionUse::Pooled
     } else {
@@ -164,6 +163,7 @@
         active.finish(endpoint_directory::AttemptOutcome::Cancelled);
         return Err(active.failed(failure, false));
     }
+    let request = build_request(plan, &active.chosen, input, time::Instant::now());
     let _sent = planned.send();
     let response = match state.client.send(connection, request, plan.deadline).await {
         Ok(response) => response,
