Keep the regions of a workspace whose key is replaced meanwhile

What callers would see: a request of a workspace limited to regions is retried outside them (HOME) when a change removes its key while it is in flight.

Cause: regions are looked up again at each attempt since; the new version knows no workspace of the removed key, so that only the route limited the regions. A request keeps the workspace that held its key at arrival, as it keeps a removed route.

Evidence: home_regions key_replaced failed before (["home-ledger", "ledger-1"], the second in the region that is not allowed) and passes now; its two others pass.

--- a/crates/comfreyspread-lab/tests/home_regions.rs
+++ b/crates/comfreyspread-lab/tests/home_regions.rs
@@ -85,3 +85,31 @@
         assert_eq!(later, ["home-ledger"], "the retry goes to the region allowed now");
     });
 }
+
+/// Guards against retries outside the regions of a workspace whose key was replaced while the request
+/// was in flight: a key that nobody holds any more limits nothing.
+#[test]
+fn key_replaced() {
+    gateway::with_fleet(async |mut fleet| {
+        add_home_endpoints(&mut fleet).await;
+        let mut document = gateway::route_document(CONFIG_VERSION);
+        document["tenants"][0]["allowed_regions"] = serde_json::json!([HOME_REGION]);
+        fleet.set_route_document(&document);
+        let node = gateway::start_nodes(&fleet, 1).await.remove(0);
+        for endpoint in ["ledger-1", "ledger-2", "home-ledger"] {
+            let faults = fleet.faults(endpoint);
+            faults.delay_ms.store(ANSWER_DELAY_MS, atomic::Ordering::Relaxed);
+            faults.lose_answers.store(true, atomic::Ordering::Relaxed);
+        }
+        let request = gateway::request(node.caller_address, "/read/x", "replaced");
+        let change = async {
+            async_io::Timer::after(APPLY_TIME / 3).await;
+            document["version"] = (CONFIG_VERSION + 1).into();
+            document["tenants"][0]["api_keys"] = serde_json::json!(["new-key"]);
+            fleet.set_route_document(&document);
+        };
+        future::join(gateway::send(node.caller_address, request), change).await;
+        let endpoints = reached(&fleet);
+        assert!(!endpoints.is_empty() && all_at_home(&endpoints), "{endpoints:?}");
+    });
+}
--- a/crates/comfreyspread-policy/src/route_table.rs
+++ b/crates/comfreyspread-policy/src/route_table.rs
@@ -69,16 +69,18 @@
     }
 
     /// Returns the regions that may serve a request to a host and path with this key; `None` allows
-    /// all. No value if no route matches.
+    /// all. No value if no route matches. `known` is the workspace that held the key at arrival; it
+    /// still limits the regions if the key is no longer held.
     pub fn regions_for(
         &self,
         host: &str,
         path: &str,
         key: Option<&str>,
+        known: Option<&types::WorkspaceRule>,
     ) -> Option<Option<Vec<ids::RegionId>>> {
         let route = self.find(host, path)?;
-        let workspace = key.and_then(|key| self.workspace(key));
-        Some(allowed_regions(route, workspace.map(AsRef::as_ref)))
+        let workspace = key.and_then(|key| self.workspace(key)).map(AsRef::as_ref).or(known);
+        Some(allowed_regions(route, workspace))
     }
 
     /// Whether requests need a key, except on public routes.
--- a/crates/comfreyspread/src/gateway/call_plan.rs
+++ b/crates/comfreyspread/src/gateway/call_plan.rs
@@ -173,14 +173,18 @@
 
     /// Returns the regions now allowed to run the request; `None` for all. A request may wait at
     /// stages or be retried for longer than a change takes to be in force. While it is in flight, a
-    /// removed route keeps its regions.
+    /// removed route keeps its regions, and so does the workspace of a removed key.
     pub fn allowed_regions(&self, state: &state::GatewayState) -> Option<Vec<ids::RegionId>> {
         let routes = state.routes();
         if routes.version() == self.version {
             return self.regions.clone();
         }
-        let current =
-            routes.regions_for(&self.call.host, &self.call.path, self.call.api_key.as_deref());
+        let current = routes.regions_for(
+            &self.call.host,
+            &self.call.path,
+            self.call.api_key.as_deref(),
+            self.workspace.as_deref(),
+        );
         current.unwrap_or_else(|| self.regions.clone())
     }
 
