Wait for a reader as long as a change takes, not the whole table

What callers would see: endpoints and routes up to some 5 s out of date on all nodes of a zone when the node that reads the store stalls, on a site with some thousand endpoints.

Cause: added the time of a transfer of the whole copy to the timeout of each long poll. Rows of endpoints are small and not compressed, so that 3,000 of them added over 3 s. A change is a few rows: the largest row bounds the transfer.

--- a/crates/comfreyspread-lab/tests/table_exchange.rs
+++ b/crates/comfreyspread-lab/tests/table_exchange.rs
@@ -43,6 +43,33 @@
     document
 }
 
+/// Endpoints of a large table.
+const MANY_ENDPOINTS: u64 = 3000;
+
+fn add_endpoint_row(fleet: &fleet::FleetStandIn, name: &str) {
+    let row = serde_json::json!({
+        "service": "unused", "address": "127.0.0.1:9", "zone": "b", "version": "2026.12.05-1",
+        "slots": 4, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1_700_000_000_000_u64,
+    });
+    fleet.set_row("servers", name, Some(&row.to_string()));
+}
+
+/// Waits until an endpoint is known on all nodes, and returns the time it took.
+async fn wait_for_endpoint(nodes: &[fleet::FleetNode], name: &str) -> time::Duration {
+    let started = time::Instant::now();
+    for node in nodes {
+        while started.elapsed() < gateway::RESPONSE_TIMEOUT * 2 {
+            let (_, dump) = gateway::get(node.admin_address, "/dump").await;
+            let dump: types::GatewayDump = serde_json::from_str(&dump).expect("a dump");
+            if dump.endpoints.iter().any(|view| &*view.endpoint == name) {
+                break;
+            }
+            async_io::Timer::after(POLL_INTERVAL).await;
+        }
+    }
+    started.elapsed()
+}
+
 /// Returns the index of the node that reads the store.
 async fn reader_index(nodes: &[fleet::FleetNode]) -> usize {
     let (_, dump) = gateway::get(nodes[0].admin_address, "/dump").await;
@@ -139,6 +166,23 @@
     });
 }
 
+/// Guards against nodes that wait for a stalled reader for as long as a transfer of their whole copy
+/// would take, though a change is a row or two: with many endpoints they learn of none for seconds.
+#[test]
+fn reader_stalls() {
+    with_nodes(async |fleet, mut nodes| {
+        (0..MANY_ENDPOINTS).for_each(|number| add_endpoint_row(&fleet, &format!("i-{number:08x}")));
+        wait_for_endpoint(&nodes, "i-00000bb7").await;
+        async_io::Timer::after(DISCOVERY_TIME).await;
+        let stalled = nodes.remove(reader_index(&nodes).await);
+        stalled.process.signal(rustix::process::Signal::STOP);
+        add_endpoint_row(&fleet, "added");
+        let elapsed = wait_for_endpoint(&nodes, "added").await;
+        stalled.process.signal(rustix::process::Signal::CONT);
+        assert!(elapsed < APPLY_LIMIT, "known after {elapsed:?}");
+    });
+}
+
 /// A node learns of later changes although the store never responded to an earlier request.
 #[test]
 fn lost_request() {
--- a/crates/comfreyspread-policy/src/table_mirror.rs
+++ b/crates/comfreyspread-policy/src/table_mirror.rs
@@ -65,9 +65,11 @@
         self.complete_version
     }
 
-    /// Returns the size of all values, in bytes as kept.
-    pub fn value_bytes(&self) -> usize {
-        self.rows.values().filter_map(|row| row.value.as_ref()).map(|value| value.len()).sum()
+    /// Returns the size of the largest value, in bytes as kept.
+    pub fn largest_value_bytes(&self) -> usize {
+        let sizes =
+            self.rows.values().filter_map(|row| row.value.as_ref()).map(|value| value.len());
+        sizes.max().unwrap_or(0)
     }
 
     /// Whether the table has been read from any source.
--- a/crates/comfreyspread/src/gateway/table_exchange.rs
+++ b/crates/comfreyspread/src/gateway/table_exchange.rs
@@ -15,7 +15,7 @@
 pub const TABLE_PATH: &str = "/peer/tables";
 
 /// Timeout of a request for rows, in addition to the time for which it waits for changes and to that
-/// of a transfer as large as this node's copy.
+/// of a transfer as large as the largest row: a change is a few rows.
 const PEER_TIMEOUT: time::Duration = time::Duration::from_millis(600);
 /// Rate in bytes a second at which a transfer from a node with a slow link to many others at once
 /// still arrives in time.
@@ -159,7 +159,7 @@
     let (after_version, bytes) = {
         let mut tables = state.store_tables.lock();
         let mirror = &tables.table(Watcher::TABLE).mirror;
-        (mirror.complete_version(), mirror.value_bytes())
+        (mirror.complete_version(), mirror.largest_value_bytes())
     };
     let message = types::TableRequest {
         accepts_compressed: true,
