Tell crashes of an endpoint that starts again under its name apart

What callers would see: endpoints of a service crash without end (BUDGET) although the same prompt part is in all of the requests, where endpoints come back under their name.

Cause: a crash is known by the endpoint's name alone, and counts once; the registration says by its start time that the process is another. A service of two such endpoints never had three crashes. The hash now holds the start time, too.

--- /dev/null
+++ b/crates/comfreyspread-lab/tests/crashing_parts.rs
@@ -0,0 +1,123 @@
+//! Prompt parts that crash the endpoints that begin to answer a request with them.
+
+mod common;
+
+use comfreyspread_lab::{fleet, fleet_request};
+use common::gateway;
+use std::{
+    io::Read as _,
+    net,
+    sync::{self, atomic},
+    thread, time,
+};
+
+const CRASH_INTERVAL: time::Duration = time::Duration::from_millis(450);
+const RESTART_TIME: time::Duration = time::Duration::from_millis(300);
+const READ_TIMEOUT: time::Duration = time::Duration::from_millis(200);
+/// Crashes before a part is known: three, each of a request that may be retried once.
+const MAX_CRASHES: u64 = 6;
+const REQUESTS: u64 = 12;
+
+/// An engine that stops when it receives a request.
+struct CrashingEngine {
+    name: String,
+    address: net::SocketAddr,
+    crashes: sync::Arc<atomic::AtomicU64>,
+}
+
+impl CrashingEngine {
+    /// Starts the engine; it starts again after each of `restarts` crashes.
+    fn new(name: &str, restarts: u64) -> Self {
+        let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let crashes = sync::Arc::<atomic::AtomicU64>::default();
+        let counter = crashes.clone();
+        thread::spawn(move || {
+            let mut listener = listener;
+            for _ in 0..restarts {
+                serve_until_crash(listener, &counter);
+                thread::sleep(RESTART_TIME);
+                listener = net::TcpListener::bind(address).expect("the same port");
+            }
+            serve_until_crash(listener, &counter);
+        });
+        Self { name: name.into(), address, crashes }
+    }
+
+    fn crashes(&self) -> u64 {
+        self.crashes.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Writes the registration of the current process.
+    fn register(&self, fleet: &fleet::FleetStandIn) {
+        let started = self.crashes() + 1;
+        let registration = serde_json::json!({
+            "service": "engine", "address": self.address, "zone": "a", "slots": 4,
+            "state": "ready", "cold_left_ms": 0, "seq": started, "born": started,
+        });
+        fleet.set_row("servers", &self.name, Some(&registration.to_string()));
+    }
+}
+
+fn serve_until_crash(listener: net::TcpListener, crashes: &atomic::AtomicU64) {
+    for connection in listener.incoming() {
+        let mut connection = connection.expect("a connection");
+        connection.set_read_timeout(Some(READ_TIMEOUT)).expect("a timeout");
+        let mut bytes = [0; 4096];
+        let length = connection.read(&mut bytes).unwrap_or(0);
+        if bytes[..length].starts_with(b"POST") {
+            drop(listener);
+            crashes.fetch_add(1, atomic::Ordering::Relaxed);
+            return;
+        }
+    }
+}
+
+/// Replaces the engines of the sample by ones that crash.
+fn start_engines(fleet: &fleet::FleetStandIn, count: u64, restarts: u64) -> Vec<CrashingEngine> {
+    for name in ["engine-1", "engine-2"] {
+        fleet.set_row("servers", name, None);
+    }
+    let start = |number| CrashingEngine::new(&format!("crashing-{number}"), restarts);
+    let engines: Vec<_> = (0..count).map(start).collect();
+    engines.iter().for_each(|engine| engine.register(fleet));
+    engines
+}
+
+fn total_crashes(engines: &[CrashingEngine]) -> u64 {
+    engines.iter().map(CrashingEngine::crashes).sum()
+}
+
+/// Sends a request with the guilty part, unlike all others in the rest.
+async fn send_guilty(node: net::SocketAddr, path: &str, id: &str) -> u16 {
+    let mut request =
+        fleet_request::FleetRequest::new(node, path, id).with_deadline_ms(3900).into_message();
+    request.insert_header("prefix-hash", format!("guilty:100,{id}:20"));
+    request.insert_header("model", "m");
+    request.insert_header("token-counts", "120,10");
+    if path == "/report/" {
+        request.insert_header("pieces", "1,1");
+        request.insert_header("piece-key", "k");
+    }
+    request.set_body(id.to_owned());
+    gateway::send(node, request).await.0
+}
+
+/// Guards against crashes without end of endpoints that start again under their name: a crash counts
+/// once, and each start of an endpoint was taken for the same crash.
+#[test]
+fn same_name() {
+    gateway::with_fleet(async |fleet| {
+        let engines = start_engines(&fleet, 2, 100);
+        let node = gateway::start_nodes(&fleet, 1).await.remove(0);
+        for number in 0..REQUESTS {
+            send_guilty(node.caller_address, "/chat/", &format!("chat-{number}")).await;
+            async_io::Timer::after(RESTART_TIME + CRASH_INTERVAL).await;
+            engines.iter().for_each(|engine| engine.register(&fleet));
+            async_io::Timer::after(CRASH_INTERVAL).await;
+        }
+        let crashes = total_crashes(&engines);
+        assert!(crashes >= 3, "{crashes} crashes show nothing");
+        assert!(crashes <= MAX_CRASHES, "{crashes} crashes of two engines");
+    });
+}
--- a/crates/comfreyspread/src/gateway/call_plan.rs
+++ b/crates/comfreyspread/src/gateway/call_plan.rs
@@ -122,6 +122,7 @@
     ) {
         let task_state = state.clone();
         let (endpoint, names) = (endpoint.clone(), self.shared_parts().join(","));
+        let crash = crash_hash(&endpoint, state.directory.lock().started_at_ms(&endpoint));
         let (digest, request) = (self.digest.clone(), self.call.request.clone());
         let (parts, broke_at) = (self.part_hashes(), time::Instant::now());
         state.context.spawner.detach(async move {
@@ -133,7 +134,7 @@
                     endpoint = endpoint.as_ref(), began = began, parts = names.as_str();
                     "entry: endpoint crashed while running the request");
                 if !began {
-                    record_crash(&task_state, &digest, &parts, &endpoint, broke_at);
+                    record_crash(&task_state, &digest, &parts, crash, broke_at);
                 }
             }
         });
@@ -266,19 +267,27 @@
     format!("{:032x}", hasher.digest128()).into()
 }
 
+/// Returns the hash of a crash. An endpoint may start again under its name, and crash again.
+fn crash_hash(endpoint: &ids::EndpointId, started_at_ms: u64) -> ids::CrashHash {
+    let mut hasher = xxh3::Xxh3::new();
+    hasher.update(endpoint.as_bytes());
+    hasher.update(&started_at_ms.to_le_bytes());
+    hasher.digest()
+}
+
 /// Records a crash at `broke_at` for a request that waited for its first event, and for its parts.
 fn record_crash(
     state: &state::GatewayState,
     digest: &ids::BodyDigest,
     parts: &[ids::PartHash],
-    endpoint: &ids::EndpointId,
+    crash: ids::CrashHash,
     broke_at: time::Instant,
 ) {
     let tables = &state.context.tables;
     let now = time::Instant::now();
     tables.suspects.lock().record_crash(digest, false, now);
     let seen = crash_evidence::SeenCrash {
-        crash: xxh3::xxh3_64(endpoint.as_bytes()),
+        crash,
         request: xxh3::xxh3_64(digest.as_bytes()),
         crashed_at: broke_at,
     };
