Look again for a crashing part before each attempt

What callers would see: endpoints that crash (BUDGET) on requests whose prompt part is known by then: they were admitted before and waited at their stages, or were refused by a full endpoint, for up to their deadline.

Cause: convictions were looked up when a request arrived and before it ran again, not before it was sent. Each attempt now asks; the request that is let pass once a conviction has lapsed may go on.

Evidence: crashing_parts found_meanwhile (lab) failed before (7 crashes where 6 were known when the stages ended) and passes now; admitted_before in the policy crate is new with the method.

--- a/crates/comfreyspread-lab/tests/crashing_parts.rs
+++ b/crates/comfreyspread-lab/tests/crashing_parts.rs
@@ -4,6 +4,7 @@
 
 use comfreyspread_lab::{fleet, fleet_request};
 use common::gateway;
+use futures_util::future;
 use std::{
     io::Read as _,
     net,
@@ -121,3 +122,36 @@
         assert!(crashes <= MAX_CRASHES, "{crashes} crashes of two engines");
     });
 }
+
+/// Guards against a request that is sent although its part was found to crash endpoints while it
+/// waited at its stages.
+#[test]
+fn found_meanwhile() {
+    gateway::with_fleet(async |fleet| {
+        let engines = start_engines(&fleet, 9, 0);
+        let node = gateway::start_nodes(&fleet, 1).await.remove(0);
+        for worker in ["worker-1", "worker-2"] {
+            fleet.faults(worker).full.store(true, atomic::Ordering::Relaxed);
+        }
+        let waiting = send_guilty(node.caller_address, "/report/", "waiting");
+        let crash = async {
+            for number in 0..3 {
+                async_io::Timer::after(CRASH_INTERVAL).await;
+                send_guilty(node.caller_address, "/chat/", &format!("chat-{number}")).await;
+            }
+            async_io::Timer::after(CRASH_INTERVAL).await;
+            let before = total_crashes(&engines);
+            let late = send_guilty(node.caller_address, "/chat/", "late").await;
+            assert_eq!(total_crashes(&engines), before, "a new request is rejected");
+            for worker in ["worker-1", "worker-2"] {
+                fleet.faults(worker).full.store(false, atomic::Ordering::Relaxed);
+            }
+            (before, late)
+        };
+        let (status, (before, late)) = future::join(waiting, crash).await;
+        let pieces = fleet.records().len();
+        assert!(pieces > 0, "the stages have not run: status {status}, late {late}");
+        let after = total_crashes(&engines);
+        assert_eq!(after, before, "status {status}, late {late}, {pieces} calls");
+    });
+}
--- a/crates/comfreyspread-policy/src/part_suspect.rs
+++ b/crates/comfreyspread-policy/src/part_suspect.rs
@@ -101,6 +101,13 @@
         parts.iter().filter_map(|part| self.entries.get(part)).any(|entry| self.holds(entry, now))
     }
 
+    /// Returns whether one of the parts crashes endpoints, so that a request that was let pass may
+    /// not be sent any more. The one that is let pass when a conviction has lapsed may.
+    pub fn is_convicted_anew(&self, parts: &[ids::PartHash], now: time::Instant) -> bool {
+        let mut entries = parts.iter().filter_map(|part| self.entries.get(part));
+        entries.any(|entry| entry.convicted && now < self.lapses_at(entry, now))
+    }
+
     /// Returns whether a new request with these parts may run. One whose conviction has lapsed is
     /// let pass, and others like it wait until its outcome is known.
     pub fn try_admit(&mut self, parts: &[ids::PartHash], now: time::Instant) -> bool {
@@ -237,10 +244,16 @@
     }
 
     fn holds(&self, entry: &PartEntry, now: time::Instant) -> bool {
-        let Some(last_crash) = entry.evidence.last_crash() else { return false };
-        let lapses_at = last_crash + CONVICTION_TIME + self.trial_delay;
         entry.convicted
-            && (now < lapses_at || entry.trial_until.is_some_and(|trial_until| now < trial_until))
+            && entry.evidence.last_crash().is_some()
+            && (now < self.lapses_at(entry, now)
+                || entry.trial_until.is_some_and(|trial_until| now < trial_until))
+    }
+
+    /// Returns when the conviction of a part lapses; at once if no crash speaks against it.
+    fn lapses_at(&self, entry: &PartEntry, now: time::Instant) -> time::Instant {
+        let last_crash = entry.evidence.last_crash();
+        last_crash.map_or(now, |last_crash| last_crash + CONVICTION_TIME + self.trial_delay)
     }
 
     fn entry(&mut self, part: ids::PartHash, now: time::Instant) -> &mut PartEntry {
--- a/crates/comfreyspread-policy/tests/crashing_parts.rs
+++ b/crates/comfreyspread-policy/tests/crashing_parts.rs
@@ -269,3 +269,21 @@
         assert!(table.try_admit(&[GUILTY], later + seconds(1.0)));
     }
 }
+
+/// Guards against requests admitted before a conviction that are sent after it, and against rejecting
+/// the one that is let pass once the conviction has lapsed.
+#[test]
+fn admitted_before() {
+    let now = time::Instant::now();
+    let mut table = part_suspect::PartTable::new();
+    assert!(table.try_admit(&[GUILTY], now));
+    (0..3).for_each(|number| crash(&mut table, number, &[GUILTY], now + seconds(number as f64)));
+    table.record_first_event(&[SHARED], now + seconds(2.1));
+    assert!(table.is_convicted_anew(&[SHARED, GUILTY], now + seconds(3.0)));
+    assert!(!table.is_convicted_anew(&[SHARED, RARE], now + seconds(3.0)));
+    let trial = now + seconds(123.0);
+    assert!(table.try_admit(&[GUILTY], trial));
+    assert!(!table.is_convicted_anew(&[GUILTY], trial));
+    crash(&mut table, 3, &[GUILTY], trial);
+    assert!(table.is_convicted_anew(&[GUILTY], trial));
+}
--- a/crates/comfreyspread/src/gateway/attempt_send.rs
+++ b/crates/comfreyspread/src/gateway/attempt_send.rs
@@ -129,6 +129,11 @@
     planned: attempt::CallAttempt<attempt::PlannedState>,
     input: &AttemptInput<'_>,
 ) -> Result<StartedAttempt, FailedAttempt> {
+    if let Err(failure) = plan.check_attempt(state) {
+        log::warn!(request = plan.call.request.as_ref(), digest = plan.digest.as_ref(),
+            attempt = input.number; "attempt: rejected, the request crashes endpoints");
+        return Err(FailedAttempt { endpoint: None, address: None, failure, inputs_gone: false });
+    }
     let now = time::Instant::now();
     let query = endpoint_query(state, plan, input, now);
     let Some(chosen) = state.directory.lock().start_call(&query) else {
--- a/crates/comfreyspread/src/gateway/call_plan.rs
+++ b/crates/comfreyspread/src/gateway/call_plan.rs
@@ -167,6 +167,29 @@
             || state.context.tables.part_suspects.lock().is_convicted(&self.part_hashes(), now)
     }
 
+    /// Checks, before an attempt, whether the request was found to crash endpoints meanwhile: it may
+    /// have waited at stages since it was let pass.
+    ///
+    /// # Errors
+    ///
+    /// Fails if so; the attempt has not run.
+    pub fn check_attempt(&self, state: &state::GatewayState) -> Result<(), failure::CallFailure> {
+        let now = time::Instant::now();
+        let convicted = self.is_convicted_alone(state, now)
+            || state
+                .context
+                .tables
+                .part_suspects
+                .lock()
+                .is_convicted_anew(&self.part_hashes(), now);
+        if convicted { Err(Self::crashing()) } else { Ok(()) }
+    }
+
+    /// Returns the rejection of a request that crashes endpoints.
+    pub fn crashing() -> failure::CallFailure {
+        Self::not_run(types::ProblemKind::Poisoned, "the request crashes endpoints")
+    }
+
     fn is_convicted_alone(&self, state: &state::GatewayState, now: time::Instant) -> bool {
         let status = state.context.tables.suspects.lock().status(&self.digest, now);
         status == suspect::SuspectStatus::Convicted
--- a/crates/comfreyspread/src/gateway/caller_handler.rs
+++ b/crates/comfreyspread/src/gateway/caller_handler.rs
@@ -35,11 +35,7 @@
         if !plan.try_admit(&self.state) {
             log::warn!(request = id.as_ref(), digest = plan.digest.as_ref();
                 "entry: rejected, the request crashes endpoints");
-            let detail = "the request crashes endpoints";
-            return failure_response(
-                &call_plan::CallPlan::not_run(types::ProblemKind::Poisoned, detail),
-                &id,
-            );
+            return failure_response(&call_plan::CallPlan::crashing(), &id);
         }
         let route = plan.route.clone();
         let version = plan.version;
