--- a/crates/comfreyspread-policy/src/part_suspect.rs
+++ b/crates/comfreyspread-policy/src/part_suspect.rs
@@ -38,6 +38,8 @@
 const MAX_PARTS: usize = 10_000;
 /// Crashes in one record.
 const CRASHES_PER_RECORD: usize = 4;
+/// Crashes in the record of a convicted part: they tell the receiver which ones it explains.
+const CRASHES_PER_CONVICTION: usize = 16;
 
 #[derive(Clone, Debug, Default)]
 struct PartEntry {
@@ -323,8 +325,9 @@
 
 fn record(part: ids::PartHash, entry: &PartEntry, now: time::Instant) -> types::PartSuspect {
     let proof_age = entry.proven_at.map(|at| now.saturating_duration_since(at));
+    let limit = if entry.convicted { CRASHES_PER_CONVICTION } else { CRASHES_PER_RECORD };
     types::PartSuspect {
-        crashes: entry.evidence.records(CRASHES_PER_RECORD, now),
+        crashes: entry.evidence.records(limit, now),
         part,
         proof_age: proof_age.unwrap_or_default(),
         proven: proof_age.is_some(),
--- a/crates/comfreyspread-policy/tests/crashing_parts.rs
+++ b/crates/comfreyspread-policy/tests/crashing_parts.rs
@@ -287,3 +287,37 @@
     crash(&mut table, 3, &[GUILTY], trial);
     assert!(table.is_convicted_anew(&[GUILTY], trial));
 }
+
+/// Passes on all records of one table until the other hears nothing new.
+fn pass_records(
+    from: &part_suspect::PartTable,
+    to: &mut part_suspect::PartTable,
+    now: time::Instant,
+) {
+    let mut random = rngs::SmallRng::seed_from_u64(5);
+    for _ in 0..20 {
+        for record in from.records(RECORDS_PER_MESSAGE, now, &mut random) {
+            to.merge(&record, now);
+        }
+    }
+}
+
+/// Guards against a sound part rejected by a node that starts later: a record holds the newest
+/// crashes only, so that those of the guilty part no longer explain the older ones of the sound part.
+#[test]
+fn later_node() {
+    let now = time::Instant::now();
+    let mut table = part_suspect::PartTable::new();
+    for number in 0..7 {
+        let at = now + seconds(number as f64);
+        let parts: &[u64] = if number < 3 { &[GUILTY, RARE] } else { &[GUILTY] };
+        crash(&mut table, number, parts, at);
+        table.record_first_event(&[SHARED], at + seconds(0.1));
+    }
+    let later = now + seconds(7.0);
+    assert!(!table.is_convicted(&[RARE], later));
+    let mut started = part_suspect::PartTable::new();
+    pass_records(&table, &mut started, later);
+    assert!(started.is_convicted(&[GUILTY], later));
+    assert!(!started.is_convicted(&[RARE], later), "crashes of the guilty part count again");
+}
