Tell nodes that suspect a part of the proof that clears it

What callers would see: requests with a sound part rejected for two to seven minutes on some nodes, while others serve them.

Cause: a node told of a proof only if it cleared a crash that the node itself knew. One that heard of the crashes later dropped them and said nothing, and a node that has convicted the part gets no proof of its own. A crash that a proof refutes now makes the part one of those that other nodes hear of, for the same 10 s as a cleared one.

Evidence: crashing_parts proof_spreads failed before ("the proof was not passed on") and passes now, with the twelve others, fleet_learns among them.

--- a/crates/comfreyspread-policy/src/part_suspect.rs
+++ b/crates/comfreyspread-policy/src/part_suspect.rs
@@ -177,6 +177,9 @@
         }
         let entry = self.entry(part, now);
         if entry.proven_at.is_some_and(|proven_at| proven_at >= seen.crashed_at) {
+            // The sender does not know of the proof.
+            entry.cleared_at = Some(now);
+            self.suspects.insert(part);
             return false;
         }
         let is_new = entry.evidence.add(seen);
--- a/crates/comfreyspread-policy/tests/crashing_parts.rs
+++ b/crates/comfreyspread-policy/tests/crashing_parts.rs
@@ -321,3 +321,22 @@
     assert!(started.is_convicted(&[GUILTY], later));
     assert!(!started.is_convicted(&[RARE], later), "crashes of the guilty part count again");
 }
+
+/// Guards against a sound part that stays rejected on nodes that heard of crashes only, because the
+/// nodes that served it since tell only of proofs that cleared a crash of their own.
+#[test]
+fn proof_spreads() {
+    let now = time::Instant::now();
+    let mut serving = part_suspect::PartTable::new();
+    let mut other = part_suspect::PartTable::new();
+    for number in 0..3 {
+        let at = now + seconds(number as f64);
+        other.record_crash(&[RARE], seen(number, number, at), at);
+    }
+    serving.record_first_event(&[RARE], now + seconds(2.5));
+    let later = now + seconds(3.0);
+    pass_records(&other, &mut serving, later);
+    pass_records(&serving, &mut other, later);
+    assert!(!serving.is_convicted(&[RARE], later));
+    assert!(!other.is_convicted(&[RARE], later), "the proof was not passed on");
+}
