Tell of no crash that a full record drops at once

What callers would see: nothing; nodes send three more heartbeats each 0.3 s for up to a quarter of an hour after some 64 endpoints crashed on requests with one part.

Cause: a crash older than the 64 that are kept was reported as new each time it was told.

Evidence: crashing_parts old_crash_again failed before ("a crash told twice is news") and passes now.

--- a/crates/comfreyspread-policy/src/crash_evidence.rs
+++ b/crates/comfreyspread-policy/src/crash_evidence.rs
@@ -30,7 +30,7 @@
 }
 
 impl CrashEvidence {
-    /// Adds a crash; returns whether it was not known.
+    /// Adds a crash; returns whether it was not known and is kept.
     pub fn add(&mut self, seen: SeenCrash) -> bool {
         let known = self.crashes.iter_mut().find(|known| known.crash == seen.crash);
         let is_new = known.is_none();
@@ -42,10 +42,8 @@
             None => self.crashes.push(seen),
         }
         self.crashes.sort_by_key(|known| (known.crashed_at, known.crash));
-        if self.crashes.len() > MAX_CRASHES {
-            self.crashes.remove(0);
-        }
-        is_new
+        let dropped = (self.crashes.len() > MAX_CRASHES).then(|| self.crashes.remove(0));
+        is_new && dropped.is_none_or(|dropped| dropped.crash != seen.crash)
     }
 
     /// Drops the crashes up to `proven_at`, when an endpoint began to answer with the part.
--- a/crates/comfreyspread-policy/tests/crashing_parts.rs
+++ b/crates/comfreyspread-policy/tests/crashing_parts.rs
@@ -340,3 +340,19 @@
     assert!(!serving.is_convicted(&[RARE], later));
     assert!(!other.is_convicted(&[RARE], later), "the proof was not passed on");
 }
+
+/// Guards against nodes that tell each other of one crash for ever: one that is older than all that
+/// a full record keeps is dropped at once and is new each time.
+#[test]
+fn old_crash_again() {
+    let now = time::Instant::now();
+    let mut table = part_suspect::PartTable::new();
+    for number in 0..64 {
+        let at = now + seconds(10.0 + number as f64);
+        table.record_crash(&[RARE], seen(number, number, at), at);
+    }
+    let later = now + seconds(80.0);
+    table.record_crash(&[RARE], seen(100, 100, now), later);
+    let is_news = table.record_crash(&[RARE], seen(100, 100, now), later);
+    assert!(!is_news, "a crash told twice is news");
+}
