--- a/crates/comfreyspread-policy/src/part_suspect.rs
+++ b/crates/comfreyspread-policy/src/part_suspect.rs
@@ -38,6 +38,8 @@
 const MAX_PARTS: usize = 10_000;
 /// Crashes in one record.
 const CRASHES_PER_RECORD: usize = 4;
+/// Crashes in the record of a convicted part: they tell the receiver which ones it explains.
+const CRASHES_PER_CONVICTION: usize = 16;
 
 #[derive(Clone, Debug, Default)]
 struct PartEntry {
@@ -101,6 +103,13 @@
         parts.iter().filter_map(|part| self.entries.get(part)).any(|entry| self.holds(entry, now))
     }
 
+    /// Returns whether one of the parts crashes endpoints, so that a request that was let pass may
+    /// not be sent any more. The one that is let pass when a conviction has lapsed may.
+    pub fn is_convicted_anew(&self, parts: &[ids::PartHash], now: time::Instant) -> bool {
+        let mut entries = parts.iter().filter_map(|part| self.entries.get(part));
+        entries.any(|entry| entry.convicted && now < self.lapses_at(entry, now))
+    }
+
     /// Returns whether a new request with these parts may run. One whose conviction has lapsed is
     /// let pass, and others like it wait until its outcome is known.
     pub fn try_admit(&mut self, parts: &[ids::PartHash], now: time::Instant) -> bool {
@@ -168,6 +177,9 @@
         }
         let entry = self.entry(part, now);
         if entry.proven_at.is_some_and(|proven_at| proven_at >= seen.crashed_at) {
+            // The sender does not know of the proof.
+            entry.cleared_at = Some(now);
+            self.suspects.insert(part);
             return false;
         }
         let is_new = entry.evidence.add(seen);
@@ -237,10 +249,16 @@
     }
 
     fn holds(&self, entry: &PartEntry, now: time::Instant) -> bool {
-        let Some(last_crash) = entry.evidence.last_crash() else { return false };
-        let lapses_at = last_crash + CONVICTION_TIME + self.trial_delay;
         entry.convicted
-            && (now < lapses_at || entry.trial_until.is_some_and(|trial_until| now < trial_until))
+            && entry.evidence.last_crash().is_some()
+            && (now < self.lapses_at(entry, now)
+                || entry.trial_until.is_some_and(|trial_until| now < trial_until))
+    }
+
+    /// Returns when the conviction of a part lapses; at once if no crash speaks against it.
+    fn lapses_at(&self, entry: &PartEntry, now: time::Instant) -> time::Instant {
+        let last_crash = entry.evidence.last_crash();
+        last_crash.map_or(now, |last_crash| last_crash + CONVICTION_TIME + self.trial_delay)
     }
 
     fn entry(&mut self, part: ids::PartHash, now: time::Instant) -> &mut PartEntry {
@@ -310,8 +328,9 @@
 
 fn record(part: ids::PartHash, entry: &PartEntry, now: time::Instant) -> types::PartSuspect {
     let proof_age = entry.proven_at.map(|at| now.saturating_duration_since(at));
+    let limit = if entry.convicted { CRASHES_PER_CONVICTION } else { CRASHES_PER_RECORD };
     types::PartSuspect {
-        crashes: entry.evidence.records(CRASHES_PER_RECORD, now),
+        crashes: entry.evidence.records(limit, now),
         part,
         proof_age: proof_age.unwrap_or_default(),
         proven: proof_age.is_some(),
--- a/crates/comfreyspread-policy/tests/crashing_parts.rs
+++ b/crates/comfreyspread-policy/tests/crashing_parts.rs
@@ -269,3 +269,90 @@
         assert!(table.try_admit(&[GUILTY], later + seconds(1.0)));
     }
 }
+
+/// Guards against requests admitted before a conviction that are sent after it, and against rejecting
+/// the one that is let pass once the conviction has lapsed.
+#[test]
+fn admitted_before() {
+    let now = time::Instant::now();
+    let mut table = part_suspect::PartTable::new();
+    assert!(table.try_admit(&[GUILTY], now));
+    (0..3).for_each(|number| crash(&mut table, number, &[GUILTY], now + seconds(number as f64)));
+    table.record_first_event(&[SHARED], now + seconds(2.1));
+    assert!(table.is_convicted_anew(&[SHARED, GUILTY], now + seconds(3.0)));
+    assert!(!table.is_convicted_anew(&[SHARED, RARE], now + seconds(3.0)));
+    let trial = now + seconds(123.0);
+    assert!(table.try_admit(&[GUILTY], trial));
+    assert!(!table.is_convicted_anew(&[GUILTY], trial));
+    crash(&mut table, 3, &[GUILTY], trial);
+    assert!(table.is_convicted_anew(&[GUILTY], trial));
+}
+
+/// Passes on all records of one table until the other hears nothing new.
+fn pass_records(
+    from: &part_suspect::PartTable,
+    to: &mut part_suspect::PartTable,
+    now: time::Instant,
+) {
+    let mut random = rngs::SmallRng::seed_from_u64(5);
+    for _ in 0..20 {
+        for record in from.records(RECORDS_PER_MESSAGE, now, &mut random) {
+            to.merge(&record, now);
+        }
+    }
+}
+
+/// Guards against a sound part rejected by a node that starts later: a record holds the newest
+/// crashes only, so that those of the guilty part no longer explain the older ones of the sound part.
+#[test]
+fn later_node() {
+    let now = time::Instant::now();
+    let mut table = part_suspect::PartTable::new();
+    for number in 0..7 {
+        let at = now + seconds(number as f64);
+        let parts: &[u64] = if number < 3 { &[GUILTY, RARE] } else { &[GUILTY] };
+        crash(&mut table, number, parts, at);
+        table.record_first_event(&[SHARED], at + seconds(0.1));
+    }
+    let later = now + seconds(7.0);
+    assert!(!table.is_convicted(&[RARE], later));
+    let mut started = part_suspect::PartTable::new();
+    pass_records(&table, &mut started, later);
+    assert!(started.is_convicted(&[GUILTY], later));
+    assert!(!started.is_convicted(&[RARE], later), "crashes of the guilty part count again");
+}
+
+/// Guards against a sound part that stays rejected on nodes that heard of crashes only, because the
+/// nodes that served it since tell only of proofs that cleared a crash of their own.
+#[test]
+fn proof_spreads() {
+    let now = time::Instant::now();
+    let mut serving = part_suspect::PartTable::new();
+    let mut other = part_suspect::PartTable::new();
+    for number in 0..3 {
+        let at = now + seconds(number as f64);
+        other.record_crash(&[RARE], seen(number, number, at), at);
+    }
+    serving.record_first_event(&[RARE], now + seconds(2.5));
+    let later = now + seconds(3.0);
+    pass_records(&other, &mut serving, later);
+    pass_records(&serving, &mut other, later);
+    assert!(!serving.is_convicted(&[RARE], later));
+    assert!(!other.is_convicted(&[RARE], later), "the proof was not passed on");
+}
+
+/// Guards against nodes that tell each other of one crash for ever: one that is older than all that
+/// a full record keeps is dropped at once and is new each time.
+#[test]
+fn old_crash_again() {
+    let now = time::Instant::now();
+    let mut table = part_suspect::PartTable::new();
+    for number in 0..64 {
+        let at = now + seconds(10.0 + number as f64);
+        table.record_crash(&[RARE], seen(number, number, at), at);
+    }
+    let later = now + seconds(80.0);
+    table.record_crash(&[RARE], seen(100, 100, now), later);
+    let is_news = table.record_crash(&[RARE], seen(100, 100, now), later);
+    assert!(!is_news, "a crash told twice is news");
+}
