Follow a workspace whose key and homes change together

What callers would see: a request is retried in the old home of its workspace (HOME), because one change replaced the key that it came with and moved the homes. With the key gone, the rule of the arrival was used, though the workspace still stands under another key.

The workspace is now looked up by its name where its key is gone.

Evidence: route_table moved_workspace failed before (["old"] for ["r"]) and passes now.

--- a/crates/comfreyspread-policy/src/route_table.rs
+++ b/crates/comfreyspread-policy/src/route_table.rs
@@ -77,8 +77,14 @@
         key: Option<&str>,
     ) -> Option<Vec<ids::RegionId>> {
         let current_route = self.route_at(&route.host, &route.prefix).unwrap_or(route);
-        let current_workspace = key.and_then(|key| self.workspace(key)).map(AsRef::as_ref);
-        allowed_regions(current_route, current_workspace.or(workspace))
+        let by_key = key.and_then(|key| self.workspace(key)).map(AsRef::as_ref);
+        let current_workspace = by_key.or_else(|| self.current_workspace(workspace?)).or(workspace);
+        allowed_regions(current_route, current_workspace)
+    }
+
+    /// Returns the present rule of a workspace, whose keys may have changed.
+    fn current_workspace(&self, workspace: &types::WorkspaceRule) -> Option<&types::WorkspaceRule> {
+        self.keys.values().map(AsRef::as_ref).find(|rule| rule.name == workspace.name)
     }
 
     /// Returns the route of a host with exactly this prefix.
--- a/crates/comfreyspread-policy/tests/route_table.rs
+++ b/crates/comfreyspread-policy/tests/route_table.rs
@@ -105,3 +105,18 @@
     let moved = vec![limited("/a/", "s"), limited("/a/b/", "t")];
     assert_eq!(table(moved).current_regions(&long, None, None), Some(vec!["t".into()]));
 }
+
+/// Guards against requests in flight that keep the homes of a workspace that has moved, because the
+/// key they came with has been replaced in the same change.
+#[test]
+fn moved_workspace() {
+    let any = route("r", "h", "/a/");
+    let table = table(vec![any.clone()]);
+    let before = types::WorkspaceRule {
+        keys: vec!["replaced".into()],
+        allowed_regions: vec!["old".into()],
+        ..types::WorkspaceRule::clone(table.workspace("k1").expect("a workspace"))
+    };
+    let current = table.current_regions(&any, Some(&before), Some("replaced"));
+    assert_eq!(current, Some(vec!["r".into()]));
+}
