Count one crash once for equal requests in flight there

What callers would see: a sound request (same path, key and body: a plain read, say) answered 503 at all nodes for ten minutes after one endpoint crashed that ran three of them at once.

Cause: suspects by request counted each request that saw a crash as a crash of its own, and three convict. The gateway now says which crash it is.

Evidence: crashing_parts one_crash (lab) failed before (503 where 200 is asked for) and passes now; suspects equal_requests is new with the method; crashing_requests passes. The native front end still counts so, beside other requests.

--- a/crates/comfreyspread-lab/tests/crashing_parts.rs
+++ b/crates/comfreyspread-lab/tests/crashing_parts.rs
@@ -18,6 +18,7 @@
 /// Crashes before a part is known: three, each of a request that may be retried once.
 const MAX_CRASHES: u64 = 6;
 const REQUESTS: u64 = 12;
+const EQUAL_REQUESTS: usize = 3;
 
 /// An engine that stops when it receives a request.
 struct CrashingEngine {
@@ -89,6 +90,14 @@
     engines.iter().map(CrashingEngine::crashes).sum()
 }
 
+fn register_ledger(fleet: &fleet::FleetStandIn, name: &str, address: net::SocketAddr) {
+    let registration = serde_json::json!({
+        "service": "ledger", "address": address, "zone": "a", "slots": 4, "state": "ready",
+        "cold_left_ms": 0, "seq": 1, "born": 1,
+    });
+    fleet.set_row("servers", name, Some(&registration.to_string()));
+}
+
 /// Sends a request with the guilty part, unlike all others in the rest.
 async fn send_guilty(node: net::SocketAddr, path: &str, id: &str) -> u16 {
     let mut request =
@@ -155,3 +164,33 @@
         assert_eq!(after, before, "status {status}, late {late}, {pieces} calls");
     });
 }
+
+/// Guards against a sound request rejected for minutes after one crash of an endpoint, because each
+/// of several equal requests in flight there counted as a crash.
+#[test]
+fn one_crash() {
+    gateway::with_fleet(async |fleet| {
+        for name in ["ledger-1", "ledger-2"] {
+            fleet.set_row("servers", name, None);
+        }
+        let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let crashing = listener.local_addr().expect("an address");
+        register_ledger(&fleet, "crashing", crashing);
+        thread::spawn(move || {
+            let held: Vec<_> = listener.incoming().take(EQUAL_REQUESTS).collect();
+            thread::sleep(RESTART_TIME);
+            drop(listener);
+            drop(held);
+        });
+        let node = gateway::start_nodes(&fleet, 1).await.remove(0);
+        let send = async |id: String| {
+            let request = gateway::request(node.caller_address, "/read/", &id);
+            gateway::send(node.caller_address, request).await.0
+        };
+        future::join_all((0..EQUAL_REQUESTS).map(|number| send(format!("r-{number}")))).await;
+        fleet.set_row("servers", "crashing", None);
+        register_ledger(&fleet, "ledger-1", fleet.address("ledger-1").expect("an endpoint"));
+        async_io::Timer::after(time::Duration::from_secs(2)).await;
+        assert_eq!(send("later".into()).await, 200);
+    });
+}
--- a/crates/comfreyspread-policy/src/suspect.rs
+++ b/crates/comfreyspread-policy/src/suspect.rs
@@ -31,6 +31,8 @@
     crashes: u32,
     phase: types::SuspectPhase,
     recorded_at: time::Instant,
+    /// The latest crash, if this node saw it and can tell it from others.
+    last_crash: Option<ids::CrashHash>,
 }
 
 /// Requests that may crash endpoints.
@@ -55,6 +57,23 @@
         }
     }
 
+    /// Records that an endpoint crashed while it ran the request beside others. Equal requests may
+    /// run there at once, and all of them see the one crash.
+    pub fn record_shared_crash(
+        &mut self,
+        digest: &ids::BodyDigest,
+        crash: ids::CrashHash,
+        now: time::Instant,
+    ) {
+        if self.entries.get(digest).is_some_and(|entry| entry.last_crash == Some(crash)) {
+            return;
+        }
+        self.record_crash(digest, false, now);
+        if let Some(entry) = self.entries.get_mut(digest) {
+            entry.last_crash = Some(crash);
+        }
+    }
+
     /// Records that an endpoint crashed while it ran the request, alone or beside others.
     pub fn record_crash(&mut self, digest: &ids::BodyDigest, exclusive: bool, now: time::Instant) {
         let known = self.entries.get(digest).filter(|entry| is_fresh(entry, now)).copied();
@@ -66,7 +85,7 @@
         } else {
             types::SuspectPhase::Suspect
         };
-        self.put(digest, SuspectEntry { crashes, phase, recorded_at: now }, now);
+        self.put(digest, SuspectEntry { crashes, phase, recorded_at: now, last_crash: None }, now);
     }
 
     /// Records that the request completed, which clears a suspect.
@@ -83,7 +102,12 @@
     /// over other phases even if it is older.
     pub fn merge(&mut self, record: &types::CrashSuspect, now: time::Instant) {
         let Some(recorded_at) = now.checked_sub(record.age) else { return };
-        let received = SuspectEntry { crashes: record.crashes, phase: record.phase, recorded_at };
+        let received = SuspectEntry {
+            crashes: record.crashes,
+            phase: record.phase,
+            recorded_at,
+            last_crash: self.entries.get(&record.digest).and_then(|known| known.last_crash),
+        };
         if !is_fresh(&received, now) {
             return;
         }
--- a/crates/comfreyspread-policy/tests/suspects.rs
+++ b/crates/comfreyspread-policy/tests/suspects.rs
@@ -116,3 +116,16 @@
         assert_eq!(table.status(&digest, now), expected);
     }
 }
+
+/// Guards against a sound request convicted by one crash because several equal ones ran there.
+#[test]
+fn equal_requests() {
+    let now = time::Instant::now();
+    let digest = "equal".into();
+    let mut table = suspect::SuspectTable::new();
+    (0..5).for_each(|_| table.record_shared_crash(&digest, 1, now));
+    assert_eq!(table.status(&digest, now), Suspect);
+    table.record_shared_crash(&digest, 2, now);
+    table.record_shared_crash(&digest, 3, now);
+    assert_eq!(table.status(&digest, now), Convicted);
+}
--- a/crates/comfreyspread/src/gateway/call_plan.rs
+++ b/crates/comfreyspread/src/gateway/call_plan.rs
@@ -308,7 +308,7 @@
 ) {
     let tables = &state.context.tables;
     let now = time::Instant::now();
-    tables.suspects.lock().record_crash(digest, false, now);
+    tables.suspects.lock().record_shared_crash(digest, crash, now);
     let seen = crash_evidence::SeenCrash {
         crash,
         request: xxh3::xxh3_64(digest.as_bytes()),
