Look again at the endpoint of a stage call once its connection has opened

What callers would see: pieces ran at an endpoint that was leaving or in a zone that was out (DRAIN, EVAC), by a call planned before the change and sent when its connection opened, up to the timeout of the call later. The same class as for requests: decided early, sent late.

Between connecting and sending, the endpoint's registration, zone and intake are looked at; one that is no longer to be used counts as gone, and the pieces go elsewhere.

--- a/crates/comfreyspread-lab/tests/late_sends.rs
+++ b/crates/comfreyspread-lab/tests/late_sends.rs
@@ -15,6 +15,8 @@
 const DEADLINE_MS: u128 = 3900;
 /// Time between the endpoint's receipt of a request and the test's clock, in milliseconds.
 const CLOCK_TOLERANCE_MS: u128 = 300;
+/// Time of a stage call, whose timeout is longer than a connection attempt of the kernel.
+const PIECE_CALL_MS: u64 = 600;
 /// Time for the request to choose its endpoint.
 const CHOICE_TIME: time::Duration = time::Duration::from_millis(200);
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
@@ -104,3 +106,32 @@
     });
     pool.stop();
 }
+
+/// Guards against pieces sent to an endpoint that began to leave while the connection was opened.
+#[test]
+fn worker_leaving() {
+    let pool = worker::WorkerPool::new(1).expect("threads");
+    let spawner = pool.spawner();
+    gateway::with_fleet(async |fleet| {
+        let mut document = gateway::route_document(CONFIG_VERSION);
+        document["services"][2]["pieces"]["call_ms"] = PIECE_CALL_MS.into();
+        fleet.set_route_document(&document);
+        let replaced = ["worker-1", "worker-2"];
+        let listener = full_listener::FullListener::new(&fleet, "prepare", &replaced).await;
+        let node = gateway::start_nodes(&fleet, 1).await.remove(0);
+        let request = gateway::staged_request(node.caller_address, "late", "2,1");
+        let changed = async {
+            async_io::Timer::after(CHOICE_TIME).await;
+            fleet.set_row("servers", "late-1", None);
+            while gateway::get(node.admin_address, "/dump").await.1.contains("late-1") {
+                async_io::Timer::after(POLL_INTERVAL).await;
+            }
+            listener.accept(&spawner)
+        };
+        let sent = gateway::send(node.caller_address, request);
+        let ((status, _), late_calls) = future::join(sent, changed).await;
+        assert!(late_calls.is_empty(), "sent after the change");
+        assert_eq!(status, 503);
+    });
+    pool.stop();
+}
--- a/crates/comfreyspread/src/gateway/batcher.rs
+++ b/crates/comfreyspread/src/gateway/batcher.rs
@@ -5,10 +5,11 @@
 //! endpoint changes wake it. [`batch_queue`] makes the decisions.
 
 use super::{endpoint_notices, state};
-use crate::transport::{deadline, http_client, http_message};
+use crate::transport::{deadline, failure, http_client, http_message};
 use comfreyspread_platform::{piece_call, response_head};
 use comfreyspread_policy::{
-    batch_outcome, batch_queue, batch_worker, directory_endpoint, piece_group, recent_results,
+    batch_outcome, batch_queue, batch_worker, directory_endpoint, endpoint_directory, piece_group,
+    recent_results,
 };
 use comfreyspread_schema::{ids, types};
 use futures_lite::FutureExt as _;
@@ -296,17 +297,23 @@
     let connection = http_client::ConnectionUse::Pooled;
     let framing = http_client::BodyFraming::Any;
     let deadline = time::Instant::now() + call.timeout;
-    let started_at_ms = state.directory.lock().started_at_ms(&call.endpoint);
-    let held = state.client.call_held(call.address, request, connection, framing, deadline).await;
-    let held = match held {
+    let chosen = chosen_endpoint(state, scope, call);
+    let connection = match state.client.connect(call.address, connection, deadline).await {
+        Ok(connection) => connection,
+        Err(failure) => return call_failed(call, &failure),
+    };
+    let withdrawn = state.directory.lock().withdrawn(&chosen, None, time::Instant::now());
+    if let Some(reason) = withdrawn {
+        log::info!(endpoint = call.endpoint.as_ref();
+            "batcher: call not sent, the endpoint is no longer to be used. reason={reason:?}");
+        return batch_outcome::BatchOutcome::Gone;
+    }
+    let held = match state.client.exchange_held(connection, request, framing, deadline).await {
         Ok(held) => held,
-        Err(failure) => {
-            log::info!(endpoint = call.endpoint.as_ref(); "batcher: call failed. error={failure}");
-            return batch_outcome::BatchOutcome::Failed;
-        }
+        Err(failure) => return call_failed(call, &failure),
     };
     let signals = response_head::decode(held.response().head());
-    endpoint_notices::record(state, &call.endpoint, started_at_ms, &signals);
+    endpoint_notices::record(state, &call.endpoint, chosen.started_at_ms, &signals);
     let outcome = call_outcome(call, &signals, held.response());
     let batch_outcome::BatchOutcome::Answered(outcomes) = &outcome else { return outcome };
     match response_origin(state, scope, call, outcomes) {
@@ -323,6 +330,28 @@
     outcome
 }
 
+/// Returns the endpoint of a call as it is registered when the call is planned.
+fn chosen_endpoint(
+    state: &state::GatewayState,
+    scope: &BatchScope,
+    call: &batch_queue::PlannedCall,
+) -> endpoint_directory::ChosenEndpoint {
+    endpoint_directory::ChosenEndpoint {
+        endpoint: call.endpoint.clone(),
+        address: call.address,
+        region: scope.region.clone(),
+        started_at_ms: state.directory.lock().started_at_ms(&call.endpoint),
+    }
+}
+
+fn call_failed(
+    call: &batch_queue::PlannedCall,
+    failure: &failure::CallFailure,
+) -> batch_outcome::BatchOutcome {
+    log::info!(endpoint = call.endpoint.as_ref(); "batcher: call failed. error={failure}");
+    batch_outcome::BatchOutcome::Failed
+}
+
 fn response_origin(
     state: &state::GatewayState,
     scope: &BatchScope,
--- a/crates/comfreyspread/src/transport/http_client.rs
+++ b/crates/comfreyspread/src/transport/http_client.rs
@@ -170,6 +170,22 @@
         deadline: time::Instant,
     ) -> Result<HeldResponse, failure::CallFailure> {
         let connection = self.connect(address, connection, deadline).await?;
+        self.exchange_held(connection, request, framing, deadline).await
+    }
+
+    /// Sends a request on a connection, reads its whole response, and holds the connection until the
+    /// response has been checked.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `may-have-run` if no complete response arrived before `deadline`.
+    pub async fn exchange_held(
+        &self,
+        connection: client_connection::ClientConnection,
+        request: http_message::Request,
+        framing: BodyFraming,
+        deadline: time::Instant,
+    ) -> Result<HeldResponse, failure::CallFailure> {
         let exchange = async {
             let (holder, held) = async_channel::bounded(1);
             let finished = FinishedConnection::Held(holder);
