--- a/crates/comfreyspread-lab/tests/table_exchange.rs
+++ b/crates/comfreyspread-lab/tests/table_exchange.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use comfreyspread::runtime::worker;
 use comfreyspread_lab::fleet;
 use comfreyspread_policy::table_freshness;
 use comfreyspread_schema::types;
@@ -168,3 +169,26 @@
         }
     });
 }
+
+/// Guards against a node that starts, cut off from the store, and goes on with the copy of a node
+/// that is cut off, too, while another node has a newer one.
+#[test]
+fn stale_start() {
+    let pool = worker::WorkerPool::new(1).expect("threads");
+    let spawner = pool.spawner();
+    gateway::with_fleet(async |fleet| {
+        let cut_off =
+            fleet::FleetStandIn::with_sample(&spawner).await.expect("the stand-ins start");
+        let program = gateway::program();
+        let stale = cut_off.start_node(&program, "node-1", &[]).await.expect("a node");
+        cut_off.set_store_down(true);
+        fleet.set_route_document(&gateway::route_document(2));
+        let fresh = fleet.start_node(&program, "node-2", &[]).await.expect("a node");
+        async_io::Timer::after(table_freshness::FRESHNESS_LIFETIME).await;
+        let seeds = [stale.peer_address, fresh.peer_address];
+        let started = cut_off.start_node(&program, "node-3", &seeds).await.expect("a node");
+        let elapsed = wait_for_version(&[started], 2).await;
+        assert!(elapsed < APPLY_LIMIT, "in force after {elapsed:?}");
+    });
+    pool.stop();
+}
