Tell crashes of one endpoint apart by the start of its process

Callers saw: where endpoints come back under their names, requests that share a prompt part which crashes endpoints kept crashing them without end.

Cause: a crash was known by a hash of the endpoint's name alone, though the schema says that each start has its own. All crashes of one name counted as one, the earliest.

Why it works: the hash holds the start of the process, by which the registration tells one start from the next. A node that still has the older registration takes a second crash for the first, so it learns later, never falsely; two views of one crash fall into the span in which crashes count once.

--- a/crates/comfreyspread-lab/src/fleet_request.rs
+++ b/crates/comfreyspread-lab/src/fleet_request.rs
@@ -42,6 +42,18 @@
         self
     }
 
+    /// Sets the parts of the prompt as `name:tokens`, separated by commas; the last is its own.
+    pub fn with_prompt_parts(mut self, parts: &str) -> Self {
+        self.message.insert_header("prefix-hash", parts);
+        self
+    }
+
+    /// Sets the body.
+    pub fn with_body(mut self, body: &str) -> Self {
+        self.message.set_body(body.to_owned());
+        self
+    }
+
     /// Sets the deadline of the request, in milliseconds.
     pub fn with_deadline_ms(mut self, deadline_ms: u128) -> Self {
         self.message.insert_header("deadline-ms", deadline_ms.to_string());
--- /dev/null
+++ b/crates/comfreyspread-lab/tests/common/crashing_engine.rs
@@ -0,0 +1,150 @@
+//! Engines that crash when they begin to answer a request with a certain prompt part.
+
+use super::{scripted_endpoint, scripted_stream};
+use async_net::{TcpListener, TcpStream};
+use comfreyspread::runtime::worker;
+use comfreyspread_lab::fleet;
+use futures_lite::{AsyncWriteExt as _, FutureExt as _};
+use std::{net, sync, time};
+
+/// Time until an engine begins to answer.
+const PROMPT_TIME: time::Duration = time::Duration::from_millis(40);
+/// Time from a crash until the engine is back.
+const RESTART_TIME: time::Duration = time::Duration::from_millis(700);
+const EVENTS: &str = "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n";
+
+/// What the engines share.
+#[derive(Debug, Default)]
+struct EngineLog {
+    crashes: Vec<time::Instant>,
+    guilty_arrivals: Vec<time::Instant>,
+}
+
+/// Engines of the sample's engine service, in place of its own.
+#[derive(Clone, Debug)]
+pub struct CrashingEngines {
+    fleet: sync::Arc<fleet::FleetStandIn>,
+    spawner: worker::TaskSpawner,
+    guilty: &'static str,
+    log: sync::Arc<sync::Mutex<EngineLog>>,
+}
+
+/// One engine process, from its start to its crash.
+#[derive(Clone, Debug)]
+struct EngineProcess {
+    engines: CrashingEngines,
+    running: async_channel::Sender<()>,
+    crashed: async_channel::Receiver<()>,
+}
+
+impl CrashingEngines {
+    /// Starts `count` engines that crash on the part `guilty`. Each is back a little later, under
+    /// the same name and address.
+    pub async fn start(
+        fleet: &sync::Arc<fleet::FleetStandIn>,
+        spawner: &worker::TaskSpawner,
+        count: u64,
+        guilty: &'static str,
+    ) -> Self {
+        for name in ["engine-1", "engine-2"] {
+            fleet.set_row("servers", name, None);
+        }
+        let (fleet, log) = (fleet.clone(), sync::Arc::default());
+        let engines = Self { fleet, spawner: spawner.clone(), guilty, log };
+        for number in 1..=count {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+            let task = engines.clone().run(format!("crashing-{number}"), listener);
+            spawner.detach(task);
+        }
+        engines
+    }
+
+    /// Returns the times of all crashes.
+    pub fn crashes(&self) -> Vec<time::Instant> {
+        self.log.lock().expect("no panic").crashes.clone()
+    }
+
+    /// Returns how many requests with the guilty part came after this time.
+    pub fn guilty_arrivals_after(&self, after: time::Instant) -> usize {
+        let log = self.log.lock().expect("no panic");
+        log.guilty_arrivals.iter().filter(|at| **at > after).count()
+    }
+
+    async fn run(self, name: String, first: TcpListener) {
+        let address = first.local_addr().expect("an address");
+        let mut listener = first;
+        for born in 1.. {
+            self.register(&name, address, born);
+            let (running, crashed) = async_channel::bounded(1);
+            let process = EngineProcess { engines: self.clone(), running, crashed };
+            process.accept(&listener).await;
+            drop(listener);
+            async_io::Timer::after(RESTART_TIME).await;
+            listener = TcpListener::bind(address).await.expect("its own port");
+        }
+    }
+
+    fn register(&self, name: &str, address: net::SocketAddr, born: u64) {
+        let registration = serde_json::json!({
+            "service": "engine", "address": address, "zone": "a", "slots": 400,
+            "state": "ready", "cold_left_ms": 0, "seq": born, "born": born,
+        });
+        self.fleet.set_row("servers", name, Some(&registration.to_string()));
+    }
+}
+
+impl EngineProcess {
+    /// Accepts connections until the engine crashes.
+    async fn accept(&self, listener: &TcpListener) {
+        let accept = async {
+            while let Ok((stream, _)) = listener.accept().await {
+                let process = self.clone();
+                self.engines.spawner.detach(async move {
+                    process.serve(stream).or(process.until_crash()).await;
+                });
+            }
+        };
+        accept.or(self.until_crash()).await;
+    }
+
+    async fn until_crash(&self) {
+        self.crashed.recv().await.ok();
+    }
+
+    async fn serve(&self, mut stream: TcpStream) {
+        let mut received = Vec::new();
+        while let Some(request) = scripted_endpoint::read_request(&mut stream, &mut received).await
+        {
+            let guilty = shared_parts(&request).any(|part| part == self.engines.guilty);
+            if guilty {
+                let mut log = self.engines.log.lock().expect("no panic");
+                log.guilty_arrivals.push(time::Instant::now());
+            }
+            async_io::Timer::after(PROMPT_TIME).await;
+            if guilty {
+                self.crash();
+                return;
+            }
+            let head =
+                scripted_stream::STREAM_HEAD.replace(scripted_stream::REQUEST_ID, &request.id);
+            let end = scripted_stream::STREAM_END;
+            let answer = format!("{head}{:x}\r\n{EVENTS}\r\n{end}", EVENTS.len());
+            if stream.write_all(answer.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn crash(&self) {
+        if self.running.close() {
+            self.engines.log.lock().expect("no panic").crashes.push(time::Instant::now());
+        }
+    }
+}
+
+/// Returns the names of the prompt parts that requests may share: all but the last.
+fn shared_parts(request: &scripted_endpoint::ScriptedRequest) -> impl Iterator<Item = &str> {
+    let names = request.parts.split(',').filter_map(|part| part.split(':').next());
+    let shared = request.parts.split(',').count().saturating_sub(1);
+    names.take(shared)
+}
--- a/crates/comfreyspread-lab/tests/common/scripted_endpoint.rs
+++ b/crates/comfreyspread-lab/tests/common/scripted_endpoint.rs
@@ -33,6 +33,8 @@
     pub id: String,
     /// Path.
     pub path: String,
+    /// Parts of its prompt as it lists them; empty if there are none.
+    pub parts: String,
     /// Body.
     pub body: Vec<u8>,
     /// Number of requests before it, on any connection.
@@ -150,7 +152,10 @@
 }
 
 /// Reads one request; returns none once the connection has ended.
-async fn read_request(stream: &mut TcpStream, received: &mut Vec<u8>) -> Option<ScriptedRequest> {
+pub async fn read_request(
+    stream: &mut TcpStream,
+    received: &mut Vec<u8>,
+) -> Option<ScriptedRequest> {
     let head_end = loop {
         if let Some(end) = received.windows(4).position(|window| window == b"\r\n\r\n") {
             break end + 4;
@@ -166,7 +171,8 @@
     received.drain(..head_end + length);
     let path = head.split(' ').nth(1).unwrap_or_default().to_owned();
     let id = header(&head, "request-id").unwrap_or_default();
-    Some(ScriptedRequest { id, path, body, number: 0 })
+    let parts = header(&head, "prefix-hash").unwrap_or_default();
+    Some(ScriptedRequest { id, path, parts, body, number: 0 })
 }
 
 async fn read_more(stream: &mut TcpStream, received: &mut Vec<u8>) -> Option<()> {
--- a/crates/comfreyspread/src/gateway/attempt_history.rs
+++ b/crates/comfreyspread/src/gateway/attempt_history.rs
@@ -63,11 +63,10 @@
         plan: &call_plan::CallPlan,
         failed: &attempt_send::FailedAttempt,
     ) -> bool {
-        let Some(endpoint) = &failed.endpoint else { return false };
-        if failed.failure.crashed()
-            && let Some(address) = failed.address
-        {
-            plan.detect_crash(state, endpoint, address, false);
+        let Some(chosen) = &failed.chosen else { return false };
+        let endpoint = &chosen.endpoint;
+        if failed.failure.crashed() {
+            plan.detect_crash(state, chosen, false);
         }
         let was_tried = self.tried.contains(endpoint);
         if !was_tried {
--- a/crates/comfreyspread/src/gateway/attempt_send.rs
+++ b/crates/comfreyspread/src/gateway/attempt_send.rs
@@ -5,7 +5,7 @@
 use comfreyspread_platform::{request_head, response_head};
 use comfreyspread_policy::{attempt, endpoint_directory};
 use comfreyspread_schema::{ids, types};
-use std::{net, sync, time};
+use std::{sync, time};
 
 /// Difference between the priority sent to engines and that of the request.
 const ENGINE_PRIORITY_OFFSET: u32 = 2;
@@ -56,9 +56,7 @@
 #[derive(Debug)]
 pub struct FailedAttempt {
     /// The endpoint; `None` if none was available.
-    pub endpoint: Option<ids::EndpointId>,
-    /// Address of that endpoint.
-    pub address: Option<net::SocketAddr>,
+    pub chosen: Option<endpoint_directory::ChosenEndpoint>,
     /// Cause of the failure.
     pub failure: failure::CallFailure,
     /// Whether the input results no longer exist.
@@ -133,7 +131,7 @@
     let query = endpoint_query(state, plan, input, now);
     let Some(chosen) = state.directory.lock().start_call(&query) else {
         let failure = no_endpoint(state, &query);
-        return Err(FailedAttempt { endpoint: None, address: None, failure, inputs_gone: false });
+        return Err(FailedAttempt { chosen: None, failure, inputs_gone: false });
     };
     let mut active = ActiveAttempt {
         state: state.clone(),
@@ -168,9 +166,7 @@
 impl ActiveAttempt {
     /// Returns the failure of this attempt.
     pub fn failed(&self, failure: failure::CallFailure, inputs_gone: bool) -> FailedAttempt {
-        let endpoint = Some(self.chosen.endpoint.clone());
-        let address = Some(self.chosen.address);
-        FailedAttempt { endpoint, address, failure, inputs_gone }
+        FailedAttempt { chosen: Some(self.chosen.clone()), failure, inputs_gone }
     }
 }
 
--- a/crates/comfreyspread/src/gateway/call_plan.rs
+++ b/crates/comfreyspread/src/gateway/call_plan.rs
@@ -2,9 +2,9 @@
 
 use super::state;
 use crate::transport::{client_connection, failure};
-use comfreyspread_policy::{crash_evidence, route_table, stage_graph, suspect};
+use comfreyspread_policy::{crash_evidence, endpoint_directory, route_table, stage_graph, suspect};
 use comfreyspread_schema::{ids, types};
-use std::{io, net, sync, time};
+use std::{io, sync, time};
 use xxhash_rust::xxh3;
 
 /// A request with everything that its attempts need.
@@ -116,24 +116,23 @@
     pub fn detect_crash(
         &self,
         state: &sync::Arc<state::GatewayState>,
-        endpoint: &ids::EndpointId,
-        address: net::SocketAddr,
+        chosen: &endpoint_directory::ChosenEndpoint,
         began: bool,
     ) {
         let task_state = state.clone();
-        let (endpoint, names) = (endpoint.clone(), self.shared_parts().join(","));
+        let (chosen, names) = (chosen.clone(), self.shared_parts().join(","));
         let (digest, request) = (self.digest.clone(), self.call.request.clone());
         let (parts, broke_at) = (self.part_hashes(), time::Instant::now());
         state.context.spawner.detach(async move {
-            let opened = client_connection::ClientConnection::new(address).await;
+            let opened = client_connection::ClientConnection::new(chosen.address).await;
             let refused =
                 opened.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused);
             if refused {
                 log::warn!(request = request.as_ref(), digest = digest.as_ref(),
-                    endpoint = endpoint.as_ref(), began = began, parts = names.as_str();
+                    endpoint = chosen.endpoint.as_ref(), began = began, parts = names.as_str();
                     "entry: endpoint crashed while running the request");
                 if !began {
-                    record_crash(&task_state, &digest, &parts, &endpoint, broke_at);
+                    record_crash(&task_state, &digest, &parts, &chosen, broke_at);
                 }
             }
         });
@@ -262,19 +261,27 @@
     format!("{:032x}", hasher.digest128()).into()
 }
 
+/// Returns the hash of an endpoint's process: one that restarts under its name may crash again.
+fn crash_hash(chosen: &endpoint_directory::ChosenEndpoint) -> ids::CrashHash {
+    let mut hasher = xxh3::Xxh3::new();
+    hasher.update(chosen.endpoint.as_bytes());
+    hasher.update(&chosen.started_at_ms.to_le_bytes());
+    hasher.digest()
+}
+
 /// Records a crash at `broke_at` for a request that waited for its first event, and for its parts.
 fn record_crash(
     state: &state::GatewayState,
     digest: &ids::BodyDigest,
     parts: &[ids::PartHash],
-    endpoint: &ids::EndpointId,
+    chosen: &endpoint_directory::ChosenEndpoint,
     broke_at: time::Instant,
 ) {
     let tables = &state.context.tables;
     let now = time::Instant::now();
     tables.suspects.lock().record_crash(digest, false, now);
     let seen = crash_evidence::SeenCrash {
-        crash: xxh3::xxh3_64(endpoint.as_bytes()),
+        crash: crash_hash(chosen),
         request: xxh3::xxh3_64(digest.as_bytes()),
         crashed_at: broke_at,
     };
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -186,9 +186,8 @@
                 return Ok(());
             };
             started.active.finish(endpoint_directory::AttemptOutcome::Failed);
-            let chosen = &started.active.chosen;
             let began = started.active.has_events;
-            self.plan.detect_crash(&self.state, &chosen.endpoint, chosen.address, began);
+            self.plan.detect_crash(&self.state, &started.active.chosen, began);
             log::info!(request = self.plan.call.request.as_ref(),
                 endpoint = started.active.chosen.endpoint.as_ref(), passed = self.last_event,
                 runs = self.history.runs(); "stream: broken. error={error}");
