Log and count the prompt parts that are convicted of crashing endpoints

Callers saw: a request is rejected with 'the request crashes endpoints', and neither the line nor a metric named the part, when it was convicted or by which crashes; nobody could tell a sound part that is rejected from a guilty one without reading all crash lines of all nodes.

--- a/crates/comfreyspread-policy/src/part_suspect.rs
+++ b/crates/comfreyspread-policy/src/part_suspect.rs
@@ -14,7 +14,7 @@
 use comfreyspread_schema::{ids, types};
 use indexmap::{IndexMap, IndexSet};
 use rand::seq::IndexedRandom as _;
-use std::{cmp, time};
+use std::{cmp, mem, time};
 
 /// Independent crashes that convict a part.
 const CRASHES_TO_CONVICT: usize = 3;
@@ -49,12 +49,36 @@
     convicted: bool,
 }
 
+/// A conviction of a prompt part, or its end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PartChange {
+    /// The part.
+    pub part: ids::PartHash,
+    /// Whether it is now convicted.
+    pub convicted: bool,
+    /// Crashes that speak against it.
+    pub crashes: usize,
+    /// Different requests that waited at them.
+    pub requests: usize,
+}
+
+/// Number of parts in each condition.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PartCounts {
+    /// Parts that a crash speaks against, convicted ones included.
+    pub suspected: usize,
+    /// Parts that crash endpoints.
+    pub convicted: usize,
+}
+
 /// Prompt parts that may crash endpoints.
 #[derive(Debug, Default)]
 pub struct PartTable {
     entries: IndexMap<ids::PartHash, PartEntry>,
     /// Parts that a crash speaks against, and those cleared lately.
     suspects: IndexSet<ids::PartHash>,
+    /// Changes not yet taken.
+    changes: Vec<PartChange>,
     trial_delay: time::Duration,
 }
 
@@ -98,7 +122,33 @@
 
     /// Returns whether one of the parts crashes endpoints, so that the request may not run.
     pub fn is_convicted(&self, parts: &[ids::PartHash], now: time::Instant) -> bool {
-        parts.iter().filter_map(|part| self.entries.get(part)).any(|entry| self.holds(entry, now))
+        self.convicted_part(parts, now).is_some()
+    }
+
+    /// Returns the first of the parts that crashes endpoints.
+    pub fn convicted_part(
+        &self,
+        parts: &[ids::PartHash],
+        now: time::Instant,
+    ) -> Option<ids::PartHash> {
+        let holds = |part: &ids::PartHash| {
+            self.entries.get(part).is_some_and(|entry| self.holds(entry, now))
+        };
+        parts.iter().copied().find(holds)
+    }
+
+    /// Returns the convictions, and their ends, since the last call.
+    pub fn take_changes(&mut self) -> Vec<PartChange> {
+        mem::take(&mut self.changes)
+    }
+
+    /// Returns how many parts are suspected and convicted.
+    pub fn counts(&self, now: time::Instant) -> PartCounts {
+        let suspects = || self.suspects.iter().filter_map(|part| self.entries.get(part));
+        PartCounts {
+            suspected: suspects().filter(|entry| !is_expired(entry, now)).count(),
+            convicted: suspects().filter(|entry| self.holds(entry, now)).count(),
+        }
     }
 
     /// Returns whether a new request with these parts may run. One whose conviction has lapsed is
@@ -203,6 +253,7 @@
     /// Convicts parts, those with most crashes first; what a convicted part explains does not count
     /// against the others.
     fn reassess(&mut self, now: time::Instant) {
+        let before = self.convicted_parts();
         self.drop_expired(now);
         let suspects = self.suspects.iter().filter_map(|part| self.entries.get_key_value(part));
         let mut order: Vec<_> = suspects.filter_map(candidate).collect();
@@ -221,6 +272,22 @@
                 explained.extend(entry.evidence.crashes().map(|seen| seen.crash));
             }
         }
+        let after = self.convicted_parts();
+        for part in before.symmetric_difference(&after) {
+            let evidence = self.entries.get(part).map(|entry| &entry.evidence);
+            self.changes.push(PartChange {
+                part: *part,
+                convicted: after.contains(part),
+                crashes: evidence.map_or(0, |evidence| evidence.crashes().count()),
+                requests: evidence.map_or(0, crash_evidence::CrashEvidence::request_count),
+            });
+        }
+    }
+
+    fn convicted_parts(&self) -> IndexSet<ids::PartHash> {
+        let convicted =
+            |part: &&ids::PartHash| self.entries.get(*part).is_some_and(|entry| entry.convicted);
+        self.suspects.iter().filter(convicted).copied().collect()
     }
 
     /// Drops the parts that neither a crash speaks against nor other nodes have to hear of.
--- a/crates/comfreyspread-policy/tests/crashing_parts.rs
+++ b/crates/comfreyspread-policy/tests/crashing_parts.rs
@@ -269,3 +269,25 @@
         assert!(table.try_admit(&[GUILTY], later + seconds(1.0)));
     }
 }
+
+/// Guards against rejections that nobody can trace: each conviction and its end are told once.
+#[test]
+fn changes_told() {
+    let now = time::Instant::now();
+    let mut table = part_suspect::PartTable::new();
+    for number in 0..4 {
+        let at = now + seconds(number as f64);
+        crash(&mut table, number, &[GUILTY], at);
+        table.record_first_event(&[SHARED], at + seconds(0.1));
+    }
+    let (part, later) = (GUILTY, now + seconds(4.0));
+    let change = part_suspect::PartChange { part, convicted: true, crashes: 3, requests: 3 };
+    assert_eq!(table.take_changes(), [change]);
+    assert_eq!(table.convicted_part(&[SHARED, GUILTY], later), Some(GUILTY));
+    let counts = part_suspect::PartCounts { suspected: 1, convicted: 1 };
+    assert_eq!(table.counts(later), counts);
+    table.record_first_event(&[GUILTY], later);
+    let change = part_suspect::PartChange { part, convicted: false, crashes: 0, requests: 0 };
+    assert_eq!(table.take_changes(), [change]);
+    assert_eq!(table.counts(later), part_suspect::PartCounts::default());
+}
--- a/crates/comfreyspread/src/gateway/admin_handler.rs
+++ b/crates/comfreyspread/src/gateway/admin_handler.rs
@@ -69,6 +69,8 @@
             let version = self.state.routes().version();
             let counts = self.state.directory.lock().counts(time::Instant::now());
             self.state.context.metrics.stages.update_gauges(&counts, version);
+            let parts = self.state.context.tables.part_suspects.lock().counts(time::Instant::now());
+            self.state.context.metrics.crashes.update_gauges(&parts);
             return front::metrics(&self.state.context);
         }
         if request.path() == DUMP_PATH {
--- a/crates/comfreyspread/src/gateway/call_plan.rs
+++ b/crates/comfreyspread/src/gateway/call_plan.rs
@@ -1,7 +1,10 @@
 //! Plan of a caller's request: its route, service, workspace and deadlines.
 
 use super::state;
-use crate::transport::{client_connection, failure};
+use crate::{
+    membership::crash_notice,
+    transport::{client_connection, failure},
+};
 use comfreyspread_policy::{crash_evidence, endpoint_directory, route_table, stage_graph, suspect};
 use comfreyspread_schema::{ids, types};
 use std::{io, sync, time};
@@ -123,13 +126,16 @@
         let (chosen, names) = (chosen.clone(), self.shared_parts().join(","));
         let (digest, request) = (self.digest.clone(), self.call.request.clone());
         let (parts, broke_at) = (self.part_hashes(), time::Instant::now());
+        let hashes: Vec<_> = parts.iter().copied().map(crash_notice::format_part).collect();
         state.context.spawner.detach(async move {
             let opened = client_connection::ClientConnection::new(chosen.address).await;
             let refused =
                 opened.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused);
             if refused {
+                task_state.context.metrics.crashes.count_crash();
                 log::warn!(request = request.as_ref(), digest = digest.as_ref(),
-                    endpoint = chosen.endpoint.as_ref(), began = began, parts = names.as_str();
+                    endpoint = chosen.endpoint.as_ref(), began = began, parts = names.as_str(),
+                    hashes = hashes.join(",").as_str();
                     "entry: endpoint crashed while running the request");
                 if !began {
                     record_crash(&task_state, &digest, &parts, &chosen, broke_at);
@@ -141,7 +147,11 @@
     /// Records the first event of a response, which proves the prompt parts sound.
     pub fn record_first_event(&self, state: &state::GatewayState) {
         let now = time::Instant::now();
-        state.context.tables.part_suspects.lock().record_first_event(&self.part_hashes(), now);
+        let mut table = state.context.tables.part_suspects.lock();
+        table.record_first_event(&self.part_hashes(), now);
+        let changes = table.take_changes();
+        drop(table);
+        crash_notice::log_changes(&changes);
     }
 
     /// Records that the request was served, which clears it of earlier crashes.
@@ -165,6 +175,12 @@
             || state.context.tables.part_suspects.lock().is_convicted(&self.part_hashes(), now)
     }
 
+    /// Returns the prompt part that has crashed several endpoints, if that is the reason.
+    pub fn convicted_part(&self, state: &state::GatewayState) -> Option<ids::PartHash> {
+        let now = time::Instant::now();
+        state.context.tables.part_suspects.lock().convicted_part(&self.part_hashes(), now)
+    }
+
     fn is_convicted_alone(&self, state: &state::GatewayState, now: time::Instant) -> bool {
         let status = state.context.tables.suspects.lock().status(&self.digest, now);
         status == suspect::SuspectStatus::Convicted
@@ -285,7 +301,12 @@
         request: xxh3::xxh3_64(digest.as_bytes()),
         crashed_at: broke_at,
     };
-    if tables.part_suspects.lock().record_crash(parts, seen, now) {
+    let mut table = tables.part_suspects.lock();
+    let news = table.record_crash(parts, seen, now);
+    let changes = table.take_changes();
+    drop(table);
+    crash_notice::log_changes(&changes);
+    if news {
         tables.crash_known.notify(usize::MAX);
     }
 }
--- a/crates/comfreyspread/src/gateway/caller_handler.rs
+++ b/crates/comfreyspread/src/gateway/caller_handler.rs
@@ -1,7 +1,10 @@
 //! Handler of callers' requests: plans each request, runs it and responds.
 
 use super::{call_plan, state, stream_run, unary_run};
-use crate::transport::{deadline, failure, http_message, http_server};
+use crate::{
+    membership::crash_notice,
+    transport::{deadline, failure, http_message, http_server},
+};
 use comfreyspread_platform::request_head;
 use comfreyspread_schema::{ids, types};
 use futures_lite::FutureExt as _;
@@ -33,7 +36,10 @@
         };
         let id = plan.call.request.clone();
         if !plan.try_admit(&self.state) {
-            log::warn!(request = id.as_ref(), digest = plan.digest.as_ref();
+            self.state.context.metrics.crashes.count_rejected();
+            let part = plan.convicted_part(&self.state).map(crash_notice::format_part);
+            log::warn!(request = id.as_ref(), digest = plan.digest.as_ref(),
+                part = part.as_deref().unwrap_or("none");
                 "entry: rejected, the request crashes endpoints");
             let detail = "the request crashes endpoints";
             return failure_response(
--- a/crates/comfreyspread/src/membership/crash_notice.rs
+++ b/crates/comfreyspread/src/membership/crash_notice.rs
@@ -5,6 +5,8 @@
 //! notices bounds what they send however many endpoints crash.
 
 use crate::{membership::probe, runtime::context};
+use comfreyspread_policy::part_suspect;
+use comfreyspread_schema::ids;
 use futures_util::future;
 use std::{sync, time};
 
@@ -24,6 +26,25 @@
     }
 }
 
+/// Writes a line for each conviction of a prompt part, and for its end.
+pub fn log_changes(changes: &[part_suspect::PartChange]) {
+    for change in changes {
+        let part = format_part(change.part);
+        if change.convicted {
+            log::warn!(part = part.as_str(), crashes = change.crashes, requests = change.requests;
+                "parts: convicted of crashing endpoints");
+        } else {
+            log::info!(part = part.as_str(), crashes = change.crashes, requests = change.requests;
+                "parts: no longer convicted");
+        }
+    }
+}
+
+/// Returns the text that stands for a prompt part in logs.
+pub fn format_part(part: ids::PartHash) -> String {
+    format!("{part:016x}")
+}
+
 async fn notify_peers(context: &context::NodeContext) {
     let peers = {
         let members = context.tables.members.lock();
--- a/crates/comfreyspread/src/membership/heartbeat_message.rs
+++ b/crates/comfreyspread/src/membership/heartbeat_message.rs
@@ -1,6 +1,9 @@
 //! Contents of heartbeats and their replies, and what a node takes from them.
 
-use crate::{membership::heartbeat, runtime::context};
+use crate::{
+    membership::{crash_notice, heartbeat},
+    runtime::context,
+};
 use comfreyspread_schema::{ids, types};
 use rand::seq::IndexedRandom as _;
 use std::{sync, time};
@@ -135,7 +138,9 @@
     for record in records {
         news |= table.merge(record, now);
     }
+    let changes = table.take_changes();
     drop(table);
+    crash_notice::log_changes(&changes);
     if news {
         context.tables.crash_known.notify(usize::MAX);
     }
--- a/crates/comfreyspread/src/runtime/mod.rs
+++ b/crates/comfreyspread/src/runtime/mod.rs
@@ -2,6 +2,7 @@
 //! metrics.
 
 pub mod context;
+pub mod crash_metrics;
 pub mod lock_rank;
 pub mod log_writer;
 pub mod logging;
