Tell other nodes of requests convicted of crashing endpoints first

Callers saw: a request that crashes the endpoints that run it crashed more of them at other nodes.

Cause: a message held the four newest records. Each crash makes a record for each request that waited there, a dozen at a time, so the convicted one was pushed out before all nodes had heard of it.

Evidence: conviction_told fails before (the other node takes the request for clear after a message with 40 newer bystanders) and passes now; the file's other tests pass.

Why it works: half of a message's records go to convictions and to requests that one more crash may convict, the newest first; the others are drawn at random, so that none is left out for ever.

--- a/crates/comfreyspread-policy/src/suspect.rs
+++ b/crates/comfreyspread-policy/src/suspect.rs
@@ -8,6 +8,7 @@
 
 use comfreyspread_schema::{ids, types};
 use indexmap::IndexMap;
+use rand::seq::IndexedRandom as _;
 use std::time;
 
 const RECORD_TTL: time::Duration = time::Duration::from_secs(600);
@@ -110,6 +111,25 @@
         current.take(limit).map(record).collect()
     }
 
+    /// Returns up to `limit` records for another node: half of them those that matter most, the
+    /// others at random.
+    pub fn records<Random>(
+        &self,
+        limit: usize,
+        now: time::Instant,
+        random: &mut Random,
+    ) -> Vec<types::CrashSuspect>
+    where
+        Random: rand::Rng,
+    {
+        let mut ranked = self.latest(usize::MAX, now);
+        ranked.sort_by_key(|record| (rank(record), record.age));
+        let others = ranked.split_off(ranked.len().min(limit.div_ceil(2)));
+        let others = others.choose_multiple(random, limit - ranked.len());
+        ranked.extend(others.cloned());
+        ranked
+    }
+
     fn put(&mut self, digest: &ids::BodyDigest, entry: SuspectEntry, now: time::Instant) {
         self.entries.shift_remove(digest);
         self.evict_if_full(now);
@@ -127,6 +147,16 @@
     }
 }
 
+/// Position of a record in the order in which other nodes hear of it: convictions first, then
+/// requests that another crash may convict.
+fn rank(record: &types::CrashSuspect) -> u8 {
+    match (record.phase, record.crashes) {
+        (types::SuspectPhase::Convicted, _) => 0,
+        (types::SuspectPhase::Suspect, 2..) => 1,
+        (types::SuspectPhase::Cleared | types::SuspectPhase::Suspect, _) => 2,
+    }
+}
+
 fn is_fresh(entry: &SuspectEntry, now: time::Instant) -> bool {
     now.saturating_duration_since(entry.recorded_at) < RECORD_TTL
 }
--- a/crates/comfreyspread-policy/tests/suspects.rs
+++ b/crates/comfreyspread-policy/tests/suspects.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::disallowed_methods, reason = "start of the injected time")]
 
 use comfreyspread_policy::suspect;
+use rand::{SeedableRng as _, rngs};
 use std::time;
 use suspect::SuspectStatus::{Clear, Convicted, Suspect};
 
@@ -116,3 +117,19 @@
         assert_eq!(table.status(&digest, now), expected);
     }
 }
+
+/// Guards against a conviction that other nodes never hear of because requests that ran beside it at
+/// later crashes fill the messages.
+#[test]
+fn conviction_told() {
+    let now = time::Instant::now();
+    let mut random = rngs::SmallRng::seed_from_u64(5);
+    let (mut one, mut other) = (suspect::SuspectTable::new(), suspect::SuspectTable::new());
+    let digest = "guilty".into();
+    (0..3).for_each(|_| one.record_crash(&digest, false, now));
+    for number in 0..40 {
+        one.record_crash(&format!("bystander {number}").into(), false, now);
+    }
+    one.records(4, now, &mut random).iter().for_each(|record| other.merge(record, now));
+    assert_eq!(other.status(&digest, now), Convicted);
+}
--- a/crates/comfreyspread/src/membership/heartbeat_message.rs
+++ b/crates/comfreyspread/src/membership/heartbeat_message.rs
@@ -24,7 +24,7 @@
 ) -> types::Heartbeat {
     let header = context.peer_header();
     let hints = sample_hints(context);
-    let crash_suspects = latest_suspects(context);
+    let crash_suspects = crash_suspects(context);
     types::Heartbeat {
         header,
         hints,
@@ -44,7 +44,7 @@
     indirect_probe_reached: bool,
 ) -> types::HeartbeatReply {
     let hints = sample_hints(context);
-    let crash_suspects = latest_suspects(context);
+    let crash_suspects = crash_suspects(context);
     let mut random = rand::rng();
     let mut members = context.tables.members.lock();
     let suspicion = members.suspicion_of_sender(&message.header);
@@ -158,6 +158,7 @@
     hints.choose_multiple(&mut rand::rng(), HINTS_PER_MESSAGE).cloned().collect()
 }
 
-fn latest_suspects(context: &context::NodeContext) -> Vec<types::CrashSuspect> {
-    context.tables.suspects.lock().latest(SUSPECTS_PER_MESSAGE, time::Instant::now())
+fn crash_suspects(context: &context::NodeContext) -> Vec<types::CrashSuspect> {
+    let (now, mut random) = (time::Instant::now(), rand::rng());
+    context.tables.suspects.lock().records(SUSPECTS_PER_MESSAGE, now, &mut random)
 }
