Keep the larger number of crashes when two records of a request are merged

Callers saw: a request that crashes the endpoints that run it crashed more of them than the three that convict it.

Cause: of two suspicions the newer prevailed with its own count, so that a node that knew of one crash reset another that knew of two.

Evidence: counts_kept fails before (still a suspect after the third crash) and passes now, whichever way the records go; the file's other tests pass.

Why it works: the count only grows until the request is served, in whatever order records come.

--- a/crates/comfreyspread-policy/src/suspect.rs
+++ b/crates/comfreyspread-policy/src/suspect.rs
@@ -81,16 +81,22 @@
     }
 
     /// Merges a record from another node if it is newer. A conviction that has not expired prevails
-    /// over other phases even if it is older.
+    /// over other phases even if it is older, and of two suspicions the larger number of crashes.
     pub fn merge(&mut self, record: &types::CrashSuspect, now: time::Instant) {
         let Some(recorded_at) = now.checked_sub(record.age) else { return };
-        let received = SuspectEntry { crashes: record.crashes, phase: record.phase, recorded_at };
+        let mut received =
+            SuspectEntry { crashes: record.crashes, phase: record.phase, recorded_at };
         if !is_fresh(&received, now) {
             return;
         }
         let convicted = |entry: &SuspectEntry| entry.phase == types::SuspectPhase::Convicted;
-        let prevails = match self.entries.get(&record.digest) {
+        let prevails = match self.entries.get_mut(&record.digest) {
             None => true,
+            Some(known) if both_suspected(known, &received) => {
+                known.crashes = known.crashes.max(received.crashes);
+                received.crashes = known.crashes;
+                known.recorded_at < recorded_at
+            }
             Some(known) if convicted(known) != convicted(&received) => convicted(&received),
             Some(known) => known.recorded_at < recorded_at,
         };
@@ -147,6 +153,10 @@
     }
 }
 
+fn both_suspected(one: &SuspectEntry, other: &SuspectEntry) -> bool {
+    [one, other].iter().all(|entry| entry.phase == types::SuspectPhase::Suspect)
+}
+
 /// Position of a record in the order in which other nodes hear of it: convictions first, then
 /// requests that another crash may convict.
 fn rank(record: &types::CrashSuspect) -> u8 {
--- a/crates/comfreyspread-policy/tests/suspects.rs
+++ b/crates/comfreyspread-policy/tests/suspects.rs
@@ -133,3 +133,22 @@
     one.records(4, now, &mut random).iter().for_each(|record| other.merge(record, now));
     assert_eq!(other.status(&digest, now), Convicted);
 }
+
+/// Guards against crashes that are forgotten when a node that knows of fewer sends a newer record.
+#[test]
+fn counts_kept() {
+    let now = time::Instant::now();
+    let later = now + time::Duration::from_secs(1);
+    let digest = "d".into();
+    for newer_first in [true, false] {
+        let (mut one, mut other) = (suspect::SuspectTable::new(), suspect::SuspectTable::new());
+        one.record_crash(&digest, false, now);
+        one.record_crash(&digest, false, now);
+        other.record_crash(&digest, false, later);
+        let receivers = if newer_first { [&mut one, &mut other] } else { [&mut other, &mut one] };
+        let [to, from] = receivers;
+        from.latest(1, later).iter().for_each(|record| to.merge(record, later));
+        to.record_crash(&digest, false, later);
+        assert_eq!(to.status(&digest, later), Convicted);
+    }
+}
