Run pieces apart that were in two failed calls

Callers saw: requests fail at a stage because a piece of another request crashes the endpoints that run it.

Cause: a call that fails counts against each of its pieces, and the pieces go back into one call. After four failures all are given up, the sound with the guilty one: evidence by a key wider than its cause.

Why it works: after two failures a group's pieces share no call with others, so only the guilty one fails again. Two crashes in a row that have another cause cost such pieces a call of their own, once.

--- a/crates/comfreyspread-policy/src/batch_queue.rs
+++ b/crates/comfreyspread-policy/src/batch_queue.rs
@@ -406,7 +406,7 @@
     /// storage of its endpoint.
     ///
     /// The results of a split group occupy storage until its last piece is done, so a group is not
-    /// split while storage is scarce.
+    /// split while storage is scarce. An isolated group is the only one of its call.
     fn fill_batch(
         &self,
         order: &[piece_group::GroupNumber],
@@ -424,7 +424,8 @@
             let fits = u64::try_from(waiting).unwrap_or(u64::MAX).saturating_mul(result_bytes)
                 <= free_bytes
                 && waiting <= free_slots;
-            if scarce && !fits && !pieces.is_empty() {
+            let isolated = queued.is_isolated();
+            if (isolated || scarce && !fits) && !pieces.is_empty() {
                 continue;
             }
             for piece in queued.waiting_pieces() {
@@ -436,6 +437,9 @@
                     pieces.push((*number, piece));
                 }
             }
+            if isolated && !pieces.is_empty() {
+                return pieces;
+            }
         }
         pieces
     }
--- a/crates/comfreyspread-policy/src/piece_group.rs
+++ b/crates/comfreyspread-policy/src/piece_group.rs
@@ -9,6 +9,10 @@
 /// Number of failures after which a piece is not retried.
 const MAX_FAILURES: u32 = 4;
 
+/// Number of failures after which a piece shares no call with other requests: it may be what crashes
+/// the endpoints.
+const ISOLATING_FAILURES: u32 = 2;
+
 /// Pieces of one stage of one request.
 #[derive(Clone, Debug)]
 pub struct PieceGroup {
@@ -71,6 +75,13 @@
         self.waiting_pieces().count()
     }
 
+    /// Whether its waiting pieces share no call with other groups.
+    pub fn is_isolated(&self) -> bool {
+        self.pieces.iter().any(|piece| {
+            matches!(piece, PieceState::Waiting { failures } if *failures >= ISOLATING_FAILURES)
+        })
+    }
+
     /// Whether any piece is waiting.
     pub fn is_waiting(&self) -> bool {
         self.waiting() > 0
