--- a/crates/comfreyspread-lab/tests/crashing_parts.rs
+++ b/crates/comfreyspread-lab/tests/crashing_parts.rs
@@ -1,196 +1,162 @@
-//! Prompt parts that crash the endpoints that begin to answer a request with them.
+//! Prompt parts that crash every engine that begins to answer a request with them, over processes.
 
 mod common;
 
+use comfreyspread::{runtime::worker, transport::http_client};
 use comfreyspread_lab::{fleet, fleet_request};
-use common::gateway;
+use common::{crashing_engine, gateway};
 use futures_util::future;
 use std::{
-    io::Read as _,
-    net,
     sync::{self, atomic},
-    thread, time,
+    time,
 };
 
-const CRASH_INTERVAL: time::Duration = time::Duration::from_millis(450);
-const RESTART_TIME: time::Duration = time::Duration::from_millis(300);
-const READ_TIMEOUT: time::Duration = time::Duration::from_millis(200);
-/// Crashes before a part is known: three, each of a request that may be retried once.
-const MAX_CRASHES: u64 = 6;
-const REQUESTS: u64 = 12;
-const EQUAL_REQUESTS: usize = 3;
+const NODES: u64 = 3;
+const GUILTY: &str = "bad";
+/// Prompt parts of sound requests of the same caller, that the guilty ones share or resemble.
+const SOUND: [&str; 3] = ["first:900,one:300", "first:900,two:300", "first:900,three:300"];
+/// Time within which nodes in touch share what they learn.
+const CONTACT_TIME: time::Duration = time::Duration::from_millis(4000);
+/// Crashes after which the guilty requests have to be known.
+const LEARNING_CRASHES: usize = 5;
+/// Requests with the guilty part that may still reach endpoints after that.
+const LATE_ARRIVALS: usize = 3;
+const GUILTY_INTERVAL: time::Duration = time::Duration::from_millis(400);
+const SOUND_INTERVAL: time::Duration = time::Duration::from_millis(120);
 
-/// An engine that stops when it receives a request.
-struct CrashingEngine {
-    name: String,
-    address: net::SocketAddr,
-    crashes: sync::Arc<atomic::AtomicU64>,
+/// Nodes and the engines behind them.
+struct CrashTest {
+    fleet: sync::Arc<fleet::FleetStandIn>,
+    engines: crashing_engine::CrashingEngines,
+    nodes: Vec<fleet::FleetNode>,
+    sent: atomic::AtomicUsize,
 }
 
-impl CrashingEngine {
-    /// Starts the engine; it starts again after each of `restarts` crashes.
-    fn new(name: &str, restarts: u64) -> Self {
-        let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().expect("an address");
-        let crashes = sync::Arc::<atomic::AtomicU64>::default();
-        let counter = crashes.clone();
-        thread::spawn(move || {
-            let mut listener = listener;
-            for _ in 0..restarts {
-                serve_until_crash(listener, &counter);
-                thread::sleep(RESTART_TIME);
-                listener = net::TcpListener::bind(address).expect("the same port");
-            }
-            serve_until_crash(listener, &counter);
+impl CrashTest {
+    /// Runs a test against nodes and `count` engines that crash on the guilty part.
+    fn run(count: u64, test: impl AsyncFnOnce(Self)) {
+        let pool = worker::WorkerPool::new(1).expect("threads");
+        let spawner = pool.spawner();
+        gateway::with_fleet(async |fleet| {
+            let fleet = sync::Arc::new(fleet);
+            let start = crashing_engine::CrashingEngines::start;
+            let engines = start(&fleet, &spawner, count, GUILTY).await;
+            let nodes = gateway::start_nodes(&fleet, NODES).await;
+            test(Self { fleet, engines, nodes, sent: atomic::AtomicUsize::new(0) }).await;
         });
-        Self { name: name.into(), address, crashes }
+        pool.stop();
     }
 
-    fn crashes(&self) -> u64 {
-        self.crashes.load(atomic::Ordering::Relaxed)
+    /// Sends a request with these parts and one of its own, unlike all others, to one of the nodes
+    /// in turn. Returns whether its stream came whole.
+    async fn is_served(&self, parts: &str) -> bool {
+        let number = self.sent.fetch_add(1, atomic::Ordering::Relaxed);
+        let node = self.nodes[number % self.nodes.len()].caller_address;
+        let request = fleet_request::FleetRequest::new(node, "/chat/", &format!("r-{number}"))
+            .with_prompt_parts(&format!("{parts},own-{number}:50"))
+            .with_body(&format!("body {number}"));
+        let client = http_client::HttpClient::new(1 << 20);
+        let fresh = http_client::ConnectionUse::Fresh;
+        let deadline = time::Instant::now() + gateway::RESPONSE_TIMEOUT;
+        let response = client.call(node, request.into_message(), fresh, deadline).await;
+        response.is_ok_and(|response| response.status() == 200)
     }
 
-    /// Writes the registration of the current process.
-    fn register(&self, fleet: &fleet::FleetStandIn) {
-        let started = self.crashes() + 1;
-        let registration = serde_json::json!({
-            "service": "engine", "address": self.address, "zone": "a", "slots": 4,
-            "state": "ready", "cold_left_ms": 0, "seq": started, "born": started,
-        });
-        fleet.set_row("servers", &self.name, Some(&registration.to_string()));
+    /// Sends guilty requests for so long; returns the number of those served.
+    async fn send_guilty(&self, length: time::Duration) -> usize {
+        let end = time::Instant::now() + length;
+        let mut served = 0;
+        while time::Instant::now() < end {
+            served += usize::from(self.is_served(&format!("first:900,{GUILTY}:300")).await);
+            async_io::Timer::after(GUILTY_INTERVAL).await;
+        }
+        served
     }
-}
 
-fn serve_until_crash(listener: net::TcpListener, crashes: &atomic::AtomicU64) {
-    for connection in listener.incoming() {
-        let mut connection = connection.expect("a connection");
-        connection.set_read_timeout(Some(READ_TIMEOUT)).expect("a timeout");
-        let mut bytes = [0; 4096];
-        let length = connection.read(&mut bytes).unwrap_or(0);
-        if bytes[..length].starts_with(b"POST") {
-            drop(listener);
-            crashes.fetch_add(1, atomic::Ordering::Relaxed);
-            return;
+    /// Sends sound requests for so long; returns when each was sent and whether it was served.
+    async fn send_sound(&self, length: time::Duration) -> Vec<(time::Instant, bool)> {
+        let end = time::Instant::now() + length;
+        let mut results = Vec::new();
+        for parts in SOUND.iter().cycle() {
+            let sent_at = time::Instant::now();
+            if sent_at > end {
+                break;
+            }
+            results.push((sent_at, self.is_served(parts).await));
+            async_io::Timer::after(SOUND_INTERVAL).await;
         }
+        results
     }
-}
 
-/// Replaces the engines of the sample by ones that crash.
-fn start_engines(fleet: &fleet::FleetStandIn, count: u64, restarts: u64) -> Vec<CrashingEngine> {
-    for name in ["engine-1", "engine-2"] {
-        fleet.set_row("servers", name, None);
+    /// Checks that the guilty requests were known in time.
+    fn check_learned(&self) {
+        let crashes = self.engines.crashes();
+        let Some(learned) = crashes.get(LEARNING_CRASHES - 1) else { return };
+        let late = self.engines.guilty_arrivals_after(*learned + CONTACT_TIME);
+        assert!(late <= LATE_ARRIVALS, "{late} arrivals after {} crashes", crashes.len());
     }
-    let start = |number| CrashingEngine::new(&format!("crashing-{number}"), restarts);
-    let engines: Vec<_> = (0..count).map(start).collect();
-    engines.iter().for_each(|engine| engine.register(fleet));
-    engines
-}
-
-fn total_crashes(engines: &[CrashingEngine]) -> u64 {
-    engines.iter().map(CrashingEngine::crashes).sum()
 }
 
-fn register_ledger(fleet: &fleet::FleetStandIn, name: &str, address: net::SocketAddr) {
-    let registration = serde_json::json!({
-        "service": "ledger", "address": address, "zone": "a", "slots": 4, "state": "ready",
-        "cold_left_ms": 0, "seq": 1, "born": 1,
+/// Guards against endpoints crashing one after the other because requests at different nodes have
+/// only one part in common, and against sound requests being rejected with them.
+#[test]
+fn unlike_requests() {
+    CrashTest::run(4, async |test| {
+        let length = CONTACT_TIME * 3;
+        let (served, sound) = future::join(test.send_guilty(length), test.send_sound(length)).await;
+        assert_eq!(served, 0);
+        test.check_learned();
+        let last = *test.engines.crashes().last().expect("a crash");
+        let later: Vec<_> = sound.iter().filter(|(at, _)| *at > last + CONTACT_TIME * 2).collect();
+        let failed = sound.iter().filter(|(_, served)| !served).count();
+        println!(
+            "{} crashes, {failed} of {} sound failed",
+            test.engines.crashes().len(),
+            sound.len()
+        );
+        assert!(later.len() >= 10, "only {} sound requests to look at", later.len());
+        assert!(
+            later.iter().all(|(_, served)| *served),
+            "sound requests fail after the last crash"
+        );
     });
-    fleet.set_row("servers", name, Some(&registration.to_string()));
-}
-
-/// Sends a request with the guilty part, unlike all others in the rest.
-async fn send_guilty(node: net::SocketAddr, path: &str, id: &str) -> u16 {
-    let mut request =
-        fleet_request::FleetRequest::new(node, path, id).with_deadline_ms(3900).into_message();
-    request.insert_header("prefix-hash", format!("guilty:100,{id}:20"));
-    request.insert_header("model", "m");
-    request.insert_header("token-counts", "120,10");
-    if path == "/report/" {
-        request.insert_header("pieces", "1,1");
-        request.insert_header("piece-key", "k");
-    }
-    request.set_body(id.to_owned());
-    gateway::send(node, request).await.0
 }
 
-/// Guards against crashes without end of endpoints that start again under their name: a crash counts
-/// once, and each start of an endpoint was taken for the same crash.
+/// Guards against crashes that are taken for one because endpoints come back under their names: few
+/// endpoints then crash without end.
 #[test]
-fn same_name() {
-    gateway::with_fleet(async |fleet| {
-        let engines = start_engines(&fleet, 2, 100);
-        let node = gateway::start_nodes(&fleet, 1).await.remove(0);
-        for number in 0..REQUESTS {
-            send_guilty(node.caller_address, "/chat/", &format!("chat-{number}")).await;
-            async_io::Timer::after(RESTART_TIME + CRASH_INTERVAL).await;
-            engines.iter().for_each(|engine| engine.register(&fleet));
-            async_io::Timer::after(CRASH_INTERVAL).await;
-        }
-        let crashes = total_crashes(&engines);
-        assert!(crashes >= 3, "{crashes} crashes show nothing");
-        assert!(crashes <= MAX_CRASHES, "{crashes} crashes of two engines");
+fn same_names() {
+    CrashTest::run(2, async |test| {
+        let length = CONTACT_TIME * 3;
+        future::join(test.send_guilty(length), test.send_sound(length)).await;
+        test.check_learned();
     });
 }
 
-/// Guards against a request that is sent although its part was found to crash endpoints while it
-/// waited at its stages.
-#[test]
-fn found_meanwhile() {
-    gateway::with_fleet(async |fleet| {
-        let engines = start_engines(&fleet, 9, 0);
-        let node = gateway::start_nodes(&fleet, 1).await.remove(0);
-        for worker in ["worker-1", "worker-2"] {
-            fleet.faults(worker).full.store(true, atomic::Ordering::Relaxed);
-        }
-        let waiting = send_guilty(node.caller_address, "/report/", "waiting");
-        let crash = async {
-            for number in 0..3 {
-                async_io::Timer::after(CRASH_INTERVAL).await;
-                send_guilty(node.caller_address, "/chat/", &format!("chat-{number}")).await;
-            }
-            async_io::Timer::after(CRASH_INTERVAL).await;
-            let before = total_crashes(&engines);
-            let late = send_guilty(node.caller_address, "/chat/", "late").await;
-            assert_eq!(total_crashes(&engines), before, "a new request is rejected");
-            for worker in ["worker-1", "worker-2"] {
-                fleet.faults(worker).full.store(false, atomic::Ordering::Relaxed);
-            }
-            (before, late)
-        };
-        let (status, (before, late)) = future::join(waiting, crash).await;
-        let pieces = fleet.records().len();
-        assert!(pieces > 0, "the stages have not run: status {status}, late {late}");
-        let after = total_crashes(&engines);
-        assert_eq!(after, before, "status {status}, late {late}, {pieces} calls");
-    });
+/// Returns the value of a metric of a node.
+async fn metric(node: &fleet::FleetNode, name: &str) -> u64 {
+    let (_, text) = gateway::get(node.admin_address, "/metrics").await;
+    let prefix = format!("comfreyspread_{name} ");
+    let value = text.lines().find_map(|line| line.strip_prefix(&prefix));
+    value.expect("the metric").parse().expect("a number")
 }
 
-/// Guards against a sound request rejected for minutes after one crash of an endpoint, because each
-/// of several equal requests in flight there counted as a crash.
+/// Guards against a node that has been restarted and crashes endpoints once more with a part that
+/// the other nodes know.
 #[test]
-fn one_crash() {
-    gateway::with_fleet(async |fleet| {
-        for name in ["ledger-1", "ledger-2"] {
-            fleet.set_row("servers", name, None);
-        }
-        let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let crashing = listener.local_addr().expect("an address");
-        register_ledger(&fleet, "crashing", crashing);
-        thread::spawn(move || {
-            let held: Vec<_> = listener.incoming().take(EQUAL_REQUESTS).collect();
-            thread::sleep(RESTART_TIME);
-            drop(listener);
-            drop(held);
-        });
-        let node = gateway::start_nodes(&fleet, 1).await.remove(0);
-        let send = async |id: String| {
-            let request = gateway::request(node.caller_address, "/read/", &id);
-            gateway::send(node.caller_address, request).await.0
-        };
-        future::join_all((0..EQUAL_REQUESTS).map(|number| send(format!("r-{number}")))).await;
-        fleet.set_row("servers", "crashing", None);
-        register_ledger(&fleet, "ledger-1", fleet.address("ledger-1").expect("an endpoint"));
-        async_io::Timer::after(time::Duration::from_secs(2)).await;
-        assert_eq!(send("later".into()).await, 200);
+fn node_restarted() {
+    CrashTest::run(4, async |mut test| {
+        future::join(test.send_guilty(CONTACT_TIME), test.send_sound(CONTACT_TIME)).await;
+        test.nodes.pop().expect("a node").process.kill();
+        let seeds = [test.nodes[0].peer_address];
+        let restarted = test.fleet.start_node(&gateway::program(), "node-3", &seeds).await;
+        test.nodes = vec![restarted.expect("a node")];
+        async_io::Timer::after(CONTACT_TIME).await;
+        let before = test.engines.crashes().len();
+        test.send_guilty(CONTACT_TIME).await;
+        assert_eq!(test.engines.crashes().len(), before, "crashes after the restart");
+        assert!(test.is_served(SOUND[0]).await);
+        assert_eq!(metric(&test.nodes[0], "prompt_parts_convicted").await, 1);
+        assert!(metric(&test.nodes[0], "requests_rejected_crashing_total").await > 0);
     });
 }
--- a/crates/comfreyspread-policy/tests/suspects.rs
+++ b/crates/comfreyspread-policy/tests/suspects.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::disallowed_methods, reason = "start of the injected time")]
 
 use comfreyspread_policy::suspect;
+use rand::{SeedableRng as _, rngs};
 use std::time;
 use suspect::SuspectStatus::{Clear, Convicted, Suspect};
 
@@ -129,3 +130,38 @@
     table.record_shared_crash(&digest, 3, now);
     assert_eq!(table.status(&digest, now), Convicted);
 }
+
+/// Guards against a conviction that other nodes never hear of because requests that ran beside it at
+/// later crashes fill the messages.
+#[test]
+fn conviction_told() {
+    let now = time::Instant::now();
+    let mut random = rngs::SmallRng::seed_from_u64(5);
+    let (mut one, mut other) = (suspect::SuspectTable::new(), suspect::SuspectTable::new());
+    let digest = "guilty".into();
+    (0..3).for_each(|_| one.record_crash(&digest, false, now));
+    for number in 0..40 {
+        one.record_crash(&format!("bystander {number}").into(), false, now);
+    }
+    one.records(4, now, &mut random).iter().for_each(|record| other.merge(record, now));
+    assert_eq!(other.status(&digest, now), Convicted);
+}
+
+/// Guards against crashes that are forgotten when a node that knows of fewer sends a newer record.
+#[test]
+fn counts_kept() {
+    let now = time::Instant::now();
+    let later = now + time::Duration::from_secs(1);
+    let digest = "d".into();
+    for newer_first in [true, false] {
+        let (mut one, mut other) = (suspect::SuspectTable::new(), suspect::SuspectTable::new());
+        one.record_crash(&digest, false, now);
+        one.record_crash(&digest, false, now);
+        other.record_crash(&digest, false, later);
+        let receivers = if newer_first { [&mut one, &mut other] } else { [&mut other, &mut one] };
+        let [to, from] = receivers;
+        from.latest(1, later).iter().for_each(|record| to.merge(record, later));
+        to.record_crash(&digest, false, later);
+        assert_eq!(to.status(&digest, later), Convicted);
+    }
+}
