Keep the reasons that close an endpoint in one place, in one order

The order zone out, leaving, paused stood in the directory, that of the request's own reasons in the selection, and the release of results and the choice of a region had checks of their own. All now ask SkipReason::of_endpoint, whose variants are the order.

--- a/crates/comfreyspread-policy/src/endpoint_directory.rs
+++ b/crates/comfreyspread-policy/src/endpoint_directory.rs
@@ -271,14 +271,8 @@
         endpoint: &directory_endpoint::DirectoryEndpoint,
         now: time::Instant,
     ) -> Option<endpoint_selection::SkipReason> {
-        use endpoint_selection::SkipReason;
-        if self.zones_out.contains(&endpoint.registration.zone) {
-            return Some(SkipReason::ZoneOut);
-        }
-        if endpoint.is_leaving() {
-            return Some(SkipReason::Leaving);
-        }
-        endpoint.paused_until(now).map(SkipReason::Paused)
+        let zone_out = self.zones_out.contains(&endpoint.registration.zone);
+        endpoint_selection::SkipReason::of_endpoint(endpoint, zone_out, now)
     }
 
     /// Returns the endpoints of a service that take requests now or after a pause, in one region
--- a/crates/comfreyspread-policy/src/endpoint_selection.rs
+++ b/crates/comfreyspread-policy/src/endpoint_selection.rs
@@ -2,7 +2,9 @@
 //!
 //! [`SkipReason`] lists what excludes an endpoint, in the order in which it is examined;
 //! [`EndpointTier`] what only makes it a later choice. Within the best tier the cheapest endpoint
-//! is chosen, or the one that most likely has the prompt prefix cached.
+//! is chosen, or the one that most likely has the prompt prefix cached. Calls to stage services are
+//! planned by [`worker_set`](crate::worker_set) among the endpoints that [`SkipReason::of_endpoint`]
+//! leaves. A request whose parts crash endpoints is rejected before an endpoint is selected.
 
 use crate::{directory_endpoint, endpoint_directory, rendezvous};
 use comfreyspread_schema::ids;
@@ -36,6 +38,24 @@
     ColdLimit,
 }
 
+impl SkipReason {
+    /// Returns the reason that excludes an endpoint whatever the request; `zone_out` tells whether
+    /// its availability zone is out of service.
+    pub fn of_endpoint(
+        endpoint: &directory_endpoint::DirectoryEndpoint,
+        zone_out: bool,
+        now: time::Instant,
+    ) -> Option<Self> {
+        if zone_out {
+            return Some(Self::ZoneOut);
+        }
+        if endpoint.is_leaving() {
+            return Some(Self::Leaving);
+        }
+        endpoint.paused_until(now).map(Self::Paused)
+    }
+}
+
 /// How good a choice an endpoint is; the first comes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum EndpointTier {
--- a/crates/comfreyspread/src/gateway/batcher.rs
+++ b/crates/comfreyspread/src/gateway/batcher.rs
@@ -8,7 +8,8 @@
 use crate::transport::{deadline, http_client, http_message};
 use comfreyspread_platform::{piece_call, response_head};
 use comfreyspread_policy::{
-    batch_outcome, batch_queue, batch_worker, directory_endpoint, piece_group, recent_results,
+    batch_outcome, batch_queue, batch_worker, directory_endpoint, endpoint_selection, piece_group,
+    recent_results,
 };
 use comfreyspread_schema::{ids, types};
 use futures_lite::FutureExt as _;
@@ -170,12 +171,13 @@
 }
 
 /// Returns whether results may be released at an endpoint: one that leaves or asked for a pause gets
-/// no request, so its results take up storage until they expire.
+/// no request, so its results take up storage until they expire. A zone that is out of service does
+/// not keep results from being released.
 fn accepts_release(state: &state::GatewayState, producer: net::SocketAddr) -> bool {
     let now = time::Instant::now();
     let directory = state.directory.lock();
     let known = directory.at(producer);
-    known.is_none_or(|one| !one.is_leaving() && one.paused_until(now).is_none())
+    known.is_none_or(|one| endpoint_selection::SkipReason::of_endpoint(one, false, now).is_none())
 }
 
 async fn send_release(
--- a/crates/comfreyspread/src/gateway/region_selector.rs
+++ b/crates/comfreyspread/src/gateway/region_selector.rs
@@ -68,7 +68,7 @@
     let directory = state.directory.lock();
     let is_candidate = |region: &&ids::RegionId| {
         let takes_requests =
-            |one: &directory_endpoint::DirectoryEndpoint| one.paused_until(now).is_none();
+            |one: &directory_endpoint::DirectoryEndpoint| directory.closed(one, now).is_none();
         let has_endpoint =
             |service: &str| directory.usable(service, Some(region), now).any(takes_requests);
         allowed.as_ref().is_none_or(|allowed| allowed.contains(region))
