Hold what is known of an endpoint to the process that it is known of

Callers saw a sound endpoint get nothing until its next restart: a call to the process before ended as misdirected (421) after the new process had registered, and finish_call closed whatever had the name; a failure of the process before counted against the new one in the same way. And an endpoint that had said that it leaves got requests again once an outdated read of the store had shown the registration of the process before for a moment. Cause: measurements and word were kept by name alone, and only a removal, not a replacement, kept them.

finish_call now takes the start of the process that was called, and the word of processes not registered is kept by name and start. The calls in the tests got that argument; nothing else in them changed. policy endpoint_intake:: earlier_calls ("left: (1, 0) right: (0, 0)") and outdated_registration ("left: [one, two] right: [two]") failed with each part taken out, as run.

--- a/crates/comfreyspread-policy/src/endpoint_directory.rs
+++ b/crates/comfreyspread-policy/src/endpoint_directory.rs
@@ -9,7 +9,7 @@
 use indexmap::{IndexMap, IndexSet};
 use std::{net, time};
 
-/// Removed endpoints whose own word is kept, in case their registration comes back.
+/// Processes not registered now whose own word is kept, in case their registration comes back.
 const MAX_DEPARTED: usize = 4096;
 
 /// Outcome of one attempt at an endpoint.
@@ -85,18 +85,14 @@
     pub cold: usize,
 }
 
-/// What a removed endpoint had said of its intake.
-#[derive(Debug)]
-struct DepartedEndpoint {
-    started_at_ms: u64,
-    intake: endpoint_intake::EndpointIntake,
-}
+/// One process of an endpoint: its name and its start.
+type EndpointProcess = (ids::EndpointId, u64);
 
 /// Endpoints of all services.
 #[derive(Debug, Default)]
 pub struct EndpointDirectory {
     endpoints: IndexMap<ids::EndpointId, directory_endpoint::DirectoryEndpoint>,
-    departed: IndexMap<ids::EndpointId, DepartedEndpoint>,
+    departed: IndexMap<EndpointProcess, endpoint_intake::EndpointIntake>,
     zones: IndexMap<ids::ZoneId, ids::RegionId>,
     zones_out: IndexSet<ids::ZoneId>,
 }
@@ -109,7 +105,8 @@
 
     /// Adds or updates a registered endpoint. `cold_start` applies if the endpoint is new or has
     /// restarted. What the same process has said of its intake stays in force, also after
-    /// [`EndpointDirectory::remove`]: an outage of the store may remove a registration for a while.
+    /// [`EndpointDirectory::remove`]: an outage of the store may remove a registration for a while,
+    /// and an outdated read may bring back that of the process before.
     pub fn insert(
         &mut self,
         registration: types::EndpointRegistration,
@@ -123,41 +120,50 @@
                 }
                 known.registration = registration;
             }
-            _ => {
-                let cold_time_left = registration.cold_time_left.max(cold_start.cold);
-                let registration = types::EndpointRegistration { cold_time_left, ..registration };
-                let name = registration.endpoint.clone();
-                let departed = self.departed.shift_remove(&name);
-                let started_at_ms = registration.started_at_ms;
-                let mut added = directory_endpoint::DirectoryEndpoint::new(registration, now);
-                if let Some(departed) = departed.filter(|old| old.started_at_ms == started_at_ms) {
-                    added.intake = departed.intake;
-                }
-                self.endpoints.insert(name, added);
-            }
+            _ => self.insert_process(registration, cold_start, now),
         }
     }
 
+    fn insert_process(
+        &mut self,
+        registration: types::EndpointRegistration,
+        cold_start: ColdStart,
+        now: time::Instant,
+    ) {
+        let cold_time_left = registration.cold_time_left.max(cold_start.cold);
+        let registration = types::EndpointRegistration { cold_time_left, ..registration };
+        let process = (registration.endpoint.clone(), registration.started_at_ms);
+        self.remove(&process.0, now);
+        let mut added = directory_endpoint::DirectoryEndpoint::new(registration, now);
+        added.intake = self.departed.shift_remove(&process).unwrap_or_default();
+        self.endpoints.insert(process.0, added);
+    }
+
     /// Removes an endpoint.
     pub fn remove(&mut self, endpoint: &ids::EndpointId, now: time::Instant) {
         let Some(removed) = self.endpoints.shift_remove(endpoint) else { return };
-        if removed.intake.is_open(now) {
-            return;
-        }
-        let started_at_ms = removed.registration.started_at_ms;
-        self.keep_departed(endpoint, DepartedEndpoint { started_at_ms, intake: removed.intake });
+        let process = (endpoint.clone(), removed.registration.started_at_ms);
+        self.keep_departed(process, removed.intake, now);
     }
 
-    fn keep_departed(&mut self, endpoint: &ids::EndpointId, departed: DepartedEndpoint) {
+    fn keep_departed(
+        &mut self,
+        process: EndpointProcess,
+        intake: endpoint_intake::EndpointIntake,
+        now: time::Instant,
+    ) {
+        if intake.is_open(now) {
+            return;
+        }
         if self.departed.len() >= MAX_DEPARTED {
             self.departed.shift_remove_index(0);
         }
-        self.departed.insert(endpoint.clone(), departed);
+        self.departed.insert(process, intake);
     }
 
     /// Applies what an answer of an endpoint, whose process started at `started_at_ms`, says about
-    /// further requests; returns the change, if it made one. A later process under the same name is
-    /// not meant.
+    /// further requests; returns the change, if it made one. Another process that is registered
+    /// under the name is not meant and not changed.
     pub fn record_notice(
         &mut self,
         endpoint: &ids::EndpointId,
@@ -165,18 +171,23 @@
         notice: endpoint_intake::IntakeNotice,
         now: time::Instant,
     ) -> Option<endpoint_intake::IntakeChange> {
-        if let Some(known) = self.endpoints.get_mut(endpoint) {
-            let same = known.registration.started_at_ms == started_at_ms;
-            return same.then(|| known.intake.apply(notice, now)).flatten();
+        if let Some(known) = self.process_mut(endpoint, started_at_ms) {
+            return known.intake.apply(notice, now);
         }
-        let known = self.departed.shift_remove(endpoint);
-        let same = known.filter(|departed| departed.started_at_ms == started_at_ms);
-        let mut intake = same.map(|departed| departed.intake).unwrap_or_default();
+        let process = (endpoint.clone(), started_at_ms);
+        let mut intake = self.departed.shift_remove(&process).unwrap_or_default();
         let change = intake.apply(notice, now);
-        if !intake.is_open(now) {
-            self.keep_departed(endpoint, DepartedEndpoint { started_at_ms, intake });
-        }
-        change
+        self.keep_departed(process, intake, now);
+        change.filter(|_| !self.endpoints.contains_key(endpoint))
+    }
+
+    fn process_mut(
+        &mut self,
+        endpoint: &ids::EndpointId,
+        started_at_ms: u64,
+    ) -> Option<&mut directory_endpoint::DirectoryEndpoint> {
+        let known = self.endpoints.get_mut(endpoint);
+        known.filter(|known| known.registration.started_at_ms == started_at_ms)
     }
 
     /// Sets how long an endpoint remains cold, as stated in one of its answers.
@@ -331,15 +342,18 @@
         endpoint_selection::EndpointSelection::new(self, query).skipped()
     }
 
-    /// Ends a call that [`EndpointDirectory::start_call`] counted, and records its measurements.
+    /// Ends a call that [`EndpointDirectory::start_call`] counted, and records its measurements,
+    /// unless another process has taken the place of the one called, which started at
+    /// `started_at_ms`.
     pub fn finish_call(
         &mut self,
         endpoint: &ids::EndpointId,
+        started_at_ms: u64,
         outcome: AttemptOutcome,
         took: time::Duration,
         now: time::Instant,
     ) {
-        let Some(known) = self.endpoints.get_mut(endpoint) else { return };
+        let Some(known) = self.process_mut(endpoint, started_at_ms) else { return };
         known.running = known.running.saturating_sub(1);
         known.record_call(outcome, took, now);
     }
--- a/crates/comfreyspread-policy/tests/endpoint_directory.rs
+++ b/crates/comfreyspread-policy/tests/endpoint_directory.rs
@@ -95,9 +95,10 @@
             } else {
                 ms(20)
             };
-            directory.finish_call(&"one".into(), outcome, took, now);
+            directory.finish_call(&"one".into(), 1, outcome, took, now);
             directory.finish_call(
                 &"two".into(),
+                1,
                 endpoint_directory::AttemptOutcome::Served,
                 ms(20),
                 now,
@@ -119,7 +120,7 @@
     assert_eq!(needs.choose(&mut directory, now), "two");
     directory.set_zone_out("b".into(), true);
     assert_eq!(needs.choose(&mut directory, now), "three");
-    directory.finish_call(&"three".into(), endpoint_directory::AttemptOutcome::Gone, ms(1), now);
+    directory.finish_call(&"three".into(), 1, endpoint_directory::AttemptOutcome::Gone, ms(1), now);
     assert_eq!(needs.choose(&mut directory, now), "");
     directory.set_zone_out("b".into(), false);
     assert_eq!(needs.choose(&mut directory, now), "two");
@@ -171,7 +172,7 @@
     let now = time::Instant::now();
     let mut directory = new_directory(now);
     let needs = RequestNeeds::new();
-    directory.finish_call(&"one".into(), endpoint_directory::AttemptOutcome::Gone, ms(1), now);
+    directory.finish_call(&"one".into(), 1, endpoint_directory::AttemptOutcome::Gone, ms(1), now);
     directory.insert(registration("one", "a", 1), WARM, now);
     assert_eq!(needs.choose(&mut directory, now), "two", "the same process stays excluded");
     let restarted = types::EndpointRegistration { started_at_ms: 2, ..registration("one", "a", 1) };
@@ -195,6 +196,7 @@
         for endpoint in [&first, &second] {
             directory.finish_call(
                 endpoint,
+                1,
                 endpoint_directory::AttemptOutcome::Served,
                 ms(50),
                 now,
--- a/crates/comfreyspread-policy/tests/endpoint_intake.rs
+++ b/crates/comfreyspread-policy/tests/endpoint_intake.rs
@@ -73,7 +73,7 @@
     names.dedup();
     for name in &names {
         for _ in 0..20 {
-            directory.finish_call(name, AttemptOutcome::Cancelled, ms(0), now);
+            directory.finish_call(name, 1, AttemptOutcome::Cancelled, ms(0), now);
         }
     }
     names
@@ -126,13 +126,47 @@
     assert_eq!(chosen(&mut directory, now), ["one".into()], "said after it was removed");
 }
 
+/// A call to the process before ended as misdirected, or unreachable, after the restart, and closed
+/// the new process for good.
+#[test]
+fn earlier_calls() {
+    let now = time::Instant::now();
+    for outcome in [AttemptOutcome::Gone, AttemptOutcome::Unreachable] {
+        let mut directory = new_directory(now);
+        directory.insert(registration("one", 2), WARM, now);
+        directory.remove(&"two".into(), now);
+        directory.finish_call(&"one".into(), 1, outcome, ms(1), now);
+        let counts = directory.counts(now);
+        assert_eq!((counts.leaving, counts.backing_off), (0, 0), "{outcome:?}");
+    }
+}
+
+/// An outdated read of the store brought the registration of the process before back for a moment,
+/// and what the present process had said was forgotten.
+#[test]
+fn outdated_registration() {
+    let now = time::Instant::now();
+    for notice in [LEAVING, pause(5000)] {
+        let mut directory = new_directory(now);
+        directory.insert(registration("one", 2), WARM, now);
+        directory.record_notice(&"one".into(), 2, notice, now);
+        directory.insert(registration("one", 1), WARM, now);
+        assert_eq!(chosen(&mut directory, now).len(), 2, "another process");
+        directory.insert(registration("one", 2), WARM, now);
+        assert_eq!(chosen(&mut directory, now), ["two".into()]);
+        directory.insert(registration("one", 3), WARM, now);
+        directory.record_notice(&"one".into(), 2, notice, now);
+        assert_eq!(chosen(&mut directory, now).len(), 2, "a new process");
+    }
+}
+
 #[test]
 fn pause_kept() {
     let now = time::Instant::now();
     let mut directory = new_directory(now);
     directory.record_notice(&"one".into(), 1, pause(3000), now);
     directory.record_notice(&"one".into(), 1, pause(500), now + ms(100));
-    directory.finish_call(&"one".into(), AttemptOutcome::Served, ms(20), now + ms(100));
+    directory.finish_call(&"one".into(), 1, AttemptOutcome::Served, ms(20), now + ms(100));
     assert_eq!(chosen(&mut directory, now + ms(2999)), ["two".into()], "the later end counts");
     assert_eq!(chosen(&mut directory, now + ms(3000)).len(), 2);
 }
--- a/crates/comfreyspread/src/gateway/attempt_send.rs
+++ b/crates/comfreyspread/src/gateway/attempt_send.rs
@@ -79,7 +79,9 @@
         self.finished = true;
         let now = time::Instant::now();
         let elapsed = now.saturating_duration_since(self.started);
-        self.state.directory.lock().finish_call(&self.chosen.endpoint, outcome, elapsed, now);
+        let (endpoint, started_at_ms) = (&self.chosen.endpoint, self.chosen.started_at_ms);
+        let mut directory = self.state.directory.lock();
+        directory.finish_call(endpoint, started_at_ms, outcome, elapsed, now);
     }
 }
 
