Check again that an endpoint takes requests once its connection is open

A request reached an endpoint seconds after its node knew that it leaves, or within the pause that it had asked for: the endpoint was chosen, and its connection opened only when the kernel sent its SYN again, 1 or 3 s later, since the endpoint's queue of connections was full - as it is when it refuses or leaves. Any number of requests can wait so at once. Cause: the choice was the last look at the directory.

The client now opens the connection and sends the request in two steps, and in between the gateway asks the directory whether the same process still takes requests; if not, nothing is sent and the request goes elsewhere as not run. The same for stage calls; a zone out of service and a removed endpoint count too.

lab endpoint_intake::late_connection, over a listener whose queue is full; with the check taken out it failed, as run ("a request at an endpoint that leaves", "attempt: sent endpoint=slow-1" 1.02 s before).

--- a/crates/comfreyspread-lab/tests/endpoint_intake.rs
+++ b/crates/comfreyspread-lab/tests/endpoint_intake.rs
@@ -2,10 +2,11 @@
 
 mod common;
 
-use comfreyspread_lab::fleet;
+use comfreyspread_lab::{fleet, fleet_request};
 use common::gateway;
+use futures_lite::{AsyncReadExt as _, FutureExt as _};
 use futures_util::future;
-use std::{sync::atomic::Ordering, time};
+use std::{net, sync::atomic::Ordering, time};
 
 /// Requests enough to reach both endpoints of a service.
 const BURST: usize = 12;
@@ -25,6 +26,14 @@
     fleet.records().iter().filter(|record| &*record.endpoint == endpoint).count()
 }
 
+fn register_at(fleet: &fleet::FleetStandIn, endpoint: &str, address: net::SocketAddr, phase: &str) {
+    let registration = serde_json::json!({
+        "service": "ledger", "address": address, "zone": "a", "slots": 4, "state": phase,
+        "cold_left_ms": 0, "seq": 1, "born": 1,
+    });
+    fleet.set_row("servers", endpoint, Some(&registration.to_string()));
+}
+
 fn register(fleet: &fleet::FleetStandIn, endpoint: &str, service: &str, born: u64, seq: u64) {
     let address = fleet.address(endpoint).expect("an endpoint");
     let registration = serde_json::json!({
@@ -124,6 +133,63 @@
     });
 }
 
+/// The connection for a request was opened only after its endpoint had closed, and the request went
+/// there all the same, seconds after the node knew that the endpoint leaves.
+#[test]
+fn late_connection() {
+    gateway::with_node(async |fleet, node| {
+        let (listener, waiting) = full_listener().await;
+        let address = listener.local_addr().expect("an address");
+        for endpoint in ["ledger-1", "ledger-2"] {
+            fleet.set_row("servers", endpoint, None);
+        }
+        register_at(&fleet, "slow-1", address, "ready");
+        rows_applied().await;
+        let request = fleet_request::FleetRequest::new(node.caller_address, "/read/", "late");
+        let request = request.with_deadline_ms(3900).into_message();
+        let answer = gateway::send(node.caller_address, request);
+        let closed = async {
+            async_io::Timer::after(time::Duration::from_millis(100)).await;
+            register(&fleet, "ledger-1", "ledger", 1, 2);
+            register_at(&fleet, "slow-1", address, "draining");
+            rows_applied().await;
+            drop(waiting);
+            let connected = accept_all(&listener);
+            let until = async_io::Timer::after(time::Duration::from_millis(3300));
+            let until = async {
+                until.await;
+                None
+            };
+            connected.or(until).await
+        };
+        let ((status, _), received) = future::join(answer, closed).await;
+        assert_eq!(received, None, "a request at an endpoint that leaves");
+        assert_eq!((status, gateway::runs(&fleet, "late").len()), (200, 1));
+    });
+}
+
+/// Returns a listener to which no connection can be opened until it accepts that of the stream.
+async fn full_listener() -> (async_net::TcpListener, async_net::TcpStream) {
+    let listener = async_net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    rustix::net::listen(&listener, 0).expect("a shorter queue");
+    let address = listener.local_addr().expect("an address");
+    let waiting = async_net::TcpStream::connect(address).await.expect("a connection");
+    (listener, waiting)
+}
+
+/// Accepts connections until one of them sends something, and returns it.
+async fn accept_all(listener: &async_net::TcpListener) -> Option<Vec<u8>> {
+    loop {
+        let (mut stream, _) = listener.accept().await.ok()?;
+        let mut received = vec![0; 1024];
+        let length = stream.read(&mut received).await.unwrap_or(0);
+        if length > 0 {
+            received.truncate(length);
+            return Some(received);
+        }
+    }
+}
+
 /// A stage endpoint that leaves got further pieces; endpoints that all asked for a long pause were
 /// called again, or pieces were held until the deadline. Results were released there as well.
 #[test]
--- a/crates/comfreyspread-policy/src/endpoint_directory.rs
+++ b/crates/comfreyspread-policy/src/endpoint_directory.rs
@@ -286,6 +286,18 @@
         endpoint_selection::SkipReason::of_endpoint(endpoint, zone_out, now)
     }
 
+    /// Whether a process of an endpoint, which started at `started_at_ms`, takes requests at present.
+    pub fn takes_requests(
+        &self,
+        endpoint: &ids::EndpointId,
+        started_at_ms: u64,
+        now: time::Instant,
+    ) -> bool {
+        let known = self.endpoints.get(endpoint);
+        let same = known.filter(|known| known.registration.started_at_ms == started_at_ms);
+        same.is_some_and(|known| self.closed(known, now).is_none())
+    }
+
     /// Returns the endpoints of a service that take requests now or after a pause, in one region
     /// or in all.
     pub fn usable<'directory>(
--- a/crates/comfreyspread/src/gateway/attempt_send.rs
+++ b/crates/comfreyspread/src/gateway/attempt_send.rs
@@ -154,10 +154,19 @@
     } else {
         http_client::ConnectionUse::Fresh
     };
-    let _sent = planned.send();
     let address = active.chosen.address;
-    let result = state.client.send(address, request, connection, plan.deadline).await;
-    let response = match result {
+    let connected = match state.client.connect(address, connection, plan.deadline).await {
+        Ok(connected) => connected,
+        Err(failure) => {
+            active.finish(endpoint_directory::AttemptOutcome::Unreachable);
+            return Err(active.failed(failure, false));
+        }
+    };
+    if !active.takes_requests() {
+        return Err(active.closed_meanwhile());
+    }
+    let _sent = planned.send();
+    let response = match state.client.send_on(connected, request, plan.deadline).await {
         Ok(response) => response,
         Err(failure) => {
             active.finish(endpoint_directory::AttemptOutcome::Unreachable);
@@ -168,6 +177,22 @@
 }
 
 impl ActiveAttempt {
+    /// Whether the endpoint takes requests, as far as is known now.
+    fn takes_requests(&self) -> bool {
+        let (endpoint, started_at_ms) = (&self.chosen.endpoint, self.chosen.started_at_ms);
+        let now = time::Instant::now();
+        self.state.directory.lock().takes_requests(endpoint, started_at_ms, now)
+    }
+
+    /// Returns the failure of an attempt whose endpoint has closed while the connection was opened.
+    fn closed_meanwhile(&self) -> FailedAttempt {
+        let endpoint = &self.chosen.endpoint;
+        log::info!(endpoint = endpoint.as_ref(), waited_ms = self.elapsed().as_millis() as u64;
+            "attempt: not sent, the endpoint takes no requests any more");
+        let detail = format!("{endpoint} takes no requests any more");
+        self.failed(call_plan::CallPlan::not_run(types::ProblemKind::Unavailable, &detail), false)
+    }
+
     /// Returns the failure of this attempt.
     pub fn failed(&self, failure: failure::CallFailure, inputs_gone: bool) -> FailedAttempt {
         let endpoint = Some(self.chosen.endpoint.clone());
--- a/crates/comfreyspread/src/gateway/batcher.rs
+++ b/crates/comfreyspread/src/gateway/batcher.rs
@@ -299,8 +299,19 @@
     let framing = http_client::BodyFraming::Any;
     let deadline = time::Instant::now() + call.timeout;
     let started_at_ms = state.directory.lock().started_at_ms(&call.endpoint);
-    let held = state.client.call_held(call.address, request, connection, framing, deadline).await;
-    let held = match held {
+    let connected = match state.client.connect(call.address, connection, deadline).await {
+        Ok(connected) => connected,
+        Err(failure) => {
+            log::info!(endpoint = call.endpoint.as_ref(); "batcher: call failed. error={failure}");
+            return batch_outcome::BatchOutcome::Failed;
+        }
+    };
+    if !takes_requests(state, &call.endpoint, started_at_ms) {
+        log::info!(endpoint = call.endpoint.as_ref();
+            "batcher: call not sent, the endpoint takes no requests any more");
+        return batch_outcome::BatchOutcome::Full;
+    }
+    let held = match state.client.call_held_on(connected, request, framing, deadline).await {
         Ok(held) => held,
         Err(failure) => {
             log::info!(endpoint = call.endpoint.as_ref(); "batcher: call failed. error={failure}");
@@ -325,6 +336,14 @@
     outcome
 }
 
+fn takes_requests(
+    state: &state::GatewayState,
+    endpoint: &ids::EndpointId,
+    started_at_ms: u64,
+) -> bool {
+    state.directory.lock().takes_requests(endpoint, started_at_ms, time::Instant::now())
+}
+
 fn response_origin(
     state: &state::GatewayState,
     scope: &BatchScope,
--- a/crates/comfreyspread/src/transport/http_client.rs
+++ b/crates/comfreyspread/src/transport/http_client.rs
@@ -170,6 +170,21 @@
         deadline: time::Instant,
     ) -> Result<HeldResponse, failure::CallFailure> {
         let connection = self.connect(address, connection, deadline).await?;
+        self.call_held_on(connection, request, framing, deadline).await
+    }
+
+    /// Makes a call like [`HttpClient::call_held`] over an open connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`HttpClient::call`].
+    pub async fn call_held_on(
+        &self,
+        connection: client_connection::ClientConnection,
+        request: http_message::Request,
+        framing: BodyFraming,
+        deadline: time::Instant,
+    ) -> Result<HeldResponse, failure::CallFailure> {
         let exchange = async {
             let (holder, held) = async_channel::bounded(1);
             let finished = FinishedConnection::Held(holder);
@@ -215,25 +230,24 @@
         request: http_message::Request,
         deadline: time::Instant,
     ) -> Result<http_message::Response, failure::CallFailure> {
-        let response = self.send(address, request, ConnectionUse::Fresh, deadline).await?;
+        let connection = self.connect(address, ConnectionUse::Fresh, deadline).await?;
+        let response = self.send_on(connection, request, deadline).await?;
         check_framing(&response)?;
         Ok(response)
     }
 
-    /// Makes a call like [`HttpClient::call_streaming`] over the given kind of connection, and
-    /// accepts a response that is delimited by the end of its connection.
+    /// Makes a call like [`HttpClient::call_streaming`] over an open connection, and accepts a
+    /// response that is delimited by the end of its connection.
     ///
     /// # Errors
     ///
     /// Fails like [`HttpClient::call`].
-    pub async fn send(
+    pub async fn send_on(
         &self,
-        address: net::SocketAddr,
+        connection: client_connection::ClientConnection,
         request: http_message::Request,
-        connection: ConnectionUse,
         deadline: time::Instant,
     ) -> Result<http_message::Response, failure::CallFailure> {
-        let connection = self.connect(address, connection, deadline).await?;
         let finished = FinishedConnection::Idle(self.idle.clone());
         self.exchange(connection, request, finished).or(fail_at(deadline)).await
     }
@@ -274,8 +288,13 @@
         request
     }
 
-    /// Returns a connection on which a request can be sent before `deadline`.
-    async fn connect(
+    /// Returns a connection on which a request can be sent before `deadline`. Opening one may take
+    /// long: what speaks against the call by then is for the caller to check.
+    ///
+    /// # Errors
+    ///
+    /// Fails with `not-run` if no connection could be opened.
+    pub async fn connect(
         &self,
         address: net::SocketAddr,
         connection: ConnectionUse,
