Count what all answers of stage endpoints say of them, but no foreign answer

A stage endpoint that said in its answer to a release that it leaves got further pieces, and one was taken out by an answer that named another request. Cause: the heads of answers to releases were dropped unread, and those of answers to stage calls counted before it was known to whom they belong. Now both count unless they carry an id (neither call has one) or are an earlier answer written again. A release names only an address, so its answer counts for the one endpoint registered there; for none, if an address being assigned anew has two.

--- a/crates/comfreyspread-lab/tests/endpoint_intake.rs
+++ b/crates/comfreyspread-lab/tests/endpoint_intake.rs
@@ -133,6 +133,39 @@
     });
 }
 
+/// A stage endpoint that said only in its answer to a release that it leaves got further pieces.
+#[test]
+fn leaving_releases() {
+    gateway::with_node(async |fleet, node| {
+        fleet.set_row("servers", "worker-2", None);
+        rows_applied().await;
+        for engine in ["engine-1", "engine-2"] {
+            fleet.faults(engine).delay_ms.store(300, Ordering::Relaxed);
+        }
+        let staged = |id: &str| {
+            let request = gateway::staged_request(node.caller_address, id, "1,1");
+            gateway::call(node.caller_address, request)
+        };
+        let leave = async {
+            while gateway::runs(&fleet, "first").is_empty() {
+                async_io::Timer::after(time::Duration::from_millis(5)).await;
+            }
+            fleet.faults("worker-1").leaving.store(true, Ordering::Relaxed);
+        };
+        let (first, ()) = future::join(staged("first"), leave).await;
+        assert_eq!(first.status(), 200);
+        register(&fleet, "worker-2", "prepare", 1, 2);
+        rows_applied().await;
+        let reached = arrivals(&fleet, "worker-1");
+        let released = |record: &fleet::RequestRecord| &*record.path == "/v1/stage-free";
+        assert!(fleet.records().iter().any(released), "the answer to it says so");
+        for id in ["second", "third", "fourth"] {
+            assert_eq!(staged(id).await.status(), 200);
+        }
+        assert_eq!(arrivals(&fleet, "worker-1"), reached);
+    });
+}
+
 /// The connection for a request was opened only after its endpoint had closed, and the request went
 /// there all the same, seconds after the node knew that the endpoint leaves.
 #[test]
--- a/crates/comfreyspread-lab/tests/faulty_answers.rs
+++ b/crates/comfreyspread-lab/tests/faulty_answers.rs
@@ -324,6 +324,32 @@
     });
 }
 
+/// A notice in an answer that belongs to another request took a sound endpoint out.
+#[test]
+fn foreign_notice() {
+    const LEAVING: &str = "Server-Leaving: 1\r\nContent-Length: 0\r\n";
+    let plain = |request: &ScriptedRequest| match request.number {
+        0 => ScriptedAnswer::new(head("503 Service Unavailable", "other", LEAVING)),
+        _ => ScriptedAnswer::new(answer(&request.id, "")),
+    };
+    with_script(PLAIN, 1, plain, async |_fleet, node, _endpoint| {
+        assert_eq!(send(&node, "/write/", "r-1").await.0, 502);
+        assert_eq!(send(&node, "/write/", "r-2").await.0, 200);
+    });
+    let stage = |request: &ScriptedRequest| match request.number {
+        0 => ScriptedAnswer::new(head("500 Internal Server Error", "other", LEAVING)),
+        _ if request.path == fleet::PIECES_PATH => {
+            ScriptedAnswer::new(answer("", &made_results(request)))
+        }
+        _ => ScriptedAnswer::new(answer("", "")),
+    };
+    with_script(PREPARE, 1, stage, async |_fleet, node, _endpoint| {
+        send_staged(&node, "r-1", "1,1").await;
+        async_io::Timer::after(time::Duration::from_millis(600)).await;
+        assert_eq!(send_staged(&node, "r-2", "1,1").await.0, 200);
+    });
+}
+
 /// An answer to a stage call may end with its connection.
 #[test]
 fn closed_results() {
--- a/crates/comfreyspread-policy/src/endpoint_directory.rs
+++ b/crates/comfreyspread-policy/src/endpoint_directory.rs
@@ -207,6 +207,14 @@
         self.endpoints.get(endpoint).map_or(0, |known| known.registration.started_at_ms)
     }
 
+    /// Returns the name and the start of the process at an address; `None` if several endpoints are
+    /// registered there, as when an address has been assigned anew.
+    pub fn process_at(&self, address: net::SocketAddr) -> Option<(ids::EndpointId, u64)> {
+        let mut at = self.endpoints.values().filter(|one| one.registration.address == address);
+        let known = &at.next()?.registration;
+        at.next().is_none().then(|| (known.endpoint.clone(), known.started_at_ms))
+    }
+
     /// Returns the endpoint at an address.
     pub fn at(&self, address: net::SocketAddr) -> Option<&directory_endpoint::DirectoryEndpoint> {
         self.endpoints.values().find(|endpoint| endpoint.registration.address == address)
--- a/crates/comfreyspread/src/gateway/batcher.rs
+++ b/crates/comfreyspread/src/gateway/batcher.rs
@@ -189,6 +189,7 @@
     let request = http_message::Request::from_parts(head, body.into());
     let connection = http_client::ConnectionUse::Pooled;
     let deadline = time::Instant::now() + RELEASE_TIMEOUT;
+    let process = state.directory.lock().process_at(producer);
     let framing = http_client::BodyFraming::Any;
     let held = state.client.call_held(producer, request, connection, framing, deadline).await;
     match held {
@@ -196,7 +197,13 @@
         Ok(held) if piece_call::decode_run_response(held.response().body()).is_ok() => {
             log::warn!("batcher: response to a release belongs to an earlier call");
         }
-        Ok(held) => drop(held.release()),
+        Ok(held) => {
+            if let Some((endpoint, started_at_ms)) = process {
+                let signals = response_head::decode(held.response().head());
+                endpoint_notices::record_unnamed(state, &endpoint, started_at_ms, &signals);
+            }
+            held.release();
+        }
         Err(failure) => log::debug!("batcher: results not released. error={failure}"),
     }
 }
@@ -319,19 +326,21 @@
         }
     };
     let signals = response_head::decode(held.response().head());
-    endpoint_notices::record(state, &call.endpoint, started_at_ms, &signals);
     let outcome = call_outcome(call, &signals, held.response());
-    let batch_outcome::BatchOutcome::Answered(outcomes) = &outcome else { return outcome };
-    match response_origin(state, scope, call, outcomes) {
-        recent_results::ResponseOrigin::ThisCall => {
-            held.release();
-        }
-        recent_results::ResponseOrigin::Unknown => {}
-        recent_results::ResponseOrigin::EarlierCall => {
-            log::warn!(endpoint = call.endpoint.as_ref();
-                "batcher: response belongs to an earlier call");
-            return batch_outcome::BatchOutcome::Failed;
+    let origin = match &outcome {
+        batch_outcome::BatchOutcome::Answered(outcomes) => {
+            response_origin(state, scope, call, outcomes)
         }
+        _ => recent_results::ResponseOrigin::Unknown,
+    };
+    if origin == recent_results::ResponseOrigin::EarlierCall {
+        log::warn!(endpoint = call.endpoint.as_ref();
+            "batcher: response belongs to an earlier call");
+        return batch_outcome::BatchOutcome::Failed;
+    }
+    endpoint_notices::record_unnamed(state, &call.endpoint, started_at_ms, &signals);
+    if origin == recent_results::ResponseOrigin::ThisCall {
+        held.release();
     }
     outcome
 }
--- a/crates/comfreyspread/src/gateway/endpoint_notices.rs
+++ b/crates/comfreyspread/src/gateway/endpoint_notices.rs
@@ -5,6 +5,21 @@
 use comfreyspread_schema::{ids, types};
 use std::time;
 
+/// Records what the head of an answer to a call without an id says about its endpoint. An answer
+/// with an id belongs to another request, so it says nothing.
+pub fn record_unnamed(
+    state: &state::GatewayState,
+    endpoint: &ids::EndpointId,
+    started_at_ms: u64,
+    signals: &types::ResponseSignals,
+) {
+    match &signals.request {
+        None => record(state, endpoint, started_at_ms, signals),
+        Some(request) => log::warn!(endpoint = endpoint.as_ref(), request = request.as_ref();
+            "endpoints: answer names a request that was not sent"),
+    }
+}
+
 /// Records what the head of an answer says about its endpoint, whose process started at
 /// `started_at_ms`. It counts whatever the status, and whether or not the answer is used.
 pub fn record(
