Tell callers the end of a pause truly, and spread them out after it

A caller whose request was refused by the last endpoint that it may try was told to come back in 0.3 s although all endpoints had asked for a pause; callers that were rejected for a pause were all told the same end and came back together; a stage's callers were told up to half as much again, 90 s for 60. Cause: only a request that found no endpoint looked at the pauses, and only stages spread callers, in proportion to the whole wait.

Every refusal now looks whether a pause is all that keeps a new request from the service, and callers get its end and up to 2 s more, as the nodes do. The summary of passed over endpoints names no end while another endpoint is open.

lab endpoint_intake::refusals_told failed without the look ("0.3") and without the spread ([3.06, 3.06, 3.06, 3.05, ..]); policy endpoint_intake:: open_beside_paused without the open ones ("left: (1, Some(..))"), as run.

--- a/crates/comfreyspread-lab/tests/endpoint_intake.rs
+++ b/crates/comfreyspread-lab/tests/endpoint_intake.rs
@@ -133,6 +133,35 @@
     });
 }
 
+/// A caller whose request was refused by the last endpoint that it may try was told to come back at
+/// once, though all endpoints had asked for a pause; callers rejected later all came back together.
+#[test]
+fn refusals_told() {
+    gateway::with_node(async |mut fleet, node| {
+        let added = fleet.add_endpoint("ledger-3", "ledger", fleet::EndpointKind::Plain).await;
+        added.expect("an endpoint");
+        rows_applied().await;
+        for endpoint in ["ledger-1", "ledger-2", "ledger-3"] {
+            fleet.faults(endpoint).pause_ms.store(3000, Ordering::Relaxed);
+            fleet.faults(endpoint).status.store(503, Ordering::Relaxed);
+        }
+        let told = async |id: String| {
+            let request = gateway::request(node.caller_address, "/read/", &id);
+            let rejected = gateway::call(node.caller_address, request).await;
+            assert_eq!(rejected.status(), 503);
+            let told = rejected.header("retry-after").and_then(|value| value.parse::<f64>().ok());
+            told.expect("a time")
+        };
+        let first = told("first".into()).await;
+        assert_eq!(fleet.records().len(), 3);
+        assert!((2.8..4.3).contains(&first), "{first}");
+        let all = future::join_all((0..BURST).map(|number| told(format!("later-{number}")))).await;
+        let earliest = all.iter().copied().fold(f64::INFINITY, f64::min);
+        let latest = all.iter().copied().fold(0.0, f64::max);
+        assert!(latest - earliest > 0.2, "{all:?}");
+    });
+}
+
 /// A stage endpoint that said only in its answer to a release that it leaves got further pieces.
 #[test]
 fn leaving_releases() {
--- a/crates/comfreyspread-policy/src/endpoint_intake.rs
+++ b/crates/comfreyspread-policy/src/endpoint_intake.rs
@@ -13,7 +13,7 @@
 
 /// Longest pause that is granted; an endpoint that wants more asks again.
 pub const MAX_PAUSE: time::Duration = time::Duration::from_secs(300);
-/// Share of a pause, as a divisor, within which nodes resume at different times.
+/// Share of a pause, as a divisor, within which nodes and callers return at different times.
 const RESUME_SPREAD_DIVISOR: u32 = 5;
 /// Bounds of that time.
 const MIN_RESUME_SPREAD: time::Duration = time::Duration::from_millis(250);
@@ -181,10 +181,18 @@
 where
     Random: rand::Rng,
 {
-    if asked.is_zero() {
-        return asked;
+    with_spread(asked.min(MAX_PAUSE), random)
+}
+
+/// Adds a random time to a pause, so that not all who wait for its end return at once; nothing to
+/// none.
+pub fn with_spread<Random>(pause: time::Duration, random: &mut Random) -> time::Duration
+where
+    Random: rand::Rng,
+{
+    if pause.is_zero() {
+        return pause;
     }
-    let granted = asked.min(MAX_PAUSE);
-    let spread = (granted / RESUME_SPREAD_DIVISOR).clamp(MIN_RESUME_SPREAD, MAX_RESUME_SPREAD);
-    granted + spread.mul_f64(random.random_range(0.0..1.0))
+    let spread = (pause / RESUME_SPREAD_DIVISOR).clamp(MIN_RESUME_SPREAD, MAX_RESUME_SPREAD);
+    pause + spread.mul_f64(random.random_range(0.0..1.0))
 }
--- a/crates/comfreyspread-policy/src/endpoint_selection.rs
+++ b/crates/comfreyspread-policy/src/endpoint_selection.rs
@@ -118,7 +118,11 @@
     pub fn skipped(&self) -> SkipSummary {
         let mut summary = SkipSummary::default();
         let mut open_later = false;
-        for reason in self.of_service().filter_map(|one| self.examine(one).err()) {
+        for examined in self.of_service().map(|one| self.examine(one)) {
+            let Err(reason) = examined else {
+                open_later = true;
+                continue;
+            };
             match reason {
                 SkipReason::Leaving => summary.leaving += 1,
                 SkipReason::Paused(until) => {
--- a/crates/comfreyspread-policy/tests/endpoint_intake.rs
+++ b/crates/comfreyspread-policy/tests/endpoint_intake.rs
@@ -190,6 +190,17 @@
     assert_eq!(skipped.resumes_at, None, "a new request need not wait for the pause");
 }
 
+/// A request was refused by one endpoint while another was paused and a third open, and its caller
+/// was told the end of the pause.
+#[test]
+fn open_beside_paused() {
+    let now = time::Instant::now();
+    let mut directory = new_directory(now);
+    directory.record_notice(&"one".into(), 1, pause(3000), now);
+    let skipped = with_query(now, |query| directory.skipped(query));
+    assert_eq!((skipped.paused, skipped.resumes_at), (1, None));
+}
+
 /// Nodes that were told the same pause all returned at its end.
 #[test]
 fn resumes_spread() {
--- a/crates/comfreyspread/src/gateway/attempt_send.rs
+++ b/crates/comfreyspread/src/gateway/attempt_send.rs
@@ -173,7 +173,12 @@
             return Err(active.failed(failure, false));
         }
     };
-    check_response(plan, active, response, connection)
+    let checked = check_response(plan, active, response, connection);
+    checked.map_err(|failed| {
+        let new = AttemptInput { tried: &[], ..*input };
+        let query = endpoint_query(state, plan, &new, time::Instant::now());
+        FailedAttempt { failure: with_pause(state, &query, failed.failure), ..failed }
+    })
 }
 
 impl ActiveAttempt {
@@ -201,8 +206,7 @@
     }
 }
 
-/// Returns the failure of a request for which no endpoint is available. If a pause is all that keeps
-/// it from the service, its caller is told to retry after that.
+/// Returns the failure of a request for which no endpoint is available.
 fn no_endpoint(
     state: &state::GatewayState,
     query: &endpoint_directory::EndpointQuery<'_>,
@@ -210,9 +214,19 @@
     let skipped = state.directory.lock().skipped(query);
     let detail = format!("service {} has no endpoint to use: {skipped}", query.service);
     let failure = call_plan::CallPlan::not_run(types::ProblemKind::Unavailable, &detail);
+    with_pause(state, query, failure)
+}
+
+/// Sets the retry delay to the end of a pause, if that is all that keeps a request from its service.
+fn with_pause(
+    state: &state::GatewayState,
+    query: &endpoint_directory::EndpointQuery<'_>,
+    failure: failure::CallFailure,
+) -> failure::CallFailure {
+    let skipped = state.directory.lock().skipped(query);
     let Some(resumes_at) = skipped.resumes_at else { return failure };
     let pause = resumes_at.saturating_duration_since(query.now);
-    failure.with_retry_after(pause.max(caller_handler::RETRY_AFTER))
+    failure.with_retry_after(caller_handler::retry_after_pause(pause))
 }
 
 fn build_request(
--- a/crates/comfreyspread/src/gateway/caller_handler.rs
+++ b/crates/comfreyspread/src/gateway/caller_handler.rs
@@ -3,6 +3,7 @@
 use super::{call_plan, state, stream_run, unary_run};
 use crate::transport::{deadline, failure, http_message, http_server};
 use comfreyspread_platform::request_head;
+use comfreyspread_policy::endpoint_intake;
 use comfreyspread_schema::{ids, types};
 use futures_lite::FutureExt as _;
 use http::StatusCode;
@@ -149,6 +150,12 @@
     response
 }
 
+/// Returns the retry delay of a caller whose request is rejected for a pause of its service; callers
+/// are spread out after its end.
+pub fn retry_after_pause(pause: time::Duration) -> time::Duration {
+    endpoint_intake::with_spread(pause, &mut rand::rng()).max(RETRY_AFTER)
+}
+
 fn set_retry_after(response: &mut http_message::Response, length: time::Duration) {
     response.insert_header("retry-after", format!("{:.2}", length.as_secs_f64()));
 }
--- a/crates/comfreyspread/src/gateway/stage_execution.rs
+++ b/crates/comfreyspread/src/gateway/stage_execution.rs
@@ -1,6 +1,6 @@
 //! Runs the stages of a request.
 
-use super::{call_plan, piece_dispatch, state};
+use super::{call_plan, caller_handler, piece_dispatch, state};
 use crate::transport::failure;
 use comfreyspread_platform::piece_call;
 use comfreyspread_policy::{batch_queue, first_event, piece_group, stage_graph};
@@ -131,7 +131,8 @@
         let wait = wait.unwrap_or(MIN_RETRY_AFTER).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
         let resumes_at = self.state.directory.lock().resumes_at(service, Some(&self.region), now);
         let pause = resumes_at.map(|end| end.saturating_duration_since(now)).unwrap_or_default();
-        wait.max(pause).mul_f64(rand::rng().random_range(1.0..RETRY_AFTER_SPREAD))
+        let wait = wait.mul_f64(rand::rng().random_range(1.0..RETRY_AFTER_SPREAD));
+        wait.max(caller_handler::retry_after_pause(pause))
     }
 
     fn record_outcomes(
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -35,7 +35,7 @@
 ) -> Result<http_message::Response, failure::CallFailure> {
     let region = region_selector::select_region(state, &plan).ok_or_else(|| {
         let detail = "no region has endpoints for all parts of the request";
-        let pause = region_selector::pause_left(state, &plan).max(caller_handler::RETRY_AFTER);
+        let pause = caller_handler::retry_after_pause(region_selector::pause_left(state, &plan));
         call_plan::CallPlan::not_run(types::ProblemKind::Unavailable, detail)
             .with_retry_after(pause)
     })?;
