--- a/crates/comfreyspread/src/gateway/batcher.rs
+++ b/crates/comfreyspread/src/gateway/batcher.rs
@@ -8,8 +8,8 @@
 use crate::transport::{deadline, failure, http_client, http_message};
 use comfreyspread_platform::{piece_call, response_head};
 use comfreyspread_policy::{
-    batch_outcome, batch_queue, batch_worker, directory_endpoint, endpoint_directory, piece_group,
-    recent_results,
+    batch_outcome, batch_queue, batch_worker, directory_endpoint, endpoint_directory,
+    endpoint_selection, piece_group, recent_results,
 };
 use comfreyspread_schema::{ids, types};
 use futures_lite::FutureExt as _;
@@ -171,12 +171,13 @@
 }
 
 /// Returns whether results may be released at an endpoint: one that leaves or asked for a pause gets
-/// no request, so its results take up storage until they expire.
+/// no request, so its results take up storage until they expire. A zone that is out of service does
+/// not keep results from being released.
 fn accepts_release(state: &state::GatewayState, producer: net::SocketAddr) -> bool {
     let now = time::Instant::now();
     let directory = state.directory.lock();
     let known = directory.at(producer);
-    known.is_none_or(|one| !one.is_leaving() && one.paused_until(now).is_none())
+    known.is_none_or(|one| endpoint_selection::SkipReason::of_endpoint(one, false, now).is_none())
 }
 
 async fn send_release(
@@ -188,6 +189,7 @@
     let request = http_message::Request::from_parts(head, body.into());
     let connection = http_client::ConnectionUse::Pooled;
     let deadline = time::Instant::now() + RELEASE_TIMEOUT;
+    let process = state.directory.lock().process_at(producer);
     let framing = http_client::BodyFraming::Any;
     let held = state.client.call_held(producer, request, connection, framing, deadline).await;
     match held {
@@ -195,7 +197,13 @@
         Ok(held) if piece_call::decode_run_response(held.response().body()).is_ok() => {
             log::warn!("batcher: response to a release belongs to an earlier call");
         }
-        Ok(held) => drop(held.release()),
+        Ok(held) => {
+            if let Some((endpoint, started_at_ms)) = process {
+                let signals = response_head::decode(held.response().head());
+                endpoint_notices::record_unnamed(state, &endpoint, started_at_ms, &signals);
+            }
+            held.release();
+        }
         Err(failure) => log::debug!("batcher: results not released. error={failure}"),
     }
 }
@@ -306,26 +314,28 @@
     if let Some(reason) = withdrawn {
         log::info!(endpoint = call.endpoint.as_ref();
             "batcher: call not sent, the endpoint is no longer to be used. reason={reason:?}");
-        return batch_outcome::BatchOutcome::Gone;
+        return batch_outcome::BatchOutcome::Full;
     }
     let held = match state.client.exchange_held(connection, request, framing, deadline).await {
         Ok(held) => held,
         Err(failure) => return call_failed(call, &failure),
     };
     let signals = response_head::decode(held.response().head());
-    endpoint_notices::record(state, &call.endpoint, chosen.started_at_ms, &signals);
     let outcome = call_outcome(call, &signals, held.response());
-    let batch_outcome::BatchOutcome::Answered(outcomes) = &outcome else { return outcome };
-    match response_origin(state, scope, call, outcomes) {
-        recent_results::ResponseOrigin::ThisCall => {
-            held.release();
-        }
-        recent_results::ResponseOrigin::Unknown => {}
-        recent_results::ResponseOrigin::EarlierCall => {
-            log::warn!(endpoint = call.endpoint.as_ref();
-                "batcher: response belongs to an earlier call");
-            return batch_outcome::BatchOutcome::Failed;
+    let origin = match &outcome {
+        batch_outcome::BatchOutcome::Answered(outcomes) => {
+            response_origin(state, scope, call, outcomes)
         }
+        _ => recent_results::ResponseOrigin::Unknown,
+    };
+    if origin == recent_results::ResponseOrigin::EarlierCall {
+        log::warn!(endpoint = call.endpoint.as_ref();
+            "batcher: response belongs to an earlier call");
+        return batch_outcome::BatchOutcome::Failed;
+    }
+    endpoint_notices::record_unnamed(state, &call.endpoint, chosen.started_at_ms, &signals);
+    if origin == recent_results::ResponseOrigin::ThisCall {
+        held.release();
     }
     outcome
 }
