Print the logs of nodes when a gateway test fails

Two tests of endless answers failed once each and left no log, so neither could be traced. The nodes of a gateway test now log to a folder of that test, which is printed on failure and removed.

--- a/crates/comfreyspread-lab/tests/common/gateway.rs
+++ b/crates/comfreyspread-lab/tests/common/gateway.rs
@@ -5,11 +5,43 @@
     transport::{http_client, http_message},
 };
 use comfreyspread_lab::{fleet, fleet_request};
-use std::{net, path, time};
+use std::{env, fs, net, path, process, sync::atomic, thread, time};
 
 /// Maximum time that a test waits for a response.
 pub const RESPONSE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 
+/// Logs of the nodes of one test: printed if the test fails, then removed.
+struct NodeLogs {
+    folder: path::PathBuf,
+}
+
+impl NodeLogs {
+    fn new() -> Self {
+        static NEXT_NUMBER: atomic::AtomicU32 = atomic::AtomicU32::new(0);
+        let number = NEXT_NUMBER.fetch_add(1, atomic::Ordering::Relaxed);
+        let folder = format!("comfreyspread-node-logs-{}-{number}", process::id());
+        let folder = env::temp_dir().join(folder);
+        fs::create_dir_all(&folder).expect("a folder for logs");
+        Self { folder }
+    }
+
+    fn print(&self) {
+        for file in fs::read_dir(&self.folder).into_iter().flatten().flatten() {
+            let log = fs::read(file.path()).unwrap_or_default();
+            eprintln!("{}:\n{}", file.path().display(), String::from_utf8_lossy(&log));
+        }
+    }
+}
+
+impl Drop for NodeLogs {
+    fn drop(&mut self) {
+        if thread::panicking() {
+            self.print();
+        }
+        fs::remove_dir_all(&self.folder).ok();
+    }
+}
+
 /// Returns the executable that contains the product and its stand-ins.
 pub fn program() -> path::PathBuf {
     env!("CARGO_BIN_EXE_comfreyspread-lab").into()
@@ -55,9 +87,12 @@
     TestFuture: Future<Output = ()>,
 {
     let pool = worker::WorkerPool::new(2).expect("threads");
+    let logs = NodeLogs::new();
     super::run(async {
         let fleet = fleet::FleetStandIn::with_sample(&pool.spawner()).await;
-        test(fleet.expect("the stand-ins start")).await;
+        let mut fleet = fleet.expect("the stand-ins start");
+        fleet.set_log_folder(logs.folder.clone());
+        test(fleet).await;
     });
     pool.stop();
 }
