Collect bodies in blocks of one size

Cause: a body's buffer doubled. Once the allocator has freed a large buffer it takes the next ones from its heap, where each doubling copies the bytes and leaves a gap of the old size, so bodies took up to twice the memory that the budget charged.

--- a/crates/comfreyspread/src/transport/body.rs
+++ b/crates/comfreyspread/src/transport/body.rs
@@ -4,7 +4,10 @@
 //! announces a large body and sends little uses little of the budget.
 
 use crate::transport::http_body;
-use std::{sync, sync::atomic};
+use std::{mem, sync, sync::atomic};
+
+/// Size of the blocks that a body is collected in.
+const BLOCK_BYTES: usize = 64 * 1024;
 
 /// Why a body could not be read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -96,35 +99,84 @@
     if announced.is_some_and(|length| length > limit) {
         return Err(BodyError::TooLarge);
     }
-    let max_length = announced.unwrap_or(limit);
-    let mut bytes = Vec::new();
+    let mut blocks = BodyBlocks::new(announced.unwrap_or(limit));
     while let Some(chunk) = body.next_chunk().await {
         let chunk = chunk.map_err(|error| {
             log::debug!("body: cut short. error={error}");
             BodyError::CutShort
         })?;
-        if bytes.len() + chunk.len() > max_length {
+        blocks.append(&chunk, reservation)?;
+    }
+    Ok(blocks.join())
+}
+
+/// The bytes of a body so far, in blocks of one size, which leave no gaps in the heap. A buffer that
+/// doubles leaves one of each size that it had, and is copied, so bodies would take up to twice the
+/// memory that is charged for them.
+struct BodyBlocks {
+    full: Vec<Vec<u8>>,
+    last: Vec<u8>,
+    room: usize,
+}
+
+impl BodyBlocks {
+    /// Creates blocks for at most `max_length` bytes.
+    fn new(max_length: usize) -> Self {
+        Self { full: Vec::new(), last: Vec::new(), room: max_length }
+    }
+
+    fn append(
+        &mut self,
+        mut chunk: &[u8],
+        reservation: &mut BodyReservation,
+    ) -> Result<(), BodyError> {
+        if chunk.len() > self.room {
             return Err(BodyError::TooLarge);
         }
-        reserve(&mut bytes, chunk.len(), max_length, reservation)?;
-        bytes.extend_from_slice(&chunk);
+        while !chunk.is_empty() {
+            if self.last.len() == BLOCK_BYTES {
+                self.full.push(mem::take(&mut self.last));
+            }
+            let count = chunk.len().min(BLOCK_BYTES - self.last.len());
+            self.reserve(count, reservation)?;
+            let (head, rest) = chunk.split_at(count);
+            self.last.extend_from_slice(head);
+            self.room -= count;
+            chunk = rest;
+        }
+        Ok(())
     }
-    Ok(bytes.into())
-}
 
-/// Reserves capacity for `count` more bytes, at least doubling it up to `max_length`.
-fn reserve(
-    bytes: &mut Vec<u8>,
-    count: usize,
-    max_length: usize,
-    reservation: &mut BodyReservation,
-) -> Result<(), BodyError> {
-    let needed = bytes.len() + count;
-    if needed <= bytes.capacity() {
-        return Ok(());
+    /// Reserves capacity for `count` more bytes in the last block, at least doubling it up to the
+    /// size of a block or the rest of the body.
+    fn reserve(
+        &mut self,
+        count: usize,
+        reservation: &mut BodyReservation,
+    ) -> Result<(), BodyError> {
+        let needed = self.last.len() + count;
+        let capacity = self.last.capacity();
+        if needed <= capacity {
+            return Ok(());
+        }
+        let max_capacity = BLOCK_BYTES.min(self.last.len() + self.room);
+        let least = if self.full.is_empty() { capacity * 2 } else { max_capacity };
+        let new_capacity = needed.max(least).min(max_capacity);
+        reservation.grow(new_capacity - capacity)?;
+        self.last.reserve_exact(new_capacity - self.last.len());
+        Ok(())
+    }
+
+    fn join(self) -> bytes::Bytes {
+        if self.full.is_empty() {
+            return self.last.into();
+        }
+        let length = self.full.len() * BLOCK_BYTES + self.last.len();
+        let mut bytes = Vec::with_capacity(length);
+        for block in self.full {
+            bytes.extend_from_slice(&block);
+        }
+        bytes.extend_from_slice(&self.last);
+        bytes.into()
     }
-    let capacity = needed.max(bytes.capacity() * 2).min(max_length);
-    reservation.grow(capacity - bytes.capacity())?;
-    bytes.reserve_exact(capacity - bytes.len());
-    Ok(())
 }
