Answer the connections that arrive while a node stops

Callers saw: during a planned stop, a connection reset with no answer.

Cause, two paths. The listener closed while the kernel held connections that the node had not accepted: closing it resets them. And a connection whose first request was still on its way was closed at once.

stop_edges::arrivals_answered fails on the former code: some 400 new connections a second, each with its request 100 ms later, from SIGTERM until connections are refused: 'cut: ""'. So the server limits the queue to one connection, accepts what waits, and takes that place with a connection of its own before it closes the listener. A new connection has 500 ms for its first request once the server closes. The stop waits for the loop that accepts, not only for the connections.

Over a network a handshake in progress at that moment may still be lost; the node has been not ready for the whole grace period by then.

--- a/crates/comfreyspread-lab/src/stand_in_server.rs
+++ b/crates/comfreyspread-lab/src/stand_in_server.rs
@@ -40,7 +40,7 @@
         .into_diagnostic()
         .wrap_err_with(|| format!("cannot serve on {address}"))?;
     let bound_address = server.address().into_diagnostic()?;
-    spawner.detach(server.serve());
+    spawner.detach(async move { server.serve().await });
     Ok(bound_address)
 }
 
--- a/crates/comfreyspread-lab/tests/stop_edges.rs
+++ b/crates/comfreyspread-lab/tests/stop_edges.rs
@@ -6,13 +6,22 @@
 use comfreyspread_lab::fleet;
 use common::gateway;
 use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _};
+use futures_util::{StreamExt as _, future, stream};
 use rustix::process::Signal;
-use std::time;
+use std::{io, net, sync::atomic, time};
 
 const STEP: time::Duration = time::Duration::from_millis(300);
 /// Time for a node with nothing to do to exit; a stop that waits for its limit takes over 7 s.
 const IDLE_EXIT: time::Duration = time::Duration::from_millis(5000);
 const BODY_BYTES: usize = 1000;
+/// Pause between the connections that arrive while a node stops.
+const ARRIVAL_PAUSE: time::Duration = time::Duration::from_millis(10);
+/// Connections that arrive at once.
+const ARRIVALS_AT_ONCE: usize = 4;
+/// Time between a connection and its request.
+const REQUEST_DELAY: time::Duration = time::Duration::from_millis(100);
+/// Calls at once.
+const MAX_OPEN_CALLS: usize = 200;
 
 /// Returns the bytes of a request with a long body.
 fn request_bytes(id: &str, lines: &str) -> Vec<u8> {
@@ -98,3 +107,59 @@
         assert!(gateway::runs(&fleet, "r-2").is_empty(), "taken and not answered");
     });
 }
+
+/// Connects, sends a request a moment later and returns the answer; none if the node has closed its
+/// listener.
+async fn send_new(address: net::SocketAddr, id: String) -> Option<String> {
+    let mut stream = match TcpStream::connect(address).await {
+        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return None,
+        connected => connected.expect("a connection that was not reset"),
+    };
+    async_io::Timer::after(REQUEST_DELAY).await;
+    stream.write_all(&request_bytes(&id, "")).await.ok();
+    Some(read_rest(&mut stream).await)
+}
+
+/// Starts calls over new connections until the node refuses them, and returns their ids and answers.
+async fn send_until_refused(address: net::SocketAddr) -> Vec<(String, String)> {
+    let closed = atomic::AtomicBool::new(false);
+    let calls = stream::iter(0..).then(async |number| {
+        let pause =
+            if number % ARRIVALS_AT_ONCE == 0 { ARRIVAL_PAUSE } else { time::Duration::ZERO };
+        async_io::Timer::after(pause).await;
+        number
+    });
+    let calls = calls.take_while(|_| future::ready(!closed.load(atomic::Ordering::Relaxed)));
+    let calls = calls.map(async |number| {
+        let id = format!("r-{number}");
+        let answer = send_new(address, id.clone()).await;
+        closed.fetch_or(answer.is_none(), atomic::Ordering::Relaxed);
+        Some((id, answer?))
+    });
+    let answers = calls.buffered(MAX_OPEN_CALLS).filter_map(future::ready);
+    answers.collect().await
+}
+
+fn check_whole(answer: &str) {
+    let (head, body) = answer.split_once("\r\n\r\n").unwrap_or_else(|| panic!("cut: {answer:?}"));
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+    assert_eq!(length, Some(body.len().to_string().as_str()), "cut: {answer:?}");
+    assert!(head.starts_with("HTTP/1.1 200") || head.starts_with("HTTP/1.1 503"), "{answer}");
+}
+
+/// Connections that arrived while the node stopped were cut: those that the kernel had taken and the
+/// node had not, and those whose request came after the node had closed its listener.
+#[test]
+fn arrivals_answered() {
+    gateway::with_node(async |fleet, mut node| {
+        node.process.signal(Signal::TERM);
+        let answers = send_until_refused(node.caller_address).await;
+        assert!(answers.len() > MAX_OPEN_CALLS, "{}", answers.len());
+        for (id, answer) in &answers {
+            check_whole(answer);
+            let served = answer.starts_with("HTTP/1.1 200");
+            assert_eq!(gateway::runs(&fleet, id).len(), usize::from(served));
+        }
+        assert_eq!(node.process.wait(gateway::RESPONSE_TIMEOUT).await, Some(0));
+    });
+}
--- a/crates/comfreyspread/src/runtime/node.rs
+++ b/crates/comfreyspread/src/runtime/node.rs
@@ -118,7 +118,7 @@
         .into_diagnostic()
         .wrap_err_with(|| format!("cannot serve on {address}"))?;
     let closer = server.shutdown_handle();
-    context.spawner.detach(server.serve());
+    context.spawner.detach(async move { server.serve().await });
     Ok(closer)
 }
 
@@ -151,8 +151,7 @@
 {
     let finished = async {
         async_io::Timer::after(context.settings.grace_period).await;
-        closer.close();
-        closer.wait_idle().await;
+        closer.drain().await;
         context.active_requests.wait_idle().await;
         true
     };
--- a/crates/comfreyspread/src/transport/http_server.rs
+++ b/crates/comfreyspread/src/transport/http_server.rs
@@ -8,14 +8,21 @@
     transport::{activity_counter, body, deadline, http_body, http_message, server_stream},
 };
 use async_net::TcpStream;
-use futures_lite::{AsyncWriteExt as _, FutureExt as _, io};
+use futures_lite::{AsyncWriteExt as _, FutureExt as _, future, io};
 use hyper::{server::conn::http1, service};
-use std::{convert, future, net, pin, sync, task, time};
+use std::{convert, net, pin, sync, task, time};
 
 const BUSY_RESPONSE: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\ncomfreyspread-verdict: not-run\r\n\
 retry-after: 1\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 
+/// Rounds in which a server that closes accepts the connections that arrived.
+const LAST_ACCEPTS: u32 = 20;
+/// Maximum wait for the server's own connection in such a round.
+const LAST_ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(10);
+/// Maximum wait for the first request of a connection once the server closes.
+const FIRST_REQUEST_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+
 /// A request whose body has been read.
 #[derive(Debug)]
 pub struct ServerRequest {
@@ -155,6 +162,8 @@
     budget: sync::Arc<body::BodyBudget>,
     listener: async_net::TcpListener,
     spawner: worker::TaskSpawner,
+    /// Loops that accept connections.
+    accepting: sync::Arc<activity_counter::ActivityCounter>,
     connections: sync::Arc<activity_counter::ActivityCounter>,
     shutdown_receiver: async_channel::Receiver<()>,
     shutdown_sender: async_channel::Sender<()>,
@@ -164,6 +173,7 @@
 #[derive(Clone, Debug)]
 pub struct ShutdownHandle {
     shutdown_sender: async_channel::Sender<()>,
+    accepting: sync::Arc<activity_counter::ActivityCounter>,
     connections: sync::Arc<activity_counter::ActivityCounter>,
 }
 
@@ -182,6 +192,13 @@
     pub async fn wait_idle(&self) {
         self.connections.wait_idle().await;
     }
+
+    /// Closes the server and waits until it has accepted and served the last connection.
+    pub async fn drain(&self) {
+        self.close();
+        self.accepting.wait_idle().await;
+        self.wait_idle().await;
+    }
 }
 
 impl<Handler> HttpServer<Handler>
@@ -209,6 +226,7 @@
             budget,
             listener,
             spawner,
+            accepting: sync::Arc::default(),
             connections,
             shutdown_receiver,
             shutdown_sender,
@@ -228,12 +246,14 @@
     pub fn shutdown_handle(&self) -> ShutdownHandle {
         ShutdownHandle {
             shutdown_sender: self.shutdown_sender.clone(),
+            accepting: self.accepting.clone(),
             connections: self.connections.clone(),
         }
     }
 
-    /// Serves connections until closed.
-    pub async fn serve(self) {
+    /// Serves connections until closed, also those that wait to be accepted by then.
+    pub async fn serve(&self) {
+        let _accepting = self.accepting.track();
         loop {
             let accepted = async { Some(self.listener.accept().await) };
             let closed = async {
@@ -246,9 +266,35 @@
                     log::warn!("http: accept failed. error={error}");
                     deadline::DeadlineTimer::after(time::Duration::from_millis(10)).await;
                 }
-                None => return,
+                None => break,
             }
         }
+        if let Err(error) = self.accept_last().await {
+            log::warn!("http: last connections may be reset. error={error}");
+        }
+    }
+
+    /// Accepts the connections that the kernel holds for the listener, which resets them when it
+    /// closes.
+    ///
+    /// Others arrive until then, so the queue is limited to one connection and a connection of this
+    /// server's own takes that place.
+    async fn accept_last(&self) -> io::Result<()> {
+        let address = self.address()?;
+        rustix::net::listen(&self.listener, 0)?;
+        for _ in 0..LAST_ACCEPTS {
+            while let Some(accepted) = future::poll_once(self.listener.accept()).await {
+                self.start_connection(accepted?.0);
+            }
+            let timed_out = async {
+                deadline::DeadlineTimer::after(LAST_ACCEPT_PAUSE).await;
+                Err(io::ErrorKind::TimedOut.into())
+            };
+            if TcpStream::connect(address).or(timed_out).await.is_ok() {
+                return Ok(());
+            }
+        }
+        Err(io::ErrorKind::TimedOut.into())
     }
 
     fn start_connection(&self, stream: TcpStream) {
@@ -335,6 +381,13 @@
         if let Some(result) = result.or(closed).await {
             return result;
         }
+        // The first request of a new connection may be on its way.
+        if !handled.is_set() {
+            let mut timer = deadline::DeadlineTimer::after(FIRST_REQUEST_TIMEOUT);
+            if let Some(result) = deadline::with_timer(&mut timer, connection.as_mut()).await {
+                return result;
+            }
+        }
         connection.as_mut().graceful_shutdown();
         connection.await
     }
--- a/crates/comfreyspread/tests/http_framing.rs
+++ b/crates/comfreyspread/tests/http_framing.rs
@@ -42,7 +42,7 @@
     let server = http_server::HttpServer::new(address, handler, limits, pool.spawner()).await;
     let server = server.expect("a free port");
     let address = server.address().expect("an address");
-    pool.spawner().detach(server.serve());
+    pool.spawner().detach(async move { server.serve().await });
     address
 }
 
--- a/crates/comfreyspread/tests/panicking_tasks.rs
+++ b/crates/comfreyspread/tests/panicking_tasks.rs
@@ -59,7 +59,7 @@
         let server = server.await.expect("a free port");
         let address = server.address().expect("an address");
         let closer = server.shutdown_handle();
-        pool.spawner().detach(server.serve());
+        pool.spawner().detach(async move { server.serve().await });
         for _ in 0..3 {
             assert_eq!(send(address, "/panic").await, "");
             assert!(send(address, "/").await.starts_with("HTTP/1.1 200"));
