Start tasks that run for ever again after a panic

Here a panic ended the task that met it. For heartbeats, table readers, pollers, a service's batcher, the writer of claims and the loops that accept connections that was for good: the node went on without them, and ready.

These tasks are now supervised: the panic is logged, the task starts again after a pause that doubles from 100 ms to 5 s and is short again after a minute without one. A stage call that panics has failed; before, it occupied its endpoint for good.

No test panics within a real node.

--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -17,7 +17,7 @@
 //!   [`concurrency_limit`], [`circuit_breaker`], [`outlier`], [`endpoint_selector`], [`latency`].
 //! - Members and ownership: [`membership`] with [`member_dissemination`],
 //!   [`member_digest`], [`probe_ring`] and [`prober_health`], [`connectivity`], [`rendezvous`], [`ownership`],
-//!   [`ownership_release`], [`ownership_status`], [`leaving_vms`], [`node_lifecycle`].
+//!   [`ownership_release`], [`ownership_status`], [`leaving_vms`], [`node_lifecycle`], [`task_restart`].
 //! - Configuration: [`validation`], [`catalog`], [`change`], [`acceptance`], [`delta`], [`poller`].
 //!
 //! ```
@@ -90,6 +90,7 @@
 pub mod table_freshness;
 pub mod table_mirror;
 pub mod table_source;
+pub mod task_restart;
 pub mod timing;
 pub mod validation;
 pub mod verdict;
--- a/crates/comfreyspread/src/claims/claim_write_queue.rs
+++ b/crates/comfreyspread/src/claims/claim_write_queue.rs
@@ -4,7 +4,7 @@
 //! with the other queued writes, so the transaction rate of a node is bounded by the latency of the
 //! store and does not grow with the load. No write is delayed to fill a group.
 
-use crate::runtime::{context, lock_rank};
+use crate::runtime::{context, lock_rank, node};
 use comfreyspread_policy::{claim, write_group};
 use comfreyspread_schema::types;
 use std::sync;
@@ -60,7 +60,7 @@
         starts_sender
     };
     if starts_sender {
-        context.spawner.detach(send_groups(context.clone()));
+        node::supervise(context, "claim-writer", send_groups);
     }
     outcome.recv().await.unwrap_or(claim::StoreEvent::Unknown)
 }
--- a/crates/comfreyspread/src/gateway/batcher.rs
+++ b/crates/comfreyspread/src/gateway/batcher.rs
@@ -5,7 +5,10 @@
 //! endpoint changes wake it. [`batch_queue`] makes the decisions.
 
 use super::{endpoint_notices, state};
-use crate::transport::{deadline, http_client, http_message};
+use crate::{
+    runtime::supervisor,
+    transport::{deadline, http_client, http_message},
+};
 use comfreyspread_platform::{piece_call, response_head};
 use comfreyspread_policy::{
     batch_outcome, batch_queue, batch_worker, directory_endpoint, piece_group, recent_results,
@@ -125,7 +128,10 @@
     let mut batchers = state.batchers.lock();
     let batcher = batchers.scopes.entry(scope.clone()).or_insert_with(|| {
         let (wake, wakeups) = async_channel::bounded(1);
-        state.context.spawner.detach(run_scope(state.clone(), scope.clone(), wakeups));
+        let (task_state, task_scope) = (state.clone(), scope.clone());
+        supervisor::supervise(&state.context.spawner, "batcher", move || {
+            run_scope(task_state.clone(), task_scope.clone(), wakeups.clone())
+        });
         let queue = batch_queue::BatchQueue::new(capacity.clone());
         let results = recent_results::RecentResults::default();
         ServiceBatcher { queue, results, waiting: IndexMap::new(), wake }
@@ -265,7 +271,9 @@
     call: batch_queue::PlannedCall,
 ) {
     let started = time::Instant::now();
-    let outcome = send_call(state, scope, &call).await;
+    // A call without an outcome would occupy its endpoint for good.
+    let outcome = supervisor::run_caught(send_call(state, scope, &call)).await;
+    let outcome = outcome.unwrap_or(batch_outcome::BatchOutcome::Failed);
     let now = time::Instant::now();
     let elapsed = now.saturating_duration_since(started);
     let completed = outcome.completed();
--- a/crates/comfreyspread/src/gateway/process.rs
+++ b/crates/comfreyspread/src/gateway/process.rs
@@ -6,7 +6,7 @@
 };
 use crate::{
     membership::{crash_notice, heartbeat, peer},
-    runtime::{context, logging, node, settings, worker},
+    runtime::{context, logging, node, settings, supervisor, worker},
     transport::http_server,
 };
 use async_signal::{Signal, Signals};
@@ -129,12 +129,16 @@
     let extension = sync::Arc::new(piece_dispatch::PieceExtension::new(state.clone()));
     let handler = peer::PeerHandler::new(context.clone()).with_extension(extension);
     let peers = node::start_peer_server(context, handler).await?;
-    context.spawner.detach(heartbeat::run(context.clone()));
-    context.spawner.detach(crash_notice::run(context.clone()));
-    let routes = table_watcher::watch(state.clone(), route_watcher::RouteWatcher);
-    context.spawner.detach(routes);
-    let endpoints = table_watcher::watch(state.clone(), endpoint_watcher::EndpointWatcher);
-    context.spawner.detach(endpoints);
+    node::supervise(context, "heartbeat", heartbeat::run);
+    node::supervise(context, "crash-notice", crash_notice::run);
+    let task_state = state.clone();
+    supervisor::supervise(&context.spawner, "route-watcher", move || {
+        table_watcher::watch(task_state.clone(), route_watcher::RouteWatcher)
+    });
+    let task_state = state.clone();
+    supervisor::supervise(&context.spawner, "endpoint-watcher", move || {
+        table_watcher::watch(task_state.clone(), endpoint_watcher::EndpointWatcher)
+    });
     log::info!(node = context.settings.node.as_ref(), zone = context.settings.zone.as_ref();
         "gateway: started");
     let starting = node_lifecycle::NodeLifecycle::new();
--- a/crates/comfreyspread/src/runtime/node.rs
+++ b/crates/comfreyspread/src/runtime/node.rs
@@ -5,7 +5,7 @@
     ingress::front,
     membership::{heartbeat, peer, vm_poller},
     ownership::scheduler_sync,
-    runtime::{context, settings, worker},
+    runtime::{context, settings, supervisor, worker},
     transport::http_server,
 };
 use async_signal::{Signal, Signals};
@@ -38,9 +38,9 @@
     let mut signals = Signals::new([Signal::Int, Signal::Term]).into_diagnostic()?;
     let callers = start_caller_server(&context).await?;
     let peers = start_peer_server(&context, peer::PeerHandler::new(context.clone())).await?;
-    context.spawner.detach(scheduler_sync::run(context.clone()));
-    context.spawner.detach(vm_poller::run(context.clone()));
-    context.spawner.detach(heartbeat::run(context.clone()));
+    supervise(&context, "scheduler-sync", scheduler_sync::run);
+    supervise(&context, "vm-poller", vm_poller::run);
+    supervise(&context, "heartbeat", heartbeat::run);
     let starting = node_lifecycle::NodeLifecycle::new();
     log::info!(node = context.settings.node.as_ref(); "node: started");
     let configured = async {
@@ -52,8 +52,8 @@
         false
     };
     let draining = if configured.or(stopped).await {
-        context.spawner.detach(distribution::poll(context.clone()));
-        context.spawner.detach(distribution::run_fetcher(context.clone()));
+        supervise(&context, "configuration-poller", distribution::poll);
+        supervise(&context, "configuration-fetcher", distribution::run_fetcher);
         let serving = starting.serve();
         set_phase(&context, serving.phase());
         signals.next().await;
@@ -72,6 +72,16 @@
     Ok(if all_finished { process::ExitCode::SUCCESS } else { process::ExitCode::FAILURE })
 }
 
+/// Starts a task that runs until the process ends, and starts it again if it panics.
+pub fn supervise<Run, Task>(context: &sync::Arc<context::NodeContext>, name: &'static str, run: Run)
+where
+    Run: Fn(sync::Arc<context::NodeContext>) -> Task + Send + 'static,
+    Task: Future<Output = ()> + Send + 'static,
+{
+    let task_context = context.clone();
+    supervisor::supervise(&context.spawner, name, move || run(task_context.clone()));
+}
+
 async fn start_caller_server(
     context: &sync::Arc<context::NodeContext>,
 ) -> miette::Result<http_server::ShutdownHandle> {
@@ -118,7 +128,11 @@
         .into_diagnostic()
         .wrap_err_with(|| format!("cannot serve on {address}"))?;
     let closer = server.shutdown_handle();
-    context.spawner.detach(async move { server.serve().await });
+    let server = sync::Arc::new(server);
+    supervisor::supervise(&context.spawner, "server", move || {
+        let server = server.clone();
+        async move { server.serve().await }
+    });
     Ok(closer)
 }
 
--- a/crates/comfreyspread/tests/panicking_tasks.rs
+++ b/crates/comfreyspread/tests/panicking_tasks.rs
@@ -2,14 +2,16 @@
 
 use async_net::TcpStream;
 use comfreyspread::{
-    runtime::{lock_rank, logging, worker},
+    runtime::{lock_rank, logging, supervisor, worker},
     transport::{http_message, http_server},
 };
-use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _};
+use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, FutureExt as _};
 use http::StatusCode;
 use std::{sync, time};
 
 const BODY_LIMIT: usize = 1000;
+/// Pause of a task after its first panic.
+const MIN_PAUSE: time::Duration = time::Duration::from_millis(100);
 const TIMEOUT: time::Duration = time::Duration::from_secs(5);
 
 /// Panics on the path `/panic` while it holds a lock.
@@ -105,3 +107,33 @@
     let told = lines.iter().any(|line| line.contains("ERROR") && line.contains("told to"));
     assert!(told, "{lines:?}");
 }
+
+/// A panic in a task that the process needs, such as that of the heartbeats, ended it for good.
+#[test]
+fn task_restarted() {
+    let pool = worker::WorkerPool::new(1).expect("a thread");
+    let (sender, starts) = async_channel::unbounded();
+    let started = time::Instant::now();
+    let mut count = 0;
+    supervisor::supervise(&pool.spawner(), "panicking", move || {
+        count += 1;
+        let (number, sender) = (count, sender.clone());
+        async move {
+            sender.try_send(number).expect("an open channel");
+            assert!(number > 3, "told to");
+        }
+    });
+    let restarts = async {
+        [starts.recv().await, starts.recv().await, starts.recv().await, starts.recv().await]
+    };
+    let timed_out = async {
+        async_io::Timer::after(TIMEOUT).await;
+        panic!("not started again");
+    };
+    let numbers = async_io::block_on(restarts.or(timed_out));
+    assert_eq!(numbers, [Ok(1), Ok(2), Ok(3), Ok(4)]);
+    assert!(started.elapsed() > 3 * MIN_PAUSE, "started again without a pause");
+    // The task has completed: it is not started once more.
+    assert!(async_io::block_on(starts.recv()).is_err());
+    pool.stop();
+}
