End a stream at the head of another response

Callers saw: the head and the events of a second response in the middle of their stream, taken for events, as operators of similar systems report. It happens where a stream is delimited by the end of its connection: the bytes of the second head are then part of the body, its blank line ends an 'event', and events that were forwarded before are dropped, so the stream looked complete.

faulty_answers::second_head fails on the former code (the caller's body holds 'HTTP/1.1 200 OK'). A line that starts with 'HTTP/1.' is no line of an event: the events before it are forwarded, the connection is closed, and the stream resumes at another endpoint where that is allowed. A head that starts in the middle of a line is not told from text.

--- a/crates/comfreyspread-lab/tests/common/scripted_endpoint.rs
+++ b/crates/comfreyspread-lab/tests/common/scripted_endpoint.rs
@@ -15,6 +15,9 @@
 /// Time for the node to read an answer before its connection is reset.
 const RESET_DELAY: time::Duration = time::Duration::from_millis(100);
 
+/// Time after an answer at which late bytes are sent.
+pub const LATE_DELAY: time::Duration = time::Duration::from_millis(100);
+
 /// What becomes of the connection after an answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AnswerEnd {
@@ -44,6 +47,8 @@
 pub struct ScriptedAnswer {
     /// Bytes.
     pub bytes: Vec<u8>,
+    /// Bytes sent a moment later.
+    pub late: Vec<u8>,
     /// What follows.
     pub end: AnswerEnd,
 }
@@ -51,7 +56,12 @@
 impl ScriptedAnswer {
     /// Creates an answer after which the connection is kept.
     pub fn new(bytes: impl Into<Vec<u8>>) -> Self {
-        Self { bytes: bytes.into(), end: AnswerEnd::Keep }
+        Self { bytes: bytes.into(), late: Vec::new(), end: AnswerEnd::Keep }
+    }
+
+    /// Sets bytes that follow a moment later, while no request is in progress.
+    pub fn with_late(self, late: impl Into<Vec<u8>>) -> Self {
+        Self { late: late.into(), ..self }
     }
 
     /// Sets what becomes of the connection.
@@ -135,6 +145,11 @@
             if stream.write_all(&answer.bytes).await.is_err() {
                 return;
             }
+            if !answer.late.is_empty() {
+                async_io::Timer::after(LATE_DELAY).await;
+                // The client may have closed the connection; the next read then ends.
+                stream.write_all(&answer.late).await.ok();
+            }
             match answer.end {
                 AnswerEnd::Keep => {}
                 AnswerEnd::Close => return,
--- a/crates/comfreyspread-lab/tests/faulty_answers.rs
+++ b/crates/comfreyspread-lab/tests/faulty_answers.rs
@@ -10,7 +10,7 @@
 use comfreyspread_lab::fleet;
 use common::{
     gateway,
-    scripted_endpoint::{AnswerEnd, ScriptedAnswer, ScriptedEndpoint, ScriptedRequest},
+    scripted_endpoint::{AnswerEnd, LATE_DELAY, ScriptedAnswer, ScriptedEndpoint, ScriptedRequest},
 };
 use std::time;
 
@@ -139,6 +139,81 @@
     check_kept(|| answer("r-1", "r-1"));
 }
 
+/// Sends a request whose answer is followed by `late` while its connection is idle, then others,
+/// which get their own answers on another connection.
+fn check_idle(late: fn(&str) -> String) {
+    let script = move |request: &ScriptedRequest| {
+        let whole = ScriptedAnswer::new(answer(&request.id, &request.id));
+        if request.number == 0 { whole.with_late(late(&request.id)) } else { whole }
+    };
+    with_script(PLAIN, 1, script, async |_fleet, node, endpoint| {
+        assert_eq!(send(&node, "/read/", "r-1").await, (200, "r-1".into()));
+        async_io::Timer::after(3 * LATE_DELAY).await;
+        assert_eq!(send(&node, "/read/", "r-2").await, (200, "r-2".into()));
+        assert_eq!(endpoint.connections(), 2, "a connection with bytes of no request was used");
+        assert_eq!(send(&node, "/write/", "r-3").await, (200, "r-3".into()));
+    });
+}
+
+/// A second copy of an answer that arrives between two requests costs its connection, no request.
+#[test]
+fn idle_answer() {
+    check_idle(|id| answer(id, id));
+}
+
+/// A refusal that arrives between two requests refuses none.
+#[test]
+fn idle_refusal() {
+    check_idle(refusal);
+}
+
+/// A part of a head that arrives between two requests does not become the start of an answer.
+#[test]
+fn idle_head() {
+    check_idle(|_| "HTTP/1.1 200 OK\r\nX-Part: ".into());
+}
+
+/// A refusal that follows the whole answer of a request that may not be repeated, at once or late,
+/// changes neither that answer nor the next request's.
+#[test]
+fn refusal_after_answer() {
+    let script = |request: &ScriptedRequest| {
+        let whole = answer(&request.id, &request.id);
+        if request.number == 0 {
+            ScriptedAnswer::new(whole + &refusal(&request.id)).with_late(refusal(&request.id))
+        } else {
+            ScriptedAnswer::new(whole)
+        }
+    };
+    with_script(PLAIN, 2, script, async |_fleet, node, endpoint| {
+        assert_eq!(send(&node, "/write/", "r-1").await, (200, "r-1".into()));
+        assert_eq!(send(&node, "/write/", "r-2").await, (200, "r-2".into()));
+        assert_eq!(endpoint.requests(), 2, "a request that ran was sent again");
+    });
+}
+
+/// A stream that breaks off and continues with a second head and other events, late, is resumed
+/// elsewhere; nothing of that head reaches the caller.
+#[test]
+fn second_head() {
+    let script = |request: &ScriptedRequest| {
+        if request.number > 0 {
+            return ScriptedAnswer::new(stream_head(&request.id) + &events(3..=EVENTS))
+                .with_end(AnswerEnd::Close);
+        }
+        let late = stream_head(&request.id) + &events(1..=EVENTS);
+        ScriptedAnswer::new(stream_head(&request.id) + &events(1..=2))
+            .with_late(late)
+            .with_end(AnswerEnd::Close)
+    };
+    with_script(ENGINE, 2, script, async |_fleet, node, _endpoint| {
+        let (status, body) = send(&node, "/chat/", "r-1").await;
+        assert!(!body.contains("HTTP/1.1") && !body.contains("Response-Stamp"), "{body}");
+        assert_eq!(status, 200);
+        assert_eq!(body.matches("data: ").count(), EVENTS, "{body}");
+    });
+}
+
 /// An answer without an id may be of an earlier request on a kept connection.
 #[test]
 fn unnamed_answer() {
--- a/crates/comfreyspread-policy/src/event_buffer.rs
+++ b/crates/comfreyspread-policy/src/event_buffer.rs
@@ -16,6 +16,8 @@
 const EVENT_ENDS: [&[u8]; 2] = [b"\n\n", b"\r\n\r\n"];
 const ID_FIELD: &[u8] = b"id:";
 const DATA_FIELD: &[u8] = b"data";
+/// Start of the head of a response, which no line of an event has.
+const HEAD_START: &[u8] = b"HTTP/1.";
 
 /// One complete event.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -31,6 +33,12 @@
     pub fn has_data(&self) -> bool {
         self.bytes.split(|byte| *byte == b'\n').any(|line| line.starts_with(DATA_FIELD))
     }
+
+    /// Whether a line is the start of a response: an endpoint in trouble may write another one in
+    /// the middle of its stream.
+    pub fn has_response_head(&self) -> bool {
+        self.bytes.split(|byte| *byte == b'\n').any(|line| line.starts_with(HEAD_START))
+    }
 }
 
 /// How far one attempt at a stream has come.
--- a/crates/comfreyspread-policy/tests/event_buffer.rs
+++ b/crates/comfreyspread-policy/tests/event_buffer.rs
@@ -49,3 +49,11 @@
         assert!(stream.starts_with(&bytes));
     });
 }
+
+/// The head of another response within a stream is not an event.
+#[test]
+fn second_head() {
+    let (found, _) = events(b"id: 1\ndata: HTTP/1.1\n\nHTTP/1.1 500 Error\r\nx: y\r\n\r\n", &[]);
+    let heads: Vec<_> = found.iter().map(|event| event.has_response_head()).collect();
+    assert_eq!(heads, [false, true]);
+}
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -251,7 +251,9 @@
             if buffer.len() > MAX_EVENT_BYTES {
                 return Err(io::Error::other("an event is too long"));
             }
-            let events = buffer.take_events();
+            let mut events = buffer.take_events();
+            let second_head = events.iter().position(|event| event.has_response_head());
+            events.truncate(second_head.unwrap_or(events.len()));
             if progress.record(&events) {
                 if !started.active.has_events {
                     started.active.has_events = true;
@@ -264,6 +266,10 @@
             if !bytes.is_empty() && sender.send(Ok(bytes.into())).await.is_err() {
                 return Err(io::ErrorKind::BrokenPipe.into());
             }
+            if second_head.is_some() {
+                let detail = "another response follows within the stream";
+                return Err(io::Error::new(io::ErrorKind::InvalidData, detail));
+            }
         }
         if buffer.is_empty() {
             return Ok(());
