Keep every store answer late in the test of an abandoned insert

Cause, in the test: the store delays each answer by 400 ms and loses only those to writes; the node gives up on a read after 300 ms. A node that is not scheduled for 100 ms finds answer and timeout at once and takes the answer, so it reads its own claim back, holds it and runs the request: true, and run once.

The delay is now 1500 ms: no read is answered in time, and the insert still takes effect before the time to acquire the claim, 3 s, is over. The asserts are unchanged.

--- a/crates/comfreyspread-lab/tests/claims.rs
+++ b/crates/comfreyspread-lab/tests/claims.rs
@@ -243,7 +243,8 @@
     common::run(async {
         let deployment = start_nodes(2).await;
         let slow = types::StoreFaults {
-            delay: time::Duration::from_millis(400),
+            // Far above the store timeout, so that no read is answered; below the time to acquire.
+            delay: time::Duration::from_millis(1500),
             lose_answers: true,
             ..types::StoreFaults::default()
         };
