Share the sockets of the tests' scripted endpoints

raw_endpoint, scripted_endpoint and scripted_stream each accepted connections, registered a row and read a request up to its id. common/endpoint_socket does each once; the three keep what they script. A request is now read with its body by all three. No assert changed.

--- a/crates/comfreyspread-lab/tests/common/mod.rs
+++ b/crates/comfreyspread-lab/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Small deployments of separate processes, and calls for tests.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod endpoint_socket;
 pub mod gateway;
 pub mod raw_endpoint;
 pub mod scripted_endpoint;
--- a/crates/comfreyspread-lab/tests/common/raw_endpoint.rs
+++ b/crates/comfreyspread-lab/tests/common/raw_endpoint.rs
@@ -1,16 +1,17 @@
 //! Endpoint whose response never ends, written as raw bytes.
 
-use async_net::{TcpListener, TcpStream};
+use super::endpoint_socket;
+use async_net::TcpStream;
 use comfreyspread::runtime::worker;
 use comfreyspread_lab::fleet;
-use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _};
+use futures_lite::AsyncWriteExt as _;
 use std::{
-    net,
     sync::{self, atomic},
     time,
 };
 
 const CHUNK_BYTES: usize = 16 * 1024;
+const SLOTS: u32 = 4;
 /// Pause between the bytes of a response that drips.
 const DRIP_PAUSE: time::Duration = time::Duration::from_millis(250);
 
@@ -42,7 +43,6 @@
 /// An endpoint and what was sent on its connections.
 #[derive(Clone, Debug)]
 pub struct RawEndpoint {
-    pub address: net::SocketAddr,
     /// Bytes of responses written.
     pub written: sync::Arc<atomic::AtomicUsize>,
     /// Connections that the client closed.
@@ -58,33 +58,22 @@
         service: &str,
         replaced: &[&str],
     ) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let endpoint = Self {
-            address: listener.local_addr().expect("an address"),
-            written: sync::Arc::default(),
-            closed: sync::Arc::default(),
-        };
+        let endpoint = Self { written: sync::Arc::default(), closed: sync::Arc::default() };
         let server = endpoint.clone();
-        let task_spawner = spawner.clone();
-        spawner.detach(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let server = server.clone();
-                task_spawner.detach(async move { server.serve(stream, endless).await });
-            }
-        });
-        for name in replaced {
-            fleet.set_row("servers", name, None);
-        }
-        let registration = serde_json::json!({
-            "service": service, "address": endpoint.address, "zone": "a", "slots": 4,
-            "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1,
+        let address = endpoint_socket::listen(spawner, move |stream| {
+            let server = server.clone();
+            async move { server.serve(stream, endless).await }
         });
-        fleet.set_row("servers", "raw-1", Some(&registration.to_string()));
+        let address = address.await;
+        endpoint_socket::unregister(fleet, replaced);
+        endpoint_socket::register(fleet, "raw-1", service, address, SLOTS);
         endpoint
     }
 
     async fn serve(&self, mut stream: TcpStream, endless: Endless) {
-        let Some(id) = read_request_id(&mut stream).await else { return };
+        let request = endpoint_socket::read_request(&mut stream, &mut Vec::new()).await;
+        let id = request.map(|request| request.id).filter(|id| !id.is_empty());
+        let Some(id) = id else { return };
         let head = format!("HTTP/1.1 200 OK\r\nResponse-Stamp: raw-1\r\nRequest-Id: {id}\r\n");
         let first = match endless {
             Endless::Head | Endless::DrippingHead => head,
@@ -126,16 +115,3 @@
         Endless::DrippingEvent => b"1\r\nx\r\n".to_vec(),
     }
 }
-
-/// Reads a request up to the end of its head and returns its id.
-pub async fn read_request_id(stream: &mut TcpStream) -> Option<String> {
-    let mut head = Vec::new();
-    let mut buffer = [0; 1024];
-    while !head.windows(4).any(|window| window == b"\r\n\r\n") {
-        let length = stream.read(&mut buffer).await.ok().filter(|length| *length > 0)?;
-        head.extend_from_slice(&buffer[..length]);
-    }
-    let text = String::from_utf8_lossy(&head).to_lowercase();
-    let id = text.lines().find_map(|line| line.strip_prefix("request-id:"))?;
-    Some(id.trim().to_owned())
-}
--- a/crates/comfreyspread-lab/tests/common/scripted_endpoint.rs
+++ b/crates/comfreyspread-lab/tests/common/scripted_endpoint.rs
@@ -1,9 +1,10 @@
 //! Endpoint whose answers a test writes as raw bytes, one per request.
 
-use async_net::{TcpListener, TcpStream};
+use super::endpoint_socket;
+use async_net::TcpStream;
 use comfreyspread::runtime::worker;
 use comfreyspread_lab::fleet;
-use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _};
+use futures_lite::AsyncWriteExt as _;
 use rustix::net::sockopt;
 use std::{
     net,
@@ -11,7 +12,7 @@
     time,
 };
 
-const READ_BUFFER_BYTES: usize = 4096;
+const SLOTS: u32 = 4;
 /// Time for the node to read an answer before its connection is reset.
 const RESET_DELAY: time::Duration = time::Duration::from_millis(100);
 
@@ -98,17 +99,11 @@
             requests: sync::Arc::default(),
             connections: sync::Arc::default(),
         };
-        for name in replaced {
-            fleet.set_row("servers", name, None);
-        }
+        endpoint_socket::unregister(fleet, replaced);
         for number in 0..count {
             let address = endpoint.listen(spawner).await;
-            let registration = serde_json::json!({
-                "service": service, "address": address, "zone": "a", "slots": 4,
-                "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1,
-            });
             let name = format!("scripted-{number}");
-            fleet.set_row("servers", &name, Some(&registration.to_string()));
+            endpoint_socket::register(fleet, &name, service, address, SLOTS);
         }
         endpoint
     }
@@ -124,23 +119,21 @@
     }
 
     async fn listen(&self, spawner: &worker::TaskSpawner) -> net::SocketAddr {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let address = listener.local_addr().expect("an address");
-        let (server, task_spawner) = (self.clone(), spawner.clone());
-        spawner.detach(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                server.connections.fetch_add(1, atomic::Ordering::Relaxed);
-                let server = server.clone();
-                task_spawner.detach(async move { server.serve(stream).await });
-            }
+        let server = self.clone();
+        let address = endpoint_socket::listen(spawner, move |stream| {
+            server.connections.fetch_add(1, atomic::Ordering::Relaxed);
+            let server = server.clone();
+            async move { server.serve(stream).await }
         });
-        address
+        address.await
     }
 
     async fn serve(&self, mut stream: TcpStream) {
         let mut received = Vec::new();
-        while let Some(mut request) = read_request(&mut stream, &mut received).await {
-            request.number = self.requests.fetch_add(1, atomic::Ordering::Relaxed);
+        while let Some(request) = endpoint_socket::read_request(&mut stream, &mut received).await {
+            let number = self.requests.fetch_add(1, atomic::Ordering::Relaxed);
+            let endpoint_socket::ReceivedRequest { id, path, body } = request;
+            let request = ScriptedRequest { id, path, body, number };
             let answer = (self.script)(&request);
             if stream.write_all(&answer.bytes).await.is_err() {
                 return;
@@ -163,37 +156,3 @@
         }
     }
 }
-
-/// Reads one request; returns none once the connection has ended.
-async fn read_request(stream: &mut TcpStream, received: &mut Vec<u8>) -> Option<ScriptedRequest> {
-    let head_end = loop {
-        if let Some(end) = received.windows(4).position(|window| window == b"\r\n\r\n") {
-            break end + 4;
-        }
-        read_more(stream, received).await?;
-    };
-    let head = String::from_utf8_lossy(&received[..head_end]).into_owned();
-    let length = header(&head, "content-length").and_then(|value| value.parse().ok()).unwrap_or(0);
-    while received.len() < head_end + length {
-        read_more(stream, received).await?;
-    }
-    let body = received[head_end..head_end + length].to_vec();
-    received.drain(..head_end + length);
-    let path = head.split(' ').nth(1).unwrap_or_default().to_owned();
-    let id = header(&head, "request-id").unwrap_or_default();
-    Some(ScriptedRequest { id, path, body, number: 0 })
-}
-
-async fn read_more(stream: &mut TcpStream, received: &mut Vec<u8>) -> Option<()> {
-    let mut buffer = [0; READ_BUFFER_BYTES];
-    let count = stream.read(&mut buffer).await.ok().filter(|count| *count > 0)?;
-    received.extend_from_slice(&buffer[..count]);
-    Some(())
-}
-
-fn header(head: &str, name: &str) -> Option<String> {
-    head.lines().find_map(|line| {
-        let (key, value) = line.split_once(':')?;
-        key.eq_ignore_ascii_case(name).then(|| value.trim().to_owned())
-    })
-}
--- a/crates/comfreyspread-lab/tests/common/scripted_stream.rs
+++ b/crates/comfreyspread-lab/tests/common/scripted_stream.rs
@@ -1,7 +1,7 @@
 //! Endpoints that answer each attempt at a request with bytes that the test wrote down.
 
-use super::{gateway, raw_endpoint};
-use async_net::{TcpListener, TcpStream};
+use super::{endpoint_socket, gateway};
+use async_net::TcpStream;
 use comfreyspread::{
     runtime::worker,
     transport::{failure, http_client},
@@ -21,6 +21,7 @@
 const ALL_EVENTS: [&str; 6] = ["e1", "e2", "e3", "e4", "e5", "e6"];
 /// Endpoints, as many as a request may be sent to in these tests.
 const ENDPOINTS: u64 = 3;
+const SLOTS: u32 = 400;
 
 /// One step of an answer.
 #[derive(Clone, Debug)]
@@ -73,9 +74,7 @@
         count: u64,
         scripts: RequestScripts,
     ) -> Self {
-        for name in ["engine-1", "engine-2"] {
-            fleet.set_row("servers", name, None);
-        }
+        endpoint_socket::unregister(fleet, &["engine-1", "engine-2"]);
         let endpoints = Self { scripts, attempts: sync::Arc::default() };
         for number in 1..=count {
             endpoints.listen(fleet, spawner, &format!("scripted-{number}")).await;
@@ -89,23 +88,18 @@
     }
 
     async fn listen(&self, fleet: &fleet::FleetStandIn, spawner: &worker::TaskSpawner, name: &str) {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let registration = serde_json::json!({
-            "service": "engine", "address": listener.local_addr().expect("an address"),
-            "zone": "a", "slots": 400, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1,
-        });
-        fleet.set_row("servers", name, Some(&registration.to_string()));
-        let (endpoints, task_spawner) = (self.clone(), spawner.clone());
-        spawner.detach(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let endpoints = endpoints.clone();
-                task_spawner.detach(async move { endpoints.serve(stream).await });
-            }
+        let endpoints = self.clone();
+        let address = endpoint_socket::listen(spawner, move |stream| {
+            let endpoints = endpoints.clone();
+            async move { endpoints.serve(stream).await }
         });
+        endpoint_socket::register(fleet, name, "engine", address.await, SLOTS);
     }
 
     async fn serve(&self, mut stream: TcpStream) {
-        let Some(id) = raw_endpoint::read_request_id(&mut stream).await else { return };
+        let request = endpoint_socket::read_request(&mut stream, &mut Vec::new()).await;
+        let id = request.map(|request| request.id).filter(|id| !id.is_empty());
+        let Some(id) = id else { return };
         let attempt = {
             let mut attempts = self.attempts.lock().expect("no panic");
             let attempts = attempts.entry(id.clone()).or_default();
