--- a/crates/comfreyspread-lab/tests/common/crashing_engine.rs
+++ b/crates/comfreyspread-lab/tests/common/crashing_engine.rs
@@ -1,6 +1,6 @@
 //! Engines that crash when they begin to answer a request with a certain prompt part.
 
-use super::{scripted_endpoint, scripted_stream};
+use super::{endpoint_socket, scripted_stream};
 use async_net::{TcpListener, TcpStream};
 use comfreyspread::runtime::worker;
 use comfreyspread_lab::fleet;
@@ -46,9 +46,7 @@
         count: u64,
         guilty: &'static str,
     ) -> Self {
-        for name in ["engine-1", "engine-2"] {
-            fleet.set_row("servers", name, None);
-        }
+        endpoint_socket::unregister(fleet, &["engine-1", "engine-2"]);
         let (fleet, log) = (fleet.clone(), sync::Arc::default());
         let engines = Self { fleet, spawner: spawner.clone(), guilty, log };
         for number in 1..=count {
@@ -113,9 +111,9 @@
 
     async fn serve(&self, mut stream: TcpStream) {
         let mut received = Vec::new();
-        while let Some(request) = scripted_endpoint::read_request(&mut stream, &mut received).await
-        {
-            let guilty = shared_parts(&request).any(|part| part == self.engines.guilty);
+        while let Some(request) = endpoint_socket::read_request(&mut stream, &mut received).await {
+            let parts = request.header("prefix-hash").unwrap_or_default();
+            let guilty = shared_parts(&parts).any(|part| part == self.engines.guilty);
             if guilty {
                 let mut log = self.engines.log.lock().expect("no panic");
                 log.guilty_arrivals.push(time::Instant::now());
@@ -143,8 +141,8 @@
 }
 
 /// Returns the names of the prompt parts that requests may share: all but the last.
-fn shared_parts(request: &scripted_endpoint::ScriptedRequest) -> impl Iterator<Item = &str> {
-    let names = request.parts.split(',').filter_map(|part| part.split(':').next());
-    let shared = request.parts.split(',').count().saturating_sub(1);
+fn shared_parts(parts: &str) -> impl Iterator<Item = &str> {
+    let names = parts.split(',').filter_map(|part| part.split(':').next());
+    let shared = parts.split(',').count().saturating_sub(1);
     names.take(shared)
 }
--- a/crates/comfreyspread-lab/tests/common/full_listener.rs
+++ b/crates/comfreyspread-lab/tests/common/full_listener.rs
@@ -1,6 +1,6 @@
 //! Endpoint that leaves new connections unanswered until it is told to accept them.
 
-use super::raw_endpoint;
+use super::endpoint_socket;
 use async_net::{TcpListener, TcpStream};
 use comfreyspread::runtime::worker;
 use comfreyspread_lab::fleet;
@@ -10,6 +10,7 @@
 /// Time after which a connection counts as unanswered.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(200);
 const MAX_QUEUED: usize = 8;
+const SLOTS: u32 = 4;
 
 /// An endpoint whose queue of connections is full. The kernel of a client tries again after 1 and
 /// 3 seconds.
@@ -35,21 +36,18 @@
             queued.push(stream);
             assert!(queued.len() < MAX_QUEUED, "the queue of connections is not bounded");
         }
-        for name in replaced {
-            fleet.set_row("servers", name, None);
-        }
-        let registration = serde_json::json!({
-            "service": service, "address": address, "zone": "a", "slots": 4, "state": "ready",
-            "cold_left_ms": 0, "seq": 1, "born": 1,
-        });
-        fleet.set_row("servers", "late-1", Some(&registration.to_string()));
+        endpoint_socket::unregister(fleet, replaced);
+        endpoint_socket::register(fleet, "late-1", service, address, SLOTS);
         Self { listener, queued }
     }
 
-    /// Accepts connections from now on; returns where the heads of requests received will be, in
-    /// lower case. None is answered.
-    pub fn accept(self, spawner: &worker::TaskSpawner) -> async_channel::Receiver<String> {
-        let (sender, heads) = async_channel::unbounded();
+    /// Accepts connections from now on; returns where the requests received will be. None is
+    /// answered.
+    pub fn accept(
+        self,
+        spawner: &worker::TaskSpawner,
+    ) -> async_channel::Receiver<endpoint_socket::ReceivedRequest> {
+        let (sender, requests) = async_channel::unbounded();
         let task_spawner = spawner.clone();
         drop(self.queued);
         let listener = self.listener;
@@ -57,13 +55,15 @@
             while let Ok((mut stream, _)) = listener.accept().await {
                 let sender = sender.clone();
                 task_spawner.detach(async move {
-                    if let Some(head) = raw_endpoint::read_head(&mut stream).await {
-                        sender.send(head).await.ok();
+                    let mut received = Vec::new();
+                    let request = endpoint_socket::read_request(&mut stream, &mut received).await;
+                    if let Some(request) = request {
+                        sender.send(request).await.ok();
                     }
                 });
             }
         });
-        heads
+        requests
     }
 }
 
--- a/crates/comfreyspread-lab/tests/common/mod.rs
+++ b/crates/comfreyspread-lab/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub mod crashing_engine;
+pub mod endpoint_socket;
 pub mod full_listener;
 pub mod gateway;
 pub mod raw_endpoint;
--- a/crates/comfreyspread-lab/tests/late_sends.rs
+++ b/crates/comfreyspread-lab/tests/late_sends.rs
@@ -6,7 +6,7 @@
 use comfreyspread::runtime::worker;
 use comfreyspread_lab::{fleet, fleet_request};
 use comfreyspread_schema::types;
-use common::{full_listener, gateway, raw_endpoint};
+use common::{full_listener, gateway};
 use futures_util::future;
 use std::time;
 
@@ -94,12 +94,12 @@
         let sent_at = time::Instant::now();
         let received = async {
             async_io::Timer::after(CHOICE_TIME).await;
-            let head = listener.accept(&spawner).recv().await.expect("a request");
-            (head, sent_at.elapsed())
+            let received = listener.accept(&spawner).recv().await.expect("a request");
+            (received, sent_at.elapsed())
         };
         let sent = gateway::send(node.caller_address, request);
-        let (_, (head, took)) = future::join(sent, received).await;
-        let stated = raw_endpoint::header_value(&head, "deadline-ms");
+        let (_, (received, took)) = future::join(sent, received).await;
+        let stated = received.header("deadline-ms");
         let stated: u128 = stated.and_then(|value| value.parse().ok()).expect("a deadline");
         let most = (DEADLINE_MS + CLOCK_TOLERANCE_MS).saturating_sub(took.as_millis());
         assert!(stated <= most, "{stated} ms stated after {took:?}");
