Take no rows from a node whose message has a damaged row

Cause: a compressed row was merged before it was decompressed. A value that could not be was left out when the rows were applied, but its version was kept, so that the node asked for later changes only, and handed the row on.

Change: the rows of a message are checked before any is merged. If one is damaged, it is logged and the node counts as silent, so that the changes are read from the other reader or the store. What no check finds: a value that decompresses to something else, as it bears no checksum.

--- /dev/null
+++ b/crates/comfreyspread-lab/tests/malformed_peers.rs
@@ -0,0 +1,172 @@
+//! Messages of a peer that is damaged, of another build or set up otherwise.
+
+mod common;
+
+use comfreyspread::{
+    gateway::table_exchange,
+    membership::{peer, probe},
+    runtime::{context, worker},
+    transport::{http_message, http_server},
+};
+use comfreyspread_lab::{fleet, stand_in_server};
+use comfreyspread_policy::table_freshness;
+use comfreyspread_schema::{ids, types};
+use common::gateway;
+use http::StatusCode;
+use std::{net, sync, time};
+
+/// Time for the node to discover the peer and to poll it several times.
+const DISCOVERY_TIME: time::Duration = time::Duration::from_secs(4);
+/// Maximum time until a change is in force.
+const APPLY_LIMIT: time::Duration = time::Duration::from_millis(2500);
+const POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
+
+fn stand_in_header(node: &ids::NodeId) -> types::PeerHeader {
+    types::PeerHeader {
+        node: node.clone(),
+        protocol: context::PEER_PROTOCOL_VERSION,
+        revision: 0,
+        start_id: 1,
+    }
+}
+
+fn row(key: &str, value: Vec<u8>) -> types::StoreRow {
+    types::StoreRow { compressed: false, key: key.into(), value: Some(value.into()), version: 1 }
+}
+
+fn member_record(node: &str, address: net::SocketAddr) -> types::MemberRecord {
+    types::MemberRecord {
+        address,
+        incarnation: 0,
+        node: node.into(),
+        node_phase: types::NodePhase::Serving,
+        phase: types::MemberPhase::Alive,
+        region: "r".into(),
+        revision: 0,
+        start_id: 1,
+        vm: "vm-9".into(),
+        zone: "a".into(),
+    }
+}
+
+/// Node that reads the store for its zone and adds the same rows to every change.
+#[derive(Debug)]
+struct ReaderStandIn {
+    record: sync::OnceLock<types::MemberRecord>,
+    rows: Vec<types::StoreRow>,
+}
+
+impl ReaderStandIn {
+    /// Starts a reader that is asked before `node-1`.
+    async fn start(rows: Vec<types::StoreRow>, spawner: &worker::TaskSpawner) -> net::SocketAddr {
+        let reader = sync::Arc::new(Self { record: sync::OnceLock::new(), rows });
+        let any_port = net::SocketAddr::from(([127, 0, 0, 1], 0));
+        let started = stand_in_server::start(any_port, reader.clone(), spawner).await;
+        let address = started.expect("a free port");
+        let own = member_record("node-1", address);
+        let mut candidates =
+            (2..100).map(|number| member_record(&format!("node-{number}"), address));
+        let is_first = |record: &types::MemberRecord| {
+            table_freshness::zone_readers([&own, record].into_iter())[0].node == record.node
+        };
+        let record = candidates.find(is_first).expect("a node that ranks first");
+        reader.record.set(record).expect("set once");
+        address
+    }
+
+    fn table_reply(
+        &self,
+        header: types::PeerHeader,
+        message: &types::TableRequest,
+    ) -> types::TableReply {
+        let loaded = message.table == types::StoreTable::Operator && message.after_version > 0;
+        let version = message.after_version + u64::from(loaded);
+        let at_version = |row: &types::StoreRow| types::StoreRow { version, ..row.clone() };
+        let rows = self.rows.iter().filter(|_| loaded).map(at_version).collect();
+        let fresh = time::Duration::from_millis(if loaded { 1500 } else { 0 });
+        types::TableReply {
+            store_reachable: Some(true),
+            recovering: false,
+            remaining_freshness: fresh,
+            header,
+            loaded,
+            rows,
+            version,
+        }
+    }
+}
+
+impl http_server::RequestHandler for ReaderStandIn {
+    async fn handle(&self, request: http_server::ServerRequest) -> http_message::Response {
+        let Some(record) = self.record.get() else { return stand_in_server::bad_request() };
+        let header = stand_in_header(&record.node);
+        let reply = match request.path() {
+            probe::HEARTBEAT_PATH => peer::encode_reply(&types::HeartbeatReply {
+                header,
+                hints: Vec::new(),
+                members: vec![record.clone()],
+                partial: false,
+                part_suspects: Vec::new(),
+                indirect_probe_reached: false,
+                repairs: Vec::new(),
+                crash_suspects: Vec::new(),
+            }),
+            table_exchange::TABLE_PATH => {
+                let message = rmp_serde::from_slice(request.body()).expect("a table request");
+                async_io::Timer::after(POLL_INTERVAL).await;
+                peer::encode_reply(&self.table_reply(header, &message))
+            }
+            _ => return http_message::Response::new(StatusCode::NOT_FOUND),
+        };
+        reply.expect("a reply")
+    }
+
+    fn refuse(&self, _error: http_server::RequestError) -> http_message::Response {
+        stand_in_server::bad_request()
+    }
+}
+
+/// Runs a test against a node whose zone has a reader that adds these rows to every change.
+fn with_reader<Test, TestFuture>(rows: Vec<types::StoreRow>, test: Test)
+where
+    Test: FnOnce(fleet::FleetStandIn, fleet::FleetNode) -> TestFuture,
+    TestFuture: Future<Output = ()>,
+{
+    let pool = worker::WorkerPool::new(1).expect("threads");
+    gateway::with_fleet(async |fleet| {
+        let reader = ReaderStandIn::start(rows, &pool.spawner()).await;
+        let node = fleet.start_node(&gateway::program(), "node-1", &[reader]).await;
+        let node = node.expect("a node");
+        async_io::Timer::after(DISCOVERY_TIME).await;
+        assert!(dump(&node).await.members.len() > 1, "the node does not know the reader");
+        test(fleet, node).await;
+    });
+    pool.stop();
+}
+
+async fn dump(node: &fleet::FleetNode) -> types::GatewayDump {
+    let (_, dump) = gateway::get(node.admin_address, "/dump").await;
+    serde_json::from_str(&dump).expect("a dump")
+}
+
+/// Waits until a version of the routes is in force, and returns the time it took.
+async fn wait_for_version(node: &fleet::FleetNode, version: u64) -> time::Duration {
+    let started = time::Instant::now();
+    while started.elapsed() < gateway::RESPONSE_TIMEOUT && dump(node).await.routes_version < version
+    {
+        async_io::Timer::after(POLL_INTERVAL).await;
+    }
+    started.elapsed()
+}
+
+/// Guards against a damaged row whose version is kept though its value is not applied: the node
+/// asks for later changes only, so that its old routes stay in force and count as fresh.
+#[test]
+fn damaged_row() {
+    let damaged = types::StoreRow { compressed: true, ..row("config", vec![0xff; 64]) };
+    with_reader(vec![damaged], async |fleet, node| {
+        fleet.set_route_document(&gateway::route_document(2));
+        let elapsed = wait_for_version(&node, 2).await;
+        assert!(elapsed < APPLY_LIMIT, "in force after {elapsed:?}");
+    });
+}
--- a/crates/comfreyspread/src/gateway/row_compression.rs
+++ b/crates/comfreyspread/src/gateway/row_compression.rs
@@ -15,6 +15,21 @@
     rows.into_iter().map(compress).collect()
 }
 
+/// Checks the rows of a message before they are kept. A row that is kept but cannot be applied would
+/// hide the change from this node and from those that take rows from it.
+///
+/// # Errors
+///
+/// Fails if a value cannot be decompressed or is too long.
+pub fn check_rows(rows: &[types::StoreRow]) -> io::Result<()> {
+    for row in rows {
+        let Some(value) = row.value.as_ref().filter(|_| row.compressed) else { continue };
+        let mut decoder = read::DeflateDecoder::new(value.as_ref()).take(MAX_VALUE_BYTES + 1);
+        check_size(io::copy(&mut decoder, &mut io::sink())?)?;
+    }
+    Ok(())
+}
+
 /// Returns the rows with plain values. A row whose value cannot be decompressed is left out and
 /// logged.
 pub fn decompress_rows(rows: Vec<types::StoreRow>) -> Vec<types::StoreRow> {
@@ -55,8 +70,13 @@
     let mut plain = Vec::new();
     let mut decoder = read::DeflateDecoder::new(value.as_ref()).take(MAX_VALUE_BYTES + 1);
     decoder.read_to_end(&mut plain)?;
-    if u64::try_from(plain.len()).unwrap_or(u64::MAX) > MAX_VALUE_BYTES {
+    check_size(u64::try_from(plain.len()).unwrap_or(u64::MAX))?;
+    Ok(types::StoreRow { compressed: false, value: Some(ids::Payload::from(plain)), ..row })
+}
+
+fn check_size(bytes: u64) -> io::Result<()> {
+    if bytes > MAX_VALUE_BYTES {
         return Err(io::Error::other("the value is too long"));
     }
-    Ok(types::StoreRow { compressed: false, value: Some(ids::Payload::from(plain)), ..row })
+    Ok(())
 }
--- a/crates/comfreyspread/src/gateway/table_exchange.rs
+++ b/crates/comfreyspread/src/gateway/table_exchange.rs
@@ -97,7 +97,7 @@
         Err(failure) => {
             watched.sources.record_silent_reader(node, now);
             log::info!(node = node.as_ref();
-                "store: the node that reads it did not reply. table={table} error={failure}");
+                "store: the node that reads it gave no valid reply. table={table} error={failure}");
             return false;
         }
     };
@@ -171,7 +171,22 @@
     let transfer_time = time::Duration::from_secs_f64(bytes as f64 / MIN_TRANSFER_RATE);
     let deadline = time::Instant::now() + wait + PEER_TIMEOUT + transfer_time;
     let connection = http_client::ConnectionUse::Pooled;
-    peer::exchange(&state.context, address, TABLE_PATH, &message, connection, deadline).await
+    let reply: types::TableReply =
+        peer::exchange(&state.context, address, TABLE_PATH, &message, connection, deadline).await?;
+    check_reply::<Watcher>(&reply)?;
+    Ok(reply)
+}
+
+fn check_reply<Watcher>(reply: &types::TableReply) -> Result<(), failure::CallFailure>
+where
+    Watcher: table_watcher::TableWatcher,
+{
+    row_compression::check_rows(&reply.rows).map_err(|error| {
+        log::error!(node = reply.header.node.as_ref();
+            "store: invalid rows from another node. table={} error={error}", Watcher::NAME);
+        let detail = format!("the rows are not valid: {error}");
+        failure::CallFailure::new(types::ProblemKind::Internal, detail)
+    })
 }
 
 fn random_peer(state: &state::GatewayState) -> Option<net::SocketAddr> {
