Bound the size of all rows of a message once decompressed

What callers would see: a node that runs out of memory and ends with all its requests, after a message of a malformed peer.

Cause: each row was bounded by 32 MB, their number not. The check of the rows before they are merged keeps no value, and now counts them together. Rows of the store are not bounded so: they come plain, within the limit of a response.

--- a/crates/comfreyspread-lab/tests/malformed_peers.rs
+++ b/crates/comfreyspread-lab/tests/malformed_peers.rs
@@ -3,12 +3,12 @@
 mod common;
 
 use comfreyspread::{
-    gateway::table_exchange,
+    gateway::{row_compression, table_exchange},
     membership::{peer, probe},
     runtime::{context, worker},
     transport::{http_message, http_server},
 };
-use comfreyspread_lab::{fleet, stand_in_server};
+use comfreyspread_lab::{fleet, process_usage, stand_in_server};
 use comfreyspread_policy::table_freshness;
 use comfreyspread_schema::{ids, types};
 use common::gateway;
@@ -20,6 +20,10 @@
 /// Maximum time until a change is in force.
 const APPLY_LIMIT: time::Duration = time::Duration::from_millis(2500);
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
+/// Size of a large value once decompressed.
+const LARGE_VALUE_BYTES: usize = 31 * 1024 * 1024;
+/// Memory limit of a node.
+const MEMORY_LIMIT_MIB: f64 = 260.0;
 
 fn stand_in_header(node: &ids::NodeId) -> types::PeerHeader {
     types::PeerHeader {
@@ -170,3 +174,23 @@
         assert!(elapsed < APPLY_LIMIT, "in force after {elapsed:?}");
     });
 }
+
+/// Guards against one message whose rows, each within the size limit, take more memory than the
+/// node has once they are decompressed.
+#[test]
+fn many_large_rows() {
+    let zeros = vec![row("", vec![0; LARGE_VALUE_BYTES])];
+    let zeros = row_compression::compress_rows(zeros).remove(0);
+    let rows = (0..12)
+        .map(|number| types::StoreRow { key: format!("unused-{number}").into(), ..zeros.clone() });
+    with_reader(rows.collect(), async |_fleet, node| {
+        let mut peak_mib: f64 = 0.0;
+        let started = time::Instant::now();
+        while started.elapsed() < DISCOVERY_TIME {
+            let usage = process_usage::ProcessUsage::new(node.process.id()).expect("it runs");
+            peak_mib = peak_mib.max(usage.memory_mib());
+            async_io::Timer::after(POLL_INTERVAL).await;
+        }
+        assert!(peak_mib < MEMORY_LIMIT_MIB / 2.0, "{peak_mib} MiB");
+    });
+}
--- a/crates/comfreyspread/src/gateway/row_compression.rs
+++ b/crates/comfreyspread/src/gateway/row_compression.rs
@@ -7,7 +7,7 @@
 
 /// Minimum size of a value that is compressed, in bytes.
 const MIN_COMPRESSED_BYTES: usize = 8 * 1024;
-/// Maximum size of a value once decompressed, in bytes.
+/// Maximum size of a value, and of all values of a message, once decompressed, in bytes.
 const MAX_VALUE_BYTES: u64 = 32 * 1024 * 1024;
 
 /// Returns the rows with large values compressed.
@@ -20,12 +20,15 @@
 ///
 /// # Errors
 ///
-/// Fails if a value cannot be decompressed or is too long.
+/// Fails if a value cannot be decompressed or the values are too long together.
 pub fn check_rows(rows: &[types::StoreRow]) -> io::Result<()> {
+    let mut bytes = 0;
     for row in rows {
         let Some(value) = row.value.as_ref().filter(|_| row.compressed) else { continue };
-        let mut decoder = read::DeflateDecoder::new(value.as_ref()).take(MAX_VALUE_BYTES + 1);
-        check_size(io::copy(&mut decoder, &mut io::sink())?)?;
+        let mut decoder =
+            read::DeflateDecoder::new(value.as_ref()).take(MAX_VALUE_BYTES + 1 - bytes);
+        bytes += io::copy(&mut decoder, &mut io::sink())?;
+        check_size(bytes)?;
     }
     Ok(())
 }
