Measure the rows of a reply as they are sent

What callers would see: during an upgrade, routes seconds out of date on nodes of the older build, as each change of a large document times out at both readers first.

Cause: the limit of 512 KB was compared with the compressed size, and the rows decompressed after that for a node that accepts plain ones only.

--- a/crates/comfreyspread-lab/tests/malformed_peers.rs
+++ b/crates/comfreyspread-lab/tests/malformed_peers.rs
@@ -6,7 +6,7 @@
     gateway::{row_compression, table_exchange},
     membership::{peer, probe},
     runtime::{context, worker},
-    transport::{http_message, http_server},
+    transport::{http_client, http_message, http_server},
 };
 use comfreyspread_lab::{fleet, process_usage, stand_in_server};
 use comfreyspread_policy::table_freshness;
@@ -163,6 +163,33 @@
     started.elapsed()
 }
 
+async fn send<Message>(
+    node: &fleet::FleetNode,
+    path: &str,
+    message: &Message,
+) -> http_client::ClientResponse
+where
+    Message: serde::Serialize,
+{
+    let request = peer::encode_request(node.peer_address, path, message).expect("a request");
+    gateway::call(node.peer_address, request).await
+}
+
+fn table_request(after_version: u64) -> types::TableRequest {
+    types::TableRequest {
+        accepts_compressed: true,
+        after_version,
+        header: stand_in_header(&"node-9".into()),
+        table: types::StoreTable::Operator,
+        wait: time::Duration::from_millis(100),
+    }
+}
+
+async fn fetch(node: &fleet::FleetNode, message: &types::TableRequest) -> types::TableReply {
+    let response = send(node, table_exchange::TABLE_PATH, message).await;
+    rmp_serde::from_slice(response.body()).expect("a reply")
+}
+
 /// Guards against a damaged row whose version is kept though its value is not applied: the node
 /// asks for later changes only, so that its old routes stay in force and count as fresh.
 #[test]
@@ -194,3 +221,32 @@
         assert!(peak_mib < MEMORY_LIMIT_MIB / 2.0, "{peak_mib} MiB");
     });
 }
+
+/// Guards against changes that a node of an older build gets as plain text, larger than what it
+/// takes within its timeout: it must be told to read the store instead.
+#[test]
+fn older_build() {
+    gateway::with_node(async |fleet, node| {
+        let mut message = table_request(0);
+        message.after_version = fetch(&node, &message).await.version;
+        let mut document = gateway::route_document(2);
+        let route = document["routes"][0].clone();
+        let routes = document["routes"].as_array_mut().expect("routes");
+        routes.extend((0..600).map(|number| {
+            let mut more = route.clone();
+            more["name"] = format!("more-{number}").into();
+            more
+        }));
+        fleet.set_route_document(&document);
+        wait_for_version(&node, 2).await;
+        let reply = fetch(&node, &message).await;
+        assert!(reply.loaded && reply.rows[0].compressed, "{} rows", reply.rows.len());
+        message.accepts_compressed = false;
+        let reply = fetch(&node, &message).await;
+        let bytes = reply.rows.iter().filter_map(|row| row.value.as_ref()).map(|value| value.len());
+        assert_eq!((reply.loaded, bytes.sum::<usize>()), (false, 0));
+        message.after_version = 0;
+        let reply = fetch(&node, &message).await;
+        assert!(reply.loaded && !reply.rows[0].compressed, "a first copy is sent in full");
+    });
+}
--- a/crates/comfreyspread/src/gateway/table_exchange.rs
+++ b/crates/comfreyspread/src/gateway/table_exchange.rs
@@ -23,6 +23,8 @@
 /// Maximum size of the changed rows in a reply to a long poll, in bytes as sent; beyond it, the
 /// polling node reads the store itself.
 const MAX_REPLY_BYTES: usize = 512 * 1024;
+/// The same for a node of a build that accepts plain values only: it waits no longer for large ones.
+const MAX_PLAIN_REPLY_BYTES: usize = 32 * 1024;
 /// Time for which a node that starts waits to learn of another node of its zone.
 const JOIN_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 /// Interval at which it looks.
@@ -250,17 +252,20 @@
         version: table.mirror.complete_version(),
     };
     drop(tables);
+    let max_bytes = if message.accepts_compressed {
+        MAX_REPLY_BYTES
+    } else {
+        reply.rows = row_compression::decompress_rows(reply.rows);
+        MAX_PLAIN_REPLY_BYTES
+    };
     let size = |row: &types::StoreRow| row.value.as_ref().map_or(0, |value| value.len());
     let bytes: usize = reply.rows.iter().map(size).sum();
     let has_copy = message.after_version > 0;
-    let withheld = has_copy && !message.wait.is_zero() && bytes > MAX_REPLY_BYTES;
+    let withheld = has_copy && !message.wait.is_zero() && bytes > max_bytes;
     if withheld {
         reply.rows.clear();
         reply.loaded = false;
         reply.remaining_freshness = time::Duration::ZERO;
     }
-    if !message.accepts_compressed {
-        reply.rows = row_compression::decompress_rows(reply.rows);
-    }
     (reply, withheld)
 }
