Compress large rows where they are merged

What callers would see: during an upgrade, changes of a large document read from the store by every node of a zone whose reader is of the older build, and late routes where the link is slow.

Cause: only rows read from the store were compressed. Those of an older reader stayed plain and were handed on so, over the limit of a reply.

Evidence: malformed_peers plain_rows failed without this change (the row was kept plain) and passes now.

--- a/crates/comfreyspread-lab/tests/malformed_peers.rs
+++ b/crates/comfreyspread-lab/tests/malformed_peers.rs
@@ -222,6 +222,19 @@
     });
 }
 
+/// Guards against large rows that stay plain because the node that read the store is of an older
+/// build: the bound of what is handed on holds for compressed rows.
+#[test]
+fn plain_rows() {
+    let large = row("unused", vec![b'x'; 64 * 1024]);
+    with_reader(vec![large], async |_fleet, node| {
+        let message = table_request(0);
+        let reply = fetch(&node, &message).await;
+        let kept = reply.rows.iter().find(|row| &*row.key == "unused").expect("the row");
+        assert!(kept.compressed);
+    });
+}
+
 /// Guards against changes that a node of an older build gets as plain text, larger than what it
 /// takes within its timeout: it must be told to read the store instead.
 #[test]
--- a/crates/comfreyspread/src/gateway/table_watcher.rs
+++ b/crates/comfreyspread/src/gateway/table_watcher.rs
@@ -180,14 +180,14 @@
         }
         store_client::StoreFeed::Changes(page) => {
             let changed = !page.rows.is_empty();
-            let rows = row_compression::compress_rows(page.rows);
-            merge_rows(state, watcher, rows, page.version);
+            merge_rows(state, watcher, page.rows, page.version);
             Ok(changed)
         }
     }
 }
 
 /// Merges rows from a source that has all changes up to `version`, and applies those that changed.
+/// Large rows of the store and of nodes of an older build come plain.
 pub fn merge_rows<Watcher>(
     state: &sync::Arc<state::GatewayState>,
     watcher: &Watcher,
@@ -196,6 +196,7 @@
 ) where
     Watcher: TableWatcher,
 {
+    let rows = row_compression::compress_rows(rows);
     let changed_rows = state.store_tables.lock().table(Watcher::TABLE).mirror.merge(rows, version);
     if !changed_rows.is_empty() {
         watcher.apply_rows(state, row_compression::decompress_rows(changed_rows));
