--- a/crates/comfreyspread-lab/tests/malformed_peers.rs
+++ b/crates/comfreyspread-lab/tests/malformed_peers.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use comfreyspread::{
-    gateway::{row_compression, table_exchange},
+    gateway::{piece_dispatch, row_compression, table_exchange},
     membership::{peer, probe},
     runtime::{context, worker},
     transport::{http_client, http_message, http_server},
@@ -222,6 +222,40 @@
     });
 }
 
+/// Guards against a task and a queue for each region that a peer names, which last as long as the
+/// process: only regions of the deployment have them.
+#[test]
+fn unknown_region() {
+    gateway::with_node(async |_fleet, node| {
+        let task = types::PieceTask {
+            inputs: Vec::new(),
+            key: None,
+            time_left: time::Duration::ZERO,
+            piece: 0,
+            request: "r-1".into(),
+            stage: 0,
+        };
+        let message = types::PieceRequest {
+            result_bytes: 1,
+            header: stand_in_header(&"node-9".into()),
+            inputs_expire_in: time::Duration::ZERO,
+            time_left: time::Duration::from_millis(300),
+            tasks: vec![task],
+            priority: 0,
+            region: "nowhere".into(),
+            service: "prepare".into(),
+            target: time::Duration::from_millis(300),
+            zone: None,
+        };
+        let unknown = send(&node, piece_dispatch::PIECE_PATH, &message).await.status();
+        let known = types::PieceRequest { region: "s".into(), ..message };
+        assert_eq!(send(&node, piece_dispatch::PIECE_PATH, &known).await.status(), 200);
+        let batches = dump(&node).await.batches;
+        let regions: Vec<_> = batches.iter().map(|batch| &*batch.region).collect();
+        assert_eq!((unknown, regions), (400, vec!["s"]));
+    });
+}
+
 /// Guards against large rows that stay plain because the node that read the store is of an older
 /// build: the bound of what is handed on holds for compressed rows.
 #[test]
