Release results through the node that made them

What callers would see: stage services that run below their capacity for as long as results last, and late or rejected pieces, after a batching node failed for a moment: its queue at the node that stood in counts storage that is free.

Cause: a node that batches pieces itself, after others failed, released the results through the batching node of the moment of the release, which had replied again by then. That node freed the storage, and its own queue knew nothing of the results; the other counted them until they expired. Results that the own queue counts are now released by the node itself.

What remains: results made by another node that is no longer the batching node at the release.

--- a/crates/comfreyspread-lab/tests/malformed_peers.rs
+++ b/crates/comfreyspread-lab/tests/malformed_peers.rs
@@ -9,7 +9,7 @@
     transport::{http_client, http_message, http_server},
 };
 use comfreyspread_lab::{fleet, process_usage, stand_in_server};
-use comfreyspread_policy::table_freshness;
+use comfreyspread_policy::{rendezvous, table_freshness};
 use comfreyspread_schema::{ids, types};
 use common::gateway;
 use http::StatusCode;
@@ -19,6 +19,8 @@
 const DISCOVERY_TIME: time::Duration = time::Duration::from_secs(4);
 /// Maximum time until a change is in force.
 const APPLY_LIMIT: time::Duration = time::Duration::from_millis(2500);
+/// Time within which the results of a request that has ended are released.
+const RELEASE_TIME: time::Duration = time::Duration::from_millis(500);
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
 /// Size of a large value once decompressed.
 const LARGE_VALUE_BYTES: usize = 31 * 1024 * 1024;
@@ -58,12 +60,14 @@
 struct ReaderStandIn {
     record: sync::OnceLock<types::MemberRecord>,
     rows: Vec<types::StoreRow>,
+    paths: sync::Mutex<Vec<String>>,
 }
 
 impl ReaderStandIn {
-    /// Starts a reader that is asked before `node-1`.
-    async fn start(rows: Vec<types::StoreRow>, spawner: &worker::TaskSpawner) -> net::SocketAddr {
-        let reader = sync::Arc::new(Self { record: sync::OnceLock::new(), rows });
+    /// Starts a reader that is asked before `node-1`, for rows and to batch pieces.
+    async fn start(rows: Vec<types::StoreRow>, spawner: &worker::TaskSpawner) -> sync::Arc<Self> {
+        let paths = sync::Mutex::default();
+        let reader = sync::Arc::new(Self { record: sync::OnceLock::new(), rows, paths });
         let any_port = net::SocketAddr::from(([127, 0, 0, 1], 0));
         let started = stand_in_server::start(any_port, reader.clone(), spawner).await;
         let address = started.expect("a free port");
@@ -71,11 +75,18 @@
         let mut candidates =
             (2..100).map(|number| member_record(&format!("node-{number}"), address));
         let is_first = |record: &types::MemberRecord| {
-            table_freshness::zone_readers([&own, record].into_iter())[0].node == record.node
+            let members = || [&own, record].into_iter();
+            let batcher = rendezvous::best_member(members(), &"prepare".into()).expect("a member");
+            table_freshness::zone_readers(members())[0].node == record.node
+                && batcher.node == record.node
         };
         let record = candidates.find(is_first).expect("a node that ranks first");
         reader.record.set(record).expect("set once");
-        address
+        reader
+    }
+
+    fn request_count(&self, path: &str) -> usize {
+        self.paths.lock().expect("no panic").iter().filter(|sent| *sent == path).count()
     }
 
     fn table_reply(
@@ -102,6 +113,7 @@
 
 impl http_server::RequestHandler for ReaderStandIn {
     async fn handle(&self, request: http_server::ServerRequest) -> http_message::Response {
+        self.paths.lock().expect("no panic").push(request.path().to_owned());
         let Some(record) = self.record.get() else { return stand_in_server::bad_request() };
         let header = stand_in_header(&record.node);
         let reply = match request.path() {
@@ -120,6 +132,13 @@
                 async_io::Timer::after(POLL_INTERVAL).await;
                 peer::encode_reply(&self.table_reply(header, &message))
             }
+            piece_dispatch::WAIT_PATH => {
+                async_io::Timer::after(POLL_INTERVAL).await;
+                peer::encode_reply(&types::WaitReply { header, waits: Vec::new() })
+            }
+            piece_dispatch::RELEASE_PATH => {
+                peer::encode_reply(&types::ResultReleaseReply { header })
+            }
             _ => return http_message::Response::new(StatusCode::NOT_FOUND),
         };
         reply.expect("a reply")
@@ -133,17 +152,18 @@
 /// Runs a test against a node whose zone has a reader that adds these rows to every change.
 fn with_reader<Test, TestFuture>(rows: Vec<types::StoreRow>, test: Test)
 where
-    Test: FnOnce(fleet::FleetStandIn, fleet::FleetNode) -> TestFuture,
+    Test: FnOnce(fleet::FleetStandIn, fleet::FleetNode, sync::Arc<ReaderStandIn>) -> TestFuture,
     TestFuture: Future<Output = ()>,
 {
     let pool = worker::WorkerPool::new(1).expect("threads");
     gateway::with_fleet(async |fleet| {
         let reader = ReaderStandIn::start(rows, &pool.spawner()).await;
-        let node = fleet.start_node(&gateway::program(), "node-1", &[reader]).await;
+        let address = reader.record.get().expect("set at the start").address;
+        let node = fleet.start_node(&gateway::program(), "node-1", &[address]).await;
         let node = node.expect("a node");
         async_io::Timer::after(DISCOVERY_TIME).await;
         assert!(dump(&node).await.members.len() > 1, "the node does not know the reader");
-        test(fleet, node).await;
+        test(fleet, node, reader).await;
     });
     pool.stop();
 }
@@ -195,7 +215,7 @@
 #[test]
 fn damaged_row() {
     let damaged = types::StoreRow { compressed: true, ..row("config", vec![0xff; 64]) };
-    with_reader(vec![damaged], async |fleet, node| {
+    with_reader(vec![damaged], async |fleet, node, _reader| {
         fleet.set_route_document(&gateway::route_document(2));
         let elapsed = wait_for_version(&node, 2).await;
         assert!(elapsed < APPLY_LIMIT, "in force after {elapsed:?}");
@@ -210,7 +230,7 @@
     let zeros = row_compression::compress_rows(zeros).remove(0);
     let rows = (0..12)
         .map(|number| types::StoreRow { key: format!("unused-{number}").into(), ..zeros.clone() });
-    with_reader(rows.collect(), async |_fleet, node| {
+    with_reader(rows.collect(), async |_fleet, node, _reader| {
         let mut peak_mib: f64 = 0.0;
         let started = time::Instant::now();
         while started.elapsed() < DISCOVERY_TIME {
@@ -261,7 +281,7 @@
 #[test]
 fn plain_rows() {
     let large = row("unused", vec![b'x'; 64 * 1024]);
-    with_reader(vec![large], async |_fleet, node| {
+    with_reader(vec![large], async |_fleet, node, _reader| {
         let message = table_request(0);
         let reply = fetch(&node, &message).await;
         let kept = reply.rows.iter().find(|row| &*row.key == "unused").expect("the row");
@@ -297,3 +317,19 @@
         assert!(reply.loaded && !reply.rows[0].compressed, "a first copy is sent in full");
     });
 }
+
+/// Guards against results that a node made itself, after the batching node refused the pieces, and
+/// that are released through that node: its own queue counts their storage until they expire.
+#[test]
+fn refused_pieces() {
+    with_reader(Vec::new(), async |_fleet, node, reader| {
+        let request = gateway::staged_request(node.caller_address, "r-1", "2");
+        assert_eq!(gateway::send(node.caller_address, request).await.0, 200);
+        async_io::Timer::after(RELEASE_TIME).await;
+        let [pieces, waits, releases] =
+            [piece_dispatch::PIECE_PATH, piece_dispatch::WAIT_PATH, piece_dispatch::RELEASE_PATH]
+                .map(|path| reader.request_count(path));
+        assert!(pieces > 0 && waits > 0, "{pieces} pieces refused, {waits} waits asked");
+        assert_eq!(releases, 0);
+    });
+}
--- a/crates/comfreyspread-policy/src/batch_queue.rs
+++ b/crates/comfreyspread-policy/src/batch_queue.rs
@@ -160,6 +160,11 @@
         completed
     }
 
+    /// Returns whether the queue counts the storage of a result: one of its own calls made it.
+    pub fn counts_result(&self, handle: &ids::ResultHandle) -> bool {
+        self.workers.counts_result(handle)
+    }
+
     /// Removes results that have been released at the endpoints that stored them.
     pub fn remove_results(&mut self, handles: &[ids::ResultHandle]) {
         self.workers.remove_results(handles);
--- a/crates/comfreyspread-policy/src/result_usage.rs
+++ b/crates/comfreyspread-policy/src/result_usage.rs
@@ -35,6 +35,11 @@
         *self.used_bytes.entry(address).or_default() += bytes;
     }
 
+    /// Returns whether a result is counted.
+    pub fn contains(&self, handle: &ids::ResultHandle) -> bool {
+        self.results.contains_key(handle)
+    }
+
     /// Removes results that have been released.
     pub fn remove(&mut self, handles: &[ids::ResultHandle]) {
         for handle in handles {
--- a/crates/comfreyspread-policy/src/worker_set.rs
+++ b/crates/comfreyspread-policy/src/worker_set.rs
@@ -262,6 +262,11 @@
         }
     }
 
+    /// Returns whether a result is counted.
+    pub fn counts_result(&self, handle: &ids::ResultHandle) -> bool {
+        self.results.contains(handle)
+    }
+
     /// Removes results that have been released.
     pub fn remove_results(&mut self, handles: &[ids::ResultHandle]) {
         self.results.remove(handles);
--- a/crates/comfreyspread-policy/tests/result_usage.rs
+++ b/crates/comfreyspread-policy/tests/result_usage.rs
@@ -21,6 +21,7 @@
     assert_eq!((usage.used_bytes(address(1)), usage.used_bytes(address(2))), (35, 0));
     usage.remove_expired(now);
     assert_eq!(usage.used_bytes(address(1)), 25);
+    assert!(usage.contains(&"b".into()) && !usage.contains(&"a".into()));
     usage.remove(&["b".into(), "b".into(), "c".into()]);
     assert_eq!(usage.used_bytes(address(1)), 0);
 }
--- a/crates/comfreyspread/src/gateway/batcher.rs
+++ b/crates/comfreyspread/src/gateway/batcher.rs
@@ -138,6 +138,21 @@
     Some((WaitingGroup { state, scope: scope.clone(), number }, outcomes))
 }
 
+/// Releases the results that this node's own calls made, and returns the others.
+pub fn release_own(
+    state: &sync::Arc<state::GatewayState>,
+    scope: &BatchScope,
+    handles: Vec<ids::ResultHandle>,
+) -> Vec<ids::ResultHandle> {
+    let (own, others): (Vec<_>, Vec<_>) = {
+        let batchers = state.batchers.lock();
+        let Some(batcher) = batchers.scopes.get(scope) else { return handles };
+        handles.into_iter().partition(|handle| batcher.queue.counts_result(handle))
+    };
+    release(state, scope, &own);
+    others
+}
+
 /// Releases results that are no longer needed.
 pub fn release(
     state: &sync::Arc<state::GatewayState>,
--- a/crates/comfreyspread/src/gateway/piece_dispatch.rs
+++ b/crates/comfreyspread/src/gateway/piece_dispatch.rs
@@ -139,17 +139,19 @@
     Ok(reply.waits)
 }
 
-/// Releases results through the node that batches their service.
+/// Releases results through the node that made them: this one, after other nodes failed, else the
+/// node that batches their service.
 pub fn release(
     state: &sync::Arc<state::GatewayState>,
     service: &ids::ServiceName,
     region: &ids::RegionId,
     handles: Vec<ids::ResultHandle>,
 ) {
+    let scope = batcher::BatchScope { service: service.clone(), region: region.clone() };
+    let handles = batcher::release_own(state, &scope, handles);
     if handles.is_empty() {
         return;
     }
-    let scope = batcher::BatchScope { service: service.clone(), region: region.clone() };
     let (_, address) = state.batching_node(service, region);
     let Some(address) = address else {
         batcher::release(state, &scope, &handles);
