Count one crash once for equal requests of the native front end

What callers would see: a sound request answered 422 for ten minutes after one endpoint crashed that ran three equal ones at once.

This front end has no start time of an endpoint to tell crashes apart by. An attempt that was sent before the latest crash of its endpoint was seen was in flight at that one, and no longer counts. An attempt that ran alone counts as before.

--- a/crates/comfreyspread-policy/src/suspect.rs
+++ b/crates/comfreyspread-policy/src/suspect.rs
@@ -32,7 +32,13 @@
     phase: types::SuspectPhase,
     recorded_at: time::Instant,
     /// The latest crash, if this node saw it and can tell it from others.
-    last_crash: Option<ids::CrashHash>,
+    last_crash: Option<LastCrash>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct LastCrash {
+    crash: ids::CrashHash,
+    seen_at: time::Instant,
 }
 
 /// Requests that may crash endpoints.
@@ -65,12 +71,40 @@
         crash: ids::CrashHash,
         now: time::Instant,
     ) {
-        if self.entries.get(digest).is_some_and(|entry| entry.last_crash == Some(crash)) {
-            return;
+        if self.last_crash(digest).is_none_or(|last| last.crash != crash) {
+            self.record_new_crash(digest, crash, now);
+        }
+    }
+
+    /// Records that an endpoint crashed while it ran an attempt sent at `sent_at` beside others; the
+    /// crashes of an endpoint can only be told apart by time. An attempt sent before the latest one
+    /// was seen was in flight at that one.
+    pub fn record_attempt_crash(
+        &mut self,
+        digest: &ids::BodyDigest,
+        endpoint: ids::CrashHash,
+        sent_at: time::Instant,
+        now: time::Instant,
+    ) {
+        let is_known = |last: LastCrash| last.crash == endpoint && sent_at <= last.seen_at;
+        if !self.last_crash(digest).is_some_and(is_known) {
+            self.record_new_crash(digest, endpoint, now);
         }
+    }
+
+    fn last_crash(&self, digest: &ids::BodyDigest) -> Option<LastCrash> {
+        self.entries.get(digest)?.last_crash
+    }
+
+    fn record_new_crash(
+        &mut self,
+        digest: &ids::BodyDigest,
+        crash: ids::CrashHash,
+        now: time::Instant,
+    ) {
         self.record_crash(digest, false, now);
         if let Some(entry) = self.entries.get_mut(digest) {
-            entry.last_crash = Some(crash);
+            entry.last_crash = Some(LastCrash { crash, seen_at: now });
         }
     }
 
@@ -106,7 +140,7 @@
             crashes: record.crashes,
             phase: record.phase,
             recorded_at,
-            last_crash: self.entries.get(&record.digest).and_then(|known| known.last_crash),
+            last_crash: self.last_crash(&record.digest),
         };
         if !is_fresh(&received, now) {
             return;
--- a/crates/comfreyspread-policy/tests/suspects.rs
+++ b/crates/comfreyspread-policy/tests/suspects.rs
@@ -129,3 +129,21 @@
     table.record_shared_crash(&digest, 3, now);
     assert_eq!(table.status(&digest, now), Convicted);
 }
+
+/// Guards against one crash counted for each attempt that was in flight there, where crashes of an
+/// endpoint can only be told apart by time: an attempt sent after the latest one saw another.
+#[test]
+fn equal_attempts() {
+    let now = time::Instant::now();
+    let at = |millis| now + time::Duration::from_millis(millis);
+    let digest = "equal".into();
+    let mut table = suspect::SuspectTable::new();
+    for number in 0..5 {
+        table.record_attempt_crash(&digest, 1, at(number), at(100 + number));
+    }
+    assert_eq!(table.status(&digest, at(200)), Suspect);
+    table.record_attempt_crash(&digest, 2, now, at(200));
+    assert_eq!(table.status(&digest, at(200)), Suspect);
+    table.record_attempt_crash(&digest, 2, at(300), at(400));
+    assert_eq!(table.status(&digest, at(400)), Convicted);
+}
--- a/crates/comfreyspread/src/ingress/call_run.rs
+++ b/crates/comfreyspread/src/ingress/call_run.rs
@@ -9,12 +9,28 @@
 use comfreyspread_schema::{ids, types};
 use futures_util::future;
 use std::{sync, time};
+use xxhash_rust::xxh3;
 
 /// Quantile of a stage's durations after which a hedge, a second parallel attempt, is sent.
 const HEDGE_QUANTILE: f64 = 0.95;
 /// Quantile of a stage's durations that is the expected duration of an attempt.
 const EXPECTED_QUANTILE: f64 = 0.5;
 
+/// An attempt that was sent to an endpoint.
+#[derive(Debug)]
+pub struct SentAttempt {
+    endpoint: ids::EndpointId,
+    sent_at: time::Instant,
+}
+
+impl SentAttempt {
+    /// Returns the attempt started at `started` that a reply is for; none if it was not sent.
+    pub fn new(reply: &types::StageReply, started: time::Instant) -> Option<Self> {
+        let endpoint = reply.endpoint.clone()?;
+        Some(Self { endpoint, sent_at: started + reply.waited })
+    }
+}
+
 /// One call of a stage or service, with all of its attempts.
 #[derive(Debug)]
 pub struct CallRun {
@@ -70,9 +86,10 @@
             let failure = match self.attempt_once(ledger).await {
                 Ok(reply) => {
                     self.record_success(ledger, &reply, started);
+                    let sent = SentAttempt::new(&reply, started);
                     match failure::CallFailure::from_outcome(reply.outcome) {
                         Ok(answer) => return Ok(answer),
-                        Err(failure) => self.record_failure(ledger, failure, reply.endpoint),
+                        Err(failure) => self.record_failure(ledger, failure, sent),
                     }
                 }
                 Err(failure) => self.record_failure(ledger, failure, None),
@@ -114,9 +131,9 @@
         &mut self,
         ledger: &mut plan::RequestLedger,
         failure: failure::CallFailure,
-        endpoint: Option<ids::EndpointId>,
+        sent: Option<SentAttempt>,
     ) -> Result<(), failure::CallFailure> {
-        let failure = self.record_failure(ledger, failure, endpoint);
+        let failure = self.record_failure(ledger, failure, sent);
         self.wait_for_retry(ledger, failure).await
     }
 
@@ -234,21 +251,33 @@
         &mut self,
         ledger: &mut plan::RequestLedger,
         failure: failure::CallFailure,
-        endpoint: Option<ids::EndpointId>,
+        sent: Option<SentAttempt>,
     ) -> failure::CallFailure {
         if failure.verdict() == types::CallVerdict::NotRun {
             ledger.refund(&self.pool);
         }
         if failure.crashed() {
-            let digest = &ledger.plan().digest;
-            let now = time::Instant::now();
-            self.context.tables.suspects.lock().record_crash(digest, self.exclusive, now);
+            self.record_crash(&ledger.plan().digest, sent.as_ref());
         }
-        self.excluded_endpoints.extend(endpoint);
+        self.excluded_endpoints.extend(sent.map(|attempt| attempt.endpoint));
         self.verdicts = self.verdicts.with_outcome(failure.verdict());
         failure.with_verdict(self.verdicts.verdict())
     }
 
+    /// Records that an endpoint crashed during an attempt. One that ran alone is the cause; equal
+    /// requests that ran beside others may all have seen the one crash.
+    fn record_crash(&self, digest: &ids::BodyDigest, sent: Option<&SentAttempt>) {
+        let now = time::Instant::now();
+        let mut suspects = self.context.tables.suspects.lock();
+        match sent.filter(|_| !self.exclusive) {
+            Some(attempt) => {
+                let endpoint = xxh3::xxh3_64(attempt.endpoint.as_bytes());
+                suspects.record_attempt_crash(digest, endpoint, attempt.sent_at, now);
+            }
+            None => suspects.record_crash(digest, self.exclusive, now),
+        }
+    }
+
     /// Waits until the next attempt may be made, or fails if none may be made.
     async fn wait_for_retry(
         &mut self,
--- a/crates/comfreyspread/src/ingress/stream_run.rs
+++ b/crates/comfreyspread/src/ingress/stream_run.rs
@@ -71,14 +71,14 @@
                 Ok(types::StageFrame::Finished { reply, tokens }) => {
                     match self.finish(&reply, tokens) {
                         Ok(end) => return Ok(StreamEvent::End(end)),
-                        Err(failure) => (failure, reply.endpoint),
+                        Err(failure) => (failure, call_run::SentAttempt::new(&reply, self.started)),
                     }
                 }
                 Err(failure) => (failure, None),
             };
             self.source = None;
-            let (failure, endpoint) = failed;
-            self.run.prepare_retry(&mut self.ledger, failure, endpoint).await?;
+            let (failure, sent) = failed;
+            self.run.prepare_retry(&mut self.ledger, failure, sent).await?;
         }
     }
 
