--- a/crates/comfreyspread/src/gateway/piece_dispatch.rs
+++ b/crates/comfreyspread/src/gateway/piece_dispatch.rs
@@ -139,17 +139,19 @@
     Ok(reply.waits)
 }
 
-/// Releases results through the node that batches their service.
+/// Releases results through the node that made them: this one, after other nodes failed, else the
+/// node that batches their service.
 pub fn release(
     state: &sync::Arc<state::GatewayState>,
     service: &ids::ServiceName,
     region: &ids::RegionId,
     handles: Vec<ids::ResultHandle>,
 ) {
+    let scope = batcher::BatchScope { service: service.clone(), region: region.clone() };
+    let handles = batcher::release_own(state, &scope, handles);
     if handles.is_empty() {
         return;
     }
-    let scope = batcher::BatchScope { service: service.clone(), region: region.clone() };
     let (_, address) = state.batching_node(service, region);
     let Some(address) = address else {
         batcher::release(state, &scope, &handles);
@@ -208,11 +210,22 @@
         batcher::BatchScope { service, region: self.state.settings.region.clone() }
     }
 
+    /// Refuses pieces for a region that is not of the deployment: its queue and task would last as
+    /// long as the process.
+    fn check_region(&self, region: &ids::RegionId) -> Result<(), failure::CallFailure> {
+        if self.state.regions.contains(region) {
+            return Ok(());
+        }
+        let detail = format!("region {region} is unknown");
+        Err(failure::CallFailure::new(types::ProblemKind::BadRequest, detail))
+    }
+
     async fn run(
         &self,
         request: &http_server::ServerRequest,
     ) -> Result<http_message::Response, failure::CallFailure> {
         let message: types::PieceRequest = peer::decode_message(&self.state.context, request)?;
+        self.check_region(&message.region)?;
         let now = time::Instant::now();
         let group = piece_group::PieceGroup {
             tasks: message.tasks,
--- a/crates/comfreyspread/src/gateway/row_compression.rs
+++ b/crates/comfreyspread/src/gateway/row_compression.rs
@@ -7,7 +7,7 @@
 
 /// Minimum size of a value that is compressed, in bytes.
 const MIN_COMPRESSED_BYTES: usize = 8 * 1024;
-/// Maximum size of a value once decompressed, in bytes.
+/// Maximum size of a value, and of all values of a message, once decompressed, in bytes.
 const MAX_VALUE_BYTES: u64 = 32 * 1024 * 1024;
 
 /// Returns the rows with large values compressed.
@@ -15,6 +15,24 @@
     rows.into_iter().map(compress).collect()
 }
 
+/// Checks the rows of a message before they are kept. A row that is kept but cannot be applied would
+/// hide the change from this node and from those that take rows from it.
+///
+/// # Errors
+///
+/// Fails if a value cannot be decompressed or the values are too long together.
+pub fn check_rows(rows: &[types::StoreRow]) -> io::Result<()> {
+    let mut bytes = 0;
+    for row in rows {
+        let Some(value) = row.value.as_ref().filter(|_| row.compressed) else { continue };
+        let mut decoder =
+            read::DeflateDecoder::new(value.as_ref()).take(MAX_VALUE_BYTES + 1 - bytes);
+        bytes += io::copy(&mut decoder, &mut io::sink())?;
+        check_size(bytes)?;
+    }
+    Ok(())
+}
+
 /// Returns the rows with plain values. A row whose value cannot be decompressed is left out and
 /// logged.
 pub fn decompress_rows(rows: Vec<types::StoreRow>) -> Vec<types::StoreRow> {
@@ -55,8 +73,13 @@
     let mut plain = Vec::new();
     let mut decoder = read::DeflateDecoder::new(value.as_ref()).take(MAX_VALUE_BYTES + 1);
     decoder.read_to_end(&mut plain)?;
-    if u64::try_from(plain.len()).unwrap_or(u64::MAX) > MAX_VALUE_BYTES {
+    check_size(u64::try_from(plain.len()).unwrap_or(u64::MAX))?;
+    Ok(types::StoreRow { compressed: false, value: Some(ids::Payload::from(plain)), ..row })
+}
+
+fn check_size(bytes: u64) -> io::Result<()> {
+    if bytes > MAX_VALUE_BYTES {
         return Err(io::Error::other("the value is too long"));
     }
-    Ok(types::StoreRow { compressed: false, value: Some(ids::Payload::from(plain)), ..row })
+    Ok(())
 }
