Answer requests that were not sent when a planned stop ends

What callers saw: a connection closed without an answer (LOST) half a second before the end of the grace period, for a request that waited at its stages all that time. Operators of other systems told of the same.

Cause: the end of the drain was known to the server alone, which closes what is left. Requests in progress now know it too. One that no endpoint may have run is rejected as not run 0.25 s before, with a time to come back; one that has been sent is left its answer to the very end.

Evidence: stop_edges never_sent failed before ("connection closed", `stopped before all requests finished requests=1`) and passes now; stop_edges 6, graceful_stop 1, platform_requests 13 passed. Open: the native front end still cuts what waits at the end of its drain.

--- a/crates/comfreyspread-lab/tests/stop_edges.rs
+++ b/crates/comfreyspread-lab/tests/stop_edges.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use async_net::TcpStream;
-use comfreyspread_lab::fleet;
+use comfreyspread_lab::{fleet, fleet_request};
 use common::gateway;
 use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _};
 use futures_util::{StreamExt as _, future, stream};
@@ -20,6 +20,8 @@
 const ARRIVALS_AT_ONCE: usize = 4;
 /// Time between a connection and its request.
 const REQUEST_DELAY: time::Duration = time::Duration::from_millis(100);
+/// Longer than a node takes to stop, in milliseconds.
+const LONG_DEADLINE_MS: u32 = 15_000;
 /// Calls at once.
 const MAX_OPEN_CALLS: usize = 200;
 
@@ -163,3 +165,30 @@
         assert_eq!(node.process.wait(gateway::RESPONSE_TIMEOUT).await, Some(0));
     });
 }
+
+/// Guards against requests cut without an answer at the end of a stop because they still waited at
+/// their stages: nothing of them was sent, so that their callers may be told so.
+#[test]
+fn never_sent() {
+    gateway::with_fleet(async |fleet| {
+        let mut document = gateway::route_document(2);
+        document["routes"][3]["timeout_ms"] = LONG_DEADLINE_MS.into();
+        fleet.set_route_document(&document);
+        let node = gateway::start_nodes(&fleet, 1).await.remove(0);
+        for worker in ["worker-1", "worker-2"] {
+            fleet.faults(worker).full.store(true, atomic::Ordering::Relaxed);
+        }
+        let request = fleet_request::FleetRequest::new(node.caller_address, "/report/", "waiting")
+            .with_pieces("2,1")
+            .with_deadline_ms(LONG_DEADLINE_MS.into());
+        let stop = async {
+            async_io::Timer::after(STEP).await;
+            node.process.signal(Signal::TERM);
+        };
+        let call = gateway::call(node.caller_address, request.into_message());
+        let (response, ()) = future::join(call, stop).await;
+        assert_eq!(response.status(), 503);
+        assert!(response.header("retry-after").is_some());
+        assert!(gateway::runs(&fleet, "waiting").is_empty());
+    });
+}
--- a/crates/comfreyspread/src/gateway/attempt_send.rs
+++ b/crates/comfreyspread/src/gateway/attempt_send.rs
@@ -5,7 +5,10 @@
 use comfreyspread_platform::{request_head, response_head};
 use comfreyspread_policy::{attempt, endpoint_directory};
 use comfreyspread_schema::{ids, types};
-use std::{sync, time};
+use std::{
+    sync::{self, atomic},
+    time,
+};
 
 /// Difference between the priority sent to engines and that of the request.
 const ENGINE_PRIORITY_OFFSET: u32 = 2;
@@ -170,6 +173,7 @@
     }
     let request = build_request(plan, &active.chosen, input, time::Instant::now());
     let _sent = planned.send();
+    let sent_before = plan.sent_mark.swap(true, atomic::Ordering::Relaxed);
     let response = match state.client.send(connection, request, plan.deadline).await {
         Ok(response) => response,
         Err(failure) => {
@@ -179,6 +183,9 @@
     };
     let checked = check_response(plan, active, response, connection_use);
     checked.map_err(|failed| {
+        if failed.failure.verdict() == types::CallVerdict::NotRun {
+            plan.sent_mark.store(sent_before, atomic::Ordering::Relaxed);
+        }
         let new = AttemptInput { tried: &[], ..*input };
         let query = endpoint_query(state, plan, &new, time::Instant::now());
         FailedAttempt { failure: with_pause(state, &query, failed.failure), ..failed }
--- a/crates/comfreyspread/src/gateway/call_plan.rs
+++ b/crates/comfreyspread/src/gateway/call_plan.rs
@@ -7,7 +7,11 @@
 };
 use comfreyspread_policy::{crash_evidence, endpoint_directory, route_table, stage_graph, suspect};
 use comfreyspread_schema::{ids, types};
-use std::{io, sync, time};
+use std::{
+    io,
+    sync::{self, atomic},
+    time,
+};
 use xxhash_rust::xxh3;
 
 /// A request with everything that its attempts need.
@@ -25,6 +29,8 @@
     pub service: sync::Arc<types::ServiceRule>,
     /// Workspace of the caller.
     pub workspace: Option<sync::Arc<types::WorkspaceRule>>,
+    /// Whether an endpoint may have run the request, or may run it now.
+    pub sent_mark: sync::Arc<atomic::AtomicBool>,
     /// Arrival time.
     pub arrived: time::Instant,
     /// Time by which a response meets the latency target.
@@ -99,6 +105,7 @@
             route,
             service,
             workspace,
+            sent_mark: sync::Arc::default(),
             arrived,
             target,
             deadline,
--- a/crates/comfreyspread/src/gateway/caller_handler.rs
+++ b/crates/comfreyspread/src/gateway/caller_handler.rs
@@ -10,13 +10,20 @@
 use comfreyspread_schema::{ids, types};
 use futures_lite::FutureExt as _;
 use http::StatusCode;
-use std::{sync, time};
+use std::{
+    future,
+    sync::{self, atomic},
+    time,
+};
 
 /// Minimum retry delay returned to a caller whose request has not run.
 pub const RETRY_AFTER: time::Duration = time::Duration::from_millis(300);
 /// Time before a request's deadline at which it times out.
 const RESPONSE_MARGIN: time::Duration = time::Duration::from_millis(20);
 
+/// Time before the end of a planned stop at which requests that have not been sent are answered.
+const STOP_MARGIN: time::Duration = time::Duration::from_millis(250);
+
 /// Handles callers' requests.
 pub struct CallerHandler {
     state: sync::Arc<state::GatewayState>,
@@ -49,6 +56,7 @@
         let response_deadline = plan.deadline.checked_sub(RESPONSE_MARGIN).unwrap_or(plan.deadline);
         self.state.retry_budget.lock().count_request(&plan.service.name, arrived);
         let streamed = route.kind == types::RouteKind::Stream;
+        let sent_mark = plan.sent_mark.clone();
         let run = async {
             if streamed {
                 stream_run::run(&self.state, plan).await
@@ -62,8 +70,9 @@
             let failure = failure::CallFailure::new(types::ProblemKind::Timeout, detail);
             Err(failure.with_verdict(types::CallVerdict::MayHaveRun))
         };
-        let result =
-            request.connection_monitor().run_while_connected(Box::pin(run).or(timed_out)).await;
+        let stopped = async { Err(self.stopped_unsent(&sent_mark).await) };
+        let ended = Box::pin(run).or(timed_out).or(stopped);
+        let result = request.connection_monitor().run_while_connected(ended).await;
         let elapsed = arrived.elapsed();
         match result {
             Some(Ok(response)) => {
@@ -89,6 +98,20 @@
     }
 }
 
+impl CallerHandler {
+    /// Waits until the node is about to end, and returns the rejection of a request that no endpoint
+    /// has been sent by then; one that has been sent is left its answer to the very end.
+    async fn stopped_unsent(&self, sent_mark: &atomic::AtomicBool) -> failure::CallFailure {
+        self.state.context.drain_limit.near(STOP_MARGIN).await;
+        if sent_mark.load(atomic::Ordering::Relaxed) {
+            return future::pending().await;
+        }
+        let detail = "the node stops before the request could be sent";
+        let failure = call_plan::CallPlan::not_run(types::ProblemKind::Unavailable, detail);
+        failure.with_retry_after(RETRY_AFTER)
+    }
+}
+
 impl http_server::RequestHandler for CallerHandler {
     async fn handle(&self, request: http_server::ServerRequest) -> http_message::Response {
         let _active = self.state.context.track_request();
--- a/crates/comfreyspread/src/runtime/context.rs
+++ b/crates/comfreyspread/src/runtime/context.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     configuration::distribution,
-    runtime::{metrics, platform_client, settings, tables, worker},
+    runtime::{drain_limit, metrics, platform_client, settings, tables, worker},
     transport::{activity_counter, http_client},
 };
 use comfreyspread_schema::{ids, types};
@@ -35,6 +35,8 @@
     pub configuration_watch: distribution::RevisionNotifier,
     /// Caller requests in progress.
     pub active_requests: sync::Arc<activity_counter::ActivityCounter>,
+    /// End of a planned stop.
+    pub drain_limit: drain_limit::DrainLimit,
     next_request_number: atomic::AtomicU64,
 }
 
@@ -61,6 +63,7 @@
             spawner,
             configuration_watch: distribution::RevisionNotifier::new(),
             active_requests: sync::Arc::new(activity_counter::ActivityCounter::new()),
+            drain_limit: drain_limit::DrainLimit::new(),
             next_request_number: atomic::AtomicU64::new(0),
             settings,
         }
--- a/crates/comfreyspread/src/runtime/node.rs
+++ b/crates/comfreyspread/src/runtime/node.rs
@@ -163,6 +163,8 @@
 where
     Forced: Future<Output = ()>,
 {
+    let limit = context.settings.grace_period + context.settings.shutdown_timeout;
+    context.drain_limit.begin(time::Instant::now() + limit);
     let finished = async {
         async_io::Timer::after(context.settings.grace_period).await;
         closer.drain().await;
@@ -170,8 +172,7 @@
         true
     };
     let timed_out = async {
-        async_io::Timer::after(context.settings.grace_period + context.settings.shutdown_timeout)
-            .await;
+        async_io::Timer::after(limit).await;
         false
     };
     let forced = async {
