Check the order of timers by one that must not fire, not by two that are overdue

Seen: fires_in_order failed once at `other < one`, at a load average of about 50.

Cause, in the test: two timers 60 ms apart are awaited by one task. Where its thread is not scheduled for that long both are due at the next poll, and zip polls the late one first.

The test now adds a timer 30 s away first. A timer added after it, with an earlier deadline, fires while that one has not; were the queue to serve them in the order in which they came, it would fail as before. That no timer fires before its deadline is asked for as before.

--- a/crates/comfreyspread/tests/deadlines.rs
+++ b/crates/comfreyspread/tests/deadlines.rs
@@ -5,16 +5,21 @@
 use std::time;
 
 const STEP: time::Duration = time::Duration::from_millis(20);
+/// Far enough away not to be reached while the test is held up.
+const FAR: time::Duration = time::Duration::from_secs(30);
 
+/// A timer that was added later fires first if its deadline is earlier, and none fires too early.
 #[test]
 fn fires_in_order() {
     let start = time::Instant::now();
     future::block_on(async {
+        let mut far = deadline::DeadlineTimer::new(start + FAR);
+        assert!(future::poll_once(&mut far).await.is_none());
         let late = deadline::DeadlineTimer::new(start + STEP * 4);
         let early = deadline::DeadlineTimer::new(start + STEP);
         let (one, other) = future::zip(timed(late), timed(early)).await;
         assert!(other >= start + STEP && one >= start + STEP * 4);
-        assert!(other < one);
+        assert!(future::poll_once(&mut far).await.is_none(), "fired with the earlier ones");
     });
 }
 
