Probe no port of a test while a child process starts

Cause, in the lab: a port is probed by binding it for a moment. A child that another thread starts in that moment holds the socket until it runs its program, and on a busy machine that is longer than the node takes to bind. Probing and starting children now exclude each other.

--- a/crates/comfreyspread-lab/src/process.rs
+++ b/crates/comfreyspread-lab/src/process.rs
@@ -46,6 +46,9 @@
     }
 
     fn start(command: &mut process::Command) -> miette::Result<Self> {
+        // Until it has started its program, a child holds all open sockets, also that of a port that
+        // is being probed.
+        let _no_probe = port_allocator().lock();
         let child = command.stdin(process::Stdio::null()).spawn().into_diagnostic()?;
         Ok(Self { child })
     }
@@ -105,9 +108,11 @@
 ///
 /// Fails if no port is free.
 pub fn free_address() -> miette::Result<net::SocketAddr> {
-    let allocator =
-        PORT_ALLOCATOR.get_or_init(|| lock_rank::RankedLock::new(PortAllocator::default()));
-    allocator.lock().next_address()
+    port_allocator().lock().next_address()
+}
+
+fn port_allocator() -> &'static lock_rank::RankedLock<lock_rank::ConnectionRank, PortAllocator> {
+    PORT_ALLOCATOR.get_or_init(|| lock_rank::RankedLock::new(PortAllocator::default()))
 }
 
 /// Returns `count` loopback addresses with ports that are free now.
