--- a/crates/comfreyspread-lab/tests/crashing_parts.rs
+++ b/crates/comfreyspread-lab/tests/crashing_parts.rs
@@ -160,3 +160,20 @@
         assert!(metric(&test.nodes[0], "requests_rejected_crashing_total").await > 0);
     });
 }
+
+/// Guards against endpoints crashing anew with a part that was known, because all nodes have been
+/// killed at once.
+#[test]
+fn all_killed() {
+    CrashTest::run(4, async |mut test| {
+        future::join(test.send_guilty(CONTACT_TIME), test.send_sound(CONTACT_TIME)).await;
+        assert!(test.engines.crashes().len() >= 3, "the part is known");
+        test.nodes.iter_mut().for_each(|node| node.process.kill());
+        test.nodes = gateway::start_nodes(&test.fleet, NODES).await;
+        async_io::Timer::after(CONTACT_TIME).await;
+        let restarted = time::Instant::now();
+        test.send_guilty(CONTACT_TIME).await;
+        let late = test.engines.guilty_arrivals_after(restarted);
+        assert!(late <= LATE_ARRIVALS, "{late} arrivals of a part that was known");
+    });
+}
