--- a/crates/comfreyspread-lab/tests/crashing_parts.rs
+++ b/crates/comfreyspread-lab/tests/crashing_parts.rs
@@ -15,7 +15,7 @@
 const GUILTY: &str = "bad";
 /// Prompt parts of sound requests of the same caller, that the guilty ones share or resemble.
 const SOUND: [&str; 3] = ["first:900,one:300", "first:900,two:300", "first:900,three:300"];
-/// Time within which nodes in touch share what they learn.
+/// Time within which nodes that reach each other share what they learn.
 const CONTACT_TIME: time::Duration = time::Duration::from_millis(4000);
 /// Crashes after which the guilty requests have to be known.
 const LEARNING_CRASHES: usize = 5;
