Update the table of prompt parts in one place

Crashes, first events and records of other nodes each locked the table, took its changes, logged them and told other nodes, in three copies. crash_notice::update_parts does it for all three.

--- a/crates/comfreyspread/src/gateway/call_plan.rs
+++ b/crates/comfreyspread/src/gateway/call_plan.rs
@@ -149,12 +149,11 @@
 
     /// Records the first event of a response, which proves the prompt parts sound.
     pub fn record_first_event(&self, state: &state::GatewayState) {
-        let now = time::Instant::now();
-        let mut table = state.context.tables.part_suspects.lock();
-        table.record_first_event(&self.part_hashes(), now);
-        let changes = table.take_changes();
-        drop(table);
-        crash_notice::log_changes(&changes);
+        let (now, parts) = (time::Instant::now(), self.part_hashes());
+        crash_notice::update_parts(&state.context.tables, |table| {
+            table.record_first_event(&parts, now);
+            false
+        });
     }
 
     /// Records that the request was served, which clears it of earlier crashes.
@@ -321,12 +320,5 @@
         request: xxh3::xxh3_64(digest.as_bytes()),
         crashed_at: broke_at,
     };
-    let mut table = tables.part_suspects.lock();
-    let news = table.record_crash(parts, seen, now);
-    let changes = table.take_changes();
-    drop(table);
-    crash_notice::log_changes(&changes);
-    if news {
-        tables.crash_known.notify(usize::MAX);
-    }
+    crash_notice::update_parts(tables, |table| table.record_crash(parts, seen, now));
 }
--- a/crates/comfreyspread/src/membership/crash_notice.rs
+++ b/crates/comfreyspread/src/membership/crash_notice.rs
@@ -4,7 +4,10 @@
 //! members, which do the same. All nodes know of it after a few messages in a row. The time between
 //! notices bounds what they send however many endpoints crash.
 
-use crate::{membership::probe, runtime::context};
+use crate::{
+    membership::probe,
+    runtime::{context, tables},
+};
 use comfreyspread_policy::part_suspect;
 use comfreyspread_schema::ids;
 use futures_util::future;
@@ -26,8 +29,24 @@
     }
 }
 
+/// Updates the table of prompt parts and logs what that convicts or clears. If `update` returns that
+/// it added a crash, other nodes hear of it at once.
+pub fn update_parts<Update>(tables: &tables::SharedTables, update: Update)
+where
+    Update: FnOnce(&mut part_suspect::PartTable) -> bool,
+{
+    let mut table = tables.part_suspects.lock();
+    let has_news = update(&mut table);
+    let changes = table.take_changes();
+    drop(table);
+    log_changes(&changes);
+    if has_news {
+        tables.crash_known.notify(usize::MAX);
+    }
+}
+
 /// Writes a line for each conviction of a prompt part, and for its end.
-pub fn log_changes(changes: &[part_suspect::PartChange]) {
+fn log_changes(changes: &[part_suspect::PartChange]) {
     for change in changes {
         let part = format_part(change.part);
         if change.convicted {
--- a/crates/comfreyspread/src/membership/heartbeat_message.rs
+++ b/crates/comfreyspread/src/membership/heartbeat_message.rs
@@ -133,17 +133,13 @@
 /// Merges the prompt parts that another node suspects.
 pub fn merge_parts(context: &context::NodeContext, records: &[types::PartSuspect]) {
     let now = time::Instant::now();
-    let mut table = context.tables.part_suspects.lock();
-    let mut news = false;
-    for record in records {
-        news |= table.merge(record, now);
-    }
-    let changes = table.take_changes();
-    drop(table);
-    crash_notice::log_changes(&changes);
-    if news {
-        context.tables.crash_known.notify(usize::MAX);
-    }
+    crash_notice::update_parts(&context.tables, |table| {
+        let mut has_news = false;
+        for record in records {
+            has_news |= table.merge(record, now);
+        }
+        has_news
+    });
 }
 
 fn part_suspects(context: &context::NodeContext) -> Vec<types::PartSuspect> {
