Look for the end of a pause once, and only for requests that have not run

A request without an endpoint had the endpoints of its service examined twice, and one whose attempt may have run once, for a retry delay that its answer never has. The delay at the end of a stop was set twice. Removed stands where it is examined among the reasons to pass an endpoint over, and the caller's handler is one block again.

--- a/crates/comfreyspread-policy/src/endpoint_selection.rs
+++ b/crates/comfreyspread-policy/src/endpoint_selection.rs
@@ -26,6 +26,8 @@
 pub enum SkipReason {
     /// Its region may not run the request.
     OtherRegion,
+    /// Its registration has been removed since it was chosen, or another process has its name.
+    Removed,
     /// Its availability zone is out of service.
     ZoneOut,
     /// It is shutting down, as it registered or said in an answer.
@@ -36,8 +38,6 @@
     Tried,
     /// It is cold and has had this node's share of requests.
     ColdLimit,
-    /// Its registration has been removed, or another process has taken its name.
-    Removed,
 }
 
 impl SkipReason {
--- a/crates/comfreyspread-policy/src/suspect.rs
+++ b/crates/comfreyspread-policy/src/suspect.rs
@@ -77,8 +77,8 @@
         }
     }
 
-    /// Records that an endpoint crashed while it ran an attempt sent at `sent_at` beside others; the
-    /// crashes of an endpoint can only be told apart by time. An attempt sent before the latest one
+    /// Records that an endpoint crashed while it ran an attempt sent at `sent_at` beside others. Its
+    /// crashes have one hash, of its name, and can only be told apart by time. An attempt sent before the latest one
     /// was seen was in flight at that one.
     pub fn record_attempt_crash(
         &mut self,
--- a/crates/comfreyspread/src/gateway/attempt_send.rs
+++ b/crates/comfreyspread/src/gateway/attempt_send.rs
@@ -3,7 +3,7 @@
 use super::{call_plan, caller_handler, endpoint_notices, state};
 use crate::transport::{failure, http_client, http_message};
 use comfreyspread_platform::{request_head, response_head};
-use comfreyspread_policy::{attempt, endpoint_directory};
+use comfreyspread_policy::{attempt, endpoint_directory, endpoint_selection};
 use comfreyspread_schema::{ids, types};
 use std::{
     sync::{self, atomic},
@@ -183,12 +183,14 @@
     };
     let checked = check_response(plan, active, response, connection_use);
     checked.map_err(|failed| {
-        if failed.failure.verdict() == types::CallVerdict::NotRun {
-            plan.sent_mark.store(sent_before, atomic::Ordering::Relaxed);
+        if failed.failure.verdict() != types::CallVerdict::NotRun {
+            return failed;
         }
+        plan.sent_mark.store(sent_before, atomic::Ordering::Relaxed);
         let new = AttemptInput { tried: &[], ..*input };
         let query = endpoint_query(state, plan, &new, time::Instant::now());
-        FailedAttempt { failure: with_pause(state, &query, failed.failure), ..failed }
+        let skipped = state.directory.lock().skipped(&query);
+        FailedAttempt { failure: with_pause(&skipped, query.now, failed.failure), ..failed }
     })
 }
 
@@ -223,18 +225,17 @@
     let skipped = state.directory.lock().skipped(query);
     let detail = format!("service {} has no endpoint to use: {skipped}", query.service);
     let failure = call_plan::CallPlan::not_run(types::ProblemKind::Unavailable, &detail);
-    with_pause(state, query, failure)
+    with_pause(&skipped, query.now, failure)
 }
 
 /// Sets the retry delay to the end of a pause, if that is all that keeps a request from its service.
 fn with_pause(
-    state: &state::GatewayState,
-    query: &endpoint_directory::EndpointQuery<'_>,
+    skipped: &endpoint_selection::SkipSummary,
+    now: time::Instant,
     failure: failure::CallFailure,
 ) -> failure::CallFailure {
-    let skipped = state.directory.lock().skipped(query);
     let Some(resumes_at) = skipped.resumes_at else { return failure };
-    let pause = resumes_at.saturating_duration_since(query.now);
+    let pause = resumes_at.saturating_duration_since(now);
     failure.with_retry_after(caller_handler::retry_after_pause(pause))
 }
 
--- a/crates/comfreyspread/src/gateway/caller_handler.rs
+++ b/crates/comfreyspread/src/gateway/caller_handler.rs
@@ -20,7 +20,6 @@
 pub const RETRY_AFTER: time::Duration = time::Duration::from_millis(300);
 /// Time before a request's deadline at which it times out.
 const RESPONSE_MARGIN: time::Duration = time::Duration::from_millis(20);
-
 /// Time before the end of a planned stop at which requests that have not been sent are answered.
 const STOP_MARGIN: time::Duration = time::Duration::from_millis(250);
 
@@ -96,9 +95,7 @@
             }
         }
     }
-}
 
-impl CallerHandler {
     /// Waits until the node is about to end, and returns the rejection of a request that no endpoint
     /// has been sent by then; one that has been sent is left its answer to the very end.
     async fn stopped_unsent(&self, sent_mark: &atomic::AtomicBool) -> failure::CallFailure {
@@ -107,8 +104,7 @@
             return future::pending().await;
         }
         let detail = "the node stops before the request could be sent";
-        let failure = call_plan::CallPlan::not_run(types::ProblemKind::Unavailable, detail);
-        failure.with_retry_after(RETRY_AFTER)
+        call_plan::CallPlan::not_run(types::ProblemKind::Unavailable, detail)
     }
 }
 
