Move the calls of a batching queue to a module of their own

The planned and the running call, and the expected time of a call, are now batch_call; nothing else changes. The queue's tests (batch_queue, crashing_pieces, burst_admission) pass as before, with the paths of the moved items changed.

--- a/crates/comfreyspread-policy/src/batch_queue.rs
+++ b/crates/comfreyspread-policy/src/batch_queue.rs
@@ -5,13 +5,12 @@
 //! Pieces that can still meet their target go first, by priority; those that can only be late
 //! follow, by deadline; those past their deadline are dropped.
 
-use crate::{batch_admission, batch_outcome, batch_worker, home_zones, piece_group, worker_set};
+use crate::{
+    batch_admission, batch_call, batch_outcome, batch_worker, home_zones, piece_group, worker_set,
+};
 use comfreyspread_schema::{ids, types};
 use indexmap::{IndexMap, IndexSet};
-use std::{net, time};
-
-/// Number of a call within its queue.
-pub type CallNumber = u64;
+use std::time;
 
 /// Multiple of the expected time after which a call times out.
 const TIMEOUT_FACTOR: f64 = 3.0;
@@ -23,44 +22,13 @@
 /// Sort key of a group: late, not started, priority, in another zone, target or deadline.
 type GroupSortKey = (bool, bool, u32, bool, time::Instant);
 
-#[derive(Debug)]
-struct RunningCall {
-    endpoint: ids::EndpointId,
-    started: time::Instant,
-    expected: time::Duration,
-    pieces: Vec<(piece_group::GroupNumber, usize)>,
-    bytes: u64,
-}
-
-impl RunningCall {
-    /// Returns the mean size of the call's results in bytes.
-    fn piece_bytes(&self) -> u64 {
-        self.bytes / u64::try_from(self.pieces.len()).unwrap_or(1).max(1)
-    }
-}
-
-/// A call to be sent now.
-#[derive(Clone, Debug)]
-pub struct PlannedCall {
-    /// Number within the queue.
-    pub number: CallNumber,
-    /// Endpoint to call.
-    pub endpoint: ids::EndpointId,
-    /// Address of the endpoint.
-    pub address: net::SocketAddr,
-    /// Pieces in the call.
-    pub tasks: Vec<types::PieceTask>,
-    /// Time after which the call fails.
-    pub timeout: time::Duration,
-}
-
 /// Queue of one stage service in one region.
 #[derive(Debug)]
 pub struct BatchQueue {
     capacity: types::StageCapacity,
     workers: worker_set::WorkerSet,
     groups: IndexMap<piece_group::GroupNumber, piece_group::QueuedGroup>,
-    calls: IndexMap<CallNumber, RunningCall>,
+    calls: IndexMap<batch_call::CallNumber, batch_call::RunningCall>,
     admission: batch_admission::BatchAdmission,
     last_number: u64,
 }
@@ -105,7 +73,7 @@
     }
 
     /// Returns the calls to be sent now.
-    pub fn plan(&mut self, now: time::Instant) -> Vec<PlannedCall> {
+    pub fn plan(&mut self, now: time::Instant) -> Vec<batch_call::PlannedCall> {
         self.workers.remove_expired(now);
         std::iter::from_fn(|| self.plan_call(now)).collect()
     }
@@ -114,7 +82,7 @@
     /// it completed. Returns the results of cancelled groups, which are to be released.
     pub fn finish_call(
         &mut self,
-        number: CallNumber,
+        number: batch_call::CallNumber,
         outcome: &batch_outcome::BatchOutcome,
         now: time::Instant,
     ) -> Vec<ids::ResultHandle> {
@@ -208,7 +176,7 @@
 
     /// Returns the expected time of a call with `pieces` pieces.
     pub fn call_time(&self, pieces: usize) -> time::Duration {
-        call_time(&self.capacity, u32::try_from(pieces).unwrap_or(u32::MAX))
+        batch_call::call_time(&self.capacity, u32::try_from(pieces).unwrap_or(u32::MAX))
     }
 
     /// Returns the number of queued pieces and of running calls.
@@ -263,7 +231,7 @@
         self.last_number
     }
 
-    fn plan_call(&mut self, now: time::Instant) -> Option<PlannedCall> {
+    fn plan_call(&mut self, now: time::Instant) -> Option<batch_call::PlannedCall> {
         if !self.workers.has_idle(now) {
             return None;
         }
@@ -338,13 +306,13 @@
     /// Returns the summary of a call for [`worker_set::WorkerSet::record_call`].
     fn ended_call(
         &self,
-        call: &RunningCall,
+        call: &batch_call::RunningCall,
         outcome: &batch_outcome::BatchOutcome,
     ) -> worker_set::EndedCall {
         worker_set::EndedCall {
             endpoint: call.endpoint.clone(),
             started: call.started,
-            expected: call_time(&self.capacity, outcome.attempted()),
+            expected: batch_call::call_time(&self.capacity, outcome.attempted()),
             piece_bytes: call.piece_bytes(),
         }
     }
@@ -454,7 +422,7 @@
         endpoint: ids::EndpointId,
         pieces: Vec<(piece_group::GroupNumber, usize)>,
         now: time::Instant,
-    ) -> PlannedCall {
+    ) -> batch_call::PlannedCall {
         let is_late =
             |group| self.groups.get(group).is_some_and(|queued| self.is_late(queued, now));
         let late = pieces.iter().filter(|(group, _)| is_late(group)).count();
@@ -473,10 +441,15 @@
         }
         let (address, time_ratio) = self.workers.start_call(&endpoint, number, now);
         let timeout = expected.mul_f64(time_ratio * TIMEOUT_FACTOR) + TIMEOUT_MARGIN;
-        let call =
-            RunningCall { endpoint: endpoint.clone(), started: now, expected, pieces, bytes };
+        let call = batch_call::RunningCall {
+            endpoint: endpoint.clone(),
+            started: now,
+            expected,
+            pieces,
+            bytes,
+        };
         self.calls.insert(number, call);
-        PlannedCall { number, endpoint, address, tasks, timeout }
+        batch_call::PlannedCall { number, endpoint, address, tasks, timeout }
     }
 
     fn finish_piece(
@@ -484,7 +457,7 @@
         number: piece_group::GroupNumber,
         piece: usize,
         outcome: types::PieceOutcome,
-        call: &RunningCall,
+        call: &batch_call::RunningCall,
         now: time::Instant,
     ) {
         let queued = self.groups.get_mut(&number);
@@ -499,9 +472,3 @@
         }
     }
 }
-
-/// Returns the expected time of a call with `pieces` pieces at an endpoint with `capacity`.
-pub fn call_time(capacity: &types::StageCapacity, pieces: u32) -> time::Duration {
-    time::Duration::from_micros(capacity.call_time_us)
-        + time::Duration::from_micros(capacity.piece_time_us) * pieces
-}
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod acceptance;
 pub mod attempt;
 pub mod batch_admission;
+pub mod batch_call;
 pub mod batch_outcome;
 pub mod batch_queue;
 pub mod batch_worker;
--- a/crates/comfreyspread-policy/tests/batch_queue.rs
+++ b/crates/comfreyspread-policy/tests/batch_queue.rs
@@ -2,7 +2,7 @@
 #![allow(clippy::disallowed_methods, reason = "start of the injected time")]
 
 use bolero::check;
-use comfreyspread_policy::{batch_outcome, batch_queue, batch_worker, piece_group};
+use comfreyspread_policy::{batch_call, batch_outcome, batch_queue, batch_worker, piece_group};
 use comfreyspread_schema::{ids, types};
 use indexmap::IndexMap;
 use std::time;
@@ -62,7 +62,7 @@
 }
 
 /// Returns the outcome of a call whose pieces are all completed.
-fn completed(call: &batch_queue::PlannedCall) -> batch_outcome::BatchOutcome {
+fn completed(call: &batch_call::PlannedCall) -> batch_outcome::BatchOutcome {
     let handle = |task: &types::PieceTask| {
         let handle = format!("{}/{}-{}", call.address, task.request, task.piece);
         types::PieceOutcome::Made(handle.into())
@@ -80,7 +80,7 @@
     outcomes.iter().filter_map(handle).collect()
 }
 
-fn requests(call: &batch_queue::PlannedCall) -> Vec<&str> {
+fn requests(call: &batch_call::PlannedCall) -> Vec<&str> {
     call.tasks.iter().map(|task| &*task.request).collect()
 }
 
@@ -350,7 +350,7 @@
     let mut now = time::Instant::now();
     let mut queue = queue(3, now);
     let mut open = IndexMap::<piece_group::GroupNumber, usize>::new();
-    let mut calls = Vec::<batch_queue::PlannedCall>::new();
+    let mut calls = Vec::<batch_call::PlannedCall>::new();
     for (action, size) in steps {
         now += ms(u64::from(size % 50) * 20);
         match action % 8 {
@@ -387,7 +387,7 @@
 
 fn finish_one(
     queue: &mut batch_queue::BatchQueue,
-    calls: &mut Vec<batch_queue::PlannedCall>,
+    calls: &mut Vec<batch_call::PlannedCall>,
     kind: u8,
     now: time::Instant,
 ) {
--- a/crates/comfreyspread-policy/tests/crashing_pieces.rs
+++ b/crates/comfreyspread-policy/tests/crashing_pieces.rs
@@ -1,7 +1,7 @@
 //! Pieces that crash every endpoint that runs them, batched with pieces of other requests.
 #![allow(clippy::disallowed_methods, reason = "start of the injected time")]
 
-use comfreyspread_policy::{batch_outcome, batch_queue, batch_worker, piece_group};
+use comfreyspread_policy::{batch_call, batch_outcome, batch_queue, batch_worker, piece_group};
 use comfreyspread_schema::types;
 use std::time;
 
@@ -51,7 +51,7 @@
 }
 
 /// Returns the outcome of a call at an endpoint that crashes on the guilty piece.
-fn outcome(call: &batch_queue::PlannedCall) -> batch_outcome::BatchOutcome {
+fn outcome(call: &batch_call::PlannedCall) -> batch_outcome::BatchOutcome {
     if call.tasks.iter().any(|task| &*task.request == GUILTY) {
         return batch_outcome::BatchOutcome::Failed;
     }
--- a/crates/comfreyspread-policy/tests/queue_load/mod.rs
+++ b/crates/comfreyspread-policy/tests/queue_load/mod.rs
@@ -1,7 +1,7 @@
 //! A batch queue under a stream of requests, on injected time.
 #![allow(clippy::disallowed_methods, dead_code, reason = "start of injected time; a part is used")]
 
-use comfreyspread_policy::{batch_outcome, batch_queue, batch_worker, piece_group};
+use comfreyspread_policy::{batch_call, batch_outcome, batch_queue, batch_worker, piece_group};
 use comfreyspread_schema::types;
 use indexmap::IndexMap;
 use std::{net, time};
@@ -56,7 +56,7 @@
         let mut queue = batch_queue::BatchQueue::new(capacity());
         queue.set_workers((0..self.endpoints).map(|index| self.location(index)), start);
         let mut arrived = IndexMap::new();
-        let mut running: Vec<(time::Instant, batch_queue::PlannedCall)> = Vec::new();
+        let mut running: Vec<(time::Instant, batch_call::PlannedCall)> = Vec::new();
         let mut outcome = LoadOutcome::default();
         let mut now = start;
         while now < start + self.duration + DEADLINE {
@@ -120,7 +120,7 @@
     }
 
     /// Counts the pieces of a call by whether they are made in the zone that their task names.
-    fn count_zones(&self, call: &batch_queue::PlannedCall, outcome: &mut LoadOutcome) {
+    fn count_zones(&self, call: &batch_call::PlannedCall, outcome: &mut LoadOutcome) {
         let zone = self.zone(usize::from(call.address.port()) - 9000);
         let home = call.tasks.iter().filter(|task| *task.request == *zone).count();
         outcome.home_pieces += home;
@@ -151,7 +151,7 @@
     }
 }
 
-fn answered(call: &batch_queue::PlannedCall) -> batch_outcome::BatchOutcome {
+fn answered(call: &batch_call::PlannedCall) -> batch_outcome::BatchOutcome {
     let made = (0..call.tasks.len())
         .map(|index| types::PieceOutcome::Made(format!("{}-{index}", call.number).as_str().into()));
     batch_outcome::BatchOutcome::Answered(made.collect())
--- a/crates/comfreyspread/src/gateway/batcher.rs
+++ b/crates/comfreyspread/src/gateway/batcher.rs
@@ -11,7 +11,7 @@
 };
 use comfreyspread_platform::{piece_call, response_head};
 use comfreyspread_policy::{
-    batch_outcome, batch_queue, batch_worker, directory_endpoint, endpoint_directory,
+    batch_call, batch_outcome, batch_queue, batch_worker, directory_endpoint, endpoint_directory,
     endpoint_selection, piece_group, recent_results,
 };
 use comfreyspread_schema::{ids, types};
@@ -292,7 +292,7 @@
 async fn run_call(
     state: &sync::Arc<state::GatewayState>,
     scope: &BatchScope,
-    call: batch_queue::PlannedCall,
+    call: batch_call::PlannedCall,
 ) {
     let started = time::Instant::now();
     // A call without an outcome would occupy its endpoint for good.
@@ -319,7 +319,7 @@
 async fn send_call(
     state: &state::GatewayState,
     scope: &BatchScope,
-    call: &batch_queue::PlannedCall,
+    call: &batch_call::PlannedCall,
 ) -> batch_outcome::BatchOutcome {
     let Ok((head, body)) = piece_call::encode_run_request(&call.endpoint, &call.tasks) else {
         return batch_outcome::BatchOutcome::Failed;
@@ -367,7 +367,7 @@
 fn chosen_endpoint(
     state: &state::GatewayState,
     scope: &BatchScope,
-    call: &batch_queue::PlannedCall,
+    call: &batch_call::PlannedCall,
 ) -> endpoint_directory::ChosenEndpoint {
     endpoint_directory::ChosenEndpoint {
         endpoint: call.endpoint.clone(),
@@ -378,7 +378,7 @@
 }
 
 fn call_failed(
-    call: &batch_queue::PlannedCall,
+    call: &batch_call::PlannedCall,
     failure: &failure::CallFailure,
 ) -> batch_outcome::BatchOutcome {
     log::info!(endpoint = call.endpoint.as_ref(); "batcher: call failed. error={failure}");
@@ -388,7 +388,7 @@
 fn response_origin(
     state: &state::GatewayState,
     scope: &BatchScope,
-    call: &batch_queue::PlannedCall,
+    call: &batch_call::PlannedCall,
     outcomes: &[types::PieceOutcome],
 ) -> recent_results::ResponseOrigin {
     let mut batchers = state.batchers.lock();
@@ -400,7 +400,7 @@
 
 /// Returns the outcome that a response reports.
 fn call_outcome(
-    call: &batch_queue::PlannedCall,
+    call: &batch_call::PlannedCall,
     signals: &types::ResponseSignals,
     response: &http_client::ClientResponse,
 ) -> batch_outcome::BatchOutcome {
--- a/crates/comfreyspread/src/gateway/stage_execution.rs
+++ b/crates/comfreyspread/src/gateway/stage_execution.rs
@@ -3,7 +3,7 @@
 use super::{call_plan, caller_handler, piece_dispatch, state};
 use crate::transport::failure;
 use comfreyspread_platform::piece_call;
-use comfreyspread_policy::{batch_queue, first_event, piece_group, stage_graph};
+use comfreyspread_policy::{batch_call, first_event, piece_group, stage_graph};
 use comfreyspread_schema::{ids, types};
 use futures_lite::{FutureExt as _, StreamExt as _};
 use futures_util::stream::FuturesUnordered;
@@ -48,7 +48,7 @@
                 let capacity =
                     routes.service(&rule.service).and_then(|rule| rule.stage_capacity.as_ref());
                 capacity.map_or(time::Duration::ZERO, |capacity| {
-                    batch_queue::call_time(capacity, capacity.max_batch_size.max(pieces))
+                    batch_call::call_time(capacity, capacity.max_batch_size.max(pieces))
                 })
             });
         let completed_at = vec![None; rules.len()];
