Count callers' requests by how they ended, and log those closed without an answer

What callers see as a closed connection left no trace: a request whose task is cancelled or panics wrote nothing, and a stream counted as answered once its head was there, however it ended.

A request is now received, responding, ended; the states are types. One that is dropped in the first two is counted as unanswered or cut, with its id and the reason in the log, unless its caller has left. Both front ends use it. No decision changes. The monitor of callers' connections moves to a module of its own. request_endings fails to build without the change; its checks of dropped and panicking tasks cover what cannot be provoked over sockets.

--- a/crates/comfreyspread/src/gateway/caller_handler.rs
+++ b/crates/comfreyspread/src/gateway/caller_handler.rs
@@ -2,6 +2,7 @@
 
 use super::{call_plan, state, stream_run, unary_run};
 use crate::{
+    ingress::caller_request,
     membership::crash_notice,
     transport::{deadline, failure, http_message, http_server},
 };
@@ -34,21 +35,27 @@
         Self { state }
     }
 
-    async fn serve(&self, request: &http_server::ServerRequest) -> http_message::Response {
+    async fn serve(
+        &self,
+        request: &http_server::ServerRequest,
+        received: &mut caller_request::CallerRequest<caller_request::ReceivedState>,
+    ) -> EndedCall {
         let arrived = time::Instant::now();
         let (head, body) = (request.head().clone(), request.body().clone());
         let plan = match call_plan::CallPlan::new(&self.state, head, body, arrived) {
             Ok(plan) => plan,
-            Err(error) => return plan_error_response(&error),
+            Err(error) => return EndedCall::rejected(plan_error_response(&error)),
         };
         let id = plan.call.request.clone();
+        received.set_id(&id);
         if !plan.try_admit(&self.state) {
             self.state.context.metrics.crashes.count_rejected();
             let part = plan.convicted_part(&self.state).map(crash_notice::format_part);
             log::warn!(request = id.as_ref(), digest = plan.digest.as_ref(),
                 part = part.as_deref().unwrap_or("none");
                 "entry: rejected, the request crashes endpoints");
-            return failure_response(&call_plan::CallPlan::crashing(), &id);
+            let failure = call_plan::CallPlan::crashing();
+            return EndedCall::rejected(failure_response(&failure, &id));
         }
         let route = plan.route.clone();
         let version = plan.version;
@@ -79,19 +86,21 @@
                 log::info!(request = id.as_ref(), route = route.name.as_ref(), version = version,
                     status = response.status().as_u16(), took_ms = elapsed.as_millis() as u64;
                     "entry: answered");
-                response
+                EndedCall { ending: types::RequestEnding::Answered, response }
             }
             Some(Err(failure)) => {
                 self.state.context.metrics.count_request(failure.verdict(), elapsed);
                 log::info!(request = id.as_ref(), route = route.name.as_ref(), version = version,
                     verdict = failure.verdict().to_string().as_str(),
                     took_ms = elapsed.as_millis() as u64; "entry: failed. error={failure}");
-                failure_response(&failure, &id)
+                let response = failure_response(&failure, &id);
+                EndedCall { ending: caller_request::failed_ending(&failure), response }
             }
             None => {
                 log::info!(request = id.as_ref(), route = route.name.as_ref(),
                     took_ms = elapsed.as_millis() as u64; "entry: caller disconnected");
-                http_message::Response::new(StatusCode::BAD_GATEWAY)
+                let response = http_message::Response::new(StatusCode::BAD_GATEWAY);
+                EndedCall { ending: types::RequestEnding::CallerGone, response }
             }
         }
     }
@@ -108,10 +117,26 @@
     }
 }
 
+/// How a request ended, and its response.
+struct EndedCall {
+    ending: types::RequestEnding,
+    response: http_message::Response,
+}
+
+impl EndedCall {
+    fn rejected(response: http_message::Response) -> Self {
+        Self { ending: types::RequestEnding::Rejected, response }
+    }
+}
+
 impl http_server::RequestHandler for CallerHandler {
     async fn handle(&self, request: http_server::ServerRequest) -> http_message::Response {
         let _active = self.state.context.track_request();
-        let mut response = self.serve(&request).await;
+        let connection = request.connection_monitor().clone();
+        let metrics = self.state.context.metrics.endings.clone();
+        let mut received = caller_request::CallerRequest::new(metrics, connection);
+        let EndedCall { ending, mut response } = self.serve(&request, &mut received).await;
+        received.respond(ending, &mut response);
         if self.state.context.tables.phase() != types::NodePhase::Serving {
             response.insert_header("connection", "close");
         }
--- a/crates/comfreyspread/src/ingress/front.rs
+++ b/crates/comfreyspread/src/ingress/front.rs
@@ -3,7 +3,7 @@
 use crate::{
     answers,
     claims::{claim_runner, claim_table},
-    ingress::{caller_stream, pipeline, plan},
+    ingress::{caller_request, caller_stream, pipeline, plan},
     operations::operator_api,
     runtime::context,
     transport::{activity_counter, failure, header, http_message, http_server, problem},
@@ -77,6 +77,10 @@
         let arrived = time::Instant::now();
         let active = self.context.track_request();
         let id = self.context.next_request_id();
+        let connection = request.connection_monitor();
+        let metrics = self.context.metrics.endings.clone();
+        let mut received = caller_request::CallerRequest::new(metrics, connection.clone());
+        received.set_id(&id);
         let result = match self.plan(request, &target, id.clone(), arrived) {
             Ok(plan) => self.run(request, target, plan, active).await,
             Err(failure) => Err(failure),
@@ -85,6 +89,11 @@
             Ok(answer) => answer.verdict,
             Err(failure) => failure.verdict(),
         };
+        let ending = match &result {
+            Ok(_) => types::RequestEnding::Answered,
+            Err(_) if connection.is_closed() => types::RequestEnding::CallerGone,
+            Err(failure) => caller_request::failed_ending(failure),
+        };
         self.context.metrics.count_request(verdict, arrived.elapsed());
         let mut response = result.map_or_else(
             |failure| {
@@ -96,6 +105,7 @@
         );
         response.insert_header(header::VERDICT, verdict.to_string());
         response.insert_header(header::REQUEST, &*id);
+        received.respond(ending, &mut response);
         response
     }
 
--- a/crates/comfreyspread/src/runtime/metrics.rs
+++ b/crates/comfreyspread/src/runtime/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of a process, in the Prometheus text format.
 
-use crate::runtime::{crash_metrics, pool_metrics, stage_metrics};
+use crate::runtime::{crash_metrics, ending_metrics, pool_metrics, stage_metrics};
 use comfreyspread_schema::types;
 use prometheus_client::{encoding, encoding::text, metrics, registry};
 use std::{fmt, time};
@@ -32,6 +32,8 @@
     attempts: VerdictCounters,
     /// Metrics of requests and prompt parts that crash endpoints.
     pub crashes: crash_metrics::CrashMetrics,
+    /// Counts of callers' requests by how they ended.
+    pub endings: ending_metrics::EndingMetrics,
     /// Metrics of queues, limits and endpoints.
     pub pools: pool_metrics::PoolMetrics,
     /// Metrics of stages, the platform's store and the routes.
@@ -50,9 +52,10 @@
         registry.register("request_seconds", help, request_seconds.clone());
         registry.register("attempts", "Attempts at endpoints by verdict", attempts.clone());
         let crashes = crash_metrics::CrashMetrics::new(&mut registry);
+        let endings = ending_metrics::EndingMetrics::new(&mut registry);
         let pools = pool_metrics::PoolMetrics::new(&mut registry);
         let stages = stage_metrics::StageMetrics::new(&mut registry);
-        Self { registry, requests, request_seconds, attempts, crashes, pools, stages }
+        Self { registry, requests, request_seconds, attempts, crashes, endings, pools, stages }
     }
 
     /// Counts a finished caller request and records its duration.
--- a/crates/comfreyspread/src/runtime/mod.rs
+++ b/crates/comfreyspread/src/runtime/mod.rs
@@ -4,6 +4,7 @@
 pub mod context;
 pub mod crash_metrics;
 pub mod drain_limit;
+pub mod ending_metrics;
 pub mod lock_rank;
 pub mod log_writer;
 pub mod logging;
--- a/crates/comfreyspread/src/transport/http_server.rs
+++ b/crates/comfreyspread/src/transport/http_server.rs
@@ -5,12 +5,15 @@
 
 use crate::{
     runtime::worker,
-    transport::{activity_counter, body, deadline, http_body, http_message, server_stream},
+    transport::{
+        activity_counter, body, connection_monitor, deadline, http_body, http_message,
+        server_stream,
+    },
 };
 use async_net::TcpStream;
 use futures_lite::{AsyncWriteExt as _, FutureExt as _, future, io};
 use hyper::{server::conn::http1, service};
-use std::{convert, net, pin, sync, task, time};
+use std::{convert, net, pin, sync, time};
 
 const BUSY_RESPONSE: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\ncomfreyspread-verdict: not-run\r\n\
@@ -28,7 +31,7 @@
 pub struct ServerRequest {
     head: http::request::Parts,
     body: bytes::Bytes,
-    connection: ConnectionMonitor,
+    connection: connection_monitor::ConnectionMonitor,
     _reservation: body::BodyReservation,
 }
 
@@ -69,42 +72,11 @@
     }
 
     /// Returns a monitor of the caller's connection.
-    pub fn connection_monitor(&self) -> &ConnectionMonitor {
+    pub fn connection_monitor(&self) -> &connection_monitor::ConnectionMonitor {
         &self.connection
     }
 }
 
-/// Detects when the peer closes a connection.
-#[derive(Clone, Debug)]
-pub struct ConnectionMonitor {
-    stream: TcpStream,
-}
-
-impl ConnectionMonitor {
-    /// Waits until the peer has closed the connection.
-    async fn closed(&self) {
-        let mut byte = [0];
-        match self.stream.peek(&mut byte).await {
-            Ok(0) | Err(_) => {}
-            Ok(_) => future::pending().await,
-        }
-    }
-
-    /// Runs `work`, which only the peer needs; drops it and returns none if the peer closes the
-    /// connection first.
-    pub async fn run_while_connected<Work>(&self, work: Work) -> Option<Work::Output>
-    where
-        Work: Future,
-    {
-        let completed = async { Some(work.await) };
-        let disconnected = async {
-            self.closed().await;
-            None
-        };
-        completed.or(disconnected).await
-    }
-}
-
 /// Handles requests.
 pub trait RequestHandler: Send + Sync + 'static {
     /// Handles one request.
@@ -399,7 +371,7 @@
     ) -> http_message::Response {
         let (head, incoming) = request.into_parts();
         let mut reservation = body::BodyReservation::new(self.budget.clone());
-        let monitor = ConnectionMonitor { stream: self.stream.clone() };
+        let monitor = connection_monitor::ConnectionMonitor::new(self.stream.clone());
         let mut response = match self.read_body(incoming, &mut reservation).await {
             Ok(body) => {
                 let connection = monitor.clone();
@@ -414,7 +386,7 @@
         };
         if response.len().is_none() {
             let body = response.take_body();
-            response.set_body(MonitoredBody::body(body, monitor));
+            response.set_body(connection_monitor::MonitoredBody::body(body, monitor));
         }
         response
     }
@@ -452,34 +424,6 @@
     }
 }
 
-/// Body of a streamed response, which fails once the caller has disconnected.
-struct MonitoredBody {
-    body: http_body::MessageBody,
-    closed: sync_wrapper::SyncFuture<pin::Pin<Box<dyn Future<Output = ()> + Send>>>,
-}
-
-impl MonitoredBody {
-    fn body(body: http_body::MessageBody, monitor: ConnectionMonitor) -> http_body::MessageBody {
-        let closed: pin::Pin<Box<dyn Future<Output = ()> + Send>> =
-            Box::pin(async move { monitor.closed().await });
-        let closed = sync_wrapper::SyncFuture::new(closed);
-        http_body::MessageBody::from_source(Self { body, closed }, None)
-    }
-}
-
-impl http_body::ChunkSource for MonitoredBody {
-    fn poll_chunk(
-        mut self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> task::Poll<Option<io::Result<bytes::Bytes>>> {
-        if pin::Pin::new(&mut self.closed).poll(cx).is_ready() {
-            let disconnected = io::Error::from(io::ErrorKind::ConnectionAborted);
-            return task::Poll::Ready(Some(Err(disconnected)));
-        }
-        pin::Pin::new(&mut self.body).poll_chunk(cx)
-    }
-}
-
 /// Timer for `hyper`, based on the deadline queue of the process.
 #[derive(Clone, Copy, Debug)]
 struct ServerTimer;
--- a/crates/comfreyspread/src/transport/mod.rs
+++ b/crates/comfreyspread/src/transport/mod.rs
@@ -3,6 +3,7 @@
 pub mod activity_counter;
 pub mod body;
 pub mod client_connection;
+pub mod connection_monitor;
 pub mod deadline;
 pub mod failure;
 pub mod head_limit;
