--- a/crates/comfreyspread-lab/tests/odd_entries.rs
+++ b/crates/comfreyspread-lab/tests/odd_entries.rs
@@ -38,6 +38,21 @@
     "[".repeat(DEPTH) + &"]".repeat(DEPTH)
 }
 
+/// Returns values of registrations that name no endpoint.
+fn odd_values() -> Vec<String> {
+    let nested = nested();
+    let mut values = vec![nested.clone(), String::new()];
+    values.extend(["65536", "99999", "-1", "0"].map(|port| {
+        let address = format!("\"127.0.0.1:{port}\"");
+        entry("address", &address)
+    }));
+    for field in ["slots", "cold_left_ms", "born"] {
+        values.extend(["1e400", "18446744073709551616"].map(|number| entry(field, number)));
+        values.push(entry(field, &nested));
+    }
+    values
+}
+
 /// Returns rows that are odd as sent by the store.
 fn odd_rows(key: &str) -> Vec<String> {
     let nested = nested();
@@ -75,6 +90,21 @@
     wait_until_known(node, "sound", false).await;
 }
 
+/// Guards against a registration of another writer that made the node end or stop following the
+/// others.
+#[test]
+fn odd_registrations() {
+    gateway::with_node(async |fleet, node| {
+        for value in odd_values() {
+            fleet.set_row("servers", "odd", Some(&value));
+            check_followed(&fleet, &node).await;
+            assert!(!endpoints(&node).await.contains(&"odd".to_owned()));
+        }
+        fleet.set_row("servers", "odd", Some(&entry("", "")));
+        wait_until_known(&node, "odd", true).await;
+    });
+}
+
 /// Guards against a row that no decoder takes and that made every reply with it unreadable, for nodes
 /// that follow the table and for those that start.
 #[test]
