Order the store's rows by era and version

Callers saw routes of before a change that had been confirmed, and 404 on a route that had been added, once the store had returned from a copy.

Cause: a row was taken only if its version was higher than the known one, but the store gives versions out again after a return, so nothing it said was taken until its counter had passed the old one. An order that holds within one history was used across two.

Positions are now a pair of era and version, with the era first, in rows, replies of the store and exchanges between nodes. Watchers may confirm a row (TableWatcher::confirms) and decide at the end of the hold (TableWatcher::end_hold). A log line and counters tell eras, rows held and how each hold ended.

The tests of the mirror and of decoding pass positions in place of versions; their checks are as before.

--- a/crates/comfreyspread-codegen/src/definitions.rs
+++ b/crates/comfreyspread-codegen/src/definitions.rs
@@ -5,7 +5,8 @@
 //! as whole milliseconds: `budget_ms` of the schema is the field `budget` in Rust.
 //!
 //! `x-rust-name` sets the Rust name of a definition or of a property. The wire name and the order of
-//! fields stay those of the schema.
+//! fields stay those of the schema. `x-derive` lists traits that a definition derives beside the
+//! usual ones.
 
 use crate::source;
 use miette::IntoDiagnostic as _;
@@ -19,6 +20,7 @@
 const LAB_FILES: [&str; 1] = ["lab.json"];
 const ANSWER_FILES: [&str; 1] = ["answers.json"];
 const ALIAS_KEY: &str = "x-alias";
+const DERIVE_KEY: &str = "x-derive";
 const NAME_KEY: &str = "x-rust-name";
 const MILLISECOND_SUFFIX: &str = "_ms";
 
@@ -134,7 +136,11 @@
     let mut settings = settings.clone();
     for (name, definition) in definitions {
         let mut patch = typify::TypeSpacePatch::default();
-        settings.with_patch(name, patch.with_rename(rust_name(name, definition)));
+        patch.with_rename(rust_name(name, definition));
+        derives_of(definition).for_each(|derive| {
+            patch.with_derive(derive);
+        });
+        settings.with_patch(name, &patch);
     }
     let mut space = typify::TypeSpace::new(&settings);
     space.add_ref_types(root.definitions).into_diagnostic()?;
@@ -164,6 +170,12 @@
     definition[ALIAS_KEY].as_str()
 }
 
+/// Returns the traits that a definition derives beside the usual ones.
+fn derives_of(definition: &serde_json::Value) -> impl Iterator<Item = &str> {
+    let derives = definition[DERIVE_KEY].as_array();
+    derives.into_iter().flatten().filter_map(serde_json::Value::as_str)
+}
+
 /// Returns the Rust name of a definition whose name in the schema is `name`.
 fn rust_name<'schema>(name: &'schema str, schema: &'schema serde_json::Value) -> &'schema str {
     schema[NAME_KEY].as_str().unwrap_or(name)
--- a/crates/comfreyspread-lab/tests/malformed_peers.rs
+++ b/crates/comfreyspread-lab/tests/malformed_peers.rs
@@ -37,7 +37,13 @@
 }
 
 fn row(key: &str, value: Vec<u8>) -> types::StoreRow {
-    types::StoreRow { compressed: false, key: key.into(), value: Some(value.into()), version: 1 }
+    types::StoreRow {
+        compressed: false,
+        era: 0,
+        key: key.into(),
+        value: Some(value.into()),
+        version: 1,
+    }
 }
 
 fn member_record(node: &str, address: net::SocketAddr) -> types::MemberRecord {
@@ -103,7 +109,9 @@
             store_reachable: Some(true),
             recovering: false,
             remaining_freshness: fresh,
+            era: 0,
             header,
+            hold_left: time::Duration::ZERO,
             loaded,
             rows,
             version,
@@ -198,6 +206,7 @@
 fn table_request(after_version: u64) -> types::TableRequest {
     types::TableRequest {
         accepts_compressed: true,
+        after_era: Some(0),
         after_version,
         header: stand_in_header(&"node-9".into()),
         table: types::StoreTable::Operator,
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -12,7 +12,8 @@
 //!   with their [`endpoint_intake`], [`endpoint_selection`], [`stage_graph`] of a request,
 //!   [`batch_queue`] of a stage service over [`batch_admission`], [`piece_group`], [`worker_set`] and [`home_zones`], [`event_buffer`],
 //!   [`first_event`], [`service_retry_budget`], [`wait_table`], [`peer_health`]; tables of the store by
-//!   [`table_mirror`], [`table_source`], [`table_freshness`] and [`outage_recovery`].
+//!   [`table_mirror`] with [`table_hold`] and [`store_position`], [`table_source`], [`table_freshness`]
+//!   and [`outage_recovery`].
 //! - The owner: [`pool_scheduler`] over [`call_queue`], [`pool_endpoint`], [`endpoint_lifecycle`],
 //!   [`concurrency_limit`], [`circuit_breaker`], [`outlier`], [`endpoint_selector`], [`latency`].
 //! - Members and ownership: [`membership`] with [`member_dissemination`],
@@ -85,9 +86,11 @@
 pub mod row_finalizer;
 pub mod service_retry_budget;
 pub mod stage_graph;
+pub mod store_position;
 pub mod stream;
 pub mod suspect;
 pub mod table_freshness;
+pub mod table_hold;
 pub mod table_mirror;
 pub mod table_source;
 pub mod task_restart;
--- a/crates/comfreyspread/src/gateway/endpoint_watcher.rs
+++ b/crates/comfreyspread/src/gateway/endpoint_watcher.rs
@@ -7,7 +7,7 @@
 use std::{sync, sync::atomic::Ordering, time};
 
 /// Watches the table of endpoint registrations.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct EndpointWatcher;
 
 impl table_watcher::TableWatcher for EndpointWatcher {
@@ -60,7 +60,7 @@
     for row in rows {
         let restored = {
             let tables = state.store_tables.lock();
-            tables.endpoints.mirror.rows_after(row.version).iter().any(|newer| newer.key == row.key)
+            tables.endpoints.mirror.row(&row.key).is_some_and(|known| known.value.is_some())
         };
         if !restored {
             remove(&state, &row.key);
--- a/crates/comfreyspread/src/gateway/mod.rs
+++ b/crates/comfreyspread/src/gateway/mod.rs
@@ -9,7 +9,8 @@
 //! - Endpoints: [`endpoint_notices`] records what their answers say of themselves.
 //! - Tables: [`route_watcher`] and [`endpoint_watcher`] apply changes that [`table_watcher`] reads
 //!   through [`store_client`] or, from other nodes, [`table_exchange`], where [`row_compression`]
-//!   keeps large rows small. [`state`] holds the result.
+//!   keeps large rows small. [`table_update`] applies what came into force. [`state`] holds the
+//!   result.
 //! - Process: [`process`] starts, serves and stops; [`admin_handler`] serves readiness, metrics and
 //!   dumps.
 
@@ -32,5 +33,6 @@
 pub mod store_client;
 pub mod stream_run;
 pub mod table_exchange;
+pub mod table_update;
 pub mod table_watcher;
 pub mod unary_run;
--- a/crates/comfreyspread/src/gateway/route_watcher.rs
+++ b/crates/comfreyspread/src/gateway/route_watcher.rs
@@ -7,7 +7,7 @@
 use std::sync;
 
 /// Watches the operator's table.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct RouteWatcher;
 
 impl table_watcher::TableWatcher for RouteWatcher {
--- a/crates/comfreyspread/src/gateway/store_client.rs
+++ b/crates/comfreyspread/src/gateway/store_client.rs
@@ -6,7 +6,7 @@
 };
 use comfreyspread_platform::store;
 use comfreyspread_schema::types;
-use std::{net, time};
+use std::{cmp, net, time};
 
 const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 const OK_STATUS: u16 = 200;
@@ -21,6 +21,8 @@
     Changes(types::StorePage),
     /// The store no longer has the requested history; the table has to be read in full.
     HistoryGone,
+    /// The store was restored from a copy since; the table has to be read in full.
+    Restored,
 }
 
 /// Client of the store.
@@ -42,39 +44,50 @@
     ///
     /// # Errors
     ///
-    /// Fails if the store does not respond or rejects the request.
+    /// Fails if the store does not respond, rejects the request or is restored between two pages.
     pub async fn read_table(&self, table: &str) -> Result<types::StorePage, failure::CallFailure> {
         let mut all = self.read_page(table, None).await?;
         while all.has_more {
             let Some(last) = all.rows.last() else { break };
             let next = store::next_key(&last.key);
             let page = self.read_page(table, Some(&next)).await?;
-            all.version = all.version.min(page.version);
+            if page.position.era != all.position.era {
+                return Err(unavailable("the store was restored between two pages".to_owned()));
+            }
+            all.position = all.position.min(page.position);
             all.has_more = page.has_more;
             all.rows.extend(page.rows);
         }
         Ok(all)
     }
 
-    /// Waits up to `wait` for changes of a table after `version`; the page is empty if there are
+    /// Waits up to `wait` for changes of a table after `position`; the page is empty if there are
     /// none.
     ///
     /// # Errors
     ///
-    /// Fails if the store does not respond or rejects the request.
+    /// Fails if the store does not respond, rejects the request or answers from an earlier era.
     pub async fn poll_changes(
         &self,
         table: &str,
-        version: u64,
+        position: types::StorePosition,
         wait: time::Duration,
     ) -> Result<StoreFeed, failure::CallFailure> {
         self.metrics.count_store_poll();
-        let path = store::feed_path(table, version, wait);
+        let path = store::feed_path(table, position.version, wait);
         let response = self.send(&path, wait + RESPONSE_TIMEOUT).await?;
         if response.status() == store::HISTORY_GONE_STATUS {
             return Ok(StoreFeed::HistoryGone);
         }
-        decode(&response).map(StoreFeed::Changes)
+        let page = decode(&response)?;
+        match page.position.era.cmp(&position.era) {
+            cmp::Ordering::Less => Err(unavailable(format!(
+                "the answer is of era {}, before era {}",
+                page.position.era, position.era
+            ))),
+            cmp::Ordering::Equal => Ok(StoreFeed::Changes(page)),
+            cmp::Ordering::Greater => Ok(StoreFeed::Restored),
+        }
     }
 
     async fn read_page(
@@ -104,17 +117,21 @@
     if response.status() == OK_STATUS {
         return Ok(());
     }
-    let detail = format!("the store answered with status {}", response.status());
-    Err(failure::CallFailure::new(types::ProblemKind::StoreUnavailable, detail))
+    Err(unavailable(format!("the store answered with status {}", response.status())))
+}
+
+fn unavailable(detail: String) -> failure::CallFailure {
+    failure::CallFailure::new(types::ProblemKind::StoreUnavailable, detail)
 }
 
 fn decode(
     response: &http_client::ClientResponse,
 ) -> Result<types::StorePage, failure::CallFailure> {
     check_status(response)?;
-    let decoded = store::decode_page(response.body()).map_err(|error| {
-        failure::CallFailure::new(types::ProblemKind::StoreUnavailable, error.to_string())
-    })?;
+    let era = store::decode_era(&response.head().headers);
+    let era = era.map_err(|error| unavailable(error.to_string()))?;
+    let decoded = store::decode_page(response.body(), era);
+    let decoded = decoded.map_err(|error| unavailable(error.to_string()))?;
     for error in decoded.1 {
         log::warn!("store: invalid row skipped. error={error}");
     }
--- a/crates/comfreyspread/src/gateway/table_exchange.rs
+++ b/crates/comfreyspread/src/gateway/table_exchange.rs
@@ -1,11 +1,11 @@
 //! Exchange of the rows of the store's tables with other nodes.
 
-use super::{row_compression, state, table_watcher};
+use super::{row_compression, state, table_update, table_watcher};
 use crate::{
     membership::peer,
     transport::{deadline, failure, http_client, http_message, http_server},
 };
-use comfreyspread_policy::{table_freshness, table_source};
+use comfreyspread_policy::{store_position, table_freshness, table_mirror, table_source};
 use comfreyspread_schema::{ids, types};
 use futures_lite::FutureExt as _;
 use rand::seq::IteratorRandom as _;
@@ -103,6 +103,13 @@
             return false;
         }
     };
+    let known = watched.mirror.position().era;
+    if reply.era < known {
+        watched.sources.record_stale_reader(node, now);
+        log::info!(node = node.as_ref(), era = reply.era, known = known;
+            "store: the node that reads it has rows of an earlier era. table={table}");
+        return false;
+    }
     if reply.recovering {
         watched.freshness.record_outage(Some(false), now);
     }
@@ -112,10 +119,9 @@
             "store: the node that reads it has no fresh copy. table={table}");
     }
     drop(tables);
-    if reply.loaded {
-        table_watcher::merge_rows(state, watcher, reply.rows, reply.version);
-    }
-    reply.loaded
+    let loaded = reply.loaded;
+    apply_reply(state, watcher, reply);
+    loaded
 }
 
 /// Fetches rows that this node lacks from a randomly chosen node.
@@ -140,13 +146,38 @@
         .table(Watcher::TABLE)
         .freshness
         .record_outage(reply.store_reachable, now);
-    if reply.loaded {
-        if !reply.rows.is_empty() {
-            log::info!(node = reply.header.node.as_ref(), rows = reply.rows.len(),
-                answered = reply.store_reachable;
-                "store: rows merged from another node. table={}", Watcher::NAME);
-        }
-        table_watcher::merge_rows(state, watcher, reply.rows, reply.version);
+    if reply.loaded && !reply.rows.is_empty() {
+        log::info!(node = reply.header.node.as_ref(), rows = reply.rows.len(),
+            answered = reply.store_reachable;
+            "store: rows merged from another node. table={}", Watcher::NAME);
+    }
+    apply_reply(state, watcher, reply);
+}
+
+/// Applies the rows of another node. Rows of an earlier era than this node's are dropped.
+fn apply_reply<Watcher>(
+    state: &sync::Arc<state::GatewayState>,
+    watcher: &Watcher,
+    reply: types::TableReply,
+) where
+    Watcher: table_watcher::TableWatcher,
+{
+    if !reply.loaded {
+        return;
+    }
+    let position = store_position::of_reply(&reply);
+    let mut tables = state.store_tables.lock();
+    let mirror = &mut tables.table(Watcher::TABLE).mirror;
+    if position.era <= mirror.position().era {
+        drop(tables);
+        return table_watcher::merge_rows(state, watcher, reply.rows, position);
+    }
+    let rows = row_compression::compress_rows(reply.rows);
+    let update = mirror.take_over(rows, position, reply.hold_left, time::Instant::now());
+    drop(tables);
+    match update {
+        Ok(update) => table_update::apply_update(state, watcher, update),
+        Err(error) => log::info!("store: rows dropped. table={} error={error}", Watcher::NAME),
     }
 }
 
@@ -158,14 +189,15 @@
 where
     Watcher: table_watcher::TableWatcher,
 {
-    let (after_version, bytes) = {
+    let (after, bytes) = {
         let mut tables = state.store_tables.lock();
         let mirror = &tables.table(Watcher::TABLE).mirror;
-        (mirror.complete_version(), mirror.largest_value_bytes())
+        (mirror.position(), mirror.largest_value_bytes())
     };
     let message = types::TableRequest {
         accepts_compressed: true,
-        after_version,
+        after_era: Some(after.era),
+        after_version: after.version,
         header: state.context.peer_header(),
         table: Watcher::TABLE,
         wait,
@@ -216,9 +248,17 @@
         let (reply, withheld) = build_reply(state, &message);
         let now = time::Instant::now();
         let fresh_until = now + reply.remaining_freshness;
-        let has_changes = !reply.rows.is_empty() && reply.version > message.after_version;
+        let (after, position) =
+            (request_position(&message, reply.era), store_position::of_reply(&reply));
+        let has_changes = !reply.rows.is_empty() && position > after;
+        let other_era = position.era != after.era;
         let was_fresh = fresh_until > now;
-        if withheld || has_changes || wait_until <= now || (asked_while_fresh && !was_fresh) {
+        if withheld
+            || has_changes
+            || other_era
+            || wait_until <= now
+            || (asked_while_fresh && !was_fresh)
+        {
             return peer::encode_reply(&reply);
         }
         asked_while_fresh |= was_fresh;
@@ -232,6 +272,24 @@
     }
 }
 
+/// Returns the position up to which the sender of a request has all changes. A build that knows no
+/// eras is taken to be in this node's.
+fn request_position(message: &types::TableRequest, own_era: ids::StoreEra) -> types::StorePosition {
+    let era = message.after_era.unwrap_or(own_era);
+    types::StorePosition { era, version: message.after_version }
+}
+
+/// Returns the rows of a mirror that the sender of a request lacks.
+fn requested_rows(
+    mirror: &table_mirror::TableMirror,
+    message: &types::TableRequest,
+) -> Vec<types::StoreRow> {
+    if message.after_era.is_none() {
+        return mirror.rows_after_version(message.after_version);
+    }
+    mirror.rows_after(request_position(message, mirror.position().era))
+}
+
 /// Returns the reply to a request for rows, and whether its rows were left out for their size, so that
 /// the polling node reads the store.
 fn build_reply(
@@ -246,10 +304,12 @@
         store_reachable: table.freshness.store_reachable(),
         recovering: table.freshness.is_recovering(now),
         remaining_freshness: table.freshness.remaining_freshness(now),
+        era: table.mirror.position().era,
         header,
+        hold_left: table.mirror.hold_left(now),
         loaded: table.mirror.is_loaded(),
-        rows: table.mirror.rows_after(message.after_version),
-        version: table.mirror.complete_version(),
+        rows: requested_rows(&table.mirror, message),
+        version: table.mirror.position().version,
     };
     drop(tables);
     let max_bytes = if message.accepts_compressed {
--- a/crates/comfreyspread/src/gateway/table_watcher.rs
+++ b/crates/comfreyspread/src/gateway/table_watcher.rs
@@ -2,7 +2,7 @@
 //! store or at the node that reads the store for this node's availability zone. While the store
 //! does not respond to this node, rows are fetched from other nodes.
 
-use super::{row_compression, state, store_client, table_exchange};
+use super::{row_compression, state, store_client, table_exchange, table_update};
 use crate::transport::failure;
 use comfreyspread_policy::{table_freshness, table_mirror, table_source};
 use comfreyspread_schema::types;
@@ -16,7 +16,7 @@
     (time::Duration::from_millis(150), time::Duration::from_millis(450));
 
 /// Receiver of the rows of a table.
-pub trait TableWatcher: Send + Sync {
+pub trait TableWatcher: Clone + Send + Sync + 'static {
     /// Name of the table in the store.
     const NAME: &'static str;
     /// The table.
@@ -24,6 +24,20 @@
 
     /// Applies changed rows; the first call passes all rows.
     fn apply_rows(&self, state: &sync::Arc<state::GatewayState>, rows: Vec<types::StoreRow>);
+
+    /// Whether a row that is held back after the store was restored is certainly newer than what is
+    /// in force, so that it is applied at once.
+    fn confirms(&self, _state: &sync::Arc<state::GatewayState>, _row: &types::StoreRow) -> bool {
+        false
+    }
+
+    /// Applies the rows that were held back until the end of the hold. Called once an era that
+    /// this node saw begin, also without rows: from now on, what the store holds is in force.
+    fn end_hold(&self, state: &sync::Arc<state::GatewayState>, rows: Vec<types::StoreRow>) {
+        if !rows.is_empty() {
+            self.apply_rows(state, rows);
+        }
+    }
 }
 
 /// A watched table: its copy and the freshness of that copy.
@@ -95,7 +109,11 @@
         Watcher: TableWatcher,
     {
         let name = Watcher::NAME;
-        let result = read_store(state, watcher, &mut self.full_read).await;
+        let result = if self.full_read {
+            self.read_table(state, watcher).await
+        } else {
+            self.poll_changes(state, watcher).await
+        };
         let replied = result.is_ok();
         record_store_read::<Watcher>(state, replied);
         match result {
@@ -118,6 +136,59 @@
         }
         self.reachable = replied;
     }
+
+    /// Reads the full table from the store once. Returns false, as there is nothing to coalesce.
+    async fn read_table<Watcher>(
+        &mut self,
+        state: &sync::Arc<state::GatewayState>,
+        watcher: &Watcher,
+    ) -> Result<bool, failure::CallFailure>
+    where
+        Watcher: TableWatcher,
+    {
+        let page = state.store.read_table(Watcher::NAME).await?;
+        let rows = row_compression::compress_rows(page.rows);
+        let now = time::Instant::now();
+        let update = state.store_tables.lock().table(Watcher::TABLE).mirror.replace(
+            rows,
+            page.position,
+            now,
+        );
+        let update = update.map_err(|error| {
+            failure::CallFailure::new(types::ProblemKind::StoreUnavailable, error.to_string())
+        })?;
+        self.full_read = false;
+        table_update::apply_update(state, watcher, update);
+        Ok(false)
+    }
+
+    /// Waits for changes of the table at the store once. Returns whether changes arrived.
+    async fn poll_changes<Watcher>(
+        &mut self,
+        state: &sync::Arc<state::GatewayState>,
+        watcher: &Watcher,
+    ) -> Result<bool, failure::CallFailure>
+    where
+        Watcher: TableWatcher,
+    {
+        let (position, wait) = {
+            let mut tables = state.store_tables.lock();
+            let table = tables.table(Watcher::TABLE);
+            (table.mirror.position(), table.freshness.store_wait(time::Instant::now()))
+        };
+        let reason = match state.store.poll_changes(Watcher::NAME, position, wait).await? {
+            store_client::StoreFeed::Changes(page) => {
+                let changed = !page.rows.is_empty();
+                merge_rows(state, watcher, page.rows, page.position);
+                return Ok(changed);
+            }
+            store_client::StoreFeed::HistoryGone => "history gone",
+            store_client::StoreFeed::Restored => "restored from a copy",
+        };
+        log::info!("store: {reason}, reading the full table. table={}", Watcher::NAME);
+        self.full_read = true;
+        Ok(false)
+    }
 }
 
 /// Records whether the store replied, and wakes the nodes that wait for a fresh copy.
@@ -147,59 +218,21 @@
     async_io::Timer::after(delay).await;
 }
 
-/// Reads the full table or its changes from the store once. Returns whether changes arrived; a full
-/// read returns false.
-async fn read_store<Watcher>(
-    state: &sync::Arc<state::GatewayState>,
-    watcher: &Watcher,
-    full_read: &mut bool,
-) -> Result<bool, failure::CallFailure>
-where
-    Watcher: TableWatcher,
-{
-    if *full_read {
-        let page = state.store.read_table(Watcher::NAME).await?;
-        *full_read = false;
-        let rows = row_compression::compress_rows(page.rows);
-        let changed_rows =
-            state.store_tables.lock().table(Watcher::TABLE).mirror.replace(rows, page.version);
-        watcher.apply_rows(state, row_compression::decompress_rows(changed_rows));
-        state.tables_changed.notify(usize::MAX);
-        return Ok(false);
-    }
-    let (version, wait) = {
-        let mut tables = state.store_tables.lock();
-        let table = tables.table(Watcher::TABLE);
-        (table.mirror.complete_version(), table.freshness.store_wait(time::Instant::now()))
-    };
-    match state.store.poll_changes(Watcher::NAME, version, wait).await? {
-        store_client::StoreFeed::HistoryGone => {
-            log::info!("store: history gone, reading the full table. table={}", Watcher::NAME);
-            *full_read = true;
-            Ok(false)
-        }
-        store_client::StoreFeed::Changes(page) => {
-            let changed = !page.rows.is_empty();
-            merge_rows(state, watcher, page.rows, page.version);
-            Ok(changed)
-        }
-    }
-}
-
-/// Merges rows from a source that has all changes up to `version`, and applies those that changed.
-/// Large rows of the store and of nodes of an older build come plain.
+/// Merges rows from a source that has all changes up to `position`, and applies those that changed.
+/// Large rows of the store and of nodes of an older build come plain. Changes of another era than
+/// this node's, which may have begun since the request, are dropped.
 pub fn merge_rows<Watcher>(
     state: &sync::Arc<state::GatewayState>,
     watcher: &Watcher,
     rows: Vec<types::StoreRow>,
-    version: u64,
+    position: types::StorePosition,
 ) where
     Watcher: TableWatcher,
 {
     let rows = row_compression::compress_rows(rows);
-    let changed_rows = state.store_tables.lock().table(Watcher::TABLE).mirror.merge(rows, version);
-    if !changed_rows.is_empty() {
-        watcher.apply_rows(state, row_compression::decompress_rows(changed_rows));
-        state.tables_changed.notify(usize::MAX);
+    let merged = state.store_tables.lock().table(Watcher::TABLE).mirror.merge(rows, position);
+    match merged {
+        Ok(changed_rows) => table_update::apply_rows(state, watcher, changed_rows),
+        Err(error) => log::info!("store: rows dropped. table={} error={error}", Watcher::NAME),
     }
 }
--- a/crates/comfreyspread/src/runtime/metrics.rs
+++ b/crates/comfreyspread/src/runtime/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of a process, in the Prometheus text format.
 
-use crate::runtime::{crash_metrics, pool_metrics, stage_metrics};
+use crate::runtime::{crash_metrics, pool_metrics, stage_metrics, store_metrics};
 use comfreyspread_schema::types;
 use prometheus_client::{encoding, encoding::text, metrics, registry};
 use std::{fmt, time};
@@ -36,6 +36,8 @@
     pub pools: pool_metrics::PoolMetrics,
     /// Metrics of stages, the platform's store and the routes.
     pub stages: stage_metrics::StageMetrics,
+    /// Metrics of restores of the platform's store.
+    pub store: store_metrics::StoreMetrics,
 }
 
 impl NodeMetrics {
@@ -52,7 +54,8 @@
         let crashes = crash_metrics::CrashMetrics::new(&mut registry);
         let pools = pool_metrics::PoolMetrics::new(&mut registry);
         let stages = stage_metrics::StageMetrics::new(&mut registry);
-        Self { registry, requests, request_seconds, attempts, crashes, pools, stages }
+        let store = store_metrics::StoreMetrics::new(&mut registry);
+        Self { registry, requests, request_seconds, attempts, crashes, pools, stages, store }
     }
 
     /// Counts a finished caller request and records its duration.
--- a/crates/comfreyspread/src/runtime/mod.rs
+++ b/crates/comfreyspread/src/runtime/mod.rs
@@ -13,6 +13,7 @@
 pub mod pool_metrics;
 pub mod settings;
 pub mod stage_metrics;
+pub mod store_metrics;
 pub mod supervisor;
 pub mod tables;
 pub mod worker;
--- a/crates/comfreyspread/tests/row_compression.rs
+++ b/crates/comfreyspread/tests/row_compression.rs
@@ -6,6 +6,7 @@
 fn row(value: Vec<u8>) -> types::StoreRow {
     types::StoreRow {
         compressed: false,
+        era: 0,
         key: "k".into(),
         value: Some(ids::Payload::from(value)),
         version: 7,
