Fail a read of a table whose page has no key to go on from

What callers would see: 503 for services whose endpoints stand behind such a page, since a node took the part read for the whole table and dropped the rest.

Cause: a page of a table goes on after the key of its last row. A page with no readable key ended the read as if it had been the last one, and one that ends at the key it began after would have been read for ever. Both now fail the read; it is tried again, and the rows known stay in use.

Evidence: odd_entries::page_without_keys was ready with part of the table before, and passes with the change. odd_entries::last_of_page passes before and after: an odd row at the end of a page, with its key or without, never ended a read.

--- a/crates/comfreyspread-lab/src/fleet.rs
+++ b/crates/comfreyspread-lab/src/fleet.rs
@@ -183,6 +183,11 @@
         self.store.put_raw(table, key, text);
     }
 
+    /// Sets how many rows the store sends at most in a page of a table.
+    pub fn set_page_rows(&self, count: usize) {
+        self.store.set_page_rows(count);
+    }
+
     /// Sets whether the store rejects all calls.
     pub fn set_store_down(&self, down: bool) {
         self.store.set_down(down);
--- a/crates/comfreyspread-lab/src/fleet_store.rs
+++ b/crates/comfreyspread-lab/src/fleet_store.rs
@@ -21,6 +21,7 @@
     down: atomic::AtomicBool,
     unresponsive_changes: atomic::AtomicU64,
     unresponsive: atomic::AtomicBool,
+    page_rows: atomic::AtomicUsize,
     request_count: atomic::AtomicU64,
     sent_bytes: atomic::AtomicU64,
 }
@@ -34,6 +35,7 @@
 /// A row as it is sent.
 #[derive(Clone, Debug)]
 struct StoredRow {
+    key: ids::Text,
     text: Box<value::RawValue>,
     is_removed: bool,
     value_bytes: usize,
@@ -64,6 +66,7 @@
             down: atomic::AtomicBool::new(false),
             unresponsive_changes: atomic::AtomicU64::new(0),
             unresponsive: atomic::AtomicBool::new(false),
+            page_rows: atomic::AtomicUsize::new(usize::MAX),
             request_count: atomic::AtomicU64::new(0),
             sent_bytes: atomic::AtomicU64::new(0),
         }
@@ -82,6 +85,11 @@
         self.unresponsive.store(unresponsive, atomic::Ordering::Relaxed);
     }
 
+    /// Sets how many rows the store sends at most in a page of a table.
+    pub fn set_page_rows(&self, count: usize) {
+        self.page_rows.store(count, atomic::Ordering::Relaxed);
+    }
+
     /// Returns the number of requests received.
     pub fn request_count(&self) -> u64 {
         self.request_count.load(atomic::Ordering::Relaxed)
@@ -127,7 +135,7 @@
         rows.version += 1;
         let version = rows.version;
         let text = value::RawValue::from_string(format_row(version)).expect("a row of JSON");
-        let row = StoredRow { text, is_removed, value_bytes, version };
+        let row = StoredRow { key: key.into(), text, is_removed, value_bytes, version };
         rows.rows.insert((table.into(), key.into()), row);
         drop(rows);
         self.changed.notify(usize::MAX);
@@ -143,6 +151,18 @@
         (matching.map(|(_, row)| row.clone()).collect(), rows.version)
     }
 
+    /// Returns the rows of a table from the key `first` on, as far as they fit in a page.
+    fn read_page(&self, table: &str, first: &str) -> RowsReply {
+        let (rows, version) = self.read_rows(table, 0, false);
+        let mut rows: Vec<_> = rows.into_iter().filter(|row| *row.key >= *first).collect();
+        rows.sort_by(|one, other| one.key.cmp(&other.key));
+        let page_rows = self.page_rows.load(atomic::Ordering::Relaxed);
+        let has_more = rows.len() > page_rows;
+        rows.truncate(page_rows);
+        self.count_sent(&rows);
+        RowsReply { has_more, ..RowsReply::new(rows, version) }
+    }
+
     /// Waits up to `wait` for rows with versions above `after`.
     async fn poll_changes(&self, table: &str, after: u64, wait: time::Duration) -> RowsReply {
         let deadline = time::Instant::now() + wait;
@@ -184,9 +204,8 @@
         let table = text_field("table").unwrap_or_default();
         match request.path() {
             "/v1/rows-get" => {
-                let (rows, version) = self.read_rows(table, 0, false);
-                self.count_sent(&rows);
-                stand_in_server::json_response(&RowsReply::new(rows, version))
+                let first = text_field("from").unwrap_or_default().replace("%01", "\u{1}");
+                stand_in_server::json_response(&self.read_page(table, &first))
             }
             "/v1/rows-feed" => {
                 let wait = time::Duration::from_millis(number_field("wait_ms"));
--- a/crates/comfreyspread-lab/tests/odd_entries.rs
+++ b/crates/comfreyspread-lab/tests/odd_entries.rs
@@ -122,6 +122,50 @@
     });
 }
 
+/// Guards against a table read only in part because the last row of a page was odd: with its key, the
+/// read goes on after it; without, from the row before it.
+#[test]
+fn last_of_page() {
+    gateway::with_fleet(async |fleet| {
+        fleet.set_page_rows(2);
+        let nested = nested();
+        for number in 0..6 {
+            fleet.set_row("servers", &format!("a-{number}"), Some(&entry("", "")));
+            fleet.set_raw_row(
+                "servers",
+                &format!("a-{number}-odd"),
+                &[
+                    format!(r#"{{"key":"a-{number}-odd","value":{nested}}}"#),
+                    format!(r#"{{"key":{nested}}}"#),
+                ][number % 2],
+            );
+        }
+        let node = gateway::start_nodes(&fleet, 1).await.remove(0);
+        for number in 0..6 {
+            wait_until_known(&node, &format!("a-{number}"), true).await;
+        }
+        wait_until_known(&node, "worker-2", true).await;
+    });
+}
+
+/// A table is not taken as read if a page has no key to go on from; it is read in full later.
+#[test]
+fn page_without_keys() {
+    gateway::with_fleet(async |fleet| {
+        fleet.set_page_rows(2);
+        for key in ["a", "b"] {
+            fleet.set_raw_row("servers", key, "7");
+        }
+        let node = fleet::FleetNode::start(&fleet, &gateway::program(), "node-1", &[]);
+        let node = node.expect("a node");
+        async_io::Timer::after(APPLY_LIMIT).await;
+        assert_eq!(gateway::get(node.admin_address, "/v1/ready").await.0, 503);
+        fleet.set_row("servers", "a", None);
+        node.wait_until_ready().await.expect("the table is read");
+        wait_until_known(&node, "worker-2", true).await;
+    });
+}
+
 /// An endpoint whose entry was overwritten is used no longer, and again once it has registered.
 #[test]
 fn overwritten_entry() {
--- a/crates/comfreyspread/src/gateway/store_client.rs
+++ b/crates/comfreyspread/src/gateway/store_client.rs
@@ -42,13 +42,16 @@
     ///
     /// # Errors
     ///
-    /// Fails if the store does not respond or rejects the request.
+    /// Fails if the store does not respond or rejects the request, or if a page names no row from
+    /// which the next one could be read.
     pub async fn read_table(&self, table: &str) -> Result<types::StorePage, failure::CallFailure> {
         let mut all = self.read_page(table, None).await?;
         while all.has_more {
-            let Some(last) = all.rows.last() else { break };
-            let next = store::next_key(&last.key);
-            let page = self.read_page(table, Some(&next)).await?;
+            let last = all.rows.last().map(|row| row.key.clone()).ok_or_else(no_progress)?;
+            let page = self.read_page(table, Some(&store::next_key(&last))).await?;
+            if page.has_more && page.rows.last().is_none_or(|row| row.key <= last) {
+                return Err(no_progress());
+            }
             all.version = all.version.min(page.version);
             all.has_more = page.has_more;
             all.rows.extend(page.rows);
@@ -108,6 +111,11 @@
     Err(failure::CallFailure::new(types::ProblemKind::StoreUnavailable, detail))
 }
 
+fn no_progress() -> failure::CallFailure {
+    let detail = "a page has no readable key from which the next one starts";
+    failure::CallFailure::new(types::ProblemKind::StoreUnavailable, detail)
+}
+
 fn decode(
     response: &http_client::ClientResponse,
 ) -> Result<types::StorePage, failure::CallFailure> {
