--- a/crates/comfreyspread/src/gateway/store_client.rs
+++ b/crates/comfreyspread/src/gateway/store_client.rs
@@ -44,13 +44,16 @@
     ///
     /// # Errors
     ///
-    /// Fails if the store does not respond, rejects the request or is restored between two pages.
+    /// Fails if the store does not respond, rejects the request or is restored between two pages, or
+    /// if a page names no row from which the next one could be read.
     pub async fn read_table(&self, table: &str) -> Result<types::StorePage, failure::CallFailure> {
         let mut all = self.read_page(table, None).await?;
         while all.has_more {
-            let Some(last) = all.rows.last() else { break };
-            let next = store::next_key(&last.key);
-            let page = self.read_page(table, Some(&next)).await?;
+            let last = all.rows.last().map(|row| row.key.clone()).ok_or_else(no_progress)?;
+            let page = self.read_page(table, Some(&store::next_key(&last))).await?;
+            if page.has_more && page.rows.last().is_none_or(|row| row.key <= last) {
+                return Err(no_progress());
+            }
             if page.position.era != all.position.era {
                 return Err(unavailable("the store was restored between two pages".to_owned()));
             }
@@ -124,6 +127,10 @@
     failure::CallFailure::new(types::ProblemKind::StoreUnavailable, detail)
 }
 
+fn no_progress() -> failure::CallFailure {
+    unavailable("a page has no readable key from which the next one starts".to_owned())
+}
+
 fn decode(
     response: &http_client::ClientResponse,
 ) -> Result<types::StorePage, failure::CallFailure> {
