Grant no claim in a store that may have lost claims

What callers saw: a request that may run at most once ran again when it was resent after the platform's table service had come back from a copy some seconds old. The copy lacks the row of the claim, and an absent row was taken to show that the request had not run. A request that was running then left its node busy for ever: the row it waited for had a version that no longer existed.

Class: an order that holds within one history is used across two.

The answers of the table service now carry an era. Claims are granted in one era only, a setting of the operator; in any other, rows that are closed or held are answered as before and all else is refused as not run. A finalizer drops what it knew of its row when the era changes and writes its outcome again.

--- a/crates/comfreyspread-lab/src/platform.rs
+++ b/crates/comfreyspread-lab/src/platform.rs
@@ -1,13 +1,14 @@
 //! Stand-in for the platform: table service, object store and VM list, with fault injection.
 //!
 //! `POST /faults` takes a [`types::StoreFaults`]. With `down`, the stand-in reads each request and
-//! closes the connection; with `lose_answers`, it applies writes before it closes the connection.
+//! closes the connection; with `lose_answers`, it applies writes before it closes the connection;
+//! with `restore`, it goes back to the copy kept by `keep_copy`, and its era rises by one.
 
 use crate::{stand_in_server, types};
 use async_io::Timer;
 use comfreyspread::{
     runtime::{lock_rank, worker},
-    transport::{http_message, http_server},
+    transport::{header, http_message, http_server},
 };
 use comfreyspread_schema::{ids, types as wire};
 use http::{Method, StatusCode};
@@ -56,6 +57,8 @@
 struct PlatformState {
     data: PlatformData,
     stale: Option<PlatformData>,
+    copy: Option<PlatformData>,
+    era: ids::StoreEra,
     faults: types::StoreFaults,
     stats: types::StoreStats,
     pending_vms: Vec<PendingVmList>,
@@ -83,6 +86,13 @@
             .push(PendingVmList { vms, visible_at: time::Instant::now() + self.faults.vm_lag });
     }
 
+    /// Goes back to the copy, whose list of VMs is not part of it.
+    fn restore(&mut self) {
+        let vms = std::mem::take(&mut self.data.vms);
+        self.data = PlatformData { vms, ..self.copy.clone().unwrap_or_default() };
+        self.era += 1;
+    }
+
     /// Makes the newest VM list whose delay has passed visible.
     fn publish_vms(&mut self) {
         let now = time::Instant::now();
@@ -150,6 +160,12 @@
 
     fn set_faults(&self, faults: types::StoreFaults) -> http_message::Response {
         let mut state = self.state.lock();
+        if faults.keeps_copy {
+            state.copy = Some(state.data.clone());
+        }
+        if faults.restores {
+            state.restore();
+        }
         state.stale = faults.stale.then(|| state.data.clone());
         state.faults = faults;
         http_message::Response::new(StatusCode::OK)
@@ -255,7 +271,8 @@
         if faults.down {
             return stand_in_server::truncated_response();
         }
-        let response = self.respond(&request);
+        let mut response = self.respond(&request);
+        response.insert_header(header::TABLE_ERA, self.state.lock().era.to_string());
         let bytes_sent = response.len().unwrap_or(0);
         self.state.lock().stats.bytes += bytes_sent;
         let is_write = request.method() != Method::GET;
--- a/crates/comfreyspread-policy/src/claim.rs
+++ b/crates/comfreyspread-policy/src/claim.rs
@@ -18,6 +18,10 @@
 //!
 //! Reads may be stale. A claim tracks the lowest version that the row can have, and ignores a read
 //! of an older version.
+//!
+//! Versions and rows belong to one history of the store. A store that comes back from a copy may
+//! lack claims that it had granted, so in such a history an absent or abandoned row does not show
+//! that its request has not run, and no claim is granted.
 
 use crate::row_finalizer;
 use comfreyspread_schema::{ids, types};
@@ -49,6 +53,16 @@
     pub version: ids::RowVersion,
 }
 
+/// Whether the store still has every claim that it granted.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum ClaimHistory {
+    /// It does.
+    #[default]
+    Intact,
+    /// It came back from a copy that may lack some.
+    Lost,
+}
+
 /// Why a request is refused without having run. A refusal is final.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ClaimRefusal {
@@ -56,6 +70,8 @@
     Conflict,
     /// The store did not reply in time.
     StoreUnavailable,
+    /// The store may have lost a claim of an earlier request with the key.
+    StoreRestored,
     /// The deadline passed before the request was sent.
     DeadlinePassed,
 }
@@ -65,6 +81,7 @@
 pub struct AcquiringState {
     acquire_deadline: time::Instant,
     send_deadline: time::Instant,
+    history: ClaimHistory,
     in_doubt: bool,
     min_version: ids::RowVersion,
 }
@@ -123,12 +140,22 @@
             state: AcquiringState {
                 acquire_deadline,
                 send_deadline,
+                history: ClaimHistory::default(),
                 in_doubt: false,
                 min_version: 0,
             },
         }
     }
 
+    /// Sets the history that the next event, and what is done after it, belong to.
+    pub fn with_history(mut self, history: ClaimHistory) -> Self {
+        if history != self.state.history {
+            self.state.min_version = 0;
+        }
+        self.state.history = history;
+        self
+    }
+
     /// Returns the row to write.
     pub fn row(&self) -> &types::ClaimRow {
         &self.row
@@ -139,32 +166,46 @@
         self.state.acquire_deadline
     }
 
-    /// Returns the first step: to insert the row.
+    /// Returns the first step: to insert the row, or to read it if no claim is granted at present.
     pub fn begin(self) -> AcquireStep {
-        AcquireStep::Write(self, types::RowPrecondition::Absent)
+        match self.state.history {
+            ClaimHistory::Intact => AcquireStep::Write(self, types::RowPrecondition::Absent),
+            ClaimHistory::Lost => AcquireStep::Read(self),
+        }
     }
 
     /// Returns the step that follows an event.
     pub fn advance(mut self, event: StoreEvent, now: time::Instant) -> AcquireStep {
         match event {
-            StoreEvent::Committed(version) => self.into_held(version),
+            StoreEvent::Committed(version) => self.on_committed(version),
             StoreEvent::Read(stored) => self.on_read(stored, now),
             StoreEvent::Unknown => {
                 self.state.in_doubt = true;
                 self.retry(now, AcquireStep::Read)
             }
             StoreEvent::Rejected => {
-                self.state.min_version += 1;
+                self.state.min_version += versions_passed(self.state.history);
                 self.retry(now, AcquireStep::Read)
             }
             StoreEvent::Unsent | StoreEvent::ReadFailed => self.retry(now, AcquireStep::Wait),
         }
     }
 
+    fn on_committed(mut self, version: ids::RowVersion) -> AcquireStep {
+        if self.state.history == ClaimHistory::Lost {
+            self.state.in_doubt = true;
+            return self.refuse(ClaimRefusal::StoreRestored);
+        }
+        self.into_held(version)
+    }
+
     fn on_read(self, stored: Option<StoredClaim>, now: time::Instant) -> AcquireStep {
         if version_of(stored.as_ref()) < self.state.min_version {
             return self.retry(now, AcquireStep::Wait);
         }
+        if self.state.history == ClaimHistory::Lost && !self.is_settled(stored.as_ref()) {
+            return self.refuse(ClaimRefusal::StoreRestored);
+        }
         let Some(stored) = stored else {
             return self.write(now, types::RowPrecondition::Absent);
         };
@@ -183,6 +224,15 @@
         }
     }
 
+    /// Whether a stored row says what became of an earlier request with the key.
+    fn is_settled(&self, stored: Option<&StoredClaim>) -> bool {
+        let settled = |stored: &StoredClaim| {
+            let is_abandoned = stored.row.phase == types::ClaimPhase::Abandoned;
+            !is_abandoned && stored.row.token != self.row.token
+        };
+        stored.is_some_and(settled)
+    }
+
     fn into_held(self, version: ids::RowVersion) -> AcquireStep {
         let state = HeldState { version, send_deadline: self.state.send_deadline };
         AcquireStep::Held(RequestClaim { row: self.row, state })
@@ -202,12 +252,16 @@
         if now < self.state.acquire_deadline {
             return step(self);
         }
+        self.refuse(ClaimRefusal::StoreUnavailable)
+    }
+
+    fn refuse(self, refusal: ClaimRefusal) -> AcquireStep {
         if !self.state.in_doubt {
-            return AcquireStep::Refuse(ClaimRefusal::StoreUnavailable);
+            return AcquireStep::Refuse(refusal);
         }
         let finalizer = row_finalizer::RowFinalizer::new(abandoned(self.row), None)
             .with_min_version(self.state.min_version);
-        AcquireStep::Abandon(Box::new(finalizer), ClaimRefusal::StoreUnavailable)
+        AcquireStep::Abandon(Box::new(finalizer), refusal)
     }
 }
 
@@ -281,6 +335,15 @@
     stored.map_or(0, |stored| stored.version)
 }
 
+/// Returns by how much the lowest version of a row rises when a write is rejected. The condition may
+/// have named a version of a history that is lost, which says nothing about the present row.
+pub(crate) fn versions_passed(history: ClaimHistory) -> ids::RowVersion {
+    match history {
+        ClaimHistory::Intact => 1,
+        ClaimHistory::Lost => 0,
+    }
+}
+
 fn abandoned(row: types::ClaimRow) -> types::ClaimRow {
     types::ClaimRow { phase: types::ClaimPhase::Abandoned, ..row }
 }
--- a/crates/comfreyspread-policy/tests/claim_model.rs
+++ b/crates/comfreyspread-policy/tests/claim_model.rs
@@ -2,7 +2,8 @@
 //!
 //! Requests with the same key arrive at any time. Operations on the store are queued and take
 //! effect in any order. Their replies arrive or are lost, possibly before the operation takes
-//! effect. An operation can still take effect after its sender has timed out.
+//! effect. An operation can still take effect after its sender has timed out. In some schedules the
+//! store comes back from a copy: rows are lost, and versions are given out again.
 #![allow(clippy::disallowed_methods)]
 
 use bolero::check;
@@ -39,6 +40,7 @@
     response: Response,
     runs: u32,
     crashed: bool,
+    era: ids::StoreEra,
 }
 
 impl Request {
@@ -52,13 +54,25 @@
     request: Option<usize>,
     write: Option<(types::ClaimRow, types::RowPrecondition)>,
     event: Option<claim::StoreEvent>,
+    era: ids::StoreEra,
 }
 
-struct Model {
-    now: time::Instant,
+/// Era of the store in which claims are granted.
+const CLAIM_ERA: ids::StoreEra = 0;
+
+/// The row, the one before it and the newest version.
+#[derive(Clone, Default)]
+struct Store {
     row: Option<claim::StoredClaim>,
     prior: Option<claim::StoredClaim>,
     version: ids::RowVersion,
+}
+
+struct Model {
+    now: time::Instant,
+    store: Store,
+    copy: Store,
+    era: ids::StoreEra,
     operations: Vec<Operation>,
     requests: Vec<Request>,
 }
@@ -67,9 +81,9 @@
     fn new() -> Self {
         Self {
             now: time::Instant::now(),
-            row: None,
-            prior: None,
-            version: 0,
+            store: Store::default(),
+            copy: Store::default(),
+            era: CLAIM_ERA,
             operations: Vec::new(),
             requests: Vec::new(),
         }
@@ -98,7 +112,8 @@
         let until = self.now + ACQUIRE_TIMEOUT;
         let claim = claim::RequestClaim::new(Self::row_of(index), until, self.now + SEND_TIMEOUT);
         let state = RequestState::Done;
-        self.requests.push(Request { state, response: Response::Pending, runs: 0, crashed: false });
+        let response = Response::Pending;
+        self.requests.push(Request { state, response, runs: 0, crashed: false, era: CLAIM_ERA });
         self.follow(index, claim.begin());
     }
 
@@ -127,7 +142,10 @@
         }
     }
 
-    fn finalize(&mut self, index: usize, finalizer: row_finalizer::RowFinalizer) {
+    fn finalize(&mut self, index: usize, mut finalizer: row_finalizer::RowFinalizer) {
+        if self.requests[index].era != CLAIM_ERA {
+            finalizer.lose_history();
+        }
         let step = finalizer.begin();
         self.follow_finalizer(index, finalizer, step);
     }
@@ -152,7 +170,7 @@
     }
 
     fn enqueue(&mut self, index: usize, write: Option<(types::ClaimRow, types::RowPrecondition)>) {
-        self.operations.push(Operation { request: Some(index), write, event: None });
+        self.operations.push(Operation { request: Some(index), write, event: None, era: 0 });
     }
 
     /// Applies an operation at the store.
@@ -161,10 +179,12 @@
         if operation.event.is_some() {
             return;
         }
-        let version = self.row.as_ref().map_or(0, |row| row.version);
+        operation.era = self.era;
+        let store = &mut self.store;
+        let version = store.row.as_ref().map_or(0, |row| row.version);
         operation.event = Some(match &operation.write {
             None => {
-                claim::StoreEvent::Read(if stale { self.prior.clone() } else { self.row.clone() })
+                claim::StoreEvent::Read(if stale { store.prior.clone() } else { store.row.clone() })
             }
             Some((row, condition)) => {
                 let holds = match condition {
@@ -173,10 +193,10 @@
                     types::RowPrecondition::Any => true,
                 };
                 if holds {
-                    self.version += 1;
-                    let stored = claim::StoredClaim { row: row.clone(), version: self.version };
-                    self.prior = self.row.replace(stored);
-                    claim::StoreEvent::Committed(self.version)
+                    store.version += 1;
+                    let stored = claim::StoredClaim { row: row.clone(), version: store.version };
+                    store.prior = store.row.replace(stored);
+                    claim::StoreEvent::Committed(store.version)
                 } else {
                     claim::StoreEvent::Rejected
                 }
@@ -188,6 +208,9 @@
     fn deliver(&mut self, number: usize, lost: bool) {
         let Some(operation) = self.operations.get_mut(number) else { return };
         let Some(index) = operation.request else { return };
+        let known = self.requests[index].era;
+        let lost = lost || operation.era < known;
+        let era = if lost || operation.event.is_none() { known } else { operation.era };
         let event = match (&operation.event, lost) {
             (Some(event), false) => event.clone(),
             _ if operation.write.is_some() => claim::StoreEvent::Unknown,
@@ -197,19 +220,27 @@
         if operation.event.is_some() || operation.write.is_none() {
             self.operations.swap_remove(number);
         }
-        self.receive(index, event);
+        self.requests[index].era = era;
+        self.receive(index, event, era != known);
     }
 
-    fn receive(&mut self, index: usize, event: claim::StoreEvent) {
+    fn receive(&mut self, index: usize, event: claim::StoreEvent, restored: bool) {
         if self.requests[index].crashed {
             return;
         }
         match std::mem::replace(&mut self.requests[index].state, RequestState::Done) {
             RequestState::Acquiring(claim) => {
-                let step = claim.advance(event, self.now);
+                let history = match self.requests[index].era {
+                    CLAIM_ERA => claim::ClaimHistory::Intact,
+                    _ => claim::ClaimHistory::Lost,
+                };
+                let step = claim.with_history(history).advance(event, self.now);
                 self.follow(index, step);
             }
             RequestState::Finalizing(mut finalizer) => {
+                if restored {
+                    finalizer.lose_history();
+                }
                 let step = finalizer.advance(&event);
                 self.follow_finalizer(index, finalizer, step);
             }
@@ -291,6 +322,18 @@
         self.check();
     }
 
+    /// Does a step of a schedule in which the store comes back from a copy.
+    fn step_with_restores(&mut self, kind: u8, choice: u8) {
+        match kind % 12 {
+            10 => self.copy = self.store.clone(),
+            11 => {
+                self.store = self.copy.clone();
+                self.era += 1;
+            }
+            kind => self.step(kind, choice),
+        }
+    }
+
     /// Completes all outstanding operations against a healthy store.
     fn drain(&mut self) {
         for _ in 0..DRAIN_STEPS {
@@ -355,7 +398,7 @@
 
 /// Whether the stored row is allowed to have no known outcome.
 fn is_unknown(model: &Model) -> bool {
-    let Some(stored) = &model.row else { return false };
+    let Some(stored) = &model.store.row else { return false };
     let crashed =
         model.requests.iter().enumerate().any(|(index, request)| {
             request.crashed && Model::row_of(index).token == stored.row.token
@@ -364,6 +407,22 @@
     (held && crashed) || stored.row.verdict == Some(types::CallVerdict::MayHaveRun)
 }
 
+/// A claim that the store lost must not let its request run twice, nor keep its holder busy for ever.
+#[test]
+fn restored_store() {
+    check!().with_iterations(20_000).with_type::<Vec<(u8, u8)>>().for_each(|schedule| {
+        let mut model = Model::new();
+        model.arrive();
+        for (kind, choice) in schedule {
+            model.step_with_restores(*kind, *choice);
+        }
+        model.drain();
+        model.arrive();
+        model.drain();
+        assert_ne!(model.requests[model.requests.len() - 1].response, Response::Pending);
+    });
+}
+
 #[test]
 fn any_schedule() {
     check!().with_iterations(20_000).with_type::<Vec<(u8, u8)>>().for_each(|schedule| {
--- a/crates/comfreyspread-policy/tests/claim_steps.rs
+++ b/crates/comfreyspread-policy/tests/claim_steps.rs
@@ -94,3 +94,25 @@
     let sent = held(now).send(now).expect("it is in time");
     assert_eq!(sent.release().row().phase, types::ClaimPhase::Abandoned);
 }
+
+#[test]
+fn lost_history() {
+    use types::ClaimPhase::{Abandoned, Closed, Held};
+    let now = time::Instant::now();
+    let lost = || acquiring(now).with_history(claim::ClaimHistory::Lost);
+    assert!(matches!(lost().begin(), claim::AcquireStep::Read(_)));
+    let absent = lost().advance(claim::StoreEvent::Read(None), now);
+    assert!(matches!(absent, claim::AcquireStep::Refuse(claim::ClaimRefusal::StoreRestored)));
+    let inserted = lost().advance(claim::StoreEvent::Committed(4), now);
+    assert!(matches!(inserted, claim::AcquireStep::Abandon(_, claim::ClaimRefusal::StoreRestored)));
+    for (phase, expected) in [(Abandoned, "refuse"), (Held, "unresolved"), (Closed, "completed")] {
+        let stored = claim::StoredClaim { row: row("other", "body", phase), version: 4 };
+        let name = match lost().advance(claim::StoreEvent::Read(Some(stored)), now) {
+            claim::AcquireStep::Refuse(claim::ClaimRefusal::StoreRestored) => "refuse",
+            claim::AcquireStep::Unresolved(_) => "unresolved",
+            claim::AcquireStep::Completed(_) => "completed",
+            other => panic!("{phase}: {other:?}"),
+        };
+        assert_eq!(name, expected, "{phase}");
+    }
+}
--- a/crates/comfreyspread/src/claims/claim_failure.rs
+++ b/crates/comfreyspread/src/claims/claim_failure.rs
@@ -6,9 +6,12 @@
 use std::time;
 
 const RESEND_AFTER: time::Duration = time::Duration::from_secs(1);
+/// Operators have to act before a resend can succeed.
+const RESEND_AFTER_RESTORE: time::Duration = time::Duration::from_secs(30);
 
 /// Returns the failure of a request whose claim is refused; it has not run.
 pub fn refusal_failure(refusal: claim::ClaimRefusal) -> failure::CallFailure {
+    let mut resend_after = RESEND_AFTER;
     let (kind, detail) = match refusal {
         claim::ClaimRefusal::Conflict => {
             (types::ProblemKind::KeyConflict, "the key was used with another body or target")
@@ -16,11 +19,16 @@
         claim::ClaimRefusal::StoreUnavailable => {
             (types::ProblemKind::StoreUnavailable, "the claim could not be settled in time")
         }
+        claim::ClaimRefusal::StoreRestored => {
+            resend_after = RESEND_AFTER_RESTORE;
+            let detail = "the store may have lost the claim of an earlier request with the key";
+            (types::ProblemKind::StoreUnavailable, detail)
+        }
         claim::ClaimRefusal::DeadlinePassed => {
             (types::ProblemKind::Timeout, "the deadline passed before the call was sent")
         }
     };
-    failure::CallFailure::new(kind, detail).with_retry_after(RESEND_AFTER)
+    failure::CallFailure::new(kind, detail).with_retry_after(resend_after)
 }
 
 /// Returns the failure of a request whose key is claimed by `row`, which has no known outcome.
--- a/crates/comfreyspread/src/claims/claim_guard.rs
+++ b/crates/comfreyspread/src/claims/claim_guard.rs
@@ -67,6 +67,15 @@
         &self.context
     }
 
+    /// Whether the store still has every claim that it granted.
+    pub fn history(&self) -> claim::ClaimHistory {
+        if self.context.platform.era() == self.context.settings.claim_era {
+            claim::ClaimHistory::Intact
+        } else {
+            claim::ClaimHistory::Lost
+        }
+    }
+
     /// Marks the claim as one whose request will not be sent.
     pub fn abandon(&self) {
         self.context.tables.claims.lock().abandon(&self.key);
--- a/crates/comfreyspread/src/claims/claim_task.rs
+++ b/crates/comfreyspread/src/claims/claim_task.rs
@@ -41,7 +41,7 @@
     where
         Work: Future<Output = Result<failure::CallResponse, failure::CallFailure>> + Send,
     {
-        let mut step = claim.begin();
+        let mut step = claim.with_history(self.guard.history()).begin();
         loop {
             step = match step {
                 claim::AcquireStep::Write(claim, condition) => {
@@ -87,7 +87,7 @@
         claim: claim::RequestClaim<claim::AcquiringState>,
         event: claim::StoreEvent,
     ) -> claim::AcquireStep {
-        claim.advance(event, time::Instant::now())
+        claim.with_history(self.guard.history()).advance(event, time::Instant::now())
     }
 
     fn answer(&self, result: ClaimResult) {
@@ -145,9 +145,12 @@
         mut finalizer: row_finalizer::RowFinalizer,
         mut result: Option<ClaimResult>,
     ) {
+        let mut era = self.guard.context().settings.claim_era;
+        self.follow_era(&mut finalizer, &mut era);
         let mut step = finalizer.begin();
         while step != row_finalizer::FinalizeStep::Done {
             let event = self.finalize_step(&finalizer, step, result.is_some()).await;
+            self.follow_era(&mut finalizer, &mut era);
             if matches!(
                 event,
                 claim::StoreEvent::Unknown
@@ -161,6 +164,15 @@
         self.answer_once(&mut result);
     }
 
+    /// Tells the finalizer if the store has another era than the one last seen, `era`.
+    fn follow_era(&self, finalizer: &mut row_finalizer::RowFinalizer, era: &mut ids::StoreEra) {
+        let current = self.guard.context().platform.era();
+        if current != *era {
+            finalizer.lose_history();
+            *era = current;
+        }
+    }
+
     async fn finalize_step(
         &self,
         finalizer: &row_finalizer::RowFinalizer,
--- a/crates/comfreyspread/src/runtime/platform_client.rs
+++ b/crates/comfreyspread/src/runtime/platform_client.rs
@@ -2,11 +2,14 @@
 //!
 //! A transaction whose response is lost may have taken effect. The verdict of the failure says so,
 //! and the caller finds out by reading the rows back.
+//!
+//! The store may come back from a copy; its era in each answer rises then. An answer of an earlier
+//! era than one already seen says nothing about the present rows and counts as a failed request.
 
-use crate::transport::{failure, http_client, http_message};
+use crate::transport::{failure, header, http_client, http_message};
 use comfreyspread_schema::{ids, types};
 use http::Method;
-use std::{net, time};
+use std::{net, sync::atomic, time};
 
 const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 const OK_STATUS: u16 = 200;
@@ -19,12 +22,19 @@
     address: net::SocketAddr,
     client: http_client::HttpClient,
     timeout: time::Duration,
+    era: atomic::AtomicU64,
 }
 
 impl PlatformClient {
     /// Creates a client that waits up to `timeout` for each response.
     pub fn new(address: net::SocketAddr, timeout: time::Duration) -> Self {
-        Self { address, client: http_client::HttpClient::new(MAX_RESPONSE_BYTES), timeout }
+        let client = http_client::HttpClient::new(MAX_RESPONSE_BYTES);
+        Self { address, client, timeout, era: atomic::AtomicU64::new(0) }
+    }
+
+    /// Returns the latest era of the store in any answer; zero before the first.
+    pub fn era(&self) -> ids::StoreEra {
+        self.era.load(atomic::Ordering::SeqCst)
     }
 
     /// Sets the node sent as the user agent of each request.
@@ -143,10 +153,32 @@
             request.insert_header("content-type", JSON_MEDIA_TYPE);
         }
         let deadline = time::Instant::now() + self.timeout;
-        self.client
-            .call(self.address, request, connection, deadline)
-            .await
-            .map_err(|failure| store_failure(&failure))
+        let called = self.client.call(self.address, request, connection, deadline).await;
+        let response = called.map_err(|failure| store_failure(&failure))?;
+        self.record_era(&response)?;
+        Ok(response)
+    }
+
+    /// Records the era of an answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an answer of a later era has arrived before.
+    fn record_era(
+        &self,
+        response: &http_client::ClientResponse,
+    ) -> Result<(), failure::CallFailure> {
+        let era = response.header(header::TABLE_ERA).and_then(|era| era.parse().ok()).unwrap_or(0);
+        let known = self.era.fetch_max(era, atomic::Ordering::SeqCst);
+        if era > known {
+            log::warn!(era = era; "store: another era, the store may have come back from a copy");
+        }
+        if era >= known {
+            return Ok(());
+        }
+        let detail = format!("the answer is of era {era} of the store, and {known} was seen");
+        let failure = failure::CallFailure::new(types::ProblemKind::StoreUnavailable, detail);
+        Err(failure.with_verdict(types::CallVerdict::MayHaveRun))
     }
 }
 
--- a/crates/comfreyspread/src/runtime/settings.rs
+++ b/crates/comfreyspread/src/runtime/settings.rs
@@ -106,6 +106,8 @@
     pub vm_poll_interval: time::Duration,
     /// Timeout for a response of the platform.
     pub store_timeout: time::Duration,
+    /// Era of the store in which claims are granted.
+    pub claim_era: ids::StoreEra,
     /// Time between reporting not ready and closing the caller address.
     pub grace_period: time::Duration,
     /// Maximum time to finish requests after the grace period.
@@ -184,6 +186,7 @@
             poll_interval: self.duration("poll_ms"),
             vm_poll_interval: self.duration("vm_poll_ms"),
             store_timeout: self.duration("store_timeout_ms"),
+            claim_era: self.parse("claim_era", 0, "a whole number"),
             grace_period: self.duration("grace_ms"),
             shutdown_timeout: self.duration("shutdown_ms"),
             link_bytes_per_s: self.parse("link_bytes_per_s", 0, "a whole number"),
--- a/crates/comfreyspread/src/transport/header.rs
+++ b/crates/comfreyspread/src/transport/header.rs
@@ -28,6 +28,8 @@
 pub const ENGINE_COLD: &str = "comfreyspread-engine-cold";
 /// Whether an endpoint reports that it is leaving.
 pub const ENGINE_LEAVING: &str = "comfreyspread-engine-leaving";
+/// Era of the platform's table service, in its answers.
+pub const TABLE_ERA: &str = "comfreyspread-table-era";
 /// Media type of server-sent events.
 pub const EVENT_STREAM: &str = "text/event-stream";
 /// Media type of JSON.
