Write the configuration in force again into a store that lost it

What operators saw: after the store had come back from a copy that lacks accepted changes, every later change was refused ("the store shows revision 1, and 4 is in force"), and nodes that started without peers served the older one.

Class: an order that holds within one history is used across two. The nodes keep the highest revision, and the store never reaches it again, since changes are made only on a head that is as new as what is in force.

A node that polls the store and reads an older head now writes the document in force again, on the condition that the head has the version that was read. An old read of a store that lost nothing names a version that has moved, so that write has no effect: the condition tells the two cases apart, without an era.

--- a/crates/comfreyspread-policy/src/change.rs
+++ b/crates/comfreyspread-policy/src/change.rs
@@ -176,14 +176,41 @@
         revision: document.revision,
         summary: summary.into(),
     };
+    Ok(ChangePlan::Write(planned_change(head, document, record)))
+}
+
+/// Returns the write that puts the document in force back into the store, if the head read from it
+/// is older: the store may have come back from a copy that lacks changes it had confirmed. If only
+/// the read is old, the head has moved and the write has no effect.
+pub fn write_again(
+    head: &StoredHead,
+    in_force: &types::ConfigurationDocument,
+) -> Option<ConfigurationChange<PlannedState>> {
+    if in_force.revision <= head.revision() {
+        return None;
+    }
+    let record = types::ChangeRecord {
+        author: in_force.author.clone(),
+        change_id: in_force.change_id.clone(),
+        revision: in_force.revision,
+        summary: "written again".into(),
+    };
+    Some(planned_change(head, in_force.clone(), record))
+}
+
+fn planned_change(
+    head: &StoredHead,
+    document: types::ConfigurationDocument,
+    record: types::ChangeRecord,
+) -> ConfigurationChange<PlannedState> {
     let mut recent_changes = head.recent_changes.clone();
     recent_changes.push(record);
     recent_changes.drain(..recent_changes.len().saturating_sub(MAX_RECENT_CHANGES));
-    Ok(ChangePlan::Write(ConfigurationChange {
-        change: request.change_id.clone(),
+    ConfigurationChange {
+        change: document.change_id.clone(),
         revision: document.revision,
         state: PlannedState { version: head.version, document, recent_changes, in_doubt: false },
-    }))
+    }
 }
 
 fn apply_action(
--- a/crates/comfreyspread-policy/tests/change.rs
+++ b/crates/comfreyspread-policy/tests/change.rs
@@ -258,3 +258,18 @@
     let refusal = change::plan(&change::StoredHead::new(), &order, &vms);
     assert!(matches!(refusal, Err(change::ChangeRefusal::Unknown(_))), "{refusal:?}");
 }
+
+/// A store that lost a confirmed change gets it back, and keeps changes that are as new.
+#[test]
+fn lost_change() {
+    let empty = change::StoredHead::new();
+    let planned = planned(&empty, "zone-a", 0).expect("a plan");
+    let in_force = planned.document().clone();
+    let again = change::write_again(&empty, &in_force).expect("the store lacks the change");
+    assert_eq!((again.version(), again.revision()), (0, in_force.revision));
+    assert_eq!(again.document(), &in_force);
+    let mut store = ModelStore { history: vec![empty] };
+    assert!(store.write(&again));
+    assert!(change::write_again(store.current(), &in_force).is_none());
+    assert!(!store.write(&again), "a head that has moved is kept");
+}
--- a/crates/comfreyspread/src/configuration/distribution.rs
+++ b/crates/comfreyspread/src/configuration/distribution.rs
@@ -12,7 +12,7 @@
     runtime::context,
     transport::{failure, http_client},
 };
-use comfreyspread_policy::{catalog, delta, poller};
+use comfreyspread_policy::{catalog, change, delta, poller};
 use comfreyspread_schema::{ids, types};
 use rand::seq::SliceRandom as _;
 use std::{net, sync, time};
@@ -180,15 +180,31 @@
     types::RevisionReply { header: context.peer_header() }
 }
 
-/// Reads the store and brings its configuration into force if it is newer.
+/// Reads the store and brings its configuration into force if it is newer. Writes the one in force
+/// again if the store's is older.
 ///
 /// # Errors
 ///
 /// Fails if the platform does not answer in time or holds invalid data.
 pub async fn read_store(context: &context::NodeContext) -> Result<(), failure::CallFailure> {
     let current = context.tables.catalog().revision();
-    if let Some(document) = head_row::read_newer(&context.platform, current).await? {
-        apply(context, document);
+    match head_row::compare(&context.platform, current).await? {
+        head_row::HeadComparison::Newer(document) => apply(context, *document),
+        head_row::HeadComparison::Known => {}
+        head_row::HeadComparison::Older => write_again(context).await?,
+    }
+    Ok(())
+}
+
+/// Writes the configuration in force into a store that has lost it.
+async fn write_again(context: &context::NodeContext) -> Result<(), failure::CallFailure> {
+    let head = head_row::read(&context.platform).await?;
+    let catalog = context.tables.catalog();
+    let planned = catalog.document().and_then(|document| change::write_again(&head, document));
+    let Some(planned) = planned else { return Ok(()) };
+    if head_row::write(context, &planned).await? {
+        log::warn!(stored = head.revision(), revision = planned.revision();
+            "configuration: the store had lost the one in force, written again");
     }
     Ok(())
 }
--- a/crates/comfreyspread/src/configuration/head_row.rs
+++ b/crates/comfreyspread/src/configuration/head_row.rs
@@ -21,22 +21,38 @@
 
 const OBJECT_PREFIX: &str = "declarations-";
 
-/// Reads the configuration if its revision is above `known`.
+/// The head as compared with a known revision.
+#[derive(Clone, Debug, PartialEq)]
+pub enum HeadComparison {
+    /// The head has a higher revision; contains its document.
+    Newer(Box<types::ConfigurationDocument>),
+    /// The head has the known revision.
+    Known,
+    /// The head has a lower revision, or there is none.
+    Older,
+}
+
+/// Reads the head and compares its revision with `known`; reads the document if it is higher.
 ///
 /// # Errors
 ///
 /// Fails if the platform does not answer in time or holds invalid data.
-pub async fn read_newer(
+pub async fn compare(
     platform: &platform_client::PlatformClient,
     known: ids::RevisionNumber,
-) -> Result<Option<types::ConfigurationDocument>, failure::CallFailure> {
+) -> Result<HeadComparison, failure::CallFailure> {
     let row = platform.read_row(CONFIGURATION_TABLE, HEAD_KEY).await?;
-    let Some(row) = row else { return Ok(None) };
-    let head: types::ConfigurationHead = decode(row.value.as_bytes())?;
-    if head.revision <= known {
-        return Ok(None);
+    let decoded = row.map(|row| decode::<types::ConfigurationHead>(row.value.as_bytes()));
+    let head = decoded.transpose()?;
+    let stored = head.as_ref().map_or(0, |head| head.revision);
+    match head {
+        Some(head) if stored > known => {
+            let document = document(platform, head).await?;
+            Ok(HeadComparison::Newer(Box::new(document)))
+        }
+        _ if stored == known => Ok(HeadComparison::Known),
+        _ => Ok(HeadComparison::Older),
     }
-    document(platform, head).await.map(Some)
 }
 
 /// Reads the head with its declarations.
