Keep an endpoint leaving that has registered so

What callers saw: after the store had come back from a copy, an endpoint that had registered as leaving was used again, because the copy has its earlier registration as ready; it exits soon after, with the requests it was given.

Class: an order that holds within one history is used across two; here the latest registration of a process, whatever it said before.

A process that registers as leaving is now treated like one that says so in an answer: it stays leaving for as long as it has the same start, also while its registration is gone. A registration that states no start is taken as it comes, since a later process can not be told from the same one.

Evidence: endpoint_intake::registered_leaving fails without the change ("the copy has it as before", both endpoints chosen) and passes with it, as do the other tests of endpoint_intake and endpoint_directory.

--- a/crates/comfreyspread-policy/src/endpoint_directory.rs
+++ b/crates/comfreyspread-policy/src/endpoint_directory.rs
@@ -12,6 +12,9 @@
 /// Processes not registered now whose own word is kept, in case their registration comes back.
 const MAX_DEPARTED: usize = 4096;
 
+/// Start of a process that does not state it, and that a later one can't be told from.
+const UNKNOWN_START: u64 = 0;
+
 /// Outcome of one attempt at an endpoint.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AttemptOutcome {
@@ -106,13 +109,16 @@
     /// Adds or updates a registered endpoint. `cold_start` applies if the endpoint is new or has
     /// restarted. What the same process has said of its intake stays in force, also after
     /// [`EndpointDirectory::remove`]: an outage of the store may remove a registration for a while,
-    /// and an outdated read may bring back that of the process before.
+    /// and an outdated read may bring back that of the process before. So does a registration as
+    /// leaving, since a store that comes back from a copy has an earlier one of the same process.
     pub fn insert(
         &mut self,
         registration: types::EndpointRegistration,
         cold_start: ColdStart,
         now: time::Instant,
     ) {
+        let process = (registration.endpoint.clone(), registration.started_at_ms);
+        let leaving = registration.leaving && registration.started_at_ms != UNKNOWN_START;
         match self.endpoints.get_mut(&registration.endpoint) {
             Some(known) if known.registration.started_at_ms == registration.started_at_ms => {
                 if !registration.cold_time_left.is_zero() {
@@ -122,6 +128,10 @@
             }
             _ => self.insert_process(registration, cold_start, now),
         }
+        if leaving {
+            let notice = endpoint_intake::IntakeNotice { leaving, ..Default::default() };
+            self.record_notice(&process.0, process.1, notice, now);
+        }
     }
 
     fn insert_process(
--- a/crates/comfreyspread-policy/tests/endpoint_intake.rs
+++ b/crates/comfreyspread-policy/tests/endpoint_intake.rs
@@ -215,3 +215,20 @@
     assert!(day <= endpoint_intake::MAX_PAUSE + ms(2000), "{day:?}");
     assert!(endpoint_intake::pause_length(time::Duration::ZERO, &mut random).is_zero());
 }
+
+/// An older registration of an endpoint, from a store that came back from a copy, opened an
+/// endpoint again that had registered as leaving.
+#[test]
+fn registered_leaving() {
+    let now = time::Instant::now();
+    let mut directory = new_directory(now);
+    let leaving = types::EndpointRegistration { leaving: true, ..registration("one", 1) };
+    directory.insert(leaving, WARM, now);
+    directory.insert(registration("one", 1), WARM, now);
+    assert_eq!(chosen(&mut directory, now), ["two".into()], "the copy has it as before");
+    directory.remove(&"one".into(), now);
+    directory.insert(registration("one", 1), WARM, now);
+    assert_eq!(chosen(&mut directory, now), ["two".into()], "removed meanwhile");
+    directory.insert(registration("one", 2), WARM, now);
+    assert_eq!(directory.counts(now).leaving, 0, "a later process says it for itself");
+}
