Take an endpoint's certainly newer registration at once

After the store came back from a copy, rows that differ from those in force are held back, because the copy may simply be old. A node that was frozen or cut off over the whole of it knows less than the copy, though: it went on using an endpoint that registered as leaving meanwhile, or an address of an earlier process, until the hold was over.

A registration of a later process, and one of the same process that now leaves, can not be older than the known one, whatever the versions of their rows, and is confirmed. endpoint_intake::newer_registrations checks the decision.

--- a/crates/comfreyspread-policy/src/endpoint_directory.rs
+++ b/crates/comfreyspread-policy/src/endpoint_directory.rs
@@ -149,6 +149,16 @@
         self.endpoints.insert(process.0, added);
     }
 
+    /// Whether a registration is certainly newer than the known one of the endpoint: it is of a
+    /// later process, or of the same that now leaves.
+    pub fn is_newer(&self, registration: &types::EndpointRegistration) -> bool {
+        let Some(known) = self.endpoints.get(&registration.endpoint) else { return false };
+        let known_start = known.registration.started_at_ms;
+        let is_later = known_start != UNKNOWN_START && registration.started_at_ms > known_start;
+        let leaves = registration.leaving && !known.registration.leaving;
+        is_later || (leaves && registration.started_at_ms == known_start)
+    }
+
     /// Removes an endpoint.
     pub fn remove(&mut self, endpoint: &ids::EndpointId, now: time::Instant) {
         let Some(removed) = self.endpoints.shift_remove(endpoint) else { return };
--- a/crates/comfreyspread-policy/tests/endpoint_intake.rs
+++ b/crates/comfreyspread-policy/tests/endpoint_intake.rs
@@ -232,3 +232,28 @@
     directory.insert(registration("one", 2), WARM, now);
     assert_eq!(directory.counts(now).leaving, 0, "a later process says it for itself");
 }
+
+/// Of two registrations of different histories of the store, only these are known to be newer.
+#[test]
+fn newer_registrations() {
+    let now = time::Instant::now();
+    let mut directory = new_directory(now);
+    directory.insert(registration("one", 5), WARM, now);
+    let leaving = |started_at_ms| types::EndpointRegistration {
+        leaving: true,
+        ..registration("one", started_at_ms)
+    };
+    for (other, expected) in [
+        (registration("one", 4), false),
+        (registration("one", 5), false),
+        (registration("one", 6), true),
+        (leaving(4), false),
+        (leaving(5), true),
+        (leaving(6), true),
+        (registration("gone", 6), false),
+    ] {
+        assert_eq!(directory.is_newer(&other), expected, "{other:?}");
+    }
+    directory.insert(leaving(5), WARM, now);
+    assert!(!directory.is_newer(&leaving(5)), "known to leave");
+}
--- a/crates/comfreyspread/src/gateway/endpoint_watcher.rs
+++ b/crates/comfreyspread/src/gateway/endpoint_watcher.rs
@@ -34,6 +34,10 @@
             state.context.spawner.detach(remove_after_recovery(state.clone(), deferred));
         }
     }
+
+    fn confirms(&self, state: &sync::Arc<state::GatewayState>, row: &types::StoreRow) -> bool {
+        decode(row).is_some_and(|registration| state.directory.lock().is_newer(&registration))
+    }
 }
 
 fn insert(
