Repeat a request that failed on a kept connection

Callers of a service with one endpoint got 502 for a request that may be repeated, when bytes that follow an earlier answer, or a close, crossed the request on a kept connection. The connection was found usable, the exchange failed with may-have-run, which is true, and the retry found no endpoint: the only one counted as tried.

Cause: a failed exchange was taken as a failure of the endpoint, although on a kept connection it says little about it. The endpoint may now be tried once more, on a new connection, after all others. Only requests that may be repeated get there, each retry is taken from the retry budget, and the endpoint counts once towards max_attempts: when that is reached, no other endpoint is left (`tried_endpoints` in the policy crate; carried out by `attempt_history` for single responses and streams).

The same holds for an earlier answer that is written once more and for a connection that closes as the request crosses it. Stage calls are tried again at the same endpoint by their queue, and the native front end excludes an endpoint only while another one is left; both were read only.

--- a/crates/comfreyspread-policy/src/endpoint_directory.rs
+++ b/crates/comfreyspread-policy/src/endpoint_directory.rs
@@ -4,7 +4,7 @@
 //! times and failures. An endpoint without measurements counts as average. Measurements decay, so
 //! that an endpoint that was slow for a while is tried again.
 
-use crate::{directory_endpoint, endpoint_intake, endpoint_selection, rendezvous};
+use crate::{directory_endpoint, endpoint_intake, endpoint_selection, rendezvous, tried_endpoints};
 use comfreyspread_schema::{ids, types};
 use indexmap::{IndexMap, IndexSet};
 use std::{net, time};
@@ -49,6 +49,8 @@
     pub zone: &'query ids::ZoneId,
     /// Endpoints that were already tried.
     pub tried: &'query [ids::EndpointId],
+    /// An endpoint that may be tried once more, if no other is left.
+    pub second_try: Option<tried_endpoints::SecondTry<'query>>,
     /// Hash of the prompt prefix, which an endpoint may have cached.
     pub prefix: Option<ids::PrefixHash>,
     /// Maximum requests per second from this node to a cold endpoint.
--- a/crates/comfreyspread-policy/src/endpoint_selection.rs
+++ b/crates/comfreyspread-policy/src/endpoint_selection.rs
@@ -34,7 +34,7 @@
     Leaving,
     /// It asked for no requests until then.
     Paused(time::Instant),
-    /// The request was already sent there.
+    /// The request was already sent there, or may be sent only to one of those that it was sent to.
     Tried,
     /// It is cold and has had this node's share of requests.
     ColdLimit,
@@ -67,6 +67,8 @@
     Cold,
     /// Avoided after a failure or while it is full.
     BackingOff,
+    /// Tried before, and open to a second try.
+    SecondTry,
 }
 
 /// Number of endpoints of a service that were passed over, by reason.
@@ -173,13 +175,21 @@
         if let Some(reason) = self.directory.closed(endpoint, now) {
             return Err(reason);
         }
-        if self.query.tried.contains(&endpoint.registration.endpoint) {
+        let second_try = self.query.second_try;
+        let again = second_try.is_some_and(|one| *one.endpoint == endpoint.registration.endpoint);
+        let closed_to_others = second_try.is_some_and(|one| one.only);
+        if self.query.tried.contains(&endpoint.registration.endpoint)
+            || (closed_to_others && !again)
+        {
             return Err(SkipReason::Tried);
         }
         let cold = endpoint.is_cold(now);
         if cold && endpoint.cold_calls(now) >= self.query.cold_rate {
             return Err(SkipReason::ColdLimit);
         }
+        if again {
+            return Ok(EndpointTier::SecondTry);
+        }
         Ok(match (endpoint.is_backing_off(now), cold) {
             (true, _) => EndpointTier::BackingOff,
             (false, true) => EndpointTier::Cold,
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -11,7 +11,7 @@
 //! - On the users' platform: [`route_table`], [`endpoint_directory`] of [`directory_endpoint`]s
 //!   with their [`endpoint_intake`], [`endpoint_selection`], [`stage_graph`] of a request,
 //!   [`batch_queue`] of a stage service over [`batch_admission`], [`piece_group`], [`worker_set`] and [`home_zones`], [`event_buffer`],
-//!   [`first_event`], [`service_retry_budget`], [`wait_table`], [`peer_health`]; tables of the store by
+//!   [`first_event`], [`tried_endpoints`], [`service_retry_budget`], [`wait_table`], [`peer_health`]; tables of the store by
 //!   [`table_mirror`], [`table_source`], [`table_freshness`] and [`outage_recovery`].
 //! - The owner: [`pool_scheduler`] over [`call_queue`], [`pool_endpoint`], [`endpoint_lifecycle`],
 //!   [`concurrency_limit`], [`circuit_breaker`], [`outlier`], [`endpoint_selector`], [`latency`].
@@ -92,6 +92,7 @@
 pub mod table_source;
 pub mod task_restart;
 pub mod timing;
+pub mod tried_endpoints;
 pub mod validation;
 pub mod verdict;
 pub mod wait_table;
--- a/crates/comfreyspread-policy/tests/endpoint_directory.rs
+++ b/crates/comfreyspread-policy/tests/endpoint_directory.rs
@@ -1,7 +1,7 @@
 //! Choice among the registered endpoints.
 #![allow(clippy::disallowed_methods, reason = "start of the injected time")]
 
-use comfreyspread_policy::{endpoint_directory, endpoint_selection};
+use comfreyspread_policy::{endpoint_directory, endpoint_selection, tried_endpoints};
 use comfreyspread_schema::{ids, types};
 use std::time;
 
@@ -55,6 +55,7 @@
             prefix: None,
             regions: None,
             service: &self.service,
+            second_try: None,
             tried: &self.tried,
             zone: &self.zone,
         }
@@ -81,6 +82,27 @@
     }
 }
 
+/// A second try comes after all other endpoints, and is the only one where no other may run the
+/// request.
+#[test]
+fn second_try() {
+    let now = time::Instant::now();
+    let mut directory = new_directory(now);
+    let mut needs = RequestNeeds::new();
+    let endpoint = "one".into();
+    let mut choose = |needs: &RequestNeeds, only| {
+        let second_try = Some(tried_endpoints::SecondTry { endpoint: &endpoint, only });
+        let query = endpoint_directory::EndpointQuery { second_try, ..needs.query(now) };
+        directory.start_call(&query).map(|chosen| chosen.endpoint.to_string())
+    };
+    assert_eq!(choose(&needs, true).as_deref(), Some("one"));
+    for expected in ["two", "three", "one"] {
+        assert_eq!(choose(&needs, false).as_deref(), Some(expected));
+        needs.tried.push(expected.into());
+    }
+    assert_eq!((choose(&needs, false), choose(&needs, true)), (None, None));
+}
+
 #[test]
 fn slow_and_failing() {
     let now = time::Instant::now();
--- a/crates/comfreyspread-policy/tests/endpoint_intake.rs
+++ b/crates/comfreyspread-policy/tests/endpoint_intake.rs
@@ -57,6 +57,7 @@
         prefix: None,
         regions: None,
         service: &service,
+        second_try: None,
         tried: &[],
         zone: &zone,
     })
--- a/crates/comfreyspread/src/gateway/attempt_send.rs
+++ b/crates/comfreyspread/src/gateway/attempt_send.rs
@@ -3,7 +3,7 @@
 use super::{call_plan, caller_handler, endpoint_notices, state};
 use crate::transport::{failure, http_client, http_message};
 use comfreyspread_platform::{request_head, response_head};
-use comfreyspread_policy::{attempt, endpoint_directory, endpoint_selection};
+use comfreyspread_policy::{attempt, endpoint_directory, endpoint_selection, tried_endpoints};
 use comfreyspread_schema::{ids, types};
 use std::{
     sync::{self, atomic},
@@ -20,6 +20,8 @@
 pub struct AttemptInput<'input> {
     /// Endpoints tried before.
     pub tried: &'input [ids::EndpointId],
+    /// Endpoint that may be tried once more, on a new connection.
+    pub second_try: Option<tried_endpoints::SecondTry<'input>>,
     /// Region of the input results; its endpoints are preferred.
     pub preferred_region: &'input ids::RegionId,
     /// Regions allowed to run the request; `None` for all.
@@ -64,6 +66,8 @@
     pub failure: failure::CallFailure,
     /// Whether the input results no longer exist.
     pub inputs_gone: bool,
+    /// Whether the exchange failed on a connection that had served an earlier request.
+    pub on_kept_connection: bool,
 }
 
 impl ActiveAttempt {
@@ -114,6 +118,7 @@
         preferred_region: input.preferred_region,
         zone: &state.settings.zone,
         tried: input.tried,
+        second_try: input.second_try,
         prefix: plan.prefix(),
         cold_rate: state.cold_rate(&plan.service),
         now,
@@ -135,13 +140,12 @@
     if let Err(failure) = plan.check_attempt(state) {
         log::warn!(request = plan.call.request.as_ref(), digest = plan.digest.as_ref(),
             attempt = input.number; "attempt: rejected, the request crashes endpoints");
-        return Err(FailedAttempt { chosen: None, failure, inputs_gone: false });
+        return Err(FailedAttempt::without_endpoint(failure));
     }
     let now = time::Instant::now();
     let query = endpoint_query(state, plan, input, now);
     let Some(chosen) = state.directory.lock().start_call(&query) else {
-        let failure = no_endpoint(state, &query);
-        return Err(FailedAttempt { chosen: None, failure, inputs_gone: false });
+        return Err(FailedAttempt::without_endpoint(no_endpoint(state, &query)));
     };
     let mut active = ActiveAttempt {
         state: state.clone(),
@@ -154,7 +158,9 @@
         endpoint = active.chosen.endpoint.as_ref(), region = active.chosen.region.as_ref(),
         allowed_regions = input.regions.map_or("all".into(), |regions| regions.join(",")).as_str(),
         version = plan.version, left_ms = plan.time_left(now).as_millis() as u64; "attempt: sent");
-    let connection_use = if plan.is_repeatable() {
+    let is_second_try =
+        input.second_try.is_some_and(|second_try| *second_try.endpoint == active.chosen.endpoint);
+    let connection_use = if plan.is_repeatable() && !is_second_try {
         http_client::ConnectionUse::Pooled
     } else {
         http_client::ConnectionUse::Fresh
@@ -172,22 +178,24 @@
         return Err(active.failed(failure, false));
     }
     let request = build_request(plan, &active.chosen, input, time::Instant::now());
+    let kept = connection.is_kept();
     let _sent = planned.send();
     let sent_before = plan.sent_mark.swap(true, atomic::Ordering::Relaxed);
     let response = match state.client.send(connection, request, plan.deadline).await {
         Ok(response) => response,
         Err(failure) => {
             active.finish(endpoint_directory::AttemptOutcome::Unreachable);
-            return Err(active.failed(failure, false));
+            let on_kept_connection = kept && failure.problem() != types::ProblemKind::Timeout;
+            return Err(FailedAttempt { on_kept_connection, ..active.failed(failure, false) });
         }
     };
-    let checked = check_response(plan, active, response, connection_use);
+    let checked = check_response(plan, active, response, (connection_use, kept));
     checked.map_err(|failed| {
         if failed.failure.verdict() != types::CallVerdict::NotRun {
             return failed;
         }
         plan.sent_mark.store(sent_before, atomic::Ordering::Relaxed);
-        let new = AttemptInput { tried: &[], ..*input };
+        let new = AttemptInput { tried: &[], second_try: None, ..*input };
         let query = endpoint_query(state, plan, &new, time::Instant::now());
         let skipped = state.directory.lock().skipped(&query);
         FailedAttempt { failure: with_pause(&skipped, query.now, failed.failure), ..failed }
@@ -197,7 +205,14 @@
 impl ActiveAttempt {
     /// Returns the failure of this attempt.
     pub fn failed(&self, failure: failure::CallFailure, inputs_gone: bool) -> FailedAttempt {
-        FailedAttempt { chosen: Some(self.chosen.clone()), failure, inputs_gone }
+        let chosen = Some(self.chosen.clone());
+        FailedAttempt { chosen, failure, inputs_gone, on_kept_connection: false }
+    }
+}
+
+impl FailedAttempt {
+    fn without_endpoint(failure: failure::CallFailure) -> Self {
+        Self { chosen: None, failure, inputs_gone: false, on_kept_connection: false }
     }
 }
 
@@ -277,7 +292,7 @@
     plan: &call_plan::CallPlan,
     mut active: ActiveAttempt,
     response: http_message::Response,
-    connection: http_client::ConnectionUse,
+    (connection, kept): (http_client::ConnectionUse, bool),
 ) -> Result<StartedAttempt, FailedAttempt> {
     let signals = response_head::decode(response.head());
     let endpoint = active.chosen.endpoint.clone();
@@ -301,7 +316,9 @@
         active.finish(endpoint_directory::AttemptOutcome::Failed);
         let detail = format!("{endpoint} sent a response that does not belong to this request");
         let failure = failure::CallFailure::new(types::ProblemKind::EndpointFailed, detail);
-        return Err(active.failed(failure.with_verdict(types::CallVerdict::MayHaveRun), false));
+        let failure = failure.with_verdict(types::CallVerdict::MayHaveRun);
+        let on_kept_connection = kept && !answered;
+        return Err(FailedAttempt { on_kept_connection, ..active.failed(failure, false) });
     }
     Ok(StartedAttempt { active, response, signals })
 }
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -136,6 +136,7 @@
     ) -> attempt_send::AttemptInput<'input> {
         attempt_send::AttemptInput {
             tried: self.history.tried(),
+            second_try: self.history.second_try(&self.plan),
             preferred_region: self.stages.region(),
             regions,
             inputs,
--- a/crates/comfreyspread/src/gateway/unary_run.rs
+++ b/crates/comfreyspread/src/gateway/unary_run.rs
@@ -53,6 +53,7 @@
         let regions = self.plan.allowed_regions(state);
         let input = attempt_send::AttemptInput {
             tried: self.history.tried(),
+            second_try: self.history.second_try(self.plan),
             preferred_region: &state.settings.region,
             regions: regions.as_deref(),
             inputs: &[],
--- a/crates/comfreyspread/src/transport/client_connection.rs
+++ b/crates/comfreyspread/src/transport/client_connection.rs
@@ -28,6 +28,7 @@
     driver: sync_wrapper::SyncWrapper<Option<HyperConnection>>,
     head_limit: head_limit::HeadLimit,
     idle_since: time::Instant,
+    kept: bool,
 }
 
 /// Why an exchange yielded no response.
@@ -57,7 +58,14 @@
             .await
             .map_err(io::Error::other)?;
         let driver = sync_wrapper::SyncWrapper::new(Some(driver));
-        Ok(Self { address, sender, driver, head_limit, idle_since: time::Instant::now() })
+        Ok(Self {
+            address,
+            sender,
+            driver,
+            head_limit,
+            idle_since: time::Instant::now(),
+            kept: false,
+        })
     }
 
     /// Returns the address of the peer.
@@ -70,8 +78,15 @@
         self.idle_since
     }
 
+    /// Returns whether the connection has served an earlier exchange. What follows the response to
+    /// that one may cross the next request.
+    pub fn is_kept(&self) -> bool {
+        self.kept
+    }
+
     /// Records the end of an exchange.
     pub fn mark_idle(&mut self) {
+        self.kept = true;
         self.idle_since = time::Instant::now();
     }
 
