Leave a silent endpoint only once another has begun to answer its stream

What callers saw: a stream that may be resumed was cut when its endpoint was silent for 1.2 s or so, though that endpoint went on.

Cause: a stalled stream moves to another endpoint after three gaps. Its connection was dropped before the other endpoint was asked; if all others were full, failed or could not be reached, no endpoint was left, and the caller's connection was closed within the response. That another endpoint exists was checked (stream_stalls::only_endpoint), that it accepts could not be. Class: a sound state is given up for one that is not there yet.

Now both are waited for: the silent endpoint's next event, and the head of another's response. Whichever comes first goes on, the other is closed. So a stream never has less than one endpoint, and no two go on: the first is closed as the second's head arrives. A stage that was cancelled with such a move can run again, and an attempt given up that may have run counts as a run.

Before the change stream_stalls::others_full, others_fail and others_slow failed, each with 'the answer was cut short'; stage_graph::cancelled_run covers the cancelled stage (new function). stream_resume, home_regions, caller_disconnect and streams pass.

--- a/crates/comfreyspread-lab/tests/stream_stalls.rs
+++ b/crates/comfreyspread-lab/tests/stream_stalls.rs
@@ -10,6 +10,14 @@
 /// Pause between the signs of life of a stalled stream, in milliseconds.
 const SIGN_PAUSE_MS: u64 = 200;
 const SIGNS: usize = 20;
+/// Longer than a stream waits for an event before another endpoint is tried, in milliseconds.
+const SILENCE_MS: u64 = 1600;
+/// Answer of an endpoint that is full.
+const REJECTED: &str = "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: <request id>\r\n\
+    Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+/// Answer of an endpoint that failed.
+const FAILED: &str = "HTTP/1.1 500 Internal Server Error\r\nRequest-Id: <request id>\r\n\
+    Response-Stamp: s\r\nContent-Length: 0\r\n\r\n";
 
 /// Returns the answer of an attempt that sends two events, and then only signs of life.
 fn stalled_stream(sign: &str) -> AnswerScript {
@@ -75,3 +83,29 @@
     let slow = vec![text(STREAM_HEAD), events(1..=3), pause(1600), events(4..=6), text(STREAM_END)];
     check_whole(&run_stream_at(1, vec![slow]), 1);
 }
+
+/// Returns the answer of an attempt that is silent once and goes on.
+fn silent_stream() -> AnswerScript {
+    vec![text(STREAM_HEAD), events(1..=3), pause(SILENCE_MS), events(4..=6), text(STREAM_END)]
+}
+
+/// A stream whose endpoint was silent for a moment was cut, because the endpoints that should have
+/// gone on with it were full.
+#[test]
+fn others_full() {
+    let rejected = || vec![text(REJECTED)];
+    check_whole(&run_stream(vec![silent_stream(), rejected(), rejected()]), 3);
+}
+
+/// The same, with endpoints that cut the connection or failed.
+#[test]
+fn others_fail() {
+    check_whole(&run_stream(vec![silent_stream(), vec![], vec![text(FAILED)]]), 3);
+}
+
+/// A silent endpoint was left before another had begun to answer, though it went on meanwhile.
+#[test]
+fn others_slow() {
+    let slow = vec![pause(2 * SILENCE_MS), text(STREAM_HEAD), events(4..=6), text(STREAM_END)];
+    check_whole(&run_stream(vec![silent_stream(), slow]), 2);
+}
--- a/crates/comfreyspread-policy/src/stage_graph.rs
+++ b/crates/comfreyspread-policy/src/stage_graph.rs
@@ -80,6 +80,15 @@
         ready
     }
 
+    /// Marks stages as waiting that were running when their run was cancelled.
+    pub fn restart_cancelled(&mut self) {
+        for stage in &mut self.stages {
+            if stage.state == StageState::Running {
+                stage.state = StageState::Waiting;
+            }
+        }
+    }
+
     /// Stores the results of a stage; returns its dependencies whose results no other stage needs.
     pub fn finish(&mut self, stage: usize, handles: Vec<ids::ResultHandle>) -> Vec<usize> {
         self.stages[stage].state = StageState::Completed(handles);
--- a/crates/comfreyspread-policy/tests/stage_graph.rs
+++ b/crates/comfreyspread-policy/tests/stage_graph.rs
@@ -74,3 +74,13 @@
     assert_eq!(graph.start_ready(), [1]);
     assert_eq!(graph.inputs(1), handles("a2"));
 }
+
+/// A stage whose run was cancelled never ran again, so that its request could not go on.
+#[test]
+fn cancelled_run() {
+    let mut graph = graph(&[rule(&[]), rule(&[0])], &[2, 1]);
+    assert_eq!(graph.start_ready(), [0]);
+    assert!(graph.start_ready().is_empty(), "it runs");
+    graph.restart_cancelled();
+    assert_eq!(graph.start_ready(), [0]);
+}
--- a/crates/comfreyspread/src/gateway/attempt_history.rs
+++ b/crates/comfreyspread/src/gateway/attempt_history.rs
@@ -50,6 +50,11 @@
         self.runs += 1;
     }
 
+    /// Records an attempt that was given up before its endpoint answered, and may have run.
+    pub fn record_abandoned(&mut self) {
+        self.runs += 1;
+    }
+
     /// Merges the verdict of a failed attempt.
     pub fn record_verdict(&mut self, failed: &attempt_send::FailedAttempt) {
         self.verdict = self.verdict.with_outcome(failed.failure.verdict());
--- a/crates/comfreyspread/src/gateway/mod.rs
+++ b/crates/comfreyspread/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 pub mod stage_execution;
 pub mod state;
 pub mod store_client;
+pub mod stream_reader;
 pub mod stream_run;
 pub mod table_exchange;
 pub mod table_watcher;
--- a/crates/comfreyspread/src/gateway/stage_execution.rs
+++ b/crates/comfreyspread/src/gateway/stage_execution.rs
@@ -65,7 +65,12 @@
         self.graph.outputs()
     }
 
-    /// Runs all stages that are not complete.
+    /// Whether all stages are complete.
+    pub fn are_complete(&self) -> bool {
+        self.graph.is_complete()
+    }
+
+    /// Runs all stages that are not complete, also those whose earlier run was cancelled.
     ///
     /// # Errors
     ///
@@ -74,6 +79,7 @@
         &mut self,
         plan: &call_plan::CallPlan,
     ) -> Result<(), failure::CallFailure> {
+        self.graph.restart_cancelled();
         let mut running = FuturesUnordered::new();
         while !self.graph.is_complete() {
             self.check_region(plan)?;
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -5,16 +5,14 @@
 
 use super::{
     attempt_history, attempt_send, call_plan, caller_handler, produced_chunks, region_selector,
-    stage_execution, state,
+    stage_execution, state, stream_reader,
 };
 use crate::transport::{failure, header, http_client, http_message};
 use comfreyspread_policy::{attempt, endpoint_directory, event_buffer};
 use comfreyspread_schema::{ids, types};
-use futures_lite::io;
-use std::{mem, sync, time};
+use futures_lite::{FutureExt as _, io};
+use std::{mem, pin, sync, time};
 
-/// Maximum size of an event, in bytes.
-const MAX_EVENT_BYTES: usize = 4 * 1024 * 1024;
 /// Multiple of the route's gap without an event after which a stream moves to another endpoint.
 const STALL_GAPS: u32 = 3;
 /// Minimum time without an event after which a stream moves to another endpoint.
@@ -77,6 +75,34 @@
     Ok(attempt_send::forwarded_response(&started.response, read?))
 }
 
+fn no_event_error() -> io::Error {
+    io::Error::new(io::ErrorKind::TimedOut, "no event for too long")
+}
+
+/// How the forwarding of one attempt ended.
+enum ForwardEnd {
+    /// The stream is complete.
+    Complete,
+    /// Another endpoint goes on.
+    Moved(Box<attempt_send::StartedAttempt>),
+}
+
+/// How a stall of a stream ended.
+enum StallEnd {
+    /// The endpoint went on, or completed the stream.
+    Advanced(Option<stream_reader::EventBatch>),
+    /// Another endpoint goes on.
+    Moved(Box<attempt_send::StartedAttempt>),
+    /// No other endpoint goes on; the endpoint may yet.
+    Unmoved,
+}
+
+impl StallEnd {
+    fn moved(next: attempt_send::StartedAttempt) -> Self {
+        Self::Moved(Box::new(next))
+    }
+}
+
 /// A streamed request and its attempts.
 struct StreamRun {
     state: sync::Arc<state::GatewayState>,
@@ -175,26 +201,38 @@
     ) -> io::Result<()> {
         let mut started = first;
         loop {
-            let Err(error) = self.forward_attempt(&mut started, &sender).await else {
-                started.active.finish(endpoint_directory::AttemptOutcome::Served);
-                self.plan.record_served(&self.state);
-                log::info!(request = self.plan.call.request.as_ref(),
-                    route = self.plan.route.name.as_ref(),
-                    endpoint = started.active.chosen.endpoint.as_ref(), runs = self.history.runs(),
-                    took_ms = self.plan.arrived.elapsed().as_millis() as u64;
-                    "stream: served");
-                return Ok(());
+            let error = match self.forward_attempt(&mut started, &sender).await {
+                Ok(ForwardEnd::Complete) => break,
+                Ok(ForwardEnd::Moved(next)) => {
+                    self.record_broken(&mut started, &no_event_error());
+                    started = *next;
+                    continue;
+                }
+                Err(error) => error,
             };
-            started.active.finish(endpoint_directory::AttemptOutcome::Failed);
-            let began = started.active.has_events;
-            self.plan.detect_crash(&self.state, &started.active.chosen, began);
-            log::info!(request = self.plan.call.request.as_ref(),
-                endpoint = started.active.chosen.endpoint.as_ref(), passed = self.last_event,
-                runs = self.history.runs(); "stream: broken. error={error}");
+            self.record_broken(&mut started, &error);
             drop(started);
             let Some(resumed) = self.resume().await else { return Err(error) };
             started = resumed;
         }
+        started.active.finish(endpoint_directory::AttemptOutcome::Served);
+        self.plan.record_served(&self.state);
+        log::info!(request = self.plan.call.request.as_ref(),
+            route = self.plan.route.name.as_ref(),
+            endpoint = started.active.chosen.endpoint.as_ref(), runs = self.history.runs(),
+            took_ms = self.plan.arrived.elapsed().as_millis() as u64;
+            "stream: served");
+        Ok(())
+    }
+
+    /// Records that the stream does not go on at the endpoint of an attempt.
+    fn record_broken(&self, started: &mut attempt_send::StartedAttempt, error: &io::Error) {
+        started.active.finish(endpoint_directory::AttemptOutcome::Failed);
+        let began = started.active.has_events;
+        self.plan.detect_crash(&self.state, &started.active.chosen, began);
+        log::info!(request = self.plan.call.request.as_ref(),
+            endpoint = started.active.chosen.endpoint.as_ref(), passed = self.last_event,
+            runs = self.history.runs(); "stream: broken. error={error}");
     }
 
     /// Makes attempts until an endpoint continues the broken stream; none if no other attempt may
@@ -222,38 +260,31 @@
         None
     }
 
-    /// Forwards the events of one attempt.
+    /// Forwards the events of one attempt, until they are complete or another endpoint goes on.
     async fn forward_attempt(
         &mut self,
         started: &mut attempt_send::StartedAttempt,
         sender: &produced_chunks::ChunkSender,
-    ) -> io::Result<()> {
-        let mut body = started.response.take_body();
-        let mut buffer = event_buffer::EventBuffer::default();
-        // Only new, complete events count: an endpoint in trouble may send a byte, a comment or the
-        // same event now and then for ever.
-        let mut progress = event_buffer::EventProgress::default();
+    ) -> io::Result<ForwardEnd> {
+        let mut reader = stream_reader::StreamReader::new(&mut started.response);
         let mut progressed_at = time::Instant::now();
         loop {
             let wait_until = self.stall_deadline(progressed_at, started.active.has_events);
             let wait_until = wait_until.min(self.plan.deadline);
-            let Some(chunk) = http_client::with_deadline(wait_until, body.next_chunk()).await
-            else {
-                if time::Instant::now() >= self.plan.deadline || self.try_acquire_move() {
-                    return Err(io::Error::new(io::ErrorKind::TimedOut, "no event for too long"));
-                }
-                progressed_at = time::Instant::now();
-                continue;
+            let batch = match http_client::with_deadline(wait_until, reader.next_batch()).await {
+                Some(batch) => batch?,
+                None if time::Instant::now() >= self.plan.deadline => return Err(no_event_error()),
+                None => match self.move_stalled(&mut reader).await? {
+                    StallEnd::Advanced(batch) => batch,
+                    StallEnd::Moved(next) => return Ok(ForwardEnd::Moved(next)),
+                    StallEnd::Unmoved => {
+                        progressed_at = time::Instant::now();
+                        continue;
+                    }
+                },
             };
-            let Some(chunk) = chunk else { break };
-            buffer.push(&chunk?);
-            if buffer.len() > MAX_EVENT_BYTES {
-                return Err(io::Error::other("an event is too long"));
-            }
-            let mut events = buffer.take_events();
-            let second_head = events.iter().position(|event| event.has_response_head());
-            events.truncate(second_head.unwrap_or(events.len()));
-            if progress.record(&events) {
+            let Some(batch) = batch else { return Ok(ForwardEnd::Complete) };
+            if batch.advanced {
                 if !started.active.has_events {
                     started.active.has_events = true;
                     self.record_first_event(started);
@@ -261,19 +292,57 @@
                 progressed_at = time::Instant::now();
                 self.stages.release_all();
             }
-            let bytes = self.new_event_bytes(events);
+            let bytes = self.new_event_bytes(batch.events);
             if !bytes.is_empty() && sender.send(Ok(bytes.into())).await.is_err() {
                 return Err(io::ErrorKind::BrokenPipe.into());
             }
-            if second_head.is_some() {
+            if batch.has_second_head {
                 let detail = "another response follows within the stream";
                 return Err(io::Error::new(io::ErrorKind::InvalidData, detail));
             }
         }
-        if buffer.is_empty() {
-            return Ok(());
+    }
+
+    /// Asks other endpoints to go on with a stalled stream, if that is allowed.
+    ///
+    /// The silent endpoint may be sound and go on, so it is left only once another has begun to
+    /// answer; whichever comes first goes on.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the silent endpoint breaks off and no other goes on.
+    async fn move_stalled(
+        &mut self,
+        reader: &mut stream_reader::StreamReader,
+    ) -> io::Result<StallEnd> {
+        if !self.try_acquire_move() {
+            return Ok(StallEnd::Unmoved);
+        }
+        let end = {
+            let mut resumed = pin::pin!(self.resume());
+            let advanced = async { Err(reader.next_advance().await) };
+            let moved = async { Ok(resumed.as_mut().await) };
+            match advanced.or(moved).await {
+                Ok(next) => next.map_or(StallEnd::Unmoved, StallEnd::moved),
+                Err(Ok(batch)) => StallEnd::Advanced(batch),
+                Err(Err(error)) => StallEnd::moved(resumed.await.ok_or(error)?),
+            }
+        };
+        if matches!(end, StallEnd::Advanced(_)) {
+            self.abandon_move();
+        }
+        Ok(end)
+    }
+
+    /// Records that a move was given up; an endpoint may have run the request if its stages were
+    /// complete.
+    fn abandon_move(&mut self) {
+        self.has_rerun = false;
+        if self.stages.are_complete() {
+            self.history.record_abandoned();
         }
-        Err(io::Error::new(io::ErrorKind::UnexpectedEof, "the stream ends within an event"))
+        log::info!(request = self.plan.call.request.as_ref(), runs = self.history.runs();
+            "stream: its endpoint goes on");
     }
 
     fn record_first_event(&self, started: &attempt_send::StartedAttempt) {
