Make the results of stages again for a stream that another endpoint goes on with

What callers saw: a stream whose request has stages was cut whenever its endpoint broke off or stalled after the first event, though the route allows to resume it.

Cause: results are released at the first event, and their stages went on counting as complete. An endpoint asked to go on got no results, and rejects that with 400 as not run. Three such rejections end the request. So no stream with stages could ever be resumed, nor moved when it stalled. Class: a state that says 'complete' for what is no longer there; the 409 of results that have expired was handled, the absence of any was not.

Why it works: releasing marks the stages to run again, and every attempt runs what is pending first.

--- a/crates/comfreyspread-lab/src/fleet_endpoint.rs
+++ b/crates/comfreyspread-lab/src/fleet_endpoint.rs
@@ -170,6 +170,13 @@
     }
 }
 
+/// Whether a request has pieces and names no results of them.
+fn lacks_inputs(request: &http_server::ServerRequest) -> bool {
+    let pieces = request.header("pieces").unwrap_or_default();
+    let has_pieces = pieces.split(',').any(|count| count.parse().is_ok_and(|count: u32| count > 0));
+    has_pieces && request.header("inputs").is_none()
+}
+
 fn echo_request_id(request: &http_server::ServerRequest, response: &mut http_message::Response) {
     if let Some(id) = request.header("request-id") {
         response.insert_header("Request-Id", id);
@@ -210,6 +217,9 @@
                 self.record(request, true);
                 self.run_plain(request).await
             }
+            fleet::EndpointKind::Engine if lacks_inputs(request) => {
+                self.reject(request, StatusCode::BAD_REQUEST)
+            }
             fleet::EndpointKind::Engine => {
                 self.record(request, true);
                 self.stream_events(request)
--- a/crates/comfreyspread-policy/src/stage_graph.rs
+++ b/crates/comfreyspread-policy/src/stage_graph.rs
@@ -109,6 +109,13 @@
         }
     }
 
+    /// Marks all stages that have pieces to run again, and drops their results.
+    pub fn restart_all(&mut self) {
+        for stage in self.stages.iter_mut().filter(|stage| stage.pieces > 0) {
+            stage.state = StageState::Waiting;
+        }
+    }
+
     /// Returns the results of a stage.
     pub fn results(&self, stage: usize) -> &[ids::ResultHandle] {
         match &self.stages[stage].state {
--- a/crates/comfreyspread-policy/tests/stage_graph.rs
+++ b/crates/comfreyspread-policy/tests/stage_graph.rs
@@ -84,3 +84,20 @@
     graph.restart_cancelled();
     assert_eq!(graph.start_ready(), [0]);
 }
+
+/// Stages whose results had been released counted as complete, so that nothing made them again.
+#[test]
+fn released_results() {
+    let mut graph = graph(&[rule(&[]), rule(&[0]), rule(&[1])], &[2, 1, 0]);
+    graph.start_ready();
+    graph.finish(0, handles("a"));
+    graph.start_ready();
+    graph.finish(1, handles("b"));
+    assert!(graph.is_complete());
+    graph.restart_all();
+    assert!(!graph.is_complete());
+    assert!(graph.outputs().is_empty());
+    assert_eq!(graph.start_ready(), [0]);
+    graph.finish(0, handles("c"));
+    assert_eq!(graph.start_ready(), [1], "a stage without pieces does not run");
+}
--- a/crates/comfreyspread/src/gateway/stage_execution.rs
+++ b/crates/comfreyspread/src/gateway/stage_execution.rs
@@ -134,11 +134,13 @@
         Ok(())
     }
 
-    /// Releases all results, once the request no longer needs them.
+    /// Releases all results, once the request no longer needs them; another attempt at it makes
+    /// them again.
     pub fn release_all(&mut self) {
         for stage in 0..self.rules.len() {
             self.release_stage(stage);
         }
+        self.graph.restart_all();
     }
 
     /// Returns when a caller whose request was rejected for the wait at a stage may come back: once
