--- a/crates/comfreyspread-policy/src/stage_graph.rs
+++ b/crates/comfreyspread-policy/src/stage_graph.rs
@@ -80,6 +80,15 @@
         ready
     }
 
+    /// Marks stages as waiting that were running when their run was cancelled.
+    pub fn restart_cancelled(&mut self) {
+        for stage in &mut self.stages {
+            if stage.state == StageState::Running {
+                stage.state = StageState::Waiting;
+            }
+        }
+    }
+
     /// Stores the results of a stage; returns its dependencies whose results no other stage needs.
     pub fn finish(&mut self, stage: usize, handles: Vec<ids::ResultHandle>) -> Vec<usize> {
         self.stages[stage].state = StageState::Completed(handles);
@@ -100,6 +109,13 @@
         }
     }
 
+    /// Marks all stages that have pieces to run again, and drops their results.
+    pub fn restart_all(&mut self) {
+        for stage in self.stages.iter_mut().filter(|stage| stage.pieces > 0) {
+            stage.state = StageState::Waiting;
+        }
+    }
+
     /// Returns the results of a stage.
     pub fn results(&self, stage: usize) -> &[ids::ResultHandle] {
         match &self.stages[stage].state {
