Decide by the store which routes hold after a restore

What callers saw: nothing yet; read from the code beside the reported matter. An operator that goes on from the copy gives its documents versions that were in force before. They were dropped until their version passed the one in force, so confirmed changes were not in force for as long.

Class: an order that holds within one history is used across two.

A document's own version decides while a restored store may hold an older one, and a higher one is confirmed at once. When the hold is over, the document in the store is applied whatever its version, and a lower one is logged.

--- a/crates/comfreyspread/src/gateway/route_watcher.rs
+++ b/crates/comfreyspread/src/gateway/route_watcher.rs
@@ -1,8 +1,11 @@
 //! Applies the operator's table: routes, and availability zones out of service.
+//!
+//! A route document has a version of its own, which decides while a restored store may hold an older
+//! one. Once the hold is over, the store's document is in force, whatever its version.
 
-use super::{state, table_watcher};
+use super::{row_compression, state, table_watcher};
 use comfreyspread_platform::{route_document, store};
-use comfreyspread_policy::route_table;
+use comfreyspread_policy::{route_table, store_position};
 use comfreyspread_schema::types;
 use std::sync;
 
@@ -23,14 +26,57 @@
             } else if *row.key == *store::ROUTES_KEY
                 && let Some(body) = &row.value
             {
-                apply_routes(state, body);
+                apply_routes(state, body, DocumentOrder::OwnVersion);
             }
         }
     }
+
+    fn confirms(&self, state: &sync::Arc<state::GatewayState>, row: &types::StoreRow) -> bool {
+        if *row.key != *store::ROUTES_KEY {
+            return false;
+        }
+        let document = row.value.as_ref().and_then(|body| route_document::decode(body).ok());
+        document.is_some_and(|document| document.version > state.routes().version())
+    }
+
+    fn end_hold(&self, state: &sync::Arc<state::GatewayState>, rows: Vec<types::StoreRow>) {
+        self.apply_rows(state, rows);
+        apply_stored_routes(state);
+    }
+}
+
+/// What decides whether a route document replaces the active one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum DocumentOrder {
+    /// Its own version has to be higher.
+    OwnVersion,
+    /// It is the one in the store, and nothing is held back.
+    Store,
 }
 
-/// Applies a route document if it is newer than the active one.
-fn apply_routes(state: &state::GatewayState, body: &[u8]) {
+/// Applies the route document that the store holds now. Repeats if another one comes meanwhile,
+/// which may have been applied before this one.
+fn apply_stored_routes(state: &state::GatewayState) {
+    let mut applied = None;
+    loop {
+        let stored = {
+            let tables = state.store_tables.lock();
+            tables.operator.mirror.row(store::ROUTES_KEY).cloned()
+        };
+        let position = stored.as_ref().map(store_position::of_row);
+        if position == applied {
+            return;
+        }
+        applied = position;
+        let rows = row_compression::decompress_rows(stored.into_iter().collect());
+        for body in rows.iter().filter_map(|row| row.value.as_ref()) {
+            apply_routes(state, body, DocumentOrder::Store);
+        }
+    }
+}
+
+/// Applies a route document, unless `order` keeps the active one.
+fn apply_routes(state: &state::GatewayState, body: &[u8], order: DocumentOrder) {
     let decoded = match route_document::decode(body) {
         Ok(decoded) => decoded,
         Err(error) => {
@@ -39,9 +85,14 @@
         }
     };
     let mut routes = state.routes.lock();
-    if decoded.version <= routes.version() {
+    let active = routes.version();
+    if decoded.version <= active && order == DocumentOrder::OwnVersion {
         return;
     }
+    if decoded.version < active {
+        log::warn!(version = decoded.version, active = active;
+            "routes: the restored store has an earlier document, and it holds from now on");
+    }
     log_routes(&decoded);
     *routes = sync::Arc::new(route_table::RouteTable::new(decoded));
     drop(routes);
