Let other work have its turn beside a fast response

Callers got no answer, and every other request on the node stood still, once one endpoint sent a stream's event again and again without a pause: with three such streams no caller had an answer within 10 s, and the node wrote no line after the first 40 ms.

Cause: the next chunk is always there, so the task that reads it never gives its thread back. The timers of the stream (its pause, the deadline) are only looked at when no chunk is there. A single response is bounded by its size, a stream is not. Besides, the search for the end of each event looked through all bytes that follow it, so that a chunk of a thousand events took tens of milliseconds in a debug build.

A response now gives the thread back after four chunks in a row, which also lets its timers fire; this holds for every response that the HTTP client reads. The search for an end stops at the first one, and events are taken in one pass.

Evidence: repeated_event fails on the code before (no answer in 10 s); with the turns alone it still failed, as one turn of 32 chunks took 1.7 s; after both changes it passed in 32 runs, four at once, and the file and six others that read responses passed.

Found while looking for what could hold an answer beyond its deadline, as endless_chunks saw once.

--- a/crates/comfreyspread-lab/tests/common/raw_endpoint.rs
+++ b/crates/comfreyspread-lab/tests/common/raw_endpoint.rs
@@ -38,6 +38,8 @@
     Event,
     /// Bytes of an event, one now and then, without its end.
     DrippingEvent,
+    /// One whole event, again and again.
+    RepeatedEvent,
 }
 
 /// An endpoint and what was sent on its connections.
@@ -83,7 +85,7 @@
             Endless::LongBody => format!("{head}Content-Length: 4\r\n\r\nbody"),
             Endless::Body => format!("{head}Content-Length: 9000000000\r\n\r\n"),
             Endless::ChunkedBody => format!("{head}Transfer-Encoding: chunked\r\n\r\n"),
-            Endless::Event | Endless::DrippingEvent => format!(
+            Endless::Event | Endless::DrippingEvent | Endless::RepeatedEvent => format!(
                 "{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
             ),
         };
@@ -106,12 +108,15 @@
         Endless::InformationalHeads => b"HTTP/1.1 102 Processing\r\n\r\n".repeat(CHUNK_BYTES / 27),
         Endless::DrippingHead => b"X".to_vec(),
         Endless::Body | Endless::ChunkExtension | Endless::LongBody => vec![b'x'; CHUNK_BYTES],
-        Endless::ChunkedBody | Endless::Event => {
-            let mut chunk = format!("{CHUNK_BYTES:x}\r\n").into_bytes();
-            chunk.extend(vec![b'x'; CHUNK_BYTES]);
-            chunk.extend_from_slice(b"\r\n");
-            chunk
-        }
+        Endless::ChunkedBody | Endless::Event => chunk(&vec![b'x'; CHUNK_BYTES]),
+        Endless::RepeatedEvent => chunk(&b"id: 1\ndata: x\n\n".repeat(CHUNK_BYTES / 15)),
         Endless::DrippingEvent => b"1\r\nx\r\n".to_vec(),
     }
 }
+
+fn chunk(data: &[u8]) -> Vec<u8> {
+    let mut chunk = format!("{:x}\r\n", data.len()).into_bytes();
+    chunk.extend_from_slice(data);
+    chunk.extend_from_slice(b"\r\n");
+    chunk
+}
--- a/crates/comfreyspread-lab/tests/endless_answers.rs
+++ b/crates/comfreyspread-lab/tests/endless_answers.rs
@@ -174,6 +174,13 @@
     check_streams(raw_endpoint::Endless::DrippingEvent);
 }
 
+/// Guards against a node that stands still, timers and other callers too, because an endpoint sends
+/// faster than the node reads.
+#[test]
+fn repeated_event() {
+    check_streams(raw_endpoint::Endless::RepeatedEvent);
+}
+
 #[test]
 fn slow_stream() {
     let endless = raw_endpoint::Endless::DrippingEvent;
--- a/crates/comfreyspread-policy/src/event_buffer.rs
+++ b/crates/comfreyspread-policy/src/event_buffer.rs
@@ -83,7 +83,16 @@
 
     /// Removes and returns the complete events.
     pub fn take_events(&mut self) -> Vec<CompleteEvent> {
-        std::iter::from_fn(|| self.take_event()).collect()
+        let mut events = Vec::new();
+        let mut taken = 0;
+        while let Some(end) = self.event_end(taken) {
+            let bytes: Box<[u8]> = self.bytes[taken..end].into();
+            events.push(CompleteEvent { id: event_id(&bytes), bytes });
+            taken = end;
+        }
+        self.bytes.drain(..taken);
+        self.searched = self.bytes.len();
+        events
     }
 
     /// Whether no bytes are buffered.
@@ -96,21 +105,20 @@
         self.bytes.len()
     }
 
-    fn take_event(&mut self) -> Option<CompleteEvent> {
+    /// Returns the end of the event that starts at `from`.
+    fn event_end(&self, from: usize) -> Option<usize> {
         let longest = EVENT_ENDS.iter().map(|end| end.len()).max().unwrap_or(0);
-        let start = self.searched.saturating_sub(longest);
-        let ends = EVENT_ENDS.iter().filter_map(|end| {
-            let offset =
-                self.bytes[start..].windows(end.len()).position(|window| window == *end)?;
-            Some(start + offset + end.len())
-        });
-        let Some(end) = ends.min() else {
-            self.searched = self.bytes.len();
-            return None;
-        };
-        let bytes: Box<[u8]> = self.bytes.drain(..end).collect();
-        self.searched = 0;
-        Some(CompleteEvent { id: event_id(&bytes), bytes })
+        let start = from.max(self.searched.saturating_sub(longest));
+        let mut unsearched = &self.bytes[start..];
+        let mut found = None;
+        for end in EVENT_ENDS {
+            if let Some(offset) = unsearched.windows(end.len()).position(|window| window == end) {
+                let length = offset + end.len();
+                unsearched = &unsearched[..length];
+                found = Some(start + length);
+            }
+        }
+        found
     }
 }
 
--- a/crates/comfreyspread/src/transport/http_client.rs
+++ b/crates/comfreyspread/src/transport/http_client.rs
@@ -23,6 +23,9 @@
 const LARGE_BODIES_AT_ONCE: usize = 2;
 /// Bytes of each body that need no part of the memory for large ones.
 const ORDINARY_BODY_BYTES: usize = 64 * 1024;
+/// Chunks of a body that are read in a row before other tasks, and the timer of the call, have their
+/// turn.
+const CHUNKS_IN_A_ROW: u32 = 4;
 
 /// Which connection a call may use.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -270,7 +273,8 @@
         });
         let (head, incoming) = response?.into_parts();
         let length = hyper::body::Body::size_hint(&incoming).exact();
-        let source = ResponseSource { incoming, connection: Some(connection), finished };
+        let source =
+            ResponseSource { incoming, connection: Some(connection), finished, chunks_in_a_row: 0 };
         let body = http_body::MessageBody::from_source(source, length);
         Ok(http_message::Response::from_parts(head, body))
     }
@@ -357,6 +361,7 @@
     incoming: hyper::body::Incoming,
     connection: Option<client_connection::ClientConnection>,
     finished: FinishedConnection,
+    chunks_in_a_row: u32,
 }
 
 impl ResponseSource {
@@ -381,10 +386,16 @@
         cx: &mut task::Context<'_>,
     ) -> task::Poll<Option<io::Result<bytes::Bytes>>> {
         let source = &mut *self;
+        if source.chunks_in_a_row == CHUNKS_IN_A_ROW {
+            source.chunks_in_a_row = 0;
+            cx.waker().wake_by_ref();
+            return task::Poll::Pending;
+        }
         if let Some(connection) = &mut source.connection {
             connection.poll_driver(cx);
         }
         let chunk = pin::Pin::new(&mut source.incoming).poll_chunk(cx);
+        source.chunks_in_a_row = if chunk.is_ready() { source.chunks_in_a_row + 1 } else { 0 };
         if matches!(chunk, task::Poll::Ready(None)) {
             source.finish(cx);
         }
