Count abandoned attempts beside the tried endpoints

Joins the record of tried endpoints with that of moves that were given up: an abandoned attempt counts towards max_attempts, as before the merge.

--- a/crates/comfreyspread-policy/src/tried_endpoints.rs
+++ b/crates/comfreyspread-policy/src/tried_endpoints.rs
@@ -29,6 +29,7 @@
 pub struct TriedEndpoints {
     excluded: Vec<ids::EndpointId>,
     ran: Vec<ids::EndpointId>,
+    abandoned: u32,
     second_try: Option<ids::EndpointId>,
 }
 
@@ -51,7 +52,7 @@
 
     /// Returns how many endpoints may have run the request.
     pub fn runs(&self) -> u32 {
-        u32::try_from(self.ran.len()).unwrap_or(u32::MAX)
+        u32::try_from(self.ran.len()).unwrap_or(u32::MAX).saturating_add(self.abandoned)
     }
 
     /// Returns the endpoint that may be tried once more, if there is one.
@@ -73,6 +74,11 @@
         insert(&mut self.ran, endpoint);
     }
 
+    /// Records an attempt that was given up before its endpoint answered, and may have run.
+    pub fn record_abandoned(&mut self) {
+        self.abandoned += 1;
+    }
+
     /// Records a failed attempt.
     pub fn record_failure(&mut self, endpoint: &ids::EndpointId, failure: AttemptFailure) {
         if failure.verdict != types::CallVerdict::NotRun {
--- a/crates/comfreyspread/src/gateway/attempt_history.rs
+++ b/crates/comfreyspread/src/gateway/attempt_history.rs
@@ -55,7 +55,7 @@
 
     /// Records an attempt that was given up before its endpoint answered, and may have run.
     pub fn record_abandoned(&mut self) {
-        self.runs += 1;
+        self.endpoints.record_abandoned();
     }
 
     /// Merges the verdict of a failed attempt.
