Test restores of the store from a copy

The tests also showed that a first read counted as a restore, so that a node that had just started held back rows that are newer in the history it shares with the copy. Only a change of era counts now.

--- a/crates/comfreyspread-lab/src/fleet.rs
+++ b/crates/comfreyspread-lab/src/fleet.rs
@@ -178,6 +178,11 @@
         self.store.put(table, key, value.map(Into::into));
     }
 
+    /// Returns the store, to copy and restore it.
+    pub fn store(&self) -> &fleet_store::StoreHandler {
+        &self.store
+    }
+
     /// Sets whether the store rejects all calls.
     pub fn set_store_down(&self, down: bool) {
         self.store.set_down(down);
--- a/crates/comfreyspread-policy/src/table_hold.rs
+++ b/crates/comfreyspread-policy/src/table_hold.rs
@@ -42,15 +42,16 @@
 pub struct TableHold {
     rows: IndexMap<ids::Text, types::StoreRow>,
     summary: HoldSummary,
-    began: Option<time::Instant>,
+    restored_at: Option<time::Instant>,
     until: Option<time::Instant>,
 }
 
 impl TableHold {
     /// Begins the hold of an era that ends after `length`; rows held before are forgotten.
-    pub fn begin(&mut self, length: time::Duration, now: time::Instant) {
+    /// `restored` is whether an earlier era is known.
+    pub fn begin(&mut self, restored: bool, length: time::Duration, now: time::Instant) {
         let until = Some(now + length.min(HOLD_TIME));
-        *self = Self { began: Some(now), until, ..Self::default() };
+        *self = Self { restored_at: restored.then_some(now), until, ..Self::default() };
     }
 
     /// Holds a row back.
@@ -74,6 +75,11 @@
         self.rows.get(key).is_some_and(|row| row.value.is_none())
     }
 
+    /// Replaces the row held back for its key, which remains held.
+    pub fn renew(&mut self, row: &types::StoreRow) {
+        self.rows.insert(row.key.clone(), row.clone());
+    }
+
     /// Forgets the row held back for a key that was written or removed again.
     pub fn record_rewritten(&mut self, key: &ids::Text) {
         if self.rows.swap_remove(key).is_some() {
@@ -104,6 +110,7 @@
 
     /// Whether a copy that is read now can be from before the present era.
     pub fn may_precede_era(&self, now: time::Instant) -> bool {
-        self.began.is_some_and(|began| now.saturating_duration_since(began) < MAX_COPY_AGE)
+        let restored_at = self.restored_at;
+        restored_at.is_some_and(|at| now.saturating_duration_since(at) < MAX_COPY_AGE)
     }
 }
--- a/crates/comfreyspread-policy/src/table_mirror.rs
+++ b/crates/comfreyspread-policy/src/table_mirror.rs
@@ -94,7 +94,8 @@
             return Ok(self.enter_era(rows, position, table_hold::HOLD_TIME, now));
         }
         let keys: IndexSet<_> = rows.iter().map(|row| row.key.clone()).collect();
-        let removed = self.rows.values().filter(|known| {
+        let known_rows = self.rows.values().chain(self.hold.rows());
+        let removed = known_rows.filter(|known| {
             known.value.is_some()
                 && store_position::of_row(known) <= position
                 && !keys.contains(&known.key)
@@ -132,8 +133,8 @@
         Ok(MirrorUpdate { rows: changed, ..update })
     }
 
-    /// Returns the rows for a node that has all changes up to `position`. A node of an earlier era
-    /// gets all rows, those held back included.
+    /// Returns the rows for a node that has all changes up to `position`: those that changed since.
+    /// A node of an earlier era gets all rows, those held back included.
     pub fn rows_after(&self, position: types::StorePosition) -> Vec<types::StoreRow> {
         if position.era < self.position.era {
             let held = self.hold.rows().filter(|row| row.value.is_some());
@@ -208,27 +209,39 @@
         let old = self.position;
         let copy_is_later = old.era == 0 || !self.hold.may_precede_era(now);
         let versions_compare = self.loaded && copy_is_later;
-        self.hold.begin(hold, now);
+        let had_rows = self.loaded || !self.rows.is_empty();
+        self.hold.begin(had_rows, hold, now);
         let stored: IndexSet<_> = rows.iter().map(|row| row.key.clone()).collect();
         let mut changed = Vec::new();
         for row in rows {
-            let Some(known) = self.rows.get_mut(&row.key) else {
-                changed.push(row.clone());
-                self.rows.insert(row.key.clone(), row);
-                continue;
-            };
+            let known_version = self.rows.get(&row.key).map_or(0, |known| known.version);
             // In the history that both share, a row that differs and is not older is newer.
             let is_newer = row.version > position.version
-                || (versions_compare && row.version >= known.version);
-            if known.value == row.value {
-                *known = row;
-            } else if is_newer {
-                changed.push(row.clone());
-                *known = row;
-            } else {
-                self.hold.insert(row);
-            }
+                || (versions_compare && row.version >= known_version);
+            changed.extend(self.compare_row(row, is_newer));
+        }
+        self.hold_removals(&stored, position);
+        self.complete(position);
+        let held = self.hold.rows().count();
+        let hold = self.hold.remaining_time(now);
+        let era_change = had_rows.then_some(EraChange { old, new: position, held, hold });
+        MirrorUpdate { rows: changed, era_change }
+    }
+
+    /// Applies or holds a row that the store has in a new era. Returns the row if it changed.
+    fn compare_row(&mut self, row: types::StoreRow, is_newer: bool) -> Option<types::StoreRow> {
+        let known = self.rows.get(&row.key);
+        let is_same = known.is_some_and(|known| known.value == row.value);
+        if known.is_some() && !is_same && !is_newer {
+            self.hold.insert(row);
+            return None;
         }
+        self.rows.insert(row.key.clone(), row.clone());
+        (!is_same).then_some(row)
+    }
+
+    /// Holds the removal of rows in force that the store lacks in a new era.
+    fn hold_removals(&mut self, stored: &IndexSet<ids::Text>, position: types::StorePosition) {
         for known in self.rows.values_mut().filter(|known| !stored.contains(&known.key)) {
             let removed = tombstone(known, position);
             if known.value.is_some() {
@@ -237,20 +250,17 @@
                 *known = removed;
             }
         }
-        let had_rows = self.loaded || self.hold.rows().next().is_some();
-        self.complete(position);
-        let held = self.hold.rows().count();
-        let hold = self.hold.remaining_time(now);
-        let era_change = had_rows.then_some(EraChange { old, new: position, held, hold });
-        MirrorUpdate { rows: changed, era_change }
     }
 
     /// Inserts a row if it is newer than the one in force and the one held back.
     fn insert_newer(&mut self, row: &types::StoreRow) -> bool {
         let known = self.rows.get(&row.key).map(store_position::of_row);
         let newest = known.max(self.hold.position(&row.key)).unwrap_or_default();
-        let is_held_removal = row.value.is_none() && self.hold.is_removal(&row.key);
-        if store_position::of_row(row) <= newest || is_held_removal {
+        if store_position::of_row(row) <= newest {
+            return false;
+        }
+        if row.value.is_none() && self.hold.is_removal(&row.key) {
+            self.hold.renew(row);
             return false;
         }
         self.hold.record_rewritten(&row.key);
