Pause between full reads of a table

A full read now follows the one before after a second at the earliest. Failed reads keep their own delay. Test store_restore::reads_paced failed before with 682 full reads in 1.2 s.

--- a/crates/comfreyspread-lab/tests/store_restore.rs
+++ b/crates/comfreyspread-lab/tests/store_restore.rs
@@ -16,6 +16,8 @@
 /// Time for which the store is away before it is restored.
 const AWAY_TIME: time::Duration = time::Duration::from_millis(1200);
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
+/// Full reads of both tables that a node may make in [`AWAY_TIME`].
+const MAX_FULL_READS: u64 = 6;
 /// Zone that is taken out of service.
 const OUT_KEY: &str = "evacuate/zone-9";
 
@@ -217,3 +219,18 @@
         wait_for_version(&nodes, 3).await;
     });
 }
+
+/// Guards against full reads in a loop without a pause while the store has no history.
+#[test]
+fn reads_paced() {
+    gateway::with_node(async |fleet, node| {
+        fleet.store().set_history_gone(true);
+        async_io::Timer::after(AWAY_TIME).await;
+        let reads_before = fleet.store().full_reads();
+        async_io::Timer::after(AWAY_TIME).await;
+        let reads = fleet.store().full_reads() - reads_before;
+        assert!(reads <= MAX_FULL_READS, "{reads} full reads in {AWAY_TIME:?}");
+        fleet.set_route_document(&gateway::route_document(2));
+        wait_for_version(&[node], 2).await;
+    });
+}
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -12,8 +12,8 @@
 //!   with their [`endpoint_intake`], [`endpoint_selection`], [`stage_graph`] of a request,
 //!   [`batch_queue`] of a stage service over [`batch_admission`], [`piece_group`], [`worker_set`] and [`home_zones`], [`event_buffer`],
 //!   [`first_event`], [`service_retry_budget`], [`wait_table`], [`peer_health`]; tables of the store by
-//!   [`table_mirror`] with [`table_hold`] and [`store_position`], [`table_source`], [`table_freshness`]
-//!   and [`outage_recovery`].
+//!   [`table_mirror`] with [`table_hold`] and [`store_position`], [`table_source`], [`table_freshness`],
+//!   [`full_read_pace`] and [`outage_recovery`].
 //! - The owner: [`pool_scheduler`] over [`call_queue`], [`pool_endpoint`], [`endpoint_lifecycle`],
 //!   [`concurrency_limit`], [`circuit_breaker`], [`outlier`], [`endpoint_selector`], [`latency`].
 //! - Members and ownership: [`membership`] with [`member_dissemination`],
@@ -54,6 +54,7 @@
 pub mod endpoint_selector;
 pub mod event_buffer;
 pub mod first_event;
+pub mod full_read_pace;
 pub mod home_zones;
 pub mod latency;
 pub mod leaving_vms;
--- a/crates/comfreyspread/src/gateway/table_watcher.rs
+++ b/crates/comfreyspread/src/gateway/table_watcher.rs
@@ -4,7 +4,7 @@
 
 use super::{row_compression, state, store_client, table_exchange, table_update};
 use crate::transport::failure;
-use comfreyspread_policy::{table_freshness, table_mirror, table_source};
+use comfreyspread_policy::{full_read_pace, table_freshness, table_mirror, table_source};
 use comfreyspread_schema::types;
 use rand::Rng as _;
 use std::{sync, time};
@@ -75,7 +75,8 @@
 where
     Watcher: TableWatcher,
 {
-    let mut reading = StoreReading { full_read: true, reachable: true };
+    let pace = full_read_pace::FullReadPace::default();
+    let mut reading = StoreReading { full_read: true, pace, reachable: true };
     table_exchange::wait_for_zone_peer(&state).await;
     loop {
         match table_exchange::next_source(&state, Watcher::TABLE) {
@@ -98,6 +99,8 @@
 struct StoreReading {
     /// Whether the next read is one of the full table.
     full_read: bool,
+    /// Pace of those reads.
+    pace: full_read_pace::FullReadPace,
     /// Whether the store replied to the latest read.
     reachable: bool,
 }
@@ -146,6 +149,7 @@
     where
         Watcher: TableWatcher,
     {
+        async_io::Timer::after(self.pace.delay(time::Instant::now())).await;
         let page = state.store.read_table(Watcher::NAME).await?;
         let rows = row_compression::compress_rows(page.rows);
         let now = time::Instant::now();
@@ -158,6 +162,7 @@
             failure::CallFailure::new(types::ProblemKind::StoreUnavailable, error.to_string())
         })?;
         self.full_read = false;
+        self.pace.record_read(now);
         table_update::apply_update(state, watcher, update);
         Ok(false)
     }
