Send all rows to a node that may lack removals

A node that reads a table in full knows nothing of rows removed before. A node with an older copy that asked it for changes got none of these removals, took over its position, and kept the removed rows for good.

A mirror now remembers from which position on it knows all removals. A node that asks from before it gets all rows, marked as such, and replaces its copy with them.

--- a/crates/comfreyspread-lab/tests/malformed_peers.rs
+++ b/crates/comfreyspread-lab/tests/malformed_peers.rs
@@ -111,6 +111,7 @@
             recovering: false,
             remaining_freshness: fresh,
             era,
+            full: false,
             header,
             hold_left: time::Duration::ZERO,
             loaded,
--- a/crates/comfreyspread-policy/src/table_mirror.rs
+++ b/crates/comfreyspread-policy/src/table_mirror.rs
@@ -57,6 +57,8 @@
     hold: table_hold::TableHold,
     loaded: bool,
     position: types::StorePosition,
+    /// Position from which on the mirror knows all removals: that of its last full read.
+    history_start: types::StorePosition,
 }
 
 impl TableMirror {
@@ -103,6 +105,7 @@
         let removed: Vec<_> =
             removed.map(|known| tombstone(known, tombstone_position(known, position))).collect();
         let rows = self.merge(rows.into_iter().chain(removed).collect(), position)?;
+        self.history_start = self.position;
         Ok(MirrorUpdate { rows, era_change: None })
     }
 
@@ -133,14 +136,25 @@
         Ok(MirrorUpdate { rows: changed, ..update })
     }
 
-    /// Returns the rows for a node that has all changes up to `position`: those that changed since.
-    /// A node of an earlier era gets all rows, those held back included.
+    /// Whether this mirror may lack removals after `position`, so that a node that has all changes
+    /// up to there needs all rows.
+    pub fn lacks_history(&self, position: types::StorePosition) -> bool {
+        position < self.history_start
+    }
+
+    /// Returns the rows for a node that has all changes up to `position`: those that changed since,
+    /// or all rows if the history does not reach back. A node of an earlier era gets all rows from
+    /// before this era, too.
     pub fn rows_after(&self, position: types::StorePosition) -> Vec<types::StoreRow> {
         if position.era < self.position.era {
             let held = self.hold.rows().filter(|row| row.value.is_some());
             return self.rows.values().chain(held).cloned().collect();
         }
         let rows = self.rows.values().chain(self.hold.rows());
+        if self.lacks_history(position) {
+            let era = self.position.era;
+            return rows.filter(|row| row.era == era && row.value.is_some()).cloned().collect();
+        }
         rows.filter(|row| store_position::of_row(row) > position).cloned().collect()
     }
 
@@ -222,6 +236,7 @@
         }
         self.hold_removals(&stored, position);
         self.complete(position);
+        self.history_start = position;
         let held = self.hold.rows().count();
         let hold = self.hold.remaining_time(now);
         let era_change = had_rows.then_some(EraChange { old, new: position, held, hold });
@@ -278,6 +293,7 @@
         let removed = self.rows.values().filter(|row| row.value.is_none()).count();
         if removed > MAX_TOMBSTONES {
             self.rows.retain(|_, row| row.value.is_some());
+            self.history_start = self.position;
         }
     }
 }
--- a/crates/comfreyspread-policy/tests/table_restore.rs
+++ b/crates/comfreyspread-policy/tests/table_restore.rs
@@ -1,8 +1,10 @@
 //! Mirrors of a store that is restored from a copy, on injected time.
 #![allow(clippy::disallowed_methods, reason = "start of the injected time")]
 
+use bolero::check;
 use comfreyspread_policy::{table_hold, table_mirror};
 use comfreyspread_schema::types;
+use indexmap::IndexMap;
 use std::time;
 
 const SECOND: time::Duration = time::Duration::from_secs(1);
@@ -142,6 +144,20 @@
     }
 }
 
+/// Guards against a removal that a node learns of neither from the store nor from others, because the
+/// node that tells it of changes still holds the removal back.
+#[test]
+fn held_removal() {
+    let (mut early, now) = loaded(vec![row("a", 1, 4, "x")]);
+    let (mut late, _) = loaded(vec![row("a", 1, 4, "x")]);
+    early.replace(vec![row("a", 2, 4, "x")], at(2, 6), now).expect("a later era");
+    late.replace(vec![], at(2, 7), now).expect("a later era, after the removal");
+    let rows = late.rows_after(early.position());
+    assert!(late.lacks_history(early.position()), "all rows are sent");
+    early.replace(rows, late.position(), now).expect("the same era");
+    assert_eq!(value(&early, "a"), None);
+}
+
 /// A node of a build that knows no eras gets the rows in force by version alone.
 #[test]
 fn older_build() {
@@ -151,3 +167,102 @@
     assert_eq!(keys(0).collect::<Vec<_>>(), ["a".into(), "b".into()]);
     assert_eq!(keys(5).collect::<Vec<_>>(), ["a".into()]);
 }
+
+/// Store of the model: rows by key, and its copies.
+#[derive(Clone, Default)]
+struct ModelStore {
+    position: types::StorePosition,
+    rows: IndexMap<String, types::StoreRow>,
+}
+
+impl ModelStore {
+    fn write(&mut self, key: u8, remove: bool) {
+        self.position.version += 1;
+        let key = format!("k{}", key % 4);
+        let value = if self.position.version.is_multiple_of(2) { "x" } else { "y" };
+        let types::StorePosition { era, version } = self.position;
+        let put = row(&key, era, version, value);
+        let gone = removed(&key, era, version);
+        self.rows.insert(key, if remove { gone } else { put });
+    }
+
+    /// Returns the rows as the store states them: all of them of the present era.
+    fn stated(&self) -> impl Iterator<Item = types::StoreRow> {
+        let era = self.position.era;
+        self.rows.values().map(move |row| types::StoreRow { era, ..row.clone() })
+    }
+
+    fn read(&self, mirror: &mut table_mirror::TableMirror, now: time::Instant) {
+        if mirror.is_loaded() && mirror.position().era == self.position.era {
+            let after = mirror.position().version;
+            let rows = self.stated().filter(|row| row.version > after).collect();
+            mirror.merge(rows, self.position).expect("the same era");
+        } else {
+            let rows = self.stated().filter(|row| row.value.is_some()).collect();
+            mirror.replace(rows, self.position, now).expect("no earlier era");
+        }
+    }
+}
+
+fn exchange(mirrors: &mut [table_mirror::TableMirror; 2], to: usize, now: time::Instant) {
+    let from = &mirrors[1 - to];
+    let (position, hold) = (from.position(), from.hold_left(now));
+    let rows = from.rows_after(mirrors[to].position());
+    let full = from.lacks_history(mirrors[to].position());
+    if !from.is_loaded() || position.era < mirrors[to].position().era {
+        return;
+    }
+    if position.era > mirrors[to].position().era {
+        mirrors[to].take_over(rows, position, hold, now).expect("a later era");
+    } else if full {
+        mirrors[to].replace(rows, position, now).expect("the same era");
+    } else {
+        mirrors[to].merge(rows, position).expect("the same era");
+    }
+}
+
+/// Whatever is written, restored, read and exchanged: once the holds are over and the store is read,
+/// what is in force is what the store has.
+#[test]
+fn any_restores() {
+    check!().with_type::<Vec<(u8, u8, bool)>>().for_each(|steps| {
+        let mut store = ModelStore { position: at(1, 0), ..ModelStore::default() };
+        let mut copy = store.clone();
+        let mut mirrors = [table_mirror::TableMirror::default(), Default::default()];
+        let mut now = time::Instant::now();
+        for (step, key, flag) in steps {
+            let node = usize::from(*flag);
+            now += SECOND / 4;
+            match step % 6 {
+                0 | 1 => store.write(*key, *flag),
+                2 => copy = store.clone(),
+                3 => {
+                    let era = store.position.era + 1;
+                    store = copy.clone();
+                    store.position.era = era;
+                }
+                4 => store.read(&mut mirrors[node], now),
+                _ => exchange(&mut mirrors, node, now),
+            }
+            mirrors.iter_mut().for_each(|mirror| drop(mirror.end_hold(now)));
+        }
+        let expected: Vec<_> = live(store.stated());
+        for mirror in &mut mirrors {
+            store.read(mirror, now);
+            mirror.end_hold(now + table_hold::HOLD_TIME);
+            assert_eq!(live(mirror.rows_after_version(0)), expected);
+        }
+    });
+}
+
+/// Returns the values of rows that are not removed, by key.
+fn live<Rows>(rows: Rows) -> Vec<(String, Option<Vec<u8>>)>
+where
+    Rows: IntoIterator<Item = types::StoreRow>,
+{
+    let kept = rows.into_iter().filter(|row| row.value.is_some());
+    let value = |row: &types::StoreRow| row.value.as_ref().map(|value| value.as_ref().to_vec());
+    let mut pairs: Vec<_> = kept.map(|row| (row.key.to_string(), value(&row))).collect();
+    pairs.sort();
+    pairs
+}
--- a/crates/comfreyspread/src/gateway/table_exchange.rs
+++ b/crates/comfreyspread/src/gateway/table_exchange.rs
@@ -168,12 +168,18 @@
     let position = store_position::of_reply(&reply);
     let mut tables = state.store_tables.lock();
     let mirror = &mut tables.table(Watcher::TABLE).mirror;
-    if position.era <= mirror.position().era {
+    let is_later = position.era > mirror.position().era;
+    if !is_later && !reply.full {
         drop(tables);
         return table_watcher::merge_rows(state, watcher, reply.rows, position);
     }
     let rows = row_compression::compress_rows(reply.rows);
-    let update = mirror.take_over(rows, position, reply.hold_left, time::Instant::now());
+    let now = time::Instant::now();
+    let update = if is_later {
+        mirror.take_over(rows, position, reply.hold_left, now)
+    } else {
+        mirror.replace(rows, position, now)
+    };
     drop(tables);
     match update {
         Ok(update) => table_update::apply_update(state, watcher, update),
@@ -250,7 +256,7 @@
         let fresh_until = now + reply.remaining_freshness;
         let (after, position) =
             (request_position(&message, reply.era), store_position::of_reply(&reply));
-        let has_changes = !reply.rows.is_empty() && position > after;
+        let has_changes = position > after && (reply.full || !reply.rows.is_empty());
         let other_era = position.era != after.era;
         let was_fresh = fresh_until > now;
         if withheld
@@ -279,6 +285,12 @@
     types::StorePosition { era, version: message.after_version }
 }
 
+/// Whether a mirror may lack removals that the sender of a request needs to know.
+fn lacks_history(mirror: &table_mirror::TableMirror, message: &types::TableRequest) -> bool {
+    let after = request_position(message, mirror.position().era);
+    message.after_era.is_some() && after.version > 0 && mirror.lacks_history(after)
+}
+
 /// Returns the rows of a mirror that the sender of a request lacks.
 fn requested_rows(
     mirror: &table_mirror::TableMirror,
@@ -305,6 +317,7 @@
         recovering: table.freshness.is_recovering(now),
         remaining_freshness: table.freshness.remaining_freshness(now),
         era: table.mirror.position().era,
+        full: lacks_history(&table.mirror, message),
         header,
         hold_left: table.mirror.hold_left(now),
         loaded: table.mirror.is_loaded(),
