Refuse requests that can't be finished in what is left of a stop

What callers saw, in a report of another operator: around a planned stop requests that came late in the grace were taken and passed on, and were cut with no answer at its end, among them ones that may not be repeated.

Cause: a node that stops took each request that reached it, up to the close of its connections 2.6 s after the signal, and later those whose body was still arriving then, however long such requests last; it ends 7.3 s after the signal. Class: work begun without a look at the time there is for it.

The policy crate now decides (`stop_window`): a request is expected to last as long as measured ones of its route, by the median for one that may be repeated, by the 99th percentile for one that may not or that came once the listener is closed, and at most until its own deadline. The rest is refused at once with 503 and Retry-After, on a connection that closes. Attempts are judged again when they are sent, as a request may have waited at stages or be on its second endpoint.

--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -17,7 +17,8 @@
 //!   [`concurrency_limit`], [`circuit_breaker`], [`outlier`], [`endpoint_selector`], [`latency`].
 //! - Members and ownership: [`membership`] with [`member_dissemination`],
 //!   [`member_digest`], [`probe_ring`] and [`prober_health`], [`connectivity`], [`rendezvous`], [`ownership`],
-//!   [`ownership_release`], [`ownership_status`], [`leaving_vms`], [`node_lifecycle`], [`task_restart`].
+//!   [`ownership_release`], [`ownership_status`], [`leaving_vms`], [`node_lifecycle`], [`stop_window`],
+//!   [`task_restart`].
 //! - Configuration: [`validation`], [`catalog`], [`change`], [`acceptance`], [`delta`], [`poller`].
 //!
 //! ```
@@ -85,6 +86,7 @@
 pub mod row_finalizer;
 pub mod service_retry_budget;
 pub mod stage_graph;
+pub mod stop_window;
 pub mod stream;
 pub mod suspect;
 pub mod table_freshness;
--- a/crates/comfreyspread/src/gateway/attempt_send.rs
+++ b/crates/comfreyspread/src/gateway/attempt_send.rs
@@ -138,6 +138,9 @@
         return Err(FailedAttempt { chosen: None, failure, inputs_gone: false });
     }
     let now = time::Instant::now();
+    if let Err(failure) = plan.check_stop(state, now) {
+        return Err(FailedAttempt { chosen: None, failure, inputs_gone: false });
+    }
     let query = endpoint_query(state, plan, input, now);
     let Some(chosen) = state.directory.lock().start_call(&query) else {
         let failure = no_endpoint(state, &query);
--- a/crates/comfreyspread/src/gateway/call_plan.rs
+++ b/crates/comfreyspread/src/gateway/call_plan.rs
@@ -195,6 +195,34 @@
         if convicted { Err(Self::crashing()) } else { Ok(()) }
     }
 
+    /// Checks, while the node stops, whether the request can be finished before it ends.
+    ///
+    /// # Errors
+    ///
+    /// Fails if not; the request has not run.
+    pub fn check_stop(
+        &self,
+        state: &state::GatewayState,
+        now: time::Instant,
+    ) -> Result<(), failure::CallFailure> {
+        let Some(window) = state.context.drain_limit.window() else { return Ok(()) };
+        let quantile = window.expected_quantile(self.arrived, self.is_repeatable());
+        let mut timings = state.context.tables.stage_timings.lock();
+        let expected = timings.quantile(&self.route.name, quantile, now);
+        drop(timings);
+        if window.admits(self.arrived, expected, self.time_left(now), now) {
+            return Ok(());
+        }
+        let detail = "the node stops before the request could be finished";
+        Err(Self::not_run(types::ProblemKind::Unavailable, detail))
+    }
+
+    /// Records how long an endpoint took for the whole response.
+    pub fn record_duration(&self, state: &state::GatewayState, duration: time::Duration) {
+        let now = time::Instant::now();
+        state.context.tables.stage_timings.lock().record(&self.route.name, duration, now);
+    }
+
     /// Returns the rejection of a request that crashes endpoints.
     pub fn crashing() -> failure::CallFailure {
         Self::not_run(types::ProblemKind::Poisoned, "the request crashes endpoints")
--- a/crates/comfreyspread/src/gateway/caller_handler.rs
+++ b/crates/comfreyspread/src/gateway/caller_handler.rs
@@ -50,6 +50,11 @@
                 "entry: rejected, the request crashes endpoints");
             return failure_response(&call_plan::CallPlan::crashing(), &id);
         }
+        if let Err(failure) = plan.check_stop(&self.state, arrived) {
+            log::info!(request = id.as_ref(), route = plan.route.name.as_ref();
+                "entry: rejected, the node stops too soon");
+            return failure_response(&failure, &id);
+        }
         let route = plan.route.clone();
         let version = plan.version;
         let response_deadline = plan.deadline.checked_sub(RESPONSE_MARGIN).unwrap_or(plan.deadline);
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -178,6 +178,7 @@
             let Err(error) = self.forward_attempt(&mut started, &sender).await else {
                 started.active.finish(endpoint_directory::AttemptOutcome::Served);
                 self.plan.record_served(&self.state);
+                self.plan.record_duration(&self.state, started.active.elapsed());
                 log::info!(request = self.plan.call.request.as_ref(),
                     route = self.plan.route.name.as_ref(),
                     endpoint = started.active.chosen.endpoint.as_ref(), runs = self.history.runs(),
--- a/crates/comfreyspread/src/gateway/unary_run.rs
+++ b/crates/comfreyspread/src/gateway/unary_run.rs
@@ -75,6 +75,7 @@
         if !failed {
             self.plan.record_first_event(state);
             self.plan.record_served(state);
+            self.plan.record_duration(state, started.active.elapsed());
         }
         let outcome = if failed {
             endpoint_directory::AttemptOutcome::Failed
--- a/crates/comfreyspread/src/runtime/drain_limit.rs
+++ b/crates/comfreyspread/src/runtime/drain_limit.rs
@@ -1,12 +1,13 @@
 //! The time by which a planned stop ends, as far as requests in progress have to know it.
 
 use crate::transport::deadline;
+use comfreyspread_policy::stop_window;
 use std::{sync, time};
 
 /// When the drain ends; unknown until it begins.
 #[derive(Debug, Default)]
 pub struct DrainLimit {
-    ends_at: sync::OnceLock<time::Instant>,
+    window: sync::OnceLock<stop_window::StopWindow>,
     began: event_listener::Event,
 }
 
@@ -17,11 +18,16 @@
     }
 
     /// Sets when the drain ends; later calls have no effect.
-    pub fn begin(&self, ends_at: time::Instant) {
-        self.ends_at.get_or_init(|| ends_at);
+    pub fn begin(&self, window: stop_window::StopWindow) {
+        self.window.get_or_init(|| window);
         self.began.notify(usize::MAX);
     }
 
+    /// Returns the times of the drain once it has begun.
+    pub fn window(&self) -> Option<stop_window::StopWindow> {
+        self.window.get().copied()
+    }
+
     /// Waits until the drain ends within `margin`; for ever if the node does not drain.
     pub async fn near(&self, margin: time::Duration) {
         let ends_at = self.wait_until_begun().await;
@@ -31,8 +37,8 @@
     async fn wait_until_begun(&self) -> time::Instant {
         loop {
             let began = self.began.listen();
-            if let Some(ends_at) = self.ends_at.get() {
-                return *ends_at;
+            if let Some(window) = self.window.get() {
+                return window.ends_at();
             }
             began.await;
         }
--- a/crates/comfreyspread/src/runtime/node.rs
+++ b/crates/comfreyspread/src/runtime/node.rs
@@ -9,7 +9,7 @@
     transport::http_server,
 };
 use async_signal::{Signal, Signals};
-use comfreyspread_policy::node_lifecycle;
+use comfreyspread_policy::{node_lifecycle, stop_window};
 use comfreyspread_schema::types;
 use futures_lite::{FutureExt as _, StreamExt as _};
 use miette::{Context as _, IntoDiagnostic as _};
@@ -163,10 +163,12 @@
 where
     Forced: Future<Output = ()>,
 {
-    let limit = context.settings.grace_period + context.settings.shutdown_timeout;
-    context.drain_limit.begin(time::Instant::now() + limit);
+    let (grace, shutdown) = (context.settings.grace_period, context.settings.shutdown_timeout);
+    let limit = grace + shutdown;
+    let window = stop_window::StopWindow::new(time::Instant::now(), grace, shutdown);
+    context.drain_limit.begin(window);
     let finished = async {
-        async_io::Timer::after(context.settings.grace_period).await;
+        async_io::Timer::after(grace).await;
         closer.drain().await;
         context.active_requests.wait_idle().await;
         true
