Answer requests that a planned stop gives up on

What callers saw: a plain request that an endpoint still ran at the end of a planned stop was cut with no answer.

Cause: requests that had been sent were left waiting until the process ended. They are now answered with 502 a tenth of a second before the end: the request may have run, which is all a cut would say, but the caller knows at once that it was read and that nothing more will come. Requests that no endpoint has been sent are refused with 503 before that, as they were.

--- a/crates/comfreyspread-lab/tests/late_stop.rs
+++ b/crates/comfreyspread-lab/tests/late_stop.rs
@@ -14,6 +14,8 @@
 const LONG_TIMEOUT_MS: u32 = 15_000;
 /// Time that an endpoint takes for a request.
 const RUN_TIME: time::Duration = time::Duration::from_millis(5500);
+/// Time for which a node serves requests as before once it has been told to stop.
+const READINESS_TIME: time::Duration = time::Duration::from_millis(2600);
 /// Requests from which a node learns how long they last.
 const LEARNING_REQUESTS: usize = 30;
 /// Time between two callers that start while the node stops.
@@ -195,3 +197,29 @@
         assert_eq!(node.process.wait(gateway::RESPONSE_TIMEOUT).await, Some(0));
     });
 }
+
+/// Guards against plain requests that were passed on and cut at the end of a stop with no answer: the
+/// caller is told that the request may have run.
+#[test]
+fn unfinished_answered() {
+    with_slow_services(async |fleet, mut node| {
+        let run_ms = u64::from(LONG_TIMEOUT_MS) / 2 * 3;
+        for endpoint in ["ledger-1", "ledger-2"] {
+            fleet.faults(endpoint).delay_ms.store(run_ms, atomic::Ordering::Relaxed);
+        }
+        let address = node.caller_address;
+        let calls = ["/read/", "/write/"].map(async |path| call(address, path, path.into()).await);
+        let stop = async {
+            async_io::Timer::after(READINESS_TIME / 4).await;
+            node.process.signal(Signal::TERM);
+        };
+        let (calls, ()) = future::join(future::join_all(calls), stop).await;
+        for call in calls {
+            let call = call.expect("an open connection");
+            assert!(call.is_whole(), "cut: {call:?}");
+            assert_eq!(call.status(), "502", "{call:?}");
+            assert_eq!(gateway::runs(&fleet, &call.id).len(), 1);
+        }
+        assert_eq!(node.process.wait(gateway::RESPONSE_TIMEOUT).await, Some(0));
+    });
+}
--- a/crates/comfreyspread/src/gateway/caller_handler.rs
+++ b/crates/comfreyspread/src/gateway/caller_handler.rs
@@ -11,7 +11,6 @@
 use futures_lite::FutureExt as _;
 use http::StatusCode;
 use std::{
-    future,
     sync::{self, atomic},
     time,
 };
@@ -22,6 +21,8 @@
 const RESPONSE_MARGIN: time::Duration = time::Duration::from_millis(20);
 /// Time before the end of a planned stop at which requests that have not been sent are answered.
 const STOP_MARGIN: time::Duration = time::Duration::from_millis(250);
+/// Time before the end of a planned stop at which requests in progress are given up.
+const GIVE_UP_MARGIN: time::Duration = time::Duration::from_millis(100);
 
 /// Handles callers' requests.
 pub struct CallerHandler {
@@ -74,7 +75,7 @@
             let failure = failure::CallFailure::new(types::ProblemKind::Timeout, detail);
             Err(failure.with_verdict(types::CallVerdict::MayHaveRun))
         };
-        let stopped = async { Err(self.stopped_unsent(&sent_mark).await) };
+        let stopped = async { Err(self.stopped(&sent_mark).await) };
         let ended = Box::pin(run).or(timed_out).or(stopped);
         let result = request.connection_monitor().run_while_connected(ended).await;
         let elapsed = arrived.elapsed();
@@ -101,15 +102,20 @@
         }
     }
 
-    /// Waits until the node is about to end, and returns the rejection of a request that no endpoint
-    /// has been sent by then; one that has been sent is left its answer to the very end.
-    async fn stopped_unsent(&self, sent_mark: &atomic::AtomicBool) -> failure::CallFailure {
-        self.state.context.drain_limit.near(STOP_MARGIN).await;
-        if sent_mark.load(atomic::Ordering::Relaxed) {
-            return future::pending().await;
+    /// Waits until the node is about to end, and returns the failure of a request that still waits.
+    /// One that no endpoint has been sent is rejected; one that has been sent may have run, and its
+    /// answer is awaited longer.
+    async fn stopped(&self, sent_mark: &atomic::AtomicBool) -> failure::CallFailure {
+        let drain_limit = &self.state.context.drain_limit;
+        drain_limit.near(STOP_MARGIN).await;
+        if !sent_mark.load(atomic::Ordering::Relaxed) {
+            let detail = "the node stops before the request could be sent";
+            return call_plan::CallPlan::not_run(types::ProblemKind::Unavailable, detail);
         }
-        let detail = "the node stops before the request could be sent";
-        call_plan::CallPlan::not_run(types::ProblemKind::Unavailable, detail)
+        drain_limit.near(GIVE_UP_MARGIN).await;
+        let detail = "the node stops before the endpoint has answered";
+        failure::CallFailure::new(types::ProblemKind::Unavailable, detail)
+            .with_verdict(types::CallVerdict::MayHaveRun)
     }
 }
 
