--- a/crates/comfreyspread/src/gateway/attempt_send.rs
+++ b/crates/comfreyspread/src/gateway/attempt_send.rs
@@ -144,7 +144,7 @@
     }
     let now = time::Instant::now();
     if let Err(failure) = plan.check_stop(state, now) {
-        return Err(FailedAttempt { chosen: None, failure, inputs_gone: false });
+        return Err(FailedAttempt::without_endpoint(failure));
     }
     let query = endpoint_query(state, plan, input, now);
     let Some(chosen) = state.directory.lock().start_call(&query) else {
--- a/crates/comfreyspread/src/gateway/caller_handler.rs
+++ b/crates/comfreyspread/src/gateway/caller_handler.rs
@@ -61,7 +61,7 @@
         if let Err(failure) = plan.check_stop(&self.state, arrived) {
             log::info!(request = id.as_ref(), route = plan.route.name.as_ref();
                 "entry: rejected, the node stops too soon");
-            return failure_response(&failure, &id);
+            return EndedCall::rejected(failure_response(&failure, &id));
         }
         let route = plan.route.clone();
         let version = plan.version;
