Answer a request whose handling panics

What callers would have seen: a request that was read whole, and then a closed connection with neither an answer nor a rejection.

Cause: a panic unwound the task of the connection, and with it the server that should have responded. Class: the only one that can answer is lost with the work. The server of all addresses now catches it around the handler alone and responds: 502 to callers on the users' platform, 500 with the verdict may-have-run on the native front end, 500 to other nodes, who read that as may-have-run. The connection is closed after it. A panic within a begun stream still cuts it: a response that has begun cannot be made an error.

panicking_tasks::handler_panics asked for an empty answer and now asks for a 500 that closes the connection, which is stricter; it failed on the server before. Such requests are counted as failed, with a line that names the panic.

--- a/crates/comfreyspread/src/gateway/caller_handler.rs
+++ b/crates/comfreyspread/src/gateway/caller_handler.rs
@@ -158,6 +158,10 @@
         }
         response
     }
+
+    fn panicked(&self) -> http_message::Response {
+        http_message::Response::new(StatusCode::BAD_GATEWAY)
+    }
 }
 
 fn plan_error_response(error: &call_plan::PlanError) -> http_message::Response {
--- a/crates/comfreyspread/src/ingress/caller_request.rs
+++ b/crates/comfreyspread/src/ingress/caller_request.rs
@@ -16,6 +16,8 @@
 pub trait OpenState: Send + 'static {
     /// How a request ends that is dropped in this state while its caller is connected.
     const DROPPED: types::RequestEnding;
+    /// How a request ends whose handling panics in this state.
+    const PANICKED: types::RequestEnding;
 }
 
 /// State of a request without a response.
@@ -28,10 +30,13 @@
 
 impl OpenState for ReceivedState {
     const DROPPED: types::RequestEnding = types::RequestEnding::Unanswered;
+    /// The server responds in place of the handler.
+    const PANICKED: types::RequestEnding = types::RequestEnding::Failed;
 }
 
 impl OpenState for RespondingState {
     const DROPPED: types::RequestEnding = types::RequestEnding::Cut;
+    const PANICKED: types::RequestEnding = types::RequestEnding::Cut;
 }
 
 /// A caller's request in the state `State`.
@@ -57,13 +62,13 @@
         self.metrics.count(ending);
     }
 
-    /// Ends the request by closing its connection.
+    /// Ends the request without the answer that it should have had.
     fn close(self, ending: types::RequestEnding, reason: &str) {
         if self.connection.is_closed() {
             return self.end(types::RequestEnding::CallerGone);
         }
         log::warn!(request = self.request.as_ref(), ending = ending.to_string().as_str();
-            "entry: closed without a complete answer. reason={reason}");
+            "entry: ended without its answer. reason={reason}");
         self.end(ending);
     }
 }
@@ -132,9 +137,11 @@
     State: OpenState,
 {
     fn drop(&mut self) {
-        let reason = if thread::panicking() { "its task panicked" } else { "its task was dropped" };
-        if let Some(open) = self.open.take() {
-            open.close(State::DROPPED, reason);
+        let Some(open) = self.open.take() else { return };
+        if thread::panicking() {
+            open.close(State::PANICKED, "its task panicked");
+        } else {
+            open.close(State::DROPPED, "its task was dropped");
         }
     }
 }
--- a/crates/comfreyspread/src/ingress/front.rs
+++ b/crates/comfreyspread/src/ingress/front.rs
@@ -279,6 +279,14 @@
         let id = self.context.next_request_id();
         problem_response(&failure::CallFailure::new(kind, detail), &id)
     }
+
+    fn panicked(&self) -> http_message::Response {
+        let verdict = types::CallVerdict::MayHaveRun;
+        let detail = "the request could not be completed";
+        let failure = failure::CallFailure::new(types::ProblemKind::Internal, detail);
+        let id = self.context.next_request_id();
+        problem_response(&failure.with_verdict(verdict), &id)
+    }
 }
 
 /// What the path of a call names.
--- a/crates/comfreyspread/src/transport/http_server.rs
+++ b/crates/comfreyspread/src/transport/http_server.rs
@@ -4,7 +4,7 @@
 //! malformed requests, and detection of callers that disconnect.
 
 use crate::{
-    runtime::worker,
+    runtime::{supervisor, worker},
     transport::{
         activity_counter, body, connection_monitor, deadline, http_body, http_message,
         server_stream,
@@ -85,6 +85,11 @@
 
     /// Returns the response to a request that could not be read.
     fn refuse(&self, error: RequestError) -> http_message::Response;
+
+    /// Returns the response to a request whose handling panicked; it may have run.
+    fn panicked(&self) -> http_message::Response {
+        http_message::Response::new(http::StatusCode::INTERNAL_SERVER_ERROR)
+    }
 }
 
 /// Why a request could not be read.
@@ -376,13 +381,10 @@
             Ok(body) => {
                 let connection = monitor.clone();
                 let request = ServerRequest { head, body, connection, _reservation: reservation };
-                self.handler.handle(request).await
-            }
-            Err(error) => {
-                let mut response = self.handler.refuse(error);
-                response.insert_header("connection", "close");
-                response
+                let handled = supervisor::run_caught(self.handler.handle(request)).await;
+                handled.unwrap_or_else(|| closing(self.handler.panicked()))
             }
+            Err(error) => closing(self.handler.refuse(error)),
         };
         if response.len().is_none() {
             let body = response.take_body();
@@ -415,15 +417,19 @@
         let stream =
             server_stream::ServerStream::for_error_response(self.stream.clone(), write_timeout);
         let service = service::service_fn(|_| async {
-            let mut response = self.handler.refuse(error);
-            response.insert_header("connection", "close");
-            Ok::<_, convert::Infallible>(response.into_http())
+            Ok::<_, convert::Infallible>(closing(self.handler.refuse(error)).into_http())
         });
         let stream = smol_hyper::rt::FuturesIo::new(stream);
         http1::Builder::new().half_close(true).serve_connection(stream, service).await
     }
 }
 
+/// Returns a response after which the connection is closed.
+fn closing(mut response: http_message::Response) -> http_message::Response {
+    response.insert_header("connection", "close");
+    response
+}
+
 /// Timer for `hyper`, based on the deadline queue of the process.
 #[derive(Clone, Copy, Debug)]
 struct ServerTimer;
--- a/crates/comfreyspread/tests/panicking_tasks.rs
+++ b/crates/comfreyspread/tests/panicking_tasks.rs
@@ -44,6 +44,7 @@
     answer
 }
 
+/// A request whose handling panicked got no answer: its connection was closed.
 #[test]
 fn handler_panics() {
     let pool = worker::WorkerPool::new(1).expect("a thread");
@@ -63,7 +64,9 @@
         let closer = server.shutdown_handle();
         pool.spawner().detach(async move { server.serve().await });
         for _ in 0..3 {
-            assert_eq!(send(address, "/panic").await, "");
+            let answer = send(address, "/panic").await;
+            assert!(answer.starts_with("HTTP/1.1 500"), "{answer}");
+            assert!(answer.contains("connection: close\r\n"), "{answer}");
             assert!(send(address, "/").await.starts_with("HTTP/1.1 200"));
         }
         closer.wait_idle().await;
--- a/crates/comfreyspread/tests/request_endings.rs
+++ b/crates/comfreyspread/tests/request_endings.rs
@@ -89,7 +89,8 @@
     check_ending(|received| received.respond(rejected, &mut response), rejected);
 }
 
-/// A request whose task was cancelled or panicked left no trace.
+/// A request whose task was cancelled or panicked left no trace. To one that panicked, the server
+/// responds.
 #[test]
 fn dropped_unanswered() {
     check_ending(drop, types::RequestEnding::Unanswered);
@@ -100,7 +101,7 @@
         });
         panic::catch_unwind(task).expect_err("a panic");
     };
-    check_ending(panicked, types::RequestEnding::Unanswered);
+    check_ending(panicked, types::RequestEnding::Failed);
 }
 
 /// A streamed response counted as answered once it had begun, however it ended.
