Give a silent endpoint the time that stages would take before a move

Cause: the wait for a stalled stream took no notice of what a move costs. It now adds the expected time of the stages that would run first.

--- a/crates/comfreyspread/src/gateway/stage_execution.rs
+++ b/crates/comfreyspread/src/gateway/stage_execution.rs
@@ -70,6 +70,11 @@
         self.graph.is_complete()
     }
 
+    /// Returns the expected time of the stages that are not complete.
+    pub fn pending_time(&self) -> time::Duration {
+        if self.graph.is_complete() { time::Duration::ZERO } else { self.graph.expected_time() }
+    }
+
     /// Runs all stages that are not complete, also those whose earlier run was cancelled.
     ///
     /// # Errors
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -369,7 +369,8 @@
 
     /// Returns the time by which the next event must be complete, the last, or the head of the
     /// response, having been complete at `progressed_at`; the request's deadline if the stream
-    /// cannot be resumed elsewhere.
+    /// cannot be resumed elsewhere. Where stages have to run again before another endpoint can go on,
+    /// their time is added: within it, the silent endpoint is as likely to go on itself.
     fn stall_deadline(&self, progressed_at: time::Instant, has_events: bool) -> time::Instant {
         let route = &self.plan.route;
         if !self.plan.is_repeatable() || self.history.runs() >= route.max_attempts {
@@ -377,7 +378,7 @@
         }
         let timeout = (route.target_event_gap * STALL_GAPS).max(MIN_STALL_TIMEOUT);
         if has_events {
-            return progressed_at + timeout;
+            return progressed_at + timeout + self.stages.pending_time();
         }
         progressed_at + timeout.max(route.target_latency * START_TARGETS)
     }
