Bound the time for which two endpoints work on a stream that moves

What callers would see: nothing, but a request went on at a second endpoint while the first, which was reached, still worked on it.

Cause: the move took the head of a response for the sign that an endpoint has taken the request. A rejection comes at once; an endpoint that was sent the request and has not rejected it within 250 ms has taken it, and the silent one is closed then.

Evidence: stream_stalls::overlap_bounded failed before (the first endpoint was closed only when the second answered, 1.6 s later) and passes now, with the other ten tests of the file, four times in a row.

--- a/crates/comfreyspread/src/gateway/attempt_send.rs
+++ b/crates/comfreyspread/src/gateway/attempt_send.rs
@@ -184,6 +184,7 @@
     let kept = connection.is_kept();
     let _sent = planned.send();
     let sent_before = plan.sent_mark.swap(true, atomic::Ordering::Relaxed);
+    plan.sent.notify(usize::MAX);
     let response = match state.client.send(connection, request, plan.deadline).await {
         Ok(response) => response,
         Err(failure) => {
--- a/crates/comfreyspread/src/gateway/call_plan.rs
+++ b/crates/comfreyspread/src/gateway/call_plan.rs
@@ -31,6 +31,8 @@
     pub workspace: Option<sync::Arc<types::WorkspaceRule>>,
     /// Whether an endpoint may have run the request, or may run it now.
     pub sent_mark: sync::Arc<atomic::AtomicBool>,
+    /// Notified when an endpoint is sent the request.
+    pub sent: sync::Arc<event_listener::Event>,
     /// Arrival time.
     pub arrived: time::Instant,
     /// Time by which a response meets the latency target.
@@ -106,6 +108,7 @@
             service,
             workspace,
             sent_mark: sync::Arc::default(),
+            sent: sync::Arc::default(),
             arrived,
             target,
             deadline,
--- a/crates/comfreyspread/src/gateway/stream_reader.rs
+++ b/crates/comfreyspread/src/gateway/stream_reader.rs
@@ -40,6 +40,11 @@
         }
     }
 
+    /// Closes the response; nothing more is read.
+    pub fn close(&mut self) {
+        self.body = http_body::MessageBody::empty();
+    }
+
     /// Returns the events of the next chunk, and those held before; none after the end.
     ///
     /// # Errors
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -15,6 +15,9 @@
 
 /// Multiple of the route's gap without an event after which a stream moves to another endpoint.
 const STALL_GAPS: u32 = 3;
+/// Time after which an endpoint that has been sent a stalled stream and has not rejected it counts as
+/// working on it. Rejections come at once, and two endpoints must not work on one stream for long.
+const MAX_OVERLAP: time::Duration = time::Duration::from_millis(250);
 /// Minimum time without an event after which a stream moves to another endpoint.
 const MIN_STALL_TIMEOUT: time::Duration = time::Duration::from_millis(1000);
 /// Multiple of the route's target latency without a first event after which a stream moves to
@@ -97,6 +100,16 @@
     Unmoved,
 }
 
+/// What comes first while a silent endpoint and another are waited for.
+enum StallEvent {
+    /// The silent endpoint went on, ended the stream or broke off.
+    Advanced(io::Result<Option<stream_reader::EventBatch>>),
+    /// Another endpoint goes on; none if no other may be asked.
+    Moved(Option<attempt_send::StartedAttempt>),
+    /// Another endpoint has taken the request and has not begun to answer.
+    Overlapped,
+}
+
 impl StallEnd {
     fn moved(next: attempt_send::StartedAttempt) -> Self {
         Self::Moved(Box::new(next))
@@ -308,11 +321,11 @@
     /// Asks other endpoints to go on with a stalled stream, if that is allowed.
     ///
     /// The silent endpoint may be sound and go on, so it is left only once another has begun to
-    /// answer; whichever comes first goes on.
+    /// answer or seems to work on the request; whichever comes first goes on.
     ///
     /// # Errors
     ///
-    /// Fails if the silent endpoint breaks off and no other goes on.
+    /// Fails if the silent endpoint breaks off or was left, and no other goes on.
     async fn move_stalled(
         &mut self,
         reader: &mut stream_reader::StreamReader,
@@ -320,14 +333,24 @@
         if !self.try_acquire_move() {
             return Ok(StallEnd::Unmoved);
         }
+        let sent = self.plan.sent.listen();
         let end = {
             let mut resumed = pin::pin!(self.resume());
-            let advanced = async { Err(reader.next_advance().await) };
-            let moved = async { Ok(resumed.as_mut().await) };
-            match advanced.or(moved).await {
-                Ok(next) => next.map_or(StallEnd::Unmoved, StallEnd::moved),
-                Err(Ok(batch)) => StallEnd::Advanced(batch),
-                Err(Err(error)) => StallEnd::moved(resumed.await.ok_or(error)?),
+            let advanced = async { StallEvent::Advanced(reader.next_advance().await) };
+            let moved = async { StallEvent::Moved(resumed.as_mut().await) };
+            let overlapped = async {
+                sent.await;
+                async_io::Timer::after(MAX_OVERLAP).await;
+                StallEvent::Overlapped
+            };
+            match advanced.or(moved).or(overlapped).await {
+                StallEvent::Advanced(Ok(batch)) => StallEnd::Advanced(batch),
+                StallEvent::Advanced(Err(error)) => StallEnd::moved(resumed.await.ok_or(error)?),
+                StallEvent::Moved(next) => next.map_or(StallEnd::Unmoved, StallEnd::moved),
+                StallEvent::Overlapped => {
+                    reader.close();
+                    StallEnd::moved(resumed.await.ok_or_else(no_event_error)?)
+                }
             }
         };
         if matches!(end, StallEnd::Advanced(_)) {
