Ask another node before the first read of a table

A node that starts after the store has returned from a copy, and is the one that reads the store for its zone, took the copy's rows while the others held them back: for as long as nobody wrote them again it served older routes than they did.

A node without a copy now asks another node first; its reply holds what is in force from before the return. Test store_restore::node_starts now starts such a reader; it failed before (the version in force elsewhere not there within 10 s).

--- a/crates/comfreyspread-lab/tests/store_restore.rs
+++ b/crates/comfreyspread-lab/tests/store_restore.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use comfreyspread_lab::fleet;
-use comfreyspread_policy::table_hold;
-use comfreyspread_schema::types;
+use comfreyspread_policy::{table_freshness, table_hold};
+use comfreyspread_schema::{ids, types};
 use common::gateway;
 use std::time;
 
@@ -184,7 +184,18 @@
     });
 }
 
-/// Guards against a node that starts after the restore and takes the copy's rows, while the others
+/// Returns the name of a node that would read the store first in the zone of these members.
+fn reader_name(members: &[types::MemberRecord]) -> ids::NodeId {
+    let names = (100..200).map(|number| ids::NodeId::from(format!("node-{number}")));
+    let mut candidates = names.map(|node| types::MemberRecord { node, ..members[0].clone() });
+    let is_first = |candidate: &types::MemberRecord| {
+        let all = members.iter().chain([candidate]);
+        table_freshness::zone_readers(all)[0].node == candidate.node
+    };
+    candidates.find(is_first).expect("a node that ranks first").node
+}
+
+/// Guards against a node that starts after the restore, reads the store itself and takes the copy's rows, while the others
 /// still hold them back.
 #[test]
 fn node_starts() {
@@ -195,7 +206,8 @@
         restore(&fleet, &copy).await;
         async_io::Timer::after(AWAY_TIME).await;
         let seeds = [nodes[0].peer_address];
-        let started = fleet.start_node(&gateway::program(), "node-9", &seeds).await;
+        let name = reader_name(&dump(&nodes[0]).await.members);
+        let started = fleet.start_node(&gateway::program(), &name, &seeds).await;
         let started = started.expect("a node");
         wait_for_version(&[started], 2).await;
     });
--- a/crates/comfreyspread/src/gateway/table_watcher.rs
+++ b/crates/comfreyspread/src/gateway/table_watcher.rs
@@ -140,7 +140,8 @@
         self.reachable = replied;
     }
 
-    /// Reads the full table from the store once. Returns false, as there is nothing to coalesce.
+    /// Reads the full table from the store once. Returns false, as there is nothing to coalesce. A
+    /// node without a copy asks another node before, which may know rows that the store has lost.
     async fn read_table<Watcher>(
         &mut self,
         state: &sync::Arc<state::GatewayState>,
@@ -149,6 +150,9 @@
     where
         Watcher: TableWatcher,
     {
+        if !state.store_tables.lock().table(Watcher::TABLE).mirror.is_loaded() {
+            table_exchange::fetch_from_any(state, watcher).await;
+        }
         async_io::Timer::after(self.pace.delay(time::Instant::now())).await;
         let page = state.store.read_table(Watcher::NAME).await?;
         let rows = row_compression::compress_rows(page.rows);
