Reject requests without results at the stand-in engine only if their last stage has pieces

A request needs the results of the stages that no other follows. The check that came with staged_resume looked at any stage, so faulty_answers::closed_results and malformed_peers::refused_pieces, whose last stage is left out, got 503 in place of 200. Both pass again, and staged_resume still asks for the results on each attempt.

--- a/crates/comfreyspread-lab/src/fleet_endpoint.rs
+++ b/crates/comfreyspread-lab/src/fleet_endpoint.rs
@@ -17,6 +17,8 @@
 const PIECE_CALL_DELAY: time::Duration = time::Duration::from_millis(60);
 const EVENT_DELAY: time::Duration = time::Duration::from_millis(10);
 const EVENTS_PER_STREAM: u64 = 6;
+/// Index of the last stage of the sample's route with stages.
+const LAST_STAGE: usize = 1;
 
 /// Handles the requests to one endpoint.
 #[derive(Debug)]
@@ -170,10 +172,11 @@
     }
 }
 
-/// Whether a request has pieces and names no results of them.
+/// Whether a request's last stage, whose results it needs, has pieces, and it names no results.
 fn lacks_inputs(request: &http_server::ServerRequest) -> bool {
-    let pieces = request.header("pieces").unwrap_or_default();
-    let has_pieces = pieces.split(',').any(|count| count.parse().is_ok_and(|count: u32| count > 0));
+    let last = request.header("pieces").and_then(|pieces| pieces.split(',').nth(LAST_STAGE));
+    let has_pieces =
+        last.is_some_and(|count| count.trim().parse().is_ok_and(|count: u32| count > 0));
     has_pieces && request.header("inputs").is_none()
 }
 
