Refuse late requests in a planned stop of a native node

What callers would see: calls with keys and without, taken while a node that serves the native front end stops, cut with no answer at its end.

Cause: as on the platform's front end, the node took what came until it closed its listener. It now asks `stop_window`, by the measured durations of the pools that the call goes through, and refuses with 503, verdict not-run and Retry-After; while it drains, each response closes its connection. What still runs a tenth of a second before the end is answered with 502, verdict may-have-run.

--- a/crates/comfreyspread-lab/tests/late_stop.rs
+++ b/crates/comfreyspread-lab/tests/late_stop.rs
@@ -3,7 +3,8 @@
 mod common;
 
 use async_net::TcpStream;
-use comfreyspread_lab::fleet;
+use comfreyspread::transport::http_client;
+use comfreyspread_lab::{caller, deployment, fleet, types};
 use common::gateway;
 use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _};
 use futures_util::future;
@@ -27,6 +28,11 @@
 const LAST_PART_DELAY: time::Duration = time::Duration::from_millis(4000);
 const PATHS: [&str; 3] = ["/read/", "/write/", "/chat/"];
 const BODY: &str = "body";
+/// Time that an endpoint takes for a request of the native front end.
+const NATIVE_RUN_TIME: time::Duration = time::Duration::from_secs(2);
+const NATIVE_TIMEOUT: time::Duration = time::Duration::from_secs(60);
+/// Callers that start before a native node closes its listener.
+const NATIVE_CALLERS: u32 = 16;
 
 /// A request and how it ended.
 #[derive(Debug)]
@@ -223,3 +229,63 @@
         assert_eq!(node.process.wait(gateway::RESPONSE_TIMEOUT).await, Some(0));
     });
 }
+
+/// Starts two native nodes that end three seconds after SIGTERM, and services that take two.
+async fn native_deployment() -> deployment::TestDeployment {
+    let mut declarations = common::sample_declarations();
+    for pool in &mut declarations.pools {
+        pool.cold_limit = 100;
+        pool.warm_limit = 100;
+    }
+    for profile in &mut declarations.profiles {
+        profile.deadline = NATIVE_TIMEOUT;
+    }
+    let arguments = ["--grace-ms", "2000", "--shutdown-ms", "1000"];
+    let deployment = common::start_deployment(declarations, 2, &arguments).await;
+    for endpoint in common::ledger_endpoints(&deployment) {
+        let faults =
+            types::EndpointFaults { delay: NATIVE_RUN_TIME, ..common::no_faults(&endpoint) };
+        deployment.set_endpoint_faults(&faults).await.expect("the stand-in responds");
+    }
+    deployment
+}
+
+/// Guards against keyed and plain requests that a native node took while it stopped and cut at its
+/// end.
+#[test]
+fn native_requests() {
+    common::run(async {
+        let mut deployment = native_deployment().await;
+        let node = deployment.nodes[0].caller_address;
+        let callers = caller::TestCaller::new(NATIVE_TIMEOUT);
+        let pairs = |prefix: &'static str, number: u32| {
+            [common::record_call(&format!("{prefix}-{number}")), common::read_call()]
+        };
+        let learning = (0..CALLERS).flat_map(|number| pairs("learn", number));
+        let learnt = future::join_all(learning.map(async |call| callers.call(node, &call).await));
+        assert!(learnt.await.iter().all(|answer| answer.is_ok()));
+        deployment.nodes[0].process.signal(Signal::TERM);
+        let late = (0..NATIVE_CALLERS)
+            .flat_map(|number| pairs("late", number).map(|call| (CALLER_INTERVAL * number, call)));
+        let calls = late.map(async |(delay, call)| {
+            async_io::Timer::after(delay).await;
+            callers.call(node, &call).await
+        });
+        let answers = future::join_all(calls).await;
+        for answer in &answers {
+            let answer = answer.as_ref().expect("a complete answer");
+            assert_eq!(answer.header("connection"), Some("close"));
+            match answer.status() {
+                200 => {}
+                503 => assert!(answer.header("retry-after").is_some()),
+                status => panic!("{status}"),
+            }
+        }
+        let is_refused = |answer: &&Result<http_client::ClientResponse, _>| {
+            answer.as_ref().is_ok_and(|answer| answer.status() == 503)
+        };
+        let refused = answers.iter().filter(is_refused).count();
+        assert!((2..answers.len() - 2).contains(&refused), "{refused} of {}", answers.len());
+        assert_eq!(deployment.nodes[0].process.wait(NATIVE_TIMEOUT).await, Some(0));
+    });
+}
--- a/crates/comfreyspread-policy/src/timing.rs
+++ b/crates/comfreyspread-policy/src/timing.rs
@@ -85,6 +85,16 @@
         windows.current.saturating_record(microseconds.min(MAX_MICROSECONDS));
     }
 
+    /// Returns the sum of a quantile of the durations of `pools`; `None` if one has too few samples.
+    pub fn expected_duration(
+        &mut self,
+        pools: &[ids::PoolId],
+        quantile: f64,
+        now: time::Instant,
+    ) -> Option<time::Duration> {
+        pools.iter().map(|pool| self.quantile(pool, quantile, now)).sum()
+    }
+
     /// Whether the sum of the median durations of `pools` is at most `remaining`.
     ///
     /// A pool with too few samples counts as zero.
--- a/crates/comfreyspread-policy/tests/timing.rs
+++ b/crates/comfreyspread-policy/tests/timing.rs
@@ -37,3 +37,15 @@
     assert!(!timings.fits_deadline(&pools, 1000 * MILLIS, now + time::Duration::from_secs(11)));
     assert!(timings.fits_deadline(&pools, 1000 * MILLIS, now + time::Duration::from_secs(25)));
 }
+
+#[test]
+fn expected_sum() {
+    let now = time::Instant::now();
+    let mut timings = measured(now, 100 * MILLIS);
+    let expected = timings.expected_duration(&["p".into(), "p".into()], 0.5, now);
+    assert!(
+        expected.is_some_and(|sum| (195 * MILLIS..=205 * MILLIS).contains(&sum)),
+        "{expected:?}"
+    );
+    assert_eq!(timings.expected_duration(&["p".into(), "unknown".into()], 0.5, now), None);
+}
--- a/crates/comfreyspread/src/ingress/front.rs
+++ b/crates/comfreyspread/src/ingress/front.rs
@@ -8,7 +8,9 @@
     runtime::context,
     transport::{activity_counter, failure, header, http_message, http_server, problem},
 };
+use comfreyspread_policy::catalog;
 use comfreyspread_schema::{ids, types};
+use futures_lite::FutureExt as _;
 use http::{Method, StatusCode};
 use sha2::Digest as _;
 use std::{sync, time};
@@ -19,6 +21,10 @@
 /// Maximum length of a name or idempotency key, in bytes.
 const NAME_LIMIT_BYTES: usize = 255;
 const SERVICE_PREFIX: &str = "/v1/services/";
+/// Time before the end of a planned stop at which requests in progress are given up.
+const GIVE_UP_MARGIN: time::Duration = time::Duration::from_millis(100);
+/// Retry delay of a request that comes too late in a planned stop; another node may take it at once.
+const STOP_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
 
 /// Handles requests of callers and operators.
 pub struct FrontHandler {
@@ -77,8 +83,10 @@
         let arrived = time::Instant::now();
         let active = self.context.track_request();
         let id = self.context.next_request_id();
-        let result = match self.plan(request, &target, id.clone(), arrived) {
-            Ok(plan) => self.run(request, target, plan, active).await,
+        let planned = self.plan(request, &target, id.clone(), arrived);
+        let planned = planned.and_then(|plan| self.check_stop(&target, plan, arrived));
+        let result = match planned {
+            Ok(plan) => Box::pin(self.run(request, target, plan, active)).or(self.stopped()).await,
             Err(failure) => Err(failure),
         };
         let verdict = match &result {
@@ -141,6 +149,40 @@
         })
     }
 
+    /// Checks, while the node stops, whether a request can be finished before it ends.
+    ///
+    /// # Errors
+    ///
+    /// Fails if not; the request has not run.
+    fn check_stop(
+        &self,
+        target: &CallTarget,
+        plan: plan::RequestPlan,
+        arrived: time::Instant,
+    ) -> Result<plan::RequestPlan, failure::CallFailure> {
+        let Some(window) = self.context.drain_limit.window() else { return Ok(plan) };
+        let quantile = window.expected_quantile(arrived, plan.idempotent);
+        let pools = target.pools(&self.context.tables.catalog());
+        let mut timings = self.context.tables.stage_timings.lock();
+        let expected = timings.expected_duration(&pools, quantile, arrived);
+        drop(timings);
+        let time_left = plan.deadline.saturating_duration_since(arrived);
+        if window.admits(arrived, expected, time_left, arrived) {
+            return Ok(plan);
+        }
+        let detail = "the node stops before the request could be finished";
+        let failure = failure::CallFailure::new(types::ProblemKind::Draining, detail);
+        Err(failure.with_retry_after(STOP_RETRY_AFTER))
+    }
+
+    /// Waits until the node is about to end, and returns the failure of a request that still waits.
+    async fn stopped(&self) -> Result<FrontResponse, failure::CallFailure> {
+        self.context.drain_limit.near(GIVE_UP_MARGIN).await;
+        let detail = "the node stops before the request has finished";
+        Err(failure::CallFailure::new(types::ProblemKind::EndpointFailed, detail)
+            .with_verdict(types::CallVerdict::MayHaveRun))
+    }
+
     async fn run(
         &self,
         request: &http_server::ServerRequest,
@@ -254,7 +296,11 @@
 
 impl http_server::RequestHandler for FrontHandler {
     async fn handle(&self, request: http_server::ServerRequest) -> http_message::Response {
-        self.serve(&request).await
+        let mut response = self.serve(&request).await;
+        if self.context.tables.phase() == types::NodePhase::Draining {
+            response.insert_header("connection", "close");
+        }
+        response
     }
 
     fn refuse(&self, error: http_server::RequestError) -> http_message::Response {
@@ -284,6 +330,19 @@
             Self::Pipeline(name) | Self::Service(name) => name,
         }
     }
+
+    /// Returns the pools that run the call, one for each stage.
+    fn pools(&self, catalog: &catalog::ConfigurationCatalog) -> Vec<ids::PoolId> {
+        match self {
+            Self::Pipeline(name) => {
+                let stages = catalog.pipeline(name).map(|pipeline| &pipeline.stages);
+                stages.into_iter().flatten().map(|stage| stage.pool.clone()).collect()
+            }
+            Self::Service(name) => {
+                catalog.service(name).map(|service| service.pool.clone()).into_iter().collect()
+            }
+        }
+    }
 }
 
 fn named_header<'request>(
