Keep convictions of prompt parts in the platform's store

When all nodes were killed at once they forgot which prompt parts crash endpoints, and learnt it anew at the price of as many endpoints again: 6 requests with a part that was known reached endpoints, where 3 are allowed (BUDGET).

Cause: what must last was held in memory alone. Now a row of a table of our own keeps each conviction. The live node that rendezvous hashing by the part puts in charge compares the rows with its convictions, at once when one begins, ends or has another crash, and every 10 s while there is one, at most once a second. It changes what differs, on condition of the versions that it read. So a response that was lost, a change of the node in charge and a store that comes back from a copy are mended by the next round without cases of their own. Each node reads the rows at its start and merges them like the record of a heartbeat, with ages on the store's clock; a proof removes the row.

Decisions are in the policy crate (`conviction_store`, injected time), carried out by `gateway::conviction_sync`; the call is encoded in platform/src/store.rs, and messages and the stored value come from the schema. Nothing else is written.

--- a/crates/comfreyspread-lab/src/fleet.rs
+++ b/crates/comfreyspread-lab/src/fleet.rs
@@ -178,6 +178,11 @@
         self.store.put(table, key, value.map(Into::into));
     }
 
+    /// Returns the rows of a table of the store, by key.
+    pub fn rows(&self, table: &str) -> Vec<(ids::Text, ids::Text)> {
+        self.store.rows(table)
+    }
+
     /// Sets whether the store rejects all calls.
     pub fn set_store_down(&self, down: bool) {
         self.store.set_down(down);
--- a/crates/comfreyspread-lab/src/fleet_store.rs
+++ b/crates/comfreyspread-lab/src/fleet_store.rs
@@ -22,6 +22,29 @@
     unresponsive: atomic::AtomicBool,
     request_count: atomic::AtomicU64,
     sent_bytes: atomic::AtomicU64,
+    started: time::Instant,
+}
+
+/// A row in a change of rows.
+#[derive(Debug, serde::Deserialize)]
+struct ChangedRow {
+    table: ids::Text,
+    key: ids::Text,
+    #[serde(default)]
+    ver: u64,
+    #[serde(default)]
+    value: String,
+}
+
+/// Changes of rows, all or none of which are made.
+#[derive(Debug, serde::Deserialize)]
+struct RowChanges {
+    #[serde(default)]
+    expected_rev: Vec<ChangedRow>,
+    #[serde(default)]
+    writes: Vec<ChangedRow>,
+    #[serde(default)]
+    remove: Vec<ChangedRow>,
 }
 
 #[derive(Debug, Default)]
@@ -40,6 +63,7 @@
             unresponsive: atomic::AtomicBool::new(false),
             request_count: atomic::AtomicU64::new(0),
             sent_bytes: atomic::AtomicU64::new(0),
+            started: time::Instant::now(),
         }
     }
 }
@@ -82,6 +106,46 @@
         self.changed.notify(usize::MAX);
     }
 
+    /// Returns the rows of a table, by key.
+    pub fn rows(&self, table: &str) -> Vec<(ids::Text, ids::Text)> {
+        let rows = self.rows.lock();
+        let of_table = rows.rows.iter().filter(|((row_table, _), _)| **row_table == *table);
+        of_table.filter_map(|((_, key), (value, _))| Some((key.clone(), value.clone()?))).collect()
+    }
+
+    /// Returns the time of the store's steady clock.
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Makes changes if all rows have the versions that they expect.
+    fn change_rows(&self, changes: RowChanges) -> http_message::Response {
+        let mut rows = self.rows.lock();
+        let version = |row: &ChangedRow| {
+            let known = rows.rows.get(&(row.table.clone(), row.key.clone()));
+            known.filter(|(value, _)| value.is_some()).map_or(0, |(_, version)| *version)
+        };
+        if changes.expected_rev.iter().any(|row| version(row) != row.ver) {
+            return http_message::Response::new(StatusCode::PRECONDITION_FAILED);
+        }
+        let decode = |row: &ChangedRow| {
+            let bytes = general_purpose::STANDARD.decode(&row.value).ok()?;
+            String::from_utf8(bytes).ok().map(ids::Text::from)
+        };
+        rows.version += 1;
+        let new_version = rows.version;
+        for row in changes.writes {
+            let value = decode(&row);
+            rows.rows.insert((row.table, row.key), (value, new_version));
+        }
+        for row in changes.remove {
+            rows.rows.insert((row.table, row.key), (None, new_version));
+        }
+        drop(rows);
+        self.changed.notify(usize::MAX);
+        stand_in_server::json_response(&serde_json::json!({"ver": new_version}))
+    }
+
     /// Returns the rows of a table with versions above `after`, and the version of the store.
     /// Removed rows are included if `include_removed`.
     fn read_rows(
@@ -124,7 +188,7 @@
             let timed_out = time::Instant::now() >= deadline;
             if !rows.is_empty() || timed_out || self.down.load(atomic::Ordering::Relaxed) {
                 self.count_sent(&rows);
-                return serde_json::json!({"rows": rows, "ver": version, "now_ms": 0});
+                return serde_json::json!({"rows": rows, "ver": version, "now_ms": self.now_ms()});
             }
             let timer = async {
                 async_io::Timer::at(deadline).await;
@@ -154,7 +218,8 @@
             "/v1/rows-get" => {
                 let (rows, version) = self.read_rows(table, 0, false);
                 self.count_sent(&rows);
-                let page = serde_json::json!({"rows": rows, "ver": version, "has_more": false});
+                let page = serde_json::json!({"rows": rows, "ver": version, "has_more": false,
+                    "now_ms": self.now_ms()});
                 stand_in_server::json_response(&page)
             }
             "/v1/rows-feed" => {
@@ -163,6 +228,9 @@
                     &self.poll_changes(table, number_field("after"), wait).await,
                 )
             }
+            "/v1/rows-tx" => {
+                stand_in_server::with_json(&request, |changes| self.change_rows(changes))
+            }
             _ => http_message::Response::new(StatusCode::NOT_FOUND),
         }
     }
--- a/crates/comfreyspread-lab/tests/crashing_parts.rs
+++ b/crates/comfreyspread-lab/tests/crashing_parts.rs
@@ -21,6 +21,9 @@
 const LEARNING_CRASHES: usize = 5;
 /// Requests with the guilty part that may still reach endpoints after that.
 const LATE_ARRIVALS: usize = 3;
+/// Time within which a conviction is stored, also once more.
+const STORE_TIME: time::Duration = time::Duration::from_secs(15);
+const POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
 const GUILTY_INTERVAL: time::Duration = time::Duration::from_millis(400);
 const SOUND_INTERVAL: time::Duration = time::Duration::from_millis(120);
 
@@ -161,6 +164,32 @@
     });
 }
 
+/// Waits until the store has a row of the guilty part.
+async fn stored_row(fleet: &fleet::FleetStandIn) -> String {
+    let deadline = time::Instant::now() + STORE_TIME;
+    loop {
+        let rows = fleet.rows("convictions");
+        assert!(rows.len() <= 1, "{rows:?}");
+        if let Some((key, _)) = rows.first() {
+            return key.to_string();
+        }
+        assert!(time::Instant::now() < deadline, "the conviction is in no row");
+        async_io::Timer::after(POLL_INTERVAL).await;
+    }
+}
+
+/// Guards against a conviction that is no longer stored because the store has come back from a copy
+/// that is older than its row.
+#[test]
+fn row_lost() {
+    CrashTest::run(4, async |test| {
+        future::join(test.send_guilty(CONTACT_TIME), test.send_sound(CONTACT_TIME)).await;
+        let key = stored_row(&test.fleet).await;
+        test.fleet.set_row("convictions", &key, None);
+        assert_eq!(stored_row(&test.fleet).await, key);
+    });
+}
+
 /// Guards against endpoints crashing anew with a part that was known, because all nodes have been
 /// killed at once.
 #[test]
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -6,7 +6,7 @@
 //! decisions, and tests run them on injected time.
 //!
 //! - The ingress node: [`verdict`], [`attempt`], [`routing`], [`retry`], [`timing`], [`stream`],
-//!   [`suspect`], [`part_suspect`] over [`crash_evidence`], [`link_budget`].
+//!   [`suspect`], [`part_suspect`] over [`crash_evidence`], [`conviction_store`], [`link_budget`].
 //! - Requests that may run at most once: [`claim`], [`row_finalizer`], [`write_group`].
 //! - On the users' platform: [`route_table`], [`endpoint_directory`] of [`directory_endpoint`]s
 //!   with their [`endpoint_intake`], [`endpoint_selection`], [`stage_graph`] of a request,
@@ -42,6 +42,7 @@
 pub mod comparison;
 pub mod concurrency_limit;
 pub mod connectivity;
+pub mod conviction_store;
 pub mod crash_evidence;
 pub mod declared_item;
 pub mod delta;
--- a/crates/comfreyspread-policy/src/part_suspect.rs
+++ b/crates/comfreyspread-policy/src/part_suspect.rs
@@ -174,6 +174,14 @@
         true
     }
 
+    /// Returns the records of the parts that are convicted; one whose conviction has lapsed remains
+    /// so until it is proved sound.
+    pub fn convictions(&self, now: time::Instant) -> Vec<types::PartSuspect> {
+        let suspects = self.suspects.iter().filter_map(|part| self.entries.get_key_value(part));
+        let convicted = suspects.filter(|(_, entry)| entry.convicted && !is_expired(entry, now));
+        convicted.map(|(part, entry)| record(*part, entry, now)).collect()
+    }
+
     /// Merges the record of another node. Returns whether it holds a crash that was not known.
     pub fn merge(&mut self, record: &types::PartSuspect, now: time::Instant) -> bool {
         let proven_at = now.checked_sub(record.proof_age).filter(|_| record.proven);
--- a/crates/comfreyspread/src/gateway/mod.rs
+++ b/crates/comfreyspread/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 pub mod batcher;
 pub mod call_plan;
 pub mod caller_handler;
+pub mod conviction_sync;
 pub mod endpoint_notices;
 pub mod endpoint_watcher;
 pub mod piece_dispatch;
--- a/crates/comfreyspread/src/gateway/process.rs
+++ b/crates/comfreyspread/src/gateway/process.rs
@@ -1,8 +1,8 @@
 //! The node process on the users' platform: start, serve, drain, stop.
 
 use super::{
-    admin_handler, caller_handler, endpoint_watcher, piece_dispatch, route_watcher, state,
-    table_watcher,
+    admin_handler, caller_handler, conviction_sync, endpoint_watcher, piece_dispatch,
+    route_watcher, state, table_watcher,
 };
 use crate::{
     membership::{crash_notice, heartbeat, peer},
@@ -139,6 +139,10 @@
     supervisor::supervise(&context.spawner, "endpoint-watcher", move || {
         table_watcher::watch(task_state.clone(), endpoint_watcher::EndpointWatcher)
     });
+    let task_state = state.clone();
+    supervisor::supervise(&context.spawner, "conviction-sync", move || {
+        conviction_sync::run(task_state.clone())
+    });
     log::info!(node = context.settings.node.as_ref(), zone = context.settings.zone.as_ref();
         "gateway: started");
     let starting = node_lifecycle::NodeLifecycle::new();
--- a/crates/comfreyspread/src/gateway/store_client.rs
+++ b/crates/comfreyspread/src/gateway/store_client.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     runtime::stage_metrics,
-    transport::{failure, http_client, http_message},
+    transport::{failure, header, http_client, http_message},
 };
 use comfreyspread_platform::store;
 use comfreyspread_schema::types;
@@ -77,6 +77,53 @@
         decode(&response).map(StoreFeed::Changes)
     }
 
+    /// Reads the first page of a table, with its time on the store's steady clock.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not respond or rejects the request.
+    pub async fn read_timed(
+        &self,
+        table: &str,
+    ) -> Result<(types::StorePage, time::Duration), failure::CallFailure> {
+        self.metrics.count_store_page();
+        let response = self.send(&store::page_path(table, None), RESPONSE_TIMEOUT).await?;
+        let page = decode(&response)?;
+        let now = store::decode_time(response.body()).map_err(|error| {
+            failure::CallFailure::new(types::ProblemKind::StoreUnavailable, error.to_string())
+        })?;
+        Ok((page, now))
+    }
+
+    /// Changes rows of a table, all or none of them. Returns false if one does not have the version
+    /// that its change requires.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not respond or rejects the request; the changes may then be made
+    /// later, if the versions still hold.
+    pub async fn change_rows(
+        &self,
+        table: &str,
+        changes: &[types::RowChange],
+    ) -> Result<bool, failure::CallFailure> {
+        self.metrics.count_store_change();
+        let body = store::encode_changes(table, changes).map_err(|error| {
+            failure::CallFailure::new(types::ProblemKind::Internal, error.to_string())
+        })?;
+        let url = format!("http://{}{}", self.address, store::CHANGE_PATH);
+        let mut request = http_message::Request::new(http::Method::POST, &url);
+        request.set_body(body);
+        request.insert_header("content-type", header::JSON);
+        let connection = http_client::ConnectionUse::Fresh;
+        let deadline = time::Instant::now() + RESPONSE_TIMEOUT;
+        let response = self.client.call(self.address, request, connection, deadline).await?;
+        if response.status() == store::CONDITION_FAILED_STATUS {
+            return Ok(false);
+        }
+        check_status(&response).map(|()| true)
+    }
+
     async fn read_page(
         &self,
         table: &str,
--- a/crates/comfreyspread/src/runtime/stage_metrics.rs
+++ b/crates/comfreyspread/src/runtime/stage_metrics.rs
@@ -21,6 +21,7 @@
     failed_store_reads: metrics::counter::Counter,
     store_pages: metrics::counter::Counter,
     store_polls: metrics::counter::Counter,
+    store_changes: metrics::counter::Counter,
     endpoints: metrics::gauge::Gauge,
     leaving: metrics::gauge::Gauge,
     paused: metrics::gauge::Gauge,
@@ -43,6 +44,7 @@
             failed_store_reads: metrics::counter::Counter::default(),
             store_pages: metrics::counter::Counter::default(),
             store_polls: metrics::counter::Counter::default(),
+            store_changes: metrics::counter::Counter::default(),
             endpoints: metrics::gauge::Gauge::default(),
             leaving: metrics::gauge::Gauge::default(),
             paused: metrics::gauge::Gauge::default(),
@@ -72,6 +74,8 @@
         registry.register("store_pages_read", help, self.store_pages.clone());
         let help = "Requests for the changes of a table to the platform's store";
         registry.register("store_change_polls", help, self.store_polls.clone());
+        let help = "Changes of rows sent to the platform's store";
+        registry.register("store_row_changes", help, self.store_changes.clone());
         registry.register("endpoints_known", "Endpoints registered", self.endpoints.clone());
         registry.register("endpoints_leaving", "Endpoints that leave", self.leaving.clone());
         let help = "Endpoints that asked for no requests for a time";
@@ -112,6 +116,11 @@
         self.store_polls.inc();
     }
 
+    /// Counts a change of rows sent to the store.
+    pub fn count_store_change(&self) {
+        self.store_changes.inc();
+    }
+
     /// Counts a batching node that was skipped because it did not answer.
     pub fn count_skipped_node(&self) {
         self.skipped_nodes.inc();
