--- a/crates/comfreyspread-lab/src/fleet_store.rs
+++ b/crates/comfreyspread-lab/src/fleet_store.rs
@@ -27,6 +27,29 @@
     full_reads: atomic::AtomicU64,
     request_count: atomic::AtomicU64,
     sent_bytes: atomic::AtomicU64,
+    started: time::Instant,
+}
+
+/// A row in a change of rows.
+#[derive(Debug, serde::Deserialize)]
+struct ChangedRow {
+    table: ids::Text,
+    key: ids::Text,
+    #[serde(default)]
+    ver: u64,
+    #[serde(default)]
+    value: String,
+}
+
+/// Changes of rows, all or none of which are made.
+#[derive(Debug, serde::Deserialize)]
+struct RowChanges {
+    #[serde(default)]
+    expected_rev: Vec<ChangedRow>,
+    #[serde(default)]
+    writes: Vec<ChangedRow>,
+    #[serde(default)]
+    remove: Vec<ChangedRow>,
 }
 
 /// Copy of the store at one moment.
@@ -48,10 +71,34 @@
     key: ids::Text,
     text: Box<value::RawValue>,
     is_removed: bool,
+    /// Value as written, if the row was not written as raw text.
+    value: Option<ids::Text>,
     value_bytes: usize,
     version: u64,
 }
 
+impl StoredRow {
+    /// Creates a row; it is removed if `value` is none.
+    fn new(table: &str, key: &str, value: Option<ids::Text>, version: u64) -> Self {
+        let encoded = value.as_ref().map(|value| general_purpose::STANDARD.encode(&**value));
+        let value_bytes = encoded.as_ref().map_or(0, String::len);
+        let is_removed = value.is_none();
+        let row = serde_json::json!({
+            "table": table, "part": "", "key": key, "value": encoded, "ver": version,
+            "removed": is_removed,
+        });
+        let text = value::to_raw_value(&row).expect("a row of JSON");
+        Self { key: key.into(), text, is_removed, value, value_bytes, version }
+    }
+
+    /// Creates a row that is sent as `text`, which is JSON of any form.
+    fn with_text(key: &str, text: &str, version: u64) -> Self {
+        let value_bytes = text.len();
+        let text = value::RawValue::from_string(text.to_owned()).expect("a row of JSON");
+        Self { key: key.into(), text, is_removed: false, value: None, value_bytes, version }
+    }
+}
+
 /// Reply with rows.
 #[derive(Debug, serde::Serialize)]
 struct RowsReply {
@@ -62,9 +109,9 @@
 }
 
 impl RowsReply {
-    fn new(rows: Vec<StoredRow>, version: u64) -> Self {
+    fn new(rows: Vec<StoredRow>, version: u64, now_ms: u64) -> Self {
         let rows = rows.into_iter().map(|row| row.text).collect();
-        Self { rows, ver: version, now_ms: 0, has_more: false }
+        Self { rows, ver: version, now_ms, has_more: false }
     }
 }
 
@@ -81,6 +128,7 @@
             full_reads: atomic::AtomicU64::new(0),
             request_count: atomic::AtomicU64::new(0),
             sent_bytes: atomic::AtomicU64::new(0),
+            started: time::Instant::now(),
         }
     }
 }
@@ -149,40 +197,67 @@
 
     /// Sets a row, or removes it if `value` is none.
     pub fn put(&self, table: &str, key: &str, value: Option<ids::Text>) {
-        let encoded = value.as_ref().map(|value| general_purpose::STANDARD.encode(&**value));
-        let value_bytes = encoded.as_ref().map_or(0, String::len);
-        self.store_row(table, key, value.is_none(), value_bytes, |version| {
-            let row = serde_json::json!({
-                "table": table, "part": "", "key": key, "value": encoded, "ver": version,
-                "removed": value.is_none(),
-            });
-            row.to_string()
-        });
+        self.store_row(table, key, |version| StoredRow::new(table, key, value, version));
     }
 
     /// Sets a row that is sent as `text`, which is JSON of any form.
     pub fn put_raw(&self, table: &str, key: &str, text: &str) {
-        self.store_row(table, key, false, text.len(), |_| text.to_owned());
+        self.store_row(table, key, |version| StoredRow::with_text(key, text, version));
     }
 
-    fn store_row(
-        &self,
-        table: &str,
-        key: &str,
-        is_removed: bool,
-        value_bytes: usize,
-        format_row: impl FnOnce(u64) -> String,
-    ) {
+    fn store_row<MakeRow>(&self, table: &str, key: &str, make_row: MakeRow)
+    where
+        MakeRow: FnOnce(u64) -> StoredRow,
+    {
         let mut rows = self.rows.lock();
         rows.version += 1;
-        let version = rows.version;
-        let text = value::RawValue::from_string(format_row(version)).expect("a row of JSON");
-        let row = StoredRow { key: key.into(), text, is_removed, value_bytes, version };
+        let row = make_row(rows.version);
         rows.rows.insert((table.into(), key.into()), row);
         drop(rows);
         self.changed.notify(usize::MAX);
     }
 
+    /// Returns the rows of a table, by key.
+    pub fn rows(&self, table: &str) -> Vec<(ids::Text, ids::Text)> {
+        let rows = self.rows.lock();
+        let of_table = rows.rows.iter().filter(|((row_table, _), _)| **row_table == *table);
+        of_table.filter_map(|((_, key), row)| Some((key.clone(), row.value.clone()?))).collect()
+    }
+
+    /// Returns the time of the store's steady clock.
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Makes changes if all rows have the versions that they expect.
+    fn change_rows(&self, changes: RowChanges) -> http_message::Response {
+        let mut rows = self.rows.lock();
+        let version = |row: &ChangedRow| {
+            let known = rows.rows.get(&(row.table.clone(), row.key.clone()));
+            known.filter(|row| !row.is_removed).map_or(0, |row| row.version)
+        };
+        if changes.expected_rev.iter().any(|row| version(row) != row.ver) {
+            return http_message::Response::new(StatusCode::PRECONDITION_FAILED);
+        }
+        let decode = |row: &ChangedRow| {
+            let bytes = general_purpose::STANDARD.decode(&row.value).ok()?;
+            String::from_utf8(bytes).ok().map(ids::Text::from)
+        };
+        rows.version += 1;
+        let new_version = rows.version;
+        for row in changes.writes {
+            let stored = StoredRow::new(&row.table, &row.key, decode(&row), new_version);
+            rows.rows.insert((row.table, row.key), stored);
+        }
+        for row in changes.remove {
+            let stored = StoredRow::new(&row.table, &row.key, None, new_version);
+            rows.rows.insert((row.table, row.key), stored);
+        }
+        drop(rows);
+        self.changed.notify(usize::MAX);
+        stand_in_server::json_response(&serde_json::json!({"ver": new_version}))
+    }
+
     /// Returns the rows of a table with versions above `after`, and the version of the store.
     /// Removed rows are included if `include_removed`.
     fn read_rows(&self, table: &str, after: u64, include_removed: bool) -> (Vec<StoredRow>, u64) {
@@ -202,7 +277,7 @@
         let has_more = rows.len() > page_rows;
         rows.truncate(page_rows);
         self.count_sent(&rows);
-        RowsReply { has_more, ..RowsReply::new(rows, version) }
+        RowsReply { has_more, ..RowsReply::new(rows, version, self.now_ms()) }
     }
 
     /// Whether the store lacks the history after this version.
@@ -231,7 +306,8 @@
             let timed_out = time::Instant::now() >= deadline;
             if !rows.is_empty() || timed_out || self.down.load(atomic::Ordering::Relaxed) {
                 self.count_sent(&rows);
-                return stand_in_server::json_response(&RowsReply::new(rows, version));
+                let now_ms = self.now_ms();
+                return stand_in_server::json_response(&RowsReply::new(rows, version, now_ms));
             }
             let timer = async {
                 async_io::Timer::at(deadline).await;
@@ -267,6 +343,9 @@
                 let wait = time::Duration::from_millis(number_field("wait_ms"));
                 self.poll_changes(table, number_field("after"), wait).await
             }
+            "/v1/rows-tx" => {
+                stand_in_server::with_json(request, |changes| self.change_rows(changes))
+            }
             _ => http_message::Response::new(StatusCode::NOT_FOUND),
         }
     }
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -105,7 +105,7 @@
     /// The silent endpoint went on, ended the stream or broke off.
     Advanced(io::Result<Option<stream_reader::EventBatch>>),
     /// Another endpoint goes on; none if no other may be asked.
-    Moved(Option<attempt_send::StartedAttempt>),
+    Moved(Option<Box<attempt_send::StartedAttempt>>),
     /// Another endpoint has taken the request and has not begun to answer.
     Overlapped,
 }
@@ -337,7 +337,7 @@
         let end = {
             let mut resumed = pin::pin!(self.resume());
             let advanced = async { StallEvent::Advanced(reader.next_advance().await) };
-            let moved = async { StallEvent::Moved(resumed.as_mut().await) };
+            let moved = async { StallEvent::Moved(resumed.as_mut().await.map(Box::new)) };
             let overlapped = async {
                 sent.await;
                 async_io::Timer::after(MAX_OVERLAP).await;
@@ -346,7 +346,7 @@
             match advanced.or(moved).or(overlapped).await {
                 StallEvent::Advanced(Ok(batch)) => StallEnd::Advanced(batch),
                 StallEvent::Advanced(Err(error)) => StallEnd::moved(resumed.await.ok_or(error)?),
-                StallEvent::Moved(next) => next.map_or(StallEnd::Unmoved, StallEnd::moved),
+                StallEvent::Moved(next) => next.map_or(StallEnd::Unmoved, StallEnd::Moved),
                 StallEvent::Overlapped => {
                     reader.close();
                     StallEnd::moved(resumed.await.ok_or_else(no_event_error)?)
