Leave a zone at once that a restored store has out of service

Cause: a zone's row whose removal is known, at a version below that, looks like the copy's and was held back like any other. Whether it is old can't be told, but a zone that is left needlessly is back with the row's removal, which is written again, too.

Evidence: restored_rows::zone_out_again failed before and passes now.

--- a/crates/comfreyspread/src/gateway/route_watcher.rs
+++ b/crates/comfreyspread/src/gateway/route_watcher.rs
@@ -31,7 +31,12 @@
         }
     }
 
+    /// A higher document is newer. A zone that is out may be so again: it is left at once, for if the
+    /// row is old, its removal follows.
     fn confirms(&self, state: &sync::Arc<state::GatewayState>, row: &types::StoreRow) -> bool {
+        if row.key.starts_with(store::ZONE_OUT_PREFIX) {
+            return row.value.is_some();
+        }
         if *row.key != *store::ROUTES_KEY {
             return false;
         }
--- a/crates/comfreyspread/tests/restored_rows.rs
+++ b/crates/comfreyspread/tests/restored_rows.rs
@@ -97,6 +97,10 @@
     watcher.end_hold(state, end.expect("a hold").rows);
 }
 
+fn is_usable(state: &state::GatewayState) -> bool {
+    state.directory.lock().usable("s", None, time::Instant::now()).next().is_some()
+}
+
 fn is_leaving(state: &state::GatewayState) -> bool {
     state.directory.lock().counts(time::Instant::now()).leaving == 1
 }
@@ -134,6 +138,24 @@
     });
 }
 
+/// Guards against a zone that is taken out again before the first read of the restored store, and is
+/// left only once the hold is over, since the row looks like one of the copy.
+#[test]
+fn zone_out_again() {
+    let watcher = route_watcher::RouteWatcher;
+    let out = |at| row("evacuate/a", &serde_json::json!({}), at);
+    with_state(|state| {
+        let endpoint = registration("ready", 1000, position(1, 5));
+        read_table(state, &endpoint_watcher::EndpointWatcher, endpoint);
+        read_table(state, &watcher, out(position(1, 18)));
+        let removed = types::StoreRow { value: None, ..out(position(1, 20)) };
+        table_watcher::merge_rows(state, &watcher, vec![removed], position(1, 20));
+        assert!(is_usable(state));
+        read_table(state, &watcher, out(position(2, 12)));
+        assert!(!is_usable(state));
+    });
+}
+
 /// Guards against an endpoint that is used again though it leaves, because the copy has it ready.
 #[test]
 fn leaving_endpoint() {
