Look for the end of an event once, whatever ends its lines

Found by review: the search for two line feeds went through all that was buffered for each event of a stream whose lines end with a carriage return and a line feed. One pass now finds either end. Not shown by a failing test: endless_answers::repeated_crlf also passes before, as a chunk holds few enough events; it stands beside repeated_event. event_buffer passes.

--- a/crates/comfreyspread-lab/tests/common/raw_endpoint.rs
+++ b/crates/comfreyspread-lab/tests/common/raw_endpoint.rs
@@ -40,6 +40,8 @@
     DrippingEvent,
     /// One whole event, again and again.
     RepeatedEvent,
+    /// The same, with lines that end with a carriage return and a line feed.
+    RepeatedCrlfEvent,
 }
 
 /// An endpoint and what was sent on its connections.
@@ -85,7 +87,10 @@
             Endless::LongBody => format!("{head}Content-Length: 4\r\n\r\nbody"),
             Endless::Body => format!("{head}Content-Length: 9000000000\r\n\r\n"),
             Endless::ChunkedBody => format!("{head}Transfer-Encoding: chunked\r\n\r\n"),
-            Endless::Event | Endless::DrippingEvent | Endless::RepeatedEvent => format!(
+            Endless::Event
+            | Endless::DrippingEvent
+            | Endless::RepeatedEvent
+            | Endless::RepeatedCrlfEvent => format!(
                 "{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
             ),
         };
@@ -110,6 +115,7 @@
         Endless::Body | Endless::ChunkExtension | Endless::LongBody => vec![b'x'; CHUNK_BYTES],
         Endless::ChunkedBody | Endless::Event => chunk(&vec![b'x'; CHUNK_BYTES]),
         Endless::RepeatedEvent => chunk(&b"id: 1\ndata: x\n\n".repeat(CHUNK_BYTES / 15)),
+        Endless::RepeatedCrlfEvent => chunk(&b"id: 1\r\ndata: x\r\n\r\n".repeat(CHUNK_BYTES / 18)),
         Endless::DrippingEvent => b"1\r\nx\r\n".to_vec(),
     }
 }
--- a/crates/comfreyspread-lab/tests/endless_answers.rs
+++ b/crates/comfreyspread-lab/tests/endless_answers.rs
@@ -181,6 +181,12 @@
     check_streams(raw_endpoint::Endless::RepeatedEvent);
 }
 
+/// The same, with the other end of lines: each event was sought in all bytes that followed it.
+#[test]
+fn repeated_crlf() {
+    check_streams(raw_endpoint::Endless::RepeatedCrlfEvent);
+}
+
 #[test]
 fn slow_stream() {
     let endless = raw_endpoint::Endless::DrippingEvent;
--- a/crates/comfreyspread-policy/src/event_buffer.rs
+++ b/crates/comfreyspread-policy/src/event_buffer.rs
@@ -13,7 +13,10 @@
 //! assert!(!buffer.is_empty());
 //! ```
 
-const EVENT_ENDS: [&[u8]; 2] = [b"\n\n", b"\r\n\r\n"];
+/// Ends of lines; an event ends with two that are the same.
+const LINE_ENDS: [&[u8]; 2] = [b"\n", b"\r\n"];
+/// Size of the longest end of an event, in bytes.
+const MAX_END_BYTES: usize = 4;
 const ID_FIELD: &[u8] = b"id:";
 const DATA_FIELD: &[u8] = b"data";
 /// Start of the head of a response, which no line of an event has.
@@ -107,18 +110,15 @@
 
     /// Returns the end of the event that starts at `from`.
     fn event_end(&self, from: usize) -> Option<usize> {
-        let longest = EVENT_ENDS.iter().map(|end| end.len()).max().unwrap_or(0);
-        let start = from.max(self.searched.saturating_sub(longest));
-        let mut unsearched = &self.bytes[start..];
-        let mut found = None;
-        for end in EVENT_ENDS {
-            if let Some(offset) = unsearched.windows(end.len()).position(|window| window == end) {
-                let length = offset + end.len();
-                unsearched = &unsearched[..length];
-                found = Some(start + length);
-            }
-        }
-        found
+        let start = from.max(self.searched.saturating_sub(MAX_END_BYTES));
+        let unsearched = self.bytes[start..].iter().enumerate();
+        let line_feeds = unsearched.filter(|(_, byte)| **byte == b'\n');
+        line_feeds.map(|(offset, _)| start + offset + 1).find_map(|next_line| {
+            let (before, after) = (&self.bytes[from..next_line], &self.bytes[next_line..]);
+            let mut ends = LINE_ENDS.into_iter();
+            let end = ends.find(|end| before.ends_with(end) && after.starts_with(end))?;
+            Some(next_line + end.len())
+        })
     }
 }
 
