--- a/crates/comfreyspread-lab/tests/store_restore.rs
+++ b/crates/comfreyspread-lab/tests/store_restore.rs
@@ -195,8 +195,8 @@
     candidates.find(is_first).expect("a node that ranks first").node
 }
 
-/// Guards against a node that starts after the restore, reads the store itself and takes the copy's rows, while the others
-/// still hold them back.
+/// Guards against a node that starts after the restore, reads the store itself and takes the copy's
+/// rows, while the others still hold them back.
 #[test]
 fn node_starts() {
     with_nodes(NODES, async |fleet, nodes| {
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -18,9 +18,9 @@
 //! - The owner: [`pool_scheduler`] over [`call_queue`], [`pool_endpoint`], [`endpoint_lifecycle`],
 //!   [`concurrency_limit`], [`circuit_breaker`], [`outlier`], [`endpoint_selector`], [`latency`].
 //! - Members and ownership: [`membership`] with [`member_dissemination`],
-//!   [`member_digest`], [`probe_ring`] and [`prober_health`], [`connectivity`], [`rendezvous`], [`ownership`],
-//!   [`ownership_release`], [`ownership_status`], [`leaving_vms`], [`node_lifecycle`], [`stop_window`],
-//!   [`task_restart`].
+//!   [`member_digest`], [`probe_ring`] and [`prober_health`], [`connectivity`], [`rendezvous`],
+//!   [`ownership`], [`ownership_release`], [`ownership_status`], [`leaving_vms`], [`node_lifecycle`],
+//!   [`stop_window`], [`task_restart`].
 //! - Configuration: [`validation`], [`catalog`], [`change`], [`acceptance`], [`delta`], [`poller`].
 //!
 //! ```
--- a/crates/comfreyspread/src/gateway/attempt_history.rs
+++ b/crates/comfreyspread/src/gateway/attempt_history.rs
@@ -89,8 +89,8 @@
         self.try_acquire_rerun(state, plan)
     }
 
-    /// Returns whether the request may run again, at an endpoint that may get it; if so, a retry is taken from
-    /// the budget.
+    /// Returns whether the request may run again, at an endpoint that may get it; if so, a retry is
+    /// taken from the budget.
     pub fn try_acquire_rerun(
         &self,
         state: &state::GatewayState,
--- a/crates/comfreyspread/src/gateway/endpoint_watcher.rs
+++ b/crates/comfreyspread/src/gateway/endpoint_watcher.rs
@@ -48,7 +48,8 @@
 ) {
     let service = state.routes().service(&registration.service).cloned();
     let cold = service.filter(|_| !first_load).map_or(time::Duration::ZERO, |rule| rule.cold_start);
-    log::debug!(endpoint = registration.endpoint.as_ref(), leaving = registration.leaving; "endpoints: changed");
+    log::debug!(endpoint = registration.endpoint.as_ref(), leaving = registration.leaving;
+        "endpoints: changed");
     state.directory.lock().insert(registration, endpoint_directory::ColdStart { cold }, now);
 }
 
--- a/crates/comfreyspread/src/gateway/table_update.rs
+++ b/crates/comfreyspread/src/gateway/table_update.rs
@@ -5,8 +5,9 @@
 use comfreyspread_schema::{ids, types};
 use std::{sync, time};
 
-/// Applies an update of a table, also an empty one, which shows that the table is read. If it began an era of the store, rows held back that the watcher
-/// confirms are applied at once, and the others when the hold is over.
+/// Applies an update of a table, also an empty one, which shows that the table is read. If it began an
+/// era of the store, rows held back that the watcher confirms are applied at once, and the others when
+/// the hold is over.
 pub fn apply_update<Watcher>(
     state: &sync::Arc<state::GatewayState>,
     watcher: &Watcher,
