Name what tells the timings and tried endpoints, and share caller requests

The life cycle of a caller's request serves both front ends, so it moves from the native one to the runtime. call_timings holds the times of requests of a route, too; SecondTry::excludes_others says what 'only' meant. Names and places only.

--- a/crates/comfreyspread-policy/src/endpoint_selection.rs
+++ b/crates/comfreyspread-policy/src/endpoint_selection.rs
@@ -177,7 +177,7 @@
         }
         let second_try = self.query.second_try;
         let again = second_try.is_some_and(|one| *one.endpoint == endpoint.registration.endpoint);
-        let closed_to_others = second_try.is_some_and(|one| one.only);
+        let closed_to_others = second_try.is_some_and(|one| one.excludes_others);
         if self.query.tried.contains(&endpoint.registration.endpoint)
             || (closed_to_others && !again)
         {
--- a/crates/comfreyspread-policy/src/tried_endpoints.rs
+++ b/crates/comfreyspread-policy/src/tried_endpoints.rs
@@ -21,7 +21,7 @@
     /// The endpoint.
     pub endpoint: &'query ids::EndpointId,
     /// Whether no other endpoint may run the request.
-    pub only: bool,
+    pub excludes_others: bool,
 }
 
 /// Endpoints that one request was sent to.
@@ -59,7 +59,7 @@
     pub fn second_try(&self, max_attempts: u32) -> Option<SecondTry<'_>> {
         let endpoint = self.second_try.as_ref();
         let endpoint = endpoint.filter(|endpoint| !self.excluded.contains(endpoint))?;
-        Some(SecondTry { endpoint, only: self.runs() >= max_attempts })
+        Some(SecondTry { endpoint, excludes_others: self.runs() >= max_attempts })
     }
 
     /// Returns whether the request may be sent again when at most `max_attempts` endpoints may run
--- a/crates/comfreyspread-policy/tests/endpoint_directory.rs
+++ b/crates/comfreyspread-policy/tests/endpoint_directory.rs
@@ -91,7 +91,8 @@
     let mut needs = RequestNeeds::new();
     let endpoint = "one".into();
     let mut choose = |needs: &RequestNeeds, only| {
-        let second_try = Some(tried_endpoints::SecondTry { endpoint: &endpoint, only });
+        let second_try =
+            Some(tried_endpoints::SecondTry { endpoint: &endpoint, excludes_others: only });
         let query = endpoint_directory::EndpointQuery { second_try, ..needs.query(now) };
         directory.start_call(&query).map(|chosen| chosen.endpoint.to_string())
     };
--- a/crates/comfreyspread-policy/tests/tried_endpoints.rs
+++ b/crates/comfreyspread-policy/tests/tried_endpoints.rs
@@ -10,7 +10,7 @@
     tried_endpoints::AttemptFailure { on_kept_connection: false, ..KEPT };
 
 fn second_try(tried: &tried_endpoints::TriedEndpoints) -> Option<(&str, bool)> {
-    tried.second_try(MAX_ATTEMPTS).map(|one| (&**one.endpoint, one.only))
+    tried.second_try(MAX_ATTEMPTS).map(|one| (&**one.endpoint, one.excludes_others))
 }
 
 /// A request whose exchange fails on a kept connection has its endpoint left, once.
--- a/crates/comfreyspread/src/gateway/call_plan.rs
+++ b/crates/comfreyspread/src/gateway/call_plan.rs
@@ -210,7 +210,7 @@
     ) -> Result<(), failure::CallFailure> {
         let Some(window) = state.context.drain_limit.window() else { return Ok(()) };
         let quantile = window.expected_quantile(self.arrived, self.is_repeatable());
-        let mut timings = state.context.tables.stage_timings.lock();
+        let mut timings = state.context.tables.call_timings.lock();
         let expected = timings.quantile(&self.route.name, quantile, now);
         drop(timings);
         if window.admits(self.arrived, expected, self.time_left(now), now) {
@@ -223,7 +223,7 @@
     /// Records how long an endpoint took for the whole response.
     pub fn record_duration(&self, state: &state::GatewayState, duration: time::Duration) {
         let now = time::Instant::now();
-        state.context.tables.stage_timings.lock().record(&self.route.name, duration, now);
+        state.context.tables.call_timings.lock().record(&self.route.name, duration, now);
     }
 
     /// Returns the rejection of a request that crashes endpoints.
--- a/crates/comfreyspread/src/gateway/caller_handler.rs
+++ b/crates/comfreyspread/src/gateway/caller_handler.rs
@@ -2,8 +2,8 @@
 
 use super::{call_plan, state, stream_run, unary_run};
 use crate::{
-    ingress::caller_request,
     membership::crash_notice,
+    runtime::caller_request,
     transport::{deadline, failure, http_message, http_server},
 };
 use comfreyspread_platform::request_head;
--- a/crates/comfreyspread/src/ingress/call_run.rs
+++ b/crates/comfreyspread/src/ingress/call_run.rs
@@ -169,7 +169,7 @@
             return None;
         }
         let now = time::Instant::now();
-        self.context.tables.stage_timings.lock().quantile(&self.pool, HEDGE_QUANTILE, now)
+        self.context.tables.call_timings.lock().quantile(&self.pool, HEDGE_QUANTILE, now)
     }
 
     /// Whether some owner can run a call without queueing it. A queued hedge would only lengthen
@@ -240,7 +240,7 @@
         if self.exclusive {
             self.context.tables.suspects.lock().record_served(&ledger.plan().digest, now);
         }
-        self.context.tables.stage_timings.lock().record(&self.pool, duration, now);
+        self.context.tables.call_timings.lock().record(&self.pool, duration, now);
         let mut budgets = self.context.tables.attempt_budgets.lock();
         budgets.retries.deposit();
         budgets.hedges.deposit();
@@ -306,7 +306,7 @@
     ) -> retry::RetryContext {
         let now = time::Instant::now();
         let expected =
-            self.context.tables.stage_timings.lock().quantile(&self.pool, EXPECTED_QUANTILE, now);
+            self.context.tables.call_timings.lock().quantile(&self.pool, EXPECTED_QUANTILE, now);
         retry::RetryContext {
             verdict: self.verdicts.verdict(),
             problem: failure.problem(),
--- a/crates/comfreyspread/src/ingress/front.rs
+++ b/crates/comfreyspread/src/ingress/front.rs
@@ -3,9 +3,9 @@
 use crate::{
     answers,
     claims::{claim_runner, claim_table},
-    ingress::{caller_request, caller_stream, pipeline, plan},
+    ingress::{caller_stream, pipeline, plan},
     operations::operator_api,
-    runtime::context,
+    runtime::{caller_request, context},
     transport::{activity_counter, failure, header, http_message, http_server, problem},
 };
 use comfreyspread_policy::catalog;
@@ -173,7 +173,7 @@
         let Some(window) = self.context.drain_limit.window() else { return Ok(plan) };
         let quantile = window.expected_quantile(arrived, plan.idempotent);
         let pools = target.pools(&self.context.tables.catalog());
-        let mut timings = self.context.tables.stage_timings.lock();
+        let mut timings = self.context.tables.call_timings.lock();
         let expected = timings.expected_duration(&pools, quantile, arrived);
         drop(timings);
         let time_left = plan.deadline.saturating_duration_since(arrived);
--- a/crates/comfreyspread/src/ingress/mod.rs
+++ b/crates/comfreyspread/src/ingress/mod.rs
@@ -1,7 +1,6 @@
 //! Requests of the native API: parsing them, running their stages, sending calls to owners.
 
 pub mod call_run;
-pub mod caller_request;
 pub mod caller_stream;
 pub mod dispatch;
 pub mod frame_source;
--- a/crates/comfreyspread/src/ingress/pipeline.rs
+++ b/crates/comfreyspread/src/ingress/pipeline.rs
@@ -118,7 +118,7 @@
         let now = time::Instant::now();
         let context = self.ledger.context();
         let remaining = self.ledger.remaining().saturating_sub(self.min_wait(pools, now));
-        if context.tables.stage_timings.lock().fits_deadline(pools, remaining, now) {
+        if context.tables.call_timings.lock().fits_deadline(pools, remaining, now) {
             return Ok(());
         }
         let detail = "the stages left take longer than the time left";
--- a/crates/comfreyspread/src/runtime/mod.rs
+++ b/crates/comfreyspread/src/runtime/mod.rs
@@ -1,6 +1,7 @@
 //! The node process: settings, worker threads, shared tables behind ranked locks, logging and
 //! metrics.
 
+pub mod caller_request;
 pub mod context;
 pub mod crash_metrics;
 pub mod drain_limit;
--- a/crates/comfreyspread/src/runtime/tables.rs
+++ b/crates/comfreyspread/src/runtime/tables.rs
@@ -48,8 +48,8 @@
     pub suspects: lock_rank::RankedLock<lock_rank::SuspectRank, suspect::SuspectTable>,
     /// Prompt parts suspected of crashing endpoints.
     pub part_suspects: lock_rank::RankedLock<lock_rank::PartSuspectRank, part_suspect::PartTable>,
-    /// Measured times of stages.
-    pub stage_timings: lock_rank::RankedLock<lock_rank::TimingRank, timing::StageTimings>,
+    /// Measured times: of the calls of a pool or, on the users' platform, of the requests of a route.
+    pub call_timings: lock_rank::RankedLock<lock_rank::TimingRank, timing::StageTimings>,
     /// Budgets of additional attempts and of bytes to other regions.
     pub attempt_budgets: lock_rank::RankedLock<lock_rank::AttemptBudgetRank, AttemptBudgets>,
     /// Notified when the configuration or the ownership of endpoints has changed.
@@ -86,7 +86,7 @@
             part_suspects: lock_rank::RankedLock::new(
                 part_suspect::PartTable::new().with_trial_delay(trial_delay(process_start)),
             ),
-            stage_timings: lock_rank::RankedLock::new(timing::StageTimings::new()),
+            call_timings: lock_rank::RankedLock::new(timing::StageTimings::new()),
             attempt_budgets: lock_rank::RankedLock::new(AttemptBudgets::new(
                 settings.link_bytes_per_s,
                 now,
--- a/crates/comfreyspread/tests/request_endings.rs
+++ b/crates/comfreyspread/tests/request_endings.rs
@@ -2,8 +2,7 @@
 
 use async_net::{TcpListener, TcpStream};
 use comfreyspread::{
-    ingress::caller_request::{self, CallerRequest},
-    runtime::ending_metrics,
+    runtime::{caller_request, ending_metrics},
     transport::{connection_monitor, http_body, http_message},
 };
 use comfreyspread_schema::types;
@@ -14,7 +13,7 @@
 
 /// A received request, its caller, and what counts it.
 struct TestRequest {
-    received: CallerRequest<caller_request::ReceivedState>,
+    received: caller_request::CallerRequest<caller_request::ReceivedState>,
     caller: TcpStream,
     registry: registry::Registry,
 }
@@ -28,7 +27,7 @@
         let mut registry = registry::Registry::default();
         let metrics = ending_metrics::EndingMetrics::new(&mut registry);
         let connection = connection_monitor::ConnectionMonitor::new(stream);
-        Self { received: CallerRequest::new(metrics, connection), caller, registry }
+        Self { received: caller_request::CallerRequest::new(metrics, connection), caller, registry }
     }
 }
 
@@ -47,7 +46,7 @@
 /// Ends a request by `end` and checks how it is counted.
 fn check_ending<End>(end: End, expected: types::RequestEnding)
 where
-    End: FnOnce(CallerRequest<caller_request::ReceivedState>),
+    End: FnOnce(caller_request::CallerRequest<caller_request::ReceivedState>),
 {
     async_io::block_on(async {
         let TestRequest { received, caller, registry } = TestRequest::new().await;
@@ -96,7 +95,7 @@
     check_ending(drop, types::RequestEnding::Unanswered);
     let panicked = |received| {
         let task = panic::AssertUnwindSafe(|| {
-            let _received: CallerRequest<caller_request::ReceivedState> = received;
+            let _received: caller_request::CallerRequest<caller_request::ReceivedState> = received;
             panic!("told to");
         });
         panic::catch_unwind(task).expect_err("a panic");
