--- a/crates/comfreyspread-lab/src/fleet_store.rs
+++ b/crates/comfreyspread-lab/src/fleet_store.rs
@@ -38,7 +38,7 @@
     #[serde(default)]
     ver: u64,
     #[serde(default)]
-    value: String,
+    value: ids::Text,
 }
 
 /// Changes of rows, all or none of which are made.
@@ -240,7 +240,7 @@
             return http_message::Response::new(StatusCode::PRECONDITION_FAILED);
         }
         let decode = |row: &ChangedRow| {
-            let bytes = general_purpose::STANDARD.decode(&row.value).ok()?;
+            let bytes = general_purpose::STANDARD.decode(&*row.value).ok()?;
             String::from_utf8(bytes).ok().map(ids::Text::from)
         };
         rows.version += 1;
--- a/crates/comfreyspread-policy/src/table_mirror.rs
+++ b/crates/comfreyspread-policy/src/table_mirror.rs
@@ -19,7 +19,7 @@
 const MAX_TOMBSTONES: usize = 4096;
 
 /// An update from another era of the store than the mirror's.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, Eq, thiserror::Error, PartialEq)]
 #[error("the rows are of era {era} of the store, this copy is of era {known}")]
 pub struct OtherEra {
     /// Era of the update.
--- a/crates/comfreyspread-policy/tests/conviction_store.rs
+++ b/crates/comfreyspread-policy/tests/conviction_store.rs
@@ -1,7 +1,7 @@
 //! Rows in which nodes keep the convictions of prompt parts.
 #![allow(clippy::disallowed_methods, reason = "start of the injected time")]
 
-use comfreyspread_policy::conviction_store::{ConvictionRow, ConvictionStore, RoundOutcome};
+use comfreyspread_policy::conviction_store;
 use comfreyspread_schema::{ids, types};
 use indexmap::IndexMap;
 use std::time;
@@ -22,15 +22,15 @@
 /// Nodes and the rows of the store, on injected time.
 struct StoreModel {
     now: time::Instant,
-    rows: IndexMap<ids::PartHash, ConvictionRow>,
-    nodes: Vec<ConvictionStore>,
+    rows: IndexMap<ids::PartHash, conviction_store::ConvictionRow>,
+    nodes: Vec<conviction_store::ConvictionStore>,
     calls: usize,
 }
 
 impl StoreModel {
     fn new(nodes: usize) -> Self {
         let now = time::Instant::now();
-        let nodes = (0..nodes).map(|_| ConvictionStore::new(now)).collect();
+        let nodes = (0..nodes).map(|_| conviction_store::ConvictionStore::new(now)).collect();
         Self { now, rows: IndexMap::new(), nodes, calls: 0 }
     }
 
@@ -41,7 +41,7 @@
         length: time::Duration,
         convicted: &[types::PartSuspect],
         owner: usize,
-        outcome: Option<RoundOutcome>,
+        outcome: Option<conviction_store::RoundOutcome>,
     ) {
         let end = self.now + length;
         while self.now < end {
@@ -60,12 +60,19 @@
                     self.rows.shift_remove(&change.part);
                     if let Some(record) = change.record.clone() {
                         let version = known + 1;
-                        self.rows.insert(change.part, ConvictionRow { version, record });
+                        self.rows.insert(
+                            change.part,
+                            conviction_store::ConvictionRow { version, record },
+                        );
                     }
                 }
                 let is_open = !changes.is_empty() && outcome.is_some();
                 let ended = if is_open { outcome } else { None };
-                node.finish_round(ended.unwrap_or(RoundOutcome::Settled), is_own, self.now);
+                node.finish_round(
+                    ended.unwrap_or(conviction_store::RoundOutcome::Settled),
+                    is_own,
+                    self.now,
+                );
             }
         }
     }
@@ -94,7 +101,7 @@
 #[test]
 fn written_again() {
     let mut model = StoreModel::new(3);
-    for outcome in [RoundOutcome::Failed, RoundOutcome::Open] {
+    for outcome in [conviction_store::RoundOutcome::Failed, conviction_store::RoundOutcome::Open] {
         let before = model.calls;
         model.advance(seconds(20), &[record(1)], 0, Some(outcome));
         assert!(model.calls - before <= 21, "{} calls after {before}", model.calls);
@@ -113,7 +120,7 @@
 #[test]
 fn found_row() {
     let mut model = StoreModel::new(1);
-    model.rows.insert(PART, ConvictionRow { version: 4, record: record(1) });
+    model.rows.insert(PART, conviction_store::ConvictionRow { version: 4, record: record(1) });
     model.nodes[0].track(PART, model.now);
     model.advance(seconds(1), &[record(1)], 0, None);
     assert_eq!(model.rows[&PART].version, 4, "the row was there");
--- a/crates/comfreyspread-policy/tests/tried_endpoints.rs
+++ b/crates/comfreyspread-policy/tests/tried_endpoints.rs
@@ -1,11 +1,13 @@
 //! Endpoints that a request may be sent to again after a failed attempt.
 
 use comfreyspread_policy::tried_endpoints;
-use comfreyspread_schema::types::CallVerdict;
+use comfreyspread_schema::types;
 
 const MAX_ATTEMPTS: u32 = 2;
-const KEPT: tried_endpoints::AttemptFailure =
-    tried_endpoints::AttemptFailure { verdict: CallVerdict::MayHaveRun, on_kept_connection: true };
+const KEPT: tried_endpoints::AttemptFailure = tried_endpoints::AttemptFailure {
+    verdict: types::CallVerdict::MayHaveRun,
+    on_kept_connection: true,
+};
 const NEW: tried_endpoints::AttemptFailure =
     tried_endpoints::AttemptFailure { on_kept_connection: false, ..KEPT };
 
@@ -41,7 +43,7 @@
 /// second try is left, whatever that one does with it.
 #[test]
 fn replicas_counted() {
-    for verdict in [CallVerdict::MayHaveRun, CallVerdict::NotRun] {
+    for verdict in [types::CallVerdict::MayHaveRun, types::CallVerdict::NotRun] {
         let mut tried = tried_endpoints::TriedEndpoints::new();
         tried.record_failure(&"one".into(), KEPT);
         tried.record_response(&"two".into());
