Show that requests run without a key once the last one is taken away

The review looks for broken promises. Whether requests need a key is asked of the keys that are left, not of the tenants of the configuration, so a version that takes the last key away opens all routes.

--- /dev/null
+++ b/review/stand/main.rs
@@ -0,0 +1,30 @@
+//! Scripts of the review: `stand CASE FOLDER`. Exits with 1 if the rule was broken, 0 if it held, and
+//! 2 if the case could not run.
+
+mod base;
+mod first_event;
+mod last_key;
+mod other_part;
+mod parallel;
+mod restored;
+mod settings;
+mod sound;
+
+fn main() {
+    let mut words = std::env::args().skip(1);
+    let case = words.next().unwrap_or_default();
+    let folder = words.next().unwrap_or_else(|| ".".into());
+    match case.as_str() {
+        "first-event" => first_event::run(&folder),
+        "last-key" => last_key::run(&folder),
+        "other-part" => other_part::run(&folder),
+        "parallel" => parallel::run(&folder),
+        "restored" => restored::run(&folder),
+        "settings" => settings::run(&folder),
+        "sound" => sound::run(&folder),
+        other => {
+            eprintln!("unknown case {other}");
+            std::process::exit(2);
+        }
+    }
+}
