Show a gateway that runs out of descriptors as servers are replaced

Idle connections to an address that is no longer called are never closed, so each replaced server leaves up to 64 descriptors behind.

--- a/review/stand/base.rs
+++ b/review/stand/base.rs
@@ -12,6 +12,8 @@
 use std::{env, fs, path::PathBuf, thread};
 
 pub const HEARTBEAT: Duration = Duration::from_millis(1200);
+/// Descriptors of a process, as `limits.max_fds` of the site.
+pub const MAX_FDS: u64 = 4100;
 pub const HOST: &str = "desk.example";
 
 pub fn trouble() -> bool {
@@ -627,6 +629,7 @@
     work: Work,
     life: Arc<AtomicU64>,
     up: Arc<AtomicBool>,
+    leaving: Arc<AtomicBool>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
     pub arrivals: Arc<Mutex<Vec<Arrival>>>,
     pub crashes: Arc<Mutex<Vec<Instant>>>,
@@ -652,6 +655,7 @@
             work,
             life: Arc::new(AtomicU64::new(1)),
             up: Arc::new(AtomicBool::new(true)),
+            leaving: Arc::default(),
             streams: Arc::default(),
             arrivals: Arc::default(),
             crashes: Arc::default(),
@@ -692,9 +696,11 @@
             let mut seq = 0;
             while server.is_in(life) {
                 seq += 1;
+                let leaving = server.leaving.load(Ordering::SeqCst);
+                let state = if leaving { "draining" } else { "ready" };
                 let text = format!(
                     "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":1,\
-                     \"slots\":96,\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":{seq},\
+                     \"slots\":96,\"state\":\"{state}\",\"cold_left_ms\":0,\"seq\":{seq},\
                      \"born\":{}}}",
                     server.service,
                     server.address,
@@ -702,10 +708,16 @@
                     born.as_millis()
                 );
                 server.store.put("servers", &id, Some(&text));
-                thread::sleep(HEARTBEAT);
+                let until = Instant::now() + HEARTBEAT;
+                let is_as_written = || server.leaving.load(Ordering::SeqCst) == leaving;
+                while Instant::now() < until && server.is_in(life) && is_as_written() {
+                    thread::sleep(ms(10));
+                }
+            }
+            if !server.leaving.load(Ordering::SeqCst) {
+                // The store removes an entry after three heartbeats of silence.
+                thread::sleep(2 * HEARTBEAT);
             }
-            // The store removes an entry after three heartbeats of silence.
-            thread::sleep(2 * HEARTBEAT);
             server.store.put("servers", &id, None);
         });
     }
@@ -746,6 +758,22 @@
         }
     }
 
+    /// Leaves as planned: reports that it drains, serves on for `drain`, and exits.
+    pub fn leave(&self, drain: Duration) {
+        self.record.add(format!("{} drains", self.id()));
+        self.leaving.store(true, Ordering::SeqCst);
+        let server = self.clone();
+        thread::spawn(move || {
+            thread::sleep(drain);
+            server.up.store(false, Ordering::SeqCst);
+            thread::sleep(ms(5));
+            for stream in server.streams.lock().unwrap().drain(..) {
+                stream.shutdown(std::net::Shutdown::Both).ok();
+            }
+            server.record.add(format!("{} exits", server.id()));
+        });
+    }
+
     /// Ends as a crashed process does: the listener and all connections close. It is back after
     /// `down`.
     pub fn crash(&self, down: Duration) {
@@ -858,7 +886,7 @@
                  zones.antioquia-b=antioquia\nzones.cundinamarca-a=cundinamarca\n\
                  listen.front={ip}:{}\nlisten.ready={ip}:{}\nlisten.control={ip}:{}\n\
                  internal_ports=7740,7755\nseeds={}\nbootstrap=true\nloss_counts=false\n\
-                 limits.cpu_share=0.25\nlimits.cores=1\nlimits.memory_mb=260\nlimits.max_fds=4100\n\
+                 limits.cpu_share=0.25\nlimits.cores=1\nlimits.memory_mb=260\nlimits.max_fds={MAX_FDS}\n\
                  limits.link_mbps=1000.0\nlimits.disk_mb=0\ndiscovery=platform\nentry=vip\n\
                  heartbeat_ms=1200\nfault_tolerance.machines=2\nfault_tolerance.zones=1\n\
                  fault_tolerance.regions=0\nbounds.seed_lag_s=3\nbounds.reuse_after_s=2\n\
@@ -915,20 +943,24 @@
     }
     let errors = output.try_clone().expect("a log file");
     // A process must not outlive the script, however that ends.
-    unsafe { command.pre_exec(end_with_parent) };
+    unsafe { command.pre_exec(prepare_process) };
     command.stdin(Stdio::null()).stdout(output).stderr(errors).spawn().expect("the program starts")
 }
 
-fn end_with_parent() -> std::io::Result<()> {
+/// Prepares a gateway process as the platform does: `limits.max_fds` of the settings bounds its
+/// descriptors. It also ends with the script.
+fn prepare_process() -> std::io::Result<()> {
     unsafe extern "C" {
         fn prctl(option: i32, value: u64) -> i32;
+        fn setrlimit(resource: i32, limits: *const [u64; 2]) -> i32;
     }
     const PR_SET_PDEATHSIG: i32 = 1;
     const SIGKILL: u64 = 9;
-    match unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) } {
-        0 => Ok(()),
-        _ => Err(std::io::Error::last_os_error()),
-    }
+    const RLIMIT_NOFILE: i32 = 7;
+    let limits = [MAX_FDS, MAX_FDS];
+    let prepared =
+        unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) == 0 && setrlimit(RLIMIT_NOFILE, &limits) == 0 };
+    if prepared { Ok(()) } else { Err(std::io::Error::last_os_error()) }
 }
 
 impl Gateway {
@@ -964,6 +996,11 @@
         self.child.id()
     }
 
+    /// Returns the number of descriptors that the process has open.
+    pub fn descriptors(&self) -> usize {
+        fs::read_dir(format!("/proc/{}/fd", self.pid())).map_or(0, Iterator::count)
+    }
+
     /// Sends SIGKILL.
     pub fn kill(&mut self) {
         self.child.kill().ok();
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -6,6 +6,7 @@
 mod last_key;
 mod other_part;
 mod parallel;
+mod replaced;
 mod restored;
 mod settings;
 mod sound;
@@ -19,6 +20,7 @@
         "last-key" => last_key::run(&folder),
         "other-part" => other_part::run(&folder),
         "parallel" => parallel::run(&folder),
+        "replaced" => replaced::run(&folder),
         "restored" => restored::run(&folder),
         "settings" => settings::run(&folder),
         "sound" => sound::run(&folder),
