Show that a stage gets no inputs if it follows one of a higher number

What a stage depends on is dropped where its number is not lower, so after a change of the order of the stages pieces are made from the key alone and requests get the results of all stages.

--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -10,6 +10,7 @@
 mod restored;
 mod settings;
 mod sound;
+mod stage_order;
 
 fn main() {
     let mut words = std::env::args().skip(1);
@@ -23,6 +24,7 @@
         "replaced" => replaced::run(&folder),
         "restored" => restored::run(&folder),
         "settings" => settings::run(&folder),
+        "stage-order" => stage_order::run(&folder),
         "sound" => sound::run(&folder),
         other => {
             eprintln!("unknown case {other}");
