Send the lookups of case 4 spread over the period

All clients sent at the same moment, so that connections were dropped from the listener's queue also without the disruption.

--- a/review/stand/replaced.rs
+++ b/review/stand/replaced.rs
@@ -17,10 +17,10 @@
 const ROUNDS: usize = 32;
 /// A server serves on for `drain_ms` and a little longer after its report.
 const DRAIN_MS: u64 = 2700;
-const CLIENTS: usize = 360;
+const CLIENTS: usize = 440;
 /// Time from one request of a client to its next.
-const PERIOD_MS: u64 = 1500;
-const WORK_MS: u64 = 1300;
+const PERIOD_MS: u64 = 2000;
+const WORK_MS: u64 = 1800;
 /// The last replacement is over for longer than `contact_ms` when the calm time begins.
 const SETTLE_MS: u64 = 6000;
 const CALM_MS: u64 = 55000;
@@ -28,7 +28,7 @@
 fn config() -> String {
     let routes = SERVICES.map(|name| {
         format!(
-            r#"{{"name":"{name}","host":"desk.example","prefix":"/{name}/","kind":"idempotent","service":"{name}","timeout_ms":3000,"target_latency_ms":1500,"priority":2,"max_attempts":2}}"#
+            r#"{{"name":"{name}","host":"desk.example","prefix":"/{name}/","kind":"idempotent","service":"{name}","timeout_ms":3000,"target_latency_ms":2000,"priority":2,"max_attempts":2}}"#
         )
     });
     let services = SERVICES
@@ -69,7 +69,9 @@
         .map(|client| {
             let (stop, number, done) = (stop.clone(), number.clone(), done.clone());
             let record = record.clone();
+            let offset = ms(PERIOD_MS).mul_f64(client as f64 / CLIENTS as f64);
             thread::spawn(move || {
+                thread::sleep(offset);
                 while !stop.load(Ordering::SeqCst) {
                     let id = format!("read-{}", number.fetch_add(1, Ordering::SeqCst));
                     let call = Call {
