--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -A dead_code -o target/review/stand review/stand/main.rs
+rustc --edition 2024 -O -o target/review/stand review/stand/main.rs
--- a/review/stand/base.rs
+++ b/review/stand/base.rs
@@ -174,8 +174,6 @@
     pub status: u16,
     pub whole: bool,
     pub body: String,
-    pub stamped: bool,
-    pub took: Duration,
 }
 
 pub struct Call<'a> {
@@ -199,17 +197,10 @@
 }
 
 fn exchange(gateway: SocketAddr, call: &Call<'_>) -> Answer {
-    let started = Instant::now();
     let limit = ms(call.deadline_ms + 1000);
-    let none = |started: Instant| Answer {
-        status: 0,
-        whole: false,
-        body: String::new(),
-        stamped: false,
-        took: started.elapsed(),
-    };
+    let none = || Answer { status: 0, whole: false, body: String::new() };
     let Ok(mut stream) = TcpStream::connect_timeout(&gateway, ms(1000)) else {
-        return none(started);
+        return none();
     };
     stream.set_read_timeout(Some(limit)).ok();
     stream.set_nodelay(true).ok();
@@ -226,16 +217,14 @@
         call.body
     );
     if stream.write_all(text.as_bytes()).is_err() {
-        return none(started);
+        return none();
     }
     match read_message(&mut stream, &mut Vec::new(), true) {
-        None => none(started),
+        None => none(),
         Some(message) => Answer {
             status: message.status(),
             whole: message.whole,
             body: String::from_utf8_lossy(&message.body).into_owned(),
-            stamped: message.header("response-stamp").is_some(),
-            took: started.elapsed(),
         },
     }
 }
@@ -245,7 +234,7 @@
 #[derive(Clone, Debug)]
 pub enum Json {
     Null,
-    Bool(bool),
+    Bool,
     Number(f64),
     Text(String),
     List(Vec<Json>),
@@ -334,8 +323,7 @@
             let word = std::str::from_utf8(&bytes[start..*at]).ok()?;
             Some(match word {
                 "null" => Json::Null,
-                "true" => Json::Bool(true),
-                "false" => Json::Bool(false),
+                "true" | "false" => Json::Bool,
                 number => Json::Number(number.parse().ok()?),
             })
         }
@@ -608,7 +596,6 @@
 /// A request that a server received.
 pub struct Arrival {
     pub at: Instant,
-    pub server: String,
     pub id: String,
     pub body: String,
     pub ran: bool,
@@ -736,7 +723,6 @@
             let expected = request.header("expect-instance").is_none_or(|id| id == self.id());
             self.arrivals.lock().unwrap().push(Arrival {
                 at: Instant::now(),
-                server: self.name.clone(),
                 id: id.clone(),
                 body: String::from_utf8_lossy(&request.body).into_owned(),
                 ran: expected,
@@ -840,7 +826,6 @@
     pub front: SocketAddr,
     ready: SocketAddr,
     settings: PathBuf,
-    log: PathBuf,
     child: Child,
 }
 
@@ -911,7 +896,7 @@
             let child = spawn(&settings, &log);
             let address = |port: u16| format!("{ip}:{port}").parse().unwrap();
             let (front, ready) = (address(port[0]), address(port[1]));
-            Gateway { name, front, ready, settings, log, child }
+            Gateway { name, front, ready, settings, child }
         });
         let gateways = gateways.collect();
         Self { gateways, folder }
@@ -1007,10 +992,6 @@
         self.child.wait().ok();
     }
 
-    pub fn restart(&mut self) {
-        self.child = spawn(&self.settings, &self.log);
-    }
-
     pub fn has_ended(&mut self) -> bool {
         !matches!(self.child.try_wait(), Ok(None))
     }
