Judge the hang for want of descriptors by RECOVER

A gateway without descriptors takes no new channel though it says that it is ready, which RECOVER forbids.

--- a/review/stand/base.rs
+++ b/review/stand/base.rs
@@ -176,6 +176,8 @@
     pub body: String,
 }
 
+const NO_ANSWER: Answer = Answer { status: 0, whole: false, body: String::new() };
+
 pub struct Call<'a> {
     pub method: &'a str,
     pub path: &'a str,
@@ -196,14 +198,44 @@
     answer
 }
 
-fn exchange(gateway: SocketAddr, call: &Call<'_>) -> Answer {
-    let limit = ms(call.deadline_ms + 1000);
-    let none = || Answer { status: 0, whole: false, body: String::new() };
-    let Ok(mut stream) = TcpStream::connect_timeout(&gateway, ms(1000)) else {
-        return none();
-    };
-    stream.set_read_timeout(Some(limit)).ok();
+/// A channel of a consumer that is kept for many requests.
+#[derive(Default)]
+pub struct Channel {
+    stream: Option<TcpStream>,
+}
+
+impl Channel {
+    pub fn is_open(&self) -> bool {
+        self.stream.is_some()
+    }
+
+    /// Sends a request on this channel, or on a new one if it has been closed.
+    pub fn send(&mut self, record: &Record, gateway: SocketAddr, call: &Call<'_>) -> Answer {
+        let (method, path, id, key) = (call.method, call.path, call.id, call.key);
+        let kept = self.stream.is_some();
+        record.add(format!("{id} sent to {gateway} kept {kept}: {method} {path} key {key}"));
+        let stream = self.stream.take().or_else(|| open(gateway));
+        let (answer, stream) = stream.map_or((NO_ANSWER, None), |stream| on_stream(stream, call));
+        self.stream = stream;
+        let whole = if answer.whole { "whole" } else { "not whole" };
+        record.add(format!("{id} answered {} {whole}", answer.status));
+        answer
+    }
+}
+
+fn open(gateway: SocketAddr) -> Option<TcpStream> {
+    let stream = TcpStream::connect_timeout(&gateway, ms(1000)).ok()?;
     stream.set_nodelay(true).ok();
+    Some(stream)
+}
+
+fn exchange(gateway: SocketAddr, call: &Call<'_>) -> Answer {
+    open(gateway).map_or(NO_ANSWER, |stream| on_stream(stream, call).0)
+}
+
+/// Sends a request on a channel; returns the channel too if it can be kept.
+fn on_stream(mut stream: TcpStream, call: &Call<'_>) -> (Answer, Option<TcpStream>) {
+    stream.set_read_timeout(Some(ms(call.deadline_ms + 1000))).ok();
     let text = format!(
         "{} {} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {}\r\nX-Api-Key: {}\r\nDeadline-Ms: {}\r\n\
          Content-Type: application/json\r\nContent-Length: {}\r\n{}\r\n{}",
@@ -217,16 +249,19 @@
         call.body
     );
     if stream.write_all(text.as_bytes()).is_err() {
-        return none();
-    }
-    match read_message(&mut stream, &mut Vec::new(), true) {
-        None => none(),
-        Some(message) => Answer {
-            status: message.status(),
-            whole: message.whole,
-            body: String::from_utf8_lossy(&message.body).into_owned(),
-        },
+        return (NO_ANSWER, None);
     }
+    let Some(message) = read_message(&mut stream, &mut Vec::new(), true) else {
+        return (NO_ANSWER, None);
+    };
+    let closes = message.header("connection").is_some_and(|value| value.contains("close"));
+    let answer = Answer {
+        status: message.status(),
+        whole: message.whole,
+        body: String::from_utf8_lossy(&message.body).into_owned(),
+    };
+    let kept = (answer.whole && !closes).then_some(stream);
+    (answer, kept)
 }
 
 // ---- JSON, as far as the store needs it ----------------------------------------------------------
@@ -950,12 +985,21 @@
 
 impl Gateway {
     pub fn is_ready(&self) -> bool {
-        let Ok(mut stream) = TcpStream::connect_timeout(&self.ready, ms(500)) else { return false };
+        self.probe(&mut None)
+    }
+
+    /// Asks whether the gateway is ready, on a channel that is kept if there is one.
+    pub fn probe(&self, channel: &mut Option<TcpStream>) -> bool {
+        let opened = channel.take().or_else(|| open(self.ready));
+        let Some(mut stream) = opened else { return false };
         stream.set_read_timeout(Some(ms(1000))).ok();
         let text = "GET /v1/ready HTTP/1.1\r\nHost: x\r\n\r\n";
-        stream.write_all(text.as_bytes()).is_ok()
-            && read_message(&mut stream, &mut Vec::new(), true)
-                .is_some_and(|answer| answer.status() == 200)
+        if stream.write_all(text.as_bytes()).is_err() {
+            return false;
+        }
+        let answer = read_message(&mut stream, &mut Vec::new(), true);
+        *channel = answer.is_some().then_some(stream);
+        answer.is_some_and(|answer| answer.status() == 200)
     }
 
     /// Rewrites the settings file with another address of the store, and sends SIGHUP.
