Reject requests once the last key is taken away

Cause: RouteTable::needs_key asked whether any key is left. A list that has become empty was taken for one that never was. The decoder, too, made one value of an absent list of workspaces and an empty one.

Ruled out: an old version in force. 'routes: applied version=2' was logged and the requests no longer had the workspace's name.

Change: the document keeps an absent list apart from an empty one, and that alone tells whether requests need a key. 'routes: applied' says needs_key and keys.

--- a/crates/comfreyspread-lab/src/fleet_request.rs
+++ b/crates/comfreyspread-lab/src/fleet_request.rs
@@ -48,6 +48,12 @@
         self
     }
 
+    /// Sets the API key.
+    pub fn with_key(mut self, key: &str) -> Self {
+        self.message.insert_header("x-api-key", key);
+        self
+    }
+
     /// Sets the body.
     pub fn with_body(mut self, body: &str) -> Self {
         self.message.set_body(body.to_owned());
--- a/crates/comfreyspread-policy/src/route_table.rs
+++ b/crates/comfreyspread-policy/src/route_table.rs
@@ -18,6 +18,7 @@
     hosts: IndexMap<ids::Text, Vec<sync::Arc<types::RouteRule>>>,
     services: IndexMap<ids::ServiceName, sync::Arc<types::ServiceRule>>,
     keys: IndexMap<ids::Text, sync::Arc<types::WorkspaceRule>>,
+    needs_key: bool,
     limits: Option<types::CallerLimits>,
 }
 
@@ -34,12 +35,14 @@
         let services = document.services.into_iter();
         let services = services.map(|service| (service.name.clone(), sync::Arc::new(service)));
         let mut keys = IndexMap::new();
-        for workspace in document.workspaces {
+        let needs_key = document.workspaces.is_some();
+        for workspace in document.workspaces.into_iter().flatten() {
             let workspace = sync::Arc::new(workspace);
             keys.extend(workspace.keys.iter().map(|key| (key.clone(), workspace.clone())));
         }
         let limits = Some(document.limits);
-        Self { version: document.version, hosts, services: services.collect(), keys, limits }
+        let services = services.collect();
+        Self { version: document.version, hosts, services, keys, needs_key, limits }
     }
 
     /// Returns the version of the document; zero before the first one.
@@ -93,9 +96,10 @@
         routes.iter().map(AsRef::as_ref).find(|route| *route.prefix == *prefix)
     }
 
-    /// Whether requests need a key, except on public routes.
+    /// Whether requests need a key, except on public routes. They do if the document lists
+    /// workspaces, also if no key is left: nobody may come in then.
     pub fn needs_key(&self) -> bool {
-        !self.keys.is_empty()
+        self.needs_key
     }
 
     /// Returns the limits on requests of callers; `None` before the first document.
--- a/crates/comfreyspread-policy/tests/route_table.rs
+++ b/crates/comfreyspread-policy/tests/route_table.rs
@@ -23,19 +23,29 @@
     }
 }
 
-fn table(routes: Vec<types::RouteRule>) -> route_table::RouteTable {
-    let workspace = types::WorkspaceRule {
-        keys: vec!["k1".into(), "k2".into()],
+fn workspace(keys: &[&str]) -> types::WorkspaceRule {
+    types::WorkspaceRule {
+        keys: keys.iter().map(|key| (*key).into()).collect(),
         name: "w".into(),
         priority: None,
         allowed_regions: vec!["r".into()],
-    };
+    }
+}
+
+fn table(routes: Vec<types::RouteRule>) -> route_table::RouteTable {
+    table_with(routes, Some(vec![workspace(&["k1", "k2"])]))
+}
+
+fn table_with(
+    routes: Vec<types::RouteRule>,
+    workspaces: Option<Vec<types::WorkspaceRule>>,
+) -> route_table::RouteTable {
     route_table::RouteTable::new(types::RouteDocument {
         limits: types::CallerLimits { max_body_bytes: 0 },
         routes,
         services: Vec::new(),
         version: 3,
-        workspaces: vec![workspace],
+        workspaces,
     })
 }
 
@@ -59,6 +69,15 @@
     assert!(!route_table::RouteTable::default().needs_key());
 }
 
+/// Guards against requests of anybody that run once the last key, or the last workspace, is taken
+/// away: a list that became empty is not one that never was.
+#[test]
+fn last_key() {
+    assert!(table_with(Vec::new(), Some(vec![workspace(&[])])).needs_key());
+    assert!(table_with(Vec::new(), Some(Vec::new())).needs_key());
+    assert!(!table_with(Vec::new(), None).needs_key());
+}
+
 #[test]
 fn weighted_services() {
     let mut route = route("r", "h", "/");
--- a/crates/comfreyspread/src/gateway/route_watcher.rs
+++ b/crates/comfreyspread/src/gateway/route_watcher.rs
@@ -107,9 +107,11 @@
 /// Logs a route document that becomes active, with how many of its rules are limited to regions.
 fn log_routes(document: &types::RouteDocument) {
     let limited = document.routes.iter().filter(|route| !route.allowed_regions.is_empty()).count();
-    let workspaces = document.workspaces.iter();
+    let workspaces = || document.workspaces.iter().flatten();
     let limited_workspaces =
-        workspaces.filter(|workspace| !workspace.allowed_regions.is_empty()).count();
+        workspaces().filter(|workspace| !workspace.allowed_regions.is_empty()).count();
+    let keys: usize = workspaces().map(|workspace| workspace.keys.len()).sum();
     log::info!(version = document.version, routes = document.routes.len(),
-        limited_routes = limited, limited_workspaces = limited_workspaces; "routes: applied");
+        limited_routes = limited, limited_workspaces = limited_workspaces,
+        needs_key = document.workspaces.is_some(), keys = keys; "routes: applied");
 }
