--- a/crates/comfreyspread-policy/src/route_table.rs
+++ b/crates/comfreyspread-policy/src/route_table.rs
@@ -108,7 +108,8 @@
     }
 }
 
-/// Chooses the service that runs a request, at random by the weights of its route.
+/// Chooses the service that runs a request, at random by the weights of its route; `None` if all
+/// weights are zero.
 pub fn choose_service<'route, Source>(
     route: &'route types::RouteRule,
     random: &mut Source,
@@ -116,14 +117,12 @@
 where
     Source: rand::Rng,
 {
-    let total: u32 = route.splits.iter().map(|split| split.weight).sum();
-    if total == 0 {
-        return route.splits.first().map(|split| &split.service);
-    }
-    let mut drawn = random.random_range(0..total);
+    let weight = |split: &types::TrafficSplit| u64::from(split.weight);
+    let total: u64 = route.splits.iter().map(weight).sum();
+    let mut drawn = random.random_range(0..total.max(1));
     let chosen = route.splits.iter().find(|split| {
-        let is_drawn = drawn < split.weight;
-        drawn = drawn.saturating_sub(split.weight);
+        let is_drawn = drawn < weight(split);
+        drawn = drawn.saturating_sub(weight(split));
         is_drawn
     });
     chosen.map(|split| &split.service)
--- a/crates/comfreyspread-policy/tests/route_table.rs
+++ b/crates/comfreyspread-policy/tests/route_table.rs
@@ -94,6 +94,15 @@
     assert!((850..950).contains(&most), "{most}");
 }
 
+/// Guards against requests that run at the first service of a route that gives it no share.
+#[test]
+fn zero_weights() {
+    let mut route = route("r", "h", "/");
+    route.splits[0].weight = 0;
+    let mut random = rngs::SmallRng::seed_from_u64(1);
+    assert_eq!(route_table::choose_service(&route, &mut random), None);
+}
+
 #[test]
 fn regions_combined() {
     let mut route = route("r", "h", "/");
