Run the stages of a route in any listed order

Cause: StageGraph::new dropped dependencies that are not of a lower number. An input that does not fit was dropped in silence.

Ruled out: stage numbers of two versions mixed up at a batching node. A piece carries its inputs, and a request keeps the route that it was planned under.

Change: stage_order orders the stages by their dependencies, each named once, and names what cannot be ordered; such a route's requests are rejected at once. Times after a stage go by that order. 'stages: finished' has the number of inputs.

--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -91,6 +91,7 @@
 pub mod row_finalizer;
 pub mod service_retry_budget;
 pub mod stage_graph;
+pub mod stage_order;
 pub mod stop_window;
 pub mod store_position;
 pub mod stream;
--- a/crates/comfreyspread-policy/src/stage_graph.rs
+++ b/crates/comfreyspread-policy/src/stage_graph.rs
@@ -1,6 +1,7 @@
 //! Dependency graph of the stages of one request: which stages can run, their inputs, and the
 //! expected time of the remaining ones.
 
+use crate::stage_order;
 use comfreyspread_schema::{ids, types};
 use std::time;
 
@@ -28,6 +29,8 @@
     depends_on: Vec<usize>,
     pieces: u32,
     expected: time::Duration,
+    /// Expected time of the longest chain of stages that depend on this one.
+    remaining_after: time::Duration,
     state: StageState,
 }
 
@@ -48,22 +51,39 @@
     /// Creates the graph of a request. `pieces` holds the number of pieces of each stage, and
     /// `expected` returns the expected time of a stage with so many pieces. A stage without pieces
     /// counts as completed.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the stages cannot be ordered.
     pub fn new(
         rules: &[types::StageRule],
         pieces: &[u32],
         expected: impl Fn(&types::StageRule, u32) -> time::Duration,
-    ) -> Self {
+    ) -> Result<Self, stage_order::OrderError> {
+        let order = stage_order::StageOrder::new(rules)?;
         let stages = rules.iter().enumerate().map(|(index, rule)| {
             let pieces = pieces.get(index).copied().unwrap_or(0);
-            let depends_on =
-                rule.depends_on.iter().filter_map(|before| usize::try_from(*before).ok());
-            let depends_on = depends_on.filter(|before| *before < index).collect();
+            let depends_on = order.dependencies(index).to_vec();
             let expected = if pieces == 0 { time::Duration::ZERO } else { expected(rule, pieces) };
             let state =
                 if pieces == 0 { StageState::Completed(Vec::new()) } else { StageState::Waiting };
-            GraphStage { depends_on, pieces, expected, state }
+            let remaining_after = time::Duration::ZERO;
+            GraphStage { depends_on, pieces, expected, remaining_after, state }
         });
-        Self { stages: stages.collect() }
+        let mut graph = Self { stages: stages.collect() };
+        graph.set_remaining_times(order.sorted());
+        Ok(graph)
+    }
+
+    /// Sets the expected times after each stage. `sorted` holds each stage after its dependencies.
+    fn set_remaining_times(&mut self, sorted: &[usize]) {
+        for stage in sorted.iter().rev() {
+            let time = self.chain_time(*stage);
+            for dependency in self.stages[*stage].depends_on.clone() {
+                let remaining_after = &mut self.stages[dependency].remaining_after;
+                *remaining_after = time.max(*remaining_after);
+            }
+        }
     }
 
     /// Returns the stages that can run now, and marks them as running.
@@ -166,19 +186,17 @@
 
     /// Returns the expected time of the longest chain of stages that depend on `stage`.
     pub fn remaining_after(&self, stage: usize) -> time::Duration {
-        let dependents = (stage + 1..self.stages.len())
-            .filter(|index| self.stages[*index].depends_on.contains(&stage));
-        let longest =
-            dependents.map(|index| self.stages[index].expected + self.remaining_after(index));
-        longest.max().unwrap_or_default()
+        self.stages[stage].remaining_after
     }
 
     /// Returns the expected time of the longest chain of stages in the graph.
     pub fn expected_time(&self) -> time::Duration {
-        let roots =
-            (0..self.stages.len()).filter(|index| self.stages[*index].depends_on.is_empty());
-        let longest = roots.map(|index| self.stages[index].expected + self.remaining_after(index));
-        longest.max().unwrap_or_default()
+        (0..self.stages.len()).map(|stage| self.chain_time(stage)).max().unwrap_or_default()
+    }
+
+    /// Returns the expected time of a stage and of the longest chain that depends on it.
+    fn chain_time(&self, stage: usize) -> time::Duration {
+        self.stages[stage].expected + self.stages[stage].remaining_after
     }
 
     fn is_ready(&self, index: usize) -> bool {
@@ -203,9 +221,7 @@
     fn time_left(&self, index: usize) -> time::Duration {
         match self.stages[index].state {
             StageState::Completed(_) => time::Duration::ZERO,
-            StageState::Running | StageState::Waiting => {
-                self.stages[index].expected + self.remaining_after(index)
-            }
+            StageState::Running | StageState::Waiting => self.chain_time(index),
         }
     }
 
--- a/crates/comfreyspread/src/gateway/route_watcher.rs
+++ b/crates/comfreyspread/src/gateway/route_watcher.rs
@@ -5,7 +5,7 @@
 
 use super::{row_compression, state, table_watcher};
 use comfreyspread_platform::{route_document, store};
-use comfreyspread_policy::{route_table, store_position};
+use comfreyspread_policy::{route_table, stage_order, store_position};
 use comfreyspread_schema::types;
 use std::sync;
 
@@ -104,7 +104,8 @@
     state.routes_changed.notify(usize::MAX);
 }
 
-/// Logs a route document that becomes active, with how many of its rules are limited to regions.
+/// Logs a route document that becomes active, with how many of its rules are limited to regions, and
+/// the routes whose stages cannot run.
 fn log_routes(document: &types::RouteDocument) {
     let limited = document.routes.iter().filter(|route| !route.allowed_regions.is_empty()).count();
     let workspaces = || document.workspaces.iter().flatten();
@@ -114,4 +115,10 @@
     log::info!(version = document.version, routes = document.routes.len(),
         limited_routes = limited, limited_workspaces = limited_workspaces,
         needs_key = document.workspaces.is_some(), keys = keys; "routes: applied");
+    for route in &document.routes {
+        if let Err(error) = stage_order::StageOrder::new(&route.stages) {
+            log::error!(route = route.name.as_ref(), version = document.version;
+                "routes: the stages cannot run, requests are rejected. error={error}");
+        }
+    }
 }
--- a/crates/comfreyspread/src/gateway/stage_execution.rs
+++ b/crates/comfreyspread/src/gateway/stage_execution.rs
@@ -36,11 +36,15 @@
 
 impl StageExecution {
     /// Creates the stages of a request; none has run yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the route's stages cannot be ordered; the request has not run.
     pub fn new(
         state: &sync::Arc<state::GatewayState>,
         plan: &call_plan::CallPlan,
         region: ids::RegionId,
-    ) -> Self {
+    ) -> Result<Self, failure::CallFailure> {
         let rules = plan.route.stages.clone();
         let routes = state.routes();
         let graph =
@@ -51,8 +55,12 @@
                     batch_call::call_time(capacity, capacity.max_batch_size.max(pieces))
                 })
             });
+        let graph = graph.map_err(|error| {
+            let detail = format!("route {}: {error}", plan.route.name);
+            call_plan::CallPlan::not_run(types::ProblemKind::Internal, &detail)
+        })?;
         let completed_at = vec![None; rules.len()];
-        Self { state: state.clone(), region, rules, graph, losses: 0, completed_at }
+        Ok(Self { state: state.clone(), region, rules, graph, losses: 0, completed_at })
     }
 
     /// Returns the region that holds the results.
@@ -296,9 +304,11 @@
     let started = time::Instant::now();
     let outcomes = piece_dispatch::run(&state, &stage_group).await;
     state.context.metrics.stages.observe_stage(started.elapsed());
-    let request = stage_group.group.tasks.first().map(|task| &*task.request);
+    let first = stage_group.group.tasks.first();
+    let request = first.map(|task| &*task.request);
+    let inputs = first.map_or(0, |task| task.inputs.len());
     log::info!(request = request, stage = stage, service = stage_group.service.as_ref(),
-        region = stage_group.region.as_ref(), pieces = outcomes.len(),
+        region = stage_group.region.as_ref(), pieces = outcomes.len(), inputs = inputs,
         took_ms = started.elapsed().as_millis() as u64; "stages: finished");
     (stage, outcomes)
 }
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -40,7 +40,7 @@
         call_plan::CallPlan::not_run(types::ProblemKind::Unavailable, detail)
             .with_retry_after(pause)
     })?;
-    let stages = stage_execution::StageExecution::new(state, &plan, region);
+    let stages = stage_execution::StageExecution::new(state, &plan, region)?;
     let resume_after = plan.call.resume_after;
     let mut run = StreamRun {
         state: state.clone(),
