Run the stages of requests that are not streams

Cause: unary_run sent each attempt with an empty list of inputs.

Change: single responses have stages as streams do, and lost results run again. The region and what follows a failed attempt are decided in one place for both.

Evidence: stage_order::single_response and single_again failed before (no stage call; 503 for 200) and pass now.

--- a/crates/comfreyspread-lab/src/fleet_endpoint.rs
+++ b/crates/comfreyspread-lab/src/fleet_endpoint.rs
@@ -216,6 +216,11 @@
         }
         match self.kind {
             fleet::EndpointKind::Worker => self.run_pieces(request).await,
+            fleet::EndpointKind::Plain
+                if self.faults.inputs_gone.swap(false, atomic::Ordering::Relaxed) =>
+            {
+                self.reject(request, StatusCode::CONFLICT)
+            }
             fleet::EndpointKind::Plain => {
                 self.record(request, true);
                 self.run_plain(request).await
--- a/crates/comfreyspread-lab/src/fleet_faults.rs
+++ b/crates/comfreyspread-lab/src/fleet_faults.rs
@@ -9,6 +9,8 @@
 pub struct FleetFaults {
     /// Whether it rejects all requests as overloaded.
     pub full: atomic::AtomicBool,
+    /// Whether it rejects the next plain request because a result that it needs is gone.
+    pub inputs_gone: atomic::AtomicBool,
     /// Id of the event after which the next stream is cut off; zero for none.
     pub cut_after: atomic::AtomicU64,
     /// Whether the answers of plain requests are cut off after the requests ran.
--- a/crates/comfreyspread-lab/tests/stage_order.rs
+++ b/crates/comfreyspread-lab/tests/stage_order.rs
@@ -5,7 +5,7 @@
 use comfreyspread_lab::fleet;
 use common::gateway;
 use indexmap::IndexSet;
-use std::time;
+use std::{sync::atomic, time};
 
 const ROUTE: usize = 3;
 /// Maximum time until a change is in force on all nodes.
@@ -46,6 +46,14 @@
     inputs.to_str().expect("text").split(',').map(made_name).collect()
 }
 
+/// Returns the sample document whose staged route is answered with a single response.
+fn unary_document() -> serde_json::Value {
+    let mut document = gateway::route_document(1);
+    document["routes"][ROUTE]["kind"] = "idempotent".into();
+    document["routes"][ROUTE]["service"] = "ledger".into();
+    document
+}
+
 async fn send(node: &fleet::FleetNode, id: &str, pieces: &str) -> u16 {
     let address = node.caller_address;
     gateway::send(address, gateway::staged_request(address, id, pieces)).await.0
@@ -82,3 +90,33 @@
         });
     }
 }
+
+/// Guards against a request whose stages never run because its route is not a stream.
+#[test]
+fn single_response() {
+    gateway::with_fleet(async |fleet| {
+        fleet.set_route_document(&unary_document());
+        let node = gateway::start_nodes(&fleet, 1).await.remove(0);
+        assert_eq!(send(&node, "single", "2,1").await, 200);
+        let made = ["single-0-0", "single-0-1"].map(str::to_owned);
+        assert_eq!(piece_inputs(&fleet, "single", 1), made.into());
+        assert_eq!(engine_inputs(&fleet, "single"), ["single-1-0"]);
+    });
+}
+
+/// Guards against results that are lost for a single response: its endpoint rejects the request, and
+/// the stages run again.
+#[test]
+fn single_again() {
+    gateway::with_fleet(async |fleet| {
+        fleet.set_route_document(&unary_document());
+        for endpoint in ["ledger-1", "ledger-2"] {
+            fleet.faults(endpoint).inputs_gone.store(true, atomic::Ordering::Relaxed);
+        }
+        let node = gateway::start_nodes(&fleet, 1).await.remove(0);
+        assert_eq!(send(&node, "again", "2,1").await, 200);
+        let calls = fleet.records();
+        let calls = calls.iter().filter(|call| &*call.path == fleet::PIECES_PATH).count();
+        assert!(calls > 2, "the last stage runs again: {calls} calls");
+    });
+}
--- a/crates/comfreyspread/src/gateway/attempt_history.rs
+++ b/crates/comfreyspread/src/gateway/attempt_history.rs
@@ -1,6 +1,7 @@
 //! Attempts at one request, and the decision whether to make another.
 
-use super::{attempt_send, call_plan, state};
+use super::{attempt_send, call_plan, stage_execution, state};
+use crate::transport::failure;
 use comfreyspread_policy::{tried_endpoints, verdict};
 use comfreyspread_schema::{ids, types};
 use std::sync;
@@ -58,14 +59,30 @@
         self.endpoints.record_abandoned();
     }
 
-    /// Merges the verdict of a failed attempt.
-    pub fn record_verdict(&mut self, failed: &attempt_send::FailedAttempt) {
+    /// Records a failed attempt and returns whether to make another; if so, a retry is taken from
+    /// the budget. The stages of the request run again if their results were gone.
+    ///
+    /// # Errors
+    ///
+    /// Fails if results have been lost too often.
+    pub fn record_failure(
+        &mut self,
+        state: &sync::Arc<state::GatewayState>,
+        plan: &call_plan::CallPlan,
+        stages: Option<&mut stage_execution::StageExecution>,
+        failed: &attempt_send::FailedAttempt,
+    ) -> Result<bool, failure::CallFailure> {
         self.verdict = self.verdict.with_outcome(failed.failure.verdict());
+        if failed.inputs_gone
+            && let Some(stages) = stages
+        {
+            stages.discard_outputs()?;
+            return Ok(plan.try_acquire_retry(state));
+        }
+        Ok(self.record_endpoint_failure(state, plan, failed))
     }
 
-    /// Records a failed attempt and returns whether to make another; if so, a retry is taken from
-    /// the budget.
-    pub fn record_failure(
+    fn record_endpoint_failure(
         &mut self,
         state: &sync::Arc<state::GatewayState>,
         plan: &call_plan::CallPlan,
--- a/crates/comfreyspread/src/gateway/attempt_send.rs
+++ b/crates/comfreyspread/src/gateway/attempt_send.rs
@@ -215,7 +215,8 @@
 }
 
 impl FailedAttempt {
-    fn without_endpoint(failure: failure::CallFailure) -> Self {
+    /// Returns the failure of an attempt that was sent to no endpoint.
+    pub fn without_endpoint(failure: failure::CallFailure) -> Self {
         Self { chosen: None, failure, inputs_gone: false, on_kept_connection: false }
     }
 }
--- a/crates/comfreyspread/src/gateway/stage_execution.rs
+++ b/crates/comfreyspread/src/gateway/stage_execution.rs
@@ -1,6 +1,6 @@
 //! Runs the stages of a request.
 
-use super::{call_plan, caller_handler, piece_dispatch, state};
+use super::{call_plan, caller_handler, piece_dispatch, region_selector, state};
 use crate::transport::failure;
 use comfreyspread_platform::piece_call;
 use comfreyspread_policy::{batch_call, first_event, piece_group, stage_graph};
@@ -35,16 +35,18 @@
 type StageOutcome = (usize, Vec<types::PieceOutcome>);
 
 impl StageExecution {
-    /// Creates the stages of a request; none has run yet.
+    /// Creates the stages of a request, in the region that suits them best; none has run yet.
     ///
     /// # Errors
     ///
-    /// Fails if the route's stages cannot be ordered; the request has not run.
+    /// Fails if no region can run them, or the route's stages cannot be ordered; the request has not
+    /// run.
     pub fn new(
         state: &sync::Arc<state::GatewayState>,
         plan: &call_plan::CallPlan,
-        region: ids::RegionId,
     ) -> Result<Self, failure::CallFailure> {
+        let region =
+            region_selector::select_region(state, plan).ok_or_else(|| no_region(state, plan))?;
         let rules = plan.route.stages.clone();
         let routes = state.routes();
         let graph =
@@ -296,6 +298,12 @@
     }
 }
 
+fn no_region(state: &state::GatewayState, plan: &call_plan::CallPlan) -> failure::CallFailure {
+    let detail = "no region has endpoints for all parts of the request";
+    let pause = caller_handler::retry_after_pause(region_selector::pause_left(state, plan));
+    call_plan::CallPlan::not_run(types::ProblemKind::Unavailable, detail).with_retry_after(pause)
+}
+
 async fn run_stage(
     state: sync::Arc<state::GatewayState>,
     stage: usize,
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -4,12 +4,12 @@
 //! another endpoint after the last forwarded event, within the same response.
 
 use super::{
-    attempt_history, attempt_send, call_plan, caller_handler, produced_chunks, region_selector,
-    stage_execution, state, stream_reader,
+    attempt_history, attempt_send, call_plan, produced_chunks, stage_execution, state,
+    stream_reader,
 };
 use crate::transport::{failure, header, http_client, http_message};
 use comfreyspread_policy::{attempt, endpoint_directory, event_buffer};
-use comfreyspread_schema::{ids, types};
+use comfreyspread_schema::ids;
 use futures_lite::{FutureExt as _, io};
 use std::{mem, pin, sync, time};
 
@@ -34,13 +34,7 @@
     state: &sync::Arc<state::GatewayState>,
     plan: call_plan::CallPlan,
 ) -> Result<http_message::Response, failure::CallFailure> {
-    let region = region_selector::select_region(state, &plan).ok_or_else(|| {
-        let detail = "no region has endpoints for all parts of the request";
-        let pause = caller_handler::retry_after_pause(region_selector::pause_left(state, &plan));
-        call_plan::CallPlan::not_run(types::ProblemKind::Unavailable, detail)
-            .with_retry_after(pause)
-    })?;
-    let stages = stage_execution::StageExecution::new(state, &plan, region)?;
+    let stages = stage_execution::StageExecution::new(state, &plan)?;
     let resume_after = plan.call.resume_after;
     let mut run = StreamRun {
         state: state.clone(),
@@ -151,7 +145,8 @@
                 }
                 Err(failed) => failed,
             };
-            if !self.record_failure(&failed)? {
+            let Self { state, plan, stages, history, .. } = self;
+            if !history.record_failure(state, plan, Some(stages), &failed)? {
                 return Err(failed.failure);
             }
         }
@@ -194,19 +189,6 @@
         self.has_rerun
     }
 
-    /// Records a failed attempt and returns whether to make another.
-    fn record_failure(
-        &mut self,
-        failed: &attempt_send::FailedAttempt,
-    ) -> Result<bool, failure::CallFailure> {
-        self.history.record_verdict(failed);
-        if failed.inputs_gone {
-            self.stages.discard_outputs()?;
-            return Ok(self.plan.try_acquire_retry(&self.state));
-        }
-        Ok(self.history.record_failure(&self.state, &self.plan, failed))
-    }
-
     /// Forwards the events of a response, resuming at other endpoints where that is allowed.
     async fn forward(
         mut self,
--- a/crates/comfreyspread/src/gateway/unary_run.rs
+++ b/crates/comfreyspread/src/gateway/unary_run.rs
@@ -1,6 +1,6 @@
 //! Runs requests that are answered with a single response.
 
-use super::{attempt_history, attempt_send, call_plan, state};
+use super::{attempt_history, attempt_send, call_plan, stage_execution, state};
 use crate::transport::{failure, http_message};
 use comfreyspread_policy::{attempt, endpoint_directory};
 use comfreyspread_schema::types;
@@ -15,7 +15,7 @@
     state: &sync::Arc<state::GatewayState>,
     plan: &call_plan::CallPlan,
 ) -> Result<http_message::Response, failure::CallFailure> {
-    let mut attempts = UnaryAttempts::new(plan);
+    let mut attempts = UnaryAttempts::new(state, plan)?;
     let mut fallback = None;
     loop {
         let failed = match attempts.attempt(state).await {
@@ -26,11 +26,13 @@
             Ok(response) => return Ok(response),
             Err(failed) => failed,
         };
-        attempts.history.record_verdict(&failed);
-        if !attempts.history.record_failure(state, plan, &failed) {
-            let verdict = attempts.history.verdict();
-            return fallback.ok_or_else(|| failed.failure.with_verdict(verdict));
-        }
+        let UnaryAttempts { history, stages, .. } = &mut attempts;
+        let failure = match history.record_failure(state, plan, stages.as_mut(), &failed) {
+            Ok(true) => continue,
+            Ok(false) => failed.failure,
+            Err(failure) => failure,
+        };
+        return fallback.ok_or_else(|| failure.with_verdict(history.verdict()));
     }
 }
 
@@ -38,25 +40,39 @@
 struct UnaryAttempts<'plan> {
     plan: &'plan call_plan::CallPlan,
     history: attempt_history::AttemptHistory,
+    /// Stages of the request, if its route has any.
+    stages: Option<stage_execution::StageExecution>,
 }
 
 impl<'plan> UnaryAttempts<'plan> {
-    fn new(plan: &'plan call_plan::CallPlan) -> Self {
-        Self { plan, history: attempt_history::AttemptHistory::new() }
+    fn new(
+        state: &sync::Arc<state::GatewayState>,
+        plan: &'plan call_plan::CallPlan,
+    ) -> Result<Self, failure::CallFailure> {
+        let has_stages = !plan.route.stages.is_empty();
+        let stages = has_stages.then(|| stage_execution::StageExecution::new(state, plan));
+        let history = attempt_history::AttemptHistory::new();
+        Ok(Self { plan, history, stages: stages.transpose()? })
     }
 
     async fn attempt(
         &mut self,
         state: &sync::Arc<state::GatewayState>,
     ) -> Result<http_message::Response, attempt_send::FailedAttempt> {
+        if let Some(stages) = &mut self.stages {
+            let made = stages.run_pending(self.plan).await;
+            made.map_err(attempt_send::FailedAttempt::without_endpoint)?;
+        }
+        let inputs = self.stages.as_ref().map(stage_execution::StageExecution::outputs);
+        let region = self.stages.as_ref().map(stage_execution::StageExecution::region);
         let number = self.history.next_number();
         let regions = self.plan.allowed_regions(state);
         let input = attempt_send::AttemptInput {
             tried: self.history.tried(),
             second_try: self.history.second_try(self.plan),
-            preferred_region: &state.settings.region,
+            preferred_region: region.unwrap_or(&state.settings.region),
             regions: regions.as_deref(),
-            inputs: &[],
+            inputs: inputs.as_deref().unwrap_or_default(),
             resume_after: None,
             number,
         };
