Reject requests whose counts of pieces do not fit their stages

Cause: a missing count was taken for an omitted stage, and one too many was ignored.

Change: such a request is rejected at once with 503: it has not run, and may come again. A request that names no counts omits all stages, as before.

Evidence: stage_order::other_counts failed before (200 for 503) and passes.

--- a/crates/comfreyspread-lab/tests/stage_order.rs
+++ b/crates/comfreyspread-lab/tests/stage_order.rs
@@ -120,3 +120,16 @@
         assert!(calls > 2, "the last stage runs again: {calls} calls");
     });
 }
+
+/// Guards against success with only some of the results: counts of pieces that do not fit the stages
+/// of the version in force belong to another one. The request has not run, and may come again.
+#[test]
+fn other_counts() {
+    gateway::with_node(async |fleet, node| {
+        for pieces in ["1", "1,1,1"] {
+            assert_eq!(send(&node, "other", pieces).await, 503, "{pieces}");
+        }
+        assert!(fleet.records().is_empty());
+        assert_eq!(send(&node, "fits", "1,1").await, 200);
+    });
+}
--- a/crates/comfreyspread-policy/src/stage_graph.rs
+++ b/crates/comfreyspread-policy/src/stage_graph.rs
@@ -24,6 +24,18 @@
     counts.map(|count| u64::from(*count)).sum::<u64>() <= MAX_PIECES
 }
 
+/// Whether the numbers of pieces of a request are those of a route with these stages. A request that
+/// names none omits all stages.
+///
+/// ```
+/// use comfreyspread_policy::stage_graph;
+///
+/// assert!(stage_graph::has_all_counts(&[], &[1, 2]));
+/// ```
+pub fn has_all_counts(rules: &[types::StageRule], pieces: &[u32]) -> bool {
+    rules.is_empty() || pieces.is_empty() || pieces.len() == rules.len()
+}
+
 #[derive(Clone, Debug)]
 struct GraphStage {
     depends_on: Vec<usize>,
--- a/crates/comfreyspread/src/gateway/call_plan.rs
+++ b/crates/comfreyspread/src/gateway/call_plan.rs
@@ -54,6 +54,13 @@
     Malformed(ids::Text),
     /// No route matches.
     NoRoute,
+    /// The numbers of pieces are those of another version of the route.
+    OtherStages {
+        /// Stages of the route.
+        stages: usize,
+        /// Stages for which the request names a number of pieces.
+        counts: usize,
+    },
     /// The body exceeds the size limit.
     TooLarge,
     /// The API key is missing or unknown.
@@ -88,6 +95,10 @@
         if workspace.is_none() && routes.needs_key() && !route.public {
             return Err(PlanError::NoKey);
         }
+        if !stage_graph::has_all_counts(&route.stages, &call.piece_counts) {
+            let (stages, counts) = (route.stages.len(), call.piece_counts.len());
+            return Err(PlanError::OtherStages { stages, counts });
+        }
         let limit = routes.limits().map_or(0, |limits| limits.max_body_bytes);
         if limit > 0 && u64::try_from(body.len()).unwrap_or(u64::MAX) > limit {
             return Err(PlanError::TooLarge);
--- a/crates/comfreyspread/src/gateway/caller_handler.rs
+++ b/crates/comfreyspread/src/gateway/caller_handler.rs
@@ -178,7 +178,9 @@
 fn plan_error_response(error: &call_plan::PlanError) -> http_message::Response {
     use call_plan::PlanError as Error;
     let status = match error {
-        Error::NotInformed | Error::NoService => StatusCode::SERVICE_UNAVAILABLE,
+        Error::NotInformed | Error::NoService | Error::OtherStages { .. } => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
         Error::Malformed(_) => StatusCode::BAD_REQUEST,
         Error::NoRoute => StatusCode::NOT_FOUND,
         Error::NoKey => StatusCode::UNAUTHORIZED,
