--- a/crates/comfreyspread/src/gateway/attempt_send.rs
+++ b/crates/comfreyspread/src/gateway/attempt_send.rs
@@ -180,7 +180,13 @@
         active.finish(endpoint_directory::AttemptOutcome::Cancelled);
         return Err(active.failed(failure, false));
     }
-    let request = build_request(plan, &active.chosen, input, time::Instant::now());
+    let request = match build_request(plan, &active.chosen, input, time::Instant::now()) {
+        Ok(request) => request,
+        Err(failure) => {
+            active.finish(endpoint_directory::AttemptOutcome::Cancelled);
+            return Err(active.failed(failure, false));
+        }
+    };
     let kept = connection.is_kept();
     let _sent = planned.send();
     let sent_before = plan.sent_mark.swap(true, atomic::Ordering::Relaxed);
@@ -259,12 +265,17 @@
     failure.with_retry_after(caller_handler::retry_after_pause(pause))
 }
 
+/// Returns the request that is sent to an endpoint.
+///
+/// # Errors
+///
+/// Fails if it cannot be encoded; it has not run.
 fn build_request(
     plan: &call_plan::CallPlan,
     chosen: &endpoint_directory::ChosenEndpoint,
     input: &AttemptInput<'_>,
     now: time::Instant,
-) -> http_message::Request {
+) -> Result<http_message::Request, failure::CallFailure> {
     let workspace = plan.workspace.as_ref().map(|workspace| &workspace.name);
     let priority = (plan.priority() + ENGINE_PRIORITY_OFFSET).min(MAX_ENGINE_PRIORITY);
     let forwarded = request_head::ForwardedRequest {
@@ -275,7 +286,11 @@
         inputs: input.inputs,
         priority: plan.service.engine.as_ref().map(|_| priority),
     };
-    http_message::Request::from_parts(forwarded.head(&plan.head), plan.body.clone().into())
+    let head = forwarded.head(&plan.head).map_err(|error| {
+        let detail = format!("the request cannot be sent: {error}");
+        call_plan::CallPlan::not_run(types::ProblemKind::Internal, &detail)
+    })?;
+    Ok(http_message::Request::from_parts(head, plan.body.clone().into()))
 }
 
 /// Returns whether a response answers this request and not an earlier one on its connection. One
--- a/crates/comfreyspread/src/gateway/batcher.rs
+++ b/crates/comfreyspread/src/gateway/batcher.rs
@@ -321,8 +321,13 @@
     scope: &BatchScope,
     call: &batch_call::PlannedCall,
 ) -> batch_outcome::BatchOutcome {
-    let Ok((head, body)) = piece_call::encode_run_request(&call.endpoint, &call.tasks) else {
-        return batch_outcome::BatchOutcome::Failed;
+    let (head, body) = match piece_call::encode_run_request(&call.endpoint, &call.tasks) {
+        Ok(encoded) => encoded,
+        Err(error) => {
+            log::error!(endpoint = call.endpoint.as_ref();
+                "batcher: call cannot be encoded. error={error}");
+            return batch_outcome::BatchOutcome::Failed;
+        }
     };
     let request = http_message::Request::from_parts(head, body.into());
     let connection = http_client::ConnectionUse::Pooled;
