--- a/crates/comfreyspread-lab/tests/common/crashing_engine.rs
+++ b/crates/comfreyspread-lab/tests/common/crashing_engine.rs
@@ -1,17 +1,27 @@
-//! Engines that crash when they begin to answer a request with a certain prompt part.
+//! Engines that crash while they answer certain requests.
 
 use super::{endpoint_socket, scripted_stream};
 use async_net::{TcpListener, TcpStream};
 use comfreyspread::runtime::worker;
 use comfreyspread_lab::fleet;
-use futures_lite::{AsyncWriteExt as _, FutureExt as _};
+use futures_lite::{AsyncWriteExt as _, FutureExt as _, io};
 use std::{net, sync, time};
 
 /// Time until an engine begins to answer.
 const PROMPT_TIME: time::Duration = time::Duration::from_millis(40);
 /// Time from a crash until the engine is back.
 const RESTART_TIME: time::Duration = time::Duration::from_millis(700);
-const EVENTS: &str = "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n";
+/// Time between two events.
+const EVENT_INTERVAL: time::Duration = time::Duration::from_millis(40);
+
+/// What makes an engine crash.
+#[derive(Clone, Copy, Debug)]
+pub struct CrashTrigger {
+    /// A prompt part that requests may share, or a whole body.
+    pub text: &'static str,
+    /// Events of the answer before the crash.
+    pub events: u64,
+}
 
 /// What the engines share.
 #[derive(Debug, Default)]
@@ -25,7 +35,9 @@
 pub struct CrashingEngines {
     fleet: sync::Arc<fleet::FleetStandIn>,
     spawner: worker::TaskSpawner,
-    guilty: &'static str,
+    trigger: CrashTrigger,
+    /// Events of a complete answer.
+    events: u64,
     log: sync::Arc<sync::Mutex<EngineLog>>,
 }
 
@@ -38,17 +50,17 @@
 }
 
 impl CrashingEngines {
-    /// Starts `count` engines that crash on the part `guilty`. Each is back a little later, under
-    /// the same name and address.
+    /// Starts `count` engines, whose complete answers have `events` events. One that crashes is back a
+    /// little later, under the same name and address.
     pub async fn start(
         fleet: &sync::Arc<fleet::FleetStandIn>,
         spawner: &worker::TaskSpawner,
-        count: u64,
-        guilty: &'static str,
+        (count, events): (u64, u64),
+        trigger: CrashTrigger,
     ) -> Self {
         endpoint_socket::unregister(fleet, &["engine-1", "engine-2"]);
         let (fleet, log) = (fleet.clone(), sync::Arc::default());
-        let engines = Self { fleet, spawner: spawner.clone(), guilty, log };
+        let engines = Self { fleet, spawner: spawner.clone(), trigger, events, log };
         for number in 1..=count {
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
             let task = engines.clone().run(format!("crashing-{number}"), listener);
@@ -62,7 +74,7 @@
         self.log.lock().expect("no panic").crashes.clone()
     }
 
-    /// Returns how many requests with the guilty part came after this time.
+    /// Returns how many guilty requests came after this time.
     pub fn guilty_arrivals_after(&self, after: time::Instant) -> usize {
         let log = self.log.lock().expect("no panic");
         log.guilty_arrivals.iter().filter(|at| **at > after).count()
@@ -112,22 +124,21 @@
     async fn serve(&self, mut stream: TcpStream) {
         let mut received = Vec::new();
         while let Some(request) = endpoint_socket::read_request(&mut stream, &mut received).await {
-            let parts = request.header("prefix-hash").unwrap_or_default();
-            let guilty = shared_parts(&parts).any(|part| part == self.engines.guilty);
+            let trigger = self.engines.trigger;
+            let guilty = is_guilty(&request, trigger.text);
             if guilty {
                 let mut log = self.engines.log.lock().expect("no panic");
                 log.guilty_arrivals.push(time::Instant::now());
             }
             async_io::Timer::after(PROMPT_TIME).await;
+            let events = if guilty { trigger.events } else { self.engines.events };
+            let sent = send_events(&mut stream, &request, events).await;
             if guilty {
                 self.crash();
                 return;
             }
-            let head =
-                scripted_stream::STREAM_HEAD.replace(scripted_stream::REQUEST_ID, &request.id);
-            let end = scripted_stream::STREAM_END;
-            let answer = format!("{head}{:x}\r\n{EVENTS}\r\n{end}", EVENTS.len());
-            if stream.write_all(answer.as_bytes()).await.is_err() {
+            let end = scripted_stream::STREAM_END.as_bytes();
+            if sent.is_err() || stream.write_all(end).await.is_err() {
                 return;
             }
         }
@@ -140,6 +151,31 @@
     }
 }
 
+/// Sends the head of an answer and so many events; nothing if there are none.
+async fn send_events(
+    stream: &mut TcpStream,
+    request: &endpoint_socket::ReceivedRequest,
+    events: u64,
+) -> io::Result<()> {
+    if events == 0 {
+        return Ok(());
+    }
+    let last: u64 = request.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+    let head = scripted_stream::STREAM_HEAD.replace(scripted_stream::REQUEST_ID, &request.id);
+    stream.write_all(head.as_bytes()).await?;
+    for id in last + 1..=last.max(events) {
+        let event = format!("id: {id}\ndata: e{id}\n\n");
+        stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).await?;
+        async_io::Timer::after(EVENT_INTERVAL).await;
+    }
+    Ok(())
+}
+
+fn is_guilty(request: &endpoint_socket::ReceivedRequest, text: &str) -> bool {
+    let parts = request.header("prefix-hash").unwrap_or_default();
+    request.body == text.as_bytes() || shared_parts(&parts).any(|part| part == text)
+}
+
 /// Returns the names of the prompt parts that requests may share: all but the last.
 fn shared_parts(parts: &str) -> impl Iterator<Item = &str> {
     let names = parts.split(',').filter_map(|part| part.split(':').next());
--- a/crates/comfreyspread-lab/tests/common/mod.rs
+++ b/crates/comfreyspread-lab/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Small deployments of separate processes, and calls for tests.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod crash_test;
 pub mod crashing_engine;
 pub mod endpoint_socket;
 pub mod full_listener;
--- a/crates/comfreyspread-lab/tests/crash_evidence.rs
+++ b/crates/comfreyspread-lab/tests/crash_evidence.rs
@@ -19,6 +19,9 @@
 const MAX_CRASHES: u64 = 6;
 const REQUESTS: u64 = 12;
 const EQUAL_REQUESTS: usize = 3;
+const STOPPING_ENDPOINTS: usize = 6;
+/// Time until a change of the store is known on all nodes, or a crash.
+const CHANGE_TIME: time::Duration = time::Duration::from_secs(2);
 
 /// An engine that stops when it receives a request.
 struct CrashingEngine {
@@ -90,6 +93,19 @@
     engines.iter().map(CrashingEngine::crashes).sum()
 }
 
+/// Starts a ledger that stops once it has held so many requests for a moment.
+fn start_stopping(count: usize) -> net::SocketAddr {
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        let held: Vec<_> = listener.incoming().take(count).collect();
+        thread::sleep(RESTART_TIME);
+        drop(listener);
+        drop(held);
+    });
+    address
+}
+
 fn register_ledger(fleet: &fleet::FleetStandIn, name: &str, address: net::SocketAddr) {
     let registration = serde_json::json!({
         "service": "ledger", "address": address, "zone": "a", "slots": 4, "state": "ready",
@@ -173,15 +189,7 @@
         for name in ["ledger-1", "ledger-2"] {
             fleet.set_row("servers", name, None);
         }
-        let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let crashing = listener.local_addr().expect("an address");
-        register_ledger(&fleet, "crashing", crashing);
-        thread::spawn(move || {
-            let held: Vec<_> = listener.incoming().take(EQUAL_REQUESTS).collect();
-            thread::sleep(RESTART_TIME);
-            drop(listener);
-            drop(held);
-        });
+        register_ledger(&fleet, "crashing", start_stopping(EQUAL_REQUESTS));
         let node = gateway::start_nodes(&fleet, 1).await.remove(0);
         let send = async |id: String| {
             let request = gateway::request(node.caller_address, "/read/", &id);
@@ -194,3 +202,33 @@
         assert_eq!(send("later".into()).await, 200);
     });
 }
+
+/// Guards against a sound request rejected for minutes because all endpoints that ran it stopped at
+/// one moment, for a reason of their own.
+#[test]
+fn stopped_together() {
+    gateway::with_node(async |fleet, node| {
+        let send = async |id: String| {
+            let request = gateway::request(node.caller_address, "/read/", &id);
+            gateway::send(node.caller_address, request).await.0
+        };
+        assert_eq!(send("before".into()).await, 200);
+        let names: Vec<_> =
+            (0..STOPPING_ENDPOINTS).map(|number| format!("stopping-{number}")).collect();
+        for name in &names {
+            register_ledger(&fleet, name, start_stopping(1));
+        }
+        for name in ["ledger-1", "ledger-2"] {
+            fleet.set_row("servers", name, None);
+        }
+        async_io::Timer::after(CHANGE_TIME).await;
+        let during = (0..STOPPING_ENDPOINTS).map(|number| send(format!("during-{number}")));
+        future::join_all(during).await;
+        for name in &names {
+            fleet.set_row("servers", name, None);
+        }
+        register_ledger(&fleet, "ledger-1", fleet.address("ledger-1").expect("an endpoint"));
+        async_io::Timer::after(CHANGE_TIME).await;
+        assert_eq!(send("later".into()).await, 200);
+    });
+}
--- a/crates/comfreyspread-policy/src/crash_evidence.rs
+++ b/crates/comfreyspread-policy/src/crash_evidence.rs
@@ -1,8 +1,9 @@
-//! Crashes that speak against one prompt part.
+//! Crashes that speak against one prompt part, or against one request as a whole.
 //!
-//! A crash counts once, however many requests and nodes saw it. Of crashes in quick succession only
-//! one counts: what stops many endpoints at once is no request. Merging is a union that keeps the
-//! earliest time of each crash, so neither order nor repetition nor the delay of messages matters.
+//! A crash counts once, however many requests and nodes saw it. It counts less if the request had
+//! been running for a while. Of crashes in quick succession only one is independent: what stops many
+//! endpoints at once is no request. Merging is a union that keeps the earliest time of each crash, so
+//! neither order nor repetition nor the delay of messages matters.
 
 use comfreyspread_schema::{ids, types};
 use std::time;
@@ -11,18 +12,69 @@
 const COMMON_CAUSE_SPAN: time::Duration = time::Duration::from_millis(300);
 /// Crashes kept of one part.
 const MAX_CRASHES: usize = 64;
+/// Weight of a crash as a request began to run.
+pub const CRASH_WEIGHT: usize = 5;
+/// Weight of a crash while a request had been running for a while.
+const RUNNING_WEIGHT: usize = 4;
 
-/// A crash while a request with the part waited for the first event of its answer.
+/// A crash while a request ran, or waited for the first event of its answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct SeenCrash {
     /// The crash.
     pub crash: ids::CrashHash,
     /// The request that waited; of several, the one with the lowest hash.
     pub request: ids::RequestHash,
+    /// How far the request was; of several, the stage that says most against it.
+    pub stage: types::CrashStage,
     /// Time of the crash.
     pub crashed_at: time::Instant,
 }
 
+impl SeenCrash {
+    fn weight(&self) -> usize {
+        match self.stage {
+            types::CrashStage::Begun | types::CrashStage::Waiting => CRASH_WEIGHT,
+            types::CrashStage::Running => RUNNING_WEIGHT,
+        }
+    }
+}
+
+/// When a part was last proved sound.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PartProof {
+    /// First event of a request with the part.
+    pub began_at: Option<time::Instant>,
+    /// Event of a request with the part that had been running for a while, or its complete response.
+    pub ran_at: Option<time::Instant>,
+}
+
+impl PartProof {
+    /// Returns the proof of a request that runs.
+    pub fn with_run(now: time::Instant) -> Self {
+        Self { began_at: Some(now), ran_at: Some(now) }
+    }
+
+    /// Returns the proof of a request that has begun.
+    pub fn with_begin(now: time::Instant) -> Self {
+        Self { began_at: Some(now), ran_at: None }
+    }
+
+    /// Returns the later proof of each kind.
+    pub fn merged(self, other: Self) -> Self {
+        Self { began_at: self.began_at.max(other.began_at), ran_at: self.ran_at.max(other.ran_at) }
+    }
+
+    /// Returns whether the proof came after a crash and shows that the part is not its cause. One
+    /// that lets endpoints begin to answer may still crash them right after.
+    pub fn outweighs(&self, seen: &SeenCrash) -> bool {
+        let proven_at = match seen.stage {
+            types::CrashStage::Waiting => self.began_at,
+            types::CrashStage::Begun | types::CrashStage::Running => self.ran_at,
+        };
+        proven_at.is_some_and(|proven_at| proven_at >= seen.crashed_at)
+    }
+}
+
 /// The crashes that speak against one part, in order of time.
 #[derive(Clone, Debug, Default)]
 pub struct CrashEvidence {
@@ -37,6 +89,7 @@
         match known {
             Some(known) => {
                 known.request = known.request.min(seen.request);
+                known.stage = known.stage.max(seen.stage);
                 known.crashed_at = known.crashed_at.min(seen.crashed_at);
             }
             None => self.crashes.push(seen),
@@ -46,9 +99,9 @@
         is_new && dropped.is_none_or(|dropped| dropped.crash != seen.crash)
     }
 
-    /// Drops the crashes up to `proven_at`, when an endpoint began to answer with the part.
-    pub fn clear_until(&mut self, proven_at: time::Instant) {
-        self.crashes.retain(|seen| seen.crashed_at > proven_at);
+    /// Drops the crashes that `proof` outweighs.
+    pub fn clear(&mut self, proof: &PartProof) {
+        self.crashes.retain(|seen| !proof.outweighs(seen));
     }
 
     /// Returns the time of the last crash.
@@ -70,9 +123,14 @@
         self.crashes.iter()
     }
 
-    /// Returns the number of crashes that have no common cause in time.
-    pub fn independent_count(&self) -> usize {
-        self.independent().count()
+    /// Returns the weight of the crashes.
+    pub fn weight(&self) -> usize {
+        self.crashes.iter().map(SeenCrash::weight).sum()
+    }
+
+    /// Returns the weight of the crashes that have no common cause in time.
+    pub fn independent_weight(&self) -> usize {
+        self.independent().map(SeenCrash::weight).sum()
     }
 
     /// Returns the number of different requests that waited.
@@ -95,6 +153,7 @@
             age: now.saturating_duration_since(seen.crashed_at),
             crash: seen.crash,
             request: seen.request,
+            stage: seen.stage,
         };
         chosen.into_iter().map(record).collect()
     }
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -84,6 +84,7 @@
 pub mod prober_health;
 pub mod recent_results;
 pub mod rendezvous;
+pub mod response_progress;
 pub mod result_usage;
 pub mod retry;
 pub mod route_table;
--- a/crates/comfreyspread-policy/src/part_suspect.rs
+++ b/crates/comfreyspread-policy/src/part_suspect.rs
@@ -1,14 +1,19 @@
-//! Prompt parts that crash the endpoints that begin to answer a request with them.
+//! Prompt parts, and whole requests, that crash the endpoints that begin to run them.
 //!
-//! Requests that share such a part may be unlike in all else, so evidence is kept by part, beside
-//! that by request in [`crate::suspect`]. A crash speaks against the parts of each request that
-//! waited for its first event at the endpoint. The first event of a request proves its parts sound
-//! and outweighs all crashes before it; parts of sound requests are thus cleared all the time.
+//! Requests that share such a part may be unlike in all else, so evidence is kept by part. A crash
+//! speaks against the parts of each request that waited for its first event at the endpoint, or had
+//! just got it. A first event outweighs the crashes before it at which requests waited, and a request
+//! that goes on for a while outweighs all; parts of sound requests are thus cleared all the time.
 //! Several independent crashes with unlike requests convict a part, and what it explains no longer
 //! speaks against others.
 //!
+//! A request as a whole is one more part, which it shares with its repetitions alone. All crashes
+//! while it ran speak against it, those after a while less, and only a complete response proves it
+//! sound. If none ever did, crashes that are not independent count too: they come of repetitions at
+//! several nodes.
+//!
 //! A conviction lapses some time after the last crash, at another moment on each node. The node then
-//! lets one request pass: its first event clears the part everywhere, its crash convicts again.
+//! lets one request pass: its proof clears the part everywhere, its crash convicts again.
 
 use crate::crash_evidence;
 use comfreyspread_schema::{ids, types};
@@ -16,16 +21,21 @@
 use rand::seq::IndexedRandom as _;
 use std::{cmp, mem, time};
 
-/// Independent crashes that convict a part.
-const CRASHES_TO_CONVICT: usize = 3;
-/// Independent crashes that convict a part proved sound shortly before.
-const CRASHES_AFTER_PROOF: usize = 5;
+/// Weight of the crashes that convict a part.
+const WEIGHT_TO_CONVICT: usize = 3 * crash_evidence::CRASH_WEIGHT;
+/// Weight of the crashes that convict a part proved sound shortly before.
+const WEIGHT_AFTER_PROOF: usize = 5 * crash_evidence::CRASH_WEIGHT;
+/// Additional weight that convicts a request as a whole. A sound one may begin at three endpoints
+/// that fail for another reason, as its attempts follow each other.
+const ADDITIONAL_REQUEST_WEIGHT: usize = crash_evidence::CRASH_WEIGHT;
 /// Age up to which a proof raises the number of crashes that convict.
 const PROOF_WEIGHT_TIME: time::Duration = time::Duration::from_secs(30);
-/// Different requests that have to wait at the crashes: one request alone is convicted by itself.
+/// Different requests that have to wait at the crashes: one request alone is convicted as a whole.
 const REQUESTS_TO_CONVICT: usize = 2;
 /// Time from the last crash to the first request that is let pass again.
 const CONVICTION_TIME: time::Duration = time::Duration::from_secs(120);
+/// The same for a request as a whole, which crashes endpoints each time that it comes.
+const REQUEST_CONVICTION_TIME: time::Duration = time::Duration::from_secs(600);
 /// Time that a request let pass has to begin or to crash.
 const TRIAL_TIME: time::Duration = time::Duration::from_secs(15);
 /// Time after its last crash at which a part is forgotten.
@@ -36,6 +46,8 @@
 /// Time for which other nodes are told that a part is cleared.
 const CLEARING_TIME: time::Duration = time::Duration::from_secs(10);
 const MAX_PARTS: usize = 10_000;
+/// Requests that are remembered as served.
+const MAX_SERVED: usize = 4096;
 /// Crashes in one record.
 const CRASHES_PER_RECORD: usize = 4;
 /// Crashes in the record of a convicted part: they tell the receiver which ones it explains.
@@ -43,8 +55,10 @@
 
 #[derive(Clone, Debug, Default)]
 struct PartEntry {
+    /// Whether it stands for a request as a whole.
+    whole: bool,
     evidence: crash_evidence::CrashEvidence,
-    proven_at: Option<time::Instant>,
+    proof: crash_evidence::PartProof,
     /// Last clearing of a crash.
     cleared_at: Option<time::Instant>,
     trial_until: Option<time::Instant>,
@@ -56,6 +70,8 @@
 pub struct PartChange {
     /// The part.
     pub part: ids::PartHash,
+    /// Whether it stands for a request as a whole.
+    pub whole: bool,
     /// Whether it is now convicted.
     pub convicted: bool,
     /// Crashes that speak against it.
@@ -71,6 +87,8 @@
     pub suspected: usize,
     /// Parts that crash endpoints.
     pub convicted: usize,
+    /// Requests that crash endpoints as a whole.
+    pub convicted_requests: usize,
 }
 
 /// Prompt parts that may crash endpoints.
@@ -79,6 +97,8 @@
     entries: IndexMap<ids::PartHash, PartEntry>,
     /// Parts that a crash speaks against, and those cleared lately.
     suspects: IndexSet<ids::PartHash>,
+    /// Requests served, and when.
+    served: IndexMap<ids::PartHash, time::Instant>,
     /// Changes not yet taken.
     changes: Vec<PartChange>,
     trial_delay: time::Duration,
@@ -95,8 +115,8 @@
         Self { trial_delay, ..self }
     }
 
-    /// Records a crash while a request with these parts waited for its first event. Returns whether
-    /// other nodes should hear of it at once.
+    /// Records a crash while a request with these prompt parts began to run. Returns whether other
+    /// nodes should hear of it at once.
     pub fn record_crash(
         &mut self,
         parts: &[ids::PartHash],
@@ -111,11 +131,51 @@
         news
     }
 
-    /// Records the first event of a request with these parts, which proves them sound.
+    /// Records a crash while the request `whole` ran. Returns whether other nodes should hear of it
+    /// at once.
+    pub fn record_request_crash(
+        &mut self,
+        whole: ids::PartHash,
+        seen: crash_evidence::SeenCrash,
+        now: time::Instant,
+    ) -> bool {
+        self.mark_whole(whole, now);
+        let news = self.add(whole, seen, now);
+        self.reassess(now);
+        news
+    }
+
+    /// Records the first event of a request with these prompt parts.
     pub fn record_first_event(&mut self, parts: &[ids::PartHash], now: time::Instant) {
+        self.record_proof(parts, crash_evidence::PartProof::with_begin(now), now);
+    }
+
+    /// Records that a request with these prompt parts has been running for a while, or is complete,
+    /// which proves them sound.
+    pub fn record_run(&mut self, parts: &[ids::PartHash], now: time::Instant) {
+        self.record_proof(parts, crash_evidence::PartProof::with_run(now), now);
+    }
+
+    /// Records the complete response of the request `whole`, which proves it sound.
+    pub fn record_served(&mut self, whole: ids::PartHash, now: time::Instant) {
+        if self.served.len() >= MAX_SERVED && !self.served.contains_key(&whole) {
+            self.served.drain(..MAX_SERVED / 2);
+        }
+        self.served.insert(whole, now);
+        if self.entries.contains_key(&whole) {
+            self.record_run(&[whole], now);
+        }
+    }
+
+    fn record_proof(
+        &mut self,
+        parts: &[ids::PartHash],
+        proof: crash_evidence::PartProof,
+        now: time::Instant,
+    ) {
         let mut cleared = false;
         for part in parts {
-            cleared |= self.prove(*part, now, now);
+            cleared |= self.prove(*part, proof, now);
         }
         if cleared {
             self.reassess(now);
@@ -146,10 +206,14 @@
 
     /// Returns how many parts are suspected and convicted.
     pub fn counts(&self, now: time::Instant) -> PartCounts {
-        let suspects = || self.suspects.iter().filter_map(|part| self.entries.get(part));
+        let suspects = |whole| {
+            let entries = self.suspects.iter().filter_map(|part| self.entries.get(part));
+            entries.filter(move |entry| entry.whole == whole)
+        };
         PartCounts {
-            suspected: suspects().filter(|entry| !is_expired(entry, now)).count(),
-            convicted: suspects().filter(|entry| self.holds(entry, now)).count(),
+            suspected: suspects(false).filter(|entry| !is_expired(entry, now)).count(),
+            convicted: suspects(false).filter(|entry| self.holds(entry, now)).count(),
+            convicted_requests: suspects(true).filter(|entry| self.holds(entry, now)).count(),
         }
     }
 
@@ -184,14 +248,17 @@
 
     /// Merges the record of another node. Returns whether it holds a crash that was not known.
     pub fn merge(&mut self, record: &types::PartSuspect, now: time::Instant) -> bool {
-        let proven_at = now.checked_sub(record.proof_age).filter(|_| record.proven);
-        let mut changed = proven_at.is_some_and(|at| self.adopt_proof(record.part, at, now));
+        if record.whole {
+            self.mark_whole(record.part, now);
+        }
+        let mut changed = self.adopt_proof(record.part, proof_of(record, now), now);
         let mut news = false;
         for crash in &record.crashes {
             let Some(crashed_at) = now.checked_sub(crash.age) else { continue };
             let seen = crash_evidence::SeenCrash {
                 crash: crash.crash,
                 request: crash.request,
+                stage: crash.stage,
                 crashed_at,
             };
             news |= self.add(record.part, seen, now);
@@ -203,18 +270,34 @@
         news
     }
 
-    /// Returns up to `limit` records for another node: half of them those that matter most, the
-    /// others at random.
+    /// Returns up to `limit` records of prompt parts, and as many of whole requests, for another
+    /// node: half of them those that matter most, the others at random.
     pub fn records<Random>(
         &self,
         limit: usize,
         now: time::Instant,
         random: &mut Random,
     ) -> Vec<types::PartSuspect>
+    where
+        Random: rand::Rng,
+    {
+        let mut records = self.records_of(false, limit, now, random);
+        records.extend(self.records_of(true, limit, now, random));
+        records
+    }
+
+    fn records_of<Random>(
+        &self,
+        whole: bool,
+        limit: usize,
+        now: time::Instant,
+        random: &mut Random,
+    ) -> Vec<types::PartSuspect>
     where
         Random: rand::Rng,
     {
         let suspects = self.suspects.iter().filter_map(|part| self.entries.get_key_value(part));
+        let suspects = suspects.filter(|(_, entry)| entry.whole == whole);
         let mut ranked: Vec<_> = suspects.filter_map(|entry| rank(entry, now)).collect();
         ranked.sort_unstable();
         let first = ranked.len().min(limit.div_ceil(2));
@@ -234,38 +317,61 @@
             return false;
         }
         let entry = self.entry(part, now);
-        if entry.proven_at.is_some_and(|proven_at| proven_at >= seen.crashed_at) {
+        if entry.proof.outweighs(&seen) {
             // The sender does not know of the proof.
             entry.cleared_at = Some(now);
             self.suspects.insert(part);
             return false;
         }
         let is_new = entry.evidence.add(seen);
+        // One crash says little of a request that had been running.
+        let is_running = seen.stage == types::CrashStage::Running;
+        let is_news = is_new && (!is_running || entry.evidence.crashes().nth(1).is_some());
         self.suspects.insert(part);
-        is_new
+        is_news
+    }
+
+    /// Marks a part as one that stands for a request as a whole.
+    fn mark_whole(&mut self, part: ids::PartHash, now: time::Instant) {
+        let served_at = self.served.get(&part).copied();
+        let entry = self.entry(part, now);
+        entry.whole = true;
+        if let Some(served_at) = served_at {
+            entry.proof = entry.proof.merged(crash_evidence::PartProof::with_run(served_at));
+        }
     }
 
+    /// Takes over the proof of another node, if it is clearly later than the known one.
     fn adopt_proof(
         &mut self,
         part: ids::PartHash,
-        proven_at: time::Instant,
+        proof: crash_evidence::PartProof,
         now: time::Instant,
     ) -> bool {
-        let known = self.entries.get(&part).and_then(|entry| entry.proven_at);
-        if known.is_some_and(|known| proven_at < known + MIN_PROOF_ADVANCE) {
-            return false;
-        }
-        self.prove(part, proven_at, now)
+        let known = self.entries.get(&part).map(|entry| entry.proof).unwrap_or_default();
+        let is_later = |known: Option<time::Instant>, at: &time::Instant| {
+            known.is_none_or(|known| *at >= known + MIN_PROOF_ADVANCE)
+        };
+        let proof = crash_evidence::PartProof {
+            began_at: proof.began_at.filter(|at| is_later(known.began_at, at)),
+            ran_at: proof.ran_at.filter(|at| is_later(known.ran_at, at)),
+        };
+        (proof.began_at.is_some() || proof.ran_at.is_some()) && self.prove(part, proof, now)
     }
 
-    /// Records a proof; returns whether it cleared a crash.
-    fn prove(&mut self, part: ids::PartHash, proven_at: time::Instant, now: time::Instant) -> bool {
+    /// Records a proof; returns whether there were crashes that it may have cleared.
+    fn prove(
+        &mut self,
+        part: ids::PartHash,
+        proof: crash_evidence::PartProof,
+        now: time::Instant,
+    ) -> bool {
         let entry = self.entry(part, now);
-        entry.proven_at = entry.proven_at.max(Some(proven_at));
+        entry.proof = entry.proof.merged(proof);
         if entry.evidence.last_crash().is_none() {
             return false;
         }
-        entry.evidence.clear_until(proven_at);
+        entry.evidence.clear(&entry.proof);
         entry.cleared_at = Some(now);
         true
     }
@@ -284,19 +390,21 @@
             }
         }
         let mut explained = IndexSet::new();
-        for (_, _, part) in order {
+        for (_, _, _, part) in order {
             let Some(entry) = self.entries.get_mut(&part) else { continue };
             let evidence = entry.evidence.unexplained(|crash| explained.contains(&crash));
-            entry.convicted = convicts(&evidence, entry.proven_at, now);
+            entry.convicted = entry.is_convicted_by(&evidence, now);
             if entry.convicted {
                 explained.extend(entry.evidence.crashes().map(|seen| seen.crash));
             }
         }
         let after = self.convicted_parts();
         for part in before.symmetric_difference(&after) {
-            let evidence = self.entries.get(part).map(|entry| &entry.evidence);
+            let entry = self.entries.get(part);
+            let evidence = entry.map(|entry| &entry.evidence);
             self.changes.push(PartChange {
                 part: *part,
+                whole: entry.is_some_and(|entry| entry.whole),
                 convicted: after.contains(part),
                 crashes: evidence.map_or(0, |evidence| evidence.crashes().count()),
                 requests: evidence.map_or(0, crash_evidence::CrashEvidence::request_count),
@@ -317,7 +425,8 @@
             let is_current =
                 entries.get_key_value(part).is_some_and(|entry| rank(entry, now).is_some());
             if !is_current && let Some(entry) = entries.get_mut(part) {
-                *entry = PartEntry { proven_at: entry.proven_at, ..PartEntry::default() };
+                let PartEntry { proof, whole, .. } = *entry;
+                *entry = PartEntry { proof, whole, ..PartEntry::default() };
             }
             is_current
         });
@@ -333,7 +442,8 @@
     /// Returns when the conviction of a part lapses; at once if no crash speaks against it.
     fn lapses_at(&self, entry: &PartEntry, now: time::Instant) -> time::Instant {
         let last_crash = entry.evidence.last_crash();
-        last_crash.map_or(now, |last_crash| last_crash + CONVICTION_TIME + self.trial_delay)
+        let time = if entry.whole { REQUEST_CONVICTION_TIME } else { CONVICTION_TIME };
+        last_crash.map_or(now, |last_crash| last_crash + time + self.trial_delay)
     }
 
     fn entry(&mut self, part: ids::PartHash, now: time::Instant) -> &mut PartEntry {
@@ -360,25 +470,43 @@
     }
 }
 
-fn convicts(
-    evidence: &crash_evidence::CrashEvidence,
-    proven_at: Option<time::Instant>,
-    now: time::Instant,
-) -> bool {
-    let proven_lately =
-        proven_at.is_some_and(|at| now.saturating_duration_since(at) < PROOF_WEIGHT_TIME);
-    let needed = if proven_lately { CRASHES_AFTER_PROOF } else { CRASHES_TO_CONVICT };
-    evidence.independent_count() >= needed && evidence.request_count() >= REQUESTS_TO_CONVICT
+impl PartEntry {
+    /// Returns whether these crashes, which no other part explains, convict the part.
+    fn is_convicted_by(
+        &self,
+        evidence: &crash_evidence::CrashEvidence,
+        now: time::Instant,
+    ) -> bool {
+        let age = self.proof.began_at.map(|began_at| now.saturating_duration_since(began_at));
+        let proven_lately = age.is_some_and(|age| age < PROOF_WEIGHT_TIME);
+        let needed = if proven_lately { WEIGHT_AFTER_PROOF } else { WEIGHT_TO_CONVICT };
+        if self.whole {
+            return self.weight(evidence) >= needed + ADDITIONAL_REQUEST_WEIGHT;
+        }
+        self.weight(evidence) >= needed && evidence.request_count() >= REQUESTS_TO_CONVICT
+    }
+
+    /// Returns the weight of crashes. A request that was never served may be the cause of several at
+    /// one moment.
+    fn weight(&self, evidence: &crash_evidence::CrashEvidence) -> usize {
+        if self.whole && self.proof.ran_at.is_none() {
+            evidence.weight()
+        } else {
+            evidence.independent_weight()
+        }
+    }
 }
 
-/// Position of a part in the order of convictions: never proved sound first, then most crashes.
+/// Position of a part in the order of convictions: prompt parts before whole requests, then those
+/// never proved sound, then those with most crashes.
 fn candidate(
     (part, entry): (&ids::PartHash, &PartEntry),
-) -> Option<(bool, cmp::Reverse<usize>, ids::PartHash)> {
-    let crashes = entry.evidence.independent_count();
-    (crashes >= CRASHES_TO_CONVICT).then_some((
-        entry.proven_at.is_some(),
-        cmp::Reverse(crashes),
+) -> Option<(bool, bool, cmp::Reverse<usize>, ids::PartHash)> {
+    let weight = entry.weight(&entry.evidence);
+    (weight >= WEIGHT_TO_CONVICT).then_some((
+        entry.whole,
+        entry.proof.began_at.is_some(),
+        cmp::Reverse(weight),
         *part,
     ))
 }
@@ -390,10 +518,11 @@
 ) -> Option<(u8, time::Duration, ids::PartHash)> {
     let age = |at: time::Instant| now.saturating_duration_since(at);
     if let Some(last_crash) = entry.evidence.last_crash().filter(|at| age(*at) < RETENTION) {
-        let class = match (entry.convicted, entry.evidence.independent_count()) {
+        let class = match (entry.convicted, entry.weight(&entry.evidence)) {
             (true, _) => 0,
-            (false, 1) => 2,
-            (false, _) => 1,
+            (false, weight) if weight > crash_evidence::CRASH_WEIGHT => 1,
+            (false, crash_evidence::CRASH_WEIGHT) => 2,
+            (false, _) => 4,
         };
         return Some((class, age(last_crash), *part));
     }
@@ -401,14 +530,25 @@
     Some((3, age(cleared_at), *part))
 }
 
+/// Returns the proof that another node tells of.
+fn proof_of(record: &types::PartSuspect, now: time::Instant) -> crash_evidence::PartProof {
+    crash_evidence::PartProof {
+        began_at: now.checked_sub(record.proof_age).filter(|_| record.proven),
+        ran_at: record.ran.as_ref().and_then(|proof| now.checked_sub(proof.age)),
+    }
+}
+
 fn record(part: ids::PartHash, entry: &PartEntry, now: time::Instant) -> types::PartSuspect {
-    let proof_age = entry.proven_at.map(|at| now.saturating_duration_since(at));
+    let age = |at: Option<time::Instant>| at.map(|at| now.saturating_duration_since(at));
+    let proof_age = age(entry.proof.began_at);
     let limit = if entry.convicted { CRASHES_PER_CONVICTION } else { CRASHES_PER_RECORD };
     types::PartSuspect {
         crashes: entry.evidence.records(limit, now),
         part,
         proof_age: proof_age.unwrap_or_default(),
         proven: proof_age.is_some(),
+        ran: age(entry.proof.ran_at).map(|age| types::RunProof { age }),
+        whole: entry.whole,
     }
 }
 
--- a/crates/comfreyspread-policy/tests/conviction_store.rs
+++ b/crates/comfreyspread-policy/tests/conviction_store.rs
@@ -15,8 +15,16 @@
 /// Returns the record of a part whose latest crash is `crash`.
 fn record(crash: ids::CrashHash) -> types::PartSuspect {
     let age = time::Duration::ZERO;
-    let crashes = vec![types::PartCrash { age, crash, request: 1 }];
-    types::PartSuspect { crashes, part: PART, proof_age: age, proven: false }
+    let crashes =
+        vec![types::PartCrash { age, crash, request: 1, stage: types::CrashStage::Waiting }];
+    types::PartSuspect {
+        crashes,
+        part: PART,
+        proof_age: age,
+        proven: false,
+        ran: None,
+        whole: false,
+    }
 }
 
 /// Nodes and the rows of the store, on injected time.
--- a/crates/comfreyspread-policy/tests/crashing_parts.rs
+++ b/crates/comfreyspread-policy/tests/crashing_parts.rs
@@ -16,7 +16,7 @@
 }
 
 fn seen(crash: u64, request: u64, crashed_at: time::Instant) -> crash_evidence::SeenCrash {
-    crash_evidence::SeenCrash { crash, request, crashed_at }
+    crash_evidence::SeenCrash { crash, request, stage: types::CrashStage::Waiting, crashed_at }
 }
 
 /// Records a crash for requests with the shared part and each of `parts`.
@@ -368,13 +368,15 @@
         table.record_first_event(&[SHARED], at + seconds(0.1));
     }
     let (part, later) = (GUILTY, now + seconds(4.0));
-    let change = part_suspect::PartChange { part, convicted: true, crashes: 3, requests: 3 };
+    let change =
+        part_suspect::PartChange { part, whole: false, convicted: true, crashes: 3, requests: 3 };
     assert_eq!(table.take_changes(), [change]);
     assert_eq!(table.convicted_part(&[SHARED, GUILTY], later), Some(GUILTY));
-    let counts = part_suspect::PartCounts { suspected: 1, convicted: 1 };
+    let counts = part_suspect::PartCounts { suspected: 1, convicted: 1, convicted_requests: 0 };
     assert_eq!(table.counts(later), counts);
     table.record_first_event(&[GUILTY], later);
-    let change = part_suspect::PartChange { part, convicted: false, crashes: 0, requests: 0 };
+    let change =
+        part_suspect::PartChange { part, whole: false, convicted: false, crashes: 0, requests: 0 };
     assert_eq!(table.take_changes(), [change]);
     assert_eq!(table.counts(later), part_suspect::PartCounts::default());
 }
--- a/crates/comfreyspread/src/gateway/attempt_history.rs
+++ b/crates/comfreyspread/src/gateway/attempt_history.rs
@@ -2,7 +2,7 @@
 
 use super::{attempt_send, call_plan, stage_execution, state};
 use crate::transport::failure;
-use comfreyspread_policy::{tried_endpoints, verdict};
+use comfreyspread_policy::{response_progress, tried_endpoints, verdict};
 use comfreyspread_schema::{ids, types};
 use std::sync;
 
@@ -91,7 +91,7 @@
         let Some(chosen) = &failed.chosen else { return false };
         let endpoint = &chosen.endpoint;
         if failed.failure.crashed() {
-            plan.detect_crash(state, chosen, false);
+            plan.detect_crash(state, chosen, response_progress::ResponseProgress::new());
         }
         let verdict = failed.failure.verdict();
         let on_kept_connection = failed.on_kept_connection;
--- a/crates/comfreyspread/src/gateway/attempt_send.rs
+++ b/crates/comfreyspread/src/gateway/attempt_send.rs
@@ -3,7 +3,9 @@
 use super::{call_plan, caller_handler, endpoint_notices, state};
 use crate::transport::{failure, http_client, http_message};
 use comfreyspread_platform::{request_head, response_head};
-use comfreyspread_policy::{attempt, endpoint_directory, endpoint_selection, tried_endpoints};
+use comfreyspread_policy::{
+    attempt, endpoint_directory, endpoint_selection, response_progress, tried_endpoints,
+};
 use comfreyspread_schema::{ids, types};
 use std::{
     sync::{self, atomic},
@@ -40,8 +42,8 @@
     state: sync::Arc<state::GatewayState>,
     /// The selected endpoint.
     pub chosen: endpoint_directory::ChosenEndpoint,
-    /// Whether a complete event of the response has arrived.
-    pub has_events: bool,
+    /// Complete events of the response that have arrived.
+    pub progress: response_progress::ResponseProgress,
     started: time::Instant,
     finished: bool,
 }
@@ -153,7 +155,7 @@
     let mut active = ActiveAttempt {
         state: state.clone(),
         chosen,
-        has_events: false,
+        progress: response_progress::ResponseProgress::new(),
         started: now,
         finished: false,
     };
--- a/crates/comfreyspread/src/gateway/call_plan.rs
+++ b/crates/comfreyspread/src/gateway/call_plan.rs
@@ -5,7 +5,9 @@
     membership::crash_notice,
     transport::{client_connection, failure},
 };
-use comfreyspread_policy::{crash_evidence, endpoint_directory, route_table, stage_graph, suspect};
+use comfreyspread_policy::{
+    crash_evidence, endpoint_directory, response_progress, route_table, stage_graph,
+};
 use comfreyspread_schema::{ids, types};
 use std::{
     io,
@@ -41,8 +43,10 @@
     pub deadline: time::Instant,
     /// Version of the route table.
     pub version: u64,
-    /// Digest that identifies the request when the caller sends it again.
+    /// Digest of path, key and body, as logs and older builds know the request.
     pub digest: ids::BodyDigest,
+    /// Hash that identifies the request as a whole when the caller sends it again.
+    whole: ids::PartHash,
 }
 
 /// Reason why a request is rejected before its first attempt.
@@ -111,6 +115,7 @@
         let (target, deadline) = (arrived + route.target_latency, arrived + timeout);
         let version = routes.version();
         let digest = digest(&call, &body);
+        let whole = whole_hash(&head, &call, &body);
         Ok(Self {
             head,
             call,
@@ -125,24 +130,31 @@
             deadline,
             version,
             digest,
+            whole,
         })
     }
 
     /// Checks whether an endpoint that broke the connection has crashed, and records the crash for
     /// the request.
     ///
-    /// A lost response alone is no crash: the endpoint must refuse a new connection. `began` tells
-    /// whether the endpoint had begun to answer.
+    /// A lost response alone is no crash: the endpoint must refuse a new connection. `progress` is
+    /// that of the response.
     pub fn detect_crash(
         &self,
         state: &sync::Arc<state::GatewayState>,
         chosen: &endpoint_directory::ChosenEndpoint,
-        began: bool,
+        progress: response_progress::ResponseProgress,
     ) {
         let task_state = state.clone();
         let (chosen, names) = (chosen.clone(), self.shared_parts().join(","));
         let (digest, request) = (self.digest.clone(), self.call.request.clone());
-        let (parts, broke_at) = (self.part_hashes(), time::Instant::now());
+        let (parts, whole) = (self.part_hashes(), self.whole);
+        let seen = crash_evidence::SeenCrash {
+            crash: crash_hash(&chosen),
+            request: whole,
+            stage: progress.stage(),
+            crashed_at: time::Instant::now(),
+        };
         let hashes: Vec<_> = parts.iter().copied().map(crash_notice::format_part).collect();
         state.context.spawner.detach(async move {
             let opened = client_connection::ClientConnection::new(chosen.address).await;
@@ -151,17 +163,17 @@
             if refused {
                 task_state.context.metrics.crashes.count_crash();
                 log::warn!(request = request.as_ref(), digest = digest.as_ref(),
-                    endpoint = chosen.endpoint.as_ref(), began = began, parts = names.as_str(),
+                    endpoint = chosen.endpoint.as_ref(), began = progress.has_events(),
+                    stage = seen.stage.to_string().as_str(),
+                    whole = crash_notice::format_part(whole).as_str(), parts = names.as_str(),
                     hashes = hashes.join(",").as_str();
                     "entry: endpoint crashed while running the request");
-                if !began {
-                    record_crash(&task_state, &digest, &parts, crash_hash(&chosen), broke_at);
-                }
+                record_crash(&task_state, &digest, &parts, seen);
             }
         });
     }
 
-    /// Records the first event of a response, which proves the prompt parts sound.
+    /// Records the first event of a response, which shows that its prompt parts let an endpoint begin.
     pub fn record_first_event(&self, state: &state::GatewayState) {
         let (now, parts) = (time::Instant::now(), self.part_hashes());
         crash_notice::update_parts(&state.context.tables, |table| {
@@ -170,25 +182,37 @@
         });
     }
 
-    /// Records that the request was served, which clears it of earlier crashes.
+    /// Records that the request has been running for a while, which proves its prompt parts sound.
+    pub fn record_run(&self, state: &state::GatewayState) {
+        let (now, parts) = (time::Instant::now(), self.part_hashes());
+        crash_notice::update_parts(&state.context.tables, |table| {
+            table.record_run(&parts, now);
+            false
+        });
+    }
+
+    /// Records that the request was served, which clears it and its prompt parts of earlier crashes.
     pub fn record_served(&self, state: &state::GatewayState) {
         let now = time::Instant::now();
         state.context.tables.suspects.lock().record_served(&self.digest, now);
+        self.record_run(state);
+        crash_notice::update_parts(&state.context.tables, |table| {
+            table.record_served(self.whole, now);
+            false
+        });
     }
 
     /// Returns whether the request may run: neither it nor one of its prompt parts has crashed
     /// several endpoints.
     pub fn try_admit(&self, state: &state::GatewayState) -> bool {
         let now = time::Instant::now();
-        !self.is_convicted_alone(state, now)
-            && state.context.tables.part_suspects.lock().try_admit(&self.part_hashes(), now)
+        state.context.tables.part_suspects.lock().try_admit(&self.all_hashes(), now)
     }
 
     /// Returns whether the request or one of its prompt parts has crashed several endpoints.
     pub fn is_convicted(&self, state: &state::GatewayState) -> bool {
         let now = time::Instant::now();
-        self.is_convicted_alone(state, now)
-            || state.context.tables.part_suspects.lock().is_convicted(&self.part_hashes(), now)
+        state.context.tables.part_suspects.lock().is_convicted(&self.all_hashes(), now)
     }
 
     /// Checks, before an attempt, whether the request was found to crash endpoints meanwhile: it may
@@ -199,13 +223,8 @@
     /// Fails if so; the attempt has not run.
     pub fn check_attempt(&self, state: &state::GatewayState) -> Result<(), failure::CallFailure> {
         let now = time::Instant::now();
-        let convicted = self.is_convicted_alone(state, now)
-            || state
-                .context
-                .tables
-                .part_suspects
-                .lock()
-                .is_convicted_anew(&self.part_hashes(), now);
+        let hashes = self.all_hashes();
+        let convicted = state.context.tables.part_suspects.lock().is_convicted_anew(&hashes, now);
         if convicted { Err(Self::crashing()) } else { Ok(()) }
     }
 
@@ -248,9 +267,9 @@
         state.context.tables.part_suspects.lock().convicted_part(&self.part_hashes(), now)
     }
 
-    fn is_convicted_alone(&self, state: &state::GatewayState, now: time::Instant) -> bool {
-        let status = state.context.tables.suspects.lock().status(&self.digest, now);
-        status == suspect::SuspectStatus::Convicted
+    /// Returns the hash that identifies the request as a whole.
+    pub fn whole_hash(&self) -> ids::PartHash {
+        self.whole
     }
 
     /// Returns the regions now allowed to run the request; `None` for all. A request may wait at
@@ -322,6 +341,13 @@
         self.shared_parts().into_iter().map(hash).collect()
     }
 
+    /// Returns the hashes of these parts and that of the request as a whole.
+    fn all_hashes(&self) -> Vec<ids::PartHash> {
+        let mut hashes = self.part_hashes();
+        hashes.push(self.whole);
+        hashes
+    }
+
     /// Returns the failure of a request that has not run, with a retry delay.
     pub fn not_run(problem: types::ProblemKind, detail: &str) -> failure::CallFailure {
         failure::CallFailure::new(problem, detail)
@@ -338,6 +364,22 @@
     format!("{:032x}", hasher.digest128()).into()
 }
 
+/// Returns the hash of a request's method, path with query, API key and body.
+fn whole_hash(
+    head: &http::request::Parts,
+    call: &types::RequestHead,
+    body: &[u8],
+) -> ids::PartHash {
+    let mut hasher = xxh3::Xxh3::new();
+    let path = head.uri.path_and_query().map_or("", |path| path.as_str());
+    for field in [head.method.as_str(), path, call.api_key.as_deref().unwrap_or_default()] {
+        hasher.update(field.as_bytes());
+        hasher.update(&[0]);
+    }
+    hasher.update(body);
+    hasher.digest()
+}
+
 /// Returns the hash of an endpoint's process: one that restarts under its name may crash again.
 fn crash_hash(chosen: &endpoint_directory::ChosenEndpoint) -> ids::CrashHash {
     let mut hasher = xxh3::Xxh3::new();
@@ -346,21 +388,22 @@
     hasher.digest()
 }
 
-/// Records a crash at `broke_at` for a request that waited for its first event, and for its parts.
+/// Records a crash for a request and, unless it had been running for a while, for its parts.
 fn record_crash(
     state: &state::GatewayState,
     digest: &ids::BodyDigest,
     parts: &[ids::PartHash],
-    crash: ids::CrashHash,
-    broke_at: time::Instant,
+    seen: crash_evidence::SeenCrash,
 ) {
     let tables = &state.context.tables;
     let now = time::Instant::now();
-    tables.suspects.lock().record_shared_crash(digest, crash, now);
-    let seen = crash_evidence::SeenCrash {
-        crash,
-        request: xxh3::xxh3_64(digest.as_bytes()),
-        crashed_at: broke_at,
-    };
-    crash_notice::update_parts(tables, |table| table.record_crash(parts, seen, now));
+    let running = seen.stage == types::CrashStage::Running;
+    if !running {
+        // For nodes of an older build, which know requests by their digest.
+        tables.suspects.lock().record_shared_crash(digest, seen.crash, now);
+    }
+    crash_notice::update_parts(tables, |table| {
+        let parts_news = !running && table.record_crash(parts, seen, now);
+        table.record_request_crash(seen.request, seen, now) || parts_news
+    });
 }
--- a/crates/comfreyspread/src/gateway/caller_handler.rs
+++ b/crates/comfreyspread/src/gateway/caller_handler.rs
@@ -53,7 +53,8 @@
             self.state.context.metrics.crashes.count_rejected();
             let part = plan.convicted_part(&self.state).map(crash_notice::format_part);
             log::warn!(request = id.as_ref(), digest = plan.digest.as_ref(),
-                part = part.as_deref().unwrap_or("none");
+                part = part.as_deref().unwrap_or("none"),
+                whole = crash_notice::format_part(plan.whole_hash()).as_str();
                 "entry: rejected, the request crashes endpoints");
             let failure = call_plan::CallPlan::crashing();
             return EndedCall::rejected(failure_response(&failure, &id));
--- a/crates/comfreyspread/src/gateway/conviction_sync.rs
+++ b/crates/comfreyspread/src/gateway/conviction_sync.rs
@@ -127,6 +127,9 @@
     let elapsed = now.saturating_sub(stored.written_at);
     let mut record = stored.record;
     record.proof_age = record.proof_age.saturating_add(elapsed);
+    if let Some(proof) = &mut record.ran {
+        proof.age = proof.age.saturating_add(elapsed);
+    }
     for crash in &mut record.crashes {
         crash.age = crash.age.saturating_add(elapsed);
     }
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -225,8 +225,8 @@
     /// Records that the stream does not go on at the endpoint of an attempt.
     fn record_broken(&self, started: &mut attempt_send::StartedAttempt, error: &io::Error) {
         started.active.finish(endpoint_directory::AttemptOutcome::Failed);
-        let began = started.active.has_events;
-        self.plan.detect_crash(&self.state, &started.active.chosen, began);
+        let active = &started.active;
+        self.plan.detect_crash(&self.state, &active.chosen, active.progress);
         log::info!(request = self.plan.call.request.as_ref(),
             endpoint = started.active.chosen.endpoint.as_ref(), passed = self.last_event,
             runs = self.history.runs(); "stream: broken. error={error}");
@@ -266,7 +266,8 @@
         let mut reader = stream_reader::StreamReader::new(&mut started.response);
         let mut progressed_at = time::Instant::now();
         loop {
-            let wait_until = self.stall_deadline(progressed_at, started.active.has_events);
+            let wait_until =
+                self.stall_deadline(progressed_at, started.active.progress.has_events());
             let wait_until = wait_until.min(self.plan.deadline);
             let batch = match http_client::with_deadline(wait_until, reader.next_batch()).await {
                 Some(batch) => batch?,
@@ -282,11 +283,8 @@
             };
             let Some(batch) = batch else { return Ok(ForwardEnd::Complete) };
             if batch.advanced {
-                if !started.active.has_events {
-                    started.active.has_events = true;
-                    self.record_first_event(started);
-                }
                 progressed_at = time::Instant::now();
+                self.record_event(&mut started.active, progressed_at);
                 self.stages.release_all();
             }
             let bytes = self.new_event_bytes(batch.events);
@@ -352,10 +350,17 @@
             "stream: its endpoint goes on");
     }
 
-    fn record_first_event(&self, started: &attempt_send::StartedAttempt) {
-        self.plan.record_first_event(&self.state);
-        let took = started.active.elapsed();
-        self.state.first_events.lock().record(&self.plan.route.name, took);
+    /// Records a new event of an attempt.
+    fn record_event(&self, active: &mut attempt_send::ActiveAttempt, now: time::Instant) {
+        let before = active.progress;
+        active.progress.record_event(now);
+        if !before.has_events() {
+            self.plan.record_first_event(&self.state);
+            self.state.first_events.lock().record(&self.plan.route.name, active.elapsed());
+        }
+        if active.progress.is_running() && !before.is_running() {
+            self.plan.record_run(&self.state);
+        }
     }
 
     /// Returns the bytes of the events that have not been forwarded yet.
--- a/crates/comfreyspread/src/gateway/unary_run.rs
+++ b/crates/comfreyspread/src/gateway/unary_run.rs
@@ -90,7 +90,6 @@
         };
         let failed = started.response.status().is_server_error();
         if !failed {
-            self.plan.record_first_event(state);
             self.plan.record_served(state);
             self.plan.record_duration(state, started.active.elapsed());
         }
--- a/crates/comfreyspread/src/membership/crash_notice.rs
+++ b/crates/comfreyspread/src/membership/crash_notice.rs
@@ -29,7 +29,7 @@
     }
 }
 
-/// Updates the table of prompt parts and logs what that convicts or clears. If `update` returns that
+/// Updates the table of prompt parts and requests and logs what that convicts or clears. If `update` returns that
 /// it added a crash, other nodes hear of it at once.
 pub fn update_parts<Update>(tables: &tables::SharedTables, update: Update)
 where
@@ -45,21 +45,21 @@
     }
 }
 
-/// Writes a line for each conviction of a prompt part, and for its end.
+/// Writes a line for each conviction of a prompt part or a request, and for its end.
 fn log_changes(changes: &[part_suspect::PartChange]) {
     for change in changes {
         let part = format_part(change.part);
         if change.convicted {
-            log::warn!(part = part.as_str(), crashes = change.crashes, requests = change.requests;
-                "parts: convicted of crashing endpoints");
+            log::warn!(part = part.as_str(), whole = change.whole, crashes = change.crashes,
+                requests = change.requests; "parts: convicted of crashing endpoints");
         } else {
-            log::info!(part = part.as_str(), crashes = change.crashes, requests = change.requests;
-                "parts: no longer convicted");
+            log::info!(part = part.as_str(), whole = change.whole, crashes = change.crashes,
+                requests = change.requests; "parts: no longer convicted");
         }
     }
 }
 
-/// Returns the text that stands for a prompt part in logs.
+/// Returns the text that stands for a prompt part, or a request as a whole, in logs.
 pub fn format_part(part: ids::PartHash) -> String {
     format!("{part:016x}")
 }
--- a/crates/comfreyspread/src/runtime/crash_metrics.rs
+++ b/crates/comfreyspread/src/runtime/crash_metrics.rs
@@ -10,6 +10,7 @@
     rejected: metrics::counter::Counter,
     suspected_parts: metrics::gauge::Gauge,
     convicted_parts: metrics::gauge::Gauge,
+    convicted_requests: metrics::gauge::Gauge,
 }
 
 impl CrashMetrics {
@@ -20,6 +21,7 @@
             rejected: metrics::counter::Counter::default(),
             suspected_parts: metrics::gauge::Gauge::default(),
             convicted_parts: metrics::gauge::Gauge::default(),
+            convicted_requests: metrics::gauge::Gauge::default(),
         };
         let help = "Requests of this node whose endpoint crashed";
         registry.register("requests_at_crashes", help, metrics.requests.clone());
@@ -29,6 +31,8 @@
         registry.register("prompt_parts_suspected", help, metrics.suspected_parts.clone());
         let help = "Prompt parts whose requests are rejected";
         registry.register("prompt_parts_convicted", help, metrics.convicted_parts.clone());
+        let help = "Requests that crash endpoints as a whole and are rejected";
+        registry.register("requests_convicted", help, metrics.convicted_requests.clone());
         metrics
     }
 
@@ -42,9 +46,15 @@
         self.rejected.inc();
     }
 
-    /// Sets the numbers of prompt parts.
+    /// Sets the numbers of prompt parts and requests.
     pub fn update_gauges(&self, counts: &part_suspect::PartCounts) {
-        self.suspected_parts.set(i64::try_from(counts.suspected).unwrap_or(i64::MAX));
-        self.convicted_parts.set(i64::try_from(counts.convicted).unwrap_or(i64::MAX));
+        let gauges = [
+            (&self.suspected_parts, counts.suspected),
+            (&self.convicted_parts, counts.convicted),
+            (&self.convicted_requests, counts.convicted_requests),
+        ];
+        for (gauge, count) in gauges {
+            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+        }
     }
 }
