--- a/crates/comfreyspread/src/transport/http_client.rs
+++ b/crates/comfreyspread/src/transport/http_client.rs
@@ -5,19 +5,15 @@
 //! retried uses a new connection: if a reused one turned out to be closed, it would be unknown
 //! whether the call ran.
 
-use crate::{
-    runtime::lock_rank,
-    transport::{
-        body, client_connection, deadline as deadlines, failure, header, http_body, http_message,
-    },
+use crate::transport::{
+    body, client_connection, deadline as deadlines, failure, header, http_body, http_message,
+    idle_connections,
 };
 use comfreyspread_schema::{ids, types};
 use futures_lite::FutureExt as _;
-use indexmap::IndexMap;
 use std::{future, io, net, pin, sync, task, time};
 
 const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(3);
-const IDLE_CONNECTIONS_PER_ADDRESS: usize = 64;
 const NO_CONTENT_STATUS: u16 = 204;
 /// Bodies of the largest size that are read at once.
 const LARGE_BODIES_AT_ONCE: usize = 2;
@@ -83,7 +79,7 @@
 pub struct HeldResponse {
     response: ClientResponse,
     connection: Option<client_connection::ClientConnection>,
-    idle: sync::Arc<IdleConnections>,
+    idle: sync::Arc<idle_connections::IdleConnections>,
 }
 
 impl HeldResponse {
@@ -104,27 +100,16 @@
 /// Client that keeps idle connections per address.
 #[derive(Debug)]
 pub struct HttpClient {
-    idle: sync::Arc<IdleConnections>,
+    idle: sync::Arc<idle_connections::IdleConnections>,
     body_limit: usize,
     budget: sync::Arc<body::BodyBudget>,
     user_agent: Option<ids::Text>,
 }
 
-/// Connections on which no exchange is in progress.
-#[derive(Debug)]
-struct IdleConnections {
-    timeout: time::Duration,
-    connections: lock_rank::RankedLock<
-        lock_rank::ConnectionRank,
-        IndexMap<net::SocketAddr, Vec<client_connection::ClientConnection>>,
-    >,
-}
-
 impl HttpClient {
     /// Creates a client that accepts response bodies of up to `body_limit` bytes.
     pub fn new(body_limit: usize) -> Self {
-        let connections = lock_rank::RankedLock::new(IndexMap::new());
-        let idle = sync::Arc::new(IdleConnections { timeout: IDLE_TIMEOUT, connections });
+        let idle = sync::Arc::new(idle_connections::IdleConnections::new(IDLE_TIMEOUT));
         let budget = sync::Arc::new(body::BodyBudget::new(body_limit * LARGE_BODIES_AT_ONCE));
         Self { idle, body_limit, budget, user_agent: None }
     }
@@ -136,8 +121,7 @@
 
     /// Sets how long a connection may be idle before it is closed.
     pub fn with_idle_timeout(self, timeout: time::Duration) -> Self {
-        let connections = lock_rank::RankedLock::new(IndexMap::new());
-        Self { idle: sync::Arc::new(IdleConnections { timeout, connections }), ..self }
+        Self { idle: sync::Arc::new(idle_connections::IdleConnections::new(timeout)), ..self }
     }
 
     /// Makes a call and reads its whole response.
@@ -325,33 +309,10 @@
     }
 }
 
-impl IdleConnections {
-    fn acquire(&self, address: net::SocketAddr) -> Option<client_connection::ClientConnection> {
-        let mut idle = self.connections.lock();
-        let connections = idle.get_mut(&address)?;
-        while let Some(connection) = connections.pop() {
-            if connection.idle_since().elapsed() < self.timeout {
-                return Some(connection);
-            }
-        }
-        None
-    }
-
-    fn release(&self, mut connection: client_connection::ClientConnection) {
-        connection.mark_idle();
-        let mut idle = self.connections.lock();
-        let connections = idle.entry(connection.address()).or_default();
-        connections.retain(|connection| connection.idle_since().elapsed() < self.timeout);
-        if connections.len() < IDLE_CONNECTIONS_PER_ADDRESS {
-            connections.push(connection);
-        }
-    }
-}
-
 /// Where a connection goes once its response was read to the end.
 enum FinishedConnection {
     /// To the idle ones.
-    Idle(sync::Arc<IdleConnections>),
+    Idle(sync::Arc<idle_connections::IdleConnections>),
     /// To the caller, who checks the response.
     Held(async_channel::Sender<client_connection::ClientConnection>),
 }
--- a/crates/comfreyspread/src/transport/mod.rs
+++ b/crates/comfreyspread/src/transport/mod.rs
@@ -12,6 +12,7 @@
 pub mod http_client;
 pub mod http_message;
 pub mod http_server;
+mod idle_connections;
 pub mod problem;
 pub mod produced_body;
 pub mod produced_items;
