--- a/crates/comfreyspread-policy/src/crash_evidence.rs
+++ b/crates/comfreyspread-policy/src/crash_evidence.rs
@@ -24,17 +24,17 @@
     pub crash: ids::CrashHash,
     /// The request that waited; of several, the one with the lowest hash.
     pub request: ids::RequestHash,
-    /// How far the request was; of several, the stage that says most against it.
-    pub stage: types::CrashStage,
+    /// How far the request was; of several, the moment that says most against it.
+    pub moment: types::CrashMoment,
     /// Time of the crash.
     pub crashed_at: time::Instant,
 }
 
 impl SeenCrash {
     fn weight(&self) -> usize {
-        match self.stage {
-            types::CrashStage::Begun | types::CrashStage::Waiting => CRASH_WEIGHT,
-            types::CrashStage::Running => RUNNING_WEIGHT,
+        match self.moment {
+            types::CrashMoment::Begun | types::CrashMoment::Waiting => CRASH_WEIGHT,
+            types::CrashMoment::Running => RUNNING_WEIGHT,
         }
     }
 }
@@ -67,9 +67,9 @@
     /// Returns whether the proof came after a crash and shows that the part is not its cause. One
     /// that lets endpoints begin to answer may still crash them right after.
     pub fn outweighs(&self, seen: &SeenCrash) -> bool {
-        let proven_at = match seen.stage {
-            types::CrashStage::Waiting => self.began_at,
-            types::CrashStage::Begun | types::CrashStage::Running => self.ran_at,
+        let proven_at = match seen.moment {
+            types::CrashMoment::Waiting => self.began_at,
+            types::CrashMoment::Begun | types::CrashMoment::Running => self.ran_at,
         };
         proven_at.is_some_and(|proven_at| proven_at >= seen.crashed_at)
     }
@@ -89,7 +89,7 @@
         match known {
             Some(known) => {
                 known.request = known.request.min(seen.request);
-                known.stage = known.stage.max(seen.stage);
+                known.moment = known.moment.max(seen.moment);
                 known.crashed_at = known.crashed_at.min(seen.crashed_at);
             }
             None => self.crashes.push(seen),
@@ -153,7 +153,7 @@
             age: now.saturating_duration_since(seen.crashed_at),
             crash: seen.crash,
             request: seen.request,
-            stage: seen.stage,
+            moment: seen.moment,
         };
         chosen.into_iter().map(record).collect()
     }
--- a/crates/comfreyspread-policy/src/part_suspect.rs
+++ b/crates/comfreyspread-policy/src/part_suspect.rs
@@ -258,7 +258,7 @@
             let seen = crash_evidence::SeenCrash {
                 crash: crash.crash,
                 request: crash.request,
-                stage: crash.stage,
+                moment: crash.moment,
                 crashed_at,
             };
             news |= self.add(record.part, seen, now);
@@ -325,7 +325,7 @@
         }
         let is_new = entry.evidence.add(seen);
         // One crash says little of a request that had been running.
-        let is_running = seen.stage == types::CrashStage::Running;
+        let is_running = seen.moment == types::CrashMoment::Running;
         let is_news = is_new && (!is_running || entry.evidence.crashes().nth(1).is_some());
         self.suspects.insert(part);
         is_news
--- a/crates/comfreyspread-policy/src/response_progress.rs
+++ b/crates/comfreyspread-policy/src/response_progress.rs
@@ -46,11 +46,11 @@
     }
 
     /// Returns how far the request is.
-    pub fn stage(&self) -> types::CrashStage {
+    pub fn moment(&self) -> types::CrashMoment {
         match (self.has_events(), self.is_running()) {
-            (false, _) => types::CrashStage::Waiting,
-            (true, false) => types::CrashStage::Begun,
-            (true, true) => types::CrashStage::Running,
+            (false, _) => types::CrashMoment::Waiting,
+            (true, false) => types::CrashMoment::Begun,
+            (true, true) => types::CrashMoment::Running,
         }
     }
 }
--- a/crates/comfreyspread-policy/tests/conviction_store.rs
+++ b/crates/comfreyspread-policy/tests/conviction_store.rs
@@ -16,7 +16,7 @@
 fn record(crash: ids::CrashHash) -> types::PartSuspect {
     let age = time::Duration::ZERO;
     let crashes =
-        vec![types::PartCrash { age, crash, request: 1, stage: types::CrashStage::Waiting }];
+        vec![types::PartCrash { age, crash, request: 1, moment: types::CrashMoment::Waiting }];
     types::PartSuspect {
         crashes,
         part: PART,
--- a/crates/comfreyspread-policy/tests/crashing_parts.rs
+++ b/crates/comfreyspread-policy/tests/crashing_parts.rs
@@ -16,7 +16,7 @@
 }
 
 fn seen(crash: u64, request: u64, crashed_at: time::Instant) -> crash_evidence::SeenCrash {
-    crash_evidence::SeenCrash { crash, request, stage: types::CrashStage::Waiting, crashed_at }
+    crash_evidence::SeenCrash { crash, request, moment: types::CrashMoment::Waiting, crashed_at }
 }
 
 /// Records a crash for requests with the shared part and each of `parts`.
--- a/crates/comfreyspread-policy/tests/crashing_streams.rs
+++ b/crates/comfreyspread-policy/tests/crashing_streams.rs
@@ -29,8 +29,8 @@
     (crash, running): (u64, bool),
     crashed_at: time::Instant,
 ) {
-    let stage = if running { types::CrashStage::Running } else { types::CrashStage::Begun };
-    let seen = crash_evidence::SeenCrash { crash, request, stage, crashed_at };
+    let moment = if running { types::CrashMoment::Running } else { types::CrashMoment::Begun };
+    let seen = crash_evidence::SeenCrash { crash, request, moment, crashed_at };
     table.record_request_crash(request, seen, crashed_at);
 }
 
@@ -53,12 +53,12 @@
     let now = time::Instant::now();
     let mut progress = response_progress::ResponseProgress::new();
     assert!(!progress.has_events());
-    assert_eq!(progress.stage(), types::CrashStage::Waiting);
+    assert_eq!(progress.moment(), types::CrashMoment::Waiting);
     for (millis, running) in [(0, false), (200, false), (499, false), (500, true), (900, true)] {
         progress.record_event(now + time::Duration::from_millis(millis));
         assert_eq!((progress.has_events(), progress.is_running()), (true, running), "{millis} ms");
-        let stage = if running { types::CrashStage::Running } else { types::CrashStage::Begun };
-        assert_eq!(progress.stage(), stage, "{millis} ms");
+        let moment = if running { types::CrashMoment::Running } else { types::CrashMoment::Begun };
+        assert_eq!(progress.moment(), moment, "{millis} ms");
     }
 }
 
@@ -184,8 +184,8 @@
         let at = now + seconds(number as f64);
         let request = if number == 4 { SOUND + 1 } else { SOUND };
         crash(&mut table, request, (number, false), at);
-        let stage = types::CrashStage::Waiting;
-        let seen = crash_evidence::SeenCrash { crash: number, request, stage, crashed_at: at };
+        let moment = types::CrashMoment::Waiting;
+        let seen = crash_evidence::SeenCrash { crash: number, request, moment, crashed_at: at };
         table.record_crash(&[PART], seen, at);
     }
     let later = now + seconds(5.0);
@@ -203,9 +203,9 @@
         let at = now + seconds(number as f64);
         assert!(table.try_admit(&[PART], at));
         table.record_first_event(&[PART], at);
-        let stage = types::CrashStage::Begun;
+        let moment = types::CrashMoment::Begun;
         let (crash, request) = (number, SOUND + number);
-        let seen = crash_evidence::SeenCrash { crash, request, stage, crashed_at: at };
+        let seen = crash_evidence::SeenCrash { crash, request, moment, crashed_at: at };
         table.record_crash(&[PART], seen, at);
     }
     let later = now + seconds(5.0);
@@ -237,7 +237,7 @@
     let text = r#"{"part":7,"crashes":[{"crash":1,"request":2,"age_ms":10}],"proof_ms":0}"#;
     let record: types::PartSuspect = serde_json::from_str(text).expect("a record");
     assert!(!record.whole && record.ran.is_none());
-    assert_eq!(record.crashes[0].stage, types::CrashStage::Waiting);
+    assert_eq!(record.crashes[0].moment, types::CrashMoment::Waiting);
 }
 
 /// Streams that run at engines, which crash one after the other.
--- a/crates/comfreyspread/src/gateway/call_plan.rs
+++ b/crates/comfreyspread/src/gateway/call_plan.rs
@@ -152,7 +152,7 @@
         let seen = crash_evidence::SeenCrash {
             crash: crash_hash(&chosen),
             request: whole,
-            stage: progress.stage(),
+            moment: progress.moment(),
             crashed_at: time::Instant::now(),
         };
         let hashes: Vec<_> = parts.iter().copied().map(crash_notice::format_part).collect();
@@ -164,7 +164,7 @@
                 task_state.context.metrics.crashes.count_crash();
                 log::warn!(request = request.as_ref(), digest = digest.as_ref(),
                     endpoint = chosen.endpoint.as_ref(), began = progress.has_events(),
-                    stage = seen.stage.to_string().as_str(),
+                    moment = seen.moment.to_string().as_str(),
                     whole = crash_notice::format_part(whole).as_str(), parts = names.as_str(),
                     hashes = hashes.join(",").as_str();
                     "entry: endpoint crashed while running the request");
@@ -195,8 +195,9 @@
     pub fn record_served(&self, state: &state::GatewayState) {
         let now = time::Instant::now();
         state.context.tables.suspects.lock().record_served(&self.digest, now);
-        self.record_run(state);
+        let parts = self.part_hashes();
         crash_notice::update_parts(&state.context.tables, |table| {
+            table.record_run(&parts, now);
             table.record_served(self.whole, now);
             false
         });
@@ -397,7 +398,7 @@
 ) {
     let tables = &state.context.tables;
     let now = time::Instant::now();
-    let running = seen.stage == types::CrashStage::Running;
+    let running = seen.moment == types::CrashMoment::Running;
     if !running {
         // For nodes of an older build, which know requests by their digest.
         tables.suspects.lock().record_shared_crash(digest, seen.crash, now);
