Let requests leave out the numbers of their last stages again

What callers would have seen: 503 for a request that names fewer numbers of pieces than its route has stages.

Change: only numbers for more stages than the route has are rejected.

--- a/crates/comfreyspread-policy/src/stage_graph.rs
+++ b/crates/comfreyspread-policy/src/stage_graph.rs
@@ -24,16 +24,16 @@
     counts.map(|count| u64::from(*count)).sum::<u64>() <= MAX_PIECES
 }
 
-/// Whether the numbers of pieces of a request are those of a route with these stages. A request that
-/// names none omits all stages.
+/// Whether a route with these stages has all for which a request names a number of pieces. A route
+/// without stages makes no pieces.
 ///
 /// ```
 /// use comfreyspread_policy::stage_graph;
 ///
-/// assert!(stage_graph::has_all_counts(&[], &[1, 2]));
+/// assert!(stage_graph::has_all_stages(&[], &[1, 2]));
 /// ```
-pub fn has_all_counts(rules: &[types::StageRule], pieces: &[u32]) -> bool {
-    rules.is_empty() || pieces.is_empty() || pieces.len() == rules.len()
+pub fn has_all_stages(rules: &[types::StageRule], pieces: &[u32]) -> bool {
+    rules.is_empty() || pieces.len() <= rules.len()
 }
 
 #[derive(Clone, Debug)]
--- a/crates/comfreyspread/src/gateway/call_plan.rs
+++ b/crates/comfreyspread/src/gateway/call_plan.rs
@@ -58,7 +58,7 @@
     Malformed(ids::Text),
     /// No route matches.
     NoRoute,
-    /// The numbers of pieces are those of another version of the route.
+    /// The request names pieces of more stages than the route has in this version.
     OtherStages {
         /// Stages of the route.
         stages: usize,
@@ -99,7 +99,7 @@
         if workspace.is_none() && routes.needs_key() && !route.public {
             return Err(PlanError::NoKey);
         }
-        if !stage_graph::has_all_counts(&route.stages, &call.piece_counts) {
+        if !stage_graph::has_all_stages(&route.stages, &call.piece_counts) {
             let (stages, counts) = (route.stages.len(), call.piece_counts.len());
             return Err(PlanError::OtherStages { stages, counts });
         }
