--- a/crates/comfreyspread-policy/tests/crashing_parts.rs
+++ b/crates/comfreyspread-policy/tests/crashing_parts.rs
@@ -1,6 +1,8 @@
 //! Prompt parts that crash the endpoints that begin to answer requests with them.
 #![allow(clippy::disallowed_methods, reason = "start of the injected time")]
 
+mod suspect_exchange;
+
 use comfreyspread_policy::{crash_evidence, part_suspect};
 use comfreyspread_schema::{ids, types};
 use rand::{Rng as _, SeedableRng as _, rngs};
@@ -9,7 +11,6 @@
 const GUILTY: ids::PartHash = 13;
 const SHARED: ids::PartHash = 1;
 const RARE: ids::PartHash = 2;
-const RECORDS_PER_MESSAGE: usize = 4;
 
 fn seconds(count: f64) -> time::Duration {
     time::Duration::from_secs_f64(count)
@@ -152,7 +153,8 @@
         let mut table = part_suspect::PartTable::new();
         for _ in 0..40 {
             let source = &sources[random.random_range(0..4)];
-            for record in source.records(RECORDS_PER_MESSAGE, later, &mut random) {
+            for record in source.records(suspect_exchange::RECORDS_PER_MESSAGE, later, &mut random)
+            {
                 table.merge(&record, later);
             }
         }
@@ -183,7 +185,8 @@
 
     fn send(&mut self, from: usize, now: time::Instant) {
         let to = self.random.random_range(0..self.tables.len());
-        let records = self.tables[from].records(RECORDS_PER_MESSAGE, now, &mut self.random);
+        let records =
+            self.tables[from].records(suspect_exchange::RECORDS_PER_MESSAGE, now, &mut self.random);
         let crashes: usize = records.iter().map(|record| record.crashes.len()).sum();
         self.largest = self.largest.max(records.len() + crashes);
         for record in &records {
@@ -263,7 +266,7 @@
     assert!(table.is_convicted(&[GUILTY], now + seconds(3.0)));
     let later = now + seconds(910.0);
     let mut random = rngs::SmallRng::seed_from_u64(3);
-    assert!(table.records(RECORDS_PER_MESSAGE, later, &mut random).is_empty());
+    assert!(table.records(suspect_exchange::RECORDS_PER_MESSAGE, later, &mut random).is_empty());
     crash(&mut table, 9, &[RARE], later);
     for _ in 0..3 {
         assert!(table.try_admit(&[GUILTY], later + seconds(1.0)));
@@ -288,20 +291,6 @@
     assert!(table.is_convicted_anew(&[GUILTY], trial));
 }
 
-/// Passes on all records of one table until the other hears nothing new.
-fn pass_records(
-    from: &part_suspect::PartTable,
-    to: &mut part_suspect::PartTable,
-    now: time::Instant,
-) {
-    let mut random = rngs::SmallRng::seed_from_u64(5);
-    for _ in 0..20 {
-        for record in from.records(RECORDS_PER_MESSAGE, now, &mut random) {
-            to.merge(&record, now);
-        }
-    }
-}
-
 /// Guards against a sound part rejected by a node that starts later: a record holds the newest
 /// crashes only, so that those of the guilty part no longer explain the older ones of the sound part.
 #[test]
@@ -317,7 +306,7 @@
     let later = now + seconds(7.0);
     assert!(!table.is_convicted(&[RARE], later));
     let mut started = part_suspect::PartTable::new();
-    pass_records(&table, &mut started, later);
+    suspect_exchange::pass_records(&table, &mut started, later);
     assert!(started.is_convicted(&[GUILTY], later));
     assert!(!started.is_convicted(&[RARE], later), "crashes of the guilty part count again");
 }
@@ -335,8 +324,8 @@
     }
     serving.record_first_event(&[RARE], now + seconds(2.5));
     let later = now + seconds(3.0);
-    pass_records(&other, &mut serving, later);
-    pass_records(&serving, &mut other, later);
+    suspect_exchange::pass_records(&other, &mut serving, later);
+    suspect_exchange::pass_records(&serving, &mut other, later);
     assert!(!serving.is_convicted(&[RARE], later));
     assert!(!other.is_convicted(&[RARE], later), "the proof was not passed on");
 }
--- a/crates/comfreyspread-policy/tests/crashing_streams.rs
+++ b/crates/comfreyspread-policy/tests/crashing_streams.rs
@@ -1,6 +1,8 @@
 //! Requests that crash the endpoints that run them, told from those that run beside them.
 #![allow(clippy::disallowed_methods, reason = "start of the injected time")]
 
+mod suspect_exchange;
+
 use comfreyspread_policy::{crash_evidence, part_suspect, response_progress};
 use comfreyspread_schema::{ids, types};
 use rand::{Rng as _, SeedableRng as _, rngs};
@@ -9,7 +11,6 @@
 const GUILTY: ids::RequestHash = 90;
 const SOUND: ids::RequestHash = 10;
 const PART: ids::PartHash = 1000;
-const RECORDS_PER_MESSAGE: usize = 4;
 /// Engines of the simulated fleet, and streams that run at each.
 const ENGINES: u64 = 9;
 const STREAMS: u64 = 40;
@@ -34,20 +35,6 @@
     table.record_request_crash(request, seen, crashed_at);
 }
 
-/// Passes on records of one table until the other hears nothing new.
-fn pass_records(
-    from: &part_suspect::PartTable,
-    to: &mut part_suspect::PartTable,
-    now: time::Instant,
-) {
-    let mut random = rngs::SmallRng::seed_from_u64(5);
-    for _ in 0..20 {
-        for record in from.records(RECORDS_PER_MESSAGE, now, &mut random) {
-            to.merge(&record, now);
-        }
-    }
-}
-
 #[test]
 fn begin_time() {
     let now = time::Instant::now();
@@ -85,9 +72,9 @@
     }
     let later = now + seconds(0.5);
     let [first, second, third, fourth] = &mut tables;
-    pass_records(first, second, later);
-    pass_records(second, third, later);
-    pass_records(third, fourth, later);
+    suspect_exchange::pass_records(first, second, later);
+    suspect_exchange::pass_records(second, third, later);
+    suspect_exchange::pass_records(third, fourth, later);
     assert!(fourth.is_convicted(&[GUILTY], later));
 }
 
@@ -123,7 +110,7 @@
     }
     let later = now + seconds(2.0);
     assert!(other.is_convicted(&[SOUND], later), "it knows of no proof yet");
-    pass_records(&serving, &mut other, later);
+    suspect_exchange::pass_records(&serving, &mut other, later);
     assert!(!other.is_convicted(&[SOUND], later));
 }
 
