Hash the parts of a request once, and split what is known of a part from the table

No behaviour changes, and no test, bound or expectation.

Cause: the hashes of a request's prompt parts were computed anew for its admission, each attempt, its first event, its run and its end, and its body was hashed twice. Two loops of the crash fixture were the same.

Change: CallPlan holds the hashes, and that of the whole request is made from its digest; part hashes are as they were. The rule stands in PartTable. part_entry has one part, part_suspect the table. The fixture has one loop.

--- a/crates/comfreyspread-lab/tests/common/crash_test.rs
+++ b/crates/comfreyspread-lab/tests/common/crash_test.rs
@@ -75,43 +75,42 @@
         self.send(parts, None).await
     }
 
-    /// Sends requests with the guilty part for so long; returns the number of those served.
-    pub async fn send_guilty(&self, length: time::Duration) -> usize {
+    /// Sends such requests, one after the other, for so long; returns when each was sent and whether
+    /// it was served.
+    async fn send_for(
+        &self,
+        length: time::Duration,
+        interval: time::Duration,
+        parts: &str,
+        body: Option<&str>,
+    ) -> Vec<(time::Instant, bool)> {
         let end = time::Instant::now() + length;
-        let mut served = 0;
+        let mut results = Vec::new();
         while time::Instant::now() < end {
-            let parts = format!("first:900,{}:300", self.trigger.text);
-            served += usize::from(self.send(&parts, None).await);
-            async_io::Timer::after(GUILTY_INTERVAL).await;
+            let sent_at = time::Instant::now();
+            results.push((sent_at, self.send(parts, body).await));
+            async_io::Timer::after(interval).await;
         }
-        served
+        results
+    }
+
+    /// Sends requests with the guilty part for so long; returns the number of those served.
+    pub async fn send_guilty(&self, length: time::Duration) -> usize {
+        let parts = format!("first:900,{}:300", self.trigger.text);
+        count_served(&self.send_for(length, GUILTY_INTERVAL, &parts, None).await)
     }
 
     /// Sends the guilty request again and again for so long; returns how often it was served.
     pub async fn repeat_guilty(&self, length: time::Duration) -> usize {
-        let end = time::Instant::now() + length;
-        let mut served = 0;
-        while time::Instant::now() < end {
-            served += usize::from(self.send(SOUND[0], Some(self.trigger.text)).await);
-            async_io::Timer::after(GUILTY_INTERVAL).await;
-        }
-        served
+        let body = Some(self.trigger.text);
+        count_served(&self.send_for(length, GUILTY_INTERVAL, SOUND[0], body).await)
     }
 
     /// Sends sound requests for so long, one after the other with each of their parts; returns when
     /// each was sent and whether it was served.
     pub async fn send_sound(&self, length: time::Duration) -> Vec<(time::Instant, bool)> {
-        let end = time::Instant::now() + length;
-        let send = async |parts: &str| {
-            let mut results = Vec::new();
-            while time::Instant::now() < end {
-                let sent_at = time::Instant::now();
-                results.push((sent_at, self.is_served(parts).await));
-                async_io::Timer::after(SOUND_INTERVAL).await;
-            }
-            results
-        };
-        future::join_all(SOUND.iter().map(|parts| send(parts))).await.concat()
+        let send = |parts| self.send_for(length, SOUND_INTERVAL, parts, None);
+        future::join_all(SOUND.into_iter().map(send)).await.concat()
     }
 
     /// Checks that the guilty requests were known in time after so many crashes.
@@ -127,7 +126,7 @@
         let crashes = self.engines.crashes();
         let last = *crashes.last().expect("a crash");
         let later: Vec<_> = sound.iter().filter(|(at, _)| *at > last + CONTACT_TIME * 2).collect();
-        let failed = sound.iter().filter(|(_, served)| !served).count();
+        let failed = sound.len() - count_served(sound);
         println!("{} crashes, {failed} of {} sound failed", crashes.len(), sound.len());
         assert!(later.len() >= 10, "only {} sound requests to look at", later.len());
         assert!(
@@ -136,3 +135,7 @@
         );
     }
 }
+
+fn count_served(results: &[(time::Instant, bool)]) -> usize {
+    results.iter().filter(|(_, served)| *served).count()
+}
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -74,6 +74,7 @@
 pub mod ownership_action;
 pub mod ownership_release;
 pub mod ownership_status;
+mod part_entry;
 pub mod part_suspect;
 pub mod peer_health;
 pub mod piece_group;
--- a/crates/comfreyspread-policy/src/part_suspect.rs
+++ b/crates/comfreyspread-policy/src/part_suspect.rs
@@ -9,61 +9,21 @@
 //!
 //! A request as a whole is one more part, which it shares with its repetitions alone. All crashes
 //! while it ran speak against it, those after a while less, and only a complete response proves it
-//! sound. If none ever did, crashes that are not independent count too: they come of repetitions at
-//! several nodes.
+//! sound. If none ever did, crashes that are not independent count too: they stem from
+//! repetitions at several nodes.
 //!
 //! A conviction lapses some time after the last crash, at another moment on each node. The node then
 //! lets one request pass: its proof clears the part everywhere, its crash convicts again.
 
-use crate::crash_evidence;
+use crate::{crash_evidence, part_entry};
 use comfreyspread_schema::{ids, types};
 use indexmap::{IndexMap, IndexSet};
 use rand::seq::IndexedRandom as _;
-use std::{cmp, mem, time};
-
-/// Weight of the crashes that convict a part.
-const WEIGHT_TO_CONVICT: usize = 3 * crash_evidence::CRASH_WEIGHT;
-/// Weight of the crashes that convict a part proved sound shortly before.
-const WEIGHT_AFTER_PROOF: usize = 5 * crash_evidence::CRASH_WEIGHT;
-/// Additional weight that convicts a request as a whole. A sound one may begin at three endpoints
-/// that fail for another reason, as its attempts follow each other.
-const ADDITIONAL_REQUEST_WEIGHT: usize = crash_evidence::CRASH_WEIGHT;
-/// Age up to which a proof raises the number of crashes that convict.
-const PROOF_WEIGHT_TIME: time::Duration = time::Duration::from_secs(30);
-/// Different requests that have to wait at the crashes: one request alone is convicted as a whole.
-const REQUESTS_TO_CONVICT: usize = 2;
-/// Time from the last crash to the first request that is let pass again.
-const CONVICTION_TIME: time::Duration = time::Duration::from_secs(120);
-/// The same for a request as a whole, which crashes endpoints each time that it comes.
-const REQUEST_CONVICTION_TIME: time::Duration = time::Duration::from_secs(600);
-/// Time that a request let pass has to begin or to crash.
-const TRIAL_TIME: time::Duration = time::Duration::from_secs(15);
-/// Time after its last crash at which a part is forgotten.
-const RETENTION: time::Duration = time::Duration::from_secs(900);
-/// Proofs closer to the known one are not taken over: ages do not include the delay of messages,
-/// so that a proof passed around would become ever younger.
-const MIN_PROOF_ADVANCE: time::Duration = time::Duration::from_secs(1);
-/// Time for which other nodes are told that a part is cleared.
-const CLEARING_TIME: time::Duration = time::Duration::from_secs(10);
+use std::{mem, time};
+
 const MAX_PARTS: usize = 10_000;
 /// Requests that are remembered as served.
 const MAX_SERVED: usize = 4096;
-/// Crashes in one record.
-const CRASHES_PER_RECORD: usize = 4;
-/// Crashes in the record of a convicted part: they tell the receiver which ones it explains.
-const CRASHES_PER_CONVICTION: usize = 16;
-
-#[derive(Clone, Debug, Default)]
-struct PartEntry {
-    /// Whether it stands for a request as a whole.
-    whole: bool,
-    evidence: crash_evidence::CrashEvidence,
-    proof: crash_evidence::PartProof,
-    /// Last clearing of a crash.
-    cleared_at: Option<time::Instant>,
-    trial_until: Option<time::Instant>,
-    convicted: bool,
-}
 
 /// A conviction of a prompt part, or its end.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -91,10 +51,10 @@
     pub convicted_requests: usize,
 }
 
-/// Prompt parts that may crash endpoints.
+/// Prompt parts, and whole requests, that may crash endpoints.
 #[derive(Debug, Default)]
 pub struct PartTable {
-    entries: IndexMap<ids::PartHash, PartEntry>,
+    entries: IndexMap<ids::PartHash, part_entry::PartEntry>,
     /// Parts that a crash speaks against, and those cleared lately.
     suspects: IndexSet<ids::PartHash>,
     /// Requests served, and when.
@@ -115,14 +75,17 @@
         Self { trial_delay, ..self }
     }
 
-    /// Records a crash while a request with these prompt parts began to run. Returns whether other
-    /// nodes should hear of it at once.
+    /// Records a crash while a request with these prompt parts ran. If it had been running for a
+    /// while, that says nothing of its parts. Returns whether other nodes should hear of it at once.
     pub fn record_crash(
         &mut self,
         parts: &[ids::PartHash],
         seen: crash_evidence::SeenCrash,
         now: time::Instant,
     ) -> bool {
+        if seen.moment == types::CrashMoment::Running {
+            return false;
+        }
         let mut news = false;
         for part in parts {
             news |= self.add(*part, seen, now);
@@ -131,16 +94,15 @@
         news
     }
 
-    /// Records a crash while the request `whole` ran. Returns whether other nodes should hear of it
-    /// at once.
+    /// Records a crash for the request that ran, as a whole. Returns whether other nodes should hear
+    /// of it at once.
     pub fn record_request_crash(
         &mut self,
-        whole: ids::PartHash,
         seen: crash_evidence::SeenCrash,
         now: time::Instant,
     ) -> bool {
-        self.mark_whole(whole, now);
-        let news = self.add(whole, seen, now);
+        self.mark_whole(seen.request, now);
+        let news = self.add(seen.request, seen, now);
         self.reassess(now);
         news
     }
@@ -175,7 +137,7 @@
     ) {
         let mut cleared = false;
         for part in parts {
-            cleared |= self.prove(*part, proof, now);
+            cleared |= self.entry(*part, now).prove(proof, now);
         }
         if cleared {
             self.reassess(now);
@@ -194,7 +156,7 @@
         now: time::Instant,
     ) -> Option<ids::PartHash> {
         let holds = |part: &ids::PartHash| {
-            self.entries.get(part).is_some_and(|entry| self.holds(entry, now))
+            self.entries.get(part).is_some_and(|entry| entry.holds(self.trial_delay, now))
         };
         parts.iter().copied().find(holds)
     }
@@ -210,10 +172,11 @@
             let entries = self.suspects.iter().filter_map(|part| self.entries.get(part));
             entries.filter(move |entry| entry.whole == whole)
         };
+        let holds = |entry: &&part_entry::PartEntry| entry.holds(self.trial_delay, now);
         PartCounts {
-            suspected: suspects(false).filter(|entry| !is_expired(entry, now)).count(),
-            convicted: suspects(false).filter(|entry| self.holds(entry, now)).count(),
-            convicted_requests: suspects(true).filter(|entry| self.holds(entry, now)).count(),
+            suspected: suspects(false).filter(|entry| !entry.is_expired(now)).count(),
+            convicted: suspects(false).filter(holds).count(),
+            convicted_requests: suspects(true).filter(holds).count(),
         }
     }
 
@@ -221,7 +184,7 @@
     /// not be sent any more. The one that is let pass when a conviction has lapsed may.
     pub fn is_convicted_anew(&self, parts: &[ids::PartHash], now: time::Instant) -> bool {
         let mut entries = parts.iter().filter_map(|part| self.entries.get(part));
-        entries.any(|entry| entry.convicted && now < self.lapses_at(entry, now))
+        entries.any(|entry| entry.convicted && now < entry.lapses_at(self.trial_delay, now))
     }
 
     /// Returns whether a new request with these parts may run. One whose conviction has lapsed is
@@ -231,8 +194,8 @@
             return false;
         }
         for part in parts {
-            if let Some(entry) = self.entries.get_mut(part).filter(|entry| entry.convicted) {
-                entry.trial_until = Some(now + TRIAL_TIME);
+            if let Some(entry) = self.entries.get_mut(part) {
+                entry.start_trial(now);
             }
         }
         true
@@ -242,8 +205,8 @@
     /// so until it is proved sound.
     pub fn convictions(&self, now: time::Instant) -> Vec<types::PartSuspect> {
         let suspects = self.suspects.iter().filter_map(|part| self.entries.get_key_value(part));
-        let convicted = suspects.filter(|(_, entry)| entry.convicted && !is_expired(entry, now));
-        convicted.map(|(part, entry)| record(*part, entry, now)).collect()
+        let convicted = suspects.filter(|(_, entry)| entry.convicted && !entry.is_expired(now));
+        convicted.map(|(part, entry)| entry.record(*part, now)).collect()
     }
 
     /// Merges the record of another node. Returns whether it holds a crash that was not known.
@@ -298,13 +261,16 @@
     {
         let suspects = self.suspects.iter().filter_map(|part| self.entries.get_key_value(part));
         let suspects = suspects.filter(|(_, entry)| entry.whole == whole);
-        let mut ranked: Vec<_> = suspects.filter_map(|entry| rank(entry, now)).collect();
+        let order = |(part, entry): (&ids::PartHash, &part_entry::PartEntry)| {
+            Some((entry.notice_order(now)?, *part))
+        };
+        let mut ranked: Vec<_> = suspects.filter_map(order).collect();
         ranked.sort_unstable();
         let first = ranked.len().min(limit.div_ceil(2));
         let (urgent, others) = ranked.split_at(first);
         let others = others.choose_multiple(random, limit - first);
-        let parts = urgent.iter().chain(others).map(|(_, _, part)| *part);
-        parts.filter_map(|part| Some(record(part, self.entries.get(&part)?, now))).collect()
+        let parts = urgent.iter().chain(others).map(|(_, part)| *part);
+        parts.filter_map(|part| Some(self.entries.get(&part)?.record(part, now))).collect()
     }
 
     fn add(
@@ -313,22 +279,11 @@
         seen: crash_evidence::SeenCrash,
         now: time::Instant,
     ) -> bool {
-        if now.saturating_duration_since(seen.crashed_at) >= RETENTION {
-            return false;
-        }
-        let entry = self.entry(part, now);
-        if entry.proof.outweighs(&seen) {
-            // The sender does not know of the proof.
-            entry.cleared_at = Some(now);
-            self.suspects.insert(part);
+        if now.saturating_duration_since(seen.crashed_at) >= part_entry::RETENTION {
             return false;
         }
-        let is_new = entry.evidence.add(seen);
-        // One crash says little of a request that had been running.
-        let is_running = seen.moment == types::CrashMoment::Running;
-        let is_news = is_new && (!is_running || entry.evidence.crashes().nth(1).is_some());
         self.suspects.insert(part);
-        is_news
+        self.entry(part, now).add(seen, now)
     }
 
     /// Marks a part as one that stands for a request as a whole.
@@ -348,32 +303,9 @@
         proof: crash_evidence::PartProof,
         now: time::Instant,
     ) -> bool {
-        let known = self.entries.get(&part).map(|entry| entry.proof).unwrap_or_default();
-        let is_later = |known: Option<time::Instant>, at: &time::Instant| {
-            known.is_none_or(|known| *at >= known + MIN_PROOF_ADVANCE)
-        };
-        let proof = crash_evidence::PartProof {
-            began_at: proof.began_at.filter(|at| is_later(known.began_at, at)),
-            ran_at: proof.ran_at.filter(|at| is_later(known.ran_at, at)),
-        };
-        (proof.began_at.is_some() || proof.ran_at.is_some()) && self.prove(part, proof, now)
-    }
-
-    /// Records a proof; returns whether there were crashes that it may have cleared.
-    fn prove(
-        &mut self,
-        part: ids::PartHash,
-        proof: crash_evidence::PartProof,
-        now: time::Instant,
-    ) -> bool {
-        let entry = self.entry(part, now);
-        entry.proof = entry.proof.merged(proof);
-        if entry.evidence.last_crash().is_none() {
-            return false;
-        }
-        entry.evidence.clear(&entry.proof);
-        entry.cleared_at = Some(now);
-        true
+        let later = self.entries.get(&part).map_or(proof, |entry| entry.later_proof(proof));
+        let has_proof = later.began_at.is_some() || later.ran_at.is_some();
+        has_proof && self.entry(part, now).prove(later, now)
     }
 
     /// Convicts parts, those with most crashes first; what a convicted part explains does not count
@@ -382,15 +314,18 @@
         let before = self.convicted_parts();
         self.drop_expired(now);
         let suspects = self.suspects.iter().filter_map(|part| self.entries.get_key_value(part));
-        let mut order: Vec<_> = suspects.filter_map(candidate).collect();
-        order.sort_unstable();
+        let order = |(part, entry): (&ids::PartHash, &part_entry::PartEntry)| {
+            Some((entry.conviction_order()?, *part))
+        };
+        let mut candidates: Vec<_> = suspects.filter_map(order).collect();
+        candidates.sort_unstable();
         for part in &self.suspects {
             if let Some(entry) = self.entries.get_mut(part) {
                 entry.convicted = false;
             }
         }
         let mut explained = IndexSet::new();
-        for (_, _, _, part) in order {
+        for (_, part) in candidates {
             let Some(entry) = self.entries.get_mut(&part) else { continue };
             let evidence = entry.evidence.unexplained(|crash| explained.contains(&crash));
             entry.convicted = entry.is_convicted_by(&evidence, now);
@@ -422,31 +357,16 @@
     fn drop_expired(&mut self, now: time::Instant) {
         let entries = &mut self.entries;
         self.suspects.retain(|part| {
-            let is_current =
-                entries.get_key_value(part).is_some_and(|entry| rank(entry, now).is_some());
-            if !is_current && let Some(entry) = entries.get_mut(part) {
-                let PartEntry { proof, whole, .. } = *entry;
-                *entry = PartEntry { proof, whole, ..PartEntry::default() };
+            let entry = entries.get_mut(part);
+            let is_current = entry.as_ref().is_some_and(|entry| entry.notice_order(now).is_some());
+            if !is_current && let Some(entry) = entry {
+                entry.reset();
             }
             is_current
         });
     }
 
-    fn holds(&self, entry: &PartEntry, now: time::Instant) -> bool {
-        entry.convicted
-            && entry.evidence.last_crash().is_some()
-            && (now < self.lapses_at(entry, now)
-                || entry.trial_until.is_some_and(|trial_until| now < trial_until))
-    }
-
-    /// Returns when the conviction of a part lapses; at once if no crash speaks against it.
-    fn lapses_at(&self, entry: &PartEntry, now: time::Instant) -> time::Instant {
-        let last_crash = entry.evidence.last_crash();
-        let time = if entry.whole { REQUEST_CONVICTION_TIME } else { CONVICTION_TIME };
-        last_crash.map_or(now, |last_crash| last_crash + time + self.trial_delay)
-    }
-
-    fn entry(&mut self, part: ids::PartHash, now: time::Instant) -> &mut PartEntry {
+    fn entry(&mut self, part: ids::PartHash, now: time::Instant) -> &mut part_entry::PartEntry {
         if !self.entries.contains_key(&part) && self.entries.len() >= MAX_PARTS {
             self.evict(now);
         }
@@ -455,12 +375,11 @@
 
     /// Drops what has expired and the older half of the parts that nothing speaks against.
     fn evict(&mut self, now: time::Instant) {
-        let is_idle = |entry: &PartEntry| entry.evidence.last_crash().is_none();
-        self.entries.retain(|_, entry| is_idle(entry) || !is_expired(entry, now));
-        let idle = self.entries.values().filter(|entry| is_idle(entry)).count();
+        self.entries.retain(|_, entry| entry.is_idle() || !entry.is_expired(now));
+        let idle = self.entries.values().filter(|entry| entry.is_idle()).count();
         let mut surplus = idle / 2;
         self.entries.retain(|_, entry| {
-            let dropped = surplus > 0 && is_idle(entry);
+            let dropped = surplus > 0 && entry.is_idle();
             surplus -= usize::from(dropped);
             !dropped
         });
@@ -470,66 +389,6 @@
     }
 }
 
-impl PartEntry {
-    /// Returns whether these crashes, which no other part explains, convict the part.
-    fn is_convicted_by(
-        &self,
-        evidence: &crash_evidence::CrashEvidence,
-        now: time::Instant,
-    ) -> bool {
-        let age = self.proof.began_at.map(|began_at| now.saturating_duration_since(began_at));
-        let proven_lately = age.is_some_and(|age| age < PROOF_WEIGHT_TIME);
-        let needed = if proven_lately { WEIGHT_AFTER_PROOF } else { WEIGHT_TO_CONVICT };
-        if self.whole {
-            return self.weight(evidence) >= needed + ADDITIONAL_REQUEST_WEIGHT;
-        }
-        self.weight(evidence) >= needed && evidence.request_count() >= REQUESTS_TO_CONVICT
-    }
-
-    /// Returns the weight of crashes. A request that was never served may be the cause of several at
-    /// one moment.
-    fn weight(&self, evidence: &crash_evidence::CrashEvidence) -> usize {
-        if self.whole && self.proof.ran_at.is_none() {
-            evidence.weight()
-        } else {
-            evidence.independent_weight()
-        }
-    }
-}
-
-/// Position of a part in the order of convictions: prompt parts before whole requests, then those
-/// never proved sound, then those with most crashes.
-fn candidate(
-    (part, entry): (&ids::PartHash, &PartEntry),
-) -> Option<(bool, bool, cmp::Reverse<usize>, ids::PartHash)> {
-    let weight = entry.weight(&entry.evidence);
-    (weight >= WEIGHT_TO_CONVICT).then_some((
-        entry.whole,
-        entry.proof.began_at.is_some(),
-        cmp::Reverse(weight),
-        *part,
-    ))
-}
-
-/// Position of a part in the order in which other nodes hear of it; none if they need not.
-fn rank(
-    (part, entry): (&ids::PartHash, &PartEntry),
-    now: time::Instant,
-) -> Option<(u8, time::Duration, ids::PartHash)> {
-    let age = |at: time::Instant| now.saturating_duration_since(at);
-    if let Some(last_crash) = entry.evidence.last_crash().filter(|at| age(*at) < RETENTION) {
-        let class = match (entry.convicted, entry.weight(&entry.evidence)) {
-            (true, _) => 0,
-            (false, weight) if weight > crash_evidence::CRASH_WEIGHT => 1,
-            (false, crash_evidence::CRASH_WEIGHT) => 2,
-            (false, _) => 4,
-        };
-        return Some((class, age(last_crash), *part));
-    }
-    let cleared_at = entry.cleared_at.filter(|at| age(*at) < CLEARING_TIME)?;
-    Some((3, age(cleared_at), *part))
-}
-
 /// Returns the proof that another node tells of.
 fn proof_of(record: &types::PartSuspect, now: time::Instant) -> crash_evidence::PartProof {
     crash_evidence::PartProof {
@@ -537,22 +396,3 @@
         ran_at: record.ran.as_ref().and_then(|proof| now.checked_sub(proof.age)),
     }
 }
-
-fn record(part: ids::PartHash, entry: &PartEntry, now: time::Instant) -> types::PartSuspect {
-    let age = |at: Option<time::Instant>| at.map(|at| now.saturating_duration_since(at));
-    let proof_age = age(entry.proof.began_at);
-    let limit = if entry.convicted { CRASHES_PER_CONVICTION } else { CRASHES_PER_RECORD };
-    types::PartSuspect {
-        crashes: entry.evidence.records(limit, now),
-        part,
-        proof_age: proof_age.unwrap_or_default(),
-        proven: proof_age.is_some(),
-        ran: age(entry.proof.ran_at).map(|age| types::RunProof { age }),
-        whole: entry.whole,
-    }
-}
-
-fn is_expired(entry: &PartEntry, now: time::Instant) -> bool {
-    let last_crash = entry.evidence.last_crash();
-    last_crash.is_none_or(|at| now.saturating_duration_since(at) >= RETENTION)
-}
--- a/crates/comfreyspread-policy/src/route_table.rs
+++ b/crates/comfreyspread-policy/src/route_table.rs
@@ -97,7 +97,7 @@
     }
 
     /// Whether requests need a key, except on public routes. They do if the document lists
-    /// workspaces, also if no key is left: nobody may come in then.
+    /// workspaces, also if no key is left: then none of their requests may run.
     pub fn needs_key(&self) -> bool {
         self.needs_key
     }
--- a/crates/comfreyspread-policy/src/stage_order.rs
+++ b/crates/comfreyspread-policy/src/stage_order.rs
@@ -9,7 +9,7 @@
 use comfreyspread_schema::types;
 
 /// Reason why the stages of a route cannot run.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, Eq, thiserror::Error, PartialEq)]
 pub enum OrderError {
     /// Stages depend on each other in a circle.
     #[error("stage {stage} depends on itself, or on stages that do")]
--- a/crates/comfreyspread-policy/src/suspect.rs
+++ b/crates/comfreyspread-policy/src/suspect.rs
@@ -5,6 +5,9 @@
 //! A suspect that completes is cleared. A request that was in flight at several crashes is
 //! convicted even if it ran beside others. Records are keyed by the digest of the body, since
 //! callers send the same body again under another request id, and nodes share them.
+//!
+//! The native front end goes by these records. The gateway goes by [`crate::part_suspect`] and keeps
+//! them for nodes of an older build only.
 
 use comfreyspread_schema::{ids, types};
 use indexmap::IndexMap;
--- a/crates/comfreyspread-policy/tests/crashing_streams.rs
+++ b/crates/comfreyspread-policy/tests/crashing_streams.rs
@@ -32,7 +32,7 @@
 ) {
     let moment = if running { types::CrashMoment::Running } else { types::CrashMoment::Begun };
     let seen = crash_evidence::SeenCrash { crash, request, moment, crashed_at };
-    table.record_request_crash(request, seen, crashed_at);
+    table.record_request_crash(seen, crashed_at);
 }
 
 #[test]
--- a/crates/comfreyspread/src/gateway/call_plan.rs
+++ b/crates/comfreyspread/src/gateway/call_plan.rs
@@ -45,8 +45,8 @@
     pub version: u64,
     /// Digest of path, key and body, as logs and older builds know the request.
     pub digest: ids::BodyDigest,
-    /// Hash that identifies the request as a whole when the caller sends it again.
-    whole: ids::PartHash,
+    /// Hashes of the prompt parts that other requests may share and, last, of the request as a whole.
+    hashes: Vec<ids::PartHash>,
 }
 
 /// Reason why a request is rejected before its first attempt.
@@ -115,7 +115,9 @@
         let (target, deadline) = (arrived + route.target_latency, arrived + timeout);
         let version = routes.version();
         let digest = digest(&call, &body);
-        let whole = whole_hash(&head, &call, &body);
+        let shared = shared_parts(&call).into_iter();
+        let mut hashes: Vec<_> = shared.map(|part| part_hash(&service, part)).collect();
+        hashes.push(whole_hash(&head, &call, &digest));
         Ok(Self {
             head,
             call,
@@ -130,7 +132,7 @@
             deadline,
             version,
             digest,
-            whole,
+            hashes,
         })
     }
 
@@ -146,9 +148,9 @@
         progress: response_progress::ResponseProgress,
     ) {
         let task_state = state.clone();
-        let (chosen, names) = (chosen.clone(), self.shared_parts().join(","));
+        let (chosen, names) = (chosen.clone(), shared_parts(&self.call).join(","));
         let (digest, request) = (self.digest.clone(), self.call.request.clone());
-        let (parts, whole) = (self.part_hashes(), self.whole);
+        let (parts, whole) = (self.part_hashes().to_vec(), self.whole_hash());
         let seen = crash_evidence::SeenCrash {
             crash: crash_hash(&chosen),
             request: whole,
@@ -175,18 +177,18 @@
 
     /// Records the first event of a response, which shows that its prompt parts let an endpoint begin.
     pub fn record_first_event(&self, state: &state::GatewayState) {
-        let (now, parts) = (time::Instant::now(), self.part_hashes());
+        let now = time::Instant::now();
         crash_notice::update_parts(&state.context.tables, |table| {
-            table.record_first_event(&parts, now);
+            table.record_first_event(self.part_hashes(), now);
             false
         });
     }
 
     /// Records that the request has been running for a while, which proves its prompt parts sound.
     pub fn record_run(&self, state: &state::GatewayState) {
-        let (now, parts) = (time::Instant::now(), self.part_hashes());
+        let now = time::Instant::now();
         crash_notice::update_parts(&state.context.tables, |table| {
-            table.record_run(&parts, now);
+            table.record_run(self.part_hashes(), now);
             false
         });
     }
@@ -195,10 +197,9 @@
     pub fn record_served(&self, state: &state::GatewayState) {
         let now = time::Instant::now();
         state.context.tables.suspects.lock().record_served(&self.digest, now);
-        let parts = self.part_hashes();
         crash_notice::update_parts(&state.context.tables, |table| {
-            table.record_run(&parts, now);
-            table.record_served(self.whole, now);
+            table.record_run(self.part_hashes(), now);
+            table.record_served(self.whole_hash(), now);
             false
         });
     }
@@ -207,13 +208,13 @@
     /// several endpoints.
     pub fn try_admit(&self, state: &state::GatewayState) -> bool {
         let now = time::Instant::now();
-        state.context.tables.part_suspects.lock().try_admit(&self.all_hashes(), now)
+        state.context.tables.part_suspects.lock().try_admit(&self.hashes, now)
     }
 
     /// Returns whether the request or one of its prompt parts has crashed several endpoints.
     pub fn is_convicted(&self, state: &state::GatewayState) -> bool {
         let now = time::Instant::now();
-        state.context.tables.part_suspects.lock().is_convicted(&self.all_hashes(), now)
+        state.context.tables.part_suspects.lock().is_convicted(&self.hashes, now)
     }
 
     /// Checks, before an attempt, whether the request was found to crash endpoints meanwhile: it may
@@ -224,8 +225,9 @@
     /// Fails if so; the attempt has not run.
     pub fn check_attempt(&self, state: &state::GatewayState) -> Result<(), failure::CallFailure> {
         let now = time::Instant::now();
-        let hashes = self.all_hashes();
-        let convicted = state.context.tables.part_suspects.lock().is_convicted_anew(&hashes, now);
+        let suspects = state.context.tables.part_suspects.lock();
+        let convicted = suspects.is_convicted_anew(&self.hashes, now);
+        drop(suspects);
         if convicted { Err(Self::crashing()) } else { Ok(()) }
     }
 
@@ -265,12 +267,17 @@
     /// Returns the prompt part that has crashed several endpoints, if that is the reason.
     pub fn convicted_part(&self, state: &state::GatewayState) -> Option<ids::PartHash> {
         let now = time::Instant::now();
-        state.context.tables.part_suspects.lock().convicted_part(&self.part_hashes(), now)
+        state.context.tables.part_suspects.lock().convicted_part(self.part_hashes(), now)
     }
 
-    /// Returns the hash that identifies the request as a whole.
+    /// Returns the hash that identifies the request as a whole when the caller sends it again.
     pub fn whole_hash(&self) -> ids::PartHash {
-        self.whole
+        self.hashes[self.hashes.len() - 1]
+    }
+
+    /// Returns the hashes of the prompt parts that other requests may share.
+    fn part_hashes(&self) -> &[ids::PartHash] {
+        &self.hashes[..self.hashes.len() - 1]
     }
 
     /// Returns the regions now allowed to run the request; `None` for all. A request may wait at
@@ -323,32 +330,6 @@
         shared.or_else(|| parts.last()).map(|part| xxh3::xxh3_64(part.part.as_bytes()))
     }
 
-    /// Returns the prompt parts that other requests may share: all but the last.
-    fn shared_parts(&self) -> Vec<&str> {
-        let parts = &self.call.prompt_parts;
-        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
-        shared.iter().map(|part| part.part.as_ref()).collect()
-    }
-
-    /// Returns the hashes of these parts and the service, which may bear what others do not.
-    fn part_hashes(&self) -> Vec<ids::PartHash> {
-        let hash = |part: &str| {
-            let mut hasher = xxh3::Xxh3::new();
-            hasher.update(self.service.name.as_bytes());
-            hasher.update(&[0]);
-            hasher.update(part.as_bytes());
-            hasher.digest()
-        };
-        self.shared_parts().into_iter().map(hash).collect()
-    }
-
-    /// Returns the hashes of these parts and that of the request as a whole.
-    fn all_hashes(&self) -> Vec<ids::PartHash> {
-        let mut hashes = self.part_hashes();
-        hashes.push(self.whole);
-        hashes
-    }
-
     /// Returns the failure of a request that has not run, with a retry delay.
     pub fn not_run(problem: types::ProblemKind, detail: &str) -> failure::CallFailure {
         failure::CallFailure::new(problem, detail)
@@ -365,19 +346,37 @@
     format!("{:032x}", hasher.digest128()).into()
 }
 
-/// Returns the hash of a request's method, path with query, API key and body.
+/// Returns the prompt parts that other requests may share: all but the last.
+fn shared_parts(call: &types::RequestHead) -> Vec<&str> {
+    let shared = call.prompt_parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    shared.iter().map(|part| part.part.as_ref()).collect()
+}
+
+/// Returns the hash of a prompt part and the service, which may bear what others do not.
+fn part_hash(service: &types::ServiceRule, part: &str) -> ids::PartHash {
+    hash_fields([service.name.as_bytes(), part.as_bytes()])
+}
+
+/// Returns the hash of a request's method, path with query, API key and, by its digest, body.
 fn whole_hash(
     head: &http::request::Parts,
     call: &types::RequestHead,
-    body: &[u8],
+    digest: &ids::BodyDigest,
 ) -> ids::PartHash {
-    let mut hasher = xxh3::Xxh3::new();
     let path = head.uri.path_and_query().map_or("", |path| path.as_str());
-    for field in [head.method.as_str(), path, call.api_key.as_deref().unwrap_or_default()] {
-        hasher.update(field.as_bytes());
-        hasher.update(&[0]);
+    let key = call.api_key.as_deref().unwrap_or_default();
+    hash_fields([head.method.as_str(), path, key, digest].map(str::as_bytes))
+}
+
+/// Returns the hash of fields that contain no zero byte.
+fn hash_fields<const COUNT: usize>(fields: [&[u8]; COUNT]) -> u64 {
+    let mut hasher = xxh3::Xxh3::new();
+    for (index, field) in fields.into_iter().enumerate() {
+        if index > 0 {
+            hasher.update(&[0]);
+        }
+        hasher.update(field);
     }
-    hasher.update(body);
     hasher.digest()
 }
 
@@ -398,13 +397,12 @@
 ) {
     let tables = &state.context.tables;
     let now = time::Instant::now();
-    let running = seen.moment == types::CrashMoment::Running;
-    if !running {
+    if seen.moment != types::CrashMoment::Running {
         // For nodes of an older build, which know requests by their digest.
         tables.suspects.lock().record_shared_crash(digest, seen.crash, now);
     }
     crash_notice::update_parts(tables, |table| {
-        let parts_news = !running && table.record_crash(parts, seen, now);
-        table.record_request_crash(seen.request, seen, now) || parts_news
+        let parts_news = table.record_crash(parts, seen, now);
+        table.record_request_crash(seen, now) || parts_news
     });
 }
