Decide roll-outs of endpoint software from the answers of both versions

Cause: orders of roll-outs were not read and versions of endpoints not told apart, so a version under roll-out got its full share of requests at once and no state was ever written.

Change: nodes divide a service's requests by version with a credit of their own, count answers by version and route, and report to one node, which judges them by a binomial test against the other version's answers of the same moments. The state is a row of the store with a revision, written together with the operator's row under a condition. New: policy modules service_versions, version_exposure, version_evidence, rollout_judgement, rollout_state, rollout_decider, rollout_table; gateway::rollout; the command rollouts; metrics and settings. Only where the settings name an exposure share.

--- a/crates/comfreyspread-lab/src/fleet.rs
+++ b/crates/comfreyspread-lab/src/fleet.rs
@@ -163,6 +163,31 @@
         Ok(())
     }
 
+    /// Adds an endpoint in availability zone `a` that runs a version of its software.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port is free.
+    pub async fn add_version(
+        &mut self,
+        name: &str,
+        service: &str,
+        version: &str,
+    ) -> miette::Result<()> {
+        let records = self.records.clone();
+        let kind = EndpointKind::Plain;
+        let handler = sync::Arc::new(fleet_endpoint::EndpointHandler::new(name, kind, records));
+        let address = stand_in_server::start(ANY_PORT, handler.clone(), &self.spawner).await?;
+        handler.set_address(address);
+        self.endpoints.insert(name.into(), handler);
+        let registration = serde_json::json!({
+            "service": service, "address": address, "zone": "a", "slots": 4, "state": "ready",
+            "cold_left_ms": 0, "seq": 1, "born": 1, "version": version,
+        });
+        self.store.put("servers", name, Some(registration.to_string().into()));
+        Ok(())
+    }
+
     /// Appends the logs of nodes started from now on to files in `folder`.
     pub fn set_log_folder(&mut self, folder: path::PathBuf) {
         self.log_folder = Some(folder);
@@ -300,7 +325,8 @@
              heartbeat_ms={HEARTBEAT_MS}\nbounds.contact_ms=4000\nbounds.drain_ms=2500\n\
              bounds.grace_s=8\nbounds.reuse_after_s=2\nbounds.retry_budget_ratio=0.2\n\
              bounds.budget_slack=56\nbounds.budget_window_s=10\nbounds.cold_overshoot=1.5\n\
-             bounds.cold_slack=5\n",
+             bounds.cold_slack=5\nbounds.exposure_share=0.1\nbounds.exposure_slack=50\n\
+             bounds.rollback_ms=5000\n",
             seeds.join(","),
             fleet.store_address
         );
--- a/crates/comfreyspread-lab/tests/common/gateway.rs
+++ b/crates/comfreyspread-lab/tests/common/gateway.rs
@@ -68,6 +68,13 @@
     (response.status(), String::from_utf8_lossy(response.body()).into_owned())
 }
 
+/// Sends a request; the node may be gone.
+pub async fn try_send(node: net::SocketAddr, request: http_message::Request) {
+    let client = http_client::HttpClient::new(1 << 20);
+    let connection = http_client::ConnectionUse::Fresh;
+    client.call(node, request, connection, time::Instant::now() + RESPONSE_TIMEOUT).await.ok();
+}
+
 /// Sends a request and returns the response.
 pub async fn call(
     node: net::SocketAddr,
--- a/crates/comfreyspread-policy/src/batch_queue.rs
+++ b/crates/comfreyspread-policy/src/batch_queue.rs
@@ -179,6 +179,14 @@
         batch_call::call_time(&self.capacity, u32::try_from(pieces).unwrap_or(u32::MAX))
     }
 
+    /// Returns the number of running calls to endpoints for which `belongs` holds.
+    pub fn calls_to<Belongs>(&self, belongs: Belongs) -> usize
+    where
+        Belongs: Fn(&ids::EndpointId) -> bool,
+    {
+        self.calls.values().filter(|call| belongs(&call.endpoint)).count()
+    }
+
     /// Returns the number of queued pieces and of running calls.
     pub fn load(&self) -> (usize, usize) {
         (self.groups.values().map(piece_group::QueuedGroup::waiting).sum(), self.calls.len())
--- a/crates/comfreyspread-policy/src/batch_worker.rs
+++ b/crates/comfreyspread-policy/src/batch_worker.rs
@@ -20,6 +20,8 @@
     pub zone: ids::ZoneId,
     /// End of the pause that it asked for, if it is paused.
     pub paused_until: Option<time::Instant>,
+    /// Whether it gets no calls at present, as its version has had its share.
+    pub is_held: bool,
 }
 
 /// An endpoint of the service and its measured speed.
@@ -39,6 +41,8 @@
     pub backoff_until: Option<time::Instant>,
     /// End of the pause that it asked for.
     pub paused_until: Option<time::Instant>,
+    /// Whether it gets no calls at present, as its version has had its share.
+    pub is_held: bool,
     /// Results stored there that the queue does not track.
     pub untracked: Option<UntrackedResults>,
 }
@@ -64,6 +68,7 @@
             last_called: now,
             backoff_until: None,
             paused_until: location.paused_until,
+            is_held: location.is_held,
             untracked: None,
         }
     }
@@ -88,6 +93,6 @@
     /// long enough ago.
     pub fn is_available(&self, now: time::Instant) -> bool {
         let over = |until: Option<time::Instant>| until.is_none_or(|until| until <= now);
-        over(self.paused_until) && over(self.backoff_until)
+        !self.is_held && over(self.paused_until) && over(self.backoff_until)
     }
 }
--- a/crates/comfreyspread-policy/src/directory_endpoint.rs
+++ b/crates/comfreyspread-policy/src/directory_endpoint.rs
@@ -54,6 +54,14 @@
         }
     }
 
+    /// Whether a registration is of the same process: its start and version are those known.
+    pub(crate) fn is_same_process(&self, registration: &types::EndpointRegistration) -> bool {
+        let known = &self.registration;
+        known.started_at_ms == registration.started_at_ms
+            && known.service == registration.service
+            && known.version == registration.version
+    }
+
     /// Whether it is shutting down, as it registered or said in an answer.
     pub fn is_leaving(&self) -> bool {
         self.registration.leaving || self.intake.is_leaving()
--- a/crates/comfreyspread-policy/src/endpoint_directory.rs
+++ b/crates/comfreyspread-policy/src/endpoint_directory.rs
@@ -4,7 +4,10 @@
 //! times and failures. An endpoint without measurements counts as average. Measurements decay, so
 //! that an endpoint that was slow for a while is tried again.
 
-use crate::{directory_endpoint, endpoint_intake, endpoint_selection, rendezvous, tried_endpoints};
+use crate::{
+    directory_endpoint, endpoint_intake, endpoint_selection, rendezvous, rollout_decider,
+    service_versions, tried_endpoints, version_exposure,
+};
 use comfreyspread_schema::{ids, types};
 use indexmap::{IndexMap, IndexSet};
 use std::{net, time};
@@ -37,6 +40,8 @@
 pub struct ColdStart {
     /// Minimum time for which the endpoint counts as cold.
     pub cold: time::Duration,
+    /// Whether the endpoint was registered before this node started.
+    pub at_start: bool,
 }
 
 /// Requirements and preferences of a request for its endpoint.
@@ -44,6 +49,8 @@
 pub struct EndpointQuery<'query> {
     /// Service that runs the request.
     pub service: &'query ids::ServiceName,
+    /// Route of the request.
+    pub route: &'query ids::Text,
     /// Regions that may run the request; `None` allows all.
     pub regions: Option<&'query [ids::RegionId]>,
     /// Region of the request's inputs; endpoints there are preferred.
@@ -73,6 +80,10 @@
     pub region: ids::RegionId,
     /// Start of its process, which tells it from a later one of the same name.
     pub started_at_ms: u64,
+    /// Version of its software.
+    pub version: ids::SoftwareVersion,
+    /// Whether it was cold when it was chosen.
+    pub cold: bool,
 }
 
 /// Number of endpoints in each condition.
@@ -100,6 +111,7 @@
     departed: IndexMap<EndpointProcess, endpoint_intake::EndpointIntake>,
     zones: IndexMap<ids::ZoneId, ids::RegionId>,
     zones_out: IndexSet<ids::ZoneId>,
+    versions: service_versions::ServiceVersions,
 }
 
 impl EndpointDirectory {
@@ -122,7 +134,7 @@
         let process = (registration.endpoint.clone(), registration.started_at_ms);
         let leaving = registration.leaving && registration.started_at_ms != UNKNOWN_START;
         match self.endpoints.get_mut(&registration.endpoint) {
-            Some(known) if known.registration.started_at_ms == registration.started_at_ms => {
+            Some(known) if known.is_same_process(&registration) => {
                 if !registration.cold_time_left.is_zero() {
                     known.set_cold(registration.cold_time_left, now);
                 }
@@ -146,6 +158,8 @@
         let registration = types::EndpointRegistration { cold_time_left, ..registration };
         let process = (registration.endpoint.clone(), registration.started_at_ms);
         self.remove(&process.0, now);
+        let (service, version) = (&registration.service, &registration.version);
+        self.versions.add(service, version, cold_start.at_start, now);
         let mut added = directory_endpoint::DirectoryEndpoint::new(registration, now);
         added.intake = self.departed.shift_remove(&process).unwrap_or_default();
         self.endpoints.insert(process.0, added);
@@ -164,6 +178,7 @@
     /// Removes an endpoint.
     pub fn remove(&mut self, endpoint: &ids::EndpointId, now: time::Instant) {
         let Some(removed) = self.endpoints.shift_remove(endpoint) else { return };
+        self.versions.remove(&removed.registration.service, &removed.registration.version);
         let process = (endpoint.clone(), removed.registration.started_at_ms);
         self.keep_departed(process, removed.intake, now);
     }
@@ -313,7 +328,89 @@
         now: time::Instant,
     ) -> Option<endpoint_selection::SkipReason> {
         let zone_out = self.zones_out.contains(&endpoint.registration.zone);
-        endpoint_selection::SkipReason::of_endpoint(endpoint, zone_out, now)
+        endpoint_selection::SkipReason::of_endpoint(endpoint, zone_out, now).or_else(|| {
+            let (service, version) =
+                (&endpoint.registration.service, &endpoint.registration.version);
+            let closed = self.versions.is_closed(service, version, now);
+            closed.then_some(endpoint_selection::SkipReason::OtherVersion)
+        })
+    }
+
+    /// Returns the versions of the services' software.
+    pub fn versions(&self) -> &service_versions::ServiceVersions {
+        &self.versions
+    }
+
+    /// Returns the versions of the services' software, to change their rules.
+    pub fn versions_mut(&mut self) -> &mut service_versions::ServiceVersions {
+        &mut self.versions
+    }
+
+    /// Returns whether an endpoint may get a call to a stage service now, which counts the calls that
+    /// it starts by [`EndpointDirectory::record_stage_call`].
+    pub fn admits_stage_call(
+        &self,
+        endpoint: &directory_endpoint::DirectoryEndpoint,
+        now: time::Instant,
+    ) -> bool {
+        let service = &endpoint.registration.service;
+        let Some(turn) = self.versions.turn(service, service) else { return true };
+        if endpoint.registration.version != *turn.to {
+            return true;
+        }
+        let region = self.region(&endpoint.registration.zone);
+        let canaries =
+            endpoint_selection::canaries(self.usable(service, Some(&region), now), &turn);
+        turn.admits && canaries.contains(&endpoint.registration.endpoint)
+    }
+
+    /// Counts a call to an endpoint of a stage service.
+    pub fn record_stage_call(&mut self, endpoint: &ids::EndpointId) {
+        let Some(known) = self.endpoints.get(endpoint) else { return };
+        let (service, version) = (&known.registration.service, &known.registration.version);
+        self.versions.record_request(service, version);
+    }
+
+    /// Returns the endpoints of a service by version, for the roll-out to `to`; `share` is the share
+    /// of the requests that it gets.
+    pub fn version_capacity(
+        &self,
+        service: &ids::ServiceName,
+        to: &ids::SoftwareVersion,
+        share: f64,
+        now: time::Instant,
+    ) -> rollout_decider::VersionCapacity {
+        let mut capacity = rollout_decider::VersionCapacity::default();
+        let (mut new, mut old) = (0, 0);
+        for endpoint in self.endpoints.values() {
+            if endpoint.registration.service != *service || endpoint.is_leaving() {
+                continue;
+            }
+            let slots = endpoint.registration.slots;
+            if endpoint.registration.version != *to {
+                old += 1;
+                capacity.old_slots += slots;
+            } else if !endpoint.is_cold(now) {
+                new += 1;
+                capacity.new_slots += slots;
+            }
+        }
+        capacity.canaries = version_exposure::canary_count(share, old).min(new);
+        capacity
+    }
+
+    /// Returns the requests of this node in flight at endpoints of other versions than `to`.
+    pub fn old_running(&self, service: &ids::ServiceName, to: &ids::SoftwareVersion) -> u64 {
+        let old = self
+            .endpoints
+            .values()
+            .filter(|one| one.registration.service == *service && one.registration.version != *to);
+        old.map(|one| u64::from(one.running)).sum()
+    }
+
+    /// Returns the version of an endpoint's software; none if it is not registered.
+    pub fn version(&self, endpoint: &ids::EndpointId) -> Option<ids::SoftwareVersion> {
+        self.endpoints.get(endpoint).map(|known| known.registration.version.clone())
     }
 
     /// Returns the endpoints of a service that take requests now or after a pause, in one region
@@ -356,10 +453,15 @@
         let region = self.region(&chosen.registration.zone);
         let endpoint = self.endpoints.get_mut(&name)?;
         endpoint.running += 1;
-        if endpoint.is_cold(query.now) {
+        let cold = endpoint.is_cold(query.now);
+        if cold {
             endpoint.record_cold_call(query.now);
         }
+        let version = endpoint.registration.version.clone();
+        self.versions.record_request(query.service, &version);
         Some(ChosenEndpoint {
+            version,
+            cold,
             endpoint: name,
             address: endpoint.registration.address,
             region,
--- a/crates/comfreyspread-policy/src/endpoint_selection.rs
+++ b/crates/comfreyspread-policy/src/endpoint_selection.rs
@@ -6,7 +6,9 @@
 //! planned by [`worker_set`](crate::worker_set) among the endpoints that [`SkipReason::of_endpoint`]
 //! leaves. A request whose parts crash endpoints is rejected before an endpoint is selected.
 
-use crate::{directory_endpoint, endpoint_directory, rendezvous};
+use crate::{
+    directory_endpoint, endpoint_directory, rendezvous, service_versions, version_exposure,
+};
 use comfreyspread_schema::ids;
 use std::{fmt, time};
 
@@ -34,6 +36,8 @@
     Leaving,
     /// It asked for no requests until then.
     Paused(time::Instant),
+    /// Its version gets no requests of the service at present.
+    OtherVersion,
     /// The request was already sent there, or may be sent only to one of those that it was sent to.
     Tried,
     /// It is cold and has had this node's share of requests.
@@ -112,12 +116,37 @@
     /// Returns the endpoint to send the request to.
     pub fn choose(&self) -> Option<&'selection directory_endpoint::DirectoryEndpoint> {
         let ranked = self.of_service().filter_map(|one| Some((self.examine(one).ok()?, one)));
-        let ranked: Vec<_> = ranked.collect();
+        let ranked = self.of_version(ranked.collect());
         let best = ranked.iter().map(|(tier, _)| *tier).min()?;
         let candidates = ranked.into_iter().filter(|(tier, _)| *tier == best);
         self.best(&candidates.map(|(_, endpoint)| endpoint).collect::<Vec<_>>())
     }
 
+    /// Returns those of the version that is to run the request, while a roll-out divides the
+    /// service's requests. One for the new version that finds none of its endpoints in the preferred
+    /// region goes to the others.
+    fn of_version(
+        &self,
+        ranked: Vec<(EndpointTier, &'selection directory_endpoint::DirectoryEndpoint)>,
+    ) -> Vec<(EndpointTier, &'selection directory_endpoint::DirectoryEndpoint)> {
+        let query = self.query;
+        let Some(turn) = self.directory.versions().turn(query.service, query.route) else {
+            return ranked;
+        };
+        let usable = self.directory.usable(query.service, Some(query.preferred_region), query.now);
+        let canaries = if turn.admits { canaries(usable, &turn) } else { Vec::new() };
+        let is_canary = |one: &directory_endpoint::DirectoryEndpoint| {
+            canaries.contains(&one.registration.endpoint)
+        };
+        let (new, old): (Vec<_>, Vec<_>) =
+            ranked.into_iter().partition(|(_, one)| one.registration.version == *turn.to);
+        let new: Vec<_> = new
+            .into_iter()
+            .filter(|(tier, one)| *tier <= EndpointTier::Cold && is_canary(one))
+            .collect();
+        if new.is_empty() { old } else { new }
+    }
+
     /// Returns why endpoints are passed over.
     pub fn skipped(&self) -> SkipSummary {
         let mut summary = SkipSummary::default();
@@ -142,7 +171,10 @@
                     summary.other += 1;
                     open_later = true;
                 }
-                SkipReason::OtherRegion | SkipReason::Removed | SkipReason::ZoneOut => {
+                SkipReason::OtherRegion
+                | SkipReason::Removed
+                | SkipReason::ZoneOut
+                | SkipReason::OtherVersion => {
                     summary.other += 1;
                 }
             }
@@ -257,3 +289,16 @@
         cost.as_secs_f64()
     }
 }
+
+/// Returns the endpoints of the version under roll-out that get requests, among the endpoints of its
+/// service in one region: as few as bear the load of the others. All nodes choose the same ones.
+pub(crate) fn canaries<'directory>(
+    endpoints: impl Iterator<Item = &'directory directory_endpoint::DirectoryEndpoint>,
+    turn: &service_versions::VersionTurn<'_>,
+) -> Vec<ids::EndpointId> {
+    let (mut new, old): (Vec<_>, Vec<_>) =
+        endpoints.partition(|one| one.registration.version == *turn.to);
+    let count = version_exposure::canary_count(turn.share, old.len());
+    new.sort_by_key(|one| rendezvous::prefix_score(0, &one.registration.endpoint));
+    new.into_iter().take(count).map(|one| one.registration.endpoint.clone()).collect()
+}
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -21,6 +21,8 @@
 //!   [`member_digest`], [`probe_ring`] and [`prober_health`], [`connectivity`], [`rendezvous`],
 //!   [`ownership`], [`ownership_release`], [`ownership_status`], [`leaving_vms`], [`node_lifecycle`],
 //!   [`stop_window`], [`task_restart`].
+//! - Roll-outs of endpoint software: [`service_versions`] over [`version_exposure`], [`rollout_table`] with
+//!   [`version_evidence`], [`rollout_decider`] with [`rollout_judgement`] and [`rollout_state`].
 //! - Configuration: [`validation`], [`catalog`], [`change`], [`acceptance`], [`delta`], [`poller`].
 //!
 //! ```
@@ -88,10 +90,15 @@
 pub mod response_progress;
 pub mod result_usage;
 pub mod retry;
+pub mod rollout_decider;
+pub mod rollout_judgement;
+pub mod rollout_state;
+pub mod rollout_table;
 pub mod route_table;
 pub mod routing;
 pub mod row_finalizer;
 pub mod service_retry_budget;
+pub mod service_versions;
 pub mod stage_graph;
 pub mod stage_order;
 pub mod stop_window;
@@ -107,6 +114,8 @@
 pub mod tried_endpoints;
 pub mod validation;
 pub mod verdict;
+pub mod version_evidence;
+pub mod version_exposure;
 pub mod wait_table;
 pub mod worker_set;
 pub mod write_group;
--- a/crates/comfreyspread-policy/src/response_progress.rs
+++ b/crates/comfreyspread-policy/src/response_progress.rs
@@ -20,6 +20,7 @@
 pub struct ResponseProgress {
     first_event_at: Option<time::Instant>,
     last_event_at: Option<time::Instant>,
+    events: u32,
 }
 
 impl ResponseProgress {
@@ -32,6 +33,19 @@
     pub fn record_event(&mut self, now: time::Instant) {
         self.first_event_at.get_or_insert(now);
         self.last_event_at = Some(now);
+        self.events += 1;
+    }
+
+    /// Returns when the first event came.
+    pub fn first_event_at(&self) -> Option<time::Instant> {
+        self.first_event_at
+    }
+
+    /// Returns the mean time between events; none if there were fewer than two.
+    pub fn mean_gap(&self) -> Option<time::Duration> {
+        let (last, first) = self.last_event_at.zip(self.first_event_at)?;
+        let gaps = self.events.checked_sub(1).filter(|gaps| *gaps > 0)?;
+        Some(last.saturating_duration_since(first) / gaps)
     }
 
     /// Returns whether there has been an event.
--- a/crates/comfreyspread-policy/src/worker_set.rs
+++ b/crates/comfreyspread-policy/src/worker_set.rs
@@ -73,10 +73,11 @@
             workers.map(|location| (location.endpoint.clone(), location)).collect();
         self.workers.retain(|endpoint, _| workers.contains_key(endpoint));
         for (endpoint, location) in workers {
-            let paused_until = location.paused_until;
+            let (paused_until, is_held) = (location.paused_until, location.is_held);
             let worker = self.workers.entry(endpoint);
             let worker = worker.or_insert_with(|| batch_worker::BatchWorker::new(location, now));
             worker.paused_until = paused_until;
+            worker.is_held = is_held;
         }
     }
 
--- a/crates/comfreyspread-policy/tests/batch_queue.rs
+++ b/crates/comfreyspread-policy/tests/batch_queue.rs
@@ -31,6 +31,7 @@
         address: ([10, 0, 0, 1], port).into(),
         zone: zone.into(),
         paused_until: None,
+        is_held: false,
     }
 }
 
--- a/crates/comfreyspread-policy/tests/crashing_pieces.rs
+++ b/crates/comfreyspread-policy/tests/crashing_pieces.rs
@@ -25,6 +25,7 @@
         address: ([10, 0, 0, 1], number).into(),
         zone: "a".into(),
         paused_until: None,
+        is_held: false,
     });
     queue.set_workers(workers, now);
     queue
--- a/crates/comfreyspread-policy/tests/endpoint_directory.rs
+++ b/crates/comfreyspread-policy/tests/endpoint_directory.rs
@@ -19,11 +19,12 @@
         service: "s".into(),
         slots: 4,
         zone: zone.into(),
+        version: "v1".into(),
     }
 }
 
 const WARM: endpoint_directory::ColdStart =
-    endpoint_directory::ColdStart { cold: time::Duration::ZERO };
+    endpoint_directory::ColdStart { cold: time::Duration::ZERO, at_start: true };
 
 fn new_directory(now: time::Instant) -> endpoint_directory::EndpointDirectory {
     let zones = [("a", "r"), ("b", "r"), ("c", "q")];
@@ -37,6 +38,7 @@
 
 struct RequestNeeds {
     service: ids::ServiceName,
+    route: ids::Text,
     region: ids::RegionId,
     zone: ids::ZoneId,
     tried: Vec<ids::EndpointId>,
@@ -44,7 +46,13 @@
 
 impl RequestNeeds {
     fn new() -> Self {
-        Self { service: "s".into(), region: "r".into(), zone: "a".into(), tried: Vec::new() }
+        Self {
+            service: "s".into(),
+            route: "read".into(),
+            region: "r".into(),
+            zone: "a".into(),
+            tried: Vec::new(),
+        }
     }
 
     fn query(&self, now: time::Instant) -> endpoint_directory::EndpointQuery<'_> {
@@ -55,6 +63,7 @@
             prefix: None,
             regions: None,
             service: &self.service,
+            route: &self.route,
             second_try: None,
             tried: &self.tried,
             zone: &self.zone,
@@ -167,7 +176,7 @@
     let mut directory = endpoint_directory::EndpointDirectory::new(
         [("a".into(), "r".into())].into_iter().collect(),
     );
-    let cold_start = endpoint_directory::ColdStart { cold: ms(3000) };
+    let cold_start = endpoint_directory::ColdStart { cold: ms(3000), at_start: false };
     directory.insert(registration("one", "a", 1), cold_start, now);
     let needs = RequestNeeds::new();
     let mut sent = Vec::new();
--- a/crates/comfreyspread-policy/tests/endpoint_intake.rs
+++ b/crates/comfreyspread-policy/tests/endpoint_intake.rs
@@ -10,7 +10,7 @@
 use std::time;
 
 const WARM: endpoint_directory::ColdStart =
-    endpoint_directory::ColdStart { cold: time::Duration::ZERO };
+    endpoint_directory::ColdStart { cold: time::Duration::ZERO, at_start: true };
 const LEAVING: endpoint_intake::IntakeNotice =
     endpoint_intake::IntakeNotice { leaving: true, pause: time::Duration::ZERO };
 
@@ -32,6 +32,7 @@
         service: "s".into(),
         slots: 4,
         zone: "a".into(),
+        version: "v1".into(),
     }
 }
 
@@ -57,6 +58,7 @@
         prefix: None,
         regions: None,
         service: &service,
+        route: &"read".into(),
         second_try: None,
         tried: &[],
         zone: &zone,
--- a/crates/comfreyspread-policy/tests/queue_load/mod.rs
+++ b/crates/comfreyspread-policy/tests/queue_load/mod.rs
@@ -95,6 +95,7 @@
             address: net::SocketAddr::from(([127, 0, 0, 1], port)),
             zone: self.zone(index).into(),
             paused_until: None,
+            is_held: false,
         }
     }
 
--- a/crates/comfreyspread/src/gateway/admin_handler.rs
+++ b/crates/comfreyspread/src/gateway/admin_handler.rs
@@ -1,6 +1,6 @@
 //! Readiness checks of the platform, metrics, a dump of the node's state, and operator requests.
 
-use super::{batcher, state};
+use super::{batcher, rollout::rollout_view, state};
 use crate::{
     ingress::front,
     operations::operator_api,
@@ -71,11 +71,15 @@
             self.state.context.metrics.stages.update_gauges(&counts, version);
             let parts = self.state.context.tables.part_suspects.lock().counts(time::Instant::now());
             self.state.context.metrics.crashes.update_gauges(&parts);
+            rollout_view::update_gauges(&self.state);
             return front::metrics(&self.state.context);
         }
         if request.path() == DUMP_PATH {
             return front::json(StatusCode::OK, &self.dump());
         }
+        if request.path() == operator_api::ROLLOUTS_PATH {
+            return front::json(StatusCode::OK, &rollout_view::list(&self.state));
+        }
         if request.path().starts_with(operator_api::PATH_PREFIX) {
             return operator_api::serve(&self.state.context, &request).await;
         }
--- a/crates/comfreyspread/src/gateway/attempt_send.rs
+++ b/crates/comfreyspread/src/gateway/attempt_send.rs
@@ -1,10 +1,11 @@
 //! One attempt at a request: selects an endpoint, sends the request and checks the response head.
 
-use super::{call_plan, caller_handler, endpoint_notices, state};
+use super::{call_plan, caller_handler, endpoint_notices, rollout::evidence, state};
 use crate::transport::{failure, http_client, http_message};
 use comfreyspread_platform::{request_head, response_head};
 use comfreyspread_policy::{
     attempt, endpoint_directory, endpoint_selection, response_progress, tried_endpoints,
+    version_evidence,
 };
 use comfreyspread_schema::{ids, types};
 use std::{
@@ -45,6 +46,10 @@
     /// Complete events of the response that have arrived.
     pub progress: response_progress::ResponseProgress,
     started: time::Instant,
+    /// Service and route of the request.
+    origin: evidence::RequestOrigin,
+    /// Whether the whole response has arrived.
+    answered: bool,
     finished: bool,
 }
 
@@ -63,7 +68,7 @@
 #[derive(Debug)]
 pub struct FailedAttempt {
     /// The endpoint; `None` if none was available.
-    pub chosen: Option<endpoint_directory::ChosenEndpoint>,
+    pub chosen: Option<Box<endpoint_directory::ChosenEndpoint>>,
     /// Cause of the failure.
     pub failure: failure::CallFailure,
     /// Whether the input results no longer exist.
@@ -89,6 +94,44 @@
         let (endpoint, started_at_ms) = (&self.chosen.endpoint, self.chosen.started_at_ms);
         let mut directory = self.state.directory.lock();
         directory.finish_call(endpoint, started_at_ms, outcome, elapsed, now);
+        drop(directory);
+        if let Some(end) = self.request_end(outcome) {
+            let times = self.answer_times(elapsed);
+            evidence::record_request(&self.state, &self.origin, &self.chosen, end, times);
+        }
+    }
+
+    /// Records that the whole response has arrived.
+    pub fn record_answered(&mut self) {
+        self.answered = true;
+    }
+
+    /// Returns what the outcome says of the endpoint's version; none if it says nothing.
+    fn request_end(
+        &self,
+        outcome: endpoint_directory::AttemptOutcome,
+    ) -> Option<version_evidence::RequestEnd> {
+        use endpoint_directory::AttemptOutcome as Outcome;
+        match outcome {
+            Outcome::Served => Some(version_evidence::RequestEnd::Answered),
+            Outcome::Failed if self.answered => Some(version_evidence::RequestEnd::Failed),
+            Outcome::Failed | Outcome::Unreachable => Some(version_evidence::RequestEnd::Broken),
+            Outcome::Full | Outcome::Gone | Outcome::Cancelled => None,
+        }
+    }
+
+    /// Returns the times that tell of the endpoint's version. A cold endpoint is slow whatever its
+    /// version.
+    fn answer_times(&self, elapsed: time::Duration) -> version_evidence::AnswerTimes {
+        if self.chosen.cold {
+            return version_evidence::AnswerTimes::default();
+        }
+        let first_event = self.progress.first_event_at();
+        let to_first = first_event.map(|at| at.saturating_duration_since(self.started));
+        version_evidence::AnswerTimes {
+            answer: Some(to_first.unwrap_or(elapsed)),
+            gap: self.progress.mean_gap(),
+        }
     }
 }
 
@@ -116,6 +159,7 @@
 ) -> endpoint_directory::EndpointQuery<'query> {
     endpoint_directory::EndpointQuery {
         service: &plan.service.name,
+        route: &plan.route.name,
         regions: input.regions,
         preferred_region: input.preferred_region,
         zone: &state.settings.zone,
@@ -157,6 +201,11 @@
         chosen,
         progress: response_progress::ResponseProgress::new(),
         started: now,
+        origin: evidence::RequestOrigin {
+            service: plan.service.name.clone(),
+            route: plan.route.name.clone(),
+        },
+        answered: false,
         finished: false,
     };
     log::info!(request = plan.call.request.as_ref(), attempt = input.number,
@@ -217,7 +266,7 @@
 impl ActiveAttempt {
     /// Returns the failure of this attempt.
     pub fn failed(&self, failure: failure::CallFailure, inputs_gone: bool) -> FailedAttempt {
-        let chosen = Some(self.chosen.clone());
+        let chosen = Some(Box::new(self.chosen.clone()));
         FailedAttempt { chosen, failure, inputs_gone, on_kept_connection: false }
     }
 }
--- a/crates/comfreyspread/src/gateway/batcher.rs
+++ b/crates/comfreyspread/src/gateway/batcher.rs
@@ -4,7 +4,7 @@
 //! One task per service and region schedules the calls; new pieces, finished calls, released results and
 //! endpoint changes wake it. [`batch_queue`] makes the decisions.
 
-use super::{endpoint_notices, state};
+use super::{endpoint_notices, rollout::evidence, state};
 use crate::{
     runtime::supervisor,
     transport::{deadline, failure, http_client, http_message},
@@ -70,6 +70,15 @@
         }
     }
 
+    /// Returns the number of running calls to endpoints of a service for which `belongs` holds.
+    pub fn calls_to<Belongs>(&self, service: &str, belongs: Belongs) -> usize
+    where
+        Belongs: Fn(&ids::EndpointId) -> bool,
+    {
+        let of_service = self.scopes.iter().filter(|(scope, _)| *scope.service == *service);
+        of_service.map(|(_, batcher)| batcher.queue.calls_to(&belongs)).sum()
+    }
+
     /// Returns the number of queued pieces and of running calls, by service and region.
     pub fn loads(&self) -> impl Iterator<Item = (&BatchScope, (usize, usize))> {
         self.scopes.iter().map(|(scope, batcher)| (scope, batcher.queue.load()))
@@ -269,6 +278,7 @@
                 address: endpoint.registration.address,
                 zone: endpoint.registration.zone.clone(),
                 paused_until: endpoint.paused_until(now),
+                is_held: !directory.admits_stage_call(endpoint, now),
             };
         usable.map(location).collect()
     };
@@ -280,12 +290,16 @@
             sender.try_send(group.outcomes).ok();
         }
     }
-    for call in batcher.queue.plan(now) {
+    let planned = batcher.queue.plan(now);
+    let next_wakeup = batcher.queue.next_wakeup(now);
+    drop(batchers);
+    for call in planned {
+        state.directory.lock().record_stage_call(&call.endpoint);
         let task_state = state.clone();
         let scope = scope.clone();
         state.context.spawner.detach(async move { run_call(&task_state, &scope, call).await });
     }
-    batcher.queue.next_wakeup(now)
+    next_wakeup
 }
 
 /// Runs one call and records its outcome.
@@ -302,6 +316,7 @@
     let elapsed = now.saturating_duration_since(started);
     let completed = outcome.completed();
     state.context.metrics.stages.count_call(call.tasks.len(), completed, elapsed);
+    evidence::record_stage_call(state, scope, &call, &outcome, elapsed);
     log::info!(service = scope.service.as_ref(), endpoint = call.endpoint.as_ref(),
         pieces = call.tasks.len(), made = completed.unwrap_or(0), ended = outcome.as_str(),
         took_ms = elapsed.as_millis() as u64; "batcher: call ended");
@@ -374,11 +389,14 @@
     scope: &BatchScope,
     call: &batch_call::PlannedCall,
 ) -> endpoint_directory::ChosenEndpoint {
+    let directory = state.directory.lock();
     endpoint_directory::ChosenEndpoint {
         endpoint: call.endpoint.clone(),
         address: call.address,
         region: scope.region.clone(),
-        started_at_ms: state.directory.lock().started_at_ms(&call.endpoint),
+        started_at_ms: directory.started_at_ms(&call.endpoint),
+        version: directory.version(&call.endpoint).unwrap_or_default(),
+        cold: false,
     }
 }
 
--- a/crates/comfreyspread/src/gateway/conviction_sync.rs
+++ b/crates/comfreyspread/src/gateway/conviction_sync.rs
@@ -91,7 +91,7 @@
     let encoded = encoded.map_err(|error| {
         failure::CallFailure::new(types::ProblemKind::Internal, error.to_string())
     })?;
-    let made = state.store.change_rows(store::CONVICTION_TABLE, &encoded).await?;
+    let made = state.store.change_rows(&encoded).await?;
     for change in &changes {
         log::info!(part = crash_notice::format_part(change.part).as_str(), made = made,
             written = change.record.is_some(); "convictions: row changed");
@@ -146,5 +146,6 @@
     };
     let value = change.record.as_ref().map(encode).transpose()?;
     let key = crash_notice::format_part(change.part).into();
-    Ok(types::RowChange { key, value, version: change.version })
+    let table = store::CONVICTION_TABLE.into();
+    Ok(types::RowChange { key, table, value, version: Some(change.version) })
 }
--- a/crates/comfreyspread/src/gateway/endpoint_watcher.rs
+++ b/crates/comfreyspread/src/gateway/endpoint_watcher.rs
@@ -50,7 +50,8 @@
     let cold = service.filter(|_| !first_load).map_or(time::Duration::ZERO, |rule| rule.cold_start);
     log::debug!(endpoint = registration.endpoint.as_ref(), leaving = registration.leaving;
         "endpoints: changed");
-    state.directory.lock().insert(registration, endpoint_directory::ColdStart { cold }, now);
+    let cold_start = endpoint_directory::ColdStart { cold, at_start: first_load };
+    state.directory.lock().insert(registration, cold_start, now);
 }
 
 fn remove(state: &state::GatewayState, endpoint: &ids::EndpointId) {
--- a/crates/comfreyspread/src/gateway/mod.rs
+++ b/crates/comfreyspread/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 //!   through [`store_client`] or, from other nodes, [`table_exchange`], where [`row_compression`]
 //!   keeps large rows small. [`table_update`] applies what came into force. [`state`] holds the
 //!   result.
+//! - Roll-outs of endpoint software: [`rollout`].
 //! - Process: [`process`] starts, serves and stops; [`admin_handler`] serves readiness, metrics and
 //!   dumps.
 
@@ -27,6 +28,7 @@
 pub mod process;
 pub mod produced_chunks;
 pub mod region_selector;
+pub mod rollout;
 pub mod route_watcher;
 pub mod row_compression;
 pub mod stage_execution;
--- a/crates/comfreyspread/src/gateway/piece_dispatch.rs
+++ b/crates/comfreyspread/src/gateway/piece_dispatch.rs
@@ -1,6 +1,6 @@
 //! Dispatch of pieces to the node that batches their service, and the peer messages for it.
 
-use super::{batcher, state, table_exchange};
+use super::{batcher, rollout::report_exchange, state, table_exchange};
 use crate::{
     membership::peer,
     transport::{deadline as deadlines, failure, http_client, http_message, http_server},
@@ -194,7 +194,7 @@
     }
 }
 
-/// Serves the peer messages of this module and of [`table_exchange`].
+/// Serves the peer messages of this module, of [`table_exchange`] and of [`report_exchange`].
 pub struct PieceExtension {
     state: sync::Arc<state::GatewayState>,
 }
@@ -280,6 +280,9 @@
             table_exchange::TABLE_PATH => {
                 Some(Box::pin(async move { table_exchange::serve(&self.state, request).await }))
             }
+            report_exchange::REPORT_PATH => {
+                Some(Box::pin(async move { report_exchange::serve(&self.state, request) }))
+            }
             WAIT_PATH => Some(Box::pin(async move { self.wait(request) })),
             _ => None,
         }
--- a/crates/comfreyspread/src/gateway/process.rs
+++ b/crates/comfreyspread/src/gateway/process.rs
@@ -2,7 +2,7 @@
 
 use super::{
     admin_handler, caller_handler, conviction_sync, endpoint_watcher, piece_dispatch,
-    route_watcher, state, table_watcher,
+    rollout::decision_task, route_watcher, state, table_watcher,
 };
 use crate::{
     membership::{crash_notice, heartbeat, peer},
@@ -143,6 +143,10 @@
     supervisor::supervise(&context.spawner, "conviction-sync", move || {
         conviction_sync::run(task_state.clone())
     });
+    let task_state = state.clone();
+    supervisor::supervise(&context.spawner, "rollouts", move || {
+        decision_task::run(task_state.clone())
+    });
     log::info!(node = context.settings.node.as_ref(), zone = context.settings.zone.as_ref();
         "gateway: started");
     let starting = node_lifecycle::NodeLifecycle::new();
--- a/crates/comfreyspread/src/gateway/route_watcher.rs
+++ b/crates/comfreyspread/src/gateway/route_watcher.rs
@@ -1,9 +1,10 @@
-//! Applies the operator's table: routes, and availability zones out of service.
+//! Applies the operator's table: routes, availability zones out of service, and orders of
+//! roll-outs.
 //!
 //! A route document has a version of its own, which decides while a restored store may hold an older
 //! one. Once the hold is over, the store's document is in force, whatever its version.
 
-use super::{row_compression, state, table_watcher};
+use super::{rollout::rollout_orders, row_compression, state, table_watcher};
 use comfreyspread_platform::{route_document, store};
 use comfreyspread_policy::{route_table, stage_order, store_position};
 use comfreyspread_schema::types;
@@ -23,6 +24,8 @@
                 let out = row.value.is_some();
                 log::info!(zone = zone, out = out, version = row.version; "routes: zone changed");
                 state.directory.lock().set_zone_out(zone.into(), out);
+            } else if let Some(service) = row.key.strip_prefix(store::ROLLOUT_PREFIX) {
+                rollout_orders::apply_row(state, service, &row);
             } else if *row.key == *store::ROUTES_KEY
                 && let Some(body) = &row.value
             {
--- a/crates/comfreyspread/src/gateway/state.rs
+++ b/crates/comfreyspread/src/gateway/state.rs
@@ -5,13 +5,13 @@
     transport::http_client,
 };
 use comfreyspread_policy::{
-    endpoint_directory, first_event, peer_health, rendezvous, route_table, service_retry_budget,
-    wait_table,
+    endpoint_directory, first_event, peer_health, rendezvous, rollout_table, route_table,
+    service_retry_budget, wait_table,
 };
 use comfreyspread_schema::{ids, types};
 use std::{fmt, net, sync, sync::atomic, time};
 
-use super::{batcher, store_client, table_watcher};
+use super::{batcher, rollout::active_decider, store_client, table_watcher};
 
 /// Maximum size of a response that is buffered, in bytes.
 pub const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
@@ -33,6 +33,12 @@
         lock_rank::RankedLock<lock_rank::StoreTableRank, table_watcher::WatchedTables>,
     /// Active route table.
     pub routes: lock_rank::RankedLock<lock_rank::RouteRank, sync::Arc<route_table::RouteTable>>,
+    /// Roll-outs of endpoint software.
+    pub rollouts: lock_rank::RankedLock<lock_rank::RolloutRank, rollout_table::RolloutTable>,
+    /// Roll-outs that this node decides on.
+    pub deciders: lock_rank::RankedLock<lock_rank::DeciderRank, active_decider::DeciderTable>,
+    /// Notified when orders or states of roll-outs have changed.
+    pub rollouts_changed: event_listener::Event,
     /// Registered endpoints.
     pub directory:
         lock_rank::RankedLock<lock_rank::DirectoryRank, endpoint_directory::EndpointDirectory>,
@@ -81,14 +87,19 @@
         regions.dedup();
         let zones = settings.zones.iter();
         let zones = zones.map(|(zone, region)| (zone.as_str().into(), region.clone())).collect();
+        let mut directory = endpoint_directory::EndpointDirectory::new(zones);
+        if settings.exposure_share > 0.0 {
+            directory.versions_mut().enable_rollouts();
+        }
         Self {
             regions,
+            rollouts: lock_rank::RankedLock::default(),
+            deciders: lock_rank::RankedLock::default(),
+            rollouts_changed: event_listener::Event::new(),
             store_tables: lock_rank::RankedLock::new(table_watcher::WatchedTables::default()),
             peer_health: lock_rank::RankedLock::new(peer_health::PeerHealth::default()),
             routes: lock_rank::RankedLock::new(sync::Arc::default()),
-            directory: lock_rank::RankedLock::new(endpoint_directory::EndpointDirectory::new(
-                zones,
-            )),
+            directory: lock_rank::RankedLock::new(directory),
             first_events: lock_rank::RankedLock::new(first_event::FirstEventTimes::default()),
             batchers: lock_rank::RankedLock::new(batcher::BatcherTable::default()),
             waits: lock_rank::RankedLock::new(wait_table::WaitTable::default()),
--- a/crates/comfreyspread/src/gateway/store_client.rs
+++ b/crates/comfreyspread/src/gateway/store_client.rs
@@ -111,7 +111,7 @@
         Ok((page, now))
     }
 
-    /// Changes rows of a table, all or none of them. Returns false if one does not have the version
+    /// Changes rows, all or none of them. Returns false if one does not have the version
     /// that its change requires.
     ///
     /// # Errors
@@ -120,11 +120,10 @@
     /// later, if the versions still hold.
     pub async fn change_rows(
         &self,
-        table: &str,
         changes: &[types::RowChange],
     ) -> Result<bool, failure::CallFailure> {
         self.metrics.count_store_change();
-        let body = store::encode_changes(table, changes).map_err(|error| {
+        let body = store::encode_changes(changes).map_err(|error| {
             failure::CallFailure::new(types::ProblemKind::Internal, error.to_string())
         })?;
         let url = format!("http://{}{}", self.address, store::CHANGE_PATH);
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -68,6 +68,9 @@
     mut started: attempt_send::StartedAttempt,
 ) -> Result<http_message::Response, failure::CallFailure> {
     let read = attempt_send::read_body(state, plan, &mut started.response).await;
+    if read.is_ok() {
+        started.active.record_answered();
+    }
     started.active.finish(endpoint_directory::AttemptOutcome::Failed);
     Ok(attempt_send::forwarded_response(&started.response, read?))
 }
--- a/crates/comfreyspread/src/gateway/unary_run.rs
+++ b/crates/comfreyspread/src/gateway/unary_run.rs
@@ -88,6 +88,7 @@
                 return Err(started.active.failed(failure, false));
             }
         };
+        started.active.record_answered();
         let failed = started.response.status().is_server_error();
         if !failed {
             self.plan.record_served(state);
--- a/crates/comfreyspread/src/membership/peer.rs
+++ b/crates/comfreyspread/src/membership/peer.rs
@@ -59,6 +59,8 @@
     ResultReleaseReply,
     RevisionNotice,
     RevisionReply,
+    RolloutReply,
+    RolloutReport,
     StageCall,
     StageReply,
     StatusReply,
--- a/crates/comfreyspread/src/operations/command.rs
+++ b/crates/comfreyspread/src/operations/command.rs
@@ -2,7 +2,9 @@
 
 use crate::{
     gateway,
-    operations::{declaration_commands, maintenance_commands, operator_error, state_commands},
+    operations::{
+        declaration_commands, maintenance_commands, operator_error, rollout_command, state_commands,
+    },
     runtime::{logging, node, settings},
 };
 use comfreyspread_schema::settings as schema_settings;
@@ -28,6 +30,7 @@
     Dump(state_commands::DumpArguments),
     Gateway(gateway::process::GatewayArguments),
     Node(Box<schema_settings::NodeFlags>),
+    Rollouts(rollout_command::RolloutsArguments),
     Status(state_commands::StatusArguments),
     Validate(declaration_commands::ValidateArguments),
     Vm(maintenance_commands::VmArguments),
@@ -62,6 +65,7 @@
                 return report_result(arguments.run(&environment()));
             }
             Subcommand::Node(flags) => return report_result(run_node(&flags)),
+            Subcommand::Rollouts(arguments) => async_io::block_on(arguments.run()),
             Subcommand::Status(arguments) => async_io::block_on(arguments.run()),
             Subcommand::Validate(arguments) => arguments.run(),
             Subcommand::Vm(arguments) => async_io::block_on(arguments.run()),
--- a/crates/comfreyspread/src/operations/mod.rs
+++ b/crates/comfreyspread/src/operations/mod.rs
@@ -7,4 +7,5 @@
 pub mod operator_api;
 pub mod operator_client;
 pub mod operator_error;
+pub mod rollout_command;
 pub mod state_commands;
--- a/crates/comfreyspread/src/operations/operator_api.rs
+++ b/crates/comfreyspread/src/operations/operator_api.rs
@@ -30,6 +30,9 @@
 /// Path of the full state of this process.
 pub const DUMP_PATH: &str = "/operator/dump";
 
+/// Path of the roll-outs that the node knows, served on the users' platform only.
+pub const ROLLOUTS_PATH: &str = "/operator/rollouts";
+
 /// Maximum wait of an operator for acceptance.
 pub const MAX_WAIT: time::Duration = time::Duration::from_secs(600);
 /// Timeout for resolving whether a change took effect.
--- a/crates/comfreyspread/src/operations/operator_client.rs
+++ b/crates/comfreyspread/src/operations/operator_client.rs
@@ -73,6 +73,16 @@
         self.decode(&response)
     }
 
+    /// Returns the roll-outs that the node knows.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the node does not answer.
+    pub async fn rollouts(&self) -> Result<types::RolloutList, operator_error::OperatorError> {
+        let response = self.get(operator_api::ROLLOUTS_PATH).await?;
+        self.decode(&response)
+    }
+
     /// Returns the claims whose outcome is unknown.
     ///
     /// # Errors
--- a/crates/comfreyspread/src/runtime/lock_rank.rs
+++ b/crates/comfreyspread/src/runtime/lock_rank.rs
@@ -39,12 +39,16 @@
     LeavingVmRank = 25;
     /// Rank of the member table.
     MemberRank = 30;
+    /// Rank of the roll-outs that this node decides on.
+    DeciderRank = 38;
     /// Rank of the ownership table.
     OwnershipRank = 40;
     /// Rank of the local copies of the store's tables.
     StoreTableRank = 41;
     /// Rank of the routes in force on the users' platform.
     RouteRank = 42;
+    /// Rank of the roll-outs of endpoint software.
+    RolloutRank = 43;
     /// Rank of the directory of registered endpoints.
     DirectoryRank = 44;
     /// Rank of the times to the first event.
--- a/crates/comfreyspread/src/runtime/metrics.rs
+++ b/crates/comfreyspread/src/runtime/metrics.rs
@@ -1,6 +1,8 @@
 //! Metrics of a process, in the Prometheus text format.
 
-use crate::runtime::{crash_metrics, ending_metrics, pool_metrics, stage_metrics, store_metrics};
+use crate::runtime::{
+    crash_metrics, ending_metrics, pool_metrics, rollout_metrics, stage_metrics, store_metrics,
+};
 use comfreyspread_schema::types;
 use prometheus_client::{encoding, encoding::text, metrics, registry};
 use std::{fmt, time};
@@ -36,6 +38,8 @@
     pub endings: ending_metrics::EndingMetrics,
     /// Metrics of queues, limits and endpoints.
     pub pools: pool_metrics::PoolMetrics,
+    /// Metrics of roll-outs of endpoint software.
+    pub rollouts: rollout_metrics::RolloutMetrics,
     /// Metrics of stages, the platform's store and the routes.
     pub stages: stage_metrics::StageMetrics,
     /// Metrics of restores of the platform's store.
@@ -56,6 +60,7 @@
         let crashes = crash_metrics::CrashMetrics::new(&mut registry);
         let endings = ending_metrics::EndingMetrics::new(&mut registry);
         let pools = pool_metrics::PoolMetrics::new(&mut registry);
+        let rollouts = rollout_metrics::RolloutMetrics::new(&mut registry);
         let stages = stage_metrics::StageMetrics::new(&mut registry);
         let store = store_metrics::StoreMetrics::new(&mut registry);
         Self {
@@ -66,6 +71,7 @@
             crashes,
             endings,
             pools,
+            rollouts,
             stages,
             store,
         }
--- a/crates/comfreyspread/src/runtime/mod.rs
+++ b/crates/comfreyspread/src/runtime/mod.rs
@@ -13,6 +13,7 @@
 pub mod node;
 pub mod platform_client;
 pub mod pool_metrics;
+pub mod rollout_metrics;
 pub mod settings;
 pub mod stage_metrics;
 pub mod store_metrics;
--- a/crates/comfreyspread/src/runtime/settings.rs
+++ b/crates/comfreyspread/src/runtime/settings.rs
@@ -114,6 +114,12 @@
     pub shutdown_timeout: time::Duration,
     /// Bytes per second that this node may send to other regions.
     pub link_bytes_per_s: u64,
+    /// Part of the exposure share that a version under roll-out gets until it has proved good.
+    pub canary_part: f64,
+    /// Answers on each route that a version under roll-out needs to prove good.
+    pub canary_answers: u64,
+    /// Multiple of the other versions' median time that counts as slow.
+    pub canary_slow_factor: f64,
     /// Minimum level of log lines.
     pub log_level: log::LevelFilter,
     /// Whether log lines are JSON.
@@ -190,6 +196,9 @@
             grace_period: self.duration("grace_ms"),
             shutdown_timeout: self.duration("shutdown_ms"),
             link_bytes_per_s: self.parse("link_bytes_per_s", 0, "a whole number"),
+            canary_part: self.percent("canary_percent"),
+            canary_answers: self.parse("canary_answers", 0, "a whole number"),
+            canary_slow_factor: self.percent("canary_slow_percent"),
             log_level: self.parse("log_level", log::LevelFilter::Info, "a log level"),
             log_json: &*self.value("log_format") == "json",
         }
@@ -271,6 +280,10 @@
         self.parse(name, 0, "a whole number")
     }
 
+    fn percent(&mut self, name: &'static str) -> f64 {
+        f64::from(self.parse(name, 0_u32, "a whole number of percent")) / 100.0
+    }
+
     fn duration(&mut self, name: &'static str) -> time::Duration {
         time::Duration::from_millis(self.parse(name, 0, "a whole number of milliseconds"))
     }
