Place requests on engines by one node of a region that sees their whole load

Cause: each of 60 to 75 nodes chose an engine by the hash of one prompt part and its own few requests there; none saw an engine's load, speed or memory.

Change: a node asks the placing node of the service and region for each attempt. It weighs the reading that an engine saves, by what was placed there, against the prompts and places taken there, its learnt speed, what the reading costs the streams that run, and the zone of the inputs. Without an answer in 120 ms the next node is asked, then the node chooses alone as before. On where there are as many nodes as an engine has slots, or by the setting placement.

--- a/crates/comfreyspread-policy/src/endpoint_directory.rs
+++ b/crates/comfreyspread-policy/src/endpoint_directory.rs
@@ -61,6 +61,8 @@
     pub tried: &'query [ids::EndpointId],
     /// An endpoint that may be tried once more, if no other is left.
     pub second_try: Option<tried_endpoints::SecondTry<'query>>,
+    /// Endpoint at which the request was placed; it is chosen if nothing excludes it.
+    pub placed: Option<&'query ids::EndpointId>,
     /// Hash of the prompt prefix, which an endpoint may have cached.
     pub prefix: Option<ids::PrefixHash>,
     /// Maximum requests per second from this node to a cold endpoint.
--- a/crates/comfreyspread-policy/src/endpoint_selection.rs
+++ b/crates/comfreyspread-policy/src/endpoint_selection.rs
@@ -117,11 +117,42 @@
     pub fn choose(&self) -> Option<&'selection directory_endpoint::DirectoryEndpoint> {
         let ranked = self.of_service().filter_map(|one| Some((self.examine(one).ok()?, one)));
         let ranked = self.of_version(ranked.collect());
+        if let Some(placed) = self.query.placed
+            && let Some((_, endpoint)) = ranked.iter().find(|(tier, endpoint)| {
+                *tier <= EndpointTier::Cold && endpoint.registration.endpoint == *placed
+            })
+        {
+            return Some(endpoint);
+        }
         let best = ranked.iter().map(|(tier, _)| *tier).min()?;
         let candidates = ranked.into_iter().filter(|(tier, _)| *tier == best);
         self.best(&candidates.map(|(_, endpoint)| endpoint).collect::<Vec<_>>())
     }
 
+    /// Returns the endpoints of the best tier: those of the preferred region, if there are any.
+    pub fn candidates(
+        &self,
+    ) -> impl Iterator<Item = &'selection directory_endpoint::DirectoryEndpoint> {
+        let ranked = self.of_service().filter_map(|one| Some((self.examine(one).ok()?, one)));
+        let ranked: Vec<_> = ranked.collect();
+        let best = ranked.iter().map(|(tier, _)| *tier).min();
+        let of_tier = ranked.into_iter().filter(|(tier, _)| Some(*tier) == best);
+        let endpoints: Vec<_> = of_tier.map(|(_, endpoint)| endpoint).collect();
+        self.of_region(&endpoints).into_iter()
+    }
+
+    /// Returns the endpoints of the preferred region; all if there are none.
+    fn of_region(
+        &self,
+        endpoints: &[&'selection directory_endpoint::DirectoryEndpoint],
+    ) -> Vec<&'selection directory_endpoint::DirectoryEndpoint> {
+        let in_region = |one: &&&directory_endpoint::DirectoryEndpoint| {
+            self.directory.region(&one.registration.zone) == *self.query.preferred_region
+        };
+        let preferred: Vec<_> = endpoints.iter().filter(in_region).copied().collect();
+        if preferred.is_empty() { endpoints.to_vec() } else { preferred }
+    }
+
     /// Returns those of the version that is to run the request, while a roll-out divides the
     /// service's requests. One for the new version that finds none of its endpoints in the preferred
     /// region goes to the others.
@@ -255,11 +286,7 @@
         prefix: ids::PrefixHash,
         cost: &dyn Fn(&directory_endpoint::DirectoryEndpoint) -> f64,
     ) -> Option<&'selection directory_endpoint::DirectoryEndpoint> {
-        let in_region = |one: &&&directory_endpoint::DirectoryEndpoint| {
-            self.directory.region(&one.registration.zone) == *self.query.preferred_region
-        };
-        let preferred: Vec<_> = candidates.iter().filter(in_region).copied().collect();
-        let pool = if preferred.is_empty() { candidates.to_vec() } else { preferred };
+        let pool = self.of_region(candidates);
         let count = f64::from(u32::try_from(pool.len()).unwrap_or(1).max(1));
         let average_load: f64 = pool.iter().map(|one| f64::from(one.running)).sum::<f64>() / count;
         let lowest = pool.iter().map(|one| cost(one)).fold(f64::INFINITY, f64::min);
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -21,6 +21,7 @@
 //!   [`member_digest`], [`probe_ring`] and [`prober_health`], [`connectivity`], [`rendezvous`],
 //!   [`ownership`], [`ownership_release`], [`ownership_status`], [`leaving_vms`], [`node_lifecycle`],
 //!   [`stop_window`], [`task_restart`].
+//! - Placement of requests on engines: [`engine_board`] with [`part_cache`] and [`engine_speed`].
 //! - Roll-outs of endpoint software: [`service_versions`] over [`version_exposure`], [`rollout_table`] with
 //!   [`version_evidence`], [`rollout_decider`] with [`rollout_judgement`] and [`rollout_state`].
 //! - Configuration: [`validation`], [`catalog`], [`change`], [`acceptance`], [`delta`], [`poller`].
@@ -58,6 +59,8 @@
 pub mod endpoint_lifecycle;
 pub mod endpoint_selection;
 pub mod endpoint_selector;
+pub mod engine_board;
+pub mod engine_speed;
 pub mod event_buffer;
 pub mod first_event;
 pub mod full_read_pace;
@@ -76,6 +79,7 @@
 pub mod ownership_action;
 pub mod ownership_release;
 pub mod ownership_status;
+pub mod part_cache;
 mod part_entry;
 pub mod part_suspect;
 pub mod peer_health;
--- a/crates/comfreyspread-policy/tests/endpoint_directory.rs
+++ b/crates/comfreyspread-policy/tests/endpoint_directory.rs
@@ -60,6 +60,7 @@
             cold_rate: 1,
             preferred_region: &self.region,
             now,
+            placed: None,
             prefix: None,
             regions: None,
             service: &self.service,
--- a/crates/comfreyspread-policy/tests/endpoint_intake.rs
+++ b/crates/comfreyspread-policy/tests/endpoint_intake.rs
@@ -55,6 +55,7 @@
         cold_rate: 1,
         preferred_region: &region,
         now,
+        placed: None,
         prefix: None,
         regions: None,
         service: &service,
--- a/crates/comfreyspread/src/gateway/admin_handler.rs
+++ b/crates/comfreyspread/src/gateway/admin_handler.rs
@@ -6,13 +6,14 @@
     operations::operator_api,
     transport::{http_message, http_server},
 };
-use comfreyspread_policy::directory_endpoint;
+use comfreyspread_policy::{directory_endpoint, engine_board};
 use comfreyspread_schema::types;
 use http::StatusCode;
 use std::{sync, time};
 
 const DUMP_PATH: &str = "/dump";
 const METRICS_PATH: &str = "/metrics";
+const PERCENT: f64 = 100.0;
 
 /// Handles readiness checks, metrics, dumps and operator requests.
 pub struct AdminHandler {
@@ -52,7 +53,16 @@
         let members = state.context.tables.members.lock().live().cloned().collect();
         let endpoints = state.directory.lock().endpoints().map(endpoint_view).collect();
         let batches = state.batchers.lock().loads().map(batch_view).collect();
+        let engine_view = |load: engine_board::EngineLoad| types::EngineView {
+            cached_tokens: load.cached_tokens,
+            endpoint: load.endpoint,
+            running: load.running,
+            time_percent: (load.time_factor * PERCENT) as u32,
+            unread_tokens: load.unread_tokens,
+        };
+        let engines = state.boards.lock().loads().into_iter().map(engine_view).collect();
         types::GatewayDump {
+            engines,
             batches,
             endpoints,
             members,
--- a/crates/comfreyspread/src/gateway/attempt_send.rs
+++ b/crates/comfreyspread/src/gateway/attempt_send.rs
@@ -1,6 +1,11 @@
 //! One attempt at a request: selects an endpoint, sends the request and checks the response head.
 
-use super::{call_plan, caller_handler, endpoint_notices, rollout::evidence, state};
+use super::{
+    call_plan, caller_handler, endpoint_notices,
+    placement::{placement_client, placement_news},
+    rollout::evidence,
+    state,
+};
 use crate::transport::{failure, http_client, http_message};
 use comfreyspread_platform::{request_head, response_head};
 use comfreyspread_policy::{
@@ -48,6 +53,8 @@
     started: time::Instant,
     /// Service and route of the request.
     origin: evidence::RequestOrigin,
+    /// Its placement by the node that sees all requests of the engine; none if this node chose it.
+    placement: Option<placement_news::PlacementTicket>,
     /// Whether the whole response has arrived.
     answered: bool,
     finished: bool,
@@ -89,6 +96,12 @@
             return;
         }
         self.finished = true;
+        if let Some(placement) = &mut self.placement
+            && outcome == endpoint_directory::AttemptOutcome::Served
+        {
+            placement.set_gap(self.progress.mean_gap());
+        }
+        self.placement = None;
         let now = time::Instant::now();
         let elapsed = now.saturating_duration_since(self.started);
         let (endpoint, started_at_ms) = (&self.chosen.endpoint, self.chosen.started_at_ms);
@@ -101,6 +114,13 @@
         }
     }
 
+    /// Records the first event of the response.
+    pub fn record_first_event(&self) {
+        if let Some(placement) = &self.placement {
+            placement.record_first_event(self.elapsed());
+        }
+    }
+
     /// Records that the whole response has arrived.
     pub fn record_answered(&mut self) {
         self.answered = true;
@@ -165,6 +185,7 @@
         zone: &state.settings.zone,
         tried: input.tried,
         second_try: input.second_try,
+        placed: None,
         prefix: plan.prefix(),
         cold_rate: state.cold_rate(&plan.service),
         now,
@@ -188,16 +209,27 @@
             attempt = input.number; "attempt: rejected, the request crashes endpoints");
         return Err(FailedAttempt::without_endpoint(failure));
     }
-    let now = time::Instant::now();
-    if let Err(failure) = plan.check_stop(state, now) {
+    if let Err(failure) = plan.check_stop(state, time::Instant::now()) {
         return Err(FailedAttempt::without_endpoint(failure));
     }
-    let query = endpoint_query(state, plan, input, now);
+    let placement_input = placement_client::PlacementInput {
+        tried: input.tried,
+        region: input.preferred_region,
+        regions: input.regions,
+        inputs: input.inputs,
+    };
+    let placed = placement_client::place(state, plan, &placement_input).await;
+    let now = time::Instant::now();
+    let query = endpoint_directory::EndpointQuery {
+        placed: placed.as_ref().map(|placed| &placed.endpoint),
+        ..endpoint_query(state, plan, input, now)
+    };
     let Some(chosen) = state.directory.lock().start_call(&query) else {
         return Err(FailedAttempt::without_endpoint(no_endpoint(state, &query)));
     };
     let mut active = ActiveAttempt {
         state: state.clone(),
+        placement: None,
         chosen,
         progress: response_progress::ResponseProgress::new(),
         started: now,
@@ -208,10 +240,16 @@
         answered: false,
         finished: false,
     };
+    // A placement that this node could not follow ends here.
+    let placed = placed.filter(|placed| placed.endpoint == active.chosen.endpoint);
+    let (placed_by, estimate) =
+        placed.as_ref().map_or(("", time::Duration::ZERO), |one| (&one.node, one.estimate));
     log::info!(request = plan.call.request.as_ref(), attempt = input.number,
+        placed_by = placed_by, estimate_ms = estimate.as_millis() as u64,
         endpoint = active.chosen.endpoint.as_ref(), region = active.chosen.region.as_ref(),
         allowed_regions = input.regions.map_or("all".into(), |regions| regions.join(",")).as_str(),
         version = plan.version, left_ms = plan.time_left(now).as_millis() as u64; "attempt: sent");
+    active.placement = placed.map(|placed| placed.ticket);
     let is_second_try =
         input.second_try.is_some_and(|second_try| *second_try.endpoint == active.chosen.endpoint);
     let connection_use = if plan.is_repeatable() && !is_second_try {
--- a/crates/comfreyspread/src/gateway/mod.rs
+++ b/crates/comfreyspread/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 //!   through [`store_client`] or, from other nodes, [`table_exchange`], where [`row_compression`]
 //!   keeps large rows small. [`table_update`] applies what came into force. [`state`] holds the
 //!   result.
+//! - Placement of requests on engines: [`placement`].
 //! - Roll-outs of endpoint software: [`rollout`].
 //! - Process: [`process`] starts, serves and stops; [`admin_handler`] serves readiness, metrics and
 //!   dumps.
@@ -25,6 +26,7 @@
 pub mod endpoint_notices;
 pub mod endpoint_watcher;
 pub mod piece_dispatch;
+pub mod placement;
 pub mod process;
 pub mod produced_chunks;
 pub mod region_selector;
--- a/crates/comfreyspread/src/gateway/piece_dispatch.rs
+++ b/crates/comfreyspread/src/gateway/piece_dispatch.rs
@@ -1,6 +1,11 @@
 //! Dispatch of pieces to the node that batches their service, and the peer messages for it.
 
-use super::{batcher, rollout::report_exchange, state, table_exchange};
+use super::{
+    batcher,
+    placement::{placement_board, placement_client},
+    rollout::report_exchange,
+    state, table_exchange,
+};
 use crate::{
     membership::peer,
     transport::{deadline as deadlines, failure, http_client, http_message, http_server},
@@ -194,7 +199,8 @@
     }
 }
 
-/// Serves the peer messages of this module, of [`table_exchange`] and of [`report_exchange`].
+/// Serves the peer messages of this module, of [`table_exchange`], [`report_exchange`] and
+/// [`placement_board`].
 pub struct PieceExtension {
     state: sync::Arc<state::GatewayState>,
 }
@@ -280,6 +286,12 @@
             table_exchange::TABLE_PATH => {
                 Some(Box::pin(async move { table_exchange::serve(&self.state, request).await }))
             }
+            placement_client::PLACE_PATH => {
+                Some(Box::pin(async move { placement_board::serve_request(&self.state, request) }))
+            }
+            placement_client::NEWS_PATH => {
+                Some(Box::pin(async move { placement_board::serve_notice(&self.state, request) }))
+            }
             report_exchange::REPORT_PATH => {
                 Some(Box::pin(async move { report_exchange::serve(&self.state, request) }))
             }
--- a/crates/comfreyspread/src/gateway/process.rs
+++ b/crates/comfreyspread/src/gateway/process.rs
@@ -2,7 +2,7 @@
 
 use super::{
     admin_handler, caller_handler, conviction_sync, endpoint_watcher, piece_dispatch,
-    rollout::decision_task, route_watcher, state, table_watcher,
+    placement::placement_client, rollout::decision_task, route_watcher, state, table_watcher,
 };
 use crate::{
     membership::{crash_notice, heartbeat, peer},
@@ -144,6 +144,10 @@
         conviction_sync::run(task_state.clone())
     });
     let task_state = state.clone();
+    supervisor::supervise(&context.spawner, "placements", move || {
+        placement_client::run(task_state.clone())
+    });
+    let task_state = state.clone();
     supervisor::supervise(&context.spawner, "rollouts", move || {
         decision_task::run(task_state.clone())
     });
--- a/crates/comfreyspread/src/gateway/state.rs
+++ b/crates/comfreyspread/src/gateway/state.rs
@@ -11,7 +11,12 @@
 use comfreyspread_schema::{ids, types};
 use std::{fmt, net, sync, sync::atomic, time};
 
-use super::{batcher, rollout::active_decider, store_client, table_watcher};
+use super::{
+    batcher,
+    placement::{placement_board, placement_news},
+    rollout::active_decider,
+    store_client, table_watcher,
+};
 
 /// Maximum size of a response that is buffered, in bytes.
 pub const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
@@ -39,6 +44,12 @@
     pub deciders: lock_rank::RankedLock<lock_rank::DeciderRank, active_decider::DeciderTable>,
     /// Notified when orders or states of roll-outs have changed.
     pub rollouts_changed: event_listener::Event,
+    /// Engines on which this node places requests.
+    pub boards: lock_rank::RankedLock<lock_rank::BoardRank, placement_board::BoardTable>,
+    /// Placements of this node's requests.
+    pub placements: lock_rank::RankedLock<lock_rank::PlacementRank, placement_news::PlacementTable>,
+    /// Notified when placing nodes have to be told of placements.
+    pub placements_changed: event_listener::Event,
     /// Registered endpoints.
     pub directory:
         lock_rank::RankedLock<lock_rank::DirectoryRank, endpoint_directory::EndpointDirectory>,
@@ -93,6 +104,9 @@
         }
         Self {
             regions,
+            boards: lock_rank::RankedLock::default(),
+            placements: lock_rank::RankedLock::default(),
+            placements_changed: event_listener::Event::new(),
             rollouts: lock_rank::RankedLock::default(),
             deciders: lock_rank::RankedLock::default(),
             rollouts_changed: event_listener::Event::new(),
@@ -140,6 +154,17 @@
         self.context.tables.members.lock().live().count() + SPARE_NODES
     }
 
+    /// Returns whether one node of a region places the requests of a service on its engines. If that is
+    /// not set, it does where there are as many nodes as an engine runs requests at once: nodes that
+    /// choose alone then fill an engine with one request each, and none of them sees it.
+    pub fn places_requests(&self, service: &types::ServiceRule) -> bool {
+        let Some(engine) = &service.engine else { return false };
+        self.context.settings.placement.unwrap_or_else(|| {
+            let nodes = self.context.tables.members.lock().live().count();
+            u32::try_from(nodes).unwrap_or(u32::MAX) >= engine.slots
+        })
+    }
+
     /// Returns how many requests in any second this node may send to a cold endpoint of a
     /// service.
     pub fn cold_rate(&self, service: &types::ServiceRule) -> u32 {
@@ -154,6 +179,25 @@
         &self,
         service: &ids::ServiceName,
         region: &ids::RegionId,
+    ) -> (ids::NodeId, Option<net::SocketAddr>) {
+        self.role_node(service, region)
+    }
+
+    /// Returns the node that places requests on the engines of a service and region, and its address;
+    /// the address is `None` if it is this node.
+    pub fn placing_node(
+        &self,
+        scope: &batcher::BatchScope,
+    ) -> (ids::NodeId, Option<net::SocketAddr>) {
+        self.role_node(&format!("engines/{}", scope.service).into(), &scope.region)
+    }
+
+    /// Returns the first serving node of a region by rendezvous hashing with a role, passing over
+    /// those that have lately not replied.
+    fn role_node(
+        &self,
+        role: &ids::Text,
+        region: &ids::RegionId,
     ) -> (ids::NodeId, Option<net::SocketAddr>) {
         let own = &self.context.settings.node;
         let now = time::Instant::now();
@@ -164,7 +208,7 @@
                 && record.node_phase == types::NodePhase::Serving
                 && !peer_health.is_ejected(&record.node, now)
         };
-        let best = rendezvous::best_member(members.live().filter(serving), service);
+        let best = rendezvous::best_member(members.live().filter(serving), role);
         match best {
             Some(record) if record.node != *own => (record.node.clone(), Some(record.address)),
             _ => (own.clone(), None),
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -358,6 +358,7 @@
         let before = active.progress;
         active.progress.record_event(now);
         if !before.has_events() {
+            active.record_first_event();
             self.plan.record_first_event(&self.state);
             self.state.first_events.lock().record(&self.plan.route.name, active.elapsed());
         }
--- a/crates/comfreyspread/src/runtime/lock_rank.rs
+++ b/crates/comfreyspread/src/runtime/lock_rank.rs
@@ -63,6 +63,10 @@
     ServiceRetryRank = 48;
     /// Rank of the pools' queues and concurrency limits.
     PoolRank = 50;
+    /// Rank of the engines on which this node places requests.
+    BoardRank = 51;
+    /// Rank of the placements of this node's requests.
+    PlacementRank = 52;
     /// Rank of the load hints of other owners.
     HintRank = 60;
     /// Rank of the claims in progress.
--- a/crates/comfreyspread/src/runtime/mod.rs
+++ b/crates/comfreyspread/src/runtime/mod.rs
@@ -11,6 +11,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod node;
+pub mod placement_metrics;
 pub mod platform_client;
 pub mod pool_metrics;
 pub mod rollout_metrics;
--- a/crates/comfreyspread/src/runtime/settings.rs
+++ b/crates/comfreyspread/src/runtime/settings.rs
@@ -120,6 +120,8 @@
     pub canary_answers: u64,
     /// Multiple of the other versions' median time that counts as slow.
     pub canary_slow_factor: f64,
+    /// Whether one node of a region places requests on engines; none if the platform decides.
+    pub placement: Option<bool>,
     /// Minimum level of log lines.
     pub log_level: log::LevelFilter,
     /// Whether log lines are JSON.
@@ -199,6 +201,7 @@
             canary_part: self.percent("canary_percent"),
             canary_answers: self.parse("canary_answers", 0, "a whole number"),
             canary_slow_factor: self.percent("canary_slow_percent"),
+            placement: self.choice("placement"),
             log_level: self.parse("log_level", log::LevelFilter::Info, "a log level"),
             log_json: &*self.value("log_format") == "json",
         }
@@ -280,6 +283,15 @@
         self.parse(name, 0, "a whole number")
     }
 
+    /// Returns whether a feature is on; none for `auto`.
+    fn choice(&mut self, name: &'static str) -> Option<bool> {
+        match &*self.value(name) {
+            "on" => Some(true),
+            "off" => Some(false),
+            _ => None,
+        }
+    }
+
     fn percent(&mut self, name: &'static str) -> f64 {
         f64::from(self.parse(name, 0_u32, "a whole number of percent")) / 100.0
     }
