Send requests with long shared prompt parts to one region

Change: a part has a home among the regions that may run the request. A request goes there if the reading that is saved exceeds the way (60 ms) and the longer wait at the stages; only where requests are placed.

--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -21,7 +21,8 @@
 //!   [`member_digest`], [`probe_ring`] and [`prober_health`], [`connectivity`], [`rendezvous`],
 //!   [`ownership`], [`ownership_release`], [`ownership_status`], [`leaving_vms`], [`node_lifecycle`],
 //!   [`stop_window`], [`task_restart`].
-//! - Placement of requests on engines: [`engine_board`] with [`part_cache`] and [`engine_speed`].
+//! - Placement of requests on engines: [`engine_board`] with [`part_cache`] and [`engine_speed`],
+//!   [`prompt_home`].
 //! - Roll-outs of endpoint software: [`service_versions`] over [`version_exposure`], [`rollout_table`] with
 //!   [`version_evidence`], [`rollout_decider`] with [`rollout_judgement`] and [`rollout_state`].
 //! - Configuration: [`validation`], [`catalog`], [`change`], [`acceptance`], [`delta`], [`poller`].
@@ -89,6 +90,7 @@
 pub mod pool_scheduler;
 pub mod probe_ring;
 pub mod prober_health;
+pub mod prompt_home;
 pub mod recent_results;
 pub mod rendezvous;
 pub mod response_progress;
--- a/crates/comfreyspread/src/gateway/call_plan.rs
+++ b/crates/comfreyspread/src/gateway/call_plan.rs
@@ -330,6 +330,13 @@
         shared.or_else(|| parts.last()).map(|part| xxh3::xxh3_64(part.part.as_bytes()))
     }
 
+    /// Returns the tokens of the last prompt part that other requests may share.
+    pub fn shared_part_tokens(&self) -> u32 {
+        let parts = &self.call.prompt_parts;
+        let shared = parts.len().checked_sub(2).and_then(|index| parts.get(index));
+        shared.map_or(0, |part| part.tokens)
+    }
+
     /// Returns the failure of a request that has not run, with a retry delay.
     pub fn not_run(problem: types::ProblemKind, detail: &str) -> failure::CallFailure {
         failure::CallFailure::new(problem, detail)
--- a/crates/comfreyspread/src/gateway/region_selector.rs
+++ b/crates/comfreyspread/src/gateway/region_selector.rs
@@ -2,7 +2,7 @@
 //! much shorter wait. Results never cross regions, so the request itself runs in the same region.
 
 use super::{batcher, call_plan, piece_dispatch, state};
-use comfreyspread_policy::{directory_endpoint, wait_table};
+use comfreyspread_policy::{directory_endpoint, prompt_home, wait_table};
 use comfreyspread_schema::ids;
 use std::{sync, time};
 
@@ -18,6 +18,9 @@
         return regions.into_iter().next();
     }
     let local_wait = total_wait(state, plan, &services, local_region);
+    if let Some(home) = home_region(state, plan, &services, &regions, local_wait) {
+        return Some(home);
+    }
     let target = plan.target.saturating_duration_since(plan.arrived);
     if local_wait <= wait_table::local_wait_limit(target) {
         return Some(local_region.clone());
@@ -34,6 +37,36 @@
     Some(local_region.clone())
 }
 
+/// Returns the home of the request's prompt if it should run there, in another region than this
+/// node's: long parts of prompts are read in one region only.
+fn home_region(
+    state: &sync::Arc<state::GatewayState>,
+    plan: &call_plan::CallPlan,
+    services: &[ids::ServiceName],
+    regions: &[ids::RegionId],
+    local_wait: time::Duration,
+) -> Option<ids::RegionId> {
+    if !state.places_requests(&plan.service) {
+        return None;
+    }
+    let home = prompt_home::home_region(plan.prefix()?, regions)?;
+    if *home == state.settings.region {
+        return None;
+    }
+    let tokens = plan.shared_part_tokens();
+    if !prompt_home::prefers_home(tokens, time::Duration::ZERO, time::Duration::ZERO) {
+        return None;
+    }
+    let home_wait = total_wait(state, plan, services, home);
+    if !prompt_home::prefers_home(tokens, local_wait, home_wait) {
+        return None;
+    }
+    log::info!(request = plan.call.request.as_ref(), region = home.as_ref(), tokens = tokens,
+        own_ms = local_wait.as_millis() as u64, there_ms = home_wait.as_millis() as u64;
+        "stages: run in the home region of the prompt");
+    Some(home.clone())
+}
+
 /// Returns how long to wait until all services of a request take requests again in one region that
 /// may run it; zero if a pause is not what keeps it from them.
 pub fn pause_left(state: &state::GatewayState, plan: &call_plan::CallPlan) -> time::Duration {
