Take the engine preferred by a prompt's hash as its likely holder

Cause: a placing node that starts anew knows nothing of the engines' memories.

Change: if no engine is known to hold the shared parts, the one preferred by their hash counts as holding 0.9 of them on a new board, 0.3 later.

--- a/crates/comfreyspread-policy/src/engine_board.rs
+++ b/crates/comfreyspread-policy/src/engine_board.rs
@@ -15,7 +15,7 @@
 //! | others | streams that wait while the prompt is read |
 //! | distance | results that cross availability zones |
 
-use crate::{engine_speed, part_cache};
+use crate::{engine_speed, part_cache, rendezvous};
 use comfreyspread_schema::{ids, types};
 use indexmap::IndexMap;
 use std::time;
@@ -38,6 +38,13 @@
 /// Greatest cost by which engines without any difference are told apart: requests with the same
 /// prompt then agree on one.
 const TIE_COST: time::Duration = time::Duration::from_millis(4);
+/// Part of the shared prompt that the engine preferred by its hash is taken to hold, if none is known
+/// to: the nodes before this one placed it there, too.
+const PRIOR_PART: f64 = 0.9;
+/// The same on a board that has been kept for a while and knows better.
+const KNOWN_PRIOR_PART: f64 = 0.3;
+/// Time for which a board is new.
+const LEARNING_TIME: time::Duration = time::Duration::from_secs(15);
 /// Part of an engine's memory that is counted on; the rest is for tokens not known here.
 const MEMORY_PART: f64 = 0.9;
 /// Longest time for which an overdue prompt counts.
@@ -140,6 +147,7 @@
 #[derive(Debug)]
 pub struct EngineBoard {
     capacity: types::EngineCapacity,
+    began_at: time::Instant,
     engines: IndexMap<ids::EndpointId, EngineEntry>,
     placements: IndexMap<PlacementKey, Placement>,
     /// Usual time of reading, relative to [`READ_RATE`].
@@ -151,9 +159,10 @@
 
 impl EngineBoard {
     /// Creates a board without placements.
-    pub fn new(capacity: types::EngineCapacity) -> Self {
+    pub fn new(capacity: types::EngineCapacity, now: time::Instant) -> Self {
         Self {
             capacity,
+            began_at: now,
             engines: IndexMap::new(),
             placements: IndexMap::new(),
             usual_reading: engine_speed::UsualTime::new(1.0),
@@ -178,8 +187,7 @@
         self.remove_expired(now);
         self.remove(&key);
         let ahead = self.reading_ahead(now);
-        let costs = candidates.iter().map(|candidate| self.cost(candidate, demand, &ahead));
-        let costs: Vec<_> = costs.collect();
+        let costs = self.all_costs(candidates, demand, &ahead, now);
         let order = |first: &usize, second: &usize| {
             costs[*first].total().total_cmp(&costs[*second].total())
         };
@@ -284,8 +292,47 @@
         demand: &types::PlacementDemand,
         now: time::Instant,
     ) -> Vec<EngineCost> {
-        let ahead = self.reading_ahead(now);
-        candidates.iter().map(|candidate| self.cost(candidate, demand, &ahead)).collect()
+        self.all_costs(candidates, demand, &self.reading_ahead(now), now)
+    }
+
+    fn all_costs(
+        &self,
+        candidates: &[EngineCandidate],
+        demand: &types::PlacementDemand,
+        ahead: &IndexMap<&ids::EndpointId, f64>,
+        now: time::Instant,
+    ) -> Vec<EngineCost> {
+        let likely = self.likely_holder(candidates, demand);
+        let prior = self.prior_tokens(demand, now);
+        let cost = |(index, candidate): (usize, &EngineCandidate)| {
+            let known = self.cached_tokens(candidate, demand);
+            let cached = if Some(index) == likely { known.max(prior) } else { known };
+            self.cost(candidate, demand, ahead, cached)
+        };
+        candidates.iter().enumerate().map(cost).collect()
+    }
+
+    /// Returns the engine preferred by the hash of the shared prompt, if none is known to hold that.
+    fn likely_holder(
+        &self,
+        candidates: &[EngineCandidate],
+        demand: &types::PlacementDemand,
+    ) -> Option<usize> {
+        let shared = shared_tokens(demand);
+        let holds = |candidate: &EngineCandidate| self.cached_tokens(candidate, demand) >= shared;
+        if shared == 0 || candidates.iter().any(holds) {
+            return None;
+        }
+        let score =
+            |index: &usize| rendezvous::prefix_score(demand.prefix, &candidates[*index].endpoint);
+        (0..candidates.len()).max_by_key(score)
+    }
+
+    /// Returns how many tokens of a prompt the engine preferred by its hash is taken to hold.
+    fn prior_tokens(&self, demand: &types::PlacementDemand, now: time::Instant) -> u32 {
+        let is_new = now.saturating_duration_since(self.began_at) < LEARNING_TIME;
+        let part = if is_new { PRIOR_PART } else { KNOWN_PRIOR_PART };
+        (f64::from(shared_tokens(demand)) * part) as u32
     }
 
     fn cost(
@@ -293,13 +340,13 @@
         candidate: &EngineCandidate,
         demand: &types::PlacementDemand,
         ahead: &IndexMap<&ids::EndpointId, f64>,
+        cached: u32,
     ) -> EngineCost {
         let engine = self.entry(candidate);
         let factor = engine.map_or(1.0, |engine| engine.speed.factor());
         let running = engine.map_or(0, |engine| engine.running);
         let slots = self.capacity.slots.max(1);
         let crowd = f64::from(running.min(slots)) / f64::from(slots);
-        let cached = self.cached_tokens(candidate, demand);
         let read = prompt_tokens(demand).saturating_sub(cached);
         let reading = self.reading_time(read) * factor * (1.0 + crowd);
         let output = f64::from(demand.output_tokens)
@@ -419,11 +466,15 @@
     demand.parts.iter().map(|part| part.tokens).sum()
 }
 
+/// Returns the tokens of the parts of a prompt that other requests may share: all but the last.
+fn shared_tokens(demand: &types::PlacementDemand) -> u32 {
+    let shared = demand.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    shared.iter().map(|part| part.tokens).sum()
+}
+
 /// Returns a small cost that depends on the shared parts of the prompt and the engine alone.
 fn tie_cost(demand: &types::PlacementDemand, endpoint: &ids::EndpointId) -> f64 {
-    let shared = demand.parts.len().checked_sub(2).and_then(|index| demand.parts.get(index));
-    let hash = shared.or_else(|| demand.parts.last()).map_or(0, |part| part.hash);
-    let score = crate::rendezvous::prefix_score(hash, endpoint);
+    let score = rendezvous::prefix_score(demand.prefix, endpoint);
     let fraction = (score >> 32) as f64 / f64::from(u32::MAX);
     (1.0 - fraction) * TIE_COST.as_secs_f64()
 }
--- a/crates/comfreyspread/src/gateway/placement/placement_board.rs
+++ b/crates/comfreyspread/src/gateway/placement/placement_board.rs
@@ -61,7 +61,7 @@
     let Some(capacity) = service.engine.clone() else { return none };
     let candidates = candidates(state, &request, state.cold_rate(&service), now);
     let mut table = state.boards.lock();
-    let board = table.board(&scope, &capacity);
+    let board = table.board(&scope, &capacity, now);
     let key = (sender, request.demand.number);
     let Some(choice) = board.place(&candidates, key, &request.demand, now) else { return none };
     drop(table);
@@ -169,7 +169,7 @@
         news.active.iter().map(|active| directory.started_at_ms(&active.endpoint)).collect()
     };
     let mut table = state.boards.lock();
-    let board = table.board(scope, &capacity);
+    let board = table.board(scope, &capacity, now);
     for (active, started_at_ms) in news.active.iter().zip(started) {
         let key = (sender.clone(), active.demand.number);
         let endpoint = active.endpoint.clone();
@@ -193,9 +193,10 @@
         &mut self,
         scope: &batcher::BatchScope,
         capacity: &types::EngineCapacity,
+        now: time::Instant,
     ) -> &mut engine_board::EngineBoard {
         let board = self.boards.entry(scope.clone());
-        let board = board.or_insert_with(|| engine_board::EngineBoard::new(capacity.clone()));
+        let board = board.or_insert_with(|| engine_board::EngineBoard::new(capacity.clone(), now));
         board.set_capacity(capacity.clone());
         board
     }
--- a/crates/comfreyspread/src/gateway/placement/placement_client.rs
+++ b/crates/comfreyspread/src/gateway/placement/placement_client.rs
@@ -172,6 +172,7 @@
         lifetime: plan.time_left(now),
         number: state.placements.lock().next_number(),
         output_tokens: plan.call.output_tokens,
+        prefix: plan.prefix().unwrap_or_default(),
         parts: placed_parts(&plan.call.prompt_parts),
     }
 }
