Bound what unfinished heads, and connections without a request, take of a node

Cause: a node bounded the head of one connection, at some 400 KB by its HTTP library, and nothing bounded the sum; a head could take two minutes. Connections that sent nothing kept all others out, and those on the addresses for readiness checks and other nodes used up the descriptors.

At the limit of connections the oldest that has sent no whole request makes room. The admin addresses take 64 connections, that for other nodes 1,024. Counted as connections_closed by cause, with one line each that the log bounds.

--- a/crates/comfreyspread-lab/src/fleet.rs
+++ b/crates/comfreyspread-lab/src/fleet.rs
@@ -279,7 +279,7 @@
         name: &str,
         seeds: &[net::SocketAddr],
     ) -> miette::Result<FleetNode> {
-        let node = FleetNode::start(self, program, name, seeds)?;
+        let node = FleetNode::start(self, program, name, seeds, "")?;
         node.wait_until_ready().await?;
         Ok(node)
     }
@@ -300,7 +300,8 @@
 }
 
 impl FleetNode {
-    /// Starts a node without waiting for it.
+    /// Starts a node without waiting for it; `settings` are lines of its settings file that replace
+    /// the usual ones.
     ///
     /// # Errors
     ///
@@ -310,6 +311,7 @@
         program: &path::Path,
         name: &str,
         seeds: &[net::SocketAddr],
+        settings: &str,
     ) -> miette::Result<Self> {
         let [caller_address, admin_address, peer_address] =
             [(); 3].map(|()| process::free_address());
@@ -326,7 +328,7 @@
              bounds.grace_s=8\nbounds.reuse_after_s=2\nbounds.retry_budget_ratio=0.2\n\
              bounds.budget_slack=56\nbounds.budget_window_s=10\nbounds.cold_overshoot=1.5\n\
              bounds.cold_slack=5\nbounds.exposure_share=0.1\nbounds.exposure_slack=50\n\
-             bounds.rollback_ms=5000\n",
+             bounds.rollback_ms=5000\n{settings}",
             seeds.join(","),
             fleet.store_address
         );
--- a/crates/comfreyspread-lab/src/stand_in_server.rs
+++ b/crates/comfreyspread-lab/src/stand_in_server.rs
@@ -29,6 +29,9 @@
     Handler: http_server::RequestHandler,
 {
     let limits = http_server::ServerLimits {
+        head_limit: 64 * 1024,
+        head_budget: 8 * 1024 * 1024,
+        head_timeout: time::Duration::from_secs(10),
         body_limit: BODY_LIMIT_BYTES,
         body_budget: usize::MAX,
         body_timeout: READ_TIMEOUT,
--- a/crates/comfreyspread-lab/tests/odd_entries.rs
+++ b/crates/comfreyspread-lab/tests/odd_entries.rs
@@ -156,7 +156,7 @@
         for key in ["a", "b"] {
             fleet.set_raw_row("servers", key, "7");
         }
-        let node = fleet::FleetNode::start(&fleet, &gateway::program(), "node-1", &[]);
+        let node = fleet::FleetNode::start(&fleet, &gateway::program(), "node-1", &[], "");
         let node = node.expect("a node");
         async_io::Timer::after(APPLY_LIMIT).await;
         assert_eq!(gateway::get(node.admin_address, "/v1/ready").await.0, 503);
--- a/crates/comfreyspread-lab/tests/stop_edges.rs
+++ b/crates/comfreyspread-lab/tests/stop_edges.rs
@@ -72,8 +72,8 @@
 fn stopped_early() {
     gateway::with_fleet(async |fleet| {
         fleet.set_store_down(true);
-        let mut node =
-            fleet::FleetNode::start(&fleet, &gateway::program(), "node-1", &[]).expect("a node");
+        let mut node = fleet::FleetNode::start(&fleet, &gateway::program(), "node-1", &[], "")
+            .expect("a node");
         async_io::Timer::after(STEP * 2).await;
         let answer = send_across_stop(&node).await;
         assert!(answer.starts_with("HTTP/1.1 503"), "cut: {answer}");
--- a/crates/comfreyspread/src/gateway/admin_handler.rs
+++ b/crates/comfreyspread/src/gateway/admin_handler.rs
@@ -101,6 +101,10 @@
         })
     }
 
+    fn record_closed(&self, cause: http_server::CloseCause) {
+        self.state.context.metrics.connections.record_closed(cause);
+    }
+
     fn refuse(&self, _error: http_server::RequestError) -> http_message::Response {
         http_message::Response::new(StatusCode::BAD_REQUEST)
     }
--- a/crates/comfreyspread/src/gateway/caller_handler.rs
+++ b/crates/comfreyspread/src/gateway/caller_handler.rs
@@ -171,6 +171,10 @@
         response
     }
 
+    fn record_closed(&self, cause: http_server::CloseCause) {
+        self.state.context.metrics.connections.record_closed(cause);
+    }
+
     fn panicked(&self) -> http_message::Response {
         http_message::Response::new(StatusCode::BAD_GATEWAY)
     }
--- a/crates/comfreyspread/src/gateway/process.rs
+++ b/crates/comfreyspread/src/gateway/process.rs
@@ -28,6 +28,16 @@
 const IDLE_TIMEOUT_MS: &str = "120000";
 /// Maximum wait for the last log lines to be written.
 const LOG_DRAIN_TIMEOUT: time::Duration = time::Duration::from_millis(200);
+/// Maximum connections for readiness checks, metrics and operators.
+const ADMIN_CONNECTIONS: usize = 64;
+/// Maximum bytes of bodies, and of unfinished heads, on the addresses for these.
+const ADMIN_BUDGET_BYTES: usize = 1024 * 1024;
+/// Part of the memory, as a divisor, that bodies on one address may take up.
+const BODY_BUDGET_DIVISOR: u64 = 6;
+/// Part of the memory, as a divisor, that unfinished heads on one address may take up.
+const HEAD_BUDGET_DIVISOR: u64 = 32;
+/// Minimum of both, so that a single request within the limits is served on any machine.
+const MIN_BUDGET_BYTES: u64 = 4 * 1024 * 1024 + 64 * 1024;
 /// File descriptors reserved for other uses than callers' connections.
 const RESERVED_DESCRIPTORS: u32 = 800;
 
@@ -103,6 +113,8 @@
         seeds: Some(seeds.join(",")),
         workers: Some("1".to_owned()),
         connection_limit: Some(connections.to_string()),
+        body_budget: memory_part(gateway_settings, BODY_BUDGET_DIVISOR),
+        head_budget: memory_part(gateway_settings, HEAD_BUDGET_DIVISOR),
         header_timeout_ms: Some(IDLE_TIMEOUT_MS.to_owned()),
         grace_ms: Some(READINESS_GRACE.as_millis().to_string()),
         shutdown_ms: Some(shutdown.as_millis().to_string()),
@@ -110,6 +122,12 @@
     }
 }
 
+/// Returns a part of the machine's memory in bytes, for a setting; none if the platform states none.
+fn memory_part(gateway_settings: &types::GatewaySettings, divisor: u64) -> Option<String> {
+    let memory = gateway_settings.memory_bytes;
+    (memory > 0).then(|| (memory / divisor).max(MIN_BUDGET_BYTES).to_string())
+}
+
 async fn serve(
     state: sync::Arc<state::GatewayState>,
     path: &str,
@@ -211,7 +229,12 @@
     address: net::SocketAddr,
 ) -> miette::Result<()> {
     let handler = sync::Arc::new(admin_handler::AdminHandler::new(state.clone()));
-    let limits = node::server_limits(&state.context.settings);
+    let limits = http_server::ServerLimits {
+        connection_limit: ADMIN_CONNECTIONS,
+        body_budget: ADMIN_BUDGET_BYTES,
+        head_budget: ADMIN_BUDGET_BYTES,
+        ..node::server_limits(&state.context.settings)
+    };
     node::start_server(&state.context, address, handler, limits).await?;
     Ok(())
 }
--- a/crates/comfreyspread/src/ingress/front.rs
+++ b/crates/comfreyspread/src/ingress/front.rs
@@ -313,6 +313,10 @@
         response
     }
 
+    fn record_closed(&self, cause: http_server::CloseCause) {
+        self.context.metrics.connections.record_closed(cause);
+    }
+
     fn refuse(&self, error: http_server::RequestError) -> http_message::Response {
         use http_server::RequestError as Error;
         let (kind, detail) = match error {
--- a/crates/comfreyspread/src/membership/peer.rs
+++ b/crates/comfreyspread/src/membership/peer.rs
@@ -303,6 +303,10 @@
         self.serve(&request).await.unwrap_or_else(|failure| problem_response(&failure))
     }
 
+    fn record_closed(&self, cause: http_server::CloseCause) {
+        self.context.metrics.connections.record_closed(cause);
+    }
+
     fn refuse(&self, fault: http_server::RequestError) -> http_message::Response {
         let detail = format!("the message could not be read: {fault:?}");
         problem_response(&failure::CallFailure::new(types::ProblemKind::BadRequest, detail))
--- a/crates/comfreyspread/src/runtime/metrics.rs
+++ b/crates/comfreyspread/src/runtime/metrics.rs
@@ -1,8 +1,8 @@
 //! Metrics of a process, in the Prometheus text format.
 
 use crate::runtime::{
-    crash_metrics, ending_metrics, placement_metrics, pool_metrics, rollout_metrics, stage_metrics,
-    store_metrics,
+    connection_metrics, crash_metrics, ending_metrics, placement_metrics, pool_metrics,
+    rollout_metrics, stage_metrics, store_metrics,
 };
 use comfreyspread_schema::types;
 use prometheus_client::{encoding, encoding::text, metrics, registry};
@@ -39,6 +39,8 @@
     pub endings: ending_metrics::EndingMetrics,
     /// Metrics of queues, limits and endpoints.
     pub pools: pool_metrics::PoolMetrics,
+    /// Counts of connections closed for what they sent.
+    pub connections: connection_metrics::ConnectionMetrics,
     /// Metrics of the placement of requests on engines.
     pub placements: placement_metrics::PlacementMetrics,
     /// Metrics of roll-outs of endpoint software.
@@ -63,6 +65,7 @@
         let crashes = crash_metrics::CrashMetrics::new(&mut registry);
         let endings = ending_metrics::EndingMetrics::new(&mut registry);
         let pools = pool_metrics::PoolMetrics::new(&mut registry);
+        let connections = connection_metrics::ConnectionMetrics::new(&mut registry);
         let placements = placement_metrics::PlacementMetrics::new(&mut registry);
         let rollouts = rollout_metrics::RolloutMetrics::new(&mut registry);
         let stages = stage_metrics::StageMetrics::new(&mut registry);
@@ -75,6 +78,7 @@
             crashes,
             endings,
             pools,
+            connections,
             placements,
             rollouts,
             stages,
--- a/crates/comfreyspread/src/runtime/mod.rs
+++ b/crates/comfreyspread/src/runtime/mod.rs
@@ -2,6 +2,7 @@
 //! metrics.
 
 pub mod caller_request;
+pub mod connection_metrics;
 pub mod context;
 pub mod crash_metrics;
 pub mod drain_limit;
--- a/crates/comfreyspread/src/runtime/node.rs
+++ b/crates/comfreyspread/src/runtime/node.rs
@@ -15,6 +15,8 @@
 use miette::{Context as _, IntoDiagnostic as _};
 use std::{net, process, sync, time};
 
+/// Maximum connections of other nodes, so that strangers cannot use up the descriptors there.
+const PEER_CONNECTIONS: usize = 1024;
 const PEER_IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(60);
 /// Allowance for the message around a body that one node forwards to another.
 const PEER_OVERHEAD_BYTES: usize = 64 * 1024;
@@ -104,6 +106,7 @@
     let limits = http_server::ServerLimits {
         body_limit: settings.body_limit.saturating_add(PEER_OVERHEAD_BYTES),
         header_timeout: PEER_IDLE_TIMEOUT,
+        connection_limit: settings.connection_limit.min(PEER_CONNECTIONS),
         ..server_limits(settings)
     };
     start_server(context, settings.peer_address, handler, limits).await
@@ -143,6 +146,9 @@
         body_budget: settings.body_budget,
         body_timeout: settings.body_timeout,
         connection_limit: settings.connection_limit,
+        head_limit: settings.head_limit,
+        head_budget: settings.head_budget,
+        head_timeout: settings.head_timeout,
         header_timeout: settings.header_timeout,
     }
 }
--- a/crates/comfreyspread/src/runtime/settings.rs
+++ b/crates/comfreyspread/src/runtime/settings.rs
@@ -88,6 +88,12 @@
     pub body_limit: usize,
     /// Maximum bytes of bodies in memory at once, for each listening address.
     pub body_budget: usize,
+    /// Maximum size of a head in bytes.
+    pub head_limit: usize,
+    /// Maximum bytes of unfinished heads in memory at once, for each listening address.
+    pub head_budget: usize,
+    /// Maximum time from the first byte of a head to its end.
+    pub head_timeout: time::Duration,
     /// Timeout for a request header.
     pub header_timeout: time::Duration,
     /// Timeout for a request body.
@@ -185,6 +191,9 @@
             workers: self.count("workers"),
             body_limit: self.count("body_limit"),
             body_budget: self.count("body_budget"),
+            head_limit: self.count("head_limit"),
+            head_budget: self.count("head_budget"),
+            head_timeout: self.duration("head_timeout_ms"),
             header_timeout: self.duration("header_timeout_ms"),
             body_timeout: self.duration("body_timeout_ms"),
             connection_limit: self.count("connection_limit"),
--- a/crates/comfreyspread/src/transport/http_server.rs
+++ b/crates/comfreyspread/src/transport/http_server.rs
@@ -6,8 +6,8 @@
 use crate::{
     runtime::{supervisor, worker},
     transport::{
-        activity_counter, body, connection_monitor, deadline, http_body, http_message,
-        server_stream,
+        activity_counter, body, connection_monitor, deadline, fresh_connections, head_reading,
+        http_body, http_message, server_stream,
     },
 };
 use async_net::TcpStream;
@@ -86,12 +86,26 @@
     /// Returns the response to a request that could not be read.
     fn refuse(&self, error: RequestError) -> http_message::Response;
 
+    /// Records that a connection was closed for what it sent, or sent nothing of.
+    fn record_closed(&self, _cause: CloseCause) {}
+
     /// Returns the response to a request whose handling panicked; it may have run.
     fn panicked(&self) -> http_message::Response {
         http_message::Response::new(http::StatusCode::INTERNAL_SERVER_ERROR)
     }
 }
 
+/// Why a connection was closed without an answer.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum CloseCause {
+    /// Its head was too long, took too long, or found the budget for all heads used up.
+    Head,
+    /// No more connections may be open, and it had sent no whole request.
+    Displaced,
+    /// No more connections may be open, and all others had sent a whole request.
+    Full,
+}
+
 /// Why a request could not be read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RequestError {
@@ -128,6 +142,12 @@
     pub body_timeout: time::Duration,
     /// Maximum number of open connections.
     pub connection_limit: usize,
+    /// Maximum size of a head in bytes.
+    pub head_limit: usize,
+    /// Maximum size of all unfinished heads in memory, in bytes.
+    pub head_budget: usize,
+    /// Maximum time from the first byte of a head to its end.
+    pub head_timeout: time::Duration,
     /// Maximum time to receive a header, and to wait for the next request.
     pub header_timeout: time::Duration,
 }
@@ -137,6 +157,8 @@
     handler: sync::Arc<Handler>,
     limits: ServerLimits,
     budget: sync::Arc<body::BodyBudget>,
+    head_budget: sync::Arc<body::BodyBudget>,
+    fresh: sync::Arc<fresh_connections::FreshConnections>,
     listener: async_net::TcpListener,
     spawner: worker::TaskSpawner,
     /// Loops that accept connections.
@@ -197,10 +219,13 @@
         let (shutdown_sender, shutdown_receiver) = async_channel::bounded(1);
         let connections = sync::Arc::new(activity_counter::ActivityCounter::new());
         let budget = sync::Arc::new(body::BodyBudget::new(limits.body_budget));
+        let head_budget = sync::Arc::new(body::BodyBudget::new(limits.head_budget));
         Ok(Self {
             handler,
             limits,
             budget,
+            head_budget,
+            fresh: sync::Arc::default(),
             listener,
             spawner,
             accepting: sync::Arc::default(),
@@ -276,7 +301,10 @@
 
     fn start_connection(&self, stream: TcpStream) {
         let open = self.connections.count();
+        let displaced = open >= self.limits.connection_limit && self.fresh.close_oldest();
         let connection = ServerConnection {
+            fresh: self.fresh.add(),
+            head_budget: self.head_budget.clone(),
             handler: self.handler.clone(),
             limits: self.limits,
             budget: self.budget.clone(),
@@ -284,7 +312,12 @@
             shutdown_receiver: self.shutdown_receiver.clone(),
             _guard: self.connections.track(),
         };
-        let busy = open >= self.limits.connection_limit;
+        let busy = open >= self.limits.connection_limit && !displaced;
+        if displaced {
+            self.handler.record_closed(CloseCause::Displaced);
+        } else if busy {
+            self.handler.record_closed(CloseCause::Full);
+        }
         self.spawner.detach(async move {
             let result = if busy { connection.reject_busy().await } else { connection.run().await };
             if let Err(error) = result {
@@ -298,6 +331,8 @@
     handler: sync::Arc<Handler>,
     limits: ServerLimits,
     budget: sync::Arc<body::BodyBudget>,
+    head_budget: sync::Arc<body::BodyBudget>,
+    fresh: fresh_connections::FreshConnection,
     stream: TcpStream,
     shutdown_receiver: async_channel::Receiver<()>,
     _guard: activity_counter::ActivityGuard,
@@ -320,14 +355,32 @@
         }
         let handled = server_stream::HandledFlag::default();
         let write_timeout = self.limits.body_timeout;
+        let phase = head_reading::ConnectionPhase::default();
+        let rules = head_reading::HeadRules {
+            limit: self.limits.head_limit,
+            timeout: self.limits.head_timeout,
+            budget: self.head_budget.clone(),
+        };
+        let head = head_reading::HeadReading::new(rules, phase.clone());
         let stream =
-            server_stream::ServerStream::new(self.stream.clone(), handled.clone(), write_timeout);
-        let served = self.serve(stream, &handled).await;
+            server_stream::ServerStream::new(self.stream.clone(), handled.clone(), write_timeout)
+                .with_head(head);
+        let served = async { Some(self.serve(stream, &handled, &phase).await) };
+        let displaced = async {
+            self.fresh.closed().await;
+            None
+        };
+        let Some(served) = served.or(displaced).await else { return Ok(()) };
+        if served.as_ref().is_err_and(is_head_error) {
+            self.handler.record_closed(CloseCause::Head);
+        }
         if handled.is_set() {
             return served;
         }
         match served {
-            Err(error) if error.is_timeout() => self.send_error(RequestError::Slow).await,
+            Err(error) if error.is_timeout() || is_slow_head(&error) => {
+                self.send_error(RequestError::Slow).await
+            }
             Err(error) if error.is_parse() => self.send_error(RequestError::Malformed).await,
             result => result,
         }
@@ -337,15 +390,20 @@
         &self,
         stream: server_stream::ServerStream,
         handled: &server_stream::HandledFlag,
+        phase: &head_reading::ConnectionPhase,
     ) -> Result<(), hyper::Error> {
         let service = service::service_fn(|request| async {
             handled.set();
+            phase.start_request();
+            self.fresh.record_request();
             let response = self.respond(request).await;
+            phase.end_request();
             Ok::<_, convert::Infallible>(response.into_http())
         });
         let connection = http1::Builder::new()
             .half_close(true)
             .preserve_header_case(true)
+            .max_buf_size(self.limits.head_limit)
             .timer(ServerTimer)
             .header_read_timeout(self.limits.header_timeout)
             .serve_connection(smol_hyper::rt::FuturesIo::new(stream), service);
@@ -424,6 +482,23 @@
     }
 }
 
+/// Whether a connection ended for the limits on its head.
+fn is_head_error(error: &hyper::Error) -> bool {
+    let is_limit =
+        matches!(error_kind(error), Some(io::ErrorKind::InvalidData | io::ErrorKind::OutOfMemory));
+    error.is_parse_too_large() || error.is_timeout() || is_limit || is_slow_head(error)
+}
+
+/// Whether a head took too long. Before the first request nothing else times out.
+fn is_slow_head(error: &hyper::Error) -> bool {
+    error_kind(error) == Some(io::ErrorKind::TimedOut)
+}
+
+fn error_kind(error: &hyper::Error) -> Option<io::ErrorKind> {
+    let source = std::error::Error::source(error)?;
+    source.downcast_ref::<io::Error>().map(io::Error::kind)
+}
+
 /// Returns a response after which the connection is closed.
 fn closing(mut response: http_message::Response) -> http_message::Response {
     response.insert_header("connection", "close");
--- a/crates/comfreyspread/src/transport/server_stream.rs
+++ b/crates/comfreyspread/src/transport/server_stream.rs
@@ -4,9 +4,9 @@
 //! so that the server can send a problem body instead. It also limits the wait for a peer that
 //! accepts no data.
 
-use crate::transport::deadline;
+use crate::transport::{deadline, head_reading};
 use async_net::TcpStream;
-use futures_lite::{AsyncRead, AsyncWrite, io};
+use futures_lite::{AsyncRead, AsyncWrite, io, ready};
 use std::{pin, sync, sync::atomic, task, time};
 
 const SUBSTITUTE_REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: node\r\nconnection: close\r\n\r\n";
@@ -33,6 +33,7 @@
 #[derive(Debug)]
 pub struct ServerStream {
     stream: TcpStream,
+    head: Option<head_reading::HeadReading>,
     handled: HandledFlag,
     write_timeout: time::Duration,
     write_timer: Option<deadline::DeadlineTimer>,
@@ -42,7 +43,13 @@
 impl ServerStream {
     /// Creates a stream whose writes fail if the peer accepts no data for `write_timeout`.
     pub fn new(stream: TcpStream, handled: HandledFlag, write_timeout: time::Duration) -> Self {
-        Self { stream, handled, write_timeout, write_timer: None, substitute: None }
+        let (write_timer, substitute) = (None, None);
+        Self { stream, head: None, handled, write_timeout, write_timer, substitute }
+    }
+
+    /// Limits what is read before a request is complete.
+    pub fn with_head(self, head: head_reading::HeadReading) -> Self {
+        Self { head: Some(head), ..self }
     }
 
     /// Creates a stream that yields a substitute request and writes the response to `stream`, so
@@ -53,6 +60,23 @@
         Self { substitute: Some(SUBSTITUTE_REQUEST), ..Self::new(stream, handled, write_timeout) }
     }
 
+    fn poll_limited_read(
+        &mut self,
+        cx: &mut task::Context<'_>,
+        buffer: &mut [u8],
+    ) -> task::Poll<io::Result<usize>> {
+        if let Some(head) = &mut self.head {
+            head.check_time(cx)?;
+        }
+        let count = ready!(pin::Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        if let Some(head) = &mut self.head {
+            head.count(count)?;
+            // The timer of the first bytes has to wake the next read.
+            head.check_time(cx)?;
+        }
+        task::Poll::Ready(Ok(count))
+    }
+
     /// Fails a write that has been pending for the timeout.
     fn limit_write<Output>(
         &mut self,
@@ -81,7 +105,7 @@
     ) -> task::Poll<io::Result<usize>> {
         match &mut self.substitute {
             Some(substitute) => pin::Pin::new(substitute).poll_read(cx, buffer),
-            None => pin::Pin::new(&mut self.stream).poll_read(cx, buffer),
+            None => self.poll_limited_read(cx, buffer),
         }
     }
 }
--- a/crates/comfreyspread/tests/http_framing.rs
+++ b/crates/comfreyspread/tests/http_framing.rs
@@ -31,6 +31,9 @@
 
 async fn serve(pool: &worker::WorkerPool) -> net::SocketAddr {
     let limits = http_server::ServerLimits {
+        head_limit: 64 * 1024,
+        head_budget: 8 * 1024 * 1024,
+        head_timeout: time::Duration::from_secs(10),
         body_limit: LIMIT_BYTES,
         body_budget: LIMIT_BYTES,
         body_timeout: TIMEOUT,
--- a/crates/comfreyspread/tests/panicking_tasks.rs
+++ b/crates/comfreyspread/tests/panicking_tasks.rs
@@ -51,6 +51,9 @@
     async_io::block_on(async {
         let handler = sync::Arc::new(PanickingHandler { served: lock_rank::RankedLock::new(0) });
         let limits = http_server::ServerLimits {
+            head_limit: 64 * 1024,
+            head_budget: 8 * 1024 * 1024,
+            head_timeout: time::Duration::from_secs(10),
             body_limit: BODY_LIMIT,
             body_budget: BODY_LIMIT,
             body_timeout: TIMEOUT,
--- a/crates/comfreyspread/tests/restored_rows.rs
+++ b/crates/comfreyspread/tests/restored_rows.rs
@@ -36,7 +36,8 @@
         "caller_address": "127.0.0.1:1", "cold_factor": 1.0, "cold_slack": 1.0, "connections": 100,
         "node": "node-1", "peer_address": "127.0.0.1:2", "ready_address": "127.0.0.1:4",
         "region": "r", "retry_ratio": 0.1, "retry_slack": 1.0, "seeds": [],
-        "store_address": "127.0.0.1:3", "zone": "a", "zones": { "a": "r" },
+        "store_address": "127.0.0.1:3", "zone": "a", "zones": { "a": "r" }, "exposure_share": 0.0,
+        "exposure_slack": 0.0, "memory_bytes": 0,
     }));
     let gateway_settings = gateway_settings.expect("gateway settings");
     check(&sync::Arc::new(state::GatewayState::new(context, gateway_settings)));
