Take no answer whose status is none of an answer

Cause: the HTTP library takes any status of three digits from 100 on, so 600 to 999, and 101 in place of an answer, were passed on to callers.

Ruled out by tests that pass on the code before: a 200 without a length that is reset while the upload is written (the library reports the failed write as a failed body; 20 repeats), and statuses 000 and 099.

Change: statuses outside 200 to 599 fail the exchange, which may have run.

--- a/crates/comfreyspread/src/transport/http_client.rs
+++ b/crates/comfreyspread/src/transport/http_client.rs
@@ -11,10 +11,11 @@
 };
 use comfreyspread_schema::{ids, types};
 use futures_lite::FutureExt as _;
-use std::{future, io, net, pin, sync, task, time};
+use std::{future, io, net, ops, pin, sync, task, time};
 
 const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 const NO_CONTENT_STATUS: u16 = 204;
+const FINAL_STATUSES: ops::Range<u16> = 200..600;
 /// Bodies of the largest size that are read at once.
 const LARGE_BODIES_AT_ONCE: usize = 2;
 /// Bytes of each body that need no part of the memory for large ones.
@@ -256,6 +257,7 @@
             }
         });
         let (head, incoming) = response?.into_parts();
+        check_status(head.status)?;
         let length = hyper::body::Body::size_hint(&incoming).exact();
         let source =
             ResponseSource { incoming, connection: Some(connection), finished, chunks_in_a_row: 0 };
@@ -364,6 +366,15 @@
     }
 }
 
+/// Rejects a status that no final answer has. The HTTP library accepts all numbers of three digits
+/// from 100 on.
+fn check_status(status: http::StatusCode) -> Result<(), failure::CallFailure> {
+    if FINAL_STATUSES.contains(&status.as_u16()) {
+        return Ok(());
+    }
+    Err(response_failed(format!("the answer has the status {status}, which is none of an answer")))
+}
+
 /// Rejects a response that neither states its length nor marks its end.
 fn check_framing(response: &http_message::Response) -> Result<(), failure::CallFailure> {
     let chunked = response.header("transfer-encoding").is_some();
