--- /dev/null
+++ b/crates/comfreyspread-lab/tests/placements.rs
@@ -0,0 +1,102 @@
+//! Placement of requests on engines by one node, and what holds when that node is lost, stands still
+//! or wakes.
+
+mod common;
+
+use comfreyspread_lab::{fleet, fleet_request};
+use common::gateway;
+use futures_util::future;
+use rustix::process::Signal;
+use std::time;
+
+const NODES: u64 = 3;
+const REQUESTS: u64 = 12;
+/// Time until the nodes know a change of the store.
+const CHANGE_TIME: time::Duration = time::Duration::from_millis(900);
+
+/// Starts nodes for engines with as many slots as there are nodes, so that requests are placed.
+async fn start(fleet: &fleet::FleetStandIn) -> Vec<fleet::FleetNode> {
+    let mut document = gateway::route_document(2);
+    for service in document["services"].as_array_mut().expect("services") {
+        if service["name"] == "engine" {
+            service["engine"] = serde_json::json!({
+                "slots": NODES, "stride": 2, "kv_capacity_tokens": 100_000,
+            });
+        }
+    }
+    fleet.set_route_document(&document);
+    let nodes = gateway::start_nodes(fleet, NODES).await;
+    async_io::Timer::after(CHANGE_TIME).await;
+    nodes
+}
+
+/// Sends requests with one shared prompt through the nodes in turn; returns their statuses.
+async fn send_all(nodes: &[fleet::FleetNode], prefix: &str) -> Vec<u16> {
+    let send = async |number: u64| {
+        let node = &nodes[number as usize % nodes.len()];
+        let id = format!("{prefix}-{number}");
+        let parts = format!("aa:4000,{number:x}:10");
+        let request = fleet_request::FleetRequest::new(node.caller_address, "/chat/", &id)
+            .with_prompt_parts(&parts)
+            .into_message();
+        gateway::send(node.caller_address, request).await.0
+    };
+    let mut statuses = Vec::new();
+    for number in 0..REQUESTS {
+        statuses.push(send(number).await);
+    }
+    statuses
+}
+
+/// Returns the value of a counter of a node.
+async fn counter(node: &fleet::FleetNode, name: &str) -> u64 {
+    let (_, text) = gateway::get(node.admin_address, "/metrics").await;
+    let prefix = format!("comfreyspread_{name}_total ");
+    let line = text.lines().find_map(|line| line.strip_prefix(&*prefix));
+    line.and_then(|value| value.parse().ok()).expect("a counter")
+}
+
+async fn placed(nodes: &[fleet::FleetNode]) -> Vec<u64> {
+    future::join_all(nodes.iter().map(|node| counter(node, "placements_made"))).await
+}
+
+/// One node places the requests of all, and those with the same prompt go to one engine.
+#[test]
+fn one_placing_node() {
+    gateway::with_fleet(async |fleet| {
+        let nodes = start(&fleet).await;
+        assert_eq!(send_all(&nodes, "r").await, [200; REQUESTS as usize]);
+        let placed = placed(&nodes).await;
+        assert_eq!(placed.iter().sum::<u64>(), REQUESTS, "{placed:?}");
+        assert_eq!(placed.iter().filter(|count| **count > 0).count(), 1, "{placed:?}");
+        let records = fleet.records();
+        let engines: Vec<_> = records.iter().map(|record| &record.endpoint).collect();
+        assert!(engines.iter().all(|engine| *engine == engines[0]), "{engines:?}");
+    });
+}
+
+/// The placing node is killed, or stands still and wakes: requests are served all the while, another
+/// node places them, and each runs once.
+#[test]
+fn placing_node_lost() {
+    for signal in [Signal::KILL, Signal::STOP] {
+        gateway::with_fleet(async |fleet| {
+            let mut nodes = start(&fleet).await;
+            send_all(&nodes, "before").await;
+            let counts = placed(&nodes).await;
+            let index = counts.iter().position(|count| *count > 0).expect("a placing node");
+            let lost = nodes.remove(index);
+            lost.process.signal(signal);
+            assert_eq!(send_all(&nodes, "lost").await, [200; REQUESTS as usize]);
+            assert!(placed(&nodes).await.iter().sum::<u64>() > 0, "another node places");
+            lost.process.signal(Signal::CONT);
+            assert_eq!(send_all(&nodes, "after").await, [200; REQUESTS as usize]);
+            for prefix in ["lost", "after"] {
+                for number in 0..REQUESTS {
+                    let runs = gateway::runs(&fleet, &format!("{prefix}-{number}"));
+                    assert_eq!(runs.len(), 1, "{prefix}-{number}");
+                }
+            }
+        });
+    }
+}
--- a/crates/comfreyspread-policy/src/engine_board.rs
+++ b/crates/comfreyspread-policy/src/engine_board.rs
@@ -352,12 +352,13 @@
         let output = f64::from(demand.output_tokens)
             / f64::from(self.capacity.tokens_per_event.max(1))
             * self.usual_gap.seconds();
+        let waiting = ahead.get(&candidate.endpoint).copied().unwrap_or(0.0);
         let over = f64::from((running + 1).saturating_sub(slots));
         let usual_hold = self.usual_stream.seconds() * factor / f64::from(slots);
         let near = if candidate.is_near { 0.0 } else { ZONE_COST.as_secs_f64() };
         EngineCost {
             reading,
-            ahead: ahead.get(&candidate.endpoint).copied().unwrap_or(0.0) * factor,
+            ahead: engine.map_or(0.0, |_| waiting) * factor,
             place: over * usual_hold,
             stream: output * factor * (1.0 + crowd) * STREAM_WEIGHT,
             others: reading * f64::from(running.min(slots)) * OTHERS_WEIGHT,
