--- a/crates/comfreyspread-policy/src/engine_board.rs
+++ b/crates/comfreyspread-policy/src/engine_board.rs
@@ -34,7 +34,7 @@
 /// Part of the reading that counts for each running stream that waits for it.
 const OTHERS_WEIGHT: f64 = 0.06;
 /// Cost of results that cross availability zones.
-const ZONE_COST: time::Duration = time::Duration::from_millis(30);
+const ZONE_COST: time::Duration = time::Duration::from_millis(90);
 /// Greatest cost by which engines without any difference are told apart: requests with the same
 /// prompt then agree on one.
 const TIE_COST: time::Duration = time::Duration::from_millis(4);
