Add explain, which says where a request would go now, and why

Cause: operators could see where requests had gone, not where one would go.

Change: the command and path take a head and return route, region, waits of the stages, the node that would place the request, each endpoint with the reason that passes it over or the parts of its cost, and whether it would be rejected.

Measured: engine_board::costs_explain_choice over drawn states, placements::explained_request.

--- a/crates/comfreyspread-lab/tests/placements.rs
+++ b/crates/comfreyspread-lab/tests/placements.rs
@@ -7,7 +7,7 @@
 use common::gateway;
 use futures_util::future;
 use rustix::process::Signal;
-use std::time;
+use std::{process, time};
 
 const NODES: u64 = 3;
 const REQUESTS: u64 = 12;
@@ -100,3 +100,43 @@
         });
     }
 }
+
+/// Runs the command `explain` and returns its exit code and JSON.
+fn explain(node: &fleet::FleetNode, path: &str) -> (Option<i32>, serde_json::Value) {
+    let address = node.admin_address.to_string();
+    let output = process::Command::new(gateway::program())
+        .args(["product", "explain", "--json", "--node", &address, "--path", path])
+        .args(["--header", "host: fleet.example", "--header", "x-api-key: fleet-key"])
+        .args(["--header", "prefix-hash: aa:4000,f:10", "--header", "deadline-ms: 3000"])
+        .output()
+        .expect("the command runs");
+    let json = serde_json::from_slice(&output.stdout).unwrap_or_default();
+    (output.status.code(), json)
+}
+
+/// The explanation names the endpoint that the next request goes to, sends nothing and places nothing.
+#[test]
+fn explained_request() {
+    gateway::with_fleet(async |fleet| {
+        let nodes = start(&fleet).await;
+        send_all(&nodes, "before").await;
+        let counts = placed(&nodes).await;
+        let arrived = fleet.records().len();
+        let mut named = Vec::new();
+        for node in &nodes {
+            let (code, json) = explain(node, "/chat/");
+            assert_eq!(code, Some(0), "{json}");
+            named.push(json["endpoint"].as_str().expect("an endpoint").to_owned());
+            assert!(json["endpoints"].as_array().is_some_and(|all| all.len() == 2), "{json}");
+            assert!(json["placed_by"].as_str().is_some_and(|by| !by.is_empty()), "{json}");
+        }
+        assert_eq!((fleet.records().len(), placed(&nodes).await), (arrived, counts));
+        send_all(&nodes[..1], "after").await;
+        let records = fleet.records();
+        let engine = records.last().map(|record| record.endpoint.to_string());
+        assert!(named.iter().all(|name| Some(name) == engine.as_ref()), "{named:?}, {engine:?}");
+        let (code, json) = explain(&nodes[0], "/nowhere/");
+        assert_eq!((code, &json["accepted"]), (Some(1), &false.into()));
+        assert!(json["reason"].as_str().is_some_and(|reason| reason.contains("NoRoute")), "{json}");
+    });
+}
--- a/crates/comfreyspread-policy/src/endpoint_selection.rs
+++ b/crates/comfreyspread-policy/src/endpoint_selection.rs
@@ -129,6 +129,14 @@
         self.best(&candidates.map(|(_, endpoint)| endpoint).collect::<Vec<_>>())
     }
 
+    /// Returns each endpoint of the service, and the reason that excludes it, if there is one.
+    pub fn examined(
+        &self,
+    ) -> impl Iterator<Item = (&'selection directory_endpoint::DirectoryEndpoint, Option<SkipReason>)>
+    {
+        self.of_service().map(|one| (one, self.examine(one).err()))
+    }
+
     /// Returns the endpoints of the best tier: those of the preferred region, if there are any.
     pub fn candidates(
         &self,
--- a/crates/comfreyspread-policy/src/engine_board.rs
+++ b/crates/comfreyspread-policy/src/engine_board.rs
@@ -285,7 +285,8 @@
         self.engines.iter().map(load).collect()
     }
 
-    /// Returns the cost of a request at each candidate, without placing it.
+    /// Returns the cost of a request at each candidate, without placing it. [`EngineBoard::place`]
+    /// takes the one with the least total.
     pub fn costs(
         &self,
         candidates: &[EngineCandidate],
@@ -377,7 +378,11 @@
     }
 
     /// Returns the tokens at the beginning of a prompt that an engine should hold.
-    fn cached_tokens(&self, candidate: &EngineCandidate, demand: &types::PlacementDemand) -> u32 {
+    pub fn cached_tokens(
+        &self,
+        candidate: &EngineCandidate,
+        demand: &types::PlacementDemand,
+    ) -> u32 {
         let Some(engine) = self.entry(candidate) else { return 0 };
         let held = demand.parts.iter().take_while(|part| engine.cache.contains(part.hash));
         held.map(|part| part.tokens).sum()
@@ -443,7 +448,7 @@
     }
 
     /// Removes placements whose node has not said how they ended.
-    fn remove_expired(&mut self, now: time::Instant) {
+    pub fn remove_expired(&mut self, now: time::Instant) {
         let expired = self.placements.iter().filter(|(_, placement)| placement.expires_at <= now);
         let expired: Vec<_> = expired.map(|(key, _)| key.clone()).collect();
         expired.iter().for_each(|key| self.remove(key));
--- a/crates/comfreyspread-policy/tests/engine_board.rs
+++ b/crates/comfreyspread-policy/tests/engine_board.rs
@@ -173,3 +173,35 @@
     };
     assert_eq!((cached(4, 3), cached(5, 1)), (4000, 0));
 }
+
+/// What is explained is what is decided: over drawn states, the engine with the least cost is the one
+/// where the request is placed.
+#[test]
+fn costs_explain_choice() {
+    bolero::check!().with_type::<Vec<(u8, u8, u16)>>().for_each(|steps| {
+        let now = time::Instant::now();
+        let mut board = engine_board::EngineBoard::new(engine_load::capacity(), now);
+        let candidates = engine_load::candidates(5);
+        for (number, (prompt, kind, delay)) in steps.iter().take(40).enumerate() {
+            let number = number as u64;
+            let at = now + time::Duration::from_millis(u64::from(*delay));
+            let demand = engine_load::demand(number, usize::from(*prompt % 8), 3000);
+            match kind % 4 {
+                0 => board.record_end(&("a".into(), number / 2), None, at),
+                1 => {
+                    let took = time::Duration::from_millis(u64::from(*delay) + 1);
+                    board.record_first_event(&("a".into(), number / 2), Some(took));
+                }
+                _ => {
+                    board.remove_expired(at);
+                    let costs = board.costs(&candidates, &demand, at);
+                    let least = (0..costs.len())
+                        .min_by(|one, other| costs[*one].total().total_cmp(&costs[*other].total()));
+                    let choice = board.place(&candidates, ("a".into(), number), &demand, at);
+                    let expected = least.map(|index| candidates[index].endpoint.clone());
+                    assert_eq!(choice.map(|choice| choice.endpoint), expected);
+                }
+            }
+        }
+    });
+}
--- a/crates/comfreyspread/src/gateway/admin_handler.rs
+++ b/crates/comfreyspread/src/gateway/admin_handler.rs
@@ -1,6 +1,6 @@
 //! Readiness checks of the platform, metrics, a dump of the node's state, and operator requests.
 
-use super::{batcher, rollout::rollout_view, state};
+use super::{batcher, explanation, rollout::rollout_view, state};
 use crate::{
     ingress::front,
     operations::operator_api,
@@ -90,6 +90,16 @@
         if request.path() == operator_api::ROLLOUTS_PATH {
             return front::json(StatusCode::OK, &rollout_view::list(&self.state));
         }
+        if request.path() == operator_api::EXPLAIN_PATH {
+            return match explanation::parse_head(&String::from_utf8_lossy(request.body())) {
+                Ok(head) => {
+                    front::json(StatusCode::OK, &explanation::explain(&self.state, head).await)
+                }
+                Err(error) => {
+                    operator_api::problem(types::ProblemKind::BadRequest, &error.to_string())
+                }
+            };
+        }
         if request.path().starts_with(operator_api::PATH_PREFIX) {
             return operator_api::serve(&self.state.context, &request).await;
         }
--- a/crates/comfreyspread/src/gateway/attempt_send.rs
+++ b/crates/comfreyspread/src/gateway/attempt_send.rs
@@ -171,7 +171,8 @@
     state.directory.lock().has_endpoint(&query)
 }
 
-fn endpoint_query<'query>(
+/// Returns what a request requires of its endpoint.
+pub fn endpoint_query<'query>(
     state: &'query state::GatewayState,
     plan: &'query call_plan::CallPlan,
     input: &AttemptInput<'query>,
--- a/crates/comfreyspread/src/gateway/mod.rs
+++ b/crates/comfreyspread/src/gateway/mod.rs
@@ -11,7 +11,7 @@
 //!   through [`store_client`] or, from other nodes, [`table_exchange`], where [`row_compression`]
 //!   keeps large rows small. [`table_update`] applies what came into force. [`state`] holds the
 //!   result.
-//! - Placement of requests on engines: [`placement`].
+//! - Placement of requests on engines: [`placement`]; [`explanation`] says where a request would go.
 //! - Roll-outs of endpoint software: [`rollout`].
 //! - Process: [`process`] starts, serves and stops; [`admin_handler`] serves readiness, metrics and
 //!   dumps.
@@ -25,6 +25,7 @@
 pub mod conviction_sync;
 pub mod endpoint_notices;
 pub mod endpoint_watcher;
+pub mod explanation;
 pub mod piece_dispatch;
 pub mod placement;
 pub mod process;
--- a/crates/comfreyspread/src/gateway/piece_dispatch.rs
+++ b/crates/comfreyspread/src/gateway/piece_dispatch.rs
@@ -289,6 +289,9 @@
             placement_client::PLACE_PATH => {
                 Some(Box::pin(async move { placement_board::serve_request(&self.state, request) }))
             }
+            placement_client::COSTS_PATH => {
+                Some(Box::pin(async move { placement_board::serve_costs(&self.state, request) }))
+            }
             placement_client::NEWS_PATH => {
                 Some(Box::pin(async move { placement_board::serve_notice(&self.state, request) }))
             }
--- a/crates/comfreyspread/src/gateway/placement/placement_board.rs
+++ b/crates/comfreyspread/src/gateway/placement/placement_board.rs
@@ -12,6 +12,7 @@
 
 /// Interval at which placements of nodes that have failed are removed.
 const CLEANUP_INTERVAL: time::Duration = time::Duration::from_secs(1);
+const MICROS_PER_SECOND: f64 = 1e6;
 
 /// Boards by service and region.
 #[derive(Debug, Default)]
@@ -73,6 +74,55 @@
     types::PlacementReply { endpoint: Some(choice.endpoint), estimate: choice.estimate, ..none }
 }
 
+/// Returns the costs of a request at the engines that may be chosen, without placing it.
+pub fn costs(
+    state: &state::GatewayState,
+    request: &types::PlacementRequest,
+) -> Vec<types::EngineCostView> {
+    let now = time::Instant::now();
+    let Some(service) = state.routes().service(&request.service).cloned() else {
+        return Vec::new();
+    };
+    let Some(capacity) = service.engine.clone() else { return Vec::new() };
+    let candidates = candidates(state, request, state.cold_rate(&service), now);
+    let scope =
+        batcher::BatchScope { service: request.service.clone(), region: request.region.clone() };
+    let table = state.boards.lock();
+    let empty = engine_board::EngineBoard::new(capacity, now);
+    let board = table.boards.get(&scope).unwrap_or(&empty);
+    let costs = board.costs(&candidates, &request.demand, now);
+    let micros = |seconds: f64| (seconds * MICROS_PER_SECOND) as u64;
+    let view = |(candidate, cost): (&engine_board::EngineCandidate, engine_board::EngineCost)| {
+        types::EngineCostView {
+            ahead_us: micros(cost.ahead),
+            cached_tokens: board.cached_tokens(candidate, &request.demand).into(),
+            distance_us: micros(cost.distance),
+            endpoint: candidate.endpoint.clone(),
+            others_us: micros(cost.others),
+            place_us: micros(cost.place),
+            reading_us: micros(cost.reading),
+            stream_us: micros(cost.stream),
+            total_us: micros(cost.total()),
+        }
+    };
+    candidates.iter().zip(costs).map(view).collect()
+}
+
+/// Serves a request whose costs are asked for.
+///
+/// # Errors
+///
+/// Fails if the message cannot be decoded, or names a region that is not of the deployment.
+pub fn serve_costs(
+    state: &state::GatewayState,
+    request: &http_server::ServerRequest,
+) -> Result<http_message::Response, failure::CallFailure> {
+    let message: types::PlacementRequest = peer::decode_message(&state.context, request)?;
+    check_region(state, &message.region)?;
+    let header = state.context.peer_header();
+    peer::encode_reply(&types::PlacementCosts { costs: costs(state, &message), header })
+}
+
 /// Applies a notice of a node.
 pub fn apply_notice(state: &state::GatewayState, notice: types::PlacementNotice) {
     let scope = batcher::BatchScope { service: notice.service, region: notice.region };
--- a/crates/comfreyspread/src/gateway/placement/placement_client.rs
+++ b/crates/comfreyspread/src/gateway/placement/placement_client.rs
@@ -20,6 +20,10 @@
 /// Path of a [`types::PlacementNotice`], answered by a [`types::PlacementReceipt`].
 pub const NEWS_PATH: &str = "/peer/placements/news";
 
+/// Path of a [`types::PlacementRequest`] that is only weighed, answered by a
+/// [`types::PlacementCosts`].
+pub const COSTS_PATH: &str = "/peer/placements/costs";
+
 /// Time for an answer, after which the next node is asked: about what a placement may save.
 const PLACE_TIMEOUT: time::Duration = time::Duration::from_millis(120);
 /// Timeout of a notice.
@@ -66,7 +70,8 @@
     }
     let scope =
         batcher::BatchScope { service: plan.service.name.clone(), region: input.region.clone() };
-    let demand = demand(state, plan);
+    let number = state.placements.lock().next_number();
+    let demand = demand(plan, number);
     let zone = input_zone(state, input.inputs);
     for _ in 0..MAX_PLACING_NODES {
         let (node, address) = state.placing_node(&scope);
@@ -95,6 +100,37 @@
     None
 }
 
+/// Returns the node that would place a request, and its costs at the engines that may be chosen;
+/// none if no node answers. Nothing is placed.
+pub async fn explain(
+    state: &state::GatewayState,
+    plan: &call_plan::CallPlan,
+    region: &ids::RegionId,
+    regions: Option<&[ids::RegionId]>,
+) -> Option<(ids::NodeId, Vec<types::EngineCostView>)> {
+    let scope = batcher::BatchScope { service: plan.service.name.clone(), region: region.clone() };
+    let (node, address) = state.placing_node(&scope);
+    let request = types::PlacementRequest {
+        demand: demand(plan, 0),
+        header: state.context.peer_header(),
+        news: types::PlacementNews { active: Vec::new(), events: Vec::new() },
+        region: scope.region,
+        regions: regions.map(<[_]>::to_vec).unwrap_or_default(),
+        service: scope.service,
+        tried: Vec::new(),
+        zone: state.settings.zone.clone(),
+    };
+    let Some(address) = address else {
+        return Some((node, placement_board::costs(state, &request)));
+    };
+    let deadline = time::Instant::now() + NEWS_TIMEOUT;
+    let connection = http_client::ConnectionUse::Pooled;
+    let context = &state.context;
+    let reply: types::PlacementCosts =
+        peer::exchange(context, address, COSTS_PATH, &request, connection, deadline).await.ok()?;
+    Some((node, reply.costs))
+}
+
 /// Sends the collected events until the process ends.
 pub async fn run(state: sync::Arc<state::GatewayState>) {
     loop {
@@ -114,7 +150,7 @@
 
 /// Returns whether a request is to be placed: its service is run by engines, and no roll-out divides
 /// its requests by version.
-fn is_placed(state: &state::GatewayState, plan: &call_plan::CallPlan) -> bool {
+pub fn is_placed(state: &state::GatewayState, plan: &call_plan::CallPlan) -> bool {
     state.places_requests(&plan.service)
         && state.directory.lock().versions().turn(&plan.service.name, &plan.route.name).is_none()
 }
@@ -166,11 +202,11 @@
 }
 
 /// Returns what a request needs of an engine.
-pub fn demand(state: &state::GatewayState, plan: &call_plan::CallPlan) -> types::PlacementDemand {
+fn demand(plan: &call_plan::CallPlan, number: u64) -> types::PlacementDemand {
     let now = time::Instant::now();
     types::PlacementDemand {
         lifetime: plan.time_left(now),
-        number: state.placements.lock().next_number(),
+        number,
         output_tokens: plan.call.output_tokens,
         prefix: plan.prefix().unwrap_or_default(),
         parts: placed_parts(&plan.call.prompt_parts),
--- a/crates/comfreyspread/src/gateway/region_selector.rs
+++ b/crates/comfreyspread/src/gateway/region_selector.rs
@@ -11,14 +11,36 @@
     state: &sync::Arc<state::GatewayState>,
     plan: &call_plan::CallPlan,
 ) -> Option<ids::RegionId> {
-    let local_region = &state.settings.region;
     let services = stage_services(plan);
-    let regions = candidate_regions(state, plan, &services);
+    choose_region(state, plan, &services, |region| total_wait(state, plan, &services, region))
+}
+
+/// Returns the region that [`select_region`] would select by the waits that are known, without asking
+/// for newer ones.
+pub fn explain_region(
+    state: &state::GatewayState,
+    plan: &call_plan::CallPlan,
+) -> Option<ids::RegionId> {
+    let services = stage_services(plan);
+    choose_region(state, plan, &services, |region| known_wait(state, plan, &services, region))
+}
+
+fn choose_region<Wait>(
+    state: &state::GatewayState,
+    plan: &call_plan::CallPlan,
+    services: &[ids::ServiceName],
+    wait_in: Wait,
+) -> Option<ids::RegionId>
+where
+    Wait: Fn(&ids::RegionId) -> time::Duration,
+{
+    let local_region = &state.settings.region;
+    let regions = candidate_regions(state, plan, services);
     if !regions.contains(local_region) {
         return regions.into_iter().next();
     }
-    let local_wait = total_wait(state, plan, &services, local_region);
-    if let Some(home) = home_region(state, plan, &services, &regions, local_wait) {
+    let local_wait = wait_in(local_region);
+    if let Some(home) = home_region(state, plan, &regions, local_wait, &wait_in) {
         return Some(home);
     }
     let target = plan.target.saturating_duration_since(plan.arrived);
@@ -26,7 +48,7 @@
         return Some(local_region.clone());
     }
     let others = regions.iter().filter(|region| *region != local_region);
-    let waits = others.map(|region| (total_wait(state, plan, &services, region), region));
+    let waits = others.map(|region| (wait_in(region), region));
     let Some((remote_wait, region)) = waits.min() else { return Some(local_region.clone()) };
     if wait_table::prefers_remote(local_wait, remote_wait, &mut rand::rng()) {
         log::info!(request = plan.call.request.as_ref(), region = region.as_ref(),
@@ -39,13 +61,16 @@
 
 /// Returns the home of the request's prompt if it should run there, in another region than this
 /// node's: long parts of prompts are read in one region only.
-fn home_region(
-    state: &sync::Arc<state::GatewayState>,
+fn home_region<Wait>(
+    state: &state::GatewayState,
     plan: &call_plan::CallPlan,
-    services: &[ids::ServiceName],
     regions: &[ids::RegionId],
     local_wait: time::Duration,
-) -> Option<ids::RegionId> {
+    wait_in: &Wait,
+) -> Option<ids::RegionId>
+where
+    Wait: Fn(&ids::RegionId) -> time::Duration,
+{
     if !state.places_requests(&plan.service) {
         return None;
     }
@@ -57,7 +82,7 @@
     if !prompt_home::prefers_home(tokens, time::Duration::ZERO, time::Duration::ZERO) {
         return None;
     }
-    let home_wait = total_wait(state, plan, services, home);
+    let home_wait = wait_in(home);
     if !prompt_home::prefers_home(tokens, local_wait, home_wait) {
         return None;
     }
@@ -125,6 +150,17 @@
             refresh_waits(state, service.clone(), region.clone());
         }
     }
+    known_wait(state, plan, services, region)
+}
+
+/// Returns the sum of the waits that are known of a request's stages in a region.
+fn known_wait(
+    state: &state::GatewayState,
+    plan: &call_plan::CallPlan,
+    services: &[ids::ServiceName],
+    region: &ids::RegionId,
+) -> time::Duration {
+    let now = time::Instant::now();
     let table = state.waits.lock();
     let cached = |service| table.wait(service, region, plan.priority(), now);
     services.iter().filter_map(cached).sum()
--- a/crates/comfreyspread/src/membership/peer.rs
+++ b/crates/comfreyspread/src/membership/peer.rs
@@ -53,6 +53,7 @@
     HeartbeatReply,
     PieceReply,
     PieceRequest,
+    PlacementCosts,
     PlacementNotice,
     PlacementReceipt,
     PlacementReply,
--- a/crates/comfreyspread/src/operations/command.rs
+++ b/crates/comfreyspread/src/operations/command.rs
@@ -3,7 +3,8 @@
 use crate::{
     gateway,
     operations::{
-        declaration_commands, maintenance_commands, operator_error, rollout_command, state_commands,
+        declaration_commands, explain_command, maintenance_commands, operator_error,
+        rollout_command, state_commands,
     },
     runtime::{logging, node, settings},
 };
@@ -28,6 +29,7 @@
     Claims(state_commands::ClaimsArguments),
     Diff(declaration_commands::DiffArguments),
     Dump(state_commands::DumpArguments),
+    Explain(explain_command::ExplainArguments),
     Gateway(gateway::process::GatewayArguments),
     Node(Box<schema_settings::NodeFlags>),
     Rollouts(rollout_command::RolloutsArguments),
@@ -61,6 +63,7 @@
             Subcommand::Claims(arguments) => async_io::block_on(arguments.run()),
             Subcommand::Diff(arguments) => async_io::block_on(arguments.run()),
             Subcommand::Dump(arguments) => async_io::block_on(arguments.run()),
+            Subcommand::Explain(arguments) => async_io::block_on(arguments.run()),
             Subcommand::Gateway(arguments) => {
                 return report_result(arguments.run(&environment()));
             }
--- a/crates/comfreyspread/src/operations/mod.rs
+++ b/crates/comfreyspread/src/operations/mod.rs
@@ -3,6 +3,7 @@
 pub mod command;
 pub mod declaration_commands;
 pub mod dump;
+pub mod explain_command;
 pub mod maintenance_commands;
 pub mod operator_api;
 pub mod operator_client;
--- a/crates/comfreyspread/src/operations/operator_api.rs
+++ b/crates/comfreyspread/src/operations/operator_api.rs
@@ -30,6 +30,9 @@
 /// Path of the full state of this process.
 pub const DUMP_PATH: &str = "/operator/dump";
 
+/// Path that explains where a request would go, whose head is the body; served on the users' platform
+/// only.
+pub const EXPLAIN_PATH: &str = "/operator/explain";
 /// Path of the roll-outs that the node knows, served on the users' platform only.
 pub const ROLLOUTS_PATH: &str = "/operator/rollouts";
 
@@ -212,7 +215,8 @@
     front::json(status, outcome)
 }
 
-fn problem(kind: types::ProblemKind, detail: &str) -> http_message::Response {
+/// Returns the response to an operator's request that failed.
+pub fn problem(kind: types::ProblemKind, detail: &str) -> http_message::Response {
     front::problem_response(&failure::CallFailure::new(kind, detail), &"".into())
 }
 
--- a/crates/comfreyspread/src/operations/operator_client.rs
+++ b/crates/comfreyspread/src/operations/operator_client.rs
@@ -83,6 +83,25 @@
         self.decode(&response)
     }
 
+    /// Returns where a request with this head would go.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the node does not answer, or cannot read the head.
+    pub async fn explain(
+        &self,
+        head: &str,
+    ) -> Result<types::RequestExplanation, operator_error::OperatorError> {
+        let mut request = self.request(Method::POST, operator_api::EXPLAIN_PATH)?;
+        request.set_body(head.to_owned());
+        let deadline = time::Instant::now() + RESPONSE_TIMEOUT;
+        let connection = http_client::ConnectionUse::Fresh;
+        let response =
+            self.client.call(self.socket_address()?, request, connection, deadline).await;
+        let response = response.map_err(|failure| self.unreachable(failure.detail()))?;
+        self.decode(&response)
+    }
+
     /// Returns the claims whose outcome is unknown.
     ///
     /// # Errors
