--- a/crates/comfreyspread-policy/src/rollout_decider.rs
+++ b/crates/comfreyspread-policy/src/rollout_decider.rs
@@ -163,10 +163,7 @@
         input: &DecisionInput<'_>,
     ) -> Option<rollout_state::StoredRollout> {
         use rollout_state::StoredRollout as Stored;
-        let stored = Stored::Observing(rollout);
-        let record = stored.into_record();
-        let duration = record.duration;
-        let Stored::Observing(rollout) = Stored::from_record(record) else { return None };
+        let duration = rollout.record().duration;
         let has_capacity = input.capacity.has_room();
         if *judgement == rollout_judgement::VersionJudgement::Good
             && has_capacity
@@ -202,13 +199,8 @@
             self.stepped_at = Some(input.now);
             return Some(Stored::Moving(rollout.move_all()));
         }
-        let stored = Stored::Moving(rollout);
-        let record = stored.into_record();
-        if !self.is_idle(record.revision, input) {
-            return None;
-        }
-        let Stored::Moving(rollout) = Stored::from_record(record) else { return None };
-        Some(Stored::Done(rollout.finish()))
+        let is_idle = self.is_idle(rollout.record().revision, input);
+        is_idle.then(|| Stored::Done(rollout.finish()))
     }
 
     /// Judges all answers, and those of late alone; the worse judgement counts.
--- a/crates/comfreyspread-policy/src/rollout_judgement.rs
+++ b/crates/comfreyspread-policy/src/rollout_judgement.rs
@@ -121,48 +121,23 @@
     is_spread: bool,
     rules: &JudgementRules,
 ) -> VersionJudgement {
-    let empty = types::VersionCounts {
-        answers: 0,
-        broken: 0,
-        failures: 0,
-        gaps: Vec::new(),
-        new: true,
-        route: route.clone(),
-        times: Vec::new(),
-    };
+    let empty = version_evidence::empty_counts(route, true);
     let new = evidence.of_route(route, true).unwrap_or(&empty);
     let old = evidence.of_route(route, false).unwrap_or(&empty);
-    let measures = [
-        ("failures", failure_sample(new, old), 0.0),
-        ("broken answers", broken_sample(new, old), BROKEN_MARGIN),
-        (
-            "slow answers",
-            slow_sample(&new.times, &old.times, answer_factor(new, rules)),
-            SLOW_MARGIN,
-        ),
-        ("slow events", slow_sample(&new.gaps, &old.gaps, rules.slow_factor), SLOW_MARGIN),
-    ];
     let mut doubt = None;
-    for (name, sample, margin) in measures {
-        let reason = || {
-            let RateSample { count, total, compared, .. } = sample;
-            ids::Text::from(format!(
-                "{name} on {route}: {count} of {total}, {:.1} in 100 of the others'",
-                compared * 100.0
-            ))
-        };
-        let needs_spread = name.starts_with("fail") || name.starts_with("broken");
-        if needs_spread && !is_spread {
+    for measure in measures(new, old, rules) {
+        if measure.needs_spread && !is_spread {
             continue;
         }
-        if sample.is_above(PROOF_MARGIN + margin, PROOF_LEVEL) {
-            return VersionJudgement::Bad(reason());
+        let reason = measure.reason(route);
+        if measure.sample.is_above(PROOF_MARGIN + measure.margin, PROOF_LEVEL) {
+            return VersionJudgement::Bad(reason);
         }
-        if sample.is_above(DOUBT_MARGIN + margin, DOUBT_LEVEL) {
-            if name == "failures" && sample.count >= MAX_DOUBTED_FAILURES {
-                return VersionJudgement::Bad(reason());
+        if measure.sample.is_above(DOUBT_MARGIN + measure.margin, DOUBT_LEVEL) {
+            if measure.max_doubted.is_some_and(|most| measure.sample.count >= most) {
+                return VersionJudgement::Bad(reason);
             }
-            doubt.get_or_insert_with(reason);
+            doubt.get_or_insert(reason);
         }
     }
     if let Some(reason) = doubt {
@@ -175,6 +150,52 @@
     VersionJudgement::Good
 }
 
+/// One way in which a version may be worse.
+#[derive(Clone, Copy, Debug)]
+struct VersionMeasure {
+    name: &'static str,
+    sample: RateSample,
+    /// Rate beside the usual margin by which the version may exceed the other.
+    margin: f64,
+    /// Whether it counts only if it is spread over endpoints.
+    needs_spread: bool,
+    /// Count from which on a doubt is enough.
+    max_doubted: Option<u64>,
+}
+
+impl VersionMeasure {
+    fn reason(&self, route: &ids::Text) -> ids::Text {
+        let RateSample { count, total, compared } = self.sample;
+        let percent = compared * 100.0;
+        let name = self.name;
+        format!("{name} on {route}: {count} of {total}, {percent:.1} in 100 of the others'").into()
+    }
+}
+
+fn measures(
+    new: &types::VersionCounts,
+    old: &types::VersionCounts,
+    rules: &JudgementRules,
+) -> [VersionMeasure; 4] {
+    let times = slow_sample(&new.times, &old.times, answer_factor(new, rules));
+    let gaps = slow_sample(&new.gaps, &old.gaps, rules.slow_factor);
+    let measure = |name, sample, margin| VersionMeasure {
+        name,
+        sample,
+        margin,
+        needs_spread: false,
+        max_doubted: None,
+    };
+    let failures = measure("failures", failure_sample(new, old), 0.0);
+    let broken = measure("broken answers", broken_sample(new, old), BROKEN_MARGIN);
+    [
+        VersionMeasure { needs_spread: true, max_doubted: Some(MAX_DOUBTED_FAILURES), ..failures },
+        VersionMeasure { needs_spread: true, ..broken },
+        measure("slow answers", times, SLOW_MARGIN),
+        measure("slow events", gaps, SLOW_MARGIN),
+    ]
+}
+
 /// Returns the factor on the time to an answer. Only streams have gaps between events; their time is
 /// that to the first event.
 fn answer_factor(new: &types::VersionCounts, rules: &JudgementRules) -> f64 {
--- a/crates/comfreyspread-policy/src/rollout_state.rs
+++ b/crates/comfreyspread-policy/src/rollout_state.rs
@@ -101,6 +101,14 @@
     }
 }
 
+impl<Phase> Rollout<Phase> {
+    /// Returns the record of the state.
+    pub fn record(&self) -> &types::RolloutRecord {
+        let _ = &self.phase;
+        &self.record
+    }
+}
+
 /// A phase in which a roll-out is not decided.
 pub trait OpenPhase {}
 
--- a/crates/comfreyspread-policy/src/version_evidence.rs
+++ b/crates/comfreyspread-policy/src/version_evidence.rs
@@ -159,7 +159,8 @@
     buckets.iter().skip(first).map(|count| u64::from(*count)).sum()
 }
 
-fn empty_counts(route: &ids::Text, is_new: bool) -> types::VersionCounts {
+/// Returns the counts of a version without answers on a route.
+pub(crate) fn empty_counts(route: &ids::Text, is_new: bool) -> types::VersionCounts {
     types::VersionCounts {
         answers: 0,
         broken: 0,
--- a/crates/comfreyspread/src/gateway/call_plan.rs
+++ b/crates/comfreyspread/src/gateway/call_plan.rs
@@ -50,7 +50,7 @@
 }
 
 /// Reason why a request is rejected before its first attempt.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub enum PlanError {
     /// The node has not loaded any routes yet.
     NotInformed,
--- a/crates/comfreyspread/src/gateway/placement/placement_news.rs
+++ b/crates/comfreyspread/src/gateway/placement/placement_news.rs
@@ -3,7 +3,7 @@
 use crate::gateway::{batcher, state};
 use comfreyspread_schema::{ids, types};
 use indexmap::IndexMap;
-use std::{mem, sync, time};
+use std::{fmt, mem, sync, time};
 
 /// Events kept for a node that does not reply; later ones are dropped, and the node counts down by
 /// time.
@@ -89,8 +89,8 @@
     gap: Option<time::Duration>,
 }
 
-impl std::fmt::Debug for PlacementTicket {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+impl fmt::Debug for PlacementTicket {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.debug_struct("PlacementTicket").field("number", &self.number).finish()
     }
 }
