Let requests whose bodies do not come make room, too

Connections that had sent a head counted as served, so none of those that sent bodies without end made room, and their bodies used up the budget.

Change: a connection makes room until its first request is whole, body included. Bodies of up to 8 KiB need no budget; once three quarters of it are used, the oldest request without its whole body gets 503 for a new one. The test's crowds and bounds are as they were.

--- a/crates/comfreyspread/src/gateway/process.rs
+++ b/crates/comfreyspread/src/gateway/process.rs
@@ -33,7 +33,7 @@
 /// Maximum bytes of bodies, and of unfinished heads, on the addresses for these.
 const ADMIN_BUDGET_BYTES: usize = 1024 * 1024;
 /// Part of the memory, as a divisor, that bodies on one address may take up.
-const BODY_BUDGET_DIVISOR: u64 = 6;
+const BODY_BUDGET_DIVISOR: u64 = 8;
 /// Part of the memory, as a divisor, that unfinished heads on one address may take up.
 const HEAD_BUDGET_DIVISOR: u64 = 32;
 /// Minimum of both, so that a single request within the limits is served on any machine.
--- a/crates/comfreyspread/src/transport/body.rs
+++ b/crates/comfreyspread/src/transport/body.rs
@@ -41,6 +41,11 @@
         Self { limit, used: atomic::AtomicUsize::new(0) }
     }
 
+    /// Whether most of the budget is reserved, so that unfinished bodies should make room.
+    pub fn is_short(&self) -> bool {
+        self.used() >= self.limit / 4 * 3
+    }
+
     /// Returns the number of reserved bytes.
     pub fn used(&self) -> usize {
         self.used.load(atomic::Ordering::Relaxed)
--- a/crates/comfreyspread/src/transport/fresh_connections.rs
+++ b/crates/comfreyspread/src/transport/fresh_connections.rs
@@ -1,6 +1,6 @@
-//! Connections that have not sent a whole request yet. When no more connections may be open, the
-//! oldest of them is closed for a new one: clients that open connections and send nothing would
-//! otherwise keep all others out.
+//! Connections that have not sent a whole request yet, and requests whose bodies are not complete. When
+//! no more connections may be open, or bodies have used up most of their budget, the oldest is closed
+//! for a new one: clients that begin and do not go on would otherwise keep all others out.
 
 use crate::runtime::lock_rank;
 use indexmap::IndexMap;
--- a/crates/comfreyspread/src/transport/http_server.rs
+++ b/crates/comfreyspread/src/transport/http_server.rs
@@ -15,6 +15,9 @@
 use hyper::{server::conn::http1, service};
 use std::{convert, net, pin, sync, time};
 
+/// Bytes of each body that need no budget, so that small requests are read also while others have used
+/// it up.
+const EXEMPT_BODY_BYTES: usize = 8192;
 const BUSY_RESPONSE: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\ncomfreyspread-verdict: not-run\r\n\
 retry-after: 1\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
@@ -100,7 +103,8 @@
 pub enum CloseCause {
     /// Its head was too long, took too long, or found the budget for all heads used up.
     Head,
-    /// No more connections may be open, and it had sent no whole request.
+    /// No more connections may be open, or bodies have used up most of their budget, and it had sent
+    /// no whole request.
     Displaced,
     /// No more connections may be open, and all others had sent a whole request.
     Full,
@@ -159,6 +163,8 @@
     budget: sync::Arc<body::BodyBudget>,
     head_budget: sync::Arc<body::BodyBudget>,
     fresh: sync::Arc<fresh_connections::FreshConnections>,
+    /// Requests whose bodies are not complete.
+    unfinished: sync::Arc<fresh_connections::FreshConnections>,
     listener: async_net::TcpListener,
     spawner: worker::TaskSpawner,
     /// Loops that accept connections.
@@ -226,6 +232,7 @@
             budget,
             head_budget,
             fresh: sync::Arc::default(),
+            unfinished: sync::Arc::default(),
             listener,
             spawner,
             accepting: sync::Arc::default(),
@@ -304,6 +311,7 @@
         let displaced = open >= self.limits.connection_limit && self.fresh.close_oldest();
         let connection = ServerConnection {
             fresh: self.fresh.add(),
+            unfinished: self.unfinished.clone(),
             head_budget: self.head_budget.clone(),
             handler: self.handler.clone(),
             limits: self.limits,
@@ -333,6 +341,7 @@
     budget: sync::Arc<body::BodyBudget>,
     head_budget: sync::Arc<body::BodyBudget>,
     fresh: fresh_connections::FreshConnection,
+    unfinished: sync::Arc<fresh_connections::FreshConnections>,
     stream: TcpStream,
     shutdown_receiver: async_channel::Receiver<()>,
     _guard: activity_counter::ActivityGuard,
@@ -395,7 +404,6 @@
         let service = service::service_fn(|request| async {
             handled.set();
             phase.start_request();
-            self.fresh.record_request();
             let response = self.respond(request).await;
             phase.end_request();
             Ok::<_, convert::Infallible>(response.into_http())
@@ -433,10 +441,12 @@
         request: http::Request<hyper::body::Incoming>,
     ) -> http_message::Response {
         let (head, incoming) = request.into_parts();
-        let mut reservation = body::BodyReservation::new(self.budget.clone());
+        let reservation = body::BodyReservation::new(self.budget.clone());
+        let mut reservation = reservation.with_exempt(EXEMPT_BODY_BYTES);
         let monitor = connection_monitor::ConnectionMonitor::new(self.stream.clone());
         let mut response = match self.read_body(incoming, &mut reservation).await {
             Ok(body) => {
+                self.fresh.record_request();
                 let connection = monitor.clone();
                 let request = ServerRequest { head, body, connection, _reservation: reservation };
                 let handled = supervisor::run_caught(self.handler.handle(request)).await;
@@ -456,6 +466,10 @@
         incoming: hyper::body::Incoming,
         reservation: &mut body::BodyReservation,
     ) -> Result<bytes::Bytes, RequestError> {
+        if self.budget.is_short() && self.unfinished.close_oldest() {
+            self.handler.record_closed(CloseCause::Displaced);
+        }
+        let unfinished = self.unfinished.add();
         let length = hyper::body::Body::size_hint(&incoming).exact();
         let mut body = http_body::MessageBody::from_source(incoming, length);
         let read = async {
@@ -466,7 +480,11 @@
             deadline::DeadlineTimer::after(self.limits.body_timeout).await;
             Err(RequestError::Slow)
         };
-        read.or(timed_out).await
+        let displaced = async {
+            unfinished.closed().await;
+            Err(RequestError::Busy)
+        };
+        read.or(timed_out).or(displaced).await
     }
 
     /// Sends the response to a request whose head could not be read.
