Charge all bodies to their budget again

Cause: exempting 8 KiB of each body let invalid_requests::body_budget read sixteen bodies beyond the budget that it sets. The room that unfinished requests make is enough without it.

--- a/crates/comfreyspread/src/transport/http_server.rs
+++ b/crates/comfreyspread/src/transport/http_server.rs
@@ -15,9 +15,6 @@
 use hyper::{server::conn::http1, service};
 use std::{convert, net, pin, sync, time};
 
-/// Bytes of each body that need no budget, so that small requests are read also while others have used
-/// it up.
-const EXEMPT_BODY_BYTES: usize = 8192;
 const BUSY_RESPONSE: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\ncomfreyspread-verdict: not-run\r\n\
 retry-after: 1\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
@@ -441,8 +438,7 @@
         request: http::Request<hyper::body::Incoming>,
     ) -> http_message::Response {
         let (head, incoming) = request.into_parts();
-        let reservation = body::BodyReservation::new(self.budget.clone());
-        let mut reservation = reservation.with_exempt(EXEMPT_BODY_BYTES);
+        let mut reservation = body::BodyReservation::new(self.budget.clone());
         let monitor = connection_monitor::ConnectionMonitor::new(self.stream.clone());
         let mut response = match self.read_body(incoming, &mut reservation).await {
             Ok(body) => {
