--- a/crates/comfreyspread-policy/src/endpoint_selection.rs
+++ b/crates/comfreyspread-policy/src/endpoint_selection.rs
@@ -115,8 +115,7 @@
 
     /// Returns the endpoint to send the request to.
     pub fn choose(&self) -> Option<&'selection directory_endpoint::DirectoryEndpoint> {
-        let ranked = self.of_service().filter_map(|one| Some((self.examine(one).ok()?, one)));
-        let ranked = self.of_version(ranked.collect());
+        let ranked = self.of_version(self.ranked());
         if let Some(placed) = self.query.placed
             && let Some((_, endpoint)) = ranked.iter().find(|(tier, endpoint)| {
                 *tier <= EndpointTier::Cold && endpoint.registration.endpoint == *placed
@@ -124,9 +123,7 @@
         {
             return Some(endpoint);
         }
-        let best = ranked.iter().map(|(tier, _)| *tier).min()?;
-        let candidates = ranked.into_iter().filter(|(tier, _)| *tier == best);
-        self.best(&candidates.map(|(_, endpoint)| endpoint).collect::<Vec<_>>())
+        self.best(&best_tier(ranked))
     }
 
     /// Returns each endpoint of the service, and the reason that excludes it, if there is one.
@@ -141,12 +138,12 @@
     pub fn candidates(
         &self,
     ) -> impl Iterator<Item = &'selection directory_endpoint::DirectoryEndpoint> {
-        let ranked = self.of_service().filter_map(|one| Some((self.examine(one).ok()?, one)));
-        let ranked: Vec<_> = ranked.collect();
-        let best = ranked.iter().map(|(tier, _)| *tier).min();
-        let of_tier = ranked.into_iter().filter(|(tier, _)| Some(*tier) == best);
-        let endpoints: Vec<_> = of_tier.map(|(_, endpoint)| endpoint).collect();
-        self.of_region(&endpoints).into_iter()
+        self.of_region(&best_tier(self.ranked())).into_iter()
+    }
+
+    /// Returns the endpoints of the service that nothing excludes, with their tiers.
+    fn ranked(&self) -> Vec<(EndpointTier, &'selection directory_endpoint::DirectoryEndpoint)> {
+        self.of_service().filter_map(|one| Some((self.examine(one).ok()?, one))).collect()
     }
 
     /// Returns the endpoints of the preferred region; all if there are none.
@@ -325,6 +322,15 @@
     }
 }
 
+/// Returns the endpoints of the best tier among them.
+fn best_tier(
+    ranked: Vec<(EndpointTier, &directory_endpoint::DirectoryEndpoint)>,
+) -> Vec<&directory_endpoint::DirectoryEndpoint> {
+    let best = ranked.iter().map(|(tier, _)| *tier).min();
+    let of_tier = ranked.into_iter().filter(|(tier, _)| Some(*tier) == best);
+    of_tier.map(|(_, endpoint)| endpoint).collect()
+}
+
 /// Returns the endpoints of the version under roll-out that get requests, among the endpoints of its
 /// service in one region: as few as bear the load of the others. All nodes choose the same ones.
 pub(crate) fn canaries<'directory>(
--- a/crates/comfreyspread/src/gateway/call_plan.rs
+++ b/crates/comfreyspread/src/gateway/call_plan.rs
@@ -325,16 +325,19 @@
     /// run by an engine.
     pub fn prefix(&self) -> Option<ids::PrefixHash> {
         self.service.engine.as_ref()?;
-        let parts = &self.call.prompt_parts;
-        let shared = parts.len().checked_sub(2).and_then(|index| parts.get(index));
-        shared.or_else(|| parts.last()).map(|part| xxh3::xxh3_64(part.part.as_bytes()))
+        let part = self.shared_part().or_else(|| self.call.prompt_parts.last())?;
+        Some(xxh3::xxh3_64(part.part.as_bytes()))
     }
 
     /// Returns the tokens of the last prompt part that other requests may share.
     pub fn shared_part_tokens(&self) -> u32 {
+        self.shared_part().map_or(0, |part| part.tokens)
+    }
+
+    /// Returns the last prompt part but one: the last part is specific to the request.
+    fn shared_part(&self) -> Option<&types::PromptPart> {
         let parts = &self.call.prompt_parts;
-        let shared = parts.len().checked_sub(2).and_then(|index| parts.get(index));
-        shared.map_or(0, |part| part.tokens)
+        parts.len().checked_sub(2).and_then(|index| parts.get(index))
     }
 
     /// Returns the failure of a request that has not run, with a retry delay.
--- a/crates/comfreyspread/src/gateway/piece_dispatch.rs
+++ b/crates/comfreyspread/src/gateway/piece_dispatch.rs
@@ -218,20 +218,12 @@
 
     /// Refuses pieces for a region that is not of the deployment: its queue and task would last as
     /// long as the process.
-    fn check_region(&self, region: &ids::RegionId) -> Result<(), failure::CallFailure> {
-        if self.state.regions.contains(region) {
-            return Ok(());
-        }
-        let detail = format!("region {region} is unknown");
-        Err(failure::CallFailure::new(types::ProblemKind::BadRequest, detail))
-    }
-
     async fn run(
         &self,
         request: &http_server::ServerRequest,
     ) -> Result<http_message::Response, failure::CallFailure> {
         let message: types::PieceRequest = peer::decode_message(&self.state.context, request)?;
-        self.check_region(&message.region)?;
+        self.state.check_region(&message.region)?;
         let now = time::Instant::now();
         let group = piece_group::PieceGroup {
             tasks: message.tasks,
--- a/crates/comfreyspread/src/gateway/placement/placement_board.rs
+++ b/crates/comfreyspread/src/gateway/placement/placement_board.rs
@@ -118,7 +118,7 @@
     request: &http_server::ServerRequest,
 ) -> Result<http_message::Response, failure::CallFailure> {
     let message: types::PlacementRequest = peer::decode_message(&state.context, request)?;
-    check_region(state, &message.region)?;
+    state.check_region(&message.region)?;
     let header = state.context.peer_header();
     peer::encode_reply(&types::PlacementCosts { costs: costs(state, &message), header })
 }
@@ -139,7 +139,7 @@
     request: &http_server::ServerRequest,
 ) -> Result<http_message::Response, failure::CallFailure> {
     let message: types::PlacementRequest = peer::decode_message(&state.context, request)?;
-    check_region(state, &message.region)?;
+    state.check_region(&message.region)?;
     peer::encode_reply(&place(state, message))
 }
 
@@ -153,22 +153,11 @@
     request: &http_server::ServerRequest,
 ) -> Result<http_message::Response, failure::CallFailure> {
     let message: types::PlacementNotice = peer::decode_message(&state.context, request)?;
-    check_region(state, &message.region)?;
+    state.check_region(&message.region)?;
     apply_notice(state, message);
     peer::encode_reply(&types::PlacementReceipt { header: state.context.peer_header() })
 }
 
-fn check_region(
-    state: &state::GatewayState,
-    region: &ids::RegionId,
-) -> Result<(), failure::CallFailure> {
-    if state.regions.contains(region) {
-        return Ok(());
-    }
-    let detail = format!("region {region} is unknown");
-    Err(failure::CallFailure::new(types::ProblemKind::BadRequest, detail))
-}
-
 /// Returns the engines that may get a request. What excludes an endpoint is decided where the sender
 /// decides it, too.
 fn candidates(
--- a/crates/comfreyspread/src/gateway/placement/placement_client.rs
+++ b/crates/comfreyspread/src/gateway/placement/placement_client.rs
@@ -9,9 +9,7 @@
     membership::peer,
     transport::http_client,
 };
-use comfreyspread_platform::piece_call;
 use comfreyspread_schema::{ids, types};
-use indexmap::IndexMap;
 use std::{net, sync, time};
 use xxhash_rust::xxh3;
 
@@ -72,7 +70,8 @@
         batcher::BatchScope { service: plan.service.name.clone(), region: input.region.clone() };
     let number = state.placements.lock().next_number();
     let demand = demand(plan, number);
-    let zone = input_zone(state, input.inputs);
+    let zone = state.zone_of_most(input.inputs);
+    let zone = zone.unwrap_or_else(|| state.settings.zone.clone());
     for _ in 0..MAX_PLACING_NODES {
         let (node, address) = state.placing_node(&scope);
         let news = state.placements.lock().take_news(&scope, &node);
@@ -223,15 +222,3 @@
     };
     parts.iter().map(place).collect()
 }
-
-/// Returns the availability zone of most inputs; that of this node if there are none.
-fn input_zone(state: &state::GatewayState, inputs: &[ids::ResultHandle]) -> ids::ZoneId {
-    let directory = state.directory.lock();
-    let mut zones = IndexMap::<ids::ZoneId, usize>::new();
-    let producers = inputs.iter().filter_map(piece_call::producer_address);
-    for zone in producers.filter_map(|producer| directory.zone_at(producer)) {
-        *zones.entry(zone.clone()).or_default() += 1;
-    }
-    let most = zones.into_iter().max_by_key(|(_, count)| *count);
-    most.map_or_else(|| state.settings.zone.clone(), |(zone, _)| zone)
-}
--- a/crates/comfreyspread/src/gateway/rollout/evidence.rs
+++ b/crates/comfreyspread/src/gateway/rollout/evidence.rs
@@ -49,8 +49,9 @@
         batch_outcome::BatchOutcome::Failed => version_evidence::RequestEnd::Broken,
         batch_outcome::BatchOutcome::Full | batch_outcome::BatchOutcome::Gone => return,
     };
-    let service = state.routes().service(&scope.service).cloned();
-    let capacity = service.as_ref().and_then(|rule| rule.stage_capacity.as_ref());
+    let routes = state.routes();
+    let rule = routes.service(&scope.service);
+    let capacity = rule.and_then(|rule| rule.stage_capacity.as_ref());
     let pieces = u32::try_from(call.tasks.len()).unwrap_or(u32::MAX);
     let usual = capacity.map(|capacity| batch_call::call_time(capacity, pieces));
     let answer = usual.filter(|usual| !usual.is_zero()).map(|usual| relative_time(took, usual));
--- a/crates/comfreyspread/src/gateway/stage_execution.rs
+++ b/crates/comfreyspread/src/gateway/stage_execution.rs
@@ -2,12 +2,10 @@
 
 use super::{call_plan, caller_handler, piece_dispatch, region_selector, state};
 use crate::transport::failure;
-use comfreyspread_platform::piece_call;
 use comfreyspread_policy::{batch_call, first_event, piece_group, stage_graph};
 use comfreyspread_schema::{ids, types};
 use futures_lite::{FutureExt as _, StreamExt as _};
 use futures_util::stream::FuturesUnordered;
-use indexmap::IndexMap;
 use rand::Rng as _;
 use std::{sync, time};
 
@@ -228,18 +226,13 @@
     /// Returns the preferred availability zone for a stage: that of most of its inputs, or without
     /// inputs that of the endpoint most likely to run the request.
     fn zone_for(&self, plan: &call_plan::CallPlan, stage: usize) -> Option<ids::ZoneId> {
-        let now = time::Instant::now();
-        let directory = self.state.directory.lock();
         let inputs = self.graph.inputs(stage);
         if inputs.is_empty() {
+            let now = time::Instant::now();
+            let directory = self.state.directory.lock();
             return directory.affinity_zone(&plan.service.name, &self.region, plan.prefix()?, now);
         }
-        let mut zones = IndexMap::<ids::ZoneId, usize>::new();
-        let producers = inputs.iter().filter_map(piece_call::producer_address);
-        for zone in producers.filter_map(|producer| directory.zone_at(producer)) {
-            *zones.entry(zone.clone()).or_default() += 1;
-        }
-        zones.into_iter().max_by_key(|(_, count)| *count).map(|(zone, _)| zone)
+        self.state.zone_of_most(&inputs)
     }
 
     /// Returns the time at which the first input of a stage expires.
--- a/crates/comfreyspread/src/gateway/state.rs
+++ b/crates/comfreyspread/src/gateway/state.rs
@@ -2,13 +2,15 @@
 
 use crate::{
     runtime::{context, lock_rank},
-    transport::http_client,
+    transport::{failure, http_client},
 };
+use comfreyspread_platform::piece_call;
 use comfreyspread_policy::{
     endpoint_directory, first_event, peer_health, rendezvous, rollout_table, route_table,
     service_retry_budget, wait_table,
 };
 use comfreyspread_schema::{ids, types};
+use indexmap::IndexMap;
 use std::{fmt, net, sync, sync::atomic, time};
 
 use super::{
@@ -139,6 +141,31 @@
         self.routes.lock().clone()
     }
 
+    /// Checks the region that a node names in a message.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the deployment does not have the region.
+    pub fn check_region(&self, region: &ids::RegionId) -> Result<(), failure::CallFailure> {
+        if self.regions.contains(region) {
+            return Ok(());
+        }
+        let detail = format!("region {region} is unknown");
+        Err(failure::CallFailure::new(types::ProblemKind::BadRequest, detail))
+    }
+
+    /// Returns the availability zone where most of the results are stored; `None` if it is not known
+    /// of any.
+    pub fn zone_of_most(&self, results: &[ids::ResultHandle]) -> Option<ids::ZoneId> {
+        let directory = self.directory.lock();
+        let mut zones = IndexMap::<ids::ZoneId, usize>::new();
+        let producers = results.iter().filter_map(piece_call::producer_address);
+        for zone in producers.filter_map(|producer| directory.zone_at(producer)) {
+            *zones.entry(zone.clone()).or_default() += 1;
+        }
+        zones.into_iter().max_by_key(|(_, count)| *count).map(|(zone, _)| zone)
+    }
+
     /// Returns whether the node accepts new requests.
     pub fn is_ready(&self) -> bool {
         self.context.tables.phase() == types::NodePhase::Serving && self.is_loaded()
