review: a program does not start with an empty key in its settings

Cause: a key of the settings that is there without a value is parsed as a number and fails the whole file, although keys that the pages do not explain may be empty.

--- a/review/stand-2/fleet.rs
+++ b/review/stand-2/fleet.rs
@@ -186,6 +186,36 @@
         self.process.wait().ok();
     }
 
+    /// Sends the process a signal by its name.
+    pub fn signal(&self, name: &str) -> io::Result<()> {
+        Command::new("kill").arg(format!("-{name}")).arg(self.process.id().to_string()).status()?;
+        Ok(())
+    }
+
+    /// Waits until the process has ended; false if it runs on for `limit`.
+    pub fn wait_end(&mut self, limit: time::Duration) -> bool {
+        let until = time::Instant::now() + limit;
+        while time::Instant::now() < until {
+            if !self.is_alive() {
+                return true;
+            }
+            thread::sleep(time::Duration::from_millis(20));
+        }
+        false
+    }
+
+    /// Adds lines to the settings file.
+    pub fn add_settings(&self, lines: &str) -> io::Result<()> {
+        let text = fs::read_to_string(&self.settings)?;
+        fs::write(&self.settings, format!("{text}{lines}"))
+    }
+
+    /// Returns the last line that the process has logged.
+    pub fn last_line(&self) -> String {
+        let log = fs::read_to_string(self.settings.with_extension("log")).unwrap_or_default();
+        log.lines().rfind(|line| !line.trim().is_empty()).unwrap_or("").trim().to_owned()
+    }
+
     /// Returns the memory that the process has in use, in bytes; zero if it has ended.
     pub fn memory(&self) -> u64 {
         let status = fs::read_to_string(format!("/proc/{}/status", self.process.id()));
