review: event streams without an end to any event exhaust the memory

Cause: the unfinished event of each stream may take 4 MiB, and no budget bounds the sum.

The watching platform is shared with case 6 now.

--- a/review/stand-2/events.rs
+++ b/review/stand-2/events.rs
@@ -6,7 +6,6 @@
 mod fleet;
 #[allow(dead_code)]
 mod net;
-#[allow(dead_code)]
 mod platform;
 
 use std::{
@@ -25,14 +24,12 @@
 /// Memory of a machine of the site, and its descriptors.
 const MEMORY_MB: u64 = 260;
 const MAX_FDS: usize = 4100;
-/// Engines of the site, and how many of them are in trouble.
+/// Engines of the site.
 const ENGINES: usize = 9;
-const FAULTY: usize = 5;
-/// Of the requests of an engine in trouble, so many in a hundred get bytes without end.
-const SPOILED: u64 = 45;
-/// Bytes that such a stream sends as fast as they are taken; then some more now and then, without end.
+/// Bytes that an engine in trouble sends as fast as they are taken; then it sends one now and then,
+/// without end.
 const FAST_BYTES: usize = 3_900_000;
-const WATCH: time::Duration = time::Duration::from_secs(80);
+const WATCH: time::Duration = time::Duration::from_secs(45);
 
 /// The streams of the sheet: path, requests a second at all machines, deadline, events, gap between.
 const KINDS: [(&str, f64, u64, usize, u64); 3] = [
@@ -40,8 +37,7 @@
     ("historial", 8.57, 6_000, 6, 40),
     ("consulta", 9.48, 20_000, 70, 40),
 ];
-/// The usual traffic times this, as many users come at once (`burst`); the two machines have all of it.
-const BURST: f64 = 2.0;
+/// The machines, which have all of that.
 const MACHINES: usize = 2;
 
 const CONFIG: &str = r#"{"version":1,"routes":[
@@ -72,10 +68,9 @@
     let (begun, spoiled) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
     for number in 0..ENGINES {
         let id = format!("engine-{number}");
-        let faulty = trouble && number < FAULTY;
         let (own, begun, spoiled) = (id.clone(), begun.clone(), spoiled.clone());
         let address = net::listen("127.0.0.1:0", move |stream| {
-            serve_engine(&own, stream, faulty, &begun, &spoiled).ok();
+            serve_engine(&own, stream, trouble, &begun, &spoiled).ok();
         })?;
         store.put("servers", &id, Some(&format!(
             "{{\"service\":\"engine\",\"address\":\"{address}\",\"zone\":\"a\",\"version\":\"v1\",\
@@ -108,7 +103,7 @@
     seen: &Arc<platform::Seen>,
     stop: &AtomicBool,
 ) {
-    let pause = time::Duration::from_secs_f64(MACHINES as f64 / (rate * BURST));
+    let pause = time::Duration::from_secs_f64(MACHINES as f64 / rate);
     let mut number = 0;
     while !stop.load(Ordering::Relaxed) {
         let seen = seen.clone();
@@ -158,7 +153,7 @@
 fn serve_engine(
     id: &str,
     stream: TcpStream,
-    faulty: bool,
+    trouble: bool,
     begun: &AtomicU64,
     spoiled: &AtomicU64,
 ) -> std::io::Result<()> {
@@ -178,7 +173,7 @@
             request.header("request-id")
         );
         writer.write_all(head.as_bytes())?;
-        if faulty && number * 37 % 100 < SPOILED {
+        if trouble {
             spoiled.fetch_add(1, Ordering::Relaxed);
             return send_without_end(&mut writer);
         }
--- a/review/stand-2/heads.rs
+++ b/review/stand-2/heads.rs
@@ -5,6 +5,8 @@
 mod fleet;
 #[allow(dead_code)]
 mod net;
+#[allow(dead_code)]
+mod platform;
 
 use std::{
     env, fs,
@@ -44,14 +46,7 @@
 }
 
 fn main() -> ExitCode {
-    match run() {
-        Ok(true) => ExitCode::from(1),
-        Ok(false) => ExitCode::SUCCESS,
-        Err(error) => {
-            println!("could not run: {error}");
-            ExitCode::from(2)
-        }
-    }
+    platform::exit_code(run())
 }
 
 fn run() -> std::io::Result<bool> {
--- a/review/stand-2/memory.rs
+++ b/review/stand-2/memory.rs
@@ -6,6 +6,7 @@
 mod fleet;
 #[allow(dead_code)]
 mod net;
+mod platform;
 
 use std::{
     env, fs,
@@ -14,7 +15,7 @@
     path::PathBuf,
     process::ExitCode,
     sync::{
-        Arc, Mutex,
+        Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread, time,
@@ -28,11 +29,7 @@
 const BODY_BYTES: usize = 40_000;
 /// Bytes of the head that follows and does not end, inside `max_header_bytes` (16,384).
 const HEAD_BYTES: usize = 8_000;
-/// Ends of a process on each of two machines that make a day count nothing.
-const ENDS: u64 = 3;
 const WATCH: time::Duration = time::Duration::from_secs(45);
-/// Time after which the platform starts a process again.
-const RESTART_DELAY: time::Duration = time::Duration::from_secs(1);
 
 const CONFIG: &str = r#"{"version":1,"routes":[{"name":"read","host":"h.example","prefix":"/read/",
 "kind":"idempotent","service":"ledger","timeout_ms":1500,"target_latency_ms":300,"priority":2,
@@ -40,26 +37,8 @@
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
 "idle_timeout_ms":15000},"tenants":[{"name":"one","api_keys":["key-1"]}]}"#;
 
-/// What the platform and the consumers see of one machine.
-#[derive(Default)]
-struct Seen {
-    peak: AtomicU64,
-    ends: AtomicU64,
-    served: AtomicU64,
-    cut: AtomicU64,
-    other: AtomicU64,
-    lines: Mutex<Vec<String>>,
-}
-
 fn main() -> ExitCode {
-    match run() {
-        Ok(true) => ExitCode::from(1),
-        Ok(false) => ExitCode::SUCCESS,
-        Err(error) => {
-            println!("could not run: {error}");
-            ExitCode::from(2)
-        }
-    }
+    platform::exit_code(run())
 }
 
 fn run() -> std::io::Result<bool> {
@@ -75,72 +54,25 @@
     store.put("op", "config", Some(CONFIG));
     let extra =
         format!("limits.cpu_share=0.12\nlimits.memory_mb={MEMORY_MB}\nlimits.max_fds={MAX_FDS}\n");
-    let ports = [fleet::Ports::find()?, fleet::Ports::find()?];
-    let stop = Arc::new(AtomicBool::new(false));
-    let started = time::Instant::now();
-    let mut seen = Vec::new();
-    let mut threads = Vec::new();
-    for (number, own) in ports.into_iter().enumerate() {
-        let name = format!("node-{number}");
-        let gateway = fleet::Gateway::start(&name, own, &ports, store_address, &extra, &folder)?;
-        if !gateway.wait_ready(time::Duration::from_secs(15)) {
-            return Err(std::io::Error::other("a gateway did not become ready"));
-        }
-        let one = Arc::new(Seen::default());
-        seen.push(one.clone());
-        let (watched, watch_stop) = (one.clone(), stop.clone());
-        threads.push(thread::spawn(move || watch(gateway, &watched, started, &watch_stop)));
-        let (consumer, consumer_stop) = (one.clone(), stop.clone());
-        threads.push(thread::spawn(move || consume(own.front, &consumer, &consumer_stop)));
+    let mut platform = platform::Platform::start(2, MEMORY_MB, store_address, &extra, &folder)?;
+    for (number, front) in platform.fronts().into_iter().enumerate() {
+        let (seen, stop) = (platform.seen(number), platform.stop());
+        platform.add(thread::spawn(move || consume(front, &seen, &stop)));
         if trouble {
-            let crowd_stop = stop.clone();
-            threads.push(thread::spawn(move || crowd(own.front, &crowd_stop)));
+            let stop = platform.stop();
+            platform.add(thread::spawn(move || crowd(front, &stop)));
         }
     }
-    let is_over = || seen.iter().all(|one| one.ends.load(Ordering::Relaxed) >= ENDS);
-    while started.elapsed() < WATCH && !is_over() {
-        thread::sleep(time::Duration::from_millis(100));
-    }
-    stop.store(true, Ordering::Relaxed);
-    threads.into_iter().for_each(|one| drop(one.join()));
+    let broken = platform.watch(WATCH);
     writeln!(record, "trouble {trouble}; limit {MEMORY_MB} MB a machine")?;
-    for (number, one) in seen.iter().enumerate() {
-        let count = |value: &AtomicU64| value.load(Ordering::Relaxed);
-        for line in one.lines.lock().expect("the lines").iter() {
-            writeln!(record, "node-{number}: {line}")?;
-        }
-        writeln!(record, "node-{number}: peak {} MB, killed for its memory {} times; ordinary requests: \
-            {} served, {} cut off or not answered, {} answered otherwise",
-            count(&one.peak) / (1 << 20), count(&one.ends), count(&one.served), count(&one.cut),
-            count(&one.other))?;
-    }
+    platform.write(&mut record)?;
     writeln!(record, "requests run by the replicas: {}", runs.load(Ordering::Relaxed))?;
-    writeln!(record, "{}", if is_over() { "BROKEN" } else { "held" })?;
-    Ok(is_over())
-}
-
-/// The platform: kills the process of a machine once it exceeds the memory, and starts it again.
-fn watch(mut gateway: fleet::Gateway, seen: &Seen, started: time::Instant, stop: &AtomicBool) {
-    while !stop.load(Ordering::Relaxed) {
-        let memory = gateway.memory();
-        seen.peak.fetch_max(memory, Ordering::Relaxed);
-        if memory > MEMORY_MB * (1 << 20) {
-            gateway.kill();
-            seen.ends.fetch_add(1, Ordering::Relaxed);
-            seen.lines.lock().expect("the lines").push(format!(
-                "{} ms: {} MB in use, killed", started.elapsed().as_millis(), memory / (1 << 20)
-            ));
-            thread::sleep(RESTART_DELAY);
-            if gateway.restart().is_err() {
-                return;
-            }
-        }
-        thread::sleep(time::Duration::from_millis(10));
-    }
+    writeln!(record, "{}", if broken { "BROKEN" } else { "held" })?;
+    Ok(broken)
 }
 
 /// Ordinary consumers: ten requests a second, each with a body of 18 kB, on new channels.
-fn consume(front: SocketAddr, seen: &Arc<Seen>, stop: &AtomicBool) {
+fn consume(front: SocketAddr, seen: &Arc<platform::Seen>, stop: &AtomicBool) {
     let mut number = 0;
     while !stop.load(Ordering::Relaxed) {
         let seen = seen.clone();
--- a/review/stand-2/platform.rs
+++ b/review/stand-2/platform.rs
@@ -145,6 +145,14 @@
             if gateway.restart().is_err() {
                 return;
             }
+        } else if !gateway.is_alive() {
+            let at = started.elapsed().as_millis();
+            let line = format!("{at} ms: ended by itself: {}", gateway.last_line());
+            seen.lines.lock().expect("the lines").push(line);
+            thread::sleep(RESTART_DELAY);
+            if gateway.restart().is_err() {
+                return;
+            }
         }
         thread::sleep(time::Duration::from_millis(10));
     }
