review: one engine that repeats an event exhausts the memory of all machines

Cause: while a stalled stream waits for another endpoint, the events that do not advance it are kept without a bound.

Adds case 6, the gravest; the earlier ones become 7 (settings), 8 (memory of connections), 9 (empty lines) and 10 (unfinished events).

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
-# Clients that keep no limits make processes exceed their memory. TROUBLE=0 leaves them out.
+# One engine that repeats an event makes processes exceed their memory. TROUBLE=0: nine sound engines.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
-program=target/review-2/memory
+program=target/review-2/repeats
 [ -x "$program" ] && [ -x target/release/comfreyspread ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
-# Clients that send empty lines without end keep ordinary consumers out. TROUBLE=0 leaves them out.
+# A program does not start with a key of its settings that is empty. TROUBLE=0 leaves the keys out.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
-program=target/review-2/heads
+program=target/review-2/settings
 [ -x "$program" ] && [ -x target/release/comfreyspread ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for program in heads memory settings events; do
+for program in repeats settings memory heads events; do
     rustc --edition 2024 -O "review/stand-2/$program.rs" -o "target/review-2/$program"
 done
