--- a/review/stand-2/repeats.rs
+++ b/review/stand-2/repeats.rs
@@ -37,7 +37,7 @@
 const EVENTS: usize = 70;
 const GAP_MS: u64 = 40;
 const DEADLINE_MS: u64 = 20_000;
-const WATCH: time::Duration = time::Duration::from_secs(60);
+const WATCH: time::Duration = time::Duration::from_secs(85);
 
 const CONFIG: &str = r#"{"version":1,"routes":[
 {"name":"consulta","host":"h.example","prefix":"/consulta/","kind":"streaming","service":"engine",
