--- a/review/stand-2/fleet.rs
+++ b/review/stand-2/fleet.rs
@@ -7,6 +7,7 @@
     fs, io,
     io::{BufReader, Write as _},
     net::{SocketAddr, TcpListener, TcpStream},
+    os::unix::process::CommandExt as _,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
@@ -258,14 +259,31 @@
 /// Starts a process that appends its log to a file beside its settings.
 fn launch(settings: &Path) -> io::Result<Child> {
     let log = fs::OpenOptions::new().create(true).append(true).open(settings.with_extension("log"))?;
-    Command::new("target/release/comfreyspread")
+    let mut command = Command::new("target/release/comfreyspread");
+    command
         .args(["gateway", "--metrics-port", "9464"])
         .env_clear()
         .env("COMFREYSPREAD_SETTINGS", settings)
         .stdin(Stdio::null())
         .stdout(log.try_clone()?)
-        .stderr(log)
-        .spawn()
+        .stderr(log);
+    // SAFETY: the call is safe between fork and exec.
+    unsafe { command.pre_exec(die_with_parent) };
+    command.spawn()
+}
+
+/// Lets the system end the process if the stand-in that started it is ended itself.
+fn die_with_parent() -> io::Result<()> {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: u64 = 9;
+    unsafe extern "C" {
+        fn prctl(option: i32, value: u64, a: u64, b: u64, c: u64) -> i32;
+    }
+    // SAFETY: this option takes a number only.
+    match unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL, 0, 0, 0) } {
+        0 => Ok(()),
+        _ => Err(io::Error::last_os_error()),
+    }
 }
 
 fn free() -> io::Result<SocketAddr> {
