--- a/review/stand-2/events.rs
+++ b/review/stand-2/events.rs
@@ -4,19 +4,20 @@
 
 #[allow(dead_code)]
 mod fleet;
+mod kept;
 #[allow(dead_code)]
 mod net;
 mod platform;
 
 use std::{
     env, fs,
-    io::{BufReader, Read as _, Write as _},
-    net::{SocketAddr, TcpStream},
+    io::{BufReader, Write as _},
+    net::TcpStream,
     path::PathBuf,
     process::ExitCode,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
     thread, time,
 };
@@ -24,11 +25,14 @@
 /// Memory of a machine of the site, and its descriptors.
 const MEMORY_MB: u64 = 260;
 const MAX_FDS: usize = 4100;
-/// Engines of the site.
+/// Engines of the site, and how many of them are in trouble.
 const ENGINES: usize = 9;
+const FAULTY: usize = 7;
 /// Bytes that an engine in trouble sends as fast as they are taken; then it sends one now and then,
 /// without end.
 const FAST_BYTES: usize = 3_900_000;
+/// Ends of each process after which enough was seen.
+const ENDS: u64 = 3;
 const WATCH: time::Duration = time::Duration::from_secs(45);
 
 /// The streams of the sheet: path, requests a second at all machines, deadline, events, gap between.
@@ -41,6 +45,8 @@
 const MACHINES: usize = 2;
 
 const CONFIG: &str = r#"{"version":1,"routes":[
+{"name":"read","host":"h.example","prefix":"/read/","kind":"idempotent","service":"ledger",
+"timeout_ms":1500,"target_latency_ms":300,"priority":2,"max_attempts":2},
 {"name":"informe","host":"h.example","prefix":"/informe/","kind":"streaming","service":"engine",
 "timeout_ms":6000,"target_latency_ms":1400,"priority":0,"max_attempts":2,"resumable":true,"sticky":true,
 "gap_aim_ms":400},
@@ -50,7 +56,8 @@
 {"name":"consulta","host":"h.example","prefix":"/consulta/","kind":"streaming","service":"engine",
 "timeout_ms":20000,"target_latency_ms":3100,"priority":2,"max_attempts":2,"resumable":true,"sticky":true,
 "gap_aim_ms":400}],
-"services":[{"name":"engine","health_path":"/health","max_conns":500,
+"services":[{"name":"ledger","health_path":"/health","max_conns":110},
+{"name":"engine","health_path":"/health","max_conns":500,
 "engine":{"slots":96,"kv_capacity_tokens":235284,"stride":4}}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
 "idle_timeout_ms":15000},"tenants":[{"name":"one","api_keys":["key-1"]}]}"#;
@@ -65,17 +72,19 @@
     let record = env::args().nth(2).unwrap_or_else(|| "record.txt".to_owned());
     let mut record = fs::File::create(record)?;
     let (store, store_address) = fleet::Store::start()?;
-    let (begun, spoiled) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
+    let (runs, spoiled) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
+    for name in ["ledger-1", "ledger-2"] {
+        fleet::start_replica(name, &store, &runs)?;
+    }
+    let ledger = Arc::new(kept::Ledger::default());
     for number in 0..ENGINES {
         let id = format!("engine-{number}");
-        let (own, begun, spoiled) = (id.clone(), begun.clone(), spoiled.clone());
+        let in_trouble = trouble && number < FAULTY;
+        let (own, ledger, spoiled) = (id.clone(), ledger.clone(), spoiled.clone());
         let address = net::listen("127.0.0.1:0", move |stream| {
-            serve_engine(&own, stream, trouble, &begun, &spoiled).ok();
+            serve_engine(&own, stream, in_trouble, &ledger, &spoiled).ok();
         })?;
-        store.put("servers", &id, Some(&format!(
-            "{{\"service\":\"engine\",\"address\":\"{address}\",\"zone\":\"a\",\"version\":\"v1\",\
-             \"slots\":96,\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":1,\"born\":1}}"
-        )));
+        kept::register(&store, &id, "engine", address, 96);
     }
     store.put("op", "config", Some(CONFIG));
     let extra =
@@ -83,78 +92,35 @@
     let mut platform = platform::Platform::start(MACHINES, MEMORY_MB, store_address, &extra, &folder)?;
     for (number, front) in platform.fronts().into_iter().enumerate() {
         for kind in KINDS {
-            let (seen, stop) = (platform.seen(number), platform.stop());
-            platform.add(thread::spawn(move || consume(front, kind, &seen, &stop)));
+            let (seen, stop, ledger) = (platform.seen(number), platform.stop(), ledger.clone());
+            let kind = kept::Kind {
+                path: kind.0,
+                rate: kind.1 / MACHINES as f64,
+                deadline_ms: kind.2,
+                headers: "",
+            };
+            platform.add(thread::spawn(move || kept::consume(front, kind, &seen, &ledger, &stop)));
         }
     }
-    let broken = platform.watch(WATCH);
+    platform.watch(WATCH, ENDS);
+    let lost = ledger.lost();
+    platform.end();
     writeln!(record, "trouble {trouble}; limit {MEMORY_MB} MB a machine")?;
     platform.write(&mut record)?;
     let count = |value: &AtomicU64| value.load(Ordering::Relaxed);
-    writeln!(record, "streams begun by the engines: {}, of them without end: {}", count(&begun), count(&spoiled))?;
+    writeln!(record, "streams without end: {}", count(&spoiled))?;
+    writeln!(record, "requests of kept channels passed on to sound engines and closed without an answer: {}; {}",
+        lost.len(), lost.join(" "))?;
+    let broken = lost.len() > kept::ALLOWED;
     writeln!(record, "{}", if broken { "BROKEN" } else { "held" })?;
     Ok(broken)
 }
 
-/// Ordinary consumers of one kind of request at one machine, each on a new channel.
-fn consume(
-    front: SocketAddr,
-    (path, rate, deadline, _, _): (&'static str, f64, u64, usize, u64),
-    seen: &Arc<platform::Seen>,
-    stop: &AtomicBool,
-) {
-    let pause = time::Duration::from_secs_f64(MACHINES as f64 / rate);
-    let mut number = 0;
-    while !stop.load(Ordering::Relaxed) {
-        let seen = seen.clone();
-        thread::spawn(move || {
-            let request = format!(
-                "POST /{path}/{number} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {path}-{number}-{}\r\n\
-                 Model: m\r\nToken-Counts: 1800,30\r\nPrefix-Hash: a{}:341,b{number}:227\r\n\
-                 Deadline-Ms: {deadline}\r\nX-Api-Key: key-1\r\nContent-Length: 0\r\n\r\n",
-                front.port(), number % 8
-            );
-            let counter = match read_stream(front, &request, deadline) {
-                Ok(true) => &seen.served,
-                Ok(false) => &seen.other,
-                Err(_) => &seen.cut,
-            };
-            counter.fetch_add(1, Ordering::Relaxed);
-        });
-        number += 1;
-        thread::sleep(pause);
-    }
-}
-
-/// Sends a request and reads its stream; true if it was complete, false if it was refused or failed.
-fn read_stream(front: SocketAddr, request: &str, deadline: u64) -> std::io::Result<bool> {
-    let stream = TcpStream::connect_timeout(&front, time::Duration::from_secs(1))?;
-    stream.set_read_timeout(Some(time::Duration::from_millis(deadline + 1000)))?;
-    (&stream).write_all(request.as_bytes())?;
-    let mut reader = BufReader::new(stream);
-    if net::read_answer(&mut reader)?.status != 200 {
-        return Ok(false);
-    }
-    let mut end = [0; 5];
-    let mut bytes = [0; 4096];
-    loop {
-        let count = reader.read(&mut bytes)?;
-        if count == 0 {
-            return Err(std::io::ErrorKind::UnexpectedEof.into());
-        }
-        let tail = [&end[..], &bytes[..count]].concat();
-        end.copy_from_slice(&tail[tail.len() - 5..]);
-        if &end == b"0\r\n\r\n" {
-            return Ok(true);
-        }
-    }
-}
-
 fn serve_engine(
     id: &str,
     stream: TcpStream,
-    trouble: bool,
-    begun: &AtomicU64,
+    in_trouble: bool,
+    ledger: &kept::Ledger,
     spoiled: &AtomicU64,
 ) -> std::io::Result<()> {
     let mut writer = stream.try_clone()?;
@@ -165,27 +131,15 @@
             fleet::answer(&mut writer, "421 Misdirected Request", "", b"")?;
             continue;
         }
-        let number = begun.fetch_add(1, Ordering::Relaxed);
-        thread::sleep(time::Duration::from_millis(150));
-        let head = format!(
-            "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Stamp: s.{number}\r\n\
-             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-            request.header("request-id")
-        );
-        writer.write_all(head.as_bytes())?;
-        if trouble {
+        if in_trouble {
             spoiled.fetch_add(1, Ordering::Relaxed);
+            thread::sleep(time::Duration::from_millis(150));
+            kept::begin_stream(&mut writer, request.header("request-id"))?;
             return send_without_end(&mut writer);
         }
-        let after: usize = request.header("last-event-id").parse().unwrap_or(0);
         let kind = KINDS.iter().find(|kind| request.target.starts_with(&format!("/{}/", kind.0)));
         let (events, gap) = kind.map_or((1, 0), |kind| (kind.3, kind.4));
-        for event in after + 1..=events {
-            let text = format!("id: {event}\ndata: {number} of {event}\n\n");
-            writer.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
-            thread::sleep(time::Duration::from_millis(gap));
-        }
-        writer.write_all(b"0\r\n\r\n")?;
+        kept::answer_soundly(&mut writer, &request, events, gap, ledger)?;
     }
     Ok(())
 }
--- a/review/stand-2/platform.rs
+++ b/review/stand-2/platform.rs
@@ -15,8 +15,6 @@
     thread, time,
 };
 
-/// Ends of a process on each of two machines that make a day count nothing.
-const ENDS: u64 = 3;
 /// Time after which the platform starts a process again.
 const RESTART_DELAY: time::Duration = time::Duration::from_secs(1);
 
@@ -89,17 +87,20 @@
         self.threads.push(thread);
     }
 
-    /// Waits until all machines have ended often enough, at most for `limit`, and ends them; returns
-    /// whether they have.
-    pub fn watch(&mut self, limit: time::Duration) -> bool {
-        let has_ended = |one: &Arc<Seen>| one.ends.load(Ordering::Relaxed) >= ENDS;
+    /// Waits until each machine's process has ended `ends` times, at most for `limit`.
+    pub fn watch(&self, limit: time::Duration, ends: u64) {
+        let has_ended = |one: &Arc<Seen>| one.ends.load(Ordering::Relaxed) >= ends;
         while self.started.elapsed() < limit && !self.seen.iter().all(has_ended) {
             thread::sleep(time::Duration::from_millis(100));
         }
-        let broken = self.seen.iter().all(has_ended);
+        // What the last end has cut off reaches the consumers.
+        thread::sleep(time::Duration::from_millis(500));
+    }
+
+    /// Ends all processes and threads.
+    pub fn end(&mut self) {
         self.stop.store(true, Ordering::Relaxed);
         self.threads.drain(..).for_each(|one| drop(one.join()));
-        broken
     }
 
     /// Writes what was seen.
--- a/review/stand-2/repeats.rs
+++ b/review/stand-2/repeats.rs
@@ -4,19 +4,20 @@
 
 #[allow(dead_code)]
 mod fleet;
+mod kept;
 #[allow(dead_code)]
 mod net;
 mod platform;
 
 use std::{
     env, fs,
-    io::{BufReader, Read as _, Write as _},
-    net::{SocketAddr, TcpStream},
+    io::{BufReader, Write as _},
+    net::TcpStream,
     path::PathBuf,
     process::ExitCode,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
     thread, time,
 };
@@ -36,15 +37,19 @@
 /// Events of an answer, and milliseconds between them.
 const EVENTS: usize = 70;
 const GAP_MS: u64 = 40;
-const DEADLINE_MS: u64 = 20_000;
+/// Ends of each process after which enough was seen.
+const ENDS: u64 = 3;
 const WATCH: time::Duration = time::Duration::from_secs(85);
 
 const CONFIG: &str = r#"{"version":1,"routes":[
+{"name":"read","host":"h.example","prefix":"/read/","kind":"idempotent","service":"ledger",
+"timeout_ms":1500,"target_latency_ms":300,"priority":2,"max_attempts":2},
 {"name":"consulta","host":"h.example","prefix":"/consulta/","kind":"streaming","service":"engine",
 "timeout_ms":20000,"target_latency_ms":3100,"priority":2,"max_attempts":2,"resumable":true,"sticky":true,
 "gap_aim_ms":400,"stages":[{"service":"spot","after":[],"bytes":8000},
 {"service":"identity","after":[0],"bytes":60000},{"service":"filing","after":[1],"bytes":6000}]}],
-"services":[{"name":"engine","health_path":"/health","max_conns":500,
+"services":[{"name":"ledger","health_path":"/health","max_conns":110},
+{"name":"engine","health_path":"/health","max_conns":500,
 "engine":{"slots":96,"kv_capacity_tokens":235284,"stride":4}},
 {"name":"spot","health_path":"/health","max_conns":500,"pieces":{"slots":1,"queue":2,"batch":8,
 "call_ms":200.0,"item_ms":21.0,"headroom_mb":18.0,"handle_s":4.0,"link_mbps":10000}},
@@ -65,15 +70,19 @@
     let record = env::args().nth(2).unwrap_or_else(|| "record.txt".to_owned());
     let mut record = fs::File::create(record)?;
     let (store, store_address) = fleet::Store::start()?;
-    let (begun, repeated) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
+    let (runs, repeated) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
+    for name in ["ledger-1", "ledger-2"] {
+        fleet::start_replica(name, &store, &runs)?;
+    }
+    let ledger = Arc::new(kept::Ledger::default());
     for number in 0..ENGINES {
         let id = format!("engine-{number}");
         let in_trouble = trouble && number == 0;
-        let (own, begun, repeated) = (id.clone(), begun.clone(), repeated.clone());
+        let (own, ledger, repeated) = (id.clone(), ledger.clone(), repeated.clone());
         let address = net::listen("127.0.0.1:0", move |stream| {
-            serve_engine(&own, stream, in_trouble, &begun, &repeated).ok();
+            serve_engine(&own, stream, in_trouble, &ledger, &repeated).ok();
         })?;
-        register(&store, &id, "engine", address, 96);
+        kept::register(&store, &id, "engine", address, 96);
     }
     let pieces = Arc::new(AtomicU64::new(0));
     for (service, workers, piece_ms) in STAGES {
@@ -83,7 +92,7 @@
             let address = net::listen("127.0.0.1:0", move |stream| {
                 serve_worker(&own, stream, piece_ms, &turn, &pieces).ok();
             })?;
-            register(&store, &id, service, address, 1);
+            kept::register(&store, &id, service, address, 1);
         }
     }
     store.put("op", "config", Some(CONFIG));
@@ -91,84 +100,36 @@
         format!("limits.cpu_share=0.25\nlimits.memory_mb={MEMORY_MB}\nlimits.max_fds={MAX_FDS}\n");
     let mut platform = platform::Platform::start(MACHINES, MEMORY_MB, store_address, &extra, &folder)?;
     for (number, front) in platform.fronts().into_iter().enumerate() {
-        let (seen, stop) = (platform.seen(number), platform.stop());
-        platform.add(thread::spawn(move || consume(front, &seen, &stop)));
+        let (seen, stop, ledger) = (platform.seen(number), platform.stop(), ledger.clone());
+        let kind = kept::Kind {
+            path: "consulta",
+            rate: RATE / MACHINES as f64,
+            deadline_ms: 20_000,
+            headers: "Pieces: 1,6,10\r\nPiece-Key: k1\r\n",
+        };
+        platform.add(thread::spawn(move || kept::consume(front, kind, &seen, &ledger, &stop)));
     }
-    let broken = platform.watch(WATCH);
+    platform.watch(WATCH, ENDS);
+    let lost = ledger.lost();
+    platform.end();
     writeln!(record, "trouble {trouble}; limit {MEMORY_MB} MB a machine")?;
     platform.write(&mut record)?;
     let count = |value: &AtomicU64| value.load(Ordering::Relaxed);
-    writeln!(record, "pieces made: {}; streams begun by the engines: {}, of them without end: {}",
-        count(&pieces), count(&begun), count(&repeated))?;
+    writeln!(record, "pieces made: {}; streams without end: {}", count(&pieces), count(&repeated))?;
+    writeln!(record, "requests of kept channels passed on to sound engines and closed without an answer: {}; {}",
+        lost.len(), lost.join(" "))?;
+    let broken = lost.len() > kept::ALLOWED;
     writeln!(record, "{}", if broken { "BROKEN" } else { "held" })?;
     Ok(broken)
 }
 
-fn register(store: &fleet::Store, id: &str, service: &str, address: SocketAddr, slots: u32) {
-    store.put("servers", id, Some(&format!(
-        "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"a\",\"version\":\"v1\",\
-         \"slots\":{slots},\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":1,\"born\":1}}"
-    )));
-}
-
-/// Ordinary consumers at one machine, each on a new channel; they read all that they are sent.
-fn consume(front: SocketAddr, seen: &Arc<platform::Seen>, stop: &AtomicBool) {
-    let pause = time::Duration::from_secs_f64(MACHINES as f64 / RATE);
-    let mut number = 0;
-    while !stop.load(Ordering::Relaxed) {
-        let seen = seen.clone();
-        thread::spawn(move || {
-            let counter = match read_stream(front, number) {
-                Ok(true) => &seen.served,
-                Ok(false) => &seen.other,
-                Err(_) => &seen.cut,
-            };
-            counter.fetch_add(1, Ordering::Relaxed);
-        });
-        number += 1;
-        thread::sleep(pause);
-    }
-}
-
-/// Sends a request and reads its stream; true if it was complete, false if it was refused or failed.
-fn read_stream(front: SocketAddr, number: u64) -> std::io::Result<bool> {
-    let port = front.port();
-    let request = format!(
-        "POST /consulta/{number} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: c{port}-{number}\r\n\
-         Model: m\r\nToken-Counts: 543,280\r\nPrefix-Hash: a{}:103,b{port}{number}:69\r\n\
-         Pieces: 1,6,10\r\nPiece-Key: k{port}{number}\r\nDeadline-Ms: {DEADLINE_MS}\r\n\
-         X-Api-Key: key-1\r\nContent-Length: 0\r\n\r\n",
-        number % 20
-    );
-    let stream = TcpStream::connect_timeout(&front, time::Duration::from_secs(1))?;
-    stream.set_read_timeout(Some(time::Duration::from_millis(DEADLINE_MS)))?;
-    (&stream).write_all(request.as_bytes())?;
-    let mut reader = BufReader::new(stream);
-    if net::read_answer(&mut reader)?.status != 200 {
-        return Ok(false);
-    }
-    let mut end = [0; 5];
-    let mut bytes = [0; 65536];
-    loop {
-        let count = reader.read(&mut bytes)?;
-        if count == 0 {
-            return Err(std::io::ErrorKind::UnexpectedEof.into());
-        }
-        let tail = [&end[..], &bytes[..count]].concat();
-        end.copy_from_slice(&tail[tail.len() - 5..]);
-        if &end == b"0\r\n\r\n" {
-            return Ok(true);
-        }
-    }
-}
-
 /// An engine; one in trouble sends its first event and then that event again without end, until the
 /// caller closes.
 fn serve_engine(
     id: &str,
     stream: TcpStream,
     in_trouble: bool,
-    begun: &AtomicU64,
+    ledger: &kept::Ledger,
     repeated: &AtomicU64,
 ) -> std::io::Result<()> {
     let mut writer = stream.try_clone()?;
@@ -183,30 +144,20 @@
             fleet::answer(&mut writer, "400 Bad Request", "Not-Executed: 1\r\n", b"")?;
             continue;
         }
-        let number = begun.fetch_add(1, Ordering::Relaxed);
+        if !in_trouble {
+            kept::answer_soundly(&mut writer, &request, EVENTS, GAP_MS, ledger)?;
+            continue;
+        }
+        repeated.fetch_add(1, Ordering::Relaxed);
         thread::sleep(time::Duration::from_millis(150));
-        let head = format!(
-            "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Stamp: s.{number}\r\n\
-             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-            request.header("request-id")
-        );
-        writer.write_all(head.as_bytes())?;
-        let after: usize = request.header("last-event-id").parse().unwrap_or(0);
-        for event in after + 1..=EVENTS {
-            let text = format!("id: {event}\ndata: {number} of {event}\n\n");
-            let chunk = format!("{:x}\r\n{text}\r\n", text.len());
-            writer.write_all(chunk.as_bytes())?;
-            if in_trouble {
-                repeated.fetch_add(1, Ordering::Relaxed);
-                let again = text.repeat(0x10000 / text.len());
-                let block = format!("{:x}\r\n{again}\r\n", again.len());
-                loop {
-                    writer.write_all(block.as_bytes())?;
-                }
-            }
-            thread::sleep(time::Duration::from_millis(GAP_MS));
+        kept::begin_stream(&mut writer, request.header("request-id"))?;
+        let event = "id: 1\ndata: once more\n\n";
+        writer.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+        let again = event.repeat(0x10000 / event.len());
+        let block = format!("{:x}\r\n{again}\r\n", again.len());
+        loop {
+            writer.write_all(block.as_bytes())?;
         }
-        writer.write_all(b"0\r\n\r\n")?;
     }
     Ok(())
 }
--- a/review/stand-2/settings.rs
+++ b/review/stand-2/settings.rs
@@ -1,4 +1,5 @@
-//! The settings files of two machines get keys that are empty; then the machines are restarted in turn.
+//! The settings files of two machines get keys that are empty; then all processes are killed at the same
+//! moment and started again.
 
 #[allow(dead_code)]
 mod fleet;
@@ -18,13 +19,14 @@
 
 /// Keys that the pages in force don't explain. The pages say that such keys may be empty.
 const EMPTY_KEYS: &str = "bounds.exposure_share=\nbounds.exposure_slack=\nbounds.rollback_ms=\n";
-/// `bounds.grace_s`.
-const GRACE: time::Duration = time::Duration::from_secs(8);
-/// Time after which the platform starts a process again that has ended, and how often it does here.
-const RESTART_DELAY: time::Duration = time::Duration::from_secs(1);
-const STARTS: usize = 3;
-const READY_LIMIT: time::Duration = time::Duration::from_secs(10);
-const REQUESTS: usize = 20;
+/// `bounds.recovery_s`.
+const RECOVERY: time::Duration = time::Duration::from_secs(12);
+/// Time for which the machines are down after the final fault, and after which the platform starts a
+/// process again that has ended.
+const DOWN: time::Duration = time::Duration::from_secs(1);
+/// Requests a second at all machines, and how long they are judged before and after the fault.
+const RATE: f64 = 10.0;
+const JUDGED: time::Duration = time::Duration::from_secs(8);
 
 const CONFIG: &str = r#"{"version":1,"routes":[{"name":"read","host":"h.example","prefix":"/read/",
 "kind":"idempotent","service":"ledger","timeout_ms":1500,"target_latency_ms":300,"priority":2,
@@ -58,7 +60,7 @@
         }
         machines.push(one);
     }
-    writeln!(record, "trouble {trouble}; before: {} of {REQUESTS} requests served", served(&machines))?;
+    let before = share(&machines, &mut record, "before the final fault")?;
     for one in &machines {
         if trouble {
             one.add_settings(EMPTY_KEYS)?;
@@ -66,47 +68,45 @@
         one.signal("HUP")?;
     }
     thread::sleep(time::Duration::from_secs(1));
-    let mut failed = 0;
-    for (number, one) in machines.iter_mut().enumerate() {
-        writeln!(record, "node-{number}: settings changed, SIGHUP sent; last line: {}", one.last_line())?;
-        one.signal("TERM")?;
-        let ended = one.wait_end(GRACE);
-        one.kill();
-        writeln!(record, "node-{number}: SIGTERM sent, ended within grace_s: {ended}")?;
-        let mut ready = false;
-        for start in 1..=STARTS {
-            thread::sleep(RESTART_DELAY);
-            one.restart()?;
-            let until = time::Instant::now() + READY_LIMIT;
-            while !ready && one.is_alive() && time::Instant::now() < until {
-                thread::sleep(time::Duration::from_millis(100));
-                ready = one.says_ready();
-            }
-            writeln!(record, "node-{number}: start {start}: ready {ready}, runs {}; last line: {}",
-                one.is_alive(), one.last_line())?;
-            if ready {
-                break;
+    store.put("op", "config", Some(&CONFIG.replace("\"version\":1,", "\"version\":2,")));
+    machines.iter_mut().for_each(fleet::Gateway::kill);
+    thread::sleep(DOWN);
+    let back = time::Instant::now();
+    let mut starts = [0; 2];
+    while back.elapsed() < RECOVERY + time::Duration::from_millis(500) {
+        for (one, starts) in machines.iter_mut().zip(&mut starts) {
+            if !one.is_alive() {
+                one.restart()?;
+                *starts += 1;
             }
         }
-        failed += usize::from(!ready && !one.is_alive());
+        thread::sleep(DOWN);
+    }
+    for (number, (one, starts)) in machines.iter_mut().zip(starts).enumerate() {
+        writeln!(record, "node-{number}: started {starts} times in {} s, runs {}; last line: {}",
+            RECOVERY.as_secs(), one.is_alive(), one.last_line())?;
     }
-    writeln!(record, "after: {} of {REQUESTS} requests served", served(&machines))?;
-    let broken = failed > 0;
-    writeln!(record, "machines on which the program doesn't start: {failed} of {}", machines.len())?;
+    let after = share(&machines, &mut record, "later than recovery_s after the machines are back")?;
+    let broken = before >= 0.25 && after < 0.25;
     writeln!(record, "{}", if broken { "BROKEN" } else { "held" })?;
     Ok(broken)
 }
 
-/// Sends requests to the machines in turn, each once, and returns how many were served.
-fn served(machines: &[fleet::Gateway]) -> usize {
-    let send = |number: &usize| {
+/// Sends requests to the machines in turn, each once, and returns the share that is served.
+fn share(machines: &[fleet::Gateway], record: &mut fs::File, when: &str) -> std::io::Result<f64> {
+    let started = time::Instant::now();
+    let (mut sent, mut served) = (0, 0);
+    while started.elapsed() < JUDGED {
         let request = format!(
-            "GET /read/{number} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: c{number}\r\n\
+            "GET /read/{sent} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: c{sent}\r\n\
              Deadline-Ms: 3000\r\nX-Api-Key: key-1\r\n\r\n"
         );
-        let front = machines[number % machines.len()].front;
+        let front = machines[sent % machines.len()].front;
         let answer = net::call(front, request.as_bytes(), time::Duration::from_secs(3));
-        answer.is_ok_and(|answer| answer.status == 200)
-    };
-    (0..REQUESTS).filter(send).count()
+        served += usize::from(answer.is_ok_and(|answer| answer.status == 200));
+        sent += 1;
+        thread::sleep(time::Duration::from_secs_f64(1.0 / RATE));
+    }
+    writeln!(record, "{when}: {served} of {sent} requests served")?;
+    Ok(served as f64 / sent as f64)
 }
