Drop repeated events on arrival, and limit the bytes of a stream without a new event

Cause: while a stalled stream waits for another engine, for as long as its stages take, next_advance kept every complete event of the silent one. The limit was the size of one event; their number had none.

Change: events whose number is not above all before it are removed on arrival, comments are not kept during a move, and the limit of 4 MiB on an unfinished event is now one on all bytes from one new event to the next.

--- a/crates/comfreyspread-lab/src/fleet_endpoint.rs
+++ b/crates/comfreyspread-lab/src/fleet_endpoint.rs
@@ -158,7 +158,9 @@
             return self.reject(request, StatusCode::SERVICE_UNAVAILABLE);
         }
         self.record(request, true);
-        async_io::Timer::after(PIECE_CALL_DELAY).await;
+        let added = self.faults.delay_ms.load(atomic::Ordering::Relaxed);
+        let delay = PIECE_CALL_DELAY + time::Duration::from_millis(added);
+        async_io::Timer::after(delay).await;
         self.busy.store(false, atomic::Ordering::Relaxed);
         let body: serde_json::Value = serde_json::from_slice(request.body()).unwrap_or_default();
         let items = body["items"].as_array().cloned().unwrap_or_default();
--- a/crates/comfreyspread-lab/src/fleet_faults.rs
+++ b/crates/comfreyspread-lab/src/fleet_faults.rs
@@ -17,7 +17,7 @@
     pub lose_answers: atomic::AtomicBool,
     /// Events of a stream; zero for the default number.
     pub events: atomic::AtomicU64,
-    /// Additional delay of each event or plain answer, in milliseconds.
+    /// Additional delay of each event, plain answer or call of pieces, in milliseconds.
     pub delay_ms: atomic::AtomicU64,
     /// Whether all answers say that the endpoint leaves.
     pub leaving: atomic::AtomicBool,
--- a/crates/comfreyspread-lab/tests/common/raw_endpoint.rs
+++ b/crates/comfreyspread-lab/tests/common/raw_endpoint.rs
@@ -15,6 +15,9 @@
 /// Pause between the bytes of a response that drips.
 const DRIP_PAUSE: time::Duration = time::Duration::from_millis(250);
 
+const STREAM_HEADERS: &str =
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
 /// What an endpoint sends without end.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Endless {
@@ -42,6 +45,10 @@
     RepeatedEvent,
     /// The same, with lines that end with a carriage return and a line feed.
     RepeatedCrlfEvent,
+    /// One whole event, then events with data and without a number.
+    UnnumberedEvents,
+    /// One whole event, then comments.
+    Comments,
 }
 
 /// An endpoint and what was sent on its connections.
@@ -90,9 +97,10 @@
             Endless::Event
             | Endless::DrippingEvent
             | Endless::RepeatedEvent
-            | Endless::RepeatedCrlfEvent => format!(
-                "{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-            ),
+            | Endless::RepeatedCrlfEvent => format!("{head}{STREAM_HEADERS}"),
+            Endless::UnnumberedEvents | Endless::Comments => {
+                format!("{head}{STREAM_HEADERS}f\r\nid: 1\ndata: x\n\n\r\n")
+            }
         };
         let mut sent = stream.write_all(first.as_bytes()).await;
         while sent.is_ok() {
@@ -116,6 +124,8 @@
         Endless::ChunkedBody | Endless::Event => chunk(&vec![b'x'; CHUNK_BYTES]),
         Endless::RepeatedEvent => chunk(&b"id: 1\ndata: x\n\n".repeat(CHUNK_BYTES / 15)),
         Endless::RepeatedCrlfEvent => chunk(&b"id: 1\r\ndata: x\r\n\r\n".repeat(CHUNK_BYTES / 18)),
+        Endless::UnnumberedEvents => chunk(&b"data: x\n\n".repeat(CHUNK_BYTES / 9)),
+        Endless::Comments => chunk(&b": x\n\n".repeat(CHUNK_BYTES / 5)),
         Endless::DrippingEvent => b"1\r\nx\r\n".to_vec(),
     }
 }
--- a/crates/comfreyspread-policy/src/event_buffer.rs
+++ b/crates/comfreyspread-policy/src/event_buffer.rs
@@ -52,9 +52,11 @@
 /// let mut buffer = event_buffer::EventBuffer::default();
 /// let mut progress = event_buffer::EventProgress::default();
 /// buffer.push(b"id: 1\ndata: a\n\n");
-/// assert!(progress.record(&buffer.take_events()));
+/// assert!(progress.record(&mut buffer.take_events()));
 /// buffer.push(b": comment\n\nid: 1\ndata: a\n\n");
-/// assert!(!progress.record(&buffer.take_events()));
+/// let mut events = buffer.take_events();
+/// assert!(!progress.record(&mut events));
+/// assert_eq!(events.len(), 1);
 /// ```
 #[derive(Debug, Default)]
 pub struct EventProgress {
@@ -62,12 +64,22 @@
 }
 
 impl EventProgress {
-    /// Records events and returns whether the stream has advanced: by an event with a higher
-    /// number, or while none is numbered, by one with data.
-    pub fn record(&mut self, events: &[CompleteEvent]) -> bool {
-        let before = self.last;
-        self.last = events.iter().filter_map(|event| event.id).max().max(before);
-        self.last > before || (self.last.is_none() && events.iter().any(CompleteEvent::has_data))
+    /// Records events, removes those whose number is not above all before it, which nobody needs, and
+    /// returns whether the stream has advanced: by an event with a higher number, or while none is
+    /// numbered, by one with data.
+    pub fn record(&mut self, events: &mut Vec<CompleteEvent>) -> bool {
+        let mut advanced = false;
+        events.retain(|event| {
+            if event.id.is_none() {
+                advanced |= self.last.is_none() && event.has_data();
+                return true;
+            }
+            let is_new = event.id > self.last;
+            self.last = self.last.max(event.id);
+            advanced |= is_new;
+            is_new
+        });
+        advanced
     }
 }
 
--- a/crates/comfreyspread-policy/tests/event_buffer.rs
+++ b/crates/comfreyspread-policy/tests/event_buffer.rs
@@ -57,3 +57,18 @@
     let heads: Vec<_> = found.iter().map(|event| event.has_response_head()).collect();
     assert_eq!(heads, [false, true]);
 }
+
+/// Events whose number is known were kept while a stream moved, without any bound.
+#[test]
+fn repeated_events_dropped() {
+    let mut progress = event_buffer::EventProgress::default();
+    let (mut found, _) = events(b"id: 3\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: a\n\n", &[]);
+    assert!(progress.record(&mut found));
+    assert_eq!(found.iter().map(|event| event.id).collect::<Vec<_>>(), [Some(3)]);
+    let (mut found, _) = events(b"id: 1\ndata: c\n\ndata: d\n\n: e\n\n", &[]);
+    assert!(!progress.record(&mut found));
+    assert_eq!(found.iter().map(|event| event.id).collect::<Vec<_>>(), [None, None]);
+    let (mut found, _) = events(b"id: 4\ndata: f\n\n", &[]);
+    assert!(progress.record(&mut found));
+    assert_eq!(found.len(), 1);
+}
--- a/crates/comfreyspread/src/gateway/stream_reader.rs
+++ b/crates/comfreyspread/src/gateway/stream_reader.rs
@@ -4,8 +4,9 @@
 use comfreyspread_policy::event_buffer;
 use futures_lite::io;
 
-/// Maximum size of an event, in bytes.
-const MAX_EVENT_BYTES: usize = 4 * 1024 * 1024;
+/// Maximum bytes of a stream from one new event to the next, those of repeated events and of comments
+/// included.
+const MAX_STALLED_BYTES: usize = 4 * 1024 * 1024;
 
 /// Complete events that were read at once.
 #[derive(Debug, Default)]
@@ -25,7 +26,9 @@
     body: http_body::MessageBody,
     buffer: event_buffer::EventBuffer,
     progress: event_buffer::EventProgress,
-    /// Events without progress that were read while the reader waited for some.
+    /// Bytes read since the stream last advanced.
+    stalled_bytes: usize,
+    /// Events that were read and have not been returned.
     held: EventBatch,
 }
 
@@ -36,6 +39,7 @@
             body: response.take_body(),
             buffer: event_buffer::EventBuffer::default(),
             progress: event_buffer::EventProgress::default(),
+            stalled_bytes: 0,
             held: EventBatch::default(),
         }
     }
@@ -49,47 +53,55 @@
     ///
     /// # Errors
     ///
-    /// Fails if the stream breaks off, also within an event, or an event is too long.
+    /// Fails if the stream breaks off, also within an event, or too many bytes arrive without a new
+    /// event.
     pub async fn next_batch(&mut self) -> io::Result<Option<EventBatch>> {
-        if !self.read_chunk().await? {
-            return Ok(None);
-        }
+        let Some(events) = self.read_chunk().await? else { return Ok(None) };
+        self.held.events.extend(events);
         Ok(Some(std::mem::take(&mut self.held)))
     }
 
-    /// Returns the events read until the stream has advanced; none if it ends before.
+    /// Returns the events read until the stream has advanced, without comments; none if it ends before.
+    ///
+    /// The wait may last for as long as the stages of another attempt. What is kept for its end is
+    /// limited by [`MAX_STALLED_BYTES`].
     ///
     /// # Errors
     ///
     /// Fails like [`StreamReader::next_batch`].
     pub async fn next_advance(&mut self) -> io::Result<Option<EventBatch>> {
         while !self.held.advanced && !self.held.has_second_head {
-            if !self.read_chunk().await? {
-                return Ok(None);
-            }
+            let Some(events) = self.read_chunk().await? else { return Ok(None) };
+            self.held
+                .events
+                .extend(events.into_iter().filter(event_buffer::CompleteEvent::has_data));
         }
         Ok(Some(std::mem::take(&mut self.held)))
     }
 
-    /// Adds the events of one chunk to those held; returns whether there was a chunk.
-    async fn read_chunk(&mut self) -> io::Result<bool> {
+    /// Returns the events of one chunk that have not been read before; none after the end.
+    async fn read_chunk(&mut self) -> io::Result<Option<Vec<event_buffer::CompleteEvent>>> {
         let Some(chunk) = self.body.next_chunk().await else {
             if self.buffer.is_empty() {
-                return Ok(false);
+                return Ok(None);
             }
             let detail = "the stream ends within an event";
             return Err(io::Error::new(io::ErrorKind::UnexpectedEof, detail));
         };
-        self.buffer.push(&chunk?);
-        if self.buffer.len() > MAX_EVENT_BYTES {
-            return Err(io::Error::other("an event is too long"));
-        }
+        let chunk = chunk?;
+        self.stalled_bytes += chunk.len();
+        self.buffer.push(&chunk);
         let mut events = self.buffer.take_events();
         let second_head = events.iter().position(|event| event.has_response_head());
         events.truncate(second_head.unwrap_or(events.len()));
-        self.held.advanced |= self.progress.record(&events);
         self.held.has_second_head |= second_head.is_some();
-        self.held.events.extend(events);
-        Ok(true)
+        if self.progress.record(&mut events) {
+            self.held.advanced = true;
+            self.stalled_bytes = self.buffer.len();
+        }
+        if self.stalled_bytes > MAX_STALLED_BYTES {
+            return Err(io::Error::other("too many bytes without a new event"));
+        }
+        Ok(Some(events))
     }
 }
