--- a/crates/comfreyspread-lab/src/fleet.rs
+++ b/crates/comfreyspread-lab/src/fleet.rs
@@ -344,6 +344,16 @@
         Ok(Self { caller_address, admin_address, peer_address, process, settings_file })
     }
 
+    /// Appends lines to the node's settings file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file cannot be read or written.
+    pub fn add_settings(&self, lines: &str) -> miette::Result<()> {
+        let text = fs::read_to_string(&self.settings_file).into_diagnostic()?;
+        fs::write(&self.settings_file, format!("{text}{lines}")).into_diagnostic()
+    }
+
     /// Polls the node until it reports that it is ready.
     ///
     /// # Errors
--- a/crates/comfreyspread/src/gateway/process.rs
+++ b/crates/comfreyspread/src/gateway/process.rs
@@ -101,7 +101,8 @@
 fn node_flags(gateway_settings: &types::GatewaySettings) -> schema_settings::NodeFlags {
     let seeds: Vec<_> = gateway_settings.seeds.iter().map(ToString::to_string).collect();
     let shutdown = gateway_settings.shutdown_grace.saturating_sub(READINESS_GRACE + STOP_MARGIN);
-    let connections = gateway_settings.max_sockets.saturating_sub(RESERVED_DESCRIPTORS).max(1);
+    let connections = (gateway_settings.max_sockets > 0)
+        .then(|| gateway_settings.max_sockets.saturating_sub(RESERVED_DESCRIPTORS).max(1));
     schema_settings::NodeFlags {
         node: Some(gateway_settings.node.to_string()),
         vm: Some(gateway_settings.node.to_string()),
@@ -112,7 +113,7 @@
         platform_address: Some(gateway_settings.store_address.to_string()),
         seeds: Some(seeds.join(",")),
         workers: Some("1".to_owned()),
-        connection_limit: Some(connections.to_string()),
+        connection_limit: connections.map(|count| count.to_string()),
         body_budget: memory_part(gateway_settings, BODY_BUDGET_DIVISOR),
         head_budget: memory_part(gateway_settings, HEAD_BUDGET_DIVISOR),
         header_timeout_ms: Some(IDLE_TIMEOUT_MS.to_owned()),
@@ -177,13 +178,13 @@
         true
     };
     let stopped = async {
-        wait_for_stop(&mut signals, path).await;
+        wait_for_stop(context, &mut signals, path).await;
         false
     };
     let draining = if loaded.or(stopped).await {
         let serving = starting.serve();
         node::set_phase(context, serving.phase());
-        wait_for_stop(&mut signals, path).await;
+        wait_for_stop(context, &mut signals, path).await;
         serving.drain()
     } else {
         starting.abandon()
@@ -197,11 +198,14 @@
 }
 
 /// Waits for a signal to stop; a hangup signal only rereads and validates the settings file.
-async fn wait_for_stop(signals: &mut Signals, path: &str) {
+async fn wait_for_stop(context: &context::NodeContext, signals: &mut Signals, path: &str) {
     while let Some(Ok(Signal::Hup)) = signals.next().await {
         match read_settings(path) {
             Ok(_) => log::info!("gateway: settings reread, addresses unchanged"),
-            Err(error) => log::error!("gateway: settings could not be reread. error={error}"),
+            Err(error) => {
+                context.metrics.settings.count_rejected();
+                log::error!("gateway: settings could not be reread. error={error}");
+            }
         }
     }
 }
--- a/crates/comfreyspread/src/runtime/metrics.rs
+++ b/crates/comfreyspread/src/runtime/metrics.rs
@@ -2,7 +2,7 @@
 
 use crate::runtime::{
     connection_metrics, crash_metrics, ending_metrics, placement_metrics, pool_metrics,
-    rollout_metrics, stage_metrics, store_metrics,
+    rollout_metrics, settings_metrics, stage_metrics, store_metrics,
 };
 use comfreyspread_schema::types;
 use prometheus_client::{encoding, encoding::text, metrics, registry};
@@ -45,6 +45,8 @@
     pub placements: placement_metrics::PlacementMetrics,
     /// Metrics of roll-outs of endpoint software.
     pub rollouts: rollout_metrics::RolloutMetrics,
+    /// Metrics of the settings file.
+    pub settings: settings_metrics::SettingsMetrics,
     /// Metrics of stages, the platform's store and the routes.
     pub stages: stage_metrics::StageMetrics,
     /// Metrics of restores of the platform's store.
@@ -68,6 +70,7 @@
         let connections = connection_metrics::ConnectionMetrics::new(&mut registry);
         let placements = placement_metrics::PlacementMetrics::new(&mut registry);
         let rollouts = rollout_metrics::RolloutMetrics::new(&mut registry);
+        let settings = settings_metrics::SettingsMetrics::new(&mut registry);
         let stages = stage_metrics::StageMetrics::new(&mut registry);
         let store = store_metrics::StoreMetrics::new(&mut registry);
         Self {
@@ -81,6 +84,7 @@
             connections,
             placements,
             rollouts,
+            settings,
             stages,
             store,
         }
--- a/crates/comfreyspread/src/runtime/mod.rs
+++ b/crates/comfreyspread/src/runtime/mod.rs
@@ -17,6 +17,7 @@
 pub mod pool_metrics;
 pub mod rollout_metrics;
 pub mod settings;
+pub mod settings_metrics;
 pub mod stage_metrics;
 pub mod store_metrics;
 pub mod supervisor;
