Charge all that is held of endpoints' responses to one part of the memory

Cause: each response was limited, the sum was not: unfinished events had no budget, bodies one of twice the largest body whatever the memory, which refused the response that asked next.

Change: heads, bodies, unfinished events and what waits for its caller are charged to 1/8 of the memory (16 MiB at least). When it is used up the largest response is revoked; the first 16 KiB of each are not counted, so that ordinary ones never wait. Unfinished events are kept in blocks of one size, the read buffer of a connection has 32 KiB in place of 408. MemoryPlan divides the memory in one place.

--- a/crates/comfreyspread-lab/tests/common/raw_endpoint.rs
+++ b/crates/comfreyspread-lab/tests/common/raw_endpoint.rs
@@ -6,6 +6,7 @@
 use comfreyspread_lab::fleet;
 use futures_lite::AsyncWriteExt as _;
 use std::{
+    net,
     sync::{self, atomic},
     time,
 };
@@ -15,6 +16,10 @@
 /// Pause between the bytes of a response that drips.
 const DRIP_PAUSE: time::Duration = time::Duration::from_millis(250);
 
+/// Bytes of an event or body that are held: less than a node accepts of one.
+const HELD_BYTES: usize = 3_900_000;
+/// Bytes of a head that are held: less than the HTTP library accepts of one.
+const HELD_HEAD_BYTES: usize = 380_000;
 const STREAM_HEADERS: &str =
     "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 
@@ -49,11 +54,31 @@
     UnnumberedEvents,
     /// One whole event, then comments.
     Comments,
+    /// Most of the bytes that a head may have, then one now and then.
+    HeldHead,
+    /// The same of a body that is no stream.
+    HeldBody,
+    /// The same of an event.
+    HeldEvent,
+}
+
+impl Endless {
+    /// Returns how many bytes come as fast as they are taken before the pauses begin; none if there
+    /// are no pauses.
+    fn fast_bytes(self) -> Option<usize> {
+        match self {
+            Self::DrippingHead | Self::DrippingEvent => Some(0),
+            Self::HeldHead => Some(HELD_HEAD_BYTES),
+            Self::HeldBody | Self::HeldEvent => Some(HELD_BYTES),
+            _ => None,
+        }
+    }
 }
 
 /// An endpoint and what was sent on its connections.
 #[derive(Clone, Debug)]
 pub struct RawEndpoint {
+    address: net::SocketAddr,
     /// Bytes of responses written.
     pub written: sync::Arc<atomic::AtomicUsize>,
     /// Connections that the client closed.
@@ -69,32 +94,65 @@
         service: &str,
         replaced: &[&str],
     ) -> Self {
-        let endpoint = Self { written: sync::Arc::default(), closed: sync::Arc::default() };
-        let server = endpoint.clone();
+        let endpoint = Self::listen(spawner, endless).await;
+        endpoint.register(fleet, service, replaced, SLOTS);
+        endpoint
+    }
+
+    /// Registers the endpoint with so many slots under `service` in place of `replaced`.
+    pub fn register(
+        &self,
+        fleet: &fleet::FleetStandIn,
+        service: &str,
+        replaced: &[&str],
+        slots: u32,
+    ) {
+        endpoint_socket::unregister(fleet, replaced);
+        endpoint_socket::register(fleet, "raw-1", service, self.address, slots);
+    }
+
+    /// Starts an endpoint that is not registered.
+    pub async fn listen(spawner: &worker::TaskSpawner, endless: Endless) -> Self {
+        let (written, closed) = (sync::Arc::default(), sync::Arc::default());
+        let connection = ResponseWriter { endless, written, closed };
+        let server = connection.clone();
         let address = endpoint_socket::listen(spawner, move |stream| {
             let server = server.clone();
-            async move { server.serve(stream, endless).await }
+            async move { server.serve(stream).await }
         });
-        let address = address.await;
-        endpoint_socket::unregister(fleet, replaced);
-        endpoint_socket::register(fleet, "raw-1", service, address, SLOTS);
-        endpoint
+        let ResponseWriter { written, closed, .. } = connection;
+        Self { address: address.await, written, closed }
     }
+}
 
-    async fn serve(&self, mut stream: TcpStream, endless: Endless) {
+/// Writes the responses of an endpoint.
+#[derive(Clone, Debug)]
+struct ResponseWriter {
+    endless: Endless,
+    written: sync::Arc<atomic::AtomicUsize>,
+    closed: sync::Arc<atomic::AtomicUsize>,
+}
+
+impl ResponseWriter {
+    async fn serve(&self, mut stream: TcpStream) {
         let request = endpoint_socket::read_request(&mut stream, &mut Vec::new()).await;
         let id = request.map(|request| request.id).filter(|id| !id.is_empty());
         let Some(id) = id else { return };
         let head = format!("HTTP/1.1 200 OK\r\nResponse-Stamp: raw-1\r\nRequest-Id: {id}\r\n");
+        let endless = self.endless;
         let first = match endless {
-            Endless::Head | Endless::DrippingHead => head,
+            Endless::Head | Endless::DrippingHead | Endless::HeldHead => head,
             Endless::InformationalHeads => String::new(),
             Endless::ChunkExtension => format!("{head}Transfer-Encoding: chunked\r\n\r\n4;"),
             Endless::Trailers => format!("{head}Transfer-Encoding: chunked\r\n\r\n0\r\n"),
             Endless::LongBody => format!("{head}Content-Length: 4\r\n\r\nbody"),
             Endless::Body => format!("{head}Content-Length: 9000000000\r\n\r\n"),
             Endless::ChunkedBody => format!("{head}Transfer-Encoding: chunked\r\n\r\n"),
+            Endless::HeldBody => {
+                format!("{head}Content-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n")
+            }
             Endless::Event
+            | Endless::HeldEvent
             | Endless::DrippingEvent
             | Endless::RepeatedEvent
             | Endless::RepeatedCrlfEvent => format!("{head}{STREAM_HEADERS}"),
@@ -103,10 +161,16 @@
             }
         };
         let mut sent = stream.write_all(first.as_bytes()).await;
+        let mut fast_left = endless.fast_bytes();
         while sent.is_ok() {
-            let bytes = next_bytes(endless);
-            if matches!(endless, Endless::DrippingHead | Endless::DrippingEvent) {
-                async_io::Timer::after(DRIP_PAUSE).await;
+            let mut bytes = next_bytes(endless);
+            if let Some(left) = &mut fast_left {
+                if *left < CHUNK_BYTES {
+                    bytes = drip_bytes(endless);
+                    async_io::Timer::after(DRIP_PAUSE).await;
+                } else {
+                    *left -= CHUNK_BYTES;
+                }
             }
             sent = stream.write_all(&bytes).await;
             self.written.fetch_add(bytes.len(), atomic::Ordering::Relaxed);
@@ -115,18 +179,29 @@
     }
 }
 
+/// Returns what comes now and then.
+fn drip_bytes(endless: Endless) -> Vec<u8> {
+    match endless {
+        Endless::DrippingHead | Endless::HeldHead => b"X".to_vec(),
+        _ => b"1\r\nx\r\n".to_vec(),
+    }
+}
+
 fn next_bytes(endless: Endless) -> Vec<u8> {
     match endless {
-        Endless::Head | Endless::Trailers => b"X-Filler: 0123456789\r\n".repeat(CHUNK_BYTES / 22),
+        Endless::Head | Endless::HeldHead | Endless::Trailers => {
+            b"X-Filler: 0123456789\r\n".repeat(CHUNK_BYTES / 22)
+        }
         Endless::InformationalHeads => b"HTTP/1.1 102 Processing\r\n\r\n".repeat(CHUNK_BYTES / 27),
-        Endless::DrippingHead => b"X".to_vec(),
         Endless::Body | Endless::ChunkExtension | Endless::LongBody => vec![b'x'; CHUNK_BYTES],
-        Endless::ChunkedBody | Endless::Event => chunk(&vec![b'x'; CHUNK_BYTES]),
+        Endless::ChunkedBody | Endless::Event | Endless::HeldBody | Endless::HeldEvent => {
+            chunk(&vec![b'x'; CHUNK_BYTES])
+        }
         Endless::RepeatedEvent => chunk(&b"id: 1\ndata: x\n\n".repeat(CHUNK_BYTES / 15)),
         Endless::RepeatedCrlfEvent => chunk(&b"id: 1\r\ndata: x\r\n\r\n".repeat(CHUNK_BYTES / 18)),
         Endless::UnnumberedEvents => chunk(&b"data: x\n\n".repeat(CHUNK_BYTES / 9)),
         Endless::Comments => chunk(&b": x\n\n".repeat(CHUNK_BYTES / 5)),
-        Endless::DrippingEvent => b"1\r\nx\r\n".to_vec(),
+        Endless::DrippingHead | Endless::DrippingEvent => drip_bytes(endless),
     }
 }
 
--- a/crates/comfreyspread-policy/src/event_buffer.rs
+++ b/crates/comfreyspread-policy/src/event_buffer.rs
@@ -17,6 +17,8 @@
 const LINE_ENDS: [&[u8]; 2] = [b"\n", b"\r\n"];
 /// Size of the longest end of an event, in bytes.
 const MAX_END_BYTES: usize = 4;
+/// Size of the blocks of an unfinished event, in bytes.
+const BLOCK_BYTES: usize = 16 * 1024;
 const ID_FIELD: &[u8] = b"id:";
 const DATA_FIELD: &[u8] = b"data";
 /// Start of the head of a response, which no line of an event has.
@@ -86,6 +88,9 @@
 /// Bytes of a stream from which complete events are taken.
 #[derive(Debug, Default)]
 pub struct EventBuffer {
+    /// Beginning of an unfinished event, in blocks of one size. A buffer that doubles leaves gaps of all
+    /// sizes that it had in the heap, and many of them took up twice their memory.
+    blocks: Vec<Box<[u8]>>,
     bytes: Vec<u8>,
     searched: usize,
 }
@@ -101,23 +106,39 @@
         let mut events = Vec::new();
         let mut taken = 0;
         while let Some(end) = self.event_end(taken) {
-            let bytes: Box<[u8]> = self.bytes[taken..end].into();
+            let mut blocks = std::mem::take(&mut self.blocks);
+            blocks.push(self.bytes[taken..end].into());
+            let bytes = blocks.concat().into_boxed_slice();
             events.push(CompleteEvent { id: event_id(&bytes), bytes });
             taken = end;
         }
         self.bytes.drain(..taken);
+        self.move_to_blocks();
         self.searched = self.bytes.len();
         events
     }
 
     /// Whether no bytes are buffered.
     pub fn is_empty(&self) -> bool {
-        self.bytes.is_empty()
+        self.bytes.is_empty() && self.blocks.is_empty()
     }
 
     /// Returns the number of buffered bytes.
     pub fn len(&self) -> usize {
-        self.bytes.len()
+        self.blocks.len() * BLOCK_BYTES + self.bytes.len()
+    }
+
+    /// Returns the number of bytes that the buffer takes up.
+    pub fn capacity(&self) -> usize {
+        self.blocks.len() * BLOCK_BYTES + self.bytes.capacity()
+    }
+
+    /// Moves whole blocks of the unfinished event out of the buffer that is searched. Enough is left
+    /// behind for an end of the event of which a part has arrived.
+    fn move_to_blocks(&mut self) {
+        let movable = self.bytes.len().saturating_sub(MAX_END_BYTES) / BLOCK_BYTES * BLOCK_BYTES;
+        self.blocks.extend(self.bytes[..movable].chunks(BLOCK_BYTES).map(Into::into));
+        self.bytes.drain(..movable);
     }
 
     /// Returns the end of the event that starts at `from`.
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -12,7 +12,7 @@
 //!   with their [`endpoint_intake`], [`endpoint_selection`], [`stage_graph`] of a request,
 //!   [`batch_queue`] of a stage service with its [`batch_call`]s over [`batch_admission`],
 //!   [`piece_group`], [`worker_set`] and [`home_zones`], [`event_buffer`],
-//!   [`first_event`], [`tried_endpoints`], [`service_retry_budget`], [`wait_table`], [`peer_health`];
+//!   [`response_budget`], [`first_event`], [`tried_endpoints`], [`service_retry_budget`], [`wait_table`], [`peer_health`];
 //!   tables of the store by [`table_mirror`] with [`table_hold`] and [`store_position`],
 //!   [`table_source`], [`table_freshness`], [`full_read_pace`] and [`outage_recovery`].
 //! - The owner: [`pool_scheduler`] over [`call_queue`], [`pool_endpoint`], [`endpoint_lifecycle`],
@@ -93,6 +93,7 @@
 pub mod prompt_home;
 pub mod recent_results;
 pub mod rendezvous;
+pub mod response_budget;
 pub mod response_progress;
 pub mod result_usage;
 pub mod retry;
--- a/crates/comfreyspread-policy/tests/event_buffer.rs
+++ b/crates/comfreyspread-policy/tests/event_buffer.rs
@@ -72,3 +72,35 @@
     assert!(progress.record(&mut found));
     assert_eq!(found.len(), 1);
 }
+
+/// An event larger than a block is the same wherever the stream is cut, also within its end.
+#[test]
+fn large_events() {
+    const LARGE: usize = 40_000;
+    for end in ["\n\n", "\r\n\r\n"] {
+        let event = format!("id: 7\ndata: {}{end}", "x".repeat(LARGE));
+        let stream = format!("{event}{event}id: 8{end}");
+        let (uncut, empty) = events(stream.as_bytes(), &[]);
+        assert!(empty);
+        assert_eq!(uncut.iter().map(|event| event.id).collect::<Vec<_>>(), [7, 7, 8].map(Some));
+        assert_eq!(&*uncut[1].bytes, event.as_bytes());
+        let near_ends = (0..6).flat_map(|back| [event.len() - back, 2 * event.len() - back]);
+        for cut in near_ends.chain((0..stream.len()).step_by(997)) {
+            assert_eq!(events(stream.as_bytes(), &[cut]).0, uncut, "cut at {cut}");
+        }
+        let cuts: Vec<_> = (0..stream.len()).step_by(1024).collect();
+        assert_eq!(events(stream.as_bytes(), &cuts).0, uncut);
+    }
+}
+
+/// The beginning of an unfinished event is kept in blocks, so what it takes up is what has arrived.
+#[test]
+fn blocks_counted() {
+    let mut buffer = event_buffer::EventBuffer::default();
+    for _ in 0..100 {
+        buffer.push(&[b'x'; 10_000]);
+        assert!(buffer.take_events().is_empty());
+    }
+    assert_eq!(buffer.len(), 1_000_000);
+    assert!(buffer.capacity() < 1_100_000, "{}", buffer.capacity());
+}
--- a/crates/comfreyspread/src/gateway/process.rs
+++ b/crates/comfreyspread/src/gateway/process.rs
@@ -6,7 +6,7 @@
 };
 use crate::{
     membership::{crash_notice, heartbeat, peer},
-    runtime::{context, logging, node, settings, supervisor, worker},
+    runtime::{context, logging, memory_plan, node, settings, supervisor, worker},
     transport::http_server,
 };
 use async_signal::{Signal, Signals};
@@ -30,14 +30,6 @@
 const LOG_DRAIN_TIMEOUT: time::Duration = time::Duration::from_millis(200);
 /// Maximum connections for readiness checks, metrics and operators.
 const ADMIN_CONNECTIONS: usize = 64;
-/// Maximum bytes of bodies, and of unfinished heads, on the addresses for these.
-const ADMIN_BUDGET_BYTES: usize = 1024 * 1024;
-/// Part of the memory, as a divisor, that bodies on one address may take up.
-const BODY_BUDGET_DIVISOR: u64 = 8;
-/// Part of the memory, as a divisor, that unfinished heads on one address may take up.
-const HEAD_BUDGET_DIVISOR: u64 = 32;
-/// Minimum of both, so that a single request within the limits is served on any machine.
-const MIN_BUDGET_BYTES: u64 = 4 * 1024 * 1024 + 64 * 1024;
 /// File descriptors reserved for other uses than callers' connections.
 const RESERVED_DESCRIPTORS: u32 = 800;
 
@@ -101,6 +93,8 @@
 fn node_flags(gateway_settings: &types::GatewaySettings) -> schema_settings::NodeFlags {
     let seeds: Vec<_> = gateway_settings.seeds.iter().map(ToString::to_string).collect();
     let shutdown = gateway_settings.shutdown_grace.saturating_sub(READINESS_GRACE + STOP_MARGIN);
+    let memory = gateway_settings.memory_bytes;
+    let plan = (memory > 0).then(|| memory_plan::MemoryPlan::new(memory));
     let connections = (gateway_settings.max_sockets > 0)
         .then(|| gateway_settings.max_sockets.saturating_sub(RESERVED_DESCRIPTORS).max(1));
     schema_settings::NodeFlags {
@@ -114,8 +108,8 @@
         seeds: Some(seeds.join(",")),
         workers: Some("1".to_owned()),
         connection_limit: connections.map(|count| count.to_string()),
-        body_budget: memory_part(gateway_settings, BODY_BUDGET_DIVISOR),
-        head_budget: memory_part(gateway_settings, HEAD_BUDGET_DIVISOR),
+        body_budget: plan.map(|plan| plan.request_bodies.to_string()),
+        head_budget: plan.map(|plan| plan.request_heads.to_string()),
         header_timeout_ms: Some(IDLE_TIMEOUT_MS.to_owned()),
         grace_ms: Some(READINESS_GRACE.as_millis().to_string()),
         shutdown_ms: Some(shutdown.as_millis().to_string()),
@@ -123,12 +117,6 @@
     }
 }
 
-/// Returns a part of the machine's memory in bytes, for a setting; none if the platform states none.
-fn memory_part(gateway_settings: &types::GatewaySettings, divisor: u64) -> Option<String> {
-    let memory = gateway_settings.memory_bytes;
-    (memory > 0).then(|| (memory / divisor).max(MIN_BUDGET_BYTES).to_string())
-}
-
 async fn serve(
     state: sync::Arc<state::GatewayState>,
     path: &str,
@@ -235,8 +223,8 @@
     let handler = sync::Arc::new(admin_handler::AdminHandler::new(state.clone()));
     let limits = http_server::ServerLimits {
         connection_limit: ADMIN_CONNECTIONS,
-        body_budget: ADMIN_BUDGET_BYTES,
-        head_budget: ADMIN_BUDGET_BYTES,
+        body_budget: memory_plan::ADMIN_BYTES as usize,
+        head_budget: memory_plan::ADMIN_BYTES as usize,
         ..node::server_limits(&state.context.settings)
     };
     node::start_server(&state.context, address, handler, limits).await?;
--- a/crates/comfreyspread/src/gateway/state.rs
+++ b/crates/comfreyspread/src/gateway/state.rs
@@ -1,8 +1,8 @@
 //! Shared state of the gateway.
 
 use crate::{
-    runtime::{context, lock_rank},
-    transport::{failure, http_client},
+    runtime::{context, lock_rank, memory_plan},
+    transport::{failure, http_client, response_memory},
 };
 use comfreyspread_platform::piece_call;
 use comfreyspread_policy::{
@@ -81,6 +81,10 @@
     pub endpoints_loaded: atomic::AtomicBool,
 }
 
+fn to_size(bytes: u64) -> usize {
+    usize::try_from(bytes).unwrap_or(usize::MAX)
+}
+
 impl fmt::Debug for GatewayState {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.debug_struct("GatewayState").field("node", &self.settings.node).finish()
@@ -104,6 +108,17 @@
         if settings.exposure_share > 0.0 {
             directory.versions_mut().enable_rollouts();
         }
+        let mut client = http_client::HttpClient::new(MAX_RESPONSE_BYTES)
+            .with_idle_timeout(ENDPOINT_IDLE_TIMEOUT);
+        let stages = context.metrics.stages.clone();
+        let mut store = store_client::StoreClient::new(settings.store_address, stages);
+        if settings.memory_bytes > 0 {
+            let plan = memory_plan::MemoryPlan::new(settings.memory_bytes);
+            let memory = response_memory::ResponseMemory::new(to_size(plan.endpoint_responses));
+            client = client.with_memory(memory.with_metrics(context.metrics.responses.clone()));
+            let memory = response_memory::ResponseMemory::new(to_size(plan.store_responses));
+            store = store.with_memory(memory);
+        }
         Self {
             regions,
             boards: lock_rank::RankedLock::default(),
@@ -122,12 +137,8 @@
             retry_budget: lock_rank::RankedLock::new(
                 service_retry_budget::ServiceRetryBudget::new(rules),
             ),
-            client: http_client::HttpClient::new(MAX_RESPONSE_BYTES)
-                .with_idle_timeout(ENDPOINT_IDLE_TIMEOUT),
-            store: store_client::StoreClient::new(
-                settings.store_address,
-                context.metrics.stages.clone(),
-            ),
+            client,
+            store,
             routes_changed: event_listener::Event::new(),
             tables_changed: event_listener::Event::new(),
             endpoints_loaded: atomic::AtomicBool::new(false),
--- a/crates/comfreyspread/src/gateway/store_client.rs
+++ b/crates/comfreyspread/src/gateway/store_client.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     runtime::stage_metrics,
-    transport::{failure, header, http_client, http_message},
+    transport::{failure, header, http_client, http_message, response_memory},
 };
 use comfreyspread_platform::store;
 use comfreyspread_schema::types;
@@ -40,6 +40,11 @@
         Self { address, client: client.with_idle_timeout(IDLE_TIMEOUT), metrics }
     }
 
+    /// Sets the memory for responses.
+    pub fn with_memory(self, memory: response_memory::ResponseMemory) -> Self {
+        Self { client: self.client.with_memory(memory), ..self }
+    }
+
     /// Reads all rows of a table.
     ///
     /// # Errors
--- a/crates/comfreyspread/src/gateway/stream_run.rs
+++ b/crates/comfreyspread/src/gateway/stream_run.rs
@@ -291,8 +291,11 @@
                 self.stages.release_all();
             }
             let bytes = self.new_event_bytes(batch.events);
-            if !bytes.is_empty() && sender.send(Ok(bytes.into())).await.is_err() {
-                return Err(io::ErrorKind::BrokenPipe.into());
+            if !bytes.is_empty() {
+                let bytes = self.state.client.memory().hold_bytes(bytes);
+                if sender.send(Ok(bytes)).await.is_err() {
+                    return Err(io::ErrorKind::BrokenPipe.into());
+                }
             }
             if batch.has_second_head {
                 let detail = "another response follows within the stream";
@@ -328,7 +331,10 @@
             };
             match advanced.or(moved).or(overlapped).await {
                 StallEvent::Advanced(Ok(batch)) => StallEnd::Advanced(batch),
-                StallEvent::Advanced(Err(error)) => StallEnd::moved(resumed.await.ok_or(error)?),
+                StallEvent::Advanced(Err(error)) => {
+                    reader.close();
+                    StallEnd::moved(resumed.await.ok_or(error)?)
+                }
                 StallEvent::Moved(next) => next.map_or(StallEnd::Unmoved, StallEnd::Moved),
                 StallEvent::Overlapped => {
                     reader.close();
--- a/crates/comfreyspread/src/runtime/lock_rank.rs
+++ b/crates/comfreyspread/src/runtime/lock_rank.rs
@@ -83,6 +83,8 @@
     AttemptBudgetRank = 100;
     /// Rank of the status of seeds.
     SeedRank = 105;
+    /// Rank of the memory for responses.
+    ResponseMemoryRank = 106;
     /// Rank of the connections that have not sent a whole request.
     FreshConnectionRank = 108;
     /// Rank of the idle connections.
--- a/crates/comfreyspread/src/runtime/metrics.rs
+++ b/crates/comfreyspread/src/runtime/metrics.rs
@@ -2,7 +2,7 @@
 
 use crate::runtime::{
     connection_metrics, crash_metrics, ending_metrics, placement_metrics, pool_metrics,
-    rollout_metrics, settings_metrics, stage_metrics, store_metrics,
+    response_metrics, rollout_metrics, settings_metrics, stage_metrics, store_metrics,
 };
 use comfreyspread_schema::types;
 use prometheus_client::{encoding, encoding::text, metrics, registry};
@@ -43,6 +43,8 @@
     pub connections: connection_metrics::ConnectionMetrics,
     /// Metrics of the placement of requests on engines.
     pub placements: placement_metrics::PlacementMetrics,
+    /// Metrics of the memory that endpoints' responses take up.
+    pub responses: response_metrics::ResponseMetrics,
     /// Metrics of roll-outs of endpoint software.
     pub rollouts: rollout_metrics::RolloutMetrics,
     /// Metrics of the settings file.
@@ -69,6 +71,7 @@
         let pools = pool_metrics::PoolMetrics::new(&mut registry);
         let connections = connection_metrics::ConnectionMetrics::new(&mut registry);
         let placements = placement_metrics::PlacementMetrics::new(&mut registry);
+        let responses = response_metrics::ResponseMetrics::new(&mut registry);
         let rollouts = rollout_metrics::RolloutMetrics::new(&mut registry);
         let settings = settings_metrics::SettingsMetrics::new(&mut registry);
         let stages = stage_metrics::StageMetrics::new(&mut registry);
@@ -83,6 +86,7 @@
             pools,
             connections,
             placements,
+            responses,
             rollouts,
             settings,
             stages,
--- a/crates/comfreyspread/src/transport/body.rs
+++ b/crates/comfreyspread/src/transport/body.rs
@@ -4,7 +4,7 @@
 //! announces a large body and sends little uses little of the budget.
 
 use crate::transport::http_body;
-use std::{mem, sync, sync::atomic};
+use std::{io, mem, sync, sync::atomic};
 
 /// Size of the blocks that a body is collected in.
 const BLOCK_BYTES: usize = 64 * 1024;
@@ -20,6 +20,16 @@
     TooLarge,
 }
 
+/// Counts the memory that a body takes up while it is read.
+pub trait MemoryAccount {
+    /// Reserves more bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if too few are left.
+    fn grow(&mut self, bytes: usize) -> Result<(), BodyError>;
+}
+
 /// Memory budget in bytes, shared by all bodies of one server or client.
 #[derive(Debug)]
 pub struct BodyBudget {
@@ -64,13 +74,10 @@
         self.exempt = bytes;
         self
     }
+}
 
-    /// Reserves more bytes.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the budget has too few left.
-    pub fn grow(&mut self, bytes: usize) -> Result<(), BodyError> {
+impl MemoryAccount for BodyReservation {
+    fn grow(&mut self, bytes: usize) -> Result<(), BodyError> {
         let budget = &self.budget;
         let exempt = bytes.min(self.exempt);
         let bytes = bytes - exempt;
@@ -93,13 +100,16 @@
 ///
 /// # Errors
 ///
-/// Fails if the body is cut short, exceeds `limit` bytes, or the budget of `reservation` is
+/// Fails if the body is cut short, exceeds `limit` bytes, or the budget of `account` is
 /// used up.
-pub async fn read_to_end(
+pub async fn read_to_end<Account>(
     body: &mut http_body::MessageBody,
     limit: usize,
-    reservation: &mut BodyReservation,
-) -> Result<bytes::Bytes, BodyError> {
+    account: &mut Account,
+) -> Result<bytes::Bytes, BodyError>
+where
+    Account: MemoryAccount,
+{
     let announced = body.known_length().and_then(|length| usize::try_from(length).ok());
     if announced.is_some_and(|length| length > limit) {
         return Err(BodyError::TooLarge);
@@ -107,10 +117,14 @@
     let mut blocks = BodyBlocks::new(announced.unwrap_or(limit));
     while let Some(chunk) = body.next_chunk().await {
         let chunk = chunk.map_err(|error| {
-            log::debug!("body: cut short. error={error}");
-            BodyError::CutShort
+            log::debug!("body: not read to its end. error={error}");
+            if error.kind() == io::ErrorKind::OutOfMemory {
+                BodyError::Busy
+            } else {
+                BodyError::CutShort
+            }
         })?;
-        blocks.append(&chunk, reservation)?;
+        blocks.append(&chunk, account)?;
     }
     Ok(blocks.join())
 }
@@ -130,11 +144,10 @@
         Self { full: Vec::new(), last: Vec::new(), room: max_length }
     }
 
-    fn append(
-        &mut self,
-        mut chunk: &[u8],
-        reservation: &mut BodyReservation,
-    ) -> Result<(), BodyError> {
+    fn append<Account>(&mut self, mut chunk: &[u8], account: &mut Account) -> Result<(), BodyError>
+    where
+        Account: MemoryAccount,
+    {
         if chunk.len() > self.room {
             return Err(BodyError::TooLarge);
         }
@@ -143,7 +156,7 @@
                 self.full.push(mem::take(&mut self.last));
             }
             let count = chunk.len().min(BLOCK_BYTES - self.last.len());
-            self.reserve(count, reservation)?;
+            self.reserve(count, account)?;
             let (head, rest) = chunk.split_at(count);
             self.last.extend_from_slice(head);
             self.room -= count;
@@ -154,11 +167,10 @@
 
     /// Reserves capacity for `count` more bytes in the last block, at least doubling it up to the
     /// size of a block or the rest of the body.
-    fn reserve(
-        &mut self,
-        count: usize,
-        reservation: &mut BodyReservation,
-    ) -> Result<(), BodyError> {
+    fn reserve<Account>(&mut self, count: usize, account: &mut Account) -> Result<(), BodyError>
+    where
+        Account: MemoryAccount,
+    {
         let needed = self.last.len() + count;
         let capacity = self.last.capacity();
         if needed <= capacity {
@@ -167,7 +179,7 @@
         let max_capacity = BLOCK_BYTES.min(self.last.len() + self.room);
         let least = if self.full.is_empty() { capacity * 2 } else { max_capacity };
         let new_capacity = needed.max(least).min(max_capacity);
-        reservation.grow(new_capacity - capacity)?;
+        account.grow(new_capacity - capacity)?;
         self.last.reserve_exact(new_capacity - self.last.len());
         Ok(())
     }
--- a/crates/comfreyspread/src/transport/client_connection.rs
+++ b/crates/comfreyspread/src/transport/client_connection.rs
@@ -3,7 +3,7 @@
 //! The task that waits for an exchange also polls `hyper`'s connection, so an idle connection needs
 //! no task, and dropping an exchange closes its connection.
 
-use crate::transport::{head_limit, http_body, http_message};
+use crate::transport::{head_limit, http_body, http_message, response_memory};
 use async_net::TcpStream;
 use hyper::client::conn::http1;
 use rustix::net::sockopt;
@@ -12,6 +12,9 @@
 type HyperStream = smol_hyper::rt::FuturesIo<head_limit::LimitedStream<TcpStream>>;
 type HyperConnection = http1::Connection<HyperStream, http_body::MessageBody>;
 
+/// Maximum size of the read buffer of a connection, which holds an unfinished head, in bytes: as on the
+/// side of the callers.
+const MAX_READ_BUFFER_BYTES: usize = 32 * 1024;
 /// Time for which sent bytes may stay unacknowledged before the connection is closed.
 const UNACKNOWLEDGED_TIMEOUT_MS: u32 = 2000;
 /// Idle time after which TCP keepalive probes are sent.
@@ -38,6 +41,8 @@
     Unsent,
     /// The request was written, but the connection ended before the head of a response.
     Lost(hyper::Error),
+    /// The request was written, and its response had to give way before its head had arrived.
+    Revoked(response_memory::MemoryRevoked),
 }
 
 impl ClientConnection {
@@ -54,6 +59,7 @@
         let stream = head_limit::LimitedStream::new(stream, head_limit.clone());
         let (sender, driver) = http1::Builder::new()
             .preserve_header_case(true)
+            .max_buf_size(MAX_READ_BUFFER_BYTES)
             .handshake(smol_hyper::rt::FuturesIo::new(stream))
             .await
             .map_err(io::Error::other)?;
@@ -102,26 +108,36 @@
         ready.await && self.sender.is_ready()
     }
 
-    /// Sends a request and waits for the head of its response.
+    /// Sends a request and waits for the head of its response, what has arrived of which is charged to
+    /// `holder`.
     ///
     /// # Errors
     ///
-    /// Fails if the connection ends or sends too much first; the error says whether anything was written.
+    /// Fails if the connection ends or sends too much first, or the response has to give way; the error
+    /// says whether anything was written.
     pub async fn exchange(
         &mut self,
         request: http_message::Request,
+        holder: &response_memory::ResponseHolder,
     ) -> Result<http::Response<hyper::body::Incoming>, ExchangeError> {
         if self.drive(|sender, cx| sender.poll_ready(cx)).await.is_err() {
             return Err(ExchangeError::Unsent);
         }
         self.head_limit.start();
         let mut response = Box::pin(self.sender.try_send_request(request.into_http()));
-        let response = self.drive(|_, cx| response.as_mut().poll(cx)).await;
+        let head_limit = self.head_limit.clone();
+        let response = self.drive(|_, cx| {
+            if let Err(revoked) = charge_head(&head_limit, holder, cx) {
+                return task::Poll::Ready(Err(ExchangeError::Revoked(revoked)));
+            }
+            response.as_mut().poll(cx).map_err(|mut error| match error.take_message() {
+                Some(_) => ExchangeError::Unsent,
+                None => ExchangeError::Lost(error.into_error()),
+            })
+        });
+        let response = response.await;
         self.head_limit.stop();
-        response.map_err(|mut error| match error.take_message() {
-            Some(_) => ExchangeError::Unsent,
-            None => ExchangeError::Lost(error.into_error()),
-        })
+        response
     }
 
     /// Polls the connection, then `poll`, until the latter is ready.
@@ -158,6 +174,16 @@
     }
 }
 
+/// Charges what has arrived of a head to `holder`.
+fn charge_head(
+    head_limit: &head_limit::HeadLimit,
+    holder: &response_memory::ResponseHolder,
+    cx: &task::Context<'_>,
+) -> Result<(), response_memory::MemoryRevoked> {
+    holder.resize(head_limit.read().min(MAX_READ_BUFFER_BYTES))?;
+    if holder.poll_revoked(cx) { Err(response_memory::MemoryRevoked) } else { Ok(()) }
+}
+
 /// Lets the kernel close the connection if the peer stops responding, as in a network partition.
 fn detect_dead_peer(stream: &TcpStream) -> io::Result<()> {
     sockopt::set_tcp_user_timeout(stream, UNACKNOWLEDGED_TIMEOUT_MS)?;
--- a/crates/comfreyspread/src/transport/head_limit.rs
+++ b/crates/comfreyspread/src/transport/head_limit.rs
@@ -28,6 +28,11 @@
         self.left.store(MAX_HEAD_BYTES, atomic::Ordering::Relaxed);
     }
 
+    /// Returns the number of bytes read since the request was sent, until the head has arrived.
+    pub fn read(&self) -> usize {
+        MAX_HEAD_BYTES.saturating_sub(self.left.load(atomic::Ordering::Relaxed))
+    }
+
     /// Stops counting, when the head of the response has arrived.
     pub fn stop(&self) {
         self.left.store(UNLIMITED, atomic::Ordering::Relaxed);
--- a/crates/comfreyspread/src/transport/head_reading.rs
+++ b/crates/comfreyspread/src/transport/head_reading.rs
@@ -4,7 +4,7 @@
 //! `hyper` bounds the head of one connection. The sum over all connections needs a budget of its own,
 //! and so does the time: a head that arrives one byte at a time takes its place for ever.
 
-use crate::transport::{body, deadline};
+use crate::transport::{body, body::MemoryAccount as _, deadline};
 use std::{io, pin, sync, sync::atomic, task, time};
 
 /// Bytes of each connection that need no budget, so that ordinary requests are read also while large
--- a/crates/comfreyspread/src/transport/http_body.rs
+++ b/crates/comfreyspread/src/transport/http_body.rs
@@ -1,9 +1,10 @@
 //! Bodies of HTTP messages: complete, generated while they are read, or being received.
 
+use crate::transport::response_memory;
 use bytes::Buf as _;
 use futures_lite::{AsyncBufRead, AsyncRead, io, ready};
 use hyper::body::Body as _;
-use std::{fmt, pin, task};
+use std::{fmt, pin, sync, task};
 
 const READ_BUFFER_BYTES: usize = 16 * 1024;
 
@@ -24,12 +25,13 @@
     buffered: bytes::Bytes,
     source: Option<BoxedSource>,
     length: Option<u64>,
+    holder: Option<sync::Arc<response_memory::ResponseHolder>>,
 }
 
 impl MessageBody {
     /// Creates an empty body.
     pub fn empty() -> Self {
-        Self { buffered: bytes::Bytes::new(), source: None, length: Some(0) }
+        Self { buffered: bytes::Bytes::new(), source: None, length: Some(0), holder: None }
     }
 
     /// Creates a body from chunks; `length` is its size in bytes if known.
@@ -39,7 +41,7 @@
     {
         let source: pin::Pin<Box<dyn ChunkSource + Send>> = Box::pin(source);
         let source = Some(sync_wrapper::SyncWrapper::new(source));
-        Self { buffered: bytes::Bytes::new(), source, length }
+        Self { buffered: bytes::Bytes::new(), source, length, holder: None }
     }
 
     /// Creates a body from a reader; `length` is its size in bytes if known.
@@ -51,6 +53,16 @@
         Self::from_source(ReaderSource { reader, buffer }, length)
     }
 
+    /// Sets where a reader charges what it keeps of the body.
+    pub fn with_holder(self, holder: sync::Arc<response_memory::ResponseHolder>) -> Self {
+        Self { holder: Some(holder), ..self }
+    }
+
+    /// Returns where a reader charges what it keeps of the body; none if nothing counts it.
+    pub fn holder(&self) -> Option<&sync::Arc<response_memory::ResponseHolder>> {
+        self.holder.as_ref()
+    }
+
     /// Returns the length in bytes if it is known in advance.
     pub fn known_length(&self) -> Option<u64> {
         self.length
@@ -94,7 +106,7 @@
             fn from(value: $name) -> Self {
                 let buffered = bytes::Bytes::from(value);
                 let length = u64::try_from(buffered.len()).ok();
-                Self { buffered, source: None, length }
+                Self { buffered, source: None, length, holder: None }
             }
         })*
     };
--- a/crates/comfreyspread/src/transport/http_client.rs
+++ b/crates/comfreyspread/src/transport/http_client.rs
@@ -7,7 +7,7 @@
 
 use crate::transport::{
     body, client_connection, deadline as deadlines, failure, header, http_body, http_message,
-    idle_connections,
+    idle_connections, response_memory,
 };
 use comfreyspread_schema::{ids, types};
 use futures_lite::FutureExt as _;
@@ -16,10 +16,8 @@
 const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 const NO_CONTENT_STATUS: u16 = 204;
 const FINAL_STATUSES: ops::Range<u16> = 200..600;
-/// Bodies of the largest size that are read at once.
+/// Bodies of the largest size that are read at once, unless the memory for them is set.
 const LARGE_BODIES_AT_ONCE: usize = 2;
-/// Bytes of each body that need no part of the memory for large ones.
-const ORDINARY_BODY_BYTES: usize = 64 * 1024;
 /// Chunks of a body that are read in a row before other tasks, and the timer of the call, have their
 /// turn.
 const CHUNKS_IN_A_ROW: u32 = 4;
@@ -103,7 +101,7 @@
 pub struct HttpClient {
     idle: sync::Arc<idle_connections::IdleConnections>,
     body_limit: usize,
-    budget: sync::Arc<body::BodyBudget>,
+    memory: sync::Arc<response_memory::ResponseMemory>,
     user_agent: Option<ids::Text>,
 }
 
@@ -111,8 +109,8 @@
     /// Creates a client that accepts response bodies of up to `body_limit` bytes.
     pub fn new(body_limit: usize) -> Self {
         let idle = sync::Arc::new(idle_connections::IdleConnections::new(IDLE_TIMEOUT));
-        let budget = sync::Arc::new(body::BodyBudget::new(body_limit * LARGE_BODIES_AT_ONCE));
-        Self { idle, body_limit, budget, user_agent: None }
+        let memory = response_memory::ResponseMemory::new(body_limit * LARGE_BODIES_AT_ONCE);
+        Self { idle, body_limit, memory: sync::Arc::new(memory), user_agent: None }
     }
 
     /// Sets the node named in the `user-agent` header of each request.
@@ -120,6 +118,16 @@
         Self { user_agent: Some(format!("{}{node}", header::USER_AGENT_PREFIX).into()), ..self }
     }
 
+    /// Sets the memory for responses.
+    pub fn with_memory(self, memory: response_memory::ResponseMemory) -> Self {
+        Self { memory: sync::Arc::new(memory), ..self }
+    }
+
+    /// Returns the memory for responses.
+    pub fn memory(&self) -> &sync::Arc<response_memory::ResponseMemory> {
+        &self.memory
+    }
+
     /// Sets how long a connection may be idle before it is closed.
     pub fn with_idle_timeout(self, timeout: time::Duration) -> Self {
         Self { idle: sync::Arc::new(idle_connections::IdleConnections::new(timeout)), ..self }
@@ -194,17 +202,23 @@
     ///
     /// # Errors
     ///
-    /// Fails if the body is cut short, larger than this client accepts, or large while others have
-    /// used up the memory for large bodies; the call has run then.
+    /// Fails if the body is cut short, larger than this client accepts, or has to give way while
+    /// responses have used up their memory; the call has run then.
     pub async fn read_body(
         &self,
         response: &mut http_message::Response,
     ) -> Result<bytes::Bytes, failure::CallFailure> {
-        let reservation = body::BodyReservation::new(self.budget.clone());
-        let mut reservation = reservation.with_exempt(ORDINARY_BODY_BYTES);
-        let read =
-            body::read_to_end(&mut response.take_body(), self.body_limit, &mut reservation).await;
-        read.map_err(|error| body_failure(error, self.body_limit))
+        let mut body = response.take_body();
+        let mut account = ResponseAccount { holder: body.holder().cloned(), bytes: 0 };
+        let read = body::read_to_end(&mut body, self.body_limit, &mut account).await;
+        drop(body);
+        let bytes = read.map_err(|error| body_failure(error, self.body_limit))?;
+        // The source of the body, which also held it, has ended.
+        let holder = account.holder.and_then(sync::Arc::into_inner);
+        Ok(match holder {
+            Some(holder) => holder.pin(bytes),
+            None => bytes,
+        })
     }
 
     /// Makes a call and returns once the head of its response has arrived; the caller reads the
@@ -249,19 +263,27 @@
         finished: FinishedConnection,
     ) -> Result<http_message::Response, failure::CallFailure> {
         let address = connection.address();
-        let response = connection.exchange(self.with_standard_headers(address, request)).await;
+        let holder = sync::Arc::new(self.memory.hold());
+        let request = self.with_standard_headers(address, request);
+        let response = connection.exchange(request, &holder).await;
         let response = response.map_err(|error| match error {
             client_connection::ExchangeError::Unsent => connection_failed(address, "it was closed"),
             client_connection::ExchangeError::Lost(error) => {
                 response_failed(format!("the exchange failed: {error}")).with_crashed(true)
             }
+            client_connection::ExchangeError::Revoked(error) => response_failed(error.to_string()),
         });
         let (head, incoming) = response?.into_parts();
         check_status(head.status)?;
         let length = hyper::body::Body::size_hint(&incoming).exact();
-        let source =
-            ResponseSource { incoming, connection: Some(connection), finished, chunks_in_a_row: 0 };
-        let body = http_body::MessageBody::from_source(source, length);
+        let source = ResponseSource {
+            incoming,
+            connection: Some(connection),
+            finished,
+            chunks_in_a_row: 0,
+            holder: holder.clone(),
+        };
+        let body = http_body::MessageBody::from_source(source, length).with_holder(holder);
         Ok(http_message::Response::from_parts(head, body))
     }
 
@@ -325,6 +347,21 @@
     connection: Option<client_connection::ClientConnection>,
     finished: FinishedConnection,
     chunks_in_a_row: u32,
+    holder: sync::Arc<response_memory::ResponseHolder>,
+}
+
+/// Charges a body that is read to the holder of its response.
+struct ResponseAccount {
+    holder: Option<sync::Arc<response_memory::ResponseHolder>>,
+    bytes: usize,
+}
+
+impl body::MemoryAccount for ResponseAccount {
+    fn grow(&mut self, bytes: usize) -> Result<(), body::BodyError> {
+        self.bytes += bytes;
+        let holder = self.holder.as_ref();
+        holder.map_or(Ok(()), |holder| holder.resize(self.bytes)).map_err(|_| body::BodyError::Busy)
+    }
 }
 
 impl ResponseSource {
@@ -349,7 +386,14 @@
         cx: &mut task::Context<'_>,
     ) -> task::Poll<Option<io::Result<bytes::Bytes>>> {
         let source = &mut *self;
-        if source.chunks_in_a_row == CHUNKS_IN_A_ROW {
+        if source.holder.poll_revoked(cx) {
+            source.connection = None;
+            return task::Poll::Ready(Some(Err(response_memory::MemoryRevoked.into())));
+        }
+        // A response that gives way is freed in its own turn, which must not wait until all others have
+        // read several chunks.
+        let max_chunks = if source.holder.is_counted() { 1 } else { CHUNKS_IN_A_ROW };
+        if source.chunks_in_a_row >= max_chunks {
             source.chunks_in_a_row = 0;
             cx.waker().wake_by_ref();
             return task::Poll::Pending;
@@ -395,9 +439,7 @@
         body::BodyError::TooLarge => {
             response_failed(format!("the answer is larger than {limit} bytes"))
         }
-        body::BodyError::Busy => {
-            response_failed("large answers have used up the memory for them".to_owned())
-        }
+        body::BodyError::Busy => response_failed(response_memory::MemoryRevoked.to_string()),
     }
 }
 
--- a/crates/comfreyspread/src/transport/mod.rs
+++ b/crates/comfreyspread/src/transport/mod.rs
@@ -18,4 +18,5 @@
 pub mod problem;
 pub mod produced_body;
 pub mod produced_items;
+pub mod response_memory;
 pub mod server_stream;
