Keep the read buffer of a caller's connection from growing with a body

Cause: hyper doubles the read buffer of a connection after each read that fills it, up to the limit of a head, and keeps it as long as the connection lasts. No budget counts it.

Change: the stream under hyper returns at most 8,191 bytes a read, one less than the first size of the buffer.

--- /dev/null
+++ b/crates/comfreyspread-lab/tests/kept_connections.rs
@@ -0,0 +1,62 @@
+//! Callers' connections that are kept after a request, by clients that do not use them any more.
+
+mod common;
+
+use comfreyspread_lab::{fleet, process_usage};
+use common::gateway;
+use std::{
+    io::{Read as _, Write as _},
+    net, sync,
+};
+
+/// Memory of the machine, in MB.
+const MEMORY_MB: u64 = 48;
+/// Connections that are kept beside each other, fewer than the machine's descriptors allow.
+const KEPT: usize = 900;
+const KEPT_DESCRIPTORS: u32 = 2000;
+/// Body of the request on each of them.
+const BODY_BYTES: usize = 30_000;
+/// One crowd at a time.
+static CROWDS: sync::Mutex<()> = sync::Mutex::new(());
+
+async fn start_node(fleet: &fleet::FleetStandIn, descriptors: u32) -> fleet::FleetNode {
+    let settings = format!("limits.memory_mb={MEMORY_MB}\nlimits.max_fds={descriptors}\n");
+    let node = fleet::FleetNode::start(fleet, &gateway::program(), "node-1", &[], &settings);
+    let node = node.expect("a node");
+    node.wait_until_ready().await.expect("a ready node");
+    node
+}
+
+/// Opens a connection, has a request of no route answered on it, and returns it; none if the node
+/// refuses it.
+fn keep_connection(address: net::SocketAddr, body: &[u8]) -> Option<net::TcpStream> {
+    let mut stream = net::TcpStream::connect(address).ok()?;
+    stream.set_read_timeout(Some(gateway::RESPONSE_TIMEOUT)).ok()?;
+    let length = body.len();
+    let head =
+        format!("POST /none/ HTTP/1.1\r\nhost: h.example\r\ncontent-length: {length}\r\n\r\n");
+    stream.write_all(head.as_bytes()).ok()?;
+    stream.write_all(body).ok()?;
+    let mut answer = [0; 4096];
+    let count = stream.read(&mut answer).ok()?;
+    answer[..count].starts_with(b"HTTP/1.1 40").then_some(stream)
+}
+
+/// The read buffer of a connection grew to 32 KiB with the first body and was kept with the connection;
+/// no budget counted it.
+#[test]
+fn buffers_released() {
+    let _alone = CROWDS.lock().unwrap_or_else(sync::PoisonError::into_inner);
+    gateway::with_fleet(async |fleet| {
+        let node = start_node(&fleet, KEPT_DESCRIPTORS).await;
+        let body = vec![b'b'; BODY_BYTES];
+        let kept: Vec<_> =
+            (0..KEPT).filter_map(|_| keep_connection(node.caller_address, &body)).collect();
+        assert_eq!(kept.len(), KEPT);
+        let usage = process_usage::ProcessUsage::new(node.process.id()).expect("a running process");
+        let peak_mb = usage.peak_memory_kb / 1024;
+        assert!(peak_mb < MEMORY_MB, "{peak_mb} MB of {MEMORY_MB}");
+        let request = gateway::request(node.caller_address, "/read/", "after");
+        assert_eq!(gateway::send(node.caller_address, request).await.0, 200);
+    });
+}
--- a/crates/comfreyspread/src/transport/server_stream.rs
+++ b/crates/comfreyspread/src/transport/server_stream.rs
@@ -9,6 +9,9 @@
 use futures_lite::{AsyncRead, AsyncWrite, io, ready};
 use std::{pin, sync, sync::atomic, task, time};
 
+/// Maximum bytes of one read. `hyper` doubles the read buffer of a connection after each read that fills
+/// its first 8 KiB, and keeps it as long as the connection lasts.
+const MAX_READ_BYTES: usize = 8 * 1024 - 1;
 const SUBSTITUTE_REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: node\r\nconnection: close\r\n\r\n";
 
 /// Whether a request has been passed to the handler.
@@ -68,6 +71,8 @@
         if let Some(head) = &mut self.head {
             head.check_time(cx)?;
         }
+        let length = buffer.len().min(MAX_READ_BYTES);
+        let buffer = &mut buffer[..length];
         let count = ready!(pin::Pin::new(&mut self.stream).poll_read(cx, buffer))?;
         if let Some(head) = &mut self.head {
             head.count(count)?;
