Let a connection that is not in use make room for a new one

Cause: one whole request took a connection off the list of those that make room, for good.

Change: a connection has a phase as long as it is open. Those with a request in progress, or a response that the peer has not accepted, stay; a request that arrives as its connection is chosen is answered 503 as not run.

--- a/crates/comfreyspread-lab/tests/kept_connections.rs
+++ b/crates/comfreyspread-lab/tests/kept_connections.rs
@@ -1,4 +1,5 @@
-//! Callers' connections that are kept after a request, by clients that do not use them any more.
+//! Callers' connections that are kept after a request, by clients that do not use them any more or send
+//! empty lines on them.
 
 mod common;
 
@@ -6,7 +7,7 @@
 use common::gateway;
 use std::{
     io::{Read as _, Write as _},
-    net, sync,
+    net, sync, thread, time,
 };
 
 /// Memory of the machine, in MB.
@@ -16,6 +17,17 @@
 const KEPT_DESCRIPTORS: u32 = 2000;
 /// Body of the request on each of them.
 const BODY_BYTES: usize = 30_000;
+/// Descriptors of a machine, the connections that they leave to callers, and clients that take all of
+/// them.
+const FEW_DESCRIPTORS: u32 = 1100;
+const CALLER_CONNECTIONS: usize = 300;
+const CROWD: usize = 400;
+/// Time between the empty lines of a client, and for which it sends them before others come.
+const LINE_PAUSE: time::Duration = time::Duration::from_millis(200);
+const CROWD_TIME: time::Duration = time::Duration::from_millis(2500);
+/// Ordinary requests on a new connection each.
+const ORDINARY: usize = 20;
+
 /// One crowd at a time.
 static CROWDS: sync::Mutex<()> = sync::Mutex::new(());
 
@@ -60,3 +72,42 @@
         assert_eq!(gateway::send(node.caller_address, request).await.0, 200);
     });
 }
+
+/// Takes all connections of a node with clients that go on with `line` after one request, and sends
+/// ordinary requests.
+fn check_crowd(line: &'static [u8]) {
+    let _alone = CROWDS.lock().unwrap_or_else(sync::PoisonError::into_inner);
+    gateway::with_fleet(async |fleet| {
+        let node = start_node(&fleet, FEW_DESCRIPTORS).await;
+        let mut kept: Vec<_> =
+            (0..CROWD).filter_map(|_| keep_connection(node.caller_address, b"")).collect();
+        assert!(kept.len() >= CALLER_CONNECTIONS, "{}", kept.len());
+        let begun = time::Instant::now();
+        while begun.elapsed() < CROWD_TIME {
+            for stream in &mut kept {
+                // The node may have closed it.
+                stream.write_all(line).ok();
+            }
+            thread::sleep(LINE_PAUSE);
+        }
+        for number in 0..ORDINARY {
+            let id = format!("r-{number}");
+            let request = gateway::request(node.caller_address, "/read/", &id);
+            assert_eq!(gateway::send(node.caller_address, request).await.0, 200, "{id}");
+        }
+        drop(kept);
+    });
+}
+
+/// Clients that send empty lines after one request took all connections, and ordinary callers were
+/// refused: a connection that had sent one request was never closed for another.
+#[test]
+fn empty_lines() {
+    check_crowd(b"\r\n");
+}
+
+/// The same with clients that send nothing more.
+#[test]
+fn unused_connections() {
+    check_crowd(b"");
+}
--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod claim;
 pub mod comparison;
 pub mod concurrency_limit;
+pub mod connection_displacement;
 pub mod connectivity;
 pub mod conviction_store;
 pub mod crash_evidence;
--- a/crates/comfreyspread/src/runtime/lock_rank.rs
+++ b/crates/comfreyspread/src/runtime/lock_rank.rs
@@ -85,8 +85,12 @@
     SeedRank = 105;
     /// Rank of the memory for responses.
     ResponseMemoryRank = 106;
-    /// Rank of the connections that have not sent a whole request.
-    FreshConnectionRank = 108;
+    /// Rank of a server's open connections.
+    OpenConnectionRank = 107;
+    /// Rank of the requests whose bodies are not complete.
+    UnfinishedRequestRank = 108;
+    /// Rank of the phase of one connection.
+    ConnectionPhaseRank = 109;
     /// Rank of the idle connections.
     ConnectionRank = 110;
     /// Rank of the queue of deadlines.
--- a/crates/comfreyspread/src/transport/head_reading.rs
+++ b/crates/comfreyspread/src/transport/head_reading.rs
@@ -5,6 +5,7 @@
 //! and so does the time: a head that arrives one byte at a time takes its place for ever.
 
 use crate::transport::{body, body::MemoryAccount as _, deadline};
+use comfreyspread_policy::connection_displacement;
 use std::{io, pin, sync, sync::atomic, task, time};
 
 /// Bytes of each connection that need no budget, so that ordinary requests are read also while large
@@ -74,6 +75,19 @@
         }
     }
 
+    /// Returns what the connection waits for; none if a request is being read or handled.
+    pub fn waits_for(&mut self) -> Option<connection_displacement::ConnectionPhase> {
+        self.reset_after_request();
+        if self.phase.in_request.load(atomic::Ordering::Relaxed) {
+            return None;
+        }
+        Some(match (self.requests, self.read) {
+            (0, _) => connection_displacement::ConnectionPhase::New,
+            (_, 0) => connection_displacement::ConnectionPhase::Kept,
+            _ => connection_displacement::ConnectionPhase::Head,
+        })
+    }
+
     /// Counts bytes that were read.
     ///
     /// # Errors
--- a/crates/comfreyspread/src/transport/http_server.rs
+++ b/crates/comfreyspread/src/transport/http_server.rs
@@ -6,8 +6,8 @@
 use crate::{
     runtime::{supervisor, worker},
     transport::{
-        activity_counter, body, connection_monitor, deadline, fresh_connections, head_reading,
-        http_body, http_message, server_stream,
+        activity_counter, body, connection_monitor, deadline, head_reading, http_body,
+        http_message, open_connections, server_stream, unfinished_requests,
     },
 };
 use async_net::TcpStream;
@@ -100,10 +100,10 @@
 pub enum CloseCause {
     /// Its head was too long, took too long, or found the budget for all heads used up.
     Head,
-    /// No more connections may be open, or bodies have used up most of their budget, and it had sent
-    /// no whole request.
+    /// No more connections may be open, or bodies have used up most of their budget, and it had no
+    /// request in progress.
     Displaced,
-    /// No more connections may be open, and all others had sent a whole request.
+    /// No more connections may be open, and all others have a request in progress or have just had one.
     Full,
 }
 
@@ -159,9 +159,8 @@
     limits: ServerLimits,
     budget: sync::Arc<body::BodyBudget>,
     head_budget: sync::Arc<body::BodyBudget>,
-    fresh: sync::Arc<fresh_connections::FreshConnections>,
-    /// Requests whose bodies are not complete.
-    unfinished: sync::Arc<fresh_connections::FreshConnections>,
+    open: sync::Arc<open_connections::OpenConnections>,
+    unfinished: sync::Arc<unfinished_requests::UnfinishedRequests>,
     listener: async_net::TcpListener,
     spawner: worker::TaskSpawner,
     /// Loops that accept connections.
@@ -228,7 +227,7 @@
             limits,
             budget,
             head_budget,
-            fresh: sync::Arc::default(),
+            open: sync::Arc::default(),
             unfinished: sync::Arc::default(),
             listener,
             spawner,
@@ -304,10 +303,10 @@
     }
 
     fn start_connection(&self, stream: TcpStream) {
-        let open = self.connections.count();
-        let displaced = open >= self.limits.connection_limit && self.fresh.close_oldest();
+        let is_full = self.connections.count() >= self.limits.connection_limit;
+        let displaced = is_full && self.open.displace(time::Instant::now());
         let connection = ServerConnection {
-            fresh: self.fresh.add(),
+            open: self.open.add(),
             unfinished: self.unfinished.clone(),
             head_budget: self.head_budget.clone(),
             handler: self.handler.clone(),
@@ -317,7 +316,7 @@
             shutdown_receiver: self.shutdown_receiver.clone(),
             _guard: self.connections.track(),
         };
-        let busy = open >= self.limits.connection_limit && !displaced;
+        let busy = is_full && !displaced;
         if displaced {
             self.handler.record_closed(CloseCause::Displaced);
         } else if busy {
@@ -337,8 +336,8 @@
     limits: ServerLimits,
     budget: sync::Arc<body::BodyBudget>,
     head_budget: sync::Arc<body::BodyBudget>,
-    fresh: fresh_connections::FreshConnection,
-    unfinished: sync::Arc<fresh_connections::FreshConnections>,
+    open: open_connections::OpenConnection,
+    unfinished: sync::Arc<unfinished_requests::UnfinishedRequests>,
     stream: TcpStream,
     shutdown_receiver: async_channel::Receiver<()>,
     _guard: activity_counter::ActivityGuard,
@@ -370,10 +369,10 @@
         let head = head_reading::HeadReading::new(rules, phase.clone());
         let stream =
             server_stream::ServerStream::new(self.stream.clone(), handled.clone(), write_timeout)
-                .with_head(head);
+                .with_head(head, self.open.phase_setter());
         let served = async { Some(self.serve(stream, &handled, &phase).await) };
         let displaced = async {
-            self.fresh.closed().await;
+            self.open.closed().await;
             None
         };
         let Some(served) = served.or(displaced).await else { return Ok(()) };
@@ -442,7 +441,9 @@
         let monitor = connection_monitor::ConnectionMonitor::new(self.stream.clone());
         let mut response = match self.read_body(incoming, &mut reservation).await {
             Ok(body) => {
-                self.fresh.record_request();
+                if !self.open.phase_setter().start_request() {
+                    return closing(self.handler.refuse(RequestError::Busy));
+                }
                 let connection = monitor.clone();
                 let request = ServerRequest { head, body, connection, _reservation: reservation };
                 let handled = supervisor::run_caught(self.handler.handle(request)).await;
@@ -462,7 +463,7 @@
         incoming: hyper::body::Incoming,
         reservation: &mut body::BodyReservation,
     ) -> Result<bytes::Bytes, RequestError> {
-        if self.budget.is_short() && self.unfinished.close_oldest() {
+        if self.budget.is_short() && self.unfinished.end_oldest() {
             self.handler.record_closed(CloseCause::Displaced);
         }
         let unfinished = self.unfinished.add();
@@ -477,7 +478,7 @@
             Err(RequestError::Slow)
         };
         let displaced = async {
-            unfinished.closed().await;
+            unfinished.ended().await;
             Err(RequestError::Busy)
         };
         read.or(timed_out).or(displaced).await
--- a/crates/comfreyspread/src/transport/server_stream.rs
+++ b/crates/comfreyspread/src/transport/server_stream.rs
@@ -4,8 +4,9 @@
 //! so that the server can send a problem body instead. It also limits the wait for a peer that
 //! accepts no data.
 
-use crate::transport::{deadline, head_reading};
+use crate::transport::{deadline, head_reading, open_connections};
 use async_net::TcpStream;
+use comfreyspread_policy::connection_displacement;
 use futures_lite::{AsyncRead, AsyncWrite, io, ready};
 use std::{pin, sync, sync::atomic, task, time};
 
@@ -37,6 +38,7 @@
 pub struct ServerStream {
     stream: TcpStream,
     head: Option<head_reading::HeadReading>,
+    phase: Option<open_connections::PhaseSetter>,
     handled: HandledFlag,
     write_timeout: time::Duration,
     write_timer: Option<deadline::DeadlineTimer>,
@@ -47,12 +49,17 @@
     /// Creates a stream whose writes fail if the peer accepts no data for `write_timeout`.
     pub fn new(stream: TcpStream, handled: HandledFlag, write_timeout: time::Duration) -> Self {
         let (write_timer, substitute) = (None, None);
-        Self { stream, head: None, handled, write_timeout, write_timer, substitute }
+        let (head, phase) = (None, None);
+        Self { stream, head, phase, handled, write_timeout, write_timer, substitute }
     }
 
-    /// Limits what is read before a request is complete.
-    pub fn with_head(self, head: head_reading::HeadReading) -> Self {
-        Self { head: Some(head), ..self }
+    /// Limits what is read before a request is complete, and records what the connection waits for.
+    pub fn with_head(
+        self,
+        head: head_reading::HeadReading,
+        phase: open_connections::PhaseSetter,
+    ) -> Self {
+        Self { head: Some(head), phase: Some(phase), ..self }
     }
 
     /// Creates a stream that yields a substitute request and writes the response to `stream`, so
@@ -73,7 +80,11 @@
         }
         let length = buffer.len().min(MAX_READ_BYTES);
         let buffer = &mut buffer[..length];
-        let count = ready!(pin::Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        let read = pin::Pin::new(&mut self.stream).poll_read(cx, buffer);
+        if read.is_pending() {
+            self.record_wait();
+        }
+        let count = ready!(read)?;
         if let Some(head) = &mut self.head {
             head.count(count)?;
             // The timer of the first bytes has to wake the next read.
@@ -82,6 +93,19 @@
         task::Poll::Ready(Ok(count))
     }
 
+    /// Records what the connection waits for, once `hyper` reads the next head. It does not read while a
+    /// response is sent, but the peer may not have accepted all of one.
+    fn record_wait(&mut self) {
+        let waits_for = self.head.as_mut().and_then(head_reading::HeadReading::waits_for);
+        if let (Some(setter), Some(phase)) = (&self.phase, waits_for) {
+            setter.set(if self.write_timer.is_some() {
+                connection_displacement::ConnectionPhase::Active
+            } else {
+                phase
+            });
+        }
+    }
+
     /// Fails a write that has been pending for the timeout.
     fn limit_write<Output>(
         &mut self,
@@ -92,6 +116,9 @@
             self.write_timer = None;
             return written;
         }
+        if let Some(setter) = &self.phase {
+            setter.set(connection_displacement::ConnectionPhase::Active);
+        }
         let write_timeout = self.write_timeout;
         let write_timer =
             self.write_timer.get_or_insert_with(|| deadline::DeadlineTimer::after(write_timeout));
