Count a connection as in use while a later request's body is read

Cause: what a connection waits for was set between requests only. At the limit of connections, one whose second request was still being read counted as kept since its first, and could be closed for a new one with part of a body sent.

Change: HeadReading says of each moment what the connection waits for; a request after the first makes it active.

Evidence: head_reading::body_in_progress, which does not compile against the former signature; by reading, the former code said nothing in that phase. kept_connections and hostile_clients are green.

--- a/crates/comfreyspread/src/transport/head_reading.rs
+++ b/crates/comfreyspread/src/transport/head_reading.rs
@@ -75,17 +75,16 @@
         }
     }
 
-    /// Returns what the connection waits for; none if a request is being read or handled.
-    pub fn waits_for(&mut self) -> Option<connection_displacement::ConnectionPhase> {
+    /// Returns what the connection waits for. It is new until its first request is whole, body included.
+    pub fn waits_for(&mut self) -> connection_displacement::ConnectionPhase {
         self.reset_after_request();
-        if self.phase.in_request.load(atomic::Ordering::Relaxed) {
-            return None;
+        let in_request = self.phase.in_request.load(atomic::Ordering::Relaxed);
+        match (self.requests, in_request, self.read) {
+            (0, ..) | (1, true, _) => connection_displacement::ConnectionPhase::New,
+            (_, true, _) => connection_displacement::ConnectionPhase::Active,
+            (_, false, 0) => connection_displacement::ConnectionPhase::Kept,
+            (_, false, _) => connection_displacement::ConnectionPhase::Head,
         }
-        Some(match (self.requests, self.read) {
-            (0, _) => connection_displacement::ConnectionPhase::New,
-            (_, 0) => connection_displacement::ConnectionPhase::Kept,
-            _ => connection_displacement::ConnectionPhase::Head,
-        })
     }
 
     /// Counts bytes that were read.
--- a/crates/comfreyspread/src/transport/server_stream.rs
+++ b/crates/comfreyspread/src/transport/server_stream.rs
@@ -96,14 +96,12 @@
     /// Records what the connection waits for, once `hyper` reads the next head. It does not read while a
     /// response is sent, but the peer may not have accepted all of one.
     fn record_wait(&mut self) {
-        let waits_for = self.head.as_mut().and_then(head_reading::HeadReading::waits_for);
-        if let (Some(setter), Some(phase)) = (&self.phase, waits_for) {
-            setter.set(if self.write_timer.is_some() {
-                connection_displacement::ConnectionPhase::Active
-            } else {
-                phase
-            });
-        }
+        let (Some(head), Some(setter)) = (&mut self.head, &self.phase) else { return };
+        setter.set(if self.write_timer.is_some() {
+            connection_displacement::ConnectionPhase::Active
+        } else {
+            head.waits_for()
+        });
     }
 
     /// Fails a write that has been pending for the timeout.
--- /dev/null
+++ b/crates/comfreyspread/tests/head_reading.rs
@@ -0,0 +1,33 @@
+//! What a connection waits for, by what has been read of it.
+
+use comfreyspread::transport::{body, head_reading};
+use comfreyspread_policy::connection_displacement::ConnectionPhase;
+use std::{sync, time};
+
+fn new_reading(phase: &head_reading::ConnectionPhase) -> head_reading::HeadReading {
+    let rules = head_reading::HeadRules {
+        limit: 1024,
+        timeout: time::Duration::from_secs(1),
+        budget: sync::Arc::new(body::BodyBudget::new(1024)),
+    };
+    head_reading::HeadReading::new(rules, phase.clone())
+}
+
+/// A connection whose second request was still being read counted as kept since its first, and was
+/// closed for a new one.
+#[test]
+fn body_in_progress() {
+    let phase = head_reading::ConnectionPhase::default();
+    let mut reading = new_reading(&phase);
+    assert_eq!(reading.waits_for(), ConnectionPhase::New);
+    phase.start_request();
+    assert_eq!(reading.waits_for(), ConnectionPhase::New, "its first body makes room, too");
+    phase.end_request();
+    assert_eq!(reading.waits_for(), ConnectionPhase::Kept);
+    reading.count(2).expect("an empty line");
+    assert_eq!(reading.waits_for(), ConnectionPhase::Head);
+    phase.start_request();
+    assert_eq!(reading.waits_for(), ConnectionPhase::Active);
+    phase.end_request();
+    assert_eq!(reading.waits_for(), ConnectionPhase::Kept);
+}
