--- a/crates/comfreyspread-policy/src/lib.rs
+++ b/crates/comfreyspread-policy/src/lib.rs
@@ -12,7 +12,8 @@
 //!   with their [`endpoint_intake`], [`endpoint_selection`], [`stage_graph`] of a request,
 //!   [`batch_queue`] of a stage service with its [`batch_call`]s over [`batch_admission`],
 //!   [`piece_group`], [`worker_set`] and [`home_zones`], [`event_buffer`],
-//!   [`response_budget`], [`first_event`], [`tried_endpoints`], [`service_retry_budget`], [`wait_table`], [`peer_health`];
+//!   [`response_budget`], [`first_event`], [`tried_endpoints`], [`service_retry_budget`],
+//!   [`wait_table`], [`peer_health`]; connections of callers by [`connection_displacement`];
 //!   tables of the store by [`table_mirror`] with [`table_hold`] and [`store_position`],
 //!   [`table_source`], [`table_freshness`], [`full_read_pace`] and [`outage_recovery`].
 //! - The owner: [`pool_scheduler`] over [`call_queue`], [`pool_endpoint`], [`endpoint_lifecycle`],
--- a/crates/comfreyspread/src/transport/http_server.rs
+++ b/crates/comfreyspread/src/transport/http_server.rs
@@ -3,28 +3,22 @@
 //! `hyper` decodes and encodes the messages. This module adds limits on time and size, responses to
 //! malformed requests, and detection of callers that disconnect.
 
+use super::server_connection;
 use crate::{
-    runtime::{supervisor, worker},
+    runtime::worker,
     transport::{
-        activity_counter, body, connection_monitor, deadline, head_reading, http_body,
-        http_message, open_connections, server_stream, unfinished_requests,
+        activity_counter, body, connection_monitor, deadline, http_message, open_connections,
+        unfinished_requests,
     },
 };
 use async_net::TcpStream;
-use futures_lite::{AsyncWriteExt as _, FutureExt as _, future, io};
-use hyper::{server::conn::http1, service};
-use std::{convert, net, pin, sync, time};
-
-const BUSY_RESPONSE: &[u8] =
-    b"HTTP/1.1 503 Service Unavailable\r\ncomfreyspread-verdict: not-run\r\n\
-retry-after: 1\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+use futures_lite::{FutureExt as _, future, io};
+use std::{net, sync, time};
 
 /// Rounds in which a server that closes accepts the connections that arrived.
 const LAST_ACCEPTS: u32 = 20;
 /// Maximum wait for the server's own connection in such a round.
 const LAST_ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(10);
-/// Maximum wait for the first request of a connection once the server closes.
-const FIRST_REQUEST_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
 /// A request whose body has been read.
 #[derive(Debug)]
@@ -36,6 +30,16 @@
 }
 
 impl ServerRequest {
+    /// Creates a request from what was read; the reservation is given back with it.
+    pub(super) fn new(
+        head: http::request::Parts,
+        body: bytes::Bytes,
+        connection: connection_monitor::ConnectionMonitor,
+        reservation: body::BodyReservation,
+    ) -> Self {
+        Self { head, body, connection, _reservation: reservation }
+    }
+
     /// Returns the method.
     pub fn method(&self) -> &http::Method {
         &self.head.method
@@ -305,7 +309,7 @@
     fn start_connection(&self, stream: TcpStream) {
         let is_full = self.connections.count() >= self.limits.connection_limit;
         let displaced = is_full && self.open.displace(time::Instant::now());
-        let connection = ServerConnection {
+        let connection = server_connection::ServerConnection {
             open: self.open.add(),
             unfinished: self.unfinished.clone(),
             head_budget: self.head_budget.clone(),
@@ -330,208 +334,3 @@
         });
     }
 }
-
-struct ServerConnection<Handler> {
-    handler: sync::Arc<Handler>,
-    limits: ServerLimits,
-    budget: sync::Arc<body::BodyBudget>,
-    head_budget: sync::Arc<body::BodyBudget>,
-    open: open_connections::OpenConnection,
-    unfinished: sync::Arc<unfinished_requests::UnfinishedRequests>,
-    stream: TcpStream,
-    shutdown_receiver: async_channel::Receiver<()>,
-    _guard: activity_counter::ActivityGuard,
-}
-
-impl<Handler> ServerConnection<Handler>
-where
-    Handler: RequestHandler,
-{
-    async fn reject_busy(mut self) -> Result<(), hyper::Error> {
-        if let Err(error) = self.stream.write_all(BUSY_RESPONSE).await {
-            log::debug!("http: busy response not sent. error={error}");
-        }
-        Ok(())
-    }
-
-    async fn run(self) -> Result<(), hyper::Error> {
-        if let Err(error) = self.stream.set_nodelay(true) {
-            log::debug!("http: TCP_NODELAY not set. error={error}");
-        }
-        let handled = server_stream::HandledFlag::default();
-        let write_timeout = self.limits.body_timeout;
-        let phase = head_reading::ConnectionPhase::default();
-        let rules = head_reading::HeadRules {
-            limit: self.limits.head_limit,
-            timeout: self.limits.head_timeout,
-            budget: self.head_budget.clone(),
-        };
-        let head = head_reading::HeadReading::new(rules, phase.clone());
-        let stream =
-            server_stream::ServerStream::new(self.stream.clone(), handled.clone(), write_timeout)
-                .with_head(head, self.open.phase_setter());
-        let served = async { Some(self.serve(stream, &handled, &phase).await) };
-        let displaced = async {
-            self.open.closed().await;
-            None
-        };
-        let Some(served) = served.or(displaced).await else { return Ok(()) };
-        if served.as_ref().is_err_and(is_head_error) {
-            self.handler.record_closed(CloseCause::Head);
-        }
-        if handled.is_set() {
-            return served;
-        }
-        match served {
-            Err(error) if error.is_timeout() || is_slow_head(&error) => {
-                self.send_error(RequestError::Slow).await
-            }
-            Err(error) if error.is_parse() => self.send_error(RequestError::Malformed).await,
-            result => result,
-        }
-    }
-
-    async fn serve(
-        &self,
-        stream: server_stream::ServerStream,
-        handled: &server_stream::HandledFlag,
-        phase: &head_reading::ConnectionPhase,
-    ) -> Result<(), hyper::Error> {
-        let service = service::service_fn(|request| async {
-            handled.set();
-            phase.start_request();
-            let response = self.respond(request).await;
-            phase.end_request();
-            Ok::<_, convert::Infallible>(response.into_http())
-        });
-        let connection = http1::Builder::new()
-            .half_close(true)
-            .preserve_header_case(true)
-            .max_buf_size(self.limits.head_limit)
-            .timer(ServerTimer)
-            .header_read_timeout(self.limits.header_timeout)
-            .serve_connection(smol_hyper::rt::FuturesIo::new(stream), service);
-        let mut connection = pin::pin!(connection);
-        let closed = async {
-            self.shutdown_receiver.recv().await.ok();
-            None
-        };
-        let result = async { Some(connection.as_mut().await) };
-        if let Some(result) = result.or(closed).await {
-            return result;
-        }
-        // The first request of a new connection may be on its way.
-        if !handled.is_set() {
-            let mut timer = deadline::DeadlineTimer::after(FIRST_REQUEST_TIMEOUT);
-            if let Some(result) = deadline::with_timer(&mut timer, connection.as_mut()).await {
-                return result;
-            }
-        }
-        connection.as_mut().graceful_shutdown();
-        connection.await
-    }
-
-    /// Reads the body of one request and passes the request to the handler.
-    async fn respond(
-        &self,
-        request: http::Request<hyper::body::Incoming>,
-    ) -> http_message::Response {
-        let (head, incoming) = request.into_parts();
-        let mut reservation = body::BodyReservation::new(self.budget.clone());
-        let monitor = connection_monitor::ConnectionMonitor::new(self.stream.clone());
-        let mut response = match self.read_body(incoming, &mut reservation).await {
-            Ok(body) => {
-                if !self.open.phase_setter().start_request() {
-                    return closing(self.handler.refuse(RequestError::Busy));
-                }
-                let connection = monitor.clone();
-                let request = ServerRequest { head, body, connection, _reservation: reservation };
-                let handled = supervisor::run_caught(self.handler.handle(request)).await;
-                handled.unwrap_or_else(|| closing(self.handler.panicked()))
-            }
-            Err(error) => closing(self.handler.refuse(error)),
-        };
-        if response.len().is_none() {
-            let body = response.take_body();
-            response.set_body(connection_monitor::MonitoredBody::body(body, monitor));
-        }
-        response
-    }
-
-    async fn read_body(
-        &self,
-        incoming: hyper::body::Incoming,
-        reservation: &mut body::BodyReservation,
-    ) -> Result<bytes::Bytes, RequestError> {
-        if self.budget.is_short() && self.unfinished.end_oldest() {
-            self.handler.record_closed(CloseCause::Displaced);
-        }
-        let unfinished = self.unfinished.add();
-        let length = hyper::body::Body::size_hint(&incoming).exact();
-        let mut body = http_body::MessageBody::from_source(incoming, length);
-        let read = async {
-            let bytes = body::read_to_end(&mut body, self.limits.body_limit, reservation).await;
-            bytes.map_err(RequestError::from)
-        };
-        let timed_out = async {
-            deadline::DeadlineTimer::after(self.limits.body_timeout).await;
-            Err(RequestError::Slow)
-        };
-        let displaced = async {
-            unfinished.ended().await;
-            Err(RequestError::Busy)
-        };
-        read.or(timed_out).or(displaced).await
-    }
-
-    /// Sends the response to a request whose head could not be read.
-    async fn send_error(self, error: RequestError) -> Result<(), hyper::Error> {
-        let write_timeout = self.limits.body_timeout;
-        let stream =
-            server_stream::ServerStream::for_error_response(self.stream.clone(), write_timeout);
-        let service = service::service_fn(|_| async {
-            Ok::<_, convert::Infallible>(closing(self.handler.refuse(error)).into_http())
-        });
-        let stream = smol_hyper::rt::FuturesIo::new(stream);
-        http1::Builder::new().half_close(true).serve_connection(stream, service).await
-    }
-}
-
-/// Whether a connection ended for the limits on its head.
-fn is_head_error(error: &hyper::Error) -> bool {
-    let is_limit =
-        matches!(error_kind(error), Some(io::ErrorKind::InvalidData | io::ErrorKind::OutOfMemory));
-    error.is_parse_too_large() || error.is_timeout() || is_limit || is_slow_head(error)
-}
-
-/// Whether a head took too long. Before the first request nothing else times out.
-fn is_slow_head(error: &hyper::Error) -> bool {
-    error_kind(error) == Some(io::ErrorKind::TimedOut)
-}
-
-fn error_kind(error: &hyper::Error) -> Option<io::ErrorKind> {
-    let source = std::error::Error::source(error)?;
-    source.downcast_ref::<io::Error>().map(io::Error::kind)
-}
-
-/// Returns a response after which the connection is closed.
-fn closing(mut response: http_message::Response) -> http_message::Response {
-    response.insert_header("connection", "close");
-    response
-}
-
-/// Timer for `hyper`, based on the deadline queue of the process.
-#[derive(Clone, Copy, Debug)]
-struct ServerTimer;
-
-impl hyper::rt::Timer for ServerTimer {
-    fn sleep(&self, length: time::Duration) -> pin::Pin<Box<dyn hyper::rt::Sleep>> {
-        Box::pin(deadline::DeadlineTimer::after(length))
-    }
-
-    fn sleep_until(&self, deadline: time::Instant) -> pin::Pin<Box<dyn hyper::rt::Sleep>> {
-        Box::pin(deadline::DeadlineTimer::new(deadline))
-    }
-}
-
-impl hyper::rt::Sleep for deadline::DeadlineTimer {}
--- a/crates/comfreyspread/src/transport/mod.rs
+++ b/crates/comfreyspread/src/transport/mod.rs
@@ -19,5 +19,6 @@
 pub mod produced_body;
 pub mod produced_items;
 pub mod response_memory;
+mod server_connection;
 pub mod server_stream;
 pub mod unfinished_requests;
--- a/crates/comfreyspread/src/transport/open_connections.rs
+++ b/crates/comfreyspread/src/transport/open_connections.rs
@@ -5,6 +5,7 @@
 
 use crate::runtime::lock_rank;
 use comfreyspread_policy::connection_displacement;
+use comfreyspread_schema::ids;
 use indexmap::IndexMap;
 use std::{sync, time};
 
@@ -19,8 +20,8 @@
 
 #[derive(Debug, Default)]
 struct ConnectionTable {
-    next_number: u64,
-    entries: IndexMap<u64, ConnectionEntry>,
+    next_id: ids::ConnectionId,
+    entries: IndexMap<ids::ConnectionId, ConnectionEntry>,
 }
 
 #[derive(Debug)]
@@ -55,7 +56,7 @@
 #[derive(Debug)]
 pub struct OpenConnection {
     connections: sync::Arc<OpenConnections>,
-    number: u64,
+    id: ids::ConnectionId,
     phase: sync::Arc<PhaseLock>,
     closed: async_channel::Receiver<()>,
 }
@@ -77,21 +78,20 @@
         let record = PhaseRecord { waiting, is_closing: false };
         let phase = sync::Arc::new(lock_rank::RankedLock::new(record));
         let mut table = self.table.lock();
-        let number = table.next_number;
-        table.next_number += 1;
-        table.entries.insert(number, ConnectionEntry { phase: phase.clone(), sender });
+        let id = table.next_id;
+        table.next_id += 1;
+        table.entries.insert(id, ConnectionEntry { phase: phase.clone(), sender });
         drop(table);
-        OpenConnection { connections: self.clone(), number, phase, closed }
+        OpenConnection { connections: self.clone(), id, phase, closed }
     }
 
     /// Closes the connection that is to make room for a new one; returns whether there is one.
     pub fn displace(&self, now: time::Instant) -> bool {
         let mut table = self.table.lock();
-        let waiting =
-            table.entries.iter().map(|(number, entry)| (*number, entry.phase.lock().waiting));
-        let Some(number) = connection_displacement::choose(waiting, now) else { return false };
-        let is_closing = table.entries.get(&number).is_some_and(|entry| entry.phase.lock().close());
-        let entry = if is_closing { table.entries.swap_remove(&number) } else { None };
+        let waiting = table.entries.iter().map(|(id, entry)| (*id, entry.phase.lock().waiting));
+        let Some(id) = connection_displacement::choose(waiting, now) else { return false };
+        let is_closing = table.entries.get(&id).is_some_and(|entry| entry.phase.lock().close());
+        let entry = if is_closing { table.entries.swap_remove(&id) } else { None };
         entry.is_some_and(|entry| entry.sender.try_send(()).is_ok())
     }
 }
@@ -110,7 +110,7 @@
 
 impl Drop for OpenConnection {
     fn drop(&mut self) {
-        self.connections.table.lock().entries.swap_remove(&self.number);
+        self.connections.table.lock().entries.swap_remove(&self.id);
     }
 }
 
--- a/crates/comfreyspread/src/transport/response_memory.rs
+++ b/crates/comfreyspread/src/transport/response_memory.rs
@@ -49,7 +49,7 @@
 }
 
 /// A response had to give way for others.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, Eq, thiserror::Error, PartialEq)]
 #[error("the responses that are read have used up the memory for them")]
 pub struct MemoryRevoked;
 
