Spare the allocations of ordinary events and responses

Cause: with blocks for unfinished events each event was copied twice more, and each exchange allocated what only a response that is counted needs.

Change: an event without blocks is copied once, and the signal of a holder is made when it is first counted.

Evidence: event_buffer, response_memory, stalled_memory and endless_answers are green.

--- a/crates/comfreyspread-policy/src/event_buffer.rs
+++ b/crates/comfreyspread-policy/src/event_buffer.rs
@@ -106,9 +106,7 @@
         let mut events = Vec::new();
         let mut taken = 0;
         while let Some(end) = self.event_end(taken) {
-            let mut blocks = std::mem::take(&mut self.blocks);
-            blocks.push(self.bytes[taken..end].into());
-            let bytes = blocks.concat().into_boxed_slice();
+            let bytes = self.take_event(taken, end);
             events.push(CompleteEvent { id: event_id(&bytes), bytes });
             taken = end;
         }
@@ -133,6 +131,18 @@
         self.blocks.len() * BLOCK_BYTES + self.bytes.capacity()
     }
 
+    /// Returns the bytes of an event whose rest is in the buffer, and forgets its blocks.
+    fn take_event(&mut self, from: usize, end: usize) -> Box<[u8]> {
+        let rest = &self.bytes[from..end];
+        if self.blocks.is_empty() {
+            return rest.into();
+        }
+        let mut bytes = self.blocks.concat();
+        self.blocks.clear();
+        bytes.extend_from_slice(rest);
+        bytes.into()
+    }
+
     /// Moves whole blocks of the unfinished event out of the buffer that is searched. Enough is left
     /// behind for an end of the event of which a part has arrived.
     fn move_to_blocks(&mut self) {
--- a/crates/comfreyspread/src/transport/response_memory.rs
+++ b/crates/comfreyspread/src/transport/response_memory.rs
@@ -43,9 +43,15 @@
 #[derive(Debug)]
 pub struct ResponseHolder {
     memory: sync::Arc<ResponseMemory>,
-    signal: sync::Arc<RevokeSignal>,
     /// Set once the response has exceeded what is exempt.
-    id: sync::OnceLock<ids::HolderId>,
+    entry: sync::OnceLock<HolderEntry>,
+}
+
+/// A response that is counted.
+#[derive(Debug)]
+struct HolderEntry {
+    id: ids::HolderId,
+    signal: sync::Arc<RevokeSignal>,
 }
 
 /// A response had to give way for others.
@@ -75,30 +81,27 @@
 
     /// Returns a holder of nothing.
     pub fn hold(self: &sync::Arc<Self>) -> ResponseHolder {
-        ResponseHolder {
-            memory: self.clone(),
-            signal: sync::Arc::default(),
-            id: sync::OnceLock::new(),
-        }
+        ResponseHolder { memory: self.clone(), entry: sync::OnceLock::new() }
     }
 
     /// Returns bytes that are counted until the last copy is dropped, as when a caller has read them.
     pub fn hold_bytes(self: &sync::Arc<Self>, bytes: Vec<u8>) -> bytes::Bytes {
-        let holder = self.hold();
         if bytes.len() <= EXEMPT_BYTES {
             return bytes.into();
         }
-        let id = *holder.id.get_or_init(|| self.add(&holder.signal));
+        let holder = self.hold();
+        let id = holder.entry.get_or_init(|| self.add()).id;
         self.pin(id);
         self.resize(id, bytes.len());
         bytes::Bytes::from_owner(PinnedBytes { bytes: bytes.into(), _holder: holder })
     }
 
-    fn add(&self, signal: &sync::Arc<RevokeSignal>) -> ids::HolderId {
+    fn add(&self) -> HolderEntry {
+        let signal = sync::Arc::<RevokeSignal>::default();
         let mut table = self.table.lock();
         let id = table.budget.add();
         table.signals.insert(id, signal.clone());
-        id
+        HolderEntry { id, signal }
     }
 
     fn resize(&self, id: ids::HolderId, bytes: usize) {
@@ -136,35 +139,35 @@
     ///
     /// Fails if the response has to give way; the bytes are to be freed then.
     pub fn resize(&self, bytes: usize) -> Result<(), MemoryRevoked> {
-        let id = match self.id.get() {
-            Some(id) => *id,
-            None if bytes <= EXEMPT_BYTES => return self.check(),
-            None => *self.id.get_or_init(|| self.memory.add(&self.signal)),
-        };
-        self.memory.resize(id, bytes);
-        self.check()
+        if !self.is_counted() && bytes <= EXEMPT_BYTES {
+            return Ok(());
+        }
+        let entry = self.entry.get_or_init(|| self.memory.add());
+        self.memory.resize(entry.id, bytes);
+        entry.check()
     }
 
     /// Whether the response has exceeded what is exempt.
     pub fn is_counted(&self) -> bool {
-        self.id.get().is_some()
+        self.entry.get().is_some()
     }
 
     /// Returns whether the response has to give way; if not, the task is woken once it has to.
     pub fn poll_revoked(&self, cx: &task::Context<'_>) -> bool {
-        if self.id.get().is_some() {
-            self.signal.waker.register(cx.waker());
-        }
-        self.check().is_err()
+        let Some(entry) = self.entry.get() else { return false };
+        entry.signal.waker.register(cx.waker());
+        entry.check().is_err()
     }
 
     /// Returns complete bytes that are counted until the last copy is dropped.
     pub fn pin(self, bytes: bytes::Bytes) -> bytes::Bytes {
-        let Some(id) = self.id.get() else { return bytes };
-        self.memory.pin(*id);
+        let Some(entry) = self.entry.get() else { return bytes };
+        self.memory.pin(entry.id);
         bytes::Bytes::from_owner(PinnedBytes { bytes, _holder: self })
     }
+}
 
+impl HolderEntry {
     fn check(&self) -> Result<(), MemoryRevoked> {
         let is_revoked = self.signal.is_revoked.load(atomic::Ordering::Acquire);
         if is_revoked { Err(MemoryRevoked) } else { Ok(()) }
@@ -173,8 +176,8 @@
 
 impl Drop for ResponseHolder {
     fn drop(&mut self) {
-        if let Some(id) = self.id.get() {
-            self.memory.remove(*id);
+        if let Some(entry) = self.entry.get() {
+            self.memory.remove(entry.id);
         }
     }
 }
