Pass bodies to hyper in frames of 16 KiB, so that they stay charged until they are sent

Seen in a test: 20 callers who read nothing, one after the other, with an answer of 6 MB each took 150 MB of a node of 48 MB, though answers were charged until their callers have them.

Cause: hyper copies a frame whole into the write buffer of the connection, so that the charged bytes were dropped at once and an uncounted copy stayed.

Change: a body is passed on in frames of 16 KiB; hyper takes the next one while its buffer is not full. MemoryPlan counts the copy of one body whose blocks are joined.

--- a/crates/comfreyspread-lab/tests/common/raw_endpoint.rs
+++ b/crates/comfreyspread-lab/tests/common/raw_endpoint.rs
@@ -20,6 +20,8 @@
 const HELD_BYTES: usize = 3_900_000;
 /// Bytes of a head that are held: less than the HTTP library accepts of one.
 const HELD_HEAD_BYTES: usize = 380_000;
+/// Bytes of a large body, a few times what the buffers of a connection hold.
+const LARGE_BODY_BYTES: usize = 6_000_000;
 const STREAM_HEADERS: &str =
     "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 
@@ -40,6 +42,8 @@
     LongBody,
     /// A body longer than any response may be, of a known length.
     Body,
+    /// A large body of a known length, and more bytes after it.
+    LargeBody,
     /// A chunked body without its last chunk.
     ChunkedBody,
     /// A stream that is one event without an end.
@@ -146,6 +150,7 @@
             Endless::ChunkExtension => format!("{head}Transfer-Encoding: chunked\r\n\r\n4;"),
             Endless::Trailers => format!("{head}Transfer-Encoding: chunked\r\n\r\n0\r\n"),
             Endless::LongBody => format!("{head}Content-Length: 4\r\n\r\nbody"),
+            Endless::LargeBody => format!("{head}Content-Length: {LARGE_BODY_BYTES}\r\n\r\n"),
             Endless::Body => format!("{head}Content-Length: 9000000000\r\n\r\n"),
             Endless::ChunkedBody => format!("{head}Transfer-Encoding: chunked\r\n\r\n"),
             Endless::HeldBody => {
@@ -193,7 +198,9 @@
             b"X-Filler: 0123456789\r\n".repeat(CHUNK_BYTES / 22)
         }
         Endless::InformationalHeads => b"HTTP/1.1 102 Processing\r\n\r\n".repeat(CHUNK_BYTES / 27),
-        Endless::Body | Endless::ChunkExtension | Endless::LongBody => vec![b'x'; CHUNK_BYTES],
+        Endless::Body | Endless::LargeBody | Endless::ChunkExtension | Endless::LongBody => {
+            vec![b'x'; CHUNK_BYTES]
+        }
         Endless::ChunkedBody | Endless::Event | Endless::HeldBody | Endless::HeldEvent => {
             chunk(&vec![b'x'; CHUNK_BYTES])
         }
--- a/crates/comfreyspread-lab/tests/response_memory.rs
+++ b/crates/comfreyspread-lab/tests/response_memory.rs
@@ -10,6 +10,8 @@
 use common::{gateway, raw_endpoint};
 use futures_util::future;
 use std::{
+    io::Write as _,
+    net,
     sync::{self, atomic::Ordering},
     time,
 };
@@ -18,6 +20,10 @@
 const MEMORY_MB: u64 = 48;
 /// Requests at once.
 const CROWD: usize = 60;
+/// Callers that do not read their answers.
+const UNREAD: usize = 20;
+/// Time in which the answer of one of them has been read from its endpoint.
+const UNREAD_PAUSE: time::Duration = time::Duration::from_millis(200);
 const SLOTS: u32 = 64;
 /// Time after which the crowd's responses have arrived as far as they do.
 const SETTLE_TIME: time::Duration = time::Duration::from_millis(1500);
@@ -51,6 +57,26 @@
 
 /// Sends a crowd of requests to an endpoint in trouble, and ordinary ones beside and after them.
 fn check_crowd(endless: raw_endpoint::Endless, target: CrowdTarget) {
+    with_endpoint(endless, target, async |node| {
+        let crowd = (0..CROWD).map(|number| {
+            let request =
+                gateway::request(node.caller_address, target.path, &format!("r-{number}"));
+            gateway::try_send(node.caller_address, request)
+        });
+        let beside = async {
+            async_io::Timer::after(SETTLE_TIME).await;
+            check_served(node, target.ordinary_path, "beside").await;
+        };
+        future::join(future::join_all(crowd), beside).await;
+    });
+}
+
+/// Runs requests against a node of a small machine, one service of which has an endpoint in trouble, then
+/// checks the node.
+fn with_endpoint<Run>(endless: raw_endpoint::Endless, target: CrowdTarget, run: Run)
+where
+    Run: AsyncFnOnce(&fleet::FleetNode),
+{
     let _alone = CROWDS.lock().unwrap_or_else(sync::PoisonError::into_inner);
     let pool = worker::WorkerPool::new(1).expect("threads");
     let spawner = pool.spawner();
@@ -65,16 +91,7 @@
         let node = fleet::FleetNode::start(&fleet, &program, "node-1", &[], &settings);
         let node = node.expect("a node");
         node.wait_until_ready().await.expect("a ready node");
-        let crowd = (0..CROWD).map(|number| {
-            let request =
-                gateway::request(node.caller_address, target.path, &format!("r-{number}"));
-            gateway::try_send(node.caller_address, request)
-        });
-        let beside = async {
-            async_io::Timer::after(SETTLE_TIME).await;
-            check_served(&node, target.ordinary_path, "beside").await;
-        };
-        future::join(future::join_all(crowd), beside).await;
+        run(&node).await;
         assert!(raw.written.load(Ordering::Relaxed) > 0, "no request reached the endpoint");
         let usage = process_usage::ProcessUsage::new(node.process.id()).expect("a running process");
         let peak_mb = usage.peak_memory_kb / 1024;
@@ -125,3 +142,29 @@
 fn endless_heads() {
     check_crowd(raw_endpoint::Endless::Head, SINGLE);
 }
+
+/// A response was no longer counted once it had been read, though it is kept until its caller has it:
+/// callers that read nothing, one after the other, held one each.
+#[test]
+fn unread_bodies() {
+    with_endpoint(raw_endpoint::Endless::LargeBody, SINGLE, async |node| {
+        let mut callers = Vec::new();
+        for number in 0..UNREAD {
+            callers.push(send_unread(node, number));
+            async_io::Timer::after(UNREAD_PAUSE).await;
+        }
+        check_served(node, SINGLE.ordinary_path, "beside").await;
+        drop(callers);
+    });
+}
+
+/// Sends a request on a connection whose answer nobody reads.
+fn send_unread(node: &fleet::FleetNode, number: usize) -> net::TcpStream {
+    let mut stream = net::TcpStream::connect(node.caller_address).expect("a connection");
+    let head = format!(
+        "POST /read/ HTTP/1.1\r\nhost: fleet.example\r\nx-api-key: fleet-key\r\n\
+         request-id: r-{number}\r\ndeadline-ms: 3000\r\ncontent-length: 0\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).expect("a request");
+    stream
+}
--- a/crates/comfreyspread/src/runtime/memory_plan.rs
+++ b/crates/comfreyspread/src/runtime/memory_plan.rs
@@ -49,10 +49,10 @@
     }
 
     /// Returns the sum of all parts, that of responses of other nodes and the addresses for readiness
-    /// checks and metrics included.
+    /// checks and metrics included, and the copy of one response while its blocks are joined.
     pub fn total(&self) -> u64 {
         let requests = BODY_ADDRESSES * (self.request_bodies + self.request_heads);
         let responses = self.endpoint_responses + self.store_responses + PEER_RESPONSE_BYTES;
-        requests + responses + 2 * ADMIN_ADDRESSES * ADMIN_BYTES
+        requests + responses + LARGE_RESPONSE_BYTES + 2 * ADMIN_ADDRESSES * ADMIN_BYTES
     }
 }
--- a/crates/comfreyspread/src/transport/http_body.rs
+++ b/crates/comfreyspread/src/transport/http_body.rs
@@ -7,6 +7,9 @@
 use std::{fmt, pin, sync, task};
 
 const READ_BUFFER_BYTES: usize = 16 * 1024;
+/// Maximum size of a frame passed to `hyper`, in bytes. It copies frames into the write buffer of the
+/// connection, and takes the next one while that is not full.
+const MAX_FRAME_BYTES: usize = 16 * 1024;
 
 type FrameResult = Option<io::Result<hyper::body::Frame<bytes::Bytes>>>;
 type BoxedSource = sync_wrapper::SyncWrapper<pin::Pin<Box<dyn ChunkSource + Send>>>;
@@ -122,7 +125,14 @@
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
     ) -> task::Poll<FrameResult> {
-        self.poll_next_chunk(cx).map(|chunk| chunk.map(|chunk| chunk.map(hyper::body::Frame::data)))
+        let chunk = ready!(self.poll_next_chunk(cx));
+        task::Poll::Ready(chunk.map(|chunk| {
+            let mut bytes = chunk?;
+            if bytes.len() > MAX_FRAME_BYTES {
+                self.buffered = bytes.split_off(MAX_FRAME_BYTES);
+            }
+            Ok(hyper::body::Frame::data(bytes))
+        }))
     }
 
     fn is_end_stream(&self) -> bool {
