Wait for the memory of the request that was ended for a new one

Cause: a new request that finds the budget for bodies short ends the oldest unfinished one, but reads on before that one has given its memory back, and is refused as well. Two were refused where one was to make room.

Change: it lets the ended request have its turn first.

--- a/crates/comfreyspread/src/transport/server_connection.rs
+++ b/crates/comfreyspread/src/transport/server_connection.rs
@@ -9,7 +9,7 @@
     },
 };
 use async_net::TcpStream;
-use futures_lite::{AsyncWriteExt as _, FutureExt as _, io};
+use futures_lite::{AsyncWriteExt as _, FutureExt as _, future, io};
 use hyper::{server::conn::http1, service};
 use std::{convert, pin, sync, time};
 
@@ -167,6 +167,9 @@
     ) -> Result<bytes::Bytes, http_server::RequestError> {
         if self.budget.is_short() && self.unfinished.end_oldest() {
             self.handler.record_closed(http_server::CloseCause::Displaced);
+            // The ended request gives its memory back in its own turn; without it, this one would be
+            // refused, too.
+            future::yield_now().await;
         }
         let unfinished = self.unfinished.add();
         let length = hyper::body::Body::size_hint(&incoming).exact();
