--- a/crates/comfreyspread/tests/head_reading.rs
+++ b/crates/comfreyspread/tests/head_reading.rs
@@ -1,7 +1,7 @@
 //! What a connection waits for, by what has been read of it.
 
 use comfreyspread::transport::{body, head_reading};
-use comfreyspread_policy::connection_displacement::ConnectionPhase;
+use comfreyspread_policy::connection_displacement as displacement;
 use std::{sync, time};
 
 fn new_reading(phase: &head_reading::ConnectionPhase) -> head_reading::HeadReading {
@@ -19,15 +19,19 @@
 fn body_in_progress() {
     let phase = head_reading::ConnectionPhase::default();
     let mut reading = new_reading(&phase);
-    assert_eq!(reading.waits_for(), ConnectionPhase::New);
+    assert_eq!(reading.waits_for(), displacement::ConnectionPhase::New);
     phase.start_request();
-    assert_eq!(reading.waits_for(), ConnectionPhase::New, "its first body makes room, too");
+    assert_eq!(
+        reading.waits_for(),
+        displacement::ConnectionPhase::New,
+        "its first body makes room, too"
+    );
     phase.end_request();
-    assert_eq!(reading.waits_for(), ConnectionPhase::Kept);
+    assert_eq!(reading.waits_for(), displacement::ConnectionPhase::Kept);
     reading.count(2).expect("an empty line");
-    assert_eq!(reading.waits_for(), ConnectionPhase::Head);
+    assert_eq!(reading.waits_for(), displacement::ConnectionPhase::Head);
     phase.start_request();
-    assert_eq!(reading.waits_for(), ConnectionPhase::Active);
+    assert_eq!(reading.waits_for(), displacement::ConnectionPhase::Active);
     phase.end_request();
-    assert_eq!(reading.waits_for(), ConnectionPhase::Kept);
+    assert_eq!(reading.waits_for(), displacement::ConnectionPhase::Kept);
 }
