--- a/crates/comfreyspread-lab/src/fleet_endpoint.rs
+++ b/crates/comfreyspread-lab/src/fleet_endpoint.rs
@@ -109,8 +109,7 @@
 
     /// Returns the duration of one event or plain answer.
     fn event_delay(&self) -> time::Duration {
-        EVENT_DELAY
-            + time::Duration::from_millis(self.faults.delay_ms.load(atomic::Ordering::Relaxed))
+        EVENT_DELAY + self.faults.delay()
     }
 
     async fn run_plain(&self, request: &http_server::ServerRequest) -> http_message::Response {
@@ -158,9 +157,7 @@
             return self.reject(request, StatusCode::SERVICE_UNAVAILABLE);
         }
         self.record(request, true);
-        let added = self.faults.delay_ms.load(atomic::Ordering::Relaxed);
-        let delay = PIECE_CALL_DELAY + time::Duration::from_millis(added);
-        async_io::Timer::after(delay).await;
+        async_io::Timer::after(PIECE_CALL_DELAY + self.faults.delay()).await;
         self.busy.store(false, atomic::Ordering::Relaxed);
         let body: serde_json::Value = serde_json::from_slice(request.body()).unwrap_or_default();
         let items = body["items"].as_array().cloned().unwrap_or_default();
--- a/crates/comfreyspread-lab/src/fleet_faults.rs
+++ b/crates/comfreyspread-lab/src/fleet_faults.rs
@@ -33,6 +33,11 @@
         StatusCode::from_u16(self.status.load(atomic::Ordering::Relaxed)).ok()
     }
 
+    /// Returns the additional delay.
+    pub fn delay(&self) -> time::Duration {
+        time::Duration::from_millis(self.delay_ms.load(atomic::Ordering::Relaxed))
+    }
+
     /// Adds the headers in which the endpoint speaks of itself.
     pub fn set_headers(&self, response: &mut http_message::Response) {
         if self.leaving.load(atomic::Ordering::Relaxed) {
--- a/crates/comfreyspread/src/transport/head_reading.rs
+++ b/crates/comfreyspread/src/transport/head_reading.rs
@@ -23,14 +23,14 @@
     pub budget: sync::Arc<body::BodyBudget>,
 }
 
-/// How far a connection is, shared by its stream and its service.
+/// How far a connection is with its requests, shared by its stream and its service.
 #[derive(Clone, Debug, Default)]
-pub struct ConnectionPhase {
+pub struct RequestProgress {
     requests: sync::Arc<atomic::AtomicUsize>,
     in_request: sync::Arc<atomic::AtomicBool>,
 }
 
-impl ConnectionPhase {
+impl RequestProgress {
     /// Records that the head of a request is complete.
     pub fn start_request(&self) {
         self.requests.fetch_add(1, atomic::Ordering::Relaxed);
@@ -47,7 +47,7 @@
 #[derive(Debug)]
 pub struct HeadReading {
     rules: HeadRules,
-    phase: ConnectionPhase,
+    progress: RequestProgress,
     requests: usize,
     read: usize,
     reservation: body::BodyReservation,
@@ -56,9 +56,9 @@
 
 impl HeadReading {
     /// Creates the state of a connection that has sent nothing.
-    pub fn new(rules: HeadRules, phase: ConnectionPhase) -> Self {
+    pub fn new(rules: HeadRules, progress: RequestProgress) -> Self {
         let reservation = new_reservation(&rules);
-        Self { rules, phase, requests: 0, read: 0, reservation, timer: None }
+        Self { rules, progress, requests: 0, read: 0, reservation, timer: None }
     }
 
     /// Checks, before bytes are read, whether the head has taken too long.
@@ -78,7 +78,7 @@
     /// Returns what the connection waits for. It is new until its first request is whole, body included.
     pub fn waits_for(&mut self) -> connection_displacement::ConnectionPhase {
         self.reset_after_request();
-        let in_request = self.phase.in_request.load(atomic::Ordering::Relaxed);
+        let in_request = self.progress.in_request.load(atomic::Ordering::Relaxed);
         match (self.requests, in_request, self.read) {
             (0, ..) | (1, true, _) => connection_displacement::ConnectionPhase::New,
             (_, true, _) => connection_displacement::ConnectionPhase::Active,
@@ -94,7 +94,7 @@
     /// Fails if the head is too long, or the budget for all heads is used up.
     pub fn count(&mut self, bytes: usize) -> io::Result<()> {
         self.reset_after_request();
-        if bytes == 0 || self.phase.in_request.load(atomic::Ordering::Relaxed) {
+        if bytes == 0 || self.progress.in_request.load(atomic::Ordering::Relaxed) {
             return Ok(());
         }
         self.read += bytes;
@@ -111,7 +111,7 @@
 
     /// Begins anew once a request has come out of what was read.
     fn reset_after_request(&mut self) {
-        let requests = self.phase.requests.load(atomic::Ordering::Relaxed);
+        let requests = self.progress.requests.load(atomic::Ordering::Relaxed);
         if requests != self.requests {
             self.requests = requests;
             self.read = 0;
--- a/crates/comfreyspread/src/transport/open_connections.rs
+++ b/crates/comfreyspread/src/transport/open_connections.rs
@@ -57,7 +57,7 @@
 pub struct OpenConnection {
     connections: sync::Arc<OpenConnections>,
     id: ids::ConnectionId,
-    phase: sync::Arc<PhaseLock>,
+    phase: PhaseSetter,
     closed: async_channel::Receiver<()>,
 }
 
@@ -82,7 +82,7 @@
         table.next_id += 1;
         table.entries.insert(id, ConnectionEntry { phase: phase.clone(), sender });
         drop(table);
-        OpenConnection { connections: self.clone(), id, phase, closed }
+        OpenConnection { connections: self.clone(), id, phase: PhaseSetter { phase }, closed }
     }
 
     /// Closes the connection that is to make room for a new one; returns whether there is one.
@@ -98,8 +98,8 @@
 
 impl OpenConnection {
     /// Returns what sets the phase of this connection.
-    pub fn phase_setter(&self) -> PhaseSetter {
-        PhaseSetter { phase: self.phase.clone() }
+    pub fn phase(&self) -> &PhaseSetter {
+        &self.phase
     }
 
     /// Waits until the connection is to be closed for another one.
--- a/crates/comfreyspread/src/transport/server_connection.rs
+++ b/crates/comfreyspread/src/transport/server_connection.rs
@@ -60,17 +60,17 @@
         }
         let handled = server_stream::HandledFlag::default();
         let write_timeout = self.limits.body_timeout;
-        let phase = head_reading::ConnectionPhase::default();
+        let progress = head_reading::RequestProgress::default();
         let rules = head_reading::HeadRules {
             limit: self.limits.head_limit,
             timeout: self.limits.head_timeout,
             budget: self.head_budget.clone(),
         };
-        let head = head_reading::HeadReading::new(rules, phase.clone());
+        let head = head_reading::HeadReading::new(rules, progress.clone());
         let stream =
             server_stream::ServerStream::new(self.stream.clone(), handled.clone(), write_timeout)
-                .with_head(head, self.open.phase_setter());
-        let served = async { Some(self.serve(stream, &handled, &phase).await) };
+                .with_head(head, self.open.phase().clone());
+        let served = async { Some(self.serve(stream, &handled, &progress).await) };
         let displaced = async {
             self.open.closed().await;
             None
@@ -97,13 +97,13 @@
         &self,
         stream: server_stream::ServerStream,
         handled: &server_stream::HandledFlag,
-        phase: &head_reading::ConnectionPhase,
+        progress: &head_reading::RequestProgress,
     ) -> Result<(), hyper::Error> {
         let service = service::service_fn(|request| async {
             handled.set();
-            phase.start_request();
+            progress.start_request();
             let response = self.respond(request).await;
-            phase.end_request();
+            progress.end_request();
             Ok::<_, convert::Infallible>(response.into_http())
         });
         let connection = http1::Builder::new()
@@ -143,7 +143,7 @@
         let monitor = connection_monitor::ConnectionMonitor::new(self.stream.clone());
         let mut response = match self.read_body(incoming, &mut reservation).await {
             Ok(body) => {
-                if !self.open.phase_setter().start_request() {
+                if !self.open.phase().start_request() {
                     return closing(self.handler.refuse(http_server::RequestError::Busy));
                 }
                 let request =
--- a/crates/comfreyspread/tests/head_reading.rs
+++ b/crates/comfreyspread/tests/head_reading.rs
@@ -4,34 +4,34 @@
 use comfreyspread_policy::connection_displacement as displacement;
 use std::{sync, time};
 
-fn new_reading(phase: &head_reading::ConnectionPhase) -> head_reading::HeadReading {
+fn new_reading(progress: &head_reading::RequestProgress) -> head_reading::HeadReading {
     let rules = head_reading::HeadRules {
         limit: 1024,
         timeout: time::Duration::from_secs(1),
         budget: sync::Arc::new(body::BodyBudget::new(1024)),
     };
-    head_reading::HeadReading::new(rules, phase.clone())
+    head_reading::HeadReading::new(rules, progress.clone())
 }
 
 /// A connection whose second request was still being read counted as kept since its first, and was
 /// closed for a new one.
 #[test]
 fn body_in_progress() {
-    let phase = head_reading::ConnectionPhase::default();
-    let mut reading = new_reading(&phase);
+    let progress = head_reading::RequestProgress::default();
+    let mut reading = new_reading(&progress);
     assert_eq!(reading.waits_for(), displacement::ConnectionPhase::New);
-    phase.start_request();
+    progress.start_request();
     assert_eq!(
         reading.waits_for(),
         displacement::ConnectionPhase::New,
         "its first body makes room, too"
     );
-    phase.end_request();
+    progress.end_request();
     assert_eq!(reading.waits_for(), displacement::ConnectionPhase::Kept);
     reading.count(2).expect("an empty line");
     assert_eq!(reading.waits_for(), displacement::ConnectionPhase::Head);
-    phase.start_request();
+    progress.start_request();
     assert_eq!(reading.waits_for(), displacement::ConnectionPhase::Active);
-    phase.end_request();
+    progress.end_request();
     assert_eq!(reading.waits_for(), displacement::ConnectionPhase::Kept);
 }
