--- a/crates/comfreyspread-lab/tests/batcher_failure.rs
+++ b/crates/comfreyspread-lab/tests/batcher_failure.rs
@@ -14,10 +14,7 @@
 
 /// Returns how many stage calls a node has sent.
 async fn stage_calls(node: &fleet::FleetNode) -> u64 {
-    let (_, text) = gateway::get(node.admin_address, "/metrics").await;
-    let mut lines = text.lines();
-    let count = lines.find_map(|line| line.strip_prefix("comfreyspread_stage_call_seconds_count "));
-    count.expect("the metric").parse().expect("a number")
+    gateway::metric(node, "stage_call_seconds_count").await
 }
 
 async fn send_report(node: &fleet::FleetNode, id: &str) -> u16 {
--- a/crates/comfreyspread-lab/tests/common/gateway.rs
+++ b/crates/comfreyspread-lab/tests/common/gateway.rs
@@ -4,7 +4,7 @@
     runtime::worker,
     transport::{http_client, http_message},
 };
-use comfreyspread_lab::{fleet, fleet_request};
+use comfreyspread_lab::{fleet, fleet_request, process_usage};
 use std::{env, fs, net, path, process, sync::atomic, thread, time};
 
 /// Maximum time that a test waits for a response.
@@ -52,6 +52,15 @@
     fleet::sample_route_document(version).expect("a sample")
 }
 
+/// Returns the sample route document with version 2, whose staged route may be resumed.
+pub fn resumable_document() -> serde_json::Value {
+    const VERSION: u64 = 2;
+    const STAGED_ROUTE: usize = 3;
+    let mut document = route_document(VERSION);
+    document["routes"][STAGED_ROUTE]["resumable"] = true.into();
+    document
+}
+
 /// Returns a request with all headers that the platform requires.
 pub fn request(node: net::SocketAddr, path: &str, id: &str) -> http_message::Request {
     fleet_request::FleetRequest::new(node, path, id).into_message()
@@ -127,6 +136,44 @@
     nodes
 }
 
+/// Starts the only node of a test, with lines of its settings file that replace the usual ones, and waits
+/// until it is ready.
+pub async fn start_with_settings(fleet: &fleet::FleetStandIn, settings: &str) -> fleet::FleetNode {
+    let node = fleet::FleetNode::start(fleet, &program(), "node-1", &[], settings);
+    let node = node.expect("a node");
+    node.wait_until_ready().await.expect("a ready node");
+    node
+}
+
+/// Checks that a node answers an ordinary request for `path`.
+pub async fn check_served(node: &fleet::FleetNode, path: &str, id: &str) {
+    let (status, body) = send(node.caller_address, request(node.caller_address, path, id)).await;
+    assert_eq!(status, 200, "{id}: {body}");
+}
+
+/// Returns the value of a metric of a node, named without the program's prefix.
+pub async fn metric(node: &fleet::FleetNode, name: &str) -> u64 {
+    let (_, text) = get(node.admin_address, "/metrics").await;
+    let prefix = format!("comfreyspread_{name} ");
+    let value = text.lines().find_map(|line| line.strip_prefix(&*prefix));
+    value.expect("the metric").parse().expect("a number")
+}
+
+/// Returns the highest memory of a node since its start, in KiB.
+///
+/// # Panics
+///
+/// Panics if the process has ended.
+pub fn peak_memory_kib(node: &fleet::FleetNode) -> u64 {
+    process_usage::ProcessUsage::new(node.process.id()).expect("a running process").peak_memory_kb
+}
+
+/// Checks that a node has stayed within the memory of its machine, in MB.
+pub fn check_memory(node: &fleet::FleetNode, memory_mb: u64) {
+    let peak_mb = peak_memory_kib(node) / 1024;
+    assert!(peak_mb < memory_mb, "{peak_mb} MB of {memory_mb}");
+}
+
 /// Returns the records of the endpoint calls that ran for a request.
 pub fn runs(fleet: &fleet::FleetStandIn, id: &str) -> Vec<fleet::RequestRecord> {
     let of_request = |record: &fleet::RequestRecord| {
--- a/crates/comfreyspread-lab/tests/common/raw_endpoint.rs
+++ b/crates/comfreyspread-lab/tests/common/raw_endpoint.rs
@@ -118,13 +118,15 @@
     /// Starts an endpoint that is not registered.
     pub async fn listen(spawner: &worker::TaskSpawner, endless: Endless) -> Self {
         let (written, closed) = (sync::Arc::default(), sync::Arc::default());
-        let connection = ResponseWriter { endless, written, closed };
-        let server = connection.clone();
+        let writer = ResponseWriter {
+            endless,
+            written: sync::Arc::clone(&written),
+            closed: sync::Arc::clone(&closed),
+        };
         let address = endpoint_socket::listen(spawner, move |stream| {
-            let server = server.clone();
-            async move { server.serve(stream).await }
+            let writer = writer.clone();
+            async move { writer.serve(stream).await }
         });
-        let ResponseWriter { written, closed, .. } = connection;
         Self { address: address.await, written, closed }
     }
 }
@@ -168,15 +170,13 @@
         let mut sent = stream.write_all(first.as_bytes()).await;
         let mut fast_left = endless.fast_bytes();
         while sent.is_ok() {
-            let mut bytes = next_bytes(endless);
-            if let Some(left) = &mut fast_left {
-                if *left < CHUNK_BYTES {
-                    bytes = drip_bytes(endless);
-                    async_io::Timer::after(DRIP_PAUSE).await;
-                } else {
-                    *left -= CHUNK_BYTES;
-                }
-            }
+            let bytes = if fast_left.is_some_and(|left| left < CHUNK_BYTES) {
+                async_io::Timer::after(DRIP_PAUSE).await;
+                drip_bytes(endless)
+            } else {
+                fast_left = fast_left.map(|left| left - CHUNK_BYTES);
+                next_bytes(endless)
+            };
             sent = stream.write_all(&bytes).await;
             self.written.fetch_add(bytes.len(), atomic::Ordering::Relaxed);
         }
--- a/crates/comfreyspread-lab/tests/crashing_parts.rs
+++ b/crates/comfreyspread-lab/tests/crashing_parts.rs
@@ -47,14 +47,6 @@
     });
 }
 
-/// Returns the value of a metric of a node.
-async fn metric(node: &fleet::FleetNode, name: &str) -> u64 {
-    let (_, text) = gateway::get(node.admin_address, "/metrics").await;
-    let prefix = format!("comfreyspread_{name} ");
-    let value = text.lines().find_map(|line| line.strip_prefix(&prefix));
-    value.expect("the metric").parse().expect("a number")
-}
-
 /// Guards against a node that has been restarted and crashes endpoints once more with a part that
 /// the other nodes know.
 #[test]
@@ -70,8 +62,8 @@
         test.send_guilty(CONTACT_TIME).await;
         assert_eq!(test.engines.crashes().len(), before, "crashes after the restart");
         assert!(test.is_served(crash_test::SOUND[0]).await);
-        assert_eq!(metric(&test.nodes[0], "prompt_parts_convicted").await, 1);
-        assert!(metric(&test.nodes[0], "requests_rejected_crashing_total").await > 0);
+        assert_eq!(gateway::metric(&test.nodes[0], "prompt_parts_convicted").await, 1);
+        assert!(gateway::metric(&test.nodes[0], "requests_rejected_crashing_total").await > 0);
     });
 }
 
--- a/crates/comfreyspread-lab/tests/endless_answers.rs
+++ b/crates/comfreyspread-lab/tests/endless_answers.rs
@@ -6,7 +6,7 @@
 mod common;
 
 use comfreyspread::runtime::worker;
-use comfreyspread_lab::{fleet, process_usage};
+use comfreyspread_lab::fleet;
 use common::{gateway, raw_endpoint};
 use std::{sync::atomic::Ordering, time};
 
@@ -54,8 +54,9 @@
     }
 }
 
-fn memory_kib(node: &fleet::FleetNode) -> u64 {
-    process_usage::ProcessUsage::new(node.process.id()).expect("a running process").peak_memory_kb
+fn check_memory(node: &fleet::FleetNode) {
+    let used = gateway::peak_memory_kib(node);
+    assert!(used < MAX_MEMORY_KIB, "{used} KiB");
 }
 
 /// Sends a request that may not be repeated to an endpoint whose response never ends.
@@ -69,7 +70,7 @@
         wait_until_closed(&raw).await;
         let written = raw.written.load(Ordering::Relaxed);
         assert!(written < MAX_RESPONSE_BYTES, "{written} bytes taken");
-        assert!(memory_kib(&node) < MAX_MEMORY_KIB, "{} KiB", memory_kib(&node));
+        check_memory(&node);
     });
 }
 
@@ -124,7 +125,7 @@
         wait_until_closed(&raw).await;
         let written = raw.written.load(Ordering::Relaxed);
         assert!(written < 8 * MAX_RESPONSE_BYTES, "{written} bytes taken");
-        assert!(memory_kib(&node) < MAX_MEMORY_KIB, "{} KiB", memory_kib(&node));
+        check_memory(&node);
     });
 }
 
@@ -141,7 +142,7 @@
         for (status, _) in futures_util::future::join_all(calls).await {
             assert!(status == 502 || status == 504, "{status}");
         }
-        assert!(memory_kib(&node) < MAX_MEMORY_KIB, "{} KiB", memory_kib(&node));
+        check_memory(&node);
     });
 }
 
--- a/crates/comfreyspread-lab/tests/hostile_clients.rs
+++ b/crates/comfreyspread-lab/tests/hostile_clients.rs
@@ -121,10 +121,7 @@
     for script in scripts {
         gateway::with_fleet(async |fleet| {
             let settings = format!("limits.memory_mb={MEMORY_MB}\nlimits.max_fds={DESCRIPTORS}\n");
-            let program = gateway::program();
-            let node = fleet::FleetNode::start(&fleet, &program, "node-1", &[], &settings);
-            let mut node = node.expect("a node");
-            node.wait_until_ready().await.expect("a ready node");
+            let mut node = gateway::start_with_settings(&fleet, &settings).await;
             let target = match address {
                 NodeAddress::Caller => node.caller_address,
                 NodeAddress::Admin => node.admin_address,
--- a/crates/comfreyspread-lab/tests/kept_connections.rs
+++ b/crates/comfreyspread-lab/tests/kept_connections.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use comfreyspread_lab::{fleet, process_usage};
+use comfreyspread_lab::fleet;
 use common::gateway;
 use std::{
     io::{Read as _, Write as _},
@@ -33,10 +33,7 @@
 
 async fn start_node(fleet: &fleet::FleetStandIn, descriptors: u32) -> fleet::FleetNode {
     let settings = format!("limits.memory_mb={MEMORY_MB}\nlimits.max_fds={descriptors}\n");
-    let node = fleet::FleetNode::start(fleet, &gateway::program(), "node-1", &[], &settings);
-    let node = node.expect("a node");
-    node.wait_until_ready().await.expect("a ready node");
-    node
+    gateway::start_with_settings(fleet, &settings).await
 }
 
 /// Opens a connection, has a request of no route answered on it, and returns it; none if the node
@@ -65,11 +62,8 @@
         let kept: Vec<_> =
             (0..KEPT).filter_map(|_| keep_connection(node.caller_address, &body)).collect();
         assert_eq!(kept.len(), KEPT);
-        let usage = process_usage::ProcessUsage::new(node.process.id()).expect("a running process");
-        let peak_mb = usage.peak_memory_kb / 1024;
-        assert!(peak_mb < MEMORY_MB, "{peak_mb} MB of {MEMORY_MB}");
-        let request = gateway::request(node.caller_address, "/read/", "after");
-        assert_eq!(gateway::send(node.caller_address, request).await.0, 200);
+        gateway::check_memory(&node, MEMORY_MB);
+        gateway::check_served(&node, "/read/", "after").await;
     });
 }
 
@@ -91,9 +85,7 @@
             thread::sleep(LINE_PAUSE);
         }
         for number in 0..ORDINARY {
-            let id = format!("r-{number}");
-            let request = gateway::request(node.caller_address, "/read/", &id);
-            assert_eq!(gateway::send(node.caller_address, request).await.0, 200, "{id}");
+            gateway::check_served(&node, "/read/", &format!("r-{number}")).await;
         }
         drop(kept);
     });
--- a/crates/comfreyspread-lab/tests/placements.rs
+++ b/crates/comfreyspread-lab/tests/placements.rs
@@ -48,16 +48,8 @@
     statuses
 }
 
-/// Returns the value of a counter of a node.
-async fn counter(node: &fleet::FleetNode, name: &str) -> u64 {
-    let (_, text) = gateway::get(node.admin_address, "/metrics").await;
-    let prefix = format!("comfreyspread_{name}_total ");
-    let line = text.lines().find_map(|line| line.strip_prefix(&*prefix));
-    line.and_then(|value| value.parse().ok()).expect("a counter")
-}
-
 async fn placed(nodes: &[fleet::FleetNode]) -> Vec<u64> {
-    future::join_all(nodes.iter().map(|node| counter(node, "placements_made"))).await
+    future::join_all(nodes.iter().map(|node| gateway::metric(node, "placements_made_total"))).await
 }
 
 /// One node places the requests of all, and those with the same prompt go to one engine.
--- a/crates/comfreyspread-lab/tests/response_memory.rs
+++ b/crates/comfreyspread-lab/tests/response_memory.rs
@@ -6,7 +6,7 @@
 mod common;
 
 use comfreyspread::runtime::worker;
-use comfreyspread_lab::{fleet, process_usage};
+use comfreyspread_lab::fleet;
 use common::{gateway, raw_endpoint};
 use futures_util::future;
 use std::{
@@ -65,7 +65,7 @@
         });
         let beside = async {
             async_io::Timer::after(SETTLE_TIME).await;
-            check_served(node, target.ordinary_path, "beside").await;
+            gateway::check_served(node, target.ordinary_path, "beside").await;
         };
         future::join(future::join_all(crowd), beside).await;
     });
@@ -87,26 +87,15 @@
         let raw = raw_endpoint::RawEndpoint::listen(&spawner, endless).await;
         raw.register(&fleet, target.service, target.replaced, SLOTS);
         let settings = format!("limits.memory_mb={MEMORY_MB}\n");
-        let program = gateway::program();
-        let node = fleet::FleetNode::start(&fleet, &program, "node-1", &[], &settings);
-        let node = node.expect("a node");
-        node.wait_until_ready().await.expect("a ready node");
+        let node = gateway::start_with_settings(&fleet, &settings).await;
         run(&node).await;
         assert!(raw.written.load(Ordering::Relaxed) > 0, "no request reached the endpoint");
-        let usage = process_usage::ProcessUsage::new(node.process.id()).expect("a running process");
-        let peak_mb = usage.peak_memory_kb / 1024;
-        assert!(peak_mb < MEMORY_MB, "{peak_mb} MB of {MEMORY_MB}");
-        check_served(&node, target.ordinary_path, "after").await;
+        gateway::check_memory(&node, MEMORY_MB);
+        gateway::check_served(&node, target.ordinary_path, "after").await;
     });
     pool.stop();
 }
 
-async fn check_served(node: &fleet::FleetNode, path: &str, id: &str) {
-    let request = gateway::request(node.caller_address, path, id);
-    let (status, body) = gateway::send(node.caller_address, request).await;
-    assert_eq!(status, 200, "{id}: {body}");
-}
-
 /// Each stream may hold an unfinished event of some MB; the sum over all streams had no limit.
 #[test]
 fn unfinished_events() {
@@ -153,7 +142,7 @@
             callers.push(send_unread(node, number));
             async_io::Timer::after(UNREAD_PAUSE).await;
         }
-        check_served(node, SINGLE.ordinary_path, "beside").await;
+        gateway::check_served(node, SINGLE.ordinary_path, "beside").await;
         drop(callers);
     });
 }
--- a/crates/comfreyspread-lab/tests/staged_resume.rs
+++ b/crates/comfreyspread-lab/tests/staged_resume.rs
@@ -6,18 +6,9 @@
 use common::gateway;
 use std::sync::atomic;
 
-const CONFIG_VERSION: u64 = 2;
-const ROUTE: usize = 3;
 /// Events of the sample's streams.
 const EVENTS: usize = 6;
 
-/// Returns the sample document whose staged route may be resumed.
-fn resumable_document() -> serde_json::Value {
-    let mut document = gateway::route_document(CONFIG_VERSION);
-    document["routes"][ROUTE]["resumable"] = true.into();
-    document
-}
-
 fn engine_runs(fleet: &fleet::FleetStandIn, id: &str) -> Vec<fleet::RequestRecord> {
     let runs = gateway::runs(fleet, id).into_iter();
     runs.filter(|run| run.endpoint.starts_with("engine")).collect()
@@ -28,7 +19,7 @@
 #[test]
 fn results_made_again() {
     gateway::with_fleet(async |fleet| {
-        fleet.set_route_document(&resumable_document());
+        fleet.set_route_document(&gateway::resumable_document());
         for engine in ["engine-1", "engine-2"] {
             fleet.faults(engine).cut_after.store(2, atomic::Ordering::Relaxed);
         }
--- a/crates/comfreyspread-lab/tests/stalled_memory.rs
+++ b/crates/comfreyspread-lab/tests/stalled_memory.rs
@@ -4,12 +4,11 @@
 mod common;
 
 use comfreyspread::{runtime::worker, transport::http_client};
-use comfreyspread_lab::{fleet, fleet_request, process_usage};
+use comfreyspread_lab::fleet_request;
 use common::{gateway, raw_endpoint};
 use futures_util::future;
 use std::{net, sync::atomic::Ordering, time};
 
-const CONFIG_VERSION: u64 = 2;
 const ROUTE: usize = 3;
 const STAGE_SERVICE: usize = 2;
 /// Streams at once, more than one endpoint is given.
@@ -24,10 +23,9 @@
 /// Most memory that one node may use, in KiB: half of the smallest VM.
 const MAX_MEMORY_KIB: u64 = 80 * 1024;
 
-/// Returns the sample document whose staged route may be resumed.
-fn resumable_document() -> serde_json::Value {
-    let mut document = gateway::route_document(CONFIG_VERSION);
-    document["routes"][ROUTE]["resumable"] = true.into();
+/// Returns the sample document with slow stages, and a route that leaves time for them.
+fn slow_document() -> serde_json::Value {
+    let mut document = gateway::resumable_document();
     document["services"][STAGE_SERVICE]["pieces"]["call_ms"] = CALL_MS.into();
     document["routes"][ROUTE]["timeout_ms"] = (DEADLINE_MS as u64).into();
     document
@@ -56,7 +54,7 @@
     let pool = worker::WorkerPool::new(1).expect("threads");
     let spawner = pool.spawner();
     gateway::with_fleet(async |fleet| {
-        fleet.set_route_document(&resumable_document());
+        fleet.set_route_document(&slow_document());
         for worker in ["worker-1", "worker-2"] {
             fleet.faults(worker).delay_ms.store(CALL_MS - STAND_IN_MS, Ordering::Relaxed);
         }
@@ -66,7 +64,7 @@
         let node = gateway::start_nodes(&fleet, 1).await.remove(0);
         let calls = (0..STREAMS).map(|number| stream_whole(node.caller_address, number));
         let whole = future::join_all(calls).await;
-        let used = memory_kib(&node);
+        let used = gateway::peak_memory_kib(&node);
         assert!(used < MAX_MEMORY_KIB, "{used} KiB, {MAX_MEMORY_KIB} allowed");
         assert!(raw.written.load(Ordering::Relaxed) > 0, "no stream reached the endless endpoint");
         assert_eq!(whole, [true; STREAMS], "streams that were complete");
@@ -74,10 +72,6 @@
     pool.stop();
 }
 
-fn memory_kib(node: &fleet::FleetNode) -> u64 {
-    process_usage::ProcessUsage::new(node.process.id()).expect("a running process").peak_memory_kb
-}
-
 /// Every event that arrived while a stream moved was kept, though its number was known: one endpoint
 /// that repeated an event made the node exceed its memory.
 #[test]
