Show that an entry with missing fields routes requests to another service

Cause: the registration decoder requires only service, address, zone and state, so an entry of another writer counts as a replica.

--- /dev/null
+++ b/review/stand-3/main.rs
@@ -0,0 +1,38 @@
+//! Stand-ins for the review cases: the platform's store, replicas, consumers and another writer, all
+//! on loopback addresses, and the front nodes of the project as separate processes.
+//!
+//! Uses the standard library only. The first argument names the case, the second its folder.
+
+mod foreign_entry;
+mod http;
+mod nodes;
+mod record;
+mod replica;
+mod store;
+
+use std::{env, path::PathBuf, process::ExitCode};
+
+/// Exit code of a case that could not run.
+const COULD_NOT_RUN: u8 = 2;
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = env::args().collect();
+    let (Some(case), Some(folder)) = (arguments.get(1), arguments.get(2)) else {
+        eprintln!("usage: stand CASE FOLDER");
+        return ExitCode::from(COULD_NOT_RUN);
+    };
+    let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
+    let folder = PathBuf::from(folder);
+    let result = match case.as_str() {
+        "foreign-entry" => foreign_entry::run(&folder, trouble),
+        other => Err(format!("unknown case {other}")),
+    };
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(error) => {
+            eprintln!("the case could not run: {error}");
+            ExitCode::from(COULD_NOT_RUN)
+        }
+    }
+}
--- /dev/null
+++ b/review/stand-3/record.rs
@@ -0,0 +1,36 @@
+//! What was sent, answered and run, with the time since the start; written to `record.txt`.
+
+use std::{
+    fs, io,
+    path::Path,
+    sync::{Arc, Mutex},
+    time::Instant,
+};
+
+/// Lines of the record, shared by all stand-ins.
+#[derive(Clone, Debug)]
+pub struct Record {
+    started: Instant,
+    lines: Arc<Mutex<Vec<String>>>,
+}
+
+impl Record {
+    /// Creates an empty record.
+    pub fn new() -> Self {
+        Self { started: Instant::now(), lines: Arc::default() }
+    }
+
+    /// Adds a line.
+    pub fn add(&self, line: &str) {
+        let at = self.started.elapsed().as_secs_f64();
+        if let Ok(mut lines) = self.lines.lock() {
+            lines.push(format!("{at:8.3} {line}"));
+        }
+    }
+
+    /// Writes the record.
+    pub fn write(&self, folder: &Path) -> io::Result<()> {
+        let lines = self.lines.lock().map(|lines| lines.join("\n")).unwrap_or_default();
+        fs::write(folder.join("record.txt"), lines + "\n")
+    }
+}
