Show that a new address of the store in the settings is not followed

Cause: on SIGHUP the node reads and checks its settings and drops them, so it asks for its tables at the address of its start.

--- a/review/stand-3/foreign_entry.rs
+++ b/review/stand-3/foreign_entry.rs
@@ -63,14 +63,7 @@
 pub fn run(folder: &Path, trouble: bool) -> Result<bool, String> {
     let record = record::Record::new();
     let result = play(&record, trouble);
-    let verdict = match &result {
-        Ok(true) => "ROUTE held".to_owned(),
-        Ok(false) => "ROUTE is broken".to_owned(),
-        Err(error) => format!("could not run: {error}"),
-    };
-    record.add(&verdict);
-    println!("{verdict}");
-    record.write(folder).map_err(|error| error.to_string())?;
+    record.finish(folder, "ROUTE", &result)?;
     result
 }
 
@@ -82,7 +75,7 @@
         for (index, zone) in ["antioquia-a", "cundinamarca-a", "antioquia-b"].iter().enumerate() {
             let id = format!("i-{service}-{index}");
             let work = Duration::from_millis(20);
-            let started = replica::Replica::start(&store, record, (service, zone), &id, work);
+            let started = replica::Replica::start(&[store.clone()], record, (service, zone), &id, work);
             replicas.push(started.map_err(|error| error.to_string())?);
         }
     }
--- a/review/stand-3/main.rs
+++ b/review/stand-3/main.rs
@@ -8,7 +8,10 @@
 mod nodes;
 mod record;
 mod replica;
+mod settings;
+mod silent_readers;
 mod store;
+mod traffic;
 
 use std::{env, path::PathBuf, process::ExitCode};
 
@@ -25,6 +28,8 @@
     let folder = PathBuf::from(folder);
     let result = match case.as_str() {
         "foreign-entry" => foreign_entry::run(&folder, trouble),
+        "settings" => settings::run(&folder, trouble),
+        "silent-readers" => silent_readers::run(&folder, trouble),
         other => Err(format!("unknown case {other}")),
     };
     match result {
--- a/review/stand-3/nodes.rs
+++ b/review/stand-3/nodes.rs
@@ -12,6 +12,8 @@
 /// Program of the deploy file, and its arguments.
 const PROGRAM: &str = "target/release/comfreyspread";
 const ARGUMENTS: [&str; 3] = ["gateway", "--metrics-port", "9464"];
+/// Name of a settings file.
+const FILE: &str = "settings.conf";
 /// Time within which a node is ready.
 const START_LIMIT: Duration = Duration::from_secs(15);
 
@@ -37,6 +39,20 @@
     folder: PathBuf,
 }
 
+impl Node {
+    /// Sends a signal, given by its name.
+    pub fn signal(&self, name: &str) -> io::Result<()> {
+        let command = format!("kill -{name} {}", self.child.id());
+        let status = Command::new("sh").args(["-c", &command]).status()?;
+        if status.success() { Ok(()) } else { Err(io::Error::other(command)) }
+    }
+
+    /// Writes the settings file anew.
+    pub fn set_settings(&self, places: &[NodePlace], store: SocketAddr) -> io::Result<()> {
+        fs::write(self.folder.join(FILE), settings(&self.place, &seeds(places), store))
+    }
+}
+
 impl Drop for Node {
     fn drop(&mut self) {
         self.child.kill().ok();
@@ -52,8 +68,9 @@
 /// Chooses free ports for nodes, given by their zones.
 pub fn places(zones: &[&str]) -> io::Result<Vec<NodePlace>> {
     let place = |(index, zone): (usize, &&str)| {
+        let number = 1 + zones[..index].iter().filter(|known| *known == zone).count();
         Ok(NodePlace {
-            name: format!("front-{zone}-{index}"),
+            name: format!("front-{zone}-{number}"),
             zone: (*zone).to_owned(),
             front: free_address()?,
             ready: free_address()?,
@@ -65,9 +82,9 @@
 
 /// Starts the nodes and waits until all are ready.
 pub fn start(places: &[NodePlace], store: SocketAddr) -> io::Result<Vec<Node>> {
-    let seeds: Vec<_> = places.iter().take(3).map(|place| place.control.to_string()).collect();
+    let seeds = seeds(places);
     let nodes: io::Result<Vec<_>> =
-        places.iter().map(|place| start_one(place, &seeds.join(","), store)).collect();
+        places.iter().map(|place| start_one(place, &seeds, store)).collect();
     let mut nodes = nodes?;
     let started = Instant::now();
     for node in &mut nodes {
@@ -81,10 +98,15 @@
     Ok(nodes)
 }
 
+fn seeds(places: &[NodePlace]) -> String {
+    let seeds: Vec<_> = places.iter().take(3).map(|place| place.control.to_string()).collect();
+    seeds.join(",")
+}
+
 fn start_one(place: &NodePlace, seeds: &str, store: SocketAddr) -> io::Result<Node> {
     let folder = env::temp_dir().join(format!("review-3-{}-{}", std::process::id(), place.name));
     fs::create_dir_all(&folder)?;
-    let file = folder.join("settings.conf");
+    let file = folder.join(FILE);
     fs::write(&file, settings(place, seeds, store))?;
     let log = fs::File::create(folder.join("log"))?;
     let child = Command::new(PROGRAM)
--- a/review/stand-3/record.rs
+++ b/review/stand-3/record.rs
@@ -28,8 +28,25 @@
         }
     }
 
+    /// Adds and prints whether `rule` held, and writes the record.
+    pub fn finish(
+        &self,
+        folder: &Path,
+        rule: &str,
+        result: &Result<bool, String>,
+    ) -> Result<(), String> {
+        let verdict = match result {
+            Ok(true) => format!("{rule} held"),
+            Ok(false) => format!("{rule} is broken"),
+            Err(error) => format!("could not run: {error}"),
+        };
+        self.add(&verdict);
+        println!("{verdict}");
+        self.write(folder).map_err(|error| error.to_string())
+    }
+
     /// Writes the record.
-    pub fn write(&self, folder: &Path) -> io::Result<()> {
+    fn write(&self, folder: &Path) -> io::Result<()> {
         let lines = self.lines.lock().map(|lines| lines.join("\n")).unwrap_or_default();
         fs::write(folder.join("record.txt"), lines + "\n")
     }
--- a/review/stand-3/replica.rs
+++ b/review/stand-3/replica.rs
@@ -38,9 +38,9 @@
 }
 
 impl Replica {
-    /// Starts a replica that works `work` on each request and registers in the store.
+    /// Starts a replica that works `work` on each request and registers in the stores.
     pub fn start(
-        store: &Arc<store::Store>,
+        stores: &[Arc<store::Store>],
         record: &record::Record,
         (service, zone): (&str, &str),
         id: &str,
@@ -69,10 +69,12 @@
                 thread::spawn(move || replica.serve(stream));
             }
         });
-        let (shared, store) = (replica.clone(), store.clone());
+        let (shared, stores) = (replica.clone(), stores.to_vec());
         thread::spawn(move || {
             loop {
-                store.set("servers", &shared.id, Some(&shared.entry));
+                for store in &stores {
+                    store.set("servers", &shared.id, Some(&shared.entry));
+                }
                 thread::sleep(HEARTBEAT);
             }
         });
--- a/review/stand-3/store.rs
+++ b/review/stand-3/store.rs
@@ -5,7 +5,10 @@
     collections::BTreeMap,
     io::{self, BufReader},
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -31,6 +34,7 @@
     rows: Mutex<Rows>,
     changed: Condvar,
     started: Instant,
+    is_down: AtomicBool,
 }
 
 impl Store {
@@ -42,6 +46,7 @@
             rows: Mutex::default(),
             changed: Condvar::new(),
             started: Instant::now(),
+            is_down: AtomicBool::new(false),
         });
         let shared = store.clone();
         thread::spawn(move || {
@@ -53,6 +58,20 @@
         Ok((store, address))
     }
 
+    /// Takes over all rows and the version of another store.
+    pub fn copy_from(&self, other: &Self) {
+        if let (Ok(mut own), Ok(rows)) = (self.rows.lock(), other.rows.lock()) {
+            own.version = rows.version;
+            own.tables = rows.tables.clone();
+        }
+    }
+
+    /// Answers no more; open channels are closed, and so is each new one.
+    pub fn stop(&self) {
+        self.is_down.store(true, Ordering::Relaxed);
+        self.changed.notify_all();
+    }
+
     /// Writes a row, or removes it. Nothing changes if it has the value already.
     pub fn set(&self, table: &str, key: &str, value: Option<&str>) {
         let Ok(mut rows) = self.rows.lock() else { return };
@@ -79,6 +98,9 @@
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = http::read(&mut reader) {
             let (status, body) = self.answer(&request);
+            if self.is_down.load(Ordering::Relaxed) {
+                return;
+            }
             let headers = [("Content-Type", "application/json"), ("Store-Era", "1")];
             let start = format!("HTTP/1.1 {status} answer");
             if http::write(&mut writer, &start, &headers, body.as_bytes()).is_err() {
@@ -116,7 +138,8 @@
             let known = rows.tables.get(table).into_iter().flatten();
             let mut changes: Vec<_> = known.filter(|(_, row)| row.version > after).collect();
             let left = until.saturating_duration_since(Instant::now());
-            if !changes.is_empty() || left.is_zero() {
+            let is_down = self.is_down.load(Ordering::Relaxed);
+            if !changes.is_empty() || left.is_zero() || is_down {
                 changes.sort_by_key(|(_, row)| row.version);
                 return (200, self.page(table, changes.into_iter(), rows.version));
             }
