--- a/review/stand-3/main.rs
+++ b/review/stand-3/main.rs
@@ -1,7 +1,8 @@
 //! Stand-ins for the review cases: the platform's store, replicas, consumers and another writer, all
 //! on loopback addresses, and the front nodes of the project as separate processes.
 //!
-//! Uses the standard library only. The first argument names the case, the second its folder.
+//! Uses the standard library only. The first argument names the case, the second its folder; the third
+//! is `calm` if the disruption is left out, else `trouble`.
 
 mod foreign_entry;
 mod http;
@@ -20,11 +21,18 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = env::args().collect();
-    let (Some(case), Some(folder)) = (arguments.get(1), arguments.get(2)) else {
-        eprintln!("usage: stand CASE FOLDER");
+    let [_, case, folder, disruption] = arguments.as_slice() else {
+        eprintln!("usage: stand CASE FOLDER trouble|calm");
         return ExitCode::from(COULD_NOT_RUN);
     };
-    let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
+    let trouble = match disruption.as_str() {
+        "trouble" => true,
+        "calm" => false,
+        other => {
+            eprintln!("neither trouble nor calm: {other}");
+            return ExitCode::from(COULD_NOT_RUN);
+        }
+    };
     let folder = PathBuf::from(folder);
     let result = match case.as_str() {
         "foreign-entry" => foreign_entry::run(&folder, trouble),
